Lay out the workspace and the HTTP side of the link crate

Cause: nothing stands yet; every process needs HTTP first. Seen: the encoder of monoio-http holds the chunks of a stream back until 8 KiB are buffered, so streamed replies are framed here and flushed one by one. Builds; no test yet.

--- /dev/null
+++ b/crates/board/src/lib.rs
@@ -0,0 +1,3 @@
+//! The state that decisions read and write.
+
+pub mod hash;
--- /dev/null
+++ b/crates/link/src/http/error.rs
@@ -0,0 +1,64 @@
+//! Why an HTTP exchange failed, and whether the peer can have seen it.
+
+use std::fmt;
+
+/// What went wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// No connection could be opened.
+    Connect,
+    /// The request could not be built.
+    Build,
+    /// Writing the request failed.
+    Send,
+    /// The peer did not answer within the time allowed.
+    Timeout,
+    /// The peer closed the connection before the answer was whole.
+    Incomplete,
+    /// The answer broke the protocol or a limit.
+    Malformed,
+}
+
+/// A failed exchange.
+///
+/// [`Error::is_unsent`] tells whether the peer can have acted on the request.
+#[derive(Debug)]
+pub struct Error {
+    kind: Kind,
+    detail: String,
+}
+
+impl Error {
+    pub(crate) fn new(kind: Kind, detail: impl fmt::Display) -> Self {
+        Self {
+            kind,
+            detail: detail.to_string(),
+        }
+    }
+
+    /// Returns what went wrong.
+    pub fn kind(&self) -> Kind {
+        self.kind
+    }
+
+    /// Returns whether no byte of the request can have reached the peer.
+    pub fn is_unsent(&self) -> bool {
+        matches!(self.kind, Kind::Connect | Kind::Build)
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let what = match self.kind {
+            Kind::Connect => "cannot connect",
+            Kind::Build => "cannot build the request",
+            Kind::Send => "cannot send the request",
+            Kind::Timeout => "no answer in time",
+            Kind::Incomplete => "incomplete answer",
+            Kind::Malformed => "malformed answer",
+        };
+        write!(f, "{what}: {}", self.detail)
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/link/src/http/limits.rs
@@ -0,0 +1,92 @@
+//! Bounds on what a peer may make this process hold or wait for.
+
+use std::time::Duration;
+
+/// Bounds that apply to each connection.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use tarragonseam_link::http::Limits;
+///
+/// let limits = Limits::new().body_bytes(1024).head_time(Duration::from_secs(1));
+/// assert_eq!(limits.max_body(), 1024);
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    pub(crate) head_bytes: usize,
+    pub(crate) body_bytes: usize,
+    pub(crate) head_time: Duration,
+    pub(crate) body_time: Duration,
+    pub(crate) idle_time: Duration,
+    pub(crate) write_time: Duration,
+}
+
+const HEAD_BYTES: usize = 32 * 1024;
+const BODY_BYTES: usize = 1024 * 1024;
+const HEAD_TIME: Duration = Duration::from_secs(5);
+const BODY_TIME: Duration = Duration::from_secs(10);
+const IDLE_TIME: Duration = Duration::from_secs(60);
+const WRITE_TIME: Duration = Duration::from_secs(10);
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            head_bytes: HEAD_BYTES,
+            body_bytes: BODY_BYTES,
+            head_time: HEAD_TIME,
+            body_time: BODY_TIME,
+            idle_time: IDLE_TIME,
+            write_time: WRITE_TIME,
+        }
+    }
+}
+
+impl Limits {
+    /// Returns the default bounds.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sets the largest head, in bytes.
+    pub fn head_bytes(mut self, bytes: usize) -> Self {
+        self.head_bytes = bytes;
+        self
+    }
+
+    /// Sets the largest body that is read whole, in bytes.
+    pub fn body_bytes(mut self, bytes: usize) -> Self {
+        self.body_bytes = bytes;
+        self
+    }
+
+    /// Sets how long a head may take from its first byte.
+    pub fn head_time(mut self, time: Duration) -> Self {
+        self.head_time = time;
+        self
+    }
+
+    /// Sets how long a body may take.
+    pub fn body_time(mut self, time: Duration) -> Self {
+        self.body_time = time;
+        self
+    }
+
+    /// Sets how long a connection may stay open without a request.
+    pub fn idle_time(mut self, time: Duration) -> Self {
+        self.idle_time = time;
+        self
+    }
+
+    /// Sets how long one write to the peer may take.
+    pub fn write_time(mut self, time: Duration) -> Self {
+        self.write_time = time;
+        self
+    }
+
+    /// Returns the largest body that is read whole, in bytes.
+    pub fn max_body(&self) -> usize {
+        self.body_bytes
+    }
+}
--- /dev/null
+++ b/crates/link/src/http/mod.rs
@@ -0,0 +1,19 @@
+//! HTTP/1.1 for monoio: a server and a pooled client over `monoio-http`.
+//!
+//! The decoder of `monoio-http` trusts its peer: it buffers a head of any
+//! size, waits for ever and reports a response without framing as empty. This
+//! module puts limits around it, and never reports a body as whole unless the
+//! framing proves that it is.
+
+pub(crate) mod chunk;
+pub mod client;
+pub mod error;
+pub(crate) mod framing;
+pub(crate) mod guard;
+pub mod limits;
+pub mod server;
+
+pub use client::{Pool, Response};
+pub use error::Error;
+pub use limits::Limits;
+pub use server::{Reply, Request};
--- /dev/null
+++ b/crates/link/src/net.rs
@@ -0,0 +1,55 @@
+//! Sockets: connecting with a time limit, and detection of silent peers.
+
+use std::{
+    io,
+    net::SocketAddr,
+    os::fd::{AsRawFd, BorrowedFd},
+    time::Duration,
+};
+
+use monoio::net::{ListenerOpts, TcpListener, TcpStream};
+
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
+const KEEPALIVE_EVERY: Duration = Duration::from_secs(2);
+const USER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Connects to `peer` within `limit`, with silent-peer detection set.
+///
+/// # Errors
+///
+/// The error of the socket, or [`io::ErrorKind::TimedOut`].
+pub async fn connect(peer: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
+    let stream = match monoio::time::timeout(limit, TcpStream::connect_addr(peer)).await {
+        Ok(result) => result?,
+        Err(_) => return Err(io::ErrorKind::TimedOut.into()),
+    };
+    tune(&stream)?;
+    Ok(stream)
+}
+
+/// Sets no-delay, keepalive and the user timeout on `stream`.
+///
+/// # Errors
+///
+/// The error of the socket.
+pub fn tune(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    // SAFETY: The descriptor stays open for as long as `stream` is borrowed.
+    let fd = unsafe { BorrowedFd::borrow_raw(stream.as_raw_fd()) };
+    let socket = socket2::SockRef::from(&fd);
+    let keepalive = socket2::TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_EVERY);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+}
+
+/// Listens on `address`.
+///
+/// # Errors
+///
+/// The error of the socket, such as an address in use.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let options = ListenerOpts::new().reuse_addr(true).reuse_port(false);
+    TcpListener::bind_with_config(address, &options)
+}
