--- a/crates/link/src/http/server.rs
+++ b/crates/link/src/http/server.rs
@@ -103,7 +103,7 @@
 #[derive(Debug)]
 pub struct Reply {
     status: StatusCode,
-    headers: HeaderMap,
+    headers: Box<HeaderMap>,
     body: Content,
 }
 
@@ -132,7 +132,7 @@
     pub fn new(status: StatusCode, body: impl Into<Bytes>) -> Self {
         Self {
             status,
-            headers: HeaderMap::new(),
+            headers: Box::default(),
             body: Content::Whole(body.into()),
         }
     }
@@ -158,7 +158,7 @@
         let (sender, receiver) = bounded::channel(STREAM_DEPTH);
         let reply = Self {
             status,
-            headers: HeaderMap::new(),
+            headers: Box::default(),
             body: Content::Stream(receiver),
         };
         (reply, sender)
