Add the thin path: board, decisions, entry, steward and command line

Cause: the whole path has to stand before any part grows. Change: the board with its configuration model, pure decisions for calls, leases, capacity and weights, the two daemons, peer questions over TCP in postcard, and check, publish, status and key commands with two example deployments. Seen: builds; 'tarragonseam check' accepts both examples.

--- /dev/null
+++ b/crates/board/src/blackboard.rs
@@ -0,0 +1,88 @@
+//! The blackboard: one VM's view of the deployment.
+
+use rand::{SeedableRng, rngs::SmallRng};
+
+use crate::{
+    config::Config,
+    endpoint,
+    hash::Map,
+    key::{Digest, Grant},
+    ticket,
+    usage::Ledger,
+};
+
+/// What one VM knows. Decisions take it by mutable reference.
+///
+/// # Examples
+///
+/// ```
+/// use tarragonseam_board::Board;
+///
+/// let board = Board::new("vm-1", "a", 7);
+/// assert_eq!(board.revision, 0);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Board {
+    /// The name of this VM.
+    pub vm: String,
+    /// The failure domain of this VM.
+    pub failure_domain: String,
+    /// The revision of the configuration in force, 0 before the first one.
+    pub revision: u64,
+    /// The configuration in force.
+    pub config: Config,
+    /// Callers' keys by digest.
+    pub keys: Map<Digest, Grant>,
+    /// The endpoints known.
+    pub endpoints: endpoint::Table,
+    /// The version of each model's weights that should be in force.
+    pub weights: Map<String, u64>,
+    /// Requests that wait or run on this VM.
+    pub tickets: ticket::Table,
+    /// Usage measured here.
+    pub usage: Ledger,
+    /// The source of randomness of every decision.
+    pub rng: SmallRng,
+}
+
+impl Board {
+    /// Returns an empty board for a VM.
+    pub fn new(vm: &str, failure_domain: &str, seed: u64) -> Self {
+        Self {
+            vm: vm.to_string(),
+            failure_domain: failure_domain.to_string(),
+            revision: 0,
+            config: Config::default(),
+            keys: Map::default(),
+            endpoints: endpoint::Table::default(),
+            weights: Map::default(),
+            tickets: ticket::Table::default(),
+            usage: Ledger::default(),
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Puts `config` in force if `revision` is newer than the one in force,
+    /// and returns whether it did.
+    pub fn apply(&mut self, revision: u64, config: Config) -> bool {
+        if revision <= self.revision {
+            return false;
+        }
+        self.revision = revision;
+        self.config = config;
+        true
+    }
+
+    /// Notes what is known of a key. A withdrawal is never undone.
+    pub fn note_key(&mut self, digest: Digest, grant: Grant) {
+        let known = self.keys.entry(digest).or_insert_with(|| grant.clone());
+        known.withdrawn |= grant.withdrawn;
+    }
+
+    /// Notes the version of a model's weights that should be in force. An older
+    /// version never replaces a newer one.
+    pub fn note_weights(&mut self, model: &str, version: u64) {
+        let known = self.weights.entry(model.to_string()).or_default();
+        *known = version.max(*known);
+    }
+}
--- /dev/null
+++ b/crates/board/src/config/check.rs
@@ -0,0 +1,148 @@
+//! Checks of a configuration as a whole.
+
+use std::{fmt, ops::Range};
+
+use super::Config;
+
+/// A fault in an operator's file.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fault {
+    /// The file.
+    pub file: String,
+    /// The bytes of the file at fault, where known.
+    pub span: Option<Range<usize>>,
+    /// What is wrong.
+    pub problem: String,
+    /// What to do about it.
+    pub cure: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {} ({})", self.file, self.problem, self.cure)
+    }
+}
+
+/// Finds where a declaration stands: its file, and the bytes of its header.
+type Locate<'a> = dyn Fn(&str, &str) -> (String, Option<Range<usize>>) + 'a;
+
+const NAME_MAX: usize = 48;
+
+/// Checks names, references and ranges.
+pub(crate) fn whole(
+    config: &Config,
+    locate: impl Fn(&str, &str) -> (String, Option<Range<usize>>),
+) -> Vec<Fault> {
+    let mut check = Check {
+        locate: &locate,
+        faults: Vec::new(),
+    };
+    check.names(config);
+    check.services(config);
+    check.routes(config);
+    check.trainers(config);
+    check.faults
+}
+
+struct Check<'a> {
+    locate: &'a Locate<'a>,
+    faults: Vec<Fault>,
+}
+
+impl Check<'_> {
+    fn fail(&mut self, kind: &str, name: &str, problem: impl Into<String>, cure: &str) {
+        let (file, span) = (self.locate)(kind, name);
+        self.faults.push(Fault {
+            file,
+            span,
+            problem: format!("{kind}.{name}: {}", problem.into()),
+            cure: cure.to_string(),
+        });
+    }
+
+    fn names(&mut self, config: &Config) {
+        let kinds: [(&str, Vec<&String>); 5] = [
+            ("models", config.models.keys().collect()),
+            ("services", config.services.keys().collect()),
+            ("accounts", config.accounts.keys().collect()),
+            ("routes", config.routes.keys().collect()),
+            ("trainers", config.trainers.keys().collect()),
+        ];
+        for (kind, names) in kinds {
+            for name in names {
+                if !is_name(name) {
+                    let cure = "use up to 48 letters, digits, '-' and '_'";
+                    self.fail(kind, name, "bad name", cure);
+                }
+            }
+        }
+    }
+
+    fn services(&mut self, config: &Config) {
+        for name in config.services.keys() {
+            if config.models.contains_key(name) {
+                self.fail("services", name, "a model has this name", "rename one");
+            }
+        }
+        for (name, account) in &config.accounts {
+            if account.weight == 0 {
+                self.fail("accounts", name, "weight is 0", "use 1 or more");
+            }
+        }
+        for (name, model) in &config.models {
+            if model.max_tokens == 0 || model.deadline.is_zero() {
+                self.fail("models", name, "a limit is 0", "use 1 or more");
+            }
+        }
+    }
+
+    fn routes(&mut self, config: &Config) {
+        for (name, route) in &config.routes {
+            if !config.services.contains_key(&route.service) {
+                let problem = format!("no service {:?}", route.service);
+                self.fail("routes", name, problem, "declare it under [services]");
+            }
+            if !route.path.starts_with('/') || route.path.starts_with("/v1/") {
+                let cure = "start it with '/', and not with '/v1/'";
+                self.fail("routes", name, "bad path", cure);
+            }
+            let twin = config
+                .routes
+                .iter()
+                .any(|(other, r)| other < name && r.path == route.path);
+            if twin {
+                self.fail("routes", name, "another route has this path", "drop one");
+            }
+            if route.deadline.is_zero() {
+                self.fail("routes", name, "deadline_ms is 0", "use 1 or more");
+            }
+        }
+    }
+
+    fn trainers(&mut self, config: &Config) {
+        for (name, trainer) in &config.trainers {
+            if !config.models.contains_key(&trainer.model) {
+                let problem = format!("no model {:?}", trainer.model);
+                self.fail("trainers", name, problem, "declare it under [models]");
+            }
+            if !config.accounts.contains_key(&trainer.account) {
+                let problem = format!("no account {:?}", trainer.account);
+                self.fail("trainers", name, problem, "declare it under [accounts]");
+            }
+            let counts = [
+                trainer.group,
+                trainer.groups_per_step,
+                trainer.groups_per_lot,
+                trainer.max_tokens,
+            ];
+            if counts.contains(&0) {
+                self.fail("trainers", name, "a count is 0", "use 1 or more");
+            }
+        }
+    }
+}
+
+fn is_name(name: &str) -> bool {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
+    !name.is_empty() && name.len() <= NAME_MAX && name.chars().all(allowed)
+}
--- /dev/null
+++ b/crates/board/src/config/part.rs
@@ -0,0 +1,123 @@
+//! One operator's file, and the merging of files into a configuration.
+
+use std::ops::Range;
+
+use super::{Config, Fault, check};
+
+crate::record! {
+    /// One file as its operator wrote it.
+    pub struct Part {
+        /// The file's name, relative to the tree that it was collected from.
+        pub file: String,
+        /// The file's text.
+        pub text: String,
+    }
+}
+
+/// Reads one file.
+///
+/// # Errors
+///
+/// A [`Fault`] that names the file and the bytes at fault.
+///
+/// # Examples
+///
+/// ```
+/// use tarragonseam_board::config::{Part, parse};
+///
+/// let part = Part { file: "a.toml".into(), text: "[accounts.a]\nweight = 2\n".into() };
+/// assert_eq!(parse(&part).unwrap().accounts["a"].weight, 2);
+/// ```
+pub fn parse(part: &Part) -> Result<Config, Fault> {
+    toml::from_str(&part.text).map_err(|e| Fault {
+        file: part.file.clone(),
+        span: e.span(),
+        problem: e.message().to_string(),
+        cure: "see docs/OPERATING.md for the tables and keys of a file".to_string(),
+    })
+}
+
+/// Merges files into one configuration and checks the whole.
+///
+/// # Errors
+///
+/// Every [`Fault`] found, in the order of the files.
+pub fn merge(parts: &[Part]) -> Result<Config, Vec<Fault>> {
+    let mut whole = Config::default();
+    let mut faults = Vec::new();
+    let mut owners = Owners::default();
+    for part in parts {
+        match parse(part) {
+            Ok(config) => join(&mut whole, config, part, &mut owners, &mut faults),
+            Err(fault) => faults.push(fault),
+        }
+    }
+    if faults.is_empty() {
+        faults = check::whole(&whole, |kind, name| owners.find(kind, name));
+    }
+    if faults.is_empty() {
+        Ok(whole)
+    } else {
+        Err(faults)
+    }
+}
+
+/// Which file declares which name.
+#[derive(Default)]
+struct Owners(Vec<(&'static str, String, Part)>);
+
+impl Owners {
+    fn find(&self, kind: &str, name: &str) -> (String, Option<Range<usize>>) {
+        let found = self.0.iter().find(|(k, n, _)| *k == kind && n == name);
+        match found {
+            Some((_, _, part)) => (part.file.clone(), span_of(&part.text, kind, name)),
+            None => (String::new(), None),
+        }
+    }
+}
+
+/// Finds the table header of `kind.name`.
+fn span_of(text: &str, kind: &str, name: &str) -> Option<Range<usize>> {
+    let header = format!("[{kind}.{name}]");
+    let start = text.find(&header)?;
+    Some(start..start + header.len())
+}
+
+fn join(
+    whole: &mut Config,
+    config: Config,
+    part: &Part,
+    owners: &mut Owners,
+    faults: &mut Vec<Fault>,
+) {
+    let Config {
+        models,
+        services,
+        accounts,
+        routes,
+        trainers,
+    } = config;
+    let mut claim = |kind: &'static str, name: &String| {
+        let (other, _) = owners.find(kind, name);
+        if other.is_empty() {
+            owners.0.push((kind, name.clone(), part.clone()));
+            return;
+        }
+        faults.push(Fault {
+            file: part.file.clone(),
+            span: span_of(&part.text, kind, name),
+            problem: format!("{kind}.{name} is declared in {other} too"),
+            cure: "keep one of the two".to_string(),
+        });
+    };
+    models.keys().for_each(|name| claim("models", name));
+    services.keys().for_each(|name| claim("services", name));
+    accounts.keys().for_each(|name| claim("accounts", name));
+    routes.keys().for_each(|name| claim("routes", name));
+    trainers.keys().for_each(|name| claim("trainers", name));
+    whole.models.extend(models);
+    whole.services.extend(services);
+    whole.accounts.extend(accounts);
+    whole.routes.extend(routes);
+    whole.trainers.extend(trainers);
+}
--- /dev/null
+++ b/crates/board/src/key.rs
@@ -0,0 +1,92 @@
+//! Callers' keys: only digests are stored, spread and compared.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+use subtle::ConstantTimeEq;
+
+const DIGEST_BYTES: usize = 32;
+
+/// The SHA-256 digest of a caller's key.
+///
+/// # Examples
+///
+/// ```
+/// use tarragonseam_board::key::Digest;
+///
+/// let digest = Digest::of("a secret");
+/// assert_eq!(digest.to_string().parse(), Ok(digest));
+/// ```
+#[derive(Clone, Copy, Eq, Hash, Serialize, Deserialize, PartialOrd, Ord)]
+#[serde(into = "String", try_from = "String")]
+pub struct Digest([u8; DIGEST_BYTES]);
+
+impl Digest {
+    /// Returns the digest of `secret`.
+    pub fn of(secret: &str) -> Self {
+        Self(Sha256::digest(secret.as_bytes()).into())
+    }
+}
+
+impl PartialEq for Digest {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Digest({self})")
+    }
+}
+
+/// Text that is not the hexadecimal form of a digest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("not a SHA-256 digest in hexadecimal")]
+pub struct BadDigest;
+
+impl std::str::FromStr for Digest {
+    type Err = BadDigest;
+
+    fn from_str(text: &str) -> Result<Self, BadDigest> {
+        if text.len() != 2 * DIGEST_BYTES || !text.is_ascii() {
+            return Err(BadDigest);
+        }
+        let mut bytes = [0; DIGEST_BYTES];
+        for (byte, index) in bytes.iter_mut().zip((0..).step_by(2)) {
+            *byte = u8::from_str_radix(&text[index..index + 2], 16).map_err(|_| BadDigest)?;
+        }
+        Ok(Self(bytes))
+    }
+}
+
+impl From<Digest> for String {
+    fn from(digest: Digest) -> Self {
+        digest.to_string()
+    }
+}
+
+impl TryFrom<String> for Digest {
+    type Error = BadDigest;
+
+    fn try_from(text: String) -> Result<Self, BadDigest> {
+        text.parse()
+    }
+}
+
+crate::record! {
+    /// What is known of one key.
+    pub struct Grant {
+        /// The client account that the key acts for.
+        pub account: String,
+        /// Whether the key was withdrawn. A withdrawal is final.
+        pub withdrawn: bool,
+    }
+}
--- /dev/null
+++ b/crates/board/src/lot.rs
@@ -0,0 +1,97 @@
+//! Samples, groups and lots of a trainer.
+
+use std::fmt;
+
+crate::record! {
+    /// The name of one sample. The same name always means the same place in
+    /// the same step.
+    pub struct Id {
+        /// The trainer.
+        pub trainer: String,
+        /// The step.
+        pub step: u64,
+        /// The prompt's place in the step.
+        pub group: u32,
+        /// The sample's place in its group.
+        pub index: u32,
+    }
+}
+
+impl fmt::Display for Id {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            trainer,
+            step,
+            group,
+            index,
+        } = self;
+        write!(f, "{trainer}.{step}.{group}.{index}")
+    }
+}
+
+crate::record! {
+    /// Tokens in a row that one version of the weights produced.
+    copy pub struct Span {
+        /// The version.
+        pub version: u64,
+        /// Index of the first token.
+        pub from: u32,
+        /// Index after the last token.
+        pub to: u32,
+    }
+}
+
+/// Adds the token at `index` to `spans`.
+pub fn extend(spans: &mut Vec<Span>, index: u32, version: u64) {
+    match spans.last_mut() {
+        Some(last) if last.version == version && last.to == index => last.to += 1,
+        _ => spans.push(Span {
+            version,
+            from: index,
+            to: index + 1,
+        }),
+    }
+}
+
+/// Returns the oldest version in `spans`.
+pub fn oldest(spans: &[Span]) -> Option<u64> {
+    spans.iter().map(|span| span.version).min()
+}
+
+crate::record! {
+    /// One sample.
+    pub struct Sample {
+        /// Its name.
+        pub id: Id,
+        /// The prompt.
+        pub prompt: String,
+        /// The tokens generated.
+        pub tokens: Vec<String>,
+        /// Which versions produced them.
+        pub spans: Vec<Span>,
+        /// The score.
+        pub score: f64,
+    }
+}
+
+crate::record! {
+    /// A sealed lot.
+    pub struct Lot {
+        /// The trainer.
+        pub trainer: String,
+        /// The lot's number, counted over all steps.
+        pub number: u64,
+        /// The step that it belongs to.
+        pub step: u64,
+        /// Its samples in the order of their names.
+        pub samples: Vec<Sample>,
+    }
+}
+
+crate::record! {
+    /// The prompts of one step.
+    pub struct Step {
+        /// One prompt for each group.
+        pub prompts: Vec<String>,
+    }
+}
--- /dev/null
+++ b/crates/cli/src/collect.rs
@@ -0,0 +1,64 @@
+//! Collecting operators' files from beside the services' code.
+
+use std::{fs, path::Path};
+
+use board::config::{self, Config, Part};
+
+use crate::fault::{Failed, File, Set};
+
+/// The name of a file that is collected.
+const FILE_NAME: &str = "tarragonseam.toml";
+
+/// The files of a tree and what they declare together.
+pub(crate) struct Checked {
+    pub(crate) parts: Vec<Part>,
+    pub(crate) config: Config,
+}
+
+/// Collects the files below `tree` and checks the whole.
+///
+/// # Errors
+///
+/// Every fault found, each with its file and place.
+pub(crate) fn checked(tree: &Path) -> miette::Result<Checked> {
+    let mut parts = Vec::new();
+    walk(tree, tree, &mut parts)?;
+    parts.sort_by(|a, b| a.file.cmp(&b.file));
+    if parts.is_empty() {
+        let problem = format!("no {FILE_NAME} below {}", tree.display());
+        return Err(Failed::new(problem, "name the folder that holds your services").into());
+    }
+    match config::merge(&parts) {
+        Ok(config) => Ok(Checked { parts, config }),
+        Err(faults) => Err(Set {
+            faults: faults.into_iter().map(|f| with_text(f, &parts)).collect(),
+        }
+        .into()),
+    }
+}
+
+fn with_text(fault: config::Fault, parts: &[Part]) -> File {
+    let part = parts.iter().find(|part| part.file == fault.file);
+    let text = part.map(|part| part.text.clone()).unwrap_or_default();
+    File::new(fault, text)
+}
+
+fn walk(tree: &Path, folder: &Path, parts: &mut Vec<Part>) -> miette::Result<()> {
+    let unreadable = |path: &Path, e: std::io::Error| {
+        let problem = format!("cannot read {}: {e}", path.display());
+        Failed::new(problem, "check the path and its permissions")
+    };
+    let entries = fs::read_dir(folder).map_err(|e| unreadable(folder, e))?;
+    for entry in entries {
+        let path = entry.map_err(|e| unreadable(folder, e))?.path();
+        if path.is_dir() && !path.is_symlink() {
+            walk(tree, &path, parts)?;
+        } else if path.file_name().is_some_and(|name| name == FILE_NAME) {
+            let text = fs::read_to_string(&path).map_err(|e| unreadable(&path, e))?;
+            let name = path.strip_prefix(tree).unwrap_or(&path);
+            let file = name.display().to_string();
+            parts.push(Part { file, text });
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/command.rs
@@ -0,0 +1,95 @@
+//! The commands and their arguments.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use clap::{Parser, Subcommand};
+use miette::IntoDiagnostic;
+
+use crate::{collect, keys, publish, status};
+
+/// Operates a deployment of tarragonseam.
+#[derive(Debug, Parser)]
+#[command(name = "tarragonseam", version)]
+pub struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Checks the files below a folder without publishing them.
+    Check {
+        /// The folder that holds the services' code.
+        tree: PathBuf,
+    },
+    /// Collects the files below a folder, checks the whole and puts it in
+    /// force.
+    Publish {
+        /// The folder that holds the services' code.
+        tree: PathBuf,
+        #[command(flatten)]
+        platform: Platform,
+    },
+    /// Shows what VMs know.
+    Status {
+        /// Peer addresses of VMs; those that the platform lists by default.
+        #[arg(long)]
+        vm: Vec<SocketAddr>,
+        #[command(flatten)]
+        platform: Platform,
+    },
+    /// Issues and withdraws callers' keys.
+    #[command(subcommand)]
+    Key(Key),
+}
+
+#[derive(Debug, Subcommand)]
+enum Key {
+    /// Issues a key for a client account and prints it once.
+    Issue {
+        /// The client account.
+        account: String,
+        #[command(flatten)]
+        platform: Platform,
+    },
+    /// Withdraws a key for good.
+    Withdraw {
+        /// The key, or its digest.
+        key: String,
+        #[command(flatten)]
+        platform: Platform,
+    },
+}
+
+#[derive(Debug, clap::Args)]
+pub(crate) struct Platform {
+    /// The address of the platform.
+    #[arg(long, value_name = "ADDRESS")]
+    pub(crate) platform: SocketAddr,
+}
+
+/// Runs one command.
+///
+/// # Errors
+///
+/// A report that says what is wrong, where, and what to do.
+pub fn run(arguments: Arguments) -> miette::Result<()> {
+    match arguments.command {
+        Command::Check { tree } => {
+            let set = collect::checked(&tree)?;
+            println!("{} files are good", set.parts.len());
+            Ok(())
+        }
+        Command::Publish { tree, platform } => {
+            let set = collect::checked(&tree)?;
+            block(publish::run(&platform, set))
+        }
+        Command::Status { vm, platform } => block(status::run(&platform, vm)),
+        Command::Key(Key::Issue { account, platform }) => block(keys::issue(&platform, account)),
+        Command::Key(Key::Withdraw { key, platform }) => block(keys::withdraw(&platform, key)),
+    }
+}
+
+fn block(future: impl Future<Output = miette::Result<()>>) -> miette::Result<()> {
+    link::runtime::run(future).into_diagnostic()?
+}
--- /dev/null
+++ b/crates/cli/src/keys.rs
@@ -0,0 +1,72 @@
+//! Issuing and withdrawing of callers' keys.
+
+use board::{
+    config::{Manifest, manifest},
+    key::{Digest, Grant},
+};
+use link::platform::{Client, Error, When};
+use rand::{TryRngCore, rngs::OsRng};
+
+use crate::{command::Platform, fault::Failed, publish::failed};
+
+/// The kind of the objects that hold keys.
+const KIND: &str = "key";
+
+const SECRET_BYTES: usize = 24;
+
+/// Makes a key for `account`, stores its digest and prints the key.
+pub(crate) async fn issue(platform: &Platform, account: String) -> miette::Result<()> {
+    let client = Client::new(platform.platform, "cli");
+    let read = client.read::<Manifest>(manifest::KIND, manifest::CURRENT);
+    if let Err(Error::Absent) = read.await {
+        let problem = "no configuration is in force";
+        return Err(Failed::new(problem, "publish one that declares the account").into());
+    }
+    let secret = secret()?;
+    let grant = Grant {
+        account,
+        withdrawn: false,
+    };
+    let name = Digest::of(&secret).to_string();
+    let value = serde_json::to_vec(&grant).unwrap_or_default();
+    let created = client.create(KIND, &name, value);
+    created.await.map_err(|e| failed(&e))?;
+    println!("{secret}");
+    Ok(())
+}
+
+fn secret() -> miette::Result<String> {
+    let mut bytes = [0_u8; SECRET_BYTES];
+    OsRng
+        .try_fill_bytes(&mut bytes)
+        .map_err(|e| Failed::new(e.to_string(), "the system gives no random numbers"))?;
+    let text: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
+    Ok(format!("ts-{text}"))
+}
+
+/// Withdraws a key, given as itself or as its digest.
+pub(crate) async fn withdraw(platform: &Platform, key: String) -> miette::Result<()> {
+    let client = Client::new(platform.platform, "cli");
+    let digest = key.parse().unwrap_or_else(|_| Digest::of(&key));
+    let name = digest.to_string();
+    loop {
+        let (version, grant) = client
+            .read::<Grant>(KIND, &name)
+            .await
+            .map_err(|e| failed(&e))?;
+        if grant.withdrawn {
+            println!("withdrawn");
+            return Ok(());
+        }
+        let next = Grant {
+            withdrawn: true,
+            ..grant
+        };
+        let written = client.write(KIND, &name, When::At(version), &next);
+        match written.await {
+            // Read again: a withdrawal counts only once it is seen to stand.
+            Ok(_) | Err(Error::Conflict(_) | Error::Unknown(_)) => {}
+            Err(e) => return Err(failed(&e).into()),
+        }
+    }
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,10 @@
-//! Placeholder.
+//! The operators' command line as a library.
+
+pub(crate) mod collect;
+pub mod command;
+pub(crate) mod fault;
+pub(crate) mod keys;
+pub(crate) mod publish;
+pub(crate) mod status;
+
+pub use command::{Arguments, run};
--- /dev/null
+++ b/crates/entry/src/admin.rs
@@ -0,0 +1,40 @@
+//! What operators read: metrics, readiness, state and recent spans.
+
+use std::rc::Rc;
+
+use link::{
+    StatusCode,
+    http::{Reply, Request},
+};
+use wire::{Answer, Ask};
+
+use crate::{peers, vm::Vm};
+
+/// Answers one request.
+pub(crate) fn handle(vm: &Rc<Vm>, request: &Request) -> Reply {
+    match request.uri.path() {
+        "/metrics" => Reply::new(StatusCode::OK, vm.telemetry.render())
+            .header("content-type", "text/plain; version=0.0.4"),
+        "/ready" => ready(vm),
+        "/status" => match peers::answer(vm, &Ask::Status) {
+            Answer::Status(status) => Reply::json(StatusCode::OK, &status),
+            _ => Reply::error(StatusCode::INTERNAL_SERVER_ERROR, "no-status", ""),
+        },
+        "/spans" => {
+            let trace = request.query("trace").unwrap_or_default();
+            Reply::json(StatusCode::OK, &vm.telemetry.spans(trace))
+        }
+        _ => Reply::error(StatusCode::NOT_FOUND, "no-page", "no such page"),
+    }
+}
+
+fn ready(vm: &Rc<Vm>) -> Reply {
+    if vm.leaving.get() {
+        return Reply::error(StatusCode::SERVICE_UNAVAILABLE, "leaving", "shutting down");
+    }
+    if !vm.primed.get() || vm.board.borrow().revision == 0 {
+        let detail = "configuration or keys are not known yet";
+        return Reply::error(StatusCode::SERVICE_UNAVAILABLE, "not-ready", detail);
+    }
+    Reply::new(StatusCode::OK, "ready\n")
+}
--- /dev/null
+++ b/crates/entry/src/handler.rs
@@ -0,0 +1,27 @@
+//! Which part of the daemon answers which path.
+
+use std::rc::Rc;
+
+use link::{
+    Method, StatusCode,
+    http::{Reply, Request},
+};
+
+use crate::{generate, proxy, refusal::Failure, trainer, vm::Vm};
+
+/// Answers one request of a caller or trainer.
+pub(crate) async fn handle(vm: Rc<Vm>, request: Request) -> Reply {
+    let segments: Vec<String> = request.segments().into_iter().map(String::from).collect();
+    let parts: Vec<&str> = segments.iter().map(String::as_str).collect();
+    match parts.as_slice() {
+        ["v1", "models", model, "generate"] if request.method == Method::POST => {
+            generate::handle(vm, request, (*model).to_string()).await
+        }
+        ["v1", "trainers", name, _, ..] => trainer::handle(vm, request, (*name).to_string()).await,
+        ["v1", ..] => Failure::rejected(StatusCode::NOT_FOUND, "no-page", "no such call").reply(),
+        _ => match proxy::find(&vm, request.uri.path()) {
+            Some((name, route)) => proxy::handle(vm, request, name, route).await,
+            None => proxy::not_found(),
+        },
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,21 @@
-//! Placeholder.
+//! The entry daemon as a library: it answers callers and trainers.
+
+pub(crate) mod admin;
+pub(crate) mod auth;
+pub(crate) mod engine;
+pub(crate) mod generate;
+pub(crate) mod generation;
+pub(crate) mod handler;
+pub(crate) mod metrics;
+pub(crate) mod peers;
+pub(crate) mod proxy;
+pub(crate) mod refusal;
+pub(crate) mod rollout;
+pub mod run;
+pub mod settings;
+pub(crate) mod slot;
+pub(crate) mod trainer;
+pub(crate) mod vm;
+
+pub use run::run;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,38 @@
+//! The counters of the daemon.
+
+use link::telemetry::Telemetry;
+use opentelemetry::{KeyValue, metrics::Counter};
+
+/// Counters, named as they show at `/metrics`.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    /// Requests by kind and result.
+    requests: Counter<u64>,
+    /// Attempts on endpoints by result.
+    attempts: Counter<u64>,
+    /// Samples by result.
+    samples: Counter<u64>,
+}
+
+impl Metrics {
+    pub(crate) fn new(telemetry: &Telemetry) -> Self {
+        Self {
+            requests: telemetry.counter("tarragonseam_requests"),
+            attempts: telemetry.counter("tarragonseam_attempts"),
+            samples: telemetry.counter("tarragonseam_samples"),
+        }
+    }
+
+    pub(crate) fn request(&self, kind: &'static str, result: &'static str) {
+        let attributes = [KeyValue::new("kind", kind), KeyValue::new("result", result)];
+        self.requests.add(1, &attributes);
+    }
+
+    pub(crate) fn attempt(&self, result: &'static str) {
+        self.attempts.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    pub(crate) fn sample(&self, result: &'static str) {
+        self.samples.add(1, &[KeyValue::new("result", result)]);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/refusal.rs
@@ -0,0 +1,111 @@
+//! What a caller is told when a request fails.
+
+use std::time::Duration;
+
+use link::{StatusCode, http::Reply};
+use policy::call::{Reason, Refusal};
+use serde::Serialize;
+
+/// Whether a failed request can have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(crate) enum Ran {
+    /// No byte of it can have reached an endpoint.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+impl Ran {
+    fn code(self) -> &'static str {
+        match self {
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// A failed request.
+#[derive(Clone, Debug)]
+pub(crate) struct Failure {
+    pub(crate) status: StatusCode,
+    pub(crate) code: &'static str,
+    pub(crate) detail: String,
+    pub(crate) ran: Ran,
+    pub(crate) retry_after: Option<Duration>,
+}
+
+#[derive(Serialize)]
+struct Body<'a> {
+    error: &'a str,
+    detail: &'a str,
+    ran: Ran,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+impl Failure {
+    /// Returns a failure that no repeat of the same request will mend.
+    pub(crate) fn rejected(status: StatusCode, code: &'static str, detail: &str) -> Self {
+        Self {
+            status,
+            code,
+            detail: detail.to_string(),
+            ran: Ran::NotRun,
+            retry_after: None,
+        }
+    }
+
+    /// Returns the failure of a request that the system gave up.
+    pub(crate) fn refused(refusal: Refusal, ran: Ran) -> Self {
+        let status = match refusal.reason {
+            Reason::Overload => StatusCode::TOO_MANY_REQUESTS,
+            Reason::Deadline | Reason::NoEndpoint => StatusCode::SERVICE_UNAVAILABLE,
+        };
+        Self {
+            status,
+            code: refusal.reason.code(),
+            detail: "the request was given up".to_string(),
+            ran,
+            retry_after: Some(refusal.retry_after),
+        }
+    }
+
+    /// Returns the failure of a request whose endpoints failed.
+    pub(crate) fn endpoint(detail: impl ToString, ran: Ran) -> Self {
+        Self {
+            status: StatusCode::BAD_GATEWAY,
+            code: "endpoint-failed",
+            detail: detail.to_string(),
+            ran,
+            retry_after: Some(policy::admission::RETRY_AFTER),
+        }
+    }
+
+    /// Returns the body that callers see.
+    pub(crate) fn json(&self) -> Vec<u8> {
+        let body = Body {
+            error: self.code,
+            detail: &self.detail,
+            ran: self.ran,
+            retry_after_ms: self.retry_after.map(|after| after.as_millis() as u64),
+        };
+        serde_json::to_vec(&body).unwrap_or_default()
+    }
+
+    /// Returns the whole reply.
+    pub(crate) fn reply(&self) -> Reply {
+        let reply = Reply::new(self.status, self.json())
+            .header("content-type", "application/json")
+            .header("x-request-ran", self.ran.code());
+        match self.retry_after {
+            Some(after) => reply.header("retry-after", seconds(after).to_string()),
+            None => reply,
+        }
+    }
+}
+
+/// Rounds up to whole seconds, as the header wants.
+fn seconds(after: Duration) -> u64 {
+    after.as_millis().div_ceil(1000).max(1) as u64
+}
--- /dev/null
+++ b/crates/entry/src/run.rs
@@ -0,0 +1,122 @@
+//! The daemon from start to shutdown.
+
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+
+use link::{
+    feed::Feed,
+    http::{Limits, server},
+    load::Poller,
+    net, peer, runtime,
+};
+use monoio::net::TcpListener;
+
+use crate::{admin, handler, peers, settings::Settings, slot, vm::Vm};
+
+/// Why the daemon could not run.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// An address cannot be listened on.
+    #[error("cannot listen on {address}, set as {setting:?}: {source}")]
+    Listen {
+        /// The setting that names the address.
+        setting: &'static str,
+        /// The address.
+        address: SocketAddr,
+        /// What the socket says.
+        source: io::Error,
+    },
+    /// The runtime or its signals cannot be set up.
+    #[error("cannot start: {0}")]
+    Start(#[from] io::Error),
+}
+
+/// How long the daemon goes on taking requests after it turned unready, so
+/// that the balancer can notice.
+const UNREADY_TIME: Duration = Duration::from_secs(1);
+
+/// Runs the daemon until SIGINT or SIGTERM, then drains it.
+///
+/// # Errors
+///
+/// An [`Error`] when it cannot start.
+pub fn run(settings: Settings) -> Result<(), Error> {
+    runtime::run(serve(settings))?
+}
+
+async fn serve(settings: Settings) -> Result<(), Error> {
+    let callers = listen("callers", settings.callers)?;
+    let peer_listener = listen("peers", settings.peers)?;
+    let admin_listener = listen("admin", settings.admin)?;
+    let vm = Vm::new(settings);
+    follow_platform(&vm);
+
+    let for_peers = vm.clone();
+    monoio::spawn(peer::serve(peer_listener, move |ask| {
+        let answer = peers::answer(&for_peers, &ask);
+        async move { answer }
+    }));
+    let for_admin = vm.clone();
+    let admin_drain = server::Drain::default();
+    monoio::spawn(server::serve(
+        admin_listener,
+        Limits::new(),
+        admin_drain,
+        move |request| {
+            let reply = admin::handle(&for_admin, &request);
+            async move { reply }
+        },
+    ));
+    let drain = server::Drain::default();
+    let for_callers = vm.clone();
+    monoio::spawn(server::serve(
+        callers,
+        Limits::new(),
+        drain.clone(),
+        move |request| handler::handle(for_callers.clone(), request),
+    ));
+
+    spdlog::info!("started", kv: { vm = vm.settings.vm.as_str() });
+    runtime::stop_signal().await?;
+    shut_down(&vm, &drain).await;
+    Ok(())
+}
+
+/// Keeps the board up to date and drives the clock of waiting requests.
+fn follow_platform(vm: &Rc<Vm>) {
+    let changed = vm.clone();
+    let feed = Feed::new(vm.board.clone(), vm.platform.clone(), move || {
+        slot::pump(&changed)
+    });
+    feed.start();
+    let poller = Poller::new(vm.board.clone(), vm.pool.clone(), vm.clock);
+    monoio::spawn(poller.run(|_| true));
+    let vm = vm.clone();
+    monoio::spawn(async move {
+        loop {
+            monoio::time::sleep(TICK_TIME).await;
+            vm.primed.set(feed.is_primed());
+            if !vm.waiting.borrow().is_empty() {
+                slot::pump(&vm);
+            }
+        }
+    });
+}
+
+const TICK_TIME: Duration = Duration::from_millis(10);
+
+fn listen(setting: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
+    net::listen(address).map_err(|source| Error::Listen {
+        setting,
+        address,
+        source,
+    })
+}
+
+async fn shut_down(vm: &Rc<Vm>, drain: &server::Drain) {
+    vm.leaving.set(true);
+    spdlog::info!("leaving", kv: { vm = vm.settings.vm.as_str() });
+    monoio::time::sleep(UNREADY_TIME).await;
+    drain.close();
+    let whole = drain.wait(vm.settings.drain).await;
+    spdlog::info!("stopped", kv: { all_answered = whole });
+}
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,62 @@
+//! The settings of the daemon.
+
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+/// What a VM is told of itself.
+///
+/// # Examples
+///
+/// ```
+/// use tarragonseam_entry::Settings;
+///
+/// let text = r#"
+///     vm = "vm-1"
+///     failure_domain = "a"
+///     callers = "127.0.0.1:9001"
+///     peers = "127.0.0.1:9002"
+///     admin = "127.0.0.1:9003"
+///     platform = "127.0.0.1:9300"
+/// "#;
+/// let settings: Settings = toml::from_str(text)?;
+/// assert_eq!(settings.vm, "vm-1");
+/// # Ok::<(), toml::de::Error>(())
+/// ```
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The name of this VM.
+    pub vm: String,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// Where callers and trainers connect.
+    pub callers: SocketAddr,
+    /// Where other processes of the project connect.
+    pub peers: SocketAddr,
+    /// Where operators read metrics and state.
+    pub admin: SocketAddr,
+    /// The platform.
+    pub platform: SocketAddr,
+    /// The folder for bulk data, on a VM that has a disk.
+    #[serde(default)]
+    pub data: Option<PathBuf>,
+    /// The length of a window of usage, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "window_ms", default = "window")]
+    pub window: Duration,
+    /// How long a shutdown waits for requests, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "drain_ms", default = "drain")]
+    pub drain: Duration,
+}
+
+fn window() -> Duration {
+    Duration::from_secs(60)
+}
+
+fn drain() -> Duration {
+    Duration::from_secs(120)
+}
--- /dev/null
+++ b/crates/entry/src/slot.rs
@@ -0,0 +1,116 @@
+//! Waiting for an endpoint, and holding a place on it.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use board::{
+    endpoint,
+    ticket::{self, Ticket},
+};
+use local_sync::oneshot;
+use policy::call::{self, Order, Outcome, Reason, Refusal};
+
+use crate::vm::Vm;
+
+/// A place on an endpoint, given back when it is dropped.
+pub(crate) struct Slot {
+    vm: Rc<Vm>,
+    ticket: ticket::Key,
+    /// The endpoint.
+    pub(crate) endpoint: endpoint::Key,
+    /// The endpoint's name.
+    pub(crate) id: String,
+    /// Where it listens.
+    pub(crate) address: SocketAddr,
+}
+
+impl Slot {
+    /// Gives the place back with how the attempt ended.
+    pub(crate) fn finish(self, outcome: Outcome) {
+        let now = self.vm.now();
+        call::finish(&mut self.vm.board.borrow_mut(), now, self.ticket, outcome);
+        // The drop that follows finds no ticket and only dispatches.
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let now = self.vm.now();
+        let mut board = self.vm.board.borrow_mut();
+        call::finish(&mut board, now, self.ticket, Outcome::Abandoned);
+        drop(board);
+        pump(&self.vm);
+    }
+}
+
+/// Withdraws a ticket whose caller stopped waiting.
+struct Waiter<'a> {
+    vm: &'a Rc<Vm>,
+    ticket: Option<ticket::Key>,
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        let Some(ticket) = self.ticket else {
+            return;
+        };
+        self.vm.waiting.borrow_mut().remove(&ticket);
+        let now = self.vm.now();
+        let mut board = self.vm.board.borrow_mut();
+        call::finish(&mut board, now, ticket, Outcome::Abandoned);
+    }
+}
+
+/// Waits for a place on an endpoint that fits `ticket`.
+///
+/// # Errors
+///
+/// The [`Refusal`] when none will be free in time.
+pub(crate) async fn acquire(vm: &Rc<Vm>, ticket: Ticket) -> Result<Slot, Refusal> {
+    let now = vm.now();
+    let key = call::arrive(&mut vm.board.borrow_mut(), now, ticket)?;
+    let mut waiter = Waiter {
+        vm,
+        ticket: Some(key),
+    };
+    let (sender, receiver) = oneshot::channel();
+    vm.waiting.borrow_mut().insert(key, sender);
+    pump(vm);
+    let gone = Refusal {
+        reason: Reason::NoEndpoint,
+        retry_after: policy::admission::RETRY_AFTER,
+    };
+    let endpoint = receiver.await.map_err(|_| gone)??;
+    waiter.ticket = None;
+    let found = vm
+        .board
+        .borrow()
+        .endpoints
+        .get(endpoint)
+        .map(|e| (e.record.id.clone(), e.record.address));
+    let (id, address) = found.ok_or(gone)?;
+    Ok(Slot {
+        vm: vm.clone(),
+        ticket: key,
+        endpoint,
+        id,
+        address,
+    })
+}
+
+/// Carries out the dispatch orders that are due.
+pub(crate) fn pump(vm: &Rc<Vm>) {
+    let now = vm.now();
+    let orders = call::dispatch(&mut vm.board.borrow_mut(), now);
+    for order in orders {
+        let (ticket, verdict) = match order {
+            Order::Send { ticket, endpoint } => (ticket, Ok(endpoint)),
+            Order::Refuse { ticket, refusal } => (ticket, Err(refusal)),
+        };
+        let sender = vm.waiting.borrow_mut().remove(&ticket);
+        let told = sender.is_some_and(|sender| sender.send(verdict).is_ok());
+        if !told {
+            let mut board = vm.board.borrow_mut();
+            call::finish(&mut board, now, ticket, Outcome::Abandoned);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/vm.rs
@@ -0,0 +1,78 @@
+//! The state that the tasks of one entry process share.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
+
+use board::{Board, Time, endpoint, hash::Map, ticket, usage::Window};
+use link::{
+    clock::{self, Clock},
+    http::{Limits, Pool},
+    platform,
+    telemetry::Telemetry,
+};
+use local_sync::oneshot;
+use policy::call::Refusal;
+
+use crate::{metrics::Metrics, settings::Settings};
+
+/// What a waiting request is told.
+pub(crate) type Verdict = Result<endpoint::Key, Refusal>;
+
+/// One entry process.
+pub(crate) struct Vm {
+    pub(crate) settings: Settings,
+    pub(crate) board: Rc<RefCell<Board>>,
+    pub(crate) clock: Clock,
+    pub(crate) pool: Pool,
+    pub(crate) platform: platform::Client,
+    pub(crate) telemetry: Telemetry,
+    pub(crate) metrics: Metrics,
+    /// Requests that wait for a verdict.
+    pub(crate) waiting: RefCell<Map<ticket::Key, oneshot::Sender<Verdict>>>,
+    /// Number of the next request.
+    pub(crate) next_request: Cell<u64>,
+    /// Whether all keys have been read once.
+    pub(crate) primed: Cell<bool>,
+    /// Whether the process is shutting down.
+    pub(crate) leaving: Cell<bool>,
+}
+
+impl Vm {
+    pub(crate) fn new(settings: Settings) -> Rc<Self> {
+        let seed = clock::wall_millis();
+        let telemetry = Telemetry::new("tarragonseam-entry");
+        let board = Board::new(&settings.vm, &settings.failure_domain, seed);
+        Rc::new(Self {
+            board: Rc::new(RefCell::new(board)),
+            clock: Clock::default(),
+            pool: Pool::new(Limits::new()),
+            platform: platform::Client::new(settings.platform, &settings.vm),
+            metrics: Metrics::new(&telemetry),
+            telemetry,
+            waiting: RefCell::default(),
+            next_request: Cell::new(seed),
+            primed: Cell::new(false),
+            leaving: Cell::new(false),
+            settings,
+        })
+    }
+
+    pub(crate) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// Returns an id that no other request of the deployment has.
+    pub(crate) fn request_id(&self) -> String {
+        let number = self.next_request.get();
+        self.next_request.set(number + 1);
+        format!("{}-{number:x}", self.settings.vm)
+    }
+
+    /// Returns the window of usage that is open now.
+    pub(crate) fn window(&self) -> Window {
+        let length = self.settings.window.as_millis().max(1) as u64;
+        Window(clock::wall_millis() / length)
+    }
+}
--- /dev/null
+++ b/crates/link/src/clock.rs
@@ -0,0 +1,28 @@
+//! Clocks of a process.
+
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use board::Time;
+
+/// Monotonic time since the clock was made.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock(Instant);
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self(Instant::now())
+    }
+}
+
+impl Clock {
+    /// Returns the time now.
+    pub fn now(&self) -> Time {
+        Time::from_micros(self.0.elapsed().as_micros() as u64)
+    }
+}
+
+/// Returns milliseconds of wall-clock time, for windows of usage only.
+pub fn wall_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- a/crates/link/src/http/client.rs
+++ b/crates/link/src/http/client.rs
@@ -108,6 +108,12 @@
         self
     }
 
+    /// Adds the trace context of `span`.
+    pub fn traced(mut self, span: &crate::telemetry::Span) -> Self {
+        span.inject(&mut self.headers);
+        self
+    }
+
     /// Asks for a connection that no request has used before.
     pub fn fresh(mut self) -> Self {
         self.fresh = true;
--- a/crates/link/src/http/error.rs
+++ b/crates/link/src/http/error.rs
@@ -29,7 +29,8 @@
 }
 
 impl Error {
-    pub(crate) fn new(kind: Kind, detail: impl fmt::Display) -> Self {
+    /// Returns an error of `kind`.
+    pub fn new(kind: Kind, detail: impl fmt::Display) -> Self {
         Self {
             kind,
             detail: detail.to_string(),
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -1,9 +1,23 @@
 //! Sockets and clocks for the daemons: HTTP, peer links, the platform client
 //! and telemetry, all on monoio's epoll driver.
 
+pub mod clock;
+pub mod event;
+pub mod feed;
 pub mod http;
+pub mod load;
+pub mod log;
 pub mod net;
+pub mod peer;
+pub mod platform;
 pub mod runtime;
+pub mod settings;
+pub mod telemetry;
 
 pub use ::http::{HeaderMap, Method, StatusCode};
 pub use bytes::Bytes;
+
+/// Returns `text` as a header value, empty where HTTP cannot carry it.
+pub fn header_value(text: &str) -> ::http::HeaderValue {
+    ::http::HeaderValue::from_str(text).unwrap_or(::http::HeaderValue::from_static(""))
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,1 +1,15 @@
-//! Placeholder.
+//! Decisions: pure functions over the board.
+//!
+//! A decision takes the board, the time and what happened, and returns what to
+//! do. It does no I/O, reads no clock, and draws randomness only from the
+//! generator on the board, so it runs the same in a daemon, a test and an
+//! experiment.
+
+pub mod admission;
+pub mod call;
+pub mod capacity;
+pub mod fairness;
+pub mod health;
+pub mod lease;
+pub mod routing;
+pub mod weights;
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -1,1 +1,13 @@
-//! Placeholder.
+//! The steward daemon as a library: it orders endpoints, puts weights in force
+//! and reports usage, each job under a lease.
+
+pub(crate) mod endpoints;
+pub(crate) mod lease;
+pub mod run;
+pub mod settings;
+pub(crate) mod usage;
+pub(crate) mod vm;
+pub(crate) mod weights;
+
+pub use run::run;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/steward/src/run.rs
@@ -0,0 +1,99 @@
+//! The daemon from start to shutdown.
+
+use std::{io, net::SocketAddr, rc::Rc};
+
+use link::{
+    StatusCode,
+    feed::Feed,
+    http::{Limits, Reply, Request, server},
+    load::Poller,
+    net, runtime,
+};
+use serde::Serialize;
+
+use crate::{endpoints, lease, settings::Settings, usage, vm::Vm, weights};
+
+/// Why the daemon could not run.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// An address cannot be listened on.
+    #[error("cannot listen on {address}, set as \"admin\": {source}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the socket says.
+        source: io::Error,
+    },
+    /// The runtime or its signals cannot be set up.
+    #[error("cannot start: {0}")]
+    Start(#[from] io::Error),
+}
+
+#[derive(Serialize)]
+struct Status {
+    vm: String,
+    revision: u64,
+    orders_epoch: Option<u64>,
+    reports_epoch: Option<u64>,
+}
+
+/// Runs the daemon until SIGINT or SIGTERM.
+///
+/// # Errors
+///
+/// An [`Error`] when it cannot start.
+pub fn run(settings: Settings) -> Result<(), Error> {
+    runtime::run(serve(settings))?
+}
+
+async fn serve(settings: Settings) -> Result<(), Error> {
+    let address = settings.admin;
+    let listener = net::listen(address).map_err(|source| Error::Listen { address, source })?;
+    let vm = Vm::new(settings);
+    Feed::new(vm.board.clone(), vm.platform.clone(), || {}).start();
+    let domain = vm.settings.failure_domain.clone();
+    let poller = Poller::new(vm.board.clone(), vm.pool.clone(), vm.clock);
+    monoio::spawn(poller.run(move |endpoint| endpoint.record.failure_domain == domain));
+
+    let job = format!("orders.{}", vm.settings.failure_domain);
+    monoio::spawn(lease::hold(vm.clone(), job, |vm| &vm.orders));
+    monoio::spawn(lease::hold(vm.clone(), "usage".to_string(), |vm| {
+        &vm.reports
+    }));
+    monoio::spawn(endpoints::run(vm.clone()));
+    monoio::spawn(weights::run(vm.clone()));
+    monoio::spawn(usage::run(vm.clone()));
+
+    let for_admin = vm.clone();
+    let drain = server::Drain::default();
+    monoio::spawn(server::serve(
+        listener,
+        Limits::new(),
+        drain,
+        move |request| {
+            let reply = admin(&for_admin, &request);
+            async move { reply }
+        },
+    ));
+    spdlog::info!("started", kv: { vm = vm.settings.vm.as_str() });
+    runtime::stop_signal().await?;
+    spdlog::info!("stopped");
+    Ok(())
+}
+
+fn admin(vm: &Rc<Vm>, request: &Request) -> Reply {
+    match request.uri.path() {
+        "/metrics" => Reply::new(StatusCode::OK, vm.telemetry.render())
+            .header("content-type", "text/plain; version=0.0.4"),
+        "/status" => Reply::json(
+            StatusCode::OK,
+            &Status {
+                vm: vm.settings.vm.clone(),
+                revision: vm.board.borrow().revision,
+                orders_epoch: vm.epoch(&vm.orders),
+                reports_epoch: vm.epoch(&vm.reports),
+            },
+        ),
+        _ => Reply::error(StatusCode::NOT_FOUND, "no-page", "no such page"),
+    }
+}
--- /dev/null
+++ b/crates/steward/src/settings.rs
@@ -0,0 +1,45 @@
+//! The settings of the daemon.
+
+use std::{net::SocketAddr, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DurationMilliSeconds, serde_as};
+
+/// What a VM's steward is told of itself.
+///
+/// # Examples
+///
+/// ```
+/// use tarragonseam_steward::Settings;
+///
+/// let text = r#"
+///     vm = "vm-1"
+///     failure_domain = "a"
+///     admin = "127.0.0.1:9004"
+///     platform = "127.0.0.1:9300"
+/// "#;
+/// let settings: Settings = toml::from_str(text)?;
+/// assert_eq!(settings.failure_domain, "a");
+/// # Ok::<(), toml::de::Error>(())
+/// ```
+#[serde_as]
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The name of this VM.
+    pub vm: String,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// Where operators read metrics and state.
+    pub admin: SocketAddr,
+    /// The platform.
+    pub platform: SocketAddr,
+    /// The length of a window of usage, in milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "window_ms", default = "window")]
+    pub window: Duration,
+}
+
+fn window() -> Duration {
+    Duration::from_secs(60)
+}
