link: cut a connection without an answer, and refuse new ones

Cause: a peer that acts on a call and dies, and one that closes at accept, could not be played by a server built on link. Change: Reply::cut() closes the connection instead of answering, and Drain::refuse() closes new connections as they are accepted.

--- a/crates/link/src/http/server.rs
+++ b/crates/link/src/http/server.rs
@@ -110,6 +110,7 @@
 enum Content {
     Whole(Bytes),
     Stream(bounded::Rx<Part>),
+    Cut,
 }
 
 impl std::fmt::Debug for Content {
@@ -117,6 +118,7 @@
         match self {
             Self::Whole(body) => write!(f, "Whole({} bytes)", body.len()),
             Self::Stream(_) => f.write_str("Stream"),
+            Self::Cut => f.write_str("Cut"),
         }
     }
 }
@@ -164,6 +166,15 @@
         (reply, sender)
     }
 
+    /// Returns a reply that closes the connection without an answer.
+    pub fn cut() -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            headers: Box::default(),
+            body: Content::Cut,
+        }
+    }
+
     /// Sets one header; a value that HTTP cannot carry is left out.
     pub fn header(mut self, name: &'static str, value: impl AsRef<str>) -> Self {
         if let Ok(value) = HeaderValue::from_str(value.as_ref()) {
@@ -190,6 +201,7 @@
 #[derive(Debug, Default)]
 struct DrainState {
     closing: Cell<bool>,
+    refusing: Cell<bool>,
     busy: Cell<usize>,
     open: Cell<usize>,
     panics: Cell<u64>,
@@ -201,6 +213,11 @@
         self.0.closing.set(true);
     }
 
+    /// Sets whether new connections are closed as soon as they are accepted.
+    pub fn refuse(&self, refuse: bool) {
+        self.0.refusing.set(refuse);
+    }
+
     /// Returns whether [`Drain::close`] was called.
     pub fn is_closing(&self) -> bool {
         self.0.closing.get()
@@ -267,7 +284,7 @@
             monoio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        if net::tune(&stream).is_err() {
+        if drain.0.refusing.get() || net::tune(&stream).is_err() {
             continue;
         }
         let handler = handler.clone();
@@ -493,6 +510,7 @@
             put(writer, out, limits).await
                 && (is_head || write_stream(writer, receiver, limits).await)
         }
+        Content::Cut => false,
     }
 }
 
