--- /dev/null
+++ b/crates/fakes/src/batch.rs
@@ -0,0 +1,121 @@
+//! Slots of a stand-in, with a queue by priority for those that wait.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
+
+use local_sync::oneshot;
+
+/// Slots and the queue for them.
+#[derive(Debug)]
+pub(crate) struct Batch {
+    slots: usize,
+    queue: usize,
+    active: Cell<usize>,
+    next: Cell<u64>,
+    waiting: RefCell<Vec<Waiter>>,
+}
+
+#[derive(Debug)]
+struct Waiter {
+    id: u64,
+    priority: i64,
+    granted: oneshot::Sender<Slot>,
+}
+
+/// One taken slot, given back on drop.
+#[derive(Debug)]
+pub(crate) struct Slot(Rc<Batch>);
+
+/// A place in the queue, given up on drop.
+pub(crate) struct Place {
+    batch: Rc<Batch>,
+    id: u64,
+    granted: oneshot::Receiver<Slot>,
+}
+
+impl Batch {
+    /// Returns `slots` free slots with room for `queue` waiting requests.
+    pub(crate) fn new(slots: usize, queue: usize) -> Rc<Self> {
+        Rc::new(Self {
+            slots: slots.max(1),
+            queue,
+            active: Cell::new(0),
+            next: Cell::new(0),
+            waiting: RefCell::default(),
+        })
+    }
+
+    /// Returns how many slots are taken.
+    pub(crate) fn active(&self) -> usize {
+        self.active.get()
+    }
+
+    /// Returns how many requests wait for a slot.
+    pub(crate) fn queued(&self) -> usize {
+        self.waiting.borrow().len()
+    }
+
+    /// Returns whether neither a slot nor a place in the queue is free.
+    pub(crate) fn is_full(&self) -> bool {
+        self.active() >= self.slots && self.queued() >= self.queue
+    }
+
+    /// Joins the queue; a higher `priority` goes first, then the earlier one.
+    pub(crate) fn join(self: &Rc<Self>, priority: i64) -> Place {
+        let id = self.next.get();
+        self.next.set(id + 1);
+        let (granted, receiver) = oneshot::channel();
+        self.waiting.borrow_mut().push(Waiter {
+            id,
+            priority,
+            granted,
+        });
+        self.grant();
+        Place {
+            batch: self.clone(),
+            id,
+            granted: receiver,
+        }
+    }
+
+    fn grant(self: &Rc<Self>) {
+        while self.active() < self.slots {
+            let Some(waiter) = self.pop() else {
+                return;
+            };
+            self.active.set(self.active() + 1);
+            // A receiver that is gone gives the slot back as it drops.
+            drop(waiter.granted.send(Slot(self.clone())));
+        }
+    }
+
+    fn pop(&self) -> Option<Waiter> {
+        let mut waiting = self.waiting.borrow_mut();
+        let rank = |waiter: &Waiter| (std::cmp::Reverse(waiter.priority), waiter.id);
+        let (first, _) = waiting.iter().enumerate().min_by_key(|(_, w)| rank(w))?;
+        Some(waiting.swap_remove(first))
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.active.set(self.0.active() - 1);
+        self.0.grant();
+    }
+}
+
+impl Place {
+    /// Waits for a slot; `None` if the batch is gone.
+    pub(crate) async fn slot(&mut self) -> Option<Slot> {
+        (&mut self.granted).await.ok()
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut waiting = self.batch.waiting.borrow_mut();
+        waiting.retain(|waiter| waiter.id != self.id);
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/bucket.rs
@@ -0,0 +1,47 @@
+//! Bounds on the rate of calls.
+
+use std::time::Instant;
+
+use link::{StatusCode, http::Reply};
+
+/// A token bucket that holds up to a quarter second of its rate.
+#[derive(Debug)]
+pub(crate) struct Bucket {
+    tokens: f64,
+    filled: Instant,
+}
+
+const BURST_S: f64 = 0.25;
+
+impl Bucket {
+    /// Returns a bucket that is full at `rate_per_s`.
+    pub(crate) fn new(rate_per_s: u32) -> Self {
+        Self {
+            tokens: burst(rate_per_s),
+            filled: Instant::now(),
+        }
+    }
+
+    /// Takes one token, refilled at `rate_per_s`, and returns whether it could.
+    pub(crate) fn take(&mut self, rate_per_s: u32) -> bool {
+        let now = Instant::now();
+        let gained = (now - self.filled).as_secs_f64() * f64::from(rate_per_s);
+        self.tokens = (self.tokens + gained).min(burst(rate_per_s));
+        self.filled = now;
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
+
+fn burst(rate_per_s: u32) -> f64 {
+    (f64::from(rate_per_s) * BURST_S).max(1.0)
+}
+
+/// Returns the answer to a call over the rate.
+pub(crate) fn too_many() -> Reply {
+    let status = StatusCode::TOO_MANY_REQUESTS;
+    Reply::error(status, "too-many-calls", "the rate is used up").header("retry-after", "1")
+}
--- /dev/null
+++ b/crates/fakes/src/drive.rs
@@ -0,0 +1,118 @@
+//! Calls for drivers of tests, which block their thread.
+
+use std::{net::SocketAddr, time::Duration};
+
+use link::http::{
+    Limits, Pool,
+    client::{Call, Fetched},
+};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use crate::Error;
+
+/// Sends `call` on a connection of its own and waits for the whole answer.
+///
+/// # Errors
+///
+/// When there is no whole answer.
+pub fn fetch(address: SocketAddr, call: Call) -> Result<Fetched, Error> {
+    let pool = Pool::new(Limits::new());
+    let fetched = link::runtime::run(pool.fetch(address, call))?;
+    Ok(fetched?)
+}
+
+/// Gets `path` and reads the answer as JSON, whatever its status.
+///
+/// # Errors
+///
+/// When there is no whole answer or it is not the JSON expected.
+pub fn get<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Result<T, Error> {
+    let fetched = fetch(address, Call::get(path))?;
+    Ok(serde_json::from_slice(&fetched.body)?)
+}
+
+/// Posts `body` as JSON and returns status and JSON answer.
+///
+/// # Errors
+///
+/// When there is no whole answer or it is not JSON.
+pub fn post(address: SocketAddr, path: &str, body: &Value) -> Result<(u16, Value), Error> {
+    let fetched = fetch(address, Call::post(path, body.to_string()))?;
+    let answer = serde_json::from_slice(&fetched.body)?;
+    Ok((fetched.status.as_u16(), answer))
+}
+
+/// Sets fault switches.
+///
+/// # Errors
+///
+/// When there is no whole answer, as after a crash.
+pub fn fault(address: SocketAddr, switches: &Value) -> Result<(), Error> {
+    post(address, "/fault", switches).map(|_| ())
+}
+
+/// The events of one stream, and whether its body was whole.
+#[derive(Clone, Debug)]
+pub struct Stream {
+    /// The status code.
+    pub status: u16,
+    /// The header `x-request-id`.
+    pub request_id: Option<String>,
+    /// The JSON of each `data:` line.
+    pub events: Vec<Value>,
+    /// The failure that ended the body early.
+    pub failure: Option<link::http::error::Kind>,
+}
+
+impl Stream {
+    /// Returns the tokens among the events.
+    pub fn tokens(&self) -> Vec<String> {
+        let tokens = self
+            .events
+            .iter()
+            .filter_map(|event| event["token"].as_str());
+        tokens.map(str::to_owned).collect()
+    }
+
+    /// Returns the event that ends a whole stream.
+    pub fn done(&self) -> Option<&Value> {
+        self.events.iter().find(|event| event["done"] == true)
+    }
+}
+
+/// Posts `body` to `/v1/generate` and reads the stream until it ends or is
+/// silent for `patience`.
+///
+/// # Errors
+///
+/// When there is no head of an answer.
+pub fn generate(address: SocketAddr, body: &Value, patience: Duration) -> Result<Stream, Error> {
+    let id = body["request_id"].as_str().unwrap_or_default().to_owned();
+    let call = Call::post("/v1/generate", body.to_string()).header("x-request-id", id);
+    link::runtime::run(read(address, call, patience))?
+}
+
+async fn read(address: SocketAddr, call: Call, patience: Duration) -> Result<Stream, Error> {
+    let pool = Pool::new(Limits::new());
+    let mut response = pool.send(address, call).await?;
+    let mut text = Vec::new();
+    let mut failure = None;
+    while let Some(part) = response.next(patience).await {
+        match part {
+            Ok(data) => text.extend_from_slice(&data),
+            Err(e) => failure = Some(e.kind()),
+        }
+    }
+    let id = response.headers.get("x-request-id");
+    let text = String::from_utf8_lossy(&text);
+    let lines = text.lines().filter_map(|line| line.strip_prefix("data: "));
+    Ok(Stream {
+        status: response.status.as_u16(),
+        request_id: id.and_then(|id| id.to_str().ok()).map(str::to_owned),
+        events: lines
+            .filter_map(|line| serde_json::from_str(line).ok())
+            .collect(),
+        failure,
+    })
+}
--- /dev/null
+++ b/crates/fakes/src/engine/cache.rs
@@ -0,0 +1,103 @@
+//! The prefix cache of an engine, and the events that tell of it.
+
+use std::collections::VecDeque;
+
+use serde::Serialize;
+
+use crate::{clock, text};
+
+/// Prefixes, the least recently used first.
+#[derive(Debug)]
+pub(crate) struct Cache {
+    room: usize,
+    prefixes: VecDeque<String>,
+    events: VecDeque<Event>,
+    seq: u64,
+}
+
+/// A change of the cache.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Event {
+    seq: u64,
+    kind: &'static str,
+    prefix: String,
+    #[serde(skip)]
+    at_ms: u64,
+}
+
+/// The events that a reader has not seen.
+#[derive(Debug, Serialize)]
+pub(crate) struct Events {
+    next: u64,
+    events: Vec<Event>,
+}
+
+const EVENTS_KEPT: usize = 4096;
+const GAP_EVERY: u64 = 16;
+
+impl Cache {
+    /// Returns an empty cache for `room` prefixes.
+    pub(crate) fn new(room: usize) -> Self {
+        Self {
+            room,
+            prefixes: VecDeque::new(),
+            events: VecDeque::new(),
+            seq: 0,
+        }
+    }
+
+    /// Returns how many prefixes are cached.
+    pub(crate) fn len(&self) -> usize {
+        self.prefixes.len()
+    }
+
+    /// Marks `prefix` as used and returns whether it was cached.
+    pub(crate) fn touch(&mut self, prefix: &str) -> bool {
+        let place = self.prefixes.iter().position(|cached| cached == prefix);
+        if let Some(place) = place {
+            let used = self.prefixes.remove(place);
+            self.prefixes.extend(used);
+            return true;
+        }
+        if self.room == 0 {
+            return false;
+        }
+        if self.prefixes.len() >= self.room
+            && let Some(oldest) = self.prefixes.pop_front()
+        {
+            self.record("evicted", oldest);
+        }
+        self.prefixes.push_back(prefix.to_owned());
+        self.record("stored", prefix.to_owned());
+        false
+    }
+
+    fn record(&mut self, kind: &'static str, prefix: String) {
+        self.seq += 1;
+        self.events.push_back(Event {
+            seq: self.seq,
+            kind,
+            prefix,
+            at_ms: clock::now_ms(),
+        });
+        if self.events.len() > EVENTS_KEPT {
+            self.events.pop_front();
+        }
+    }
+
+    /// Returns the events after `after` that are as old as `visible_ms`; some
+    /// are missing for good.
+    pub(crate) fn events(&self, after: u64, visible_ms: u64) -> Events {
+        let new = self.events.iter().filter(|event| event.seq > after);
+        let seen: Vec<&Event> = new.take_while(|event| event.at_ms <= visible_ms).collect();
+        let is_kept = |event: &&&Event| !text::hash(event.seq).is_multiple_of(GAP_EVERY);
+        Events {
+            next: seen.last().map_or(after, |event| event.seq),
+            events: seen
+                .iter()
+                .filter(is_kept)
+                .map(|&event| event.clone())
+                .collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/engine/log.rs
@@ -0,0 +1,78 @@
+//! What an engine ran, for history checks.
+
+use serde::Serialize;
+
+use crate::clock;
+
+/// Every stream that an engine started.
+#[derive(Debug, Default)]
+pub(crate) struct Log(Vec<Entry>);
+
+/// One stream.
+#[derive(Debug, Serialize)]
+pub(crate) struct Entry {
+    request_id: String,
+    model: String,
+    started_ms: u64,
+    tokens: u64,
+    spans: Vec<Span>,
+    finish: &'static str,
+    headers: Vec<(String, String)>,
+}
+
+/// Tokens `from` up to, without, `to`, produced by one version.
+#[derive(Debug, Serialize)]
+struct Span {
+    version: u64,
+    from: u64,
+    to: u64,
+}
+
+/// The place of an entry in the log.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Key(usize);
+
+impl Log {
+    /// Opens the entry of a stream.
+    pub(crate) fn start(
+        &mut self,
+        request_id: &str,
+        model: &str,
+        headers: Vec<(String, String)>,
+    ) -> Key {
+        self.0.push(Entry {
+            request_id: request_id.to_owned(),
+            model: model.to_owned(),
+            started_ms: clock::now_ms(),
+            tokens: 0,
+            spans: Vec::new(),
+            finish: "running",
+            headers,
+        });
+        Key(self.0.len() - 1)
+    }
+
+    /// Counts the token at `index`.
+    pub(crate) fn token(&mut self, key: Key, index: u64, version: u64) {
+        let entry = &mut self.0[key.0];
+        entry.tokens += 1;
+        match entry.spans.last_mut() {
+            Some(span) if span.version == version => span.to = index + 1,
+            _ => entry.spans.push(Span {
+                version,
+                from: index,
+                to: index + 1,
+            }),
+        }
+    }
+
+    /// Closes the entry of a stream.
+    pub(crate) fn finish(&mut self, key: Key, finish: &'static str) {
+        self.0[key.0].finish = finish;
+    }
+
+    /// Returns all entries.
+    pub(crate) fn entries(&self) -> &[Entry] {
+        &self.0
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/engine/stream.rs
@@ -0,0 +1,272 @@
+//! Streams of tokens.
+
+use std::{
+    cell::Cell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use link::{
+    Bytes, StatusCode,
+    http::{
+        Reply, Request,
+        server::{Part, Sender},
+    },
+};
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use super::{Engine, log::Key};
+use crate::{batch::Slot, clock, stats, text};
+
+/// The body of a request for tokens.
+#[derive(Debug, Deserialize)]
+struct Generate {
+    request_id: String,
+    model: String,
+    prompt: String,
+    max_tokens: u64,
+    #[serde(default)]
+    priority: i64,
+    #[serde(default)]
+    seed: u64,
+    #[serde(default)]
+    resume: Vec<String>,
+    #[serde(default)]
+    natural: bool,
+}
+
+/// How a stream ended, as the log names it.
+type Finish = &'static str;
+
+const CANCELLED: Finish = "cancelled";
+const CUT: Finish = "cut";
+
+/// How a truncated stream ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Truncation {
+    /// The connection closes inside the body.
+    Closed,
+    /// The body ends properly, without the last event.
+    Unfinished,
+}
+
+/// One stream while it runs.
+struct Run {
+    engine: Rc<Engine>,
+    request: Generate,
+    shown_id: String,
+    sender: Sender,
+    cancelled: Rc<Cell<bool>>,
+    key: Key,
+}
+
+/// Starts a stream, or says why not.
+pub(crate) fn generate(engine: &Rc<Engine>, request: &Request) -> Reply {
+    let body: Generate = match request.json() {
+        Ok(body) => body,
+        Err(reply) => return reply,
+    };
+    if engine.version(&body.model).is_none() {
+        let detail = "the engine does not hold this model";
+        return Reply::error(StatusCode::NOT_FOUND, "unknown-model", detail);
+    }
+    if engine.batch.is_full() {
+        let reply = Reply::error(StatusCode::SERVICE_UNAVAILABLE, "full", "no slot is free");
+        return reply.header("retry-after", "1");
+    }
+    let id = request.header("x-request-id").unwrap_or(&body.request_id);
+    let foreign = engine.host.chance(engine.host.switch(|s| s.wrong_id));
+    let shown_id = if foreign {
+        format!("foreign-{id}")
+    } else {
+        id.to_owned()
+    };
+    let (reply, sender) = Reply::stream(StatusCode::OK);
+    let reply = reply
+        .header("content-type", "text/event-stream")
+        .header("x-request-id", &shown_id);
+    let headers = stats::headers(request);
+    let key = engine
+        .log
+        .borrow_mut()
+        .start(&body.request_id, &body.model, headers);
+    let cancelled = Rc::new(Cell::new(false));
+    let mut flags = engine.cancelled.borrow_mut();
+    flags.insert(body.request_id.clone(), cancelled.clone());
+    monoio::spawn(
+        Run {
+            engine: engine.clone(),
+            request: body,
+            shown_id,
+            sender,
+            cancelled,
+            key,
+        }
+        .run(),
+    );
+    reply
+}
+
+impl Run {
+    async fn run(self) {
+        let finish = match self.produce().await {
+            Ok(finish) | Err(finish) => finish,
+        };
+        self.engine.log.borrow_mut().finish(self.key, finish);
+        let mut flags = self.engine.cancelled.borrow_mut();
+        let id = &self.request.request_id;
+        if flags
+            .get(id)
+            .is_some_and(|flag| Rc::ptr_eq(flag, &self.cancelled))
+        {
+            flags.remove(id);
+        }
+    }
+
+    /// Sends all events of the stream.
+    async fn produce(&self) -> Result<Finish, Finish> {
+        let _slot = self.slot().await?;
+        self.prefill().await;
+        let first = self.request.resume.len() as u64;
+        let (end, finish) = self.end();
+        let truncation = self.truncation(first, end);
+        let mut due = Instant::now();
+        for index in first..end {
+            due += self.token_time();
+            sleep_until(due).await;
+            self.check(index - first).await?;
+            if let Some((at, kind)) = truncation
+                && at == index
+            {
+                return self.cut_short(kind).await;
+            }
+            self.token(index).await?;
+        }
+        self.check(end.saturating_sub(first)).await?;
+        let done = json!({
+            "done": true,
+            "request_id": self.shown_id,
+            "tokens": end.max(first),
+            "finish": finish,
+        });
+        self.event(&done).await?;
+        self.close().await?;
+        Ok(finish)
+    }
+
+    async fn slot(&self) -> Result<Slot, Finish> {
+        let mut place = self.engine.batch.join(self.request.priority);
+        let mut granted = std::pin::pin!(place.slot());
+        loop {
+            match monoio::time::timeout(QUEUE_POLL, granted.as_mut()).await {
+                Ok(slot) => return slot.ok_or(CUT),
+                Err(_) => self.check_caller().await?,
+            }
+        }
+    }
+
+    /// Waits for the first token, less when the prefix is cached.
+    async fn prefill(&self) {
+        let prefix = text::prefix(&self.request.prompt);
+        let cached = self.engine.cache.borrow_mut().touch(&prefix);
+        let whole = self.engine.config.first_token_ms;
+        clock::sleep_ms(if cached { whole / CACHED_SHARE } else { whole }).await;
+    }
+
+    /// Returns the number of tokens and why they end there.
+    fn end(&self) -> (u64, Finish) {
+        let Generate { model, prompt, .. } = &self.request;
+        let natural = text::natural_length(model, prompt, self.request.seed);
+        if self.request.natural && natural < self.request.max_tokens {
+            return (natural, "stop");
+        }
+        (self.request.max_tokens, "length")
+    }
+
+    fn truncation(&self, first: u64, end: u64) -> Option<(u64, Truncation)> {
+        let host = &self.engine.host;
+        if end <= first || !host.chance(host.switch(|s| s.truncate)) {
+            return None;
+        }
+        let kind = match host.pick(2) {
+            0 => Truncation::Closed,
+            _ => Truncation::Unfinished,
+        };
+        Some((first + host.pick(end - first), kind))
+    }
+
+    /// Returns the time of one token at the present number of streams.
+    fn token_time(&self) -> Duration {
+        let active = self.engine.batch.active().max(1) as f64;
+        Duration::from_secs_f64(active / self.engine.config.tokens_per_s.max(MIN_RATE))
+    }
+
+    /// Applies cancellation and the faults of a running stream.
+    async fn check(&self, sent: u64) -> Result<(), Finish> {
+        self.check_caller().await?;
+        let host = &self.engine.host;
+        let is_silent = || {
+            host.switch(|s| s.silent_after)
+                .is_some_and(|after| sent >= after)
+        };
+        if !is_silent() && !host.switch(|s| s.mute) {
+            return Ok(());
+        }
+        while is_silent() || host.switch(|s| s.mute) {
+            monoio::time::sleep(QUEUE_POLL).await;
+            self.check_caller().await?;
+        }
+        Err("silent")
+    }
+
+    async fn check_caller(&self) -> Result<(), Finish> {
+        if self.sender.is_closed() || self.engine.host.switch(|s| s.gone) {
+            return Err(CUT);
+        }
+        if self.cancelled.get() {
+            self.event(&json!({"error": CANCELLED})).await?;
+            self.close().await?;
+            return Err(CANCELLED);
+        }
+        Ok(())
+    }
+
+    async fn cut_short(&self, kind: Truncation) -> Result<Finish, Finish> {
+        if kind == Truncation::Unfinished {
+            self.close().await?;
+        }
+        Ok(CUT)
+    }
+
+    async fn token(&self, index: u64) -> Result<(), Finish> {
+        let Generate { model, prompt, .. } = &self.request;
+        let version = self.engine.version(model).unwrap_or_default();
+        let token = text::token(model, prompt, self.request.seed, index);
+        let event = json!({"index": index, "token": token, "version": version});
+        self.event(&event).await?;
+        let mut log = self.engine.log.borrow_mut();
+        log.token(self.key, index, version);
+        Ok(())
+    }
+
+    async fn event(&self, event: &Value) -> Result<(), Finish> {
+        let line = Bytes::from(format!("data: {event}\n\n"));
+        self.sender.send(Part::Data(line)).await.map_err(|_| CUT)
+    }
+
+    async fn close(&self) -> Result<(), Finish> {
+        self.sender.send(Part::End).await.map_err(|_| CUT)
+    }
+}
+
+const QUEUE_POLL: Duration = Duration::from_millis(10);
+const CACHED_SHARE: u64 = 4;
+const MIN_RATE: f64 = 0.1;
+
+async fn sleep_until(due: Instant) {
+    let left = due.saturating_duration_since(Instant::now());
+    if !left.is_zero() {
+        monoio::time::sleep(left).await;
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/host.rs
@@ -0,0 +1,240 @@
+//! What all stand-ins share: fault switches, counters and the HTTP server.
+
+use std::{
+    cell::{Cell, RefCell},
+    future::Future,
+    pin::Pin,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use link::{
+    StatusCode,
+    http::{
+        Limits, Reply, Request,
+        server::{self, Drain},
+    },
+};
+use local_sync::oneshot;
+use monoio::net::TcpListener;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use crate::{clock, fault::Switches, stats::Stats};
+
+/// The answer of a stand-in, to be awaited.
+pub(crate) type Answer = Pin<Box<dyn Future<Output = Reply>>>;
+
+/// One stand-in: how it answers, and what it does when switches change.
+pub(crate) struct Routes {
+    /// Answers a call.
+    pub(crate) answer: Box<dyn Fn(Request) -> Answer>,
+    /// Is told each change of the switches.
+    pub(crate) on_fault: Box<dyn Fn(&Switches)>,
+}
+
+/// The state that all stand-ins have.
+pub(crate) struct Host {
+    switches: RefCell<Switches>,
+    stats: RefCell<Stats>,
+    rng: RefCell<SmallRng>,
+    drain: Drain,
+    crossed: RefCell<Option<Crossing>>,
+    crossings: Cell<u64>,
+    on_crash: Box<dyn Fn()>,
+}
+
+/// An answer that waits to be swapped with the next one.
+struct Crossing {
+    id: u64,
+    reply: Reply,
+    other: oneshot::Sender<Reply>,
+}
+
+const MUTE_POLL: Duration = Duration::from_millis(20);
+const CROSS_WAIT: Duration = Duration::from_millis(500);
+const CRASH_TIME: Duration = Duration::from_secs(1);
+const MAX_IDLE: Duration = Duration::from_secs(600);
+
+impl Host {
+    /// Returns a host without faults that calls `on_crash` to end.
+    pub(crate) fn new(seed: u64, on_crash: Box<dyn Fn()>) -> Rc<Self> {
+        Rc::new(Self {
+            switches: RefCell::default(),
+            stats: RefCell::default(),
+            rng: RefCell::new(SmallRng::seed_from_u64(seed)),
+            drain: Drain::default(),
+            crossed: RefCell::default(),
+            crossings: Cell::new(0),
+            on_crash,
+        })
+    }
+
+    /// Returns one field of the switches, as `read` picks it.
+    pub(crate) fn switch<T>(&self, read: impl Fn(&Switches) -> T) -> T {
+        read(&self.switches.borrow())
+    }
+
+    /// Returns true with `probability`.
+    pub(crate) fn chance(&self, probability: f64) -> bool {
+        probability > 0.0 && self.rng.borrow_mut().random::<f64>() < probability
+    }
+
+    /// Returns a number below `bound`, which must not be zero.
+    pub(crate) fn pick(&self, bound: u64) -> u64 {
+        self.rng.borrow_mut().random_range(0..bound)
+    }
+
+    /// Waits while the stand-in is mute; returns whether it was.
+    pub(crate) async fn while_mute(&self) -> bool {
+        self.hang(|switches| switches.mute).await
+    }
+
+    async fn hang(&self, hanging: impl Fn(&Switches) -> bool) -> bool {
+        let mut hung = false;
+        while self.switch(&hanging) {
+            hung = true;
+            monoio::time::sleep(MUTE_POLL).await;
+        }
+        hung
+    }
+
+    /// Answers one call: switches and counters first, then `routes`.
+    async fn answer(&self, routes: &Routes, request: Request) -> Reply {
+        match request.uri.path() {
+            "/fault" => return self.change(routes, &request),
+            "/stats" => return Reply::json(StatusCode::OK, &*self.stats.borrow()),
+            _ => {}
+        }
+        self.stats.borrow_mut().count_call(&request);
+        let reply = match self.obstruct(&request).await {
+            Some(reply) => reply,
+            None if request.uri.path() == "/health" => {
+                Reply::json(StatusCode::OK, &serde_json::json!({"status": "ok"}))
+            }
+            None => self.distort((routes.answer)(request).await).await,
+        };
+        let status = reply.status().as_u16();
+        self.stats.borrow_mut().count_answer(status);
+        reply
+    }
+
+    fn change(&self, routes: &Routes, request: &Request) -> Reply {
+        if request.body.is_empty() {
+            return Reply::json(StatusCode::OK, &*self.switches.borrow());
+        }
+        let next = self.switches.borrow().apply(&request.body);
+        let mut next = match next {
+            Ok(next) => next,
+            Err(detail) => return Reply::error(StatusCode::BAD_REQUEST, "bad-switch", &detail),
+        };
+        self.drain.refuse(next.refuse);
+        if next.crash {
+            self.crash();
+            return Reply::cut();
+        }
+        (routes.on_fault)(&next);
+        next.reclaim = None;
+        let reply = Reply::json(StatusCode::OK, &next);
+        *self.switches.borrow_mut() = next;
+        reply
+    }
+
+    /// Ends the process; in a thread, cuts all calls and streams.
+    fn crash(&self) {
+        (self.on_crash)();
+        let gone = Switches {
+            gone: true,
+            ..Switches::default()
+        };
+        *self.switches.borrow_mut() = gone;
+        self.drain.close();
+    }
+
+    /// Waits until a crash has cut the connections that are open.
+    pub(crate) async fn crashed(&self) {
+        let start = Instant::now();
+        while self.drain.is_closing() && self.drain.open() > 0 && start.elapsed() < CRASH_TIME {
+            monoio::time::sleep(MUTE_POLL).await;
+        }
+    }
+
+    /// Applies the faults that come before a call is acted on.
+    async fn obstruct(&self, request: &Request) -> Option<Reply> {
+        let vm = request.header("x-vm");
+        let is_silent = |switches: &Switches| switches.mute || switches.is_cut(vm, request.peer);
+        if self.hang(is_silent).await || self.switch(|s| s.gone) {
+            return Some(Reply::cut());
+        }
+        clock::sleep_ms(self.switch(|s| s.latency_ms)).await;
+        if self.switch(|s| s.outage) {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            return Some(Reply::error(
+                status,
+                "unavailable",
+                "an outage is switched on",
+            ));
+        }
+        if self.chance(self.switch(|s| s.error_rate)) {
+            let status = StatusCode::INTERNAL_SERVER_ERROR;
+            return Some(Reply::error(status, "injected", "an error is switched on"));
+        }
+        None
+    }
+
+    /// Applies the faults that come after a call was acted on.
+    async fn distort(&self, reply: Reply) -> Reply {
+        clock::sleep_ms(self.switch(|s| s.late_ms)).await;
+        let cut = self.while_mute().await || self.switch(|s| s.gone);
+        if cut || self.chance(self.switch(|s| s.lost_reply)) {
+            return Reply::cut();
+        }
+        if self.switch(|s| s.cross) {
+            return self.cross(reply).await;
+        }
+        reply
+    }
+
+    /// Swaps `reply` with another one that is ready within [`CROSS_WAIT`].
+    async fn cross(&self, reply: Reply) -> Reply {
+        if let Some(waiting) = self.crossed.take() {
+            return match waiting.other.send(reply) {
+                Ok(()) => waiting.reply,
+                Err(reply) => reply,
+            };
+        }
+        let id = self.crossings.get();
+        self.crossings.set(id + 1);
+        let (other, swapped) = oneshot::channel();
+        *self.crossed.borrow_mut() = Some(Crossing { id, reply, other });
+        if let Ok(Ok(reply)) = monoio::time::timeout(CROSS_WAIT, swapped).await {
+            return reply;
+        }
+        let mine = self
+            .crossed
+            .borrow_mut()
+            .take_if(|waiting| waiting.id == id);
+        mine.map_or_else(Reply::cut, |waiting| waiting.reply)
+    }
+}
+
+/// Serves `routes` on `listener`, and on `control` without the refusal of
+/// connections, until the task is dropped.
+pub(crate) async fn serve(
+    host: Rc<Host>,
+    routes: Routes,
+    listener: TcpListener,
+    control: Option<TcpListener>,
+) {
+    let routes = Rc::new(routes);
+    let limits = Limits::new().idle_time(MAX_IDLE);
+    let drain = host.drain.clone();
+    let handler = move |request: Request| {
+        let (host, routes) = (host.clone(), routes.clone());
+        async move { host.answer(&routes, request).await }
+    };
+    if let Some(control) = control {
+        let served = server::serve(control, limits, Drain::default(), handler.clone());
+        monoio::spawn(served);
+    }
+    server::serve(listener, limits, drain, handler).await;
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,1 +1,38 @@
-//! Placeholder.
+//! Stand-ins for the systems around tarragonseam, at the interfaces of
+//! `docs/INTERFACES.md`.
+//!
+//! Each stand-in runs as a subcommand of the `tarragonseam-fakes` program or,
+//! through [`spawn`], in a thread of a test. All of them take fault switches
+//! at `POST /fault` and report counters at `GET /stats`.
+//!
+//! # Examples
+//!
+//! ```
+//! use link::http::client::Call;
+//! use tarragonseam_fakes::{Config, drive, scorer, spawn};
+//!
+//! let scorer = spawn(Config::Scorer(scorer::Config::default()))?;
+//! let health = drive::fetch(scorer.address(), Call::get("/health"))?;
+//! assert_eq!(health.status, 200);
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+pub(crate) mod batch;
+pub(crate) mod bucket;
+pub(crate) mod clock;
+pub mod drive;
+pub mod engine;
+pub mod error;
+pub mod fault;
+pub(crate) mod host;
+pub mod platform;
+pub mod run;
+pub mod scorer;
+pub mod service;
+pub(crate) mod signal;
+pub(crate) mod stats;
+pub mod text;
+pub mod weights;
+
+pub use error::Error;
+pub use run::{Bind, Config, Running, serve, spawn};
--- /dev/null
+++ b/crates/fakes/src/platform/mod.rs
@@ -0,0 +1,125 @@
+//! The platform: objects, VMs, endpoint orders and usage reports, on one port.
+
+pub(crate) mod lists;
+pub(crate) mod object;
+pub(crate) mod order;
+pub(crate) mod usage;
+pub(crate) mod vm;
+
+use std::{path::PathBuf, rc::Rc};
+
+use clap::Parser;
+use link::{
+    StatusCode,
+    http::{Reply, Request},
+};
+
+pub use self::{
+    order::{Endpoint, State},
+    vm::Vm,
+};
+use crate::{
+    Bind, Error,
+    host::{Host, Routes},
+};
+
+/// Settings of the platform.
+#[derive(Clone, Debug, Parser)]
+pub struct Config {
+    /// Where it listens.
+    #[command(flatten)]
+    pub bind: Bind,
+    /// File of the first VMs, as TOML tables `[[vm]]`.
+    #[arg(long, value_name = "FILE")]
+    pub vms: Option<PathBuf>,
+    /// File of the endpoints, ready or spare, as TOML tables `[[endpoint]]`.
+    #[arg(long, value_name = "FILE")]
+    pub endpoints: Option<PathBuf>,
+    /// Reads of objects, lists and watches allowed each second.
+    #[arg(long, default_value_t = 2000)]
+    pub reads_per_s: u32,
+    /// Writes of objects allowed each second.
+    #[arg(long, default_value_t = 300)]
+    pub writes_per_s: u32,
+    /// Time until a change of the VMs shows in their list, in milliseconds.
+    #[arg(long, default_value_t = 0)]
+    pub vm_lag_ms: u64,
+    /// Time from an order to a ready endpoint, in milliseconds.
+    #[arg(long, default_value_t = 200)]
+    pub order_delay_ms: u64,
+    /// Time that a stopped endpoint stays leaving, in milliseconds.
+    #[arg(long, default_value_t = 2000)]
+    pub notice_ms: u64,
+    /// Time that an endpoint is listed as gone before it is spare again, in
+    /// milliseconds.
+    #[arg(long, default_value_t = 1000)]
+    pub gone_ms: u64,
+    /// Cut the streams and calls of an endpoint that is gone.
+    #[arg(long)]
+    pub cut_gone: bool,
+    /// VMs besides those of the file.
+    #[arg(skip)]
+    pub first_vms: Vec<Vm>,
+    /// Endpoints besides those of the file.
+    #[arg(skip)]
+    pub first_endpoints: Vec<Endpoint>,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self::parse_from(["platform"])
+    }
+}
+
+struct Platform {
+    objects: Rc<object::Store>,
+    vms: Rc<vm::List>,
+    orders: Rc<order::Desk>,
+    usage: usage::Sink,
+}
+
+pub(crate) fn routes(config: Config, host: &Rc<Host>) -> Result<Routes, Error> {
+    let vms = lists::vms(&config)?;
+    let endpoints = lists::endpoints(&config)?;
+    let platform = Rc::new(Platform {
+        objects: object::Store::new(host.clone(), config.reads_per_s, config.writes_per_s),
+        vms: vm::List::new(vms, config.vm_lag_ms),
+        orders: order::Desk::new(host.clone(), &config, endpoints),
+        usage: usage::Sink::default(),
+    });
+    let orders = platform.orders.clone();
+    Ok(Routes {
+        answer: Box::new(move |request| {
+            let platform = platform.clone();
+            Box::pin(async move { platform.answer(&request).await })
+        }),
+        on_fault: Box::new(move |switches| {
+            if let Some(reclaim) = &switches.reclaim {
+                orders.reclaim(reclaim);
+            }
+        }),
+    })
+}
+
+impl Platform {
+    async fn answer(&self, request: &Request) -> Reply {
+        let segments = request.segments();
+        match (request.method.as_str(), &segments[..]) {
+            (_, ["v1", "objects", ..] | ["v1", "watch", _]) => self.objects.answer(request).await,
+            ("GET", ["v1", "vms"]) => self.vms.get(),
+            ("POST", ["v1", "vms"]) => self.vms.replace(request),
+            ("POST", ["v1", "orders"]) => self.orders.take(request),
+            ("GET", ["v1", "orders"]) => self.orders.all(),
+            ("GET", ["v1", "orders", key]) => self.orders.get(key),
+            ("GET", ["v1", "endpoints"]) => self.orders.endpoints(request),
+            ("POST", ["v1", "usage", window]) => self.usage.report(window, request),
+            ("GET", ["v1", "usage", window]) => self.usage.get(window),
+            ("GET", ["v1", "usage"]) => self.usage.all(),
+            _ => not_found("no such call"),
+        }
+    }
+}
+
+fn not_found(detail: &str) -> Reply {
+    Reply::error(StatusCode::NOT_FOUND, "not-found", detail)
+}
--- /dev/null
+++ b/crates/fakes/src/run.rs
@@ -0,0 +1,210 @@
+//! Running a stand-in: in this thread, or in a thread of its own.
+
+use std::{
+    future::Future,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+        mpsc,
+    },
+    thread::JoinHandle,
+    time::Duration,
+};
+
+use monoio::net::TcpListener;
+
+use crate::{
+    Error, engine,
+    host::{self, Host, Routes},
+    platform, scorer, service, weights,
+};
+
+/// Where a stand-in listens.
+#[derive(Clone, Copy, Debug, clap::Args)]
+pub struct Bind {
+    /// Address to listen on; port 0 takes a free one.
+    #[arg(long, default_value = "127.0.0.1:0")]
+    pub listen: SocketAddr,
+    /// Second address, which answers while connections are refused.
+    #[arg(long)]
+    pub control: Option<SocketAddr>,
+}
+
+/// A stand-in with its settings.
+#[derive(Clone, Debug, clap::Subcommand)]
+pub enum Config {
+    /// The platform: objects, VMs, endpoint orders and usage reports.
+    Platform(platform::Config),
+    /// A model engine.
+    Engine(engine::Config),
+    /// A plain service.
+    Service(service::Config),
+    /// The weight store.
+    Weights(weights::Config),
+    /// A service that scores samples.
+    Scorer(scorer::Config),
+}
+
+impl Config {
+    fn bind(&mut self) -> &mut Bind {
+        match self {
+            Self::Platform(config) => &mut config.bind,
+            Self::Engine(config) => &mut config.bind,
+            Self::Service(config) => &mut config.bind,
+            Self::Weights(config) => &mut config.bind,
+            Self::Scorer(config) => &mut config.bind,
+        }
+    }
+
+    fn routes(self, host: &Rc<Host>) -> Result<Routes, Error> {
+        match self {
+            Self::Platform(config) => platform::routes(config, host),
+            Self::Engine(config) => Ok(engine::routes(config, host)),
+            Self::Service(config) => Ok(service::routes(config, host)),
+            Self::Weights(config) => Ok(weights::routes(config)),
+            Self::Scorer(config) => Ok(scorer::routes(config, host)),
+        }
+    }
+
+    fn seed(&self) -> u64 {
+        match self {
+            Self::Engine(config) => config.seed,
+            _ => 0,
+        }
+    }
+}
+
+/// The exit code of a process that was told to crash.
+const CRASH_CODE: i32 = 70;
+
+/// Runs a stand-in in this thread until SIGINT or SIGTERM, and prints the
+/// address that it listens on.
+///
+/// # Errors
+///
+/// When the settings cannot be read or the address cannot be listened on.
+pub fn serve(config: Config) -> Result<(), Error> {
+    let end = async {
+        let _ = link::runtime::stop_signal().await;
+    };
+    let ready = |address, _| println!("listening on {address}");
+    let crash = Box::new(|| std::process::exit(CRASH_CODE));
+    link::runtime::run(run(config, end, ready, crash))?
+}
+
+async fn run(
+    mut config: Config,
+    end: impl Future<Output = ()>,
+    ready: impl FnOnce(SocketAddr, Option<SocketAddr>),
+    on_crash: Box<dyn Fn()>,
+) -> Result<(), Error> {
+    let bind = *config.bind();
+    let host = Host::new(config.seed(), on_crash);
+    let listener = link::net::listen(bind.listen)?;
+    let control = bind.control.map(link::net::listen).transpose()?;
+    let routes = config.routes(&host)?;
+    let second = control.as_ref().map(TcpListener::local_addr);
+    ready(listener.local_addr()?, second.transpose()?);
+    monoio::select! {
+        () = host::serve(host.clone(), routes, listener, control) => {}
+        () = end => {}
+    }
+    host.crashed().await;
+    Ok(())
+}
+
+/// A stand-in in a thread, which ends when this is dropped.
+#[derive(Debug)]
+pub struct Running {
+    address: SocketAddr,
+    control: SocketAddr,
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Running {
+    /// Returns the address of the stand-in.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the address that answers while connections are refused.
+    pub fn control(&self) -> SocketAddr {
+        self.control
+    }
+
+    /// Returns whether the stand-in has ended, as after a crash.
+    pub fn is_ended(&self) -> bool {
+        self.thread.as_ref().is_none_or(JoinHandle::is_finished)
+    }
+
+    /// Sets fault switches, given as the JSON object of `POST /fault`.
+    ///
+    /// # Errors
+    ///
+    /// When the call fails; a crash always does.
+    pub fn fault(&self, switches: &serde_json::Value) -> Result<(), Error> {
+        crate::drive::fault(self.control, switches)
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+const STOP_POLL: Duration = Duration::from_millis(10);
+const START_TIME: Duration = Duration::from_secs(10);
+
+/// Starts a stand-in in a thread of its own.
+///
+/// # Errors
+///
+/// When the settings cannot be read or the address cannot be listened on.
+pub fn spawn(mut config: Config) -> Result<Running, Error> {
+    let free = SocketAddr::from(([127, 0, 0, 1], 0));
+    config.bind().control.get_or_insert(free);
+    let stop = Arc::new(AtomicBool::new(false));
+    let (sender, started) = mpsc::channel();
+    let thread = std::thread::spawn({
+        let stop = stop.clone();
+        move || run_in_thread(config, stop, &sender)
+    });
+    let (address, control) = started
+        .recv_timeout(START_TIME)
+        .map_err(|_| Error::Ended)??;
+    Ok(Running {
+        address,
+        control: control.unwrap_or(address),
+        stop,
+        thread: Some(thread),
+    })
+}
+
+type Started = Result<(SocketAddr, Option<SocketAddr>), Error>;
+
+fn run_in_thread(config: Config, stop: Arc<AtomicBool>, started: &mpsc::Sender<Started>) {
+    let crash = {
+        let stop = stop.clone();
+        Box::new(move || stop.store(true, Ordering::Relaxed))
+    };
+    let end = async move {
+        while !stop.load(Ordering::Relaxed) {
+            monoio::time::sleep(STOP_POLL).await;
+        }
+    };
+    let ready = |address, control| {
+        let _ = started.send(Ok((address, control)));
+    };
+    let result = link::runtime::run(run(config, end, ready, crash));
+    let result = result.map_err(Error::from).and_then(|inner| inner);
+    if let Err(e) = result {
+        let _ = started.send(Err(e));
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/signal.rs
@@ -0,0 +1,41 @@
+//! A wake-up for tasks that wait until something changes.
+
+use std::{
+    cell::{Cell, RefCell},
+    future::poll_fn,
+    task::{Poll, Waker},
+};
+
+/// Counts changes and wakes the tasks that wait for one.
+#[derive(Debug, Default)]
+pub(crate) struct Signal {
+    count: Cell<u64>,
+    wakers: RefCell<Vec<Waker>>,
+}
+
+impl Signal {
+    /// Counts one change and wakes all waiting tasks.
+    pub(crate) fn notify(&self) {
+        self.count.set(self.count.get() + 1);
+        for waker in self.wakers.take() {
+            waker.wake();
+        }
+    }
+
+    /// Returns how many changes there were.
+    pub(crate) fn count(&self) -> u64 {
+        self.count.get()
+    }
+
+    /// Waits until more than `seen` changes were counted.
+    pub(crate) async fn after(&self, seen: u64) {
+        poll_fn(|cx| {
+            if self.count.get() > seen {
+                return Poll::Ready(());
+            }
+            self.wakers.borrow_mut().push(cx.waker().clone());
+            Poll::Pending
+        })
+        .await;
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/text.rs
@@ -0,0 +1,55 @@
+//! The text that engines produce: a function of the request alone.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+const WORDS: [&str; 32] = [
+    "acid", "apple", "bitter", "bright", "caramel", "clean", "cloudy", "crisp", "dry", "earthy",
+    "finish", "floral", "fresh", "fruit", "golden", "honey", "lemon", "light", "long", "mellow",
+    "oak", "orchard", "pear", "rich", "ripe", "round", "sharp", "smoke", "soft", "spice", "sweet",
+    "tannin",
+];
+const PREFIX_WORDS: usize = 32;
+const NATURAL_MIN: u64 = 8;
+const NATURAL_SPREAD: u64 = 120;
+const STRAGGLER_EVERY: u64 = 8;
+const STRAGGLER_FACTOR: u64 = 4;
+
+/// Returns a hash that is the same in each process.
+pub(crate) fn hash(value: impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Returns the token at `index`.
+///
+/// # Examples
+///
+/// ```
+/// use tarragonseam_fakes::text;
+///
+/// let first = text::token("notes", "a dry cider", 7, 0);
+/// assert_eq!(first, text::token("notes", "a dry cider", 7, 0));
+/// ```
+pub fn token(model: &str, prompt: &str, seed: u64, index: u64) -> &'static str {
+    let place = hash((model, prompt, seed, index)) % WORDS.len() as u64;
+    WORDS[place as usize]
+}
+
+/// Returns where a sequence would end by itself; a few are much longer.
+pub fn natural_length(model: &str, prompt: &str, seed: u64) -> u64 {
+    let drawn = hash((model, prompt, seed, "length"));
+    let length = NATURAL_MIN + drawn % NATURAL_SPREAD;
+    let straggles = (drawn >> 32).is_multiple_of(STRAGGLER_EVERY);
+    if straggles {
+        length * STRAGGLER_FACTOR
+    } else {
+        length
+    }
+}
+
+/// Returns the prefix of `prompt` as caches know it.
+pub fn prefix(prompt: &str) -> String {
+    let words: Vec<&str> = prompt.split_whitespace().take(PREFIX_WORDS).collect();
+    format!("{:016x}", hash(words))
+}
--- /dev/null
+++ b/crates/fakes/src/weights.rs
@@ -0,0 +1,76 @@
+//! The weight store, with bounded rate and concurrency.
+
+use std::{cell::RefCell, rc::Rc};
+
+use clap::Parser;
+use link::{
+    StatusCode,
+    http::{Reply, Request},
+};
+use local_sync::semaphore::Semaphore;
+use serde_json::json;
+
+use crate::{
+    Bind,
+    bucket::{Bucket, too_many},
+    clock,
+    host::Routes,
+};
+
+/// Settings of the weight store.
+#[derive(Clone, Debug, Parser)]
+pub struct Config {
+    /// Where it listens.
+    #[command(flatten)]
+    pub bind: Bind,
+    /// Time that one transfer takes, in milliseconds.
+    #[arg(long, default_value_t = 200)]
+    pub transfer_ms: u64,
+    /// Transfers that run at once; more wait.
+    #[arg(long, default_value_t = 4)]
+    pub concurrent: usize,
+    /// Transfers that may start each second; more are answered with 429.
+    #[arg(long, default_value_t = 50)]
+    pub rate_per_s: u32,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self::parse_from(["weights"])
+    }
+}
+
+struct Store {
+    config: Config,
+    bucket: RefCell<Bucket>,
+    transfers: Semaphore,
+}
+
+pub(crate) fn routes(config: Config) -> Routes {
+    let store = Rc::new(Store {
+        bucket: RefCell::new(Bucket::new(config.rate_per_s)),
+        transfers: Semaphore::new(config.concurrent.max(1)),
+        config,
+    });
+    Routes {
+        answer: Box::new(move |request| {
+            let store = store.clone();
+            Box::pin(async move { store.answer(&request).await })
+        }),
+        on_fault: Box::new(|_| {}),
+    }
+}
+
+impl Store {
+    async fn answer(&self, request: &Request) -> Reply {
+        let ["v1", "weights", model, version] = request.segments()[..] else {
+            return Reply::error(StatusCode::NOT_FOUND, "not-found", "no such call");
+        };
+        if !self.bucket.borrow_mut().take(self.config.rate_per_s) {
+            return too_many();
+        }
+        let _transfer = self.transfers.acquire().await;
+        clock::sleep_ms(self.config.transfer_ms).await;
+        Reply::json(StatusCode::OK, &json!({"model": model, "version": version}))
+    }
+}
--- /dev/null
+++ b/crates/fakes/tests/engine.rs
@@ -0,0 +1,329 @@
+//! The model engine, with the weight store, against its contract.
+
+use std::{
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
+
+use link::http::client::Call;
+use serde_json::{Value, json};
+use tarragonseam_fakes::{
+    Config, Running, drive,
+    engine::{self, Model},
+    spawn, text, weights,
+};
+
+const PATIENCE: Duration = Duration::from_secs(5);
+
+fn config() -> engine::Config {
+    engine::Config {
+        models: vec![Model {
+            name: "notes".to_owned(),
+            version: 1,
+        }],
+        tokens_per_s: 2000.0,
+        first_token_ms: 5,
+        load_ms: 5,
+        report_lag_ms: 0,
+        ..engine::Config::default()
+    }
+}
+
+fn start(config: engine::Config) -> Running {
+    spawn(Config::Engine(config)).unwrap()
+}
+
+fn request(id: &str, max_tokens: u64) -> Value {
+    json!({
+        "request_id": id, "model": "notes", "prompt": "a dry cider", "max_tokens": max_tokens,
+        "priority": 0, "seed": 7, "resume": [],
+    })
+}
+
+fn with(mut request: Value, name: &str, value: impl Into<Value>) -> Value {
+    request[name] = value.into();
+    request
+}
+
+fn generate(at: SocketAddr, request: &Value) -> drive::Stream {
+    drive::generate(at, request, PATIENCE).unwrap()
+}
+
+fn in_background(at: SocketAddr, request: Value) -> thread::JoinHandle<drive::Stream> {
+    let running = thread::spawn(move || generate(at, &request));
+    thread::sleep(Duration::from_millis(50));
+    running
+}
+
+fn expected(from: u64, to: u64) -> Vec<&'static str> {
+    let token = |index| text::token("notes", "a dry cider", 7, index);
+    (from..to).map(token).collect()
+}
+
+fn entry(at: SocketAddr, id: &str) -> Value {
+    let log: Value = drive::get(at, "/v1/log").unwrap();
+    let mut entries = log["entries"].as_array().unwrap().iter();
+    entries
+        .find(|entry| entry["request_id"] == id)
+        .cloned()
+        .unwrap()
+}
+
+fn weights(at: SocketAddr, key: &str, epoch: u64, version: u64) -> (u16, Value) {
+    let order = json!({"key": key, "epoch": epoch, "model": "notes", "version": version});
+    drive::post(at, "/v1/weights", &order).unwrap()
+}
+
+#[test]
+fn generate_whole() {
+    let engine = start(config());
+    let stream = generate(engine.address(), &request("r1", 20));
+    assert_eq!(stream.request_id.as_deref(), Some("r1"));
+    assert_eq!(stream.tokens(), expected(0, 20));
+    let done = json!({"done": true, "request_id": "r1", "tokens": 20, "finish": "length"});
+    assert_eq!((stream.done(), stream.failure), (Some(&done), None));
+    let entry = entry(engine.address(), "r1");
+    assert_eq!(entry["spans"], json!([{"version": 1, "from": 0, "to": 20}]));
+    assert_eq!(
+        (&entry["tokens"], &entry["finish"]),
+        (&json!(20), &json!("length"))
+    );
+    let headers = entry["headers"].as_array().unwrap();
+    assert!(headers.contains(&json!(["x-request-id", "r1"])));
+}
+
+#[test]
+fn generate_resume_elsewhere() {
+    let engine = start(config());
+    let resumed = with(request("r1", 20), "resume", expected(0, 12));
+    let stream = generate(engine.address(), &resumed);
+    assert_eq!(stream.tokens(), expected(12, 20));
+    assert_eq!(stream.events[0]["index"], 12);
+    assert_eq!(stream.done().unwrap()["tokens"], 20);
+}
+
+#[test]
+fn generate_natural_length() {
+    let engine = start(config());
+    let natural = with(request("r1", 100_000), "natural", true);
+    let stream = generate(engine.address(), &natural);
+    let length = text::natural_length("notes", "a dry cider", 7);
+    assert_eq!(stream.tokens().len() as u64, length);
+    assert_eq!(stream.done().unwrap()["finish"], "stop");
+}
+
+#[test]
+fn generate_unknown_model() {
+    let engine = start(config());
+    let other = with(request("r1", 5), "model", "other");
+    assert_eq!(generate(engine.address(), &other).status, 404);
+}
+
+#[test]
+fn generate_full_and_by_priority() {
+    let engine = start(engine::Config {
+        slots: 1,
+        queue: 2,
+        tokens_per_s: 100.0,
+        ..config()
+    });
+    let at = engine.address();
+    let running = in_background(at, request("r1", 40));
+    let low = in_background(at, request("low", 3));
+    let high = in_background(at, with(request("high", 3), "priority", 5));
+    assert_eq!(generate(at, &request("r4", 3)).status, 503);
+    let load: Value = drive::get(at, "/v1/load").unwrap();
+    assert_eq!(
+        (&load["in_flight"], &load["queued"]),
+        (&json!(1), &json!(2))
+    );
+    let started = Instant::now();
+    let high = thread::spawn(move || (high.join().unwrap(), started.elapsed()));
+    let low = thread::spawn(move || (low.join().unwrap(), started.elapsed()));
+    assert_eq!(running.join().unwrap().tokens().len(), 40);
+    assert!(high.join().unwrap().1 < low.join().unwrap().1);
+}
+
+#[test]
+fn generate_shares_rate() {
+    let engine = start(engine::Config {
+        tokens_per_s: 200.0,
+        ..config()
+    });
+    let at = engine.address();
+    let start = Instant::now();
+    let one = in_background(at, request("r1", 40));
+    let two = in_background(at, request("r2", 40));
+    one.join().unwrap();
+    two.join().unwrap();
+    // 80 tokens at 200 a second; one alone would take half as long.
+    let took = start.elapsed();
+    assert!(took > Duration::from_millis(350), "{took:?}");
+    assert!(took < Duration::from_millis(900), "{took:?}");
+}
+
+#[test]
+fn cancel_running_stream() {
+    let engine = start(engine::Config {
+        tokens_per_s: 50.0,
+        ..config()
+    });
+    let at = engine.address();
+    let running = in_background(at, request("r1", 1000));
+    let (status, _) = drive::post(at, "/v1/cancel", &json!({"request_id": "r1"})).unwrap();
+    assert_eq!(status, 200);
+    let stream = running.join().unwrap();
+    assert_eq!(
+        stream.events.last().unwrap(),
+        &json!({"error": "cancelled"})
+    );
+    assert_eq!(entry(at, "r1")["finish"], "cancelled");
+}
+
+#[test]
+fn cache_first_token_and_events() {
+    let engine = start(engine::Config {
+        first_token_ms: 300,
+        cache_prefixes: 1,
+        ..config()
+    });
+    let at = engine.address();
+    let time = |prompt: &str| {
+        let start = Instant::now();
+        generate(at, &with(request("r", 1), "prompt", prompt));
+        start.elapsed()
+    };
+    let (cold, warm) = (time("one"), time("one"));
+    assert!(cold >= Duration::from_millis(300) && warm < Duration::from_millis(250));
+    time("two");
+    thread::sleep(Duration::from_millis(10));
+    let events: Value = drive::get(at, "/v1/cache-events?after=0").unwrap();
+    let next = events["next"].as_u64().unwrap();
+    assert_eq!(next, 3);
+    let evicted = json!({"seq": 2, "kind": "evicted", "prefix": text::prefix("one")});
+    assert!(
+        events["events"].as_array().unwrap().contains(&evicted),
+        "{events}"
+    );
+    let rest: Value = drive::get(at, "/v1/cache-events?after=3").unwrap();
+    assert_eq!(rest, json!({"next": 3, "events": []}));
+}
+
+#[test]
+fn load_lags() {
+    let engine = start(engine::Config {
+        report_lag_ms: 400,
+        ..config()
+    });
+    let at = engine.address();
+    weights(at, "k1", 1, 2);
+    let version = || -> Value {
+        let load: Value = drive::get(at, "/v1/load").unwrap();
+        assert!(load["age_ms"].as_u64().unwrap() < 600);
+        load["versions"]["notes"].clone()
+    };
+    assert_eq!(version(), 1);
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!(version(), 2);
+}
+
+#[test]
+fn weights_mid_stream() {
+    let engine = start(engine::Config {
+        tokens_per_s: 100.0,
+        ..config()
+    });
+    let at = engine.address();
+    let running = in_background(at, request("r1", 40));
+    assert_eq!(weights(at, "k1", 1, 2), (200, json!({"version": 2})));
+    let stream = running.join().unwrap();
+    assert_eq!(stream.tokens(), expected(0, 40));
+    let entry = entry(at, "r1");
+    let spans = entry["spans"].as_array().unwrap();
+    assert_eq!(
+        (&spans[0]["version"], &spans[1]["version"]),
+        (&json!(1), &json!(2))
+    );
+    let split = spans[0]["to"].as_u64().unwrap() as usize;
+    assert_eq!(stream.events[split - 1]["version"], 1);
+    assert_eq!(stream.events[split]["version"], 2);
+}
+
+#[test]
+fn weights_stale_epoch() {
+    let checking = start(engine::Config {
+        checks_epoch: true,
+        ..config()
+    });
+    let at = checking.address();
+    assert_eq!(weights(at, "k1", 5, 2).0, 200);
+    assert_eq!(weights(at, "k2", 4, 3).0, 409);
+    assert_eq!(weights(at, "k1", 4, 2).0, 200);
+    let ignoring = start(config());
+    assert_eq!(weights(ignoring.address(), "k1", 5, 2).0, 200);
+    assert_eq!(weights(ignoring.address(), "k2", 4, 3).0, 200);
+}
+
+#[test]
+fn weights_swap_fails() {
+    let engine = start(config());
+    let at = engine.address();
+    engine.fault(&json!({"swap_fail": 1.0})).unwrap();
+    let (status, answer) = weights(at, "k1", 1, 2);
+    assert_eq!((status, &answer["error"]), (500, &json!("swap-failed")));
+    let load: Value = drive::get(at, "/v1/load").unwrap();
+    assert_eq!(load["versions"], json!({"notes": 1}));
+    engine.fault(&json!({"swap_fail": 0.0})).unwrap();
+    assert_eq!(weights(at, "k1", 1, 2).0, 200);
+}
+
+#[test]
+fn weights_fetched_at_rate() {
+    let store = spawn(Config::Weights(weights::Config {
+        transfer_ms: 150,
+        concurrent: 1,
+        rate_per_s: 8,
+        ..weights::Config::default()
+    }))
+    .unwrap();
+    let engine = start(engine::Config {
+        weight_store: Some(store.address()),
+        ..config()
+    });
+    let start = Instant::now();
+    assert_eq!(weights(engine.address(), "k1", 1, 2).0, 200);
+    assert!(start.elapsed() >= Duration::from_millis(150));
+    let store = store.address();
+    let get = move || {
+        let fetched = drive::fetch(store, Call::get("/v1/weights/notes/3")).unwrap();
+        (
+            fetched.status.as_u16(),
+            fetched.headers.contains_key("retry-after"),
+        )
+    };
+    let start = Instant::now();
+    let running: Vec<_> = (0..6).map(|_| thread::spawn(get)).collect();
+    let answers: Vec<_> = running.into_iter().map(|get| get.join().unwrap()).collect();
+    let taken = answers
+        .iter()
+        .filter(|answer| **answer == (200, false))
+        .count();
+    assert!((1..=3).contains(&taken), "{answers:?}");
+    assert!(answers.contains(&(429, true)), "{answers:?}");
+    assert!(start.elapsed() >= Duration::from_millis(150 * taken as u64));
+}
+
+#[test]
+fn adapter_and_role() {
+    let engine = start(config());
+    let at = engine.address();
+    let adapter = json!({"key": "a", "epoch": 1, "model": "notes", "adapter": "x"});
+    let answer = drive::post(at, "/v1/adapters", &adapter).unwrap();
+    assert_eq!(answer, (200, json!({"adapter": "x"})));
+    let role = json!({"key": "b", "epoch": 1, "role": "prefill"});
+    let answer = drive::post(at, "/v1/role", &role).unwrap();
+    assert_eq!(answer, (200, json!({"role": "prefill"})));
+    let log: Value = drive::get(at, "/v1/log").unwrap();
+    assert_eq!(log["orders"].as_array().unwrap().len(), 4);
+}
--- /dev/null
+++ b/crates/fakes/tests/faults.rs
@@ -0,0 +1,276 @@
+//! Fault switches, on the stand-ins that know them.
+
+use std::{
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
+
+use link::http::{
+    client::{Call, Fetched},
+    error::Kind,
+};
+use serde_json::{Value, json};
+use tarragonseam_fakes::{
+    Config, Error, Running, drive,
+    engine::{self, Model},
+    platform, scorer, service, spawn,
+};
+
+const BRIEF: Duration = Duration::from_millis(300);
+
+fn start_service() -> Running {
+    spawn(Config::Service(service::Config::default())).unwrap()
+}
+
+fn start_engine() -> Running {
+    let config = engine::Config {
+        models: vec![Model {
+            name: "notes".to_owned(),
+            version: 1,
+        }],
+        first_token_ms: 1,
+        ..engine::Config::default()
+    };
+    spawn(Config::Engine(config)).unwrap()
+}
+
+fn call(id: &str) -> Call {
+    Call::get(format!("/entry/{id}"))
+        .header("x-request-id", id)
+        .deadline(BRIEF)
+}
+
+fn fetch(at: SocketAddr, id: &str) -> Result<Fetched, Kind> {
+    drive::fetch(at, call(id)).map_err(|e| match e {
+        Error::Call(e) => e.kind(),
+        other => panic!("{other}"),
+    })
+}
+
+fn status(at: SocketAddr, id: &str) -> Result<u16, Kind> {
+    fetch(at, id).map(|fetched| fetched.status.as_u16())
+}
+
+fn stream(at: SocketAddr, tokens: u64) -> drive::Stream {
+    let request = json!({
+        "request_id": "r1", "model": "notes", "prompt": "p", "max_tokens": tokens, "seed": 1,
+    });
+    drive::generate(at, &request, BRIEF).unwrap()
+}
+
+fn runs(at: SocketAddr) -> usize {
+    let log: Value = drive::get(at, "/v1/log").unwrap();
+    log["entries"].as_array().unwrap().len()
+}
+
+#[test]
+fn service_plain() {
+    let service = start_service();
+    let fetched = fetch(service.address(), "r1").unwrap();
+    assert_eq!(fetched.headers["x-request-id"], "r1");
+    let body: Value = serde_json::from_slice(&fetched.body).unwrap();
+    let expected = json!({
+        "service": "registry", "endpoint": "s1", "path": "/entry/r1", "method": "GET", "run": 1,
+    });
+    assert_eq!(body, expected);
+    let log: Value = drive::get(service.address(), "/v1/log").unwrap();
+    assert_eq!(log["entries"][0]["request_id"], "r1");
+    let load: Value = drive::get(service.address(), "/v1/load").unwrap();
+    assert_eq!((&load["slots"], &load["in_flight"]), (&json!(8), &json!(0)));
+}
+
+#[test]
+fn scorer_same_key() {
+    let scorer = spawn(Config::Scorer(scorer::Config::default())).unwrap();
+    let sample = json!({"key": "k1", "prompt": "p", "tokens": ["a"]});
+    let first = drive::post(scorer.address(), "/v1/score", &sample).unwrap();
+    assert_eq!(
+        first,
+        (200, json!({"key": "k1", "score": scorer::score("k1")}))
+    );
+    assert_eq!(
+        drive::post(scorer.address(), "/v1/score", &sample).unwrap(),
+        first
+    );
+}
+
+#[test]
+fn switch_unknown_and_reset() {
+    let service = start_service();
+    let at = service.address();
+    assert_eq!(
+        drive::post(at, "/fault", &json!({"nonsense": 1}))
+            .unwrap()
+            .0,
+        400
+    );
+    let (_, switches) = drive::post(at, "/fault", &json!({"latency_ms": 7})).unwrap();
+    assert_eq!(switches["latency_ms"], 7);
+    let (_, switches) = drive::post(at, "/fault", &json!({"outage": true})).unwrap();
+    assert_eq!(switches["latency_ms"], 7);
+    let (_, switches) = drive::post(at, "/fault", &json!({"reset": true})).unwrap();
+    assert_eq!(
+        (&switches["latency_ms"], &switches["outage"]),
+        (&json!(0), &json!(false))
+    );
+}
+
+#[test]
+fn outage_and_error_rate() {
+    let service = start_service();
+    service.fault(&json!({"outage": true})).unwrap();
+    assert_eq!(status(service.address(), "r1"), Ok(503));
+    service
+        .fault(&json!({"outage": false, "error_rate": 1.0}))
+        .unwrap();
+    assert_eq!(status(service.address(), "r2"), Ok(500));
+    service.fault(&json!({"reset": true})).unwrap();
+    assert_eq!(
+        (status(service.address(), "r3"), runs(service.address())),
+        (Ok(200), 1)
+    );
+}
+
+#[test]
+fn latency_and_late() {
+    let service = start_service();
+    service
+        .fault(&json!({"latency_ms": 60, "late_ms": 60}))
+        .unwrap();
+    let start = Instant::now();
+    assert_eq!(status(service.address(), "r1"), Ok(200));
+    assert!(start.elapsed() >= Duration::from_millis(120));
+}
+
+#[test]
+fn refuse_and_reset() {
+    let service = start_service();
+    service.fault(&json!({"refuse": true})).unwrap();
+    assert!(status(service.address(), "r1").is_err());
+    service.fault(&json!({"reset": true})).unwrap();
+    assert_eq!(status(service.address(), "r1"), Ok(200));
+}
+
+#[test]
+fn mute_and_reset() {
+    let service = start_service();
+    service.fault(&json!({"mute": true})).unwrap();
+    assert_eq!(status(service.address(), "r1"), Err(Kind::Timeout));
+    service.fault(&json!({"reset": true})).unwrap();
+    assert_eq!(
+        (status(service.address(), "r2"), runs(service.address())),
+        (Ok(200), 1)
+    );
+}
+
+#[test]
+fn lost_reply_acts() {
+    let service = start_service();
+    service.fault(&json!({"lost_reply": 1.0})).unwrap();
+    assert_eq!(status(service.address(), "r1"), Err(Kind::Incomplete));
+    service.fault(&json!({"reset": true})).unwrap();
+    assert_eq!(runs(service.address()), 1);
+}
+
+#[test]
+fn cut_by_vm() {
+    let platform = spawn(Config::Platform(platform::Config::default())).unwrap();
+    platform.fault(&json!({"cut": ["v1"]})).unwrap();
+    let get = |vm: &str| {
+        let call = Call::get("/v1/vms").header("x-vm", vm).deadline(BRIEF);
+        drive::fetch(platform.address(), call).is_ok()
+    };
+    assert!(!get("v1"));
+    assert!(get("v2"));
+    let stats: Value = drive::get(platform.address(), "/stats").unwrap();
+    assert_eq!(stats["by_vm"]["v2"]["GET /v1/vms"], 1);
+    assert_eq!(stats["calls"]["GET /v1/vms"], 2);
+}
+
+#[test]
+fn service_truncate_and_wrong_id() {
+    let service = start_service();
+    service.fault(&json!({"truncate": 1.0})).unwrap();
+    assert_eq!(status(service.address(), "r1"), Err(Kind::Incomplete));
+    service
+        .fault(&json!({"truncate": 0.0, "wrong_id": 1.0}))
+        .unwrap();
+    let fetched = fetch(service.address(), "r2").unwrap();
+    assert_eq!(fetched.headers["x-request-id"], "foreign-r2");
+}
+
+#[test]
+fn service_cross() {
+    let service = start_service();
+    service.fault(&json!({"cross": true})).unwrap();
+    let at = service.address();
+    let other = thread::spawn(move || fetch(at, "r1").unwrap());
+    let mine = fetch(at, "r2").unwrap();
+    assert_eq!(mine.headers["x-request-id"], "r1");
+    assert_eq!(other.join().unwrap().headers["x-request-id"], "r2");
+}
+
+#[test]
+fn engine_truncate() {
+    let engine = start_engine();
+    engine.fault(&json!({"truncate": 1.0})).unwrap();
+    let mut failures = Vec::new();
+    for _ in 0..12 {
+        let stream = stream(engine.address(), 5);
+        assert!(stream.tokens().len() < 5 && stream.done().is_none());
+        failures.push(stream.failure);
+    }
+    assert!(failures.contains(&None), "{failures:?}");
+    assert!(failures.contains(&Some(Kind::Incomplete)), "{failures:?}");
+}
+
+#[test]
+fn engine_silent_after() {
+    let engine = start_engine();
+    engine.fault(&json!({"silent_after": 3})).unwrap();
+    let stream = stream(engine.address(), 10);
+    assert_eq!(
+        (stream.tokens().len(), stream.failure),
+        (3, Some(Kind::Timeout))
+    );
+    assert_eq!(
+        drive::fetch(engine.address(), Call::get("/health"))
+            .unwrap()
+            .status,
+        200
+    );
+}
+
+#[test]
+fn engine_wrong_id() {
+    let engine = start_engine();
+    engine.fault(&json!({"wrong_id": 1.0})).unwrap();
+    let stream = stream(engine.address(), 2);
+    assert_eq!(stream.request_id.as_deref(), Some("foreign-r1"));
+    assert_eq!(stream.done().unwrap()["request_id"], "foreign-r1");
+}
+
+#[test]
+fn engine_gone_mid_stream() {
+    let engine = start_engine();
+    let at = engine.address();
+    let running = thread::spawn(move || stream(at, 1000));
+    thread::sleep(Duration::from_millis(100));
+    engine.fault(&json!({"gone": true})).unwrap();
+    assert_eq!(running.join().unwrap().failure, Some(Kind::Incomplete));
+    assert!(drive::fetch(at, Call::get("/health")).is_err());
+    engine.fault(&json!({"gone": false})).unwrap();
+    assert_eq!(stream(at, 3).tokens().len(), 3);
+}
+
+#[test]
+fn engine_crash_mid_stream() {
+    let engine = start_engine();
+    let at = engine.address();
+    let running = thread::spawn(move || stream(at, 1000));
+    thread::sleep(Duration::from_millis(100));
+    assert!(engine.fault(&json!({"crash": true})).is_err());
+    assert_eq!(running.join().unwrap().failure, Some(Kind::Incomplete));
+    assert!(drive::fetch(at, Call::get("/health").deadline(BRIEF)).is_err());
+}
