--- a/crates/board/src/config/mod.rs
+++ b/crates/board/src/config/mod.rs
@@ -49,6 +49,15 @@
 impl Class {
     /// All classes, the most urgent one first.
     pub const ALL: [Self; 3] = [Self::Trainer, Self::Caller, Self::Bulk];
+
+    /// Returns the priority that engines are told: higher is more urgent.
+    pub const fn priority(self) -> u32 {
+        match self {
+            Self::Trainer => 2,
+            Self::Caller => 1,
+            Self::Bulk => 0,
+        }
+    }
 }
 
 crate::record! {
--- a/crates/board/src/endpoint.rs
+++ b/crates/board/src/endpoint.rs
@@ -56,9 +56,9 @@
         /// Whether it refuses orders with an old epoch.
         #[serde(default)]
         pub checks_epoch: bool,
-        /// Cost of an hour, in thousandths of the platform's unit.
+        /// Cost of an hour, in the platform's unit.
         #[serde(default)]
-        pub price: u32,
+        pub price: f64,
     }
 }
 
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -5,7 +5,7 @@
 use clap::{Parser, Subcommand};
 use miette::IntoDiagnostic;
 
-use crate::{collect, keys, publish, status};
+use crate::{collect, demo, keys, publish, status};
 
 /// Operates a deployment of tarragonseam.
 #[derive(Debug, Parser)]
@@ -38,6 +38,16 @@
         #[command(flatten)]
         platform: Platform,
     },
+    /// Brings the cider festival's deployment up with stand-ins, uses it and
+    /// shows what came back.
+    Demo {
+        /// The folder with the operators' files.
+        #[arg(long, default_value = "examples/cider-festival")]
+        tree: PathBuf,
+    },
+    /// Runs one process of a deployment, for the demo and for tests.
+    #[command(hide = true, subcommand)]
+    Part(Part),
     /// Issues and withdraws callers' keys.
     #[command(subcommand)]
     Key(Key),
@@ -61,6 +71,23 @@
     },
 }
 
+#[derive(Debug, Subcommand)]
+enum Part {
+    /// The entry daemon.
+    Entry {
+        #[arg(long)]
+        settings: PathBuf,
+    },
+    /// The steward daemon.
+    Steward {
+        #[arg(long)]
+        settings: PathBuf,
+    },
+    /// A stand-in.
+    #[command(subcommand)]
+    Fakes(fakes::Config),
+}
+
 #[derive(Debug, clap::Args)]
 pub(crate) struct Platform {
     /// The address of the platform.
@@ -85,11 +112,27 @@
             block(publish::run(&platform, set))
         }
         Command::Status { vm, platform } => block(status::run(&platform, vm)),
+        Command::Demo { tree } => block(demo::run(&tree)),
+        Command::Part(part) => run_part(part),
         Command::Key(Key::Issue { account, platform }) => block(keys::issue(&platform, account)),
         Command::Key(Key::Withdraw { key, platform }) => block(keys::withdraw(&platform, key)),
     }
 }
 
+fn run_part(part: Part) -> miette::Result<()> {
+    match part {
+        Part::Entry { settings } => {
+            link::log::start("tarragonseam-entry").into_diagnostic()?;
+            entry::run(link::settings::load(&settings)?).into_diagnostic()
+        }
+        Part::Steward { settings } => {
+            link::log::start("tarragonseam-steward").into_diagnostic()?;
+            steward::run(link::settings::load(&settings)?).into_diagnostic()
+        }
+        Part::Fakes(config) => fakes::serve(config).into_diagnostic(),
+    }
+}
+
 fn block(future: impl Future<Output = miette::Result<()>>) -> miette::Result<()> {
     link::runtime::run(future).into_diagnostic()?
 }
--- a/crates/cli/src/keys.rs
+++ b/crates/cli/src/keys.rs
@@ -14,9 +14,16 @@
 
 const SECRET_BYTES: usize = 24;
 
-/// Makes a key for `account`, stores its digest and prints the key.
+/// Issues a key for `account` and prints it.
 pub(crate) async fn issue(platform: &Platform, account: String) -> miette::Result<()> {
     let client = Client::new(platform.platform, "cli");
+    let secret = create(&client, account).await?;
+    println!("{secret}");
+    Ok(())
+}
+
+/// Makes a key for `account`, stores its digest and returns the key.
+pub(crate) async fn create(client: &Client, account: String) -> miette::Result<String> {
     let read = client.read::<Manifest>(manifest::KIND, manifest::CURRENT);
     if let Err(Error::Absent) = read.await {
         let problem = "no configuration is in force";
@@ -31,8 +38,7 @@
     let value = serde_json::to_vec(&grant).unwrap_or_default();
     let created = client.create(KIND, &name, value);
     created.await.map_err(|e| failed(&e))?;
-    println!("{secret}");
-    Ok(())
+    Ok(secret)
 }
 
 fn secret() -> miette::Result<String> {
@@ -47,7 +53,14 @@
 /// Withdraws a key, given as itself or as its digest.
 pub(crate) async fn withdraw(platform: &Platform, key: String) -> miette::Result<()> {
     let client = Client::new(platform.platform, "cli");
-    let digest = key.parse().unwrap_or_else(|_| Digest::of(&key));
+    mark_withdrawn(&client, &key).await?;
+    println!("withdrawn");
+    Ok(())
+}
+
+/// Marks a key as withdrawn and returns once that is seen to stand.
+pub(crate) async fn mark_withdrawn(client: &Client, key: &str) -> miette::Result<()> {
+    let digest = key.parse().unwrap_or_else(|_| Digest::of(key));
     let name = digest.to_string();
     loop {
         let (version, grant) = client
@@ -55,7 +68,6 @@
             .await
             .map_err(|e| failed(&e))?;
         if grant.withdrawn {
-            println!("withdrawn");
             return Ok(());
         }
         let next = Grant {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod collect;
 pub mod command;
+pub(crate) mod demo;
 pub(crate) mod fault;
 pub(crate) mod keys;
 pub(crate) mod publish;
--- a/crates/cli/src/publish.rs
+++ b/crates/cli/src/publish.rs
@@ -7,7 +7,11 @@
 
 /// Writes the parts that are new, then moves the pointer.
 pub(crate) async fn run(platform: &Platform, set: Checked) -> miette::Result<()> {
-    let client = Client::new(platform.platform, "cli");
+    run_with(&Client::new(platform.platform, "cli"), set).await
+}
+
+/// As [`run`], with a client at hand.
+pub(crate) async fn run_with(client: &Client, set: Checked) -> miette::Result<()> {
     let read = client
         .read::<Manifest>(manifest::KIND, manifest::CURRENT)
         .await;
@@ -34,7 +38,7 @@
         let written = client.create(manifest::PART_KIND, &name, part.text.clone());
         written.await.map_err(|e| failed(&e))?;
     }
-    move_pointer(&client, when, &next).await?;
+    move_pointer(client, when, &next).await?;
     let config = &set.config;
     println!(
         "revision {} published: {} models, {} services, {} accounts, {} routes, {} trainers",
--- a/crates/entry/src/generation.rs
+++ b/crates/entry/src/generation.rs
@@ -120,7 +120,7 @@
         model: &task.model,
         prompt: &task.prompt,
         max_tokens: task.max_tokens,
-        priority: task.class as u32,
+        priority: task.class.priority(),
         seed: task.seed,
         resume: &resume,
     };
--- /dev/null
+++ b/crates/fakes/src/deployment/child.rs
@@ -0,0 +1,80 @@
+//! A process that is stopped when its owner is dropped.
+
+use std::{
+    fs::{File, OpenOptions},
+    path::Path,
+    process::{Command, Stdio},
+};
+
+use crate::Error;
+
+/// A started process, or none.
+#[derive(Debug)]
+pub struct Child(Option<std::process::Child>);
+
+impl Child {
+    /// Returns the absence of a process.
+    pub fn none() -> Self {
+        Self(None)
+    }
+
+    /// Starts `program part ARGUMENTS`, with its output added to `log`.
+    ///
+    /// # Errors
+    ///
+    /// When it cannot be started.
+    pub fn start(program: &Path, arguments: &[String], log: &Path) -> Result<Self, Error> {
+        let log: File = OpenOptions::new().create(true).append(true).open(log)?;
+        let child = Command::new(program)
+            .arg("part")
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        Ok(Self(Some(child)))
+    }
+
+    /// Returns the id of the process.
+    pub fn id(&self) -> Option<u32> {
+        self.0.as_ref().map(std::process::Child::id)
+    }
+
+    /// Sends `signal`, such as `TERM` or `STOP`.
+    ///
+    /// # Errors
+    ///
+    /// When there is no process or `kill` fails.
+    pub fn signal(&self, signal: &str) -> Result<(), Error> {
+        let id = self.id().ok_or_else(|| Error::Late("no process".into()))?;
+        let status = Command::new("kill")
+            .args([format!("-{signal}"), id.to_string()])
+            .status()?;
+        if status.success() {
+            Ok(())
+        } else {
+            Err(Error::Late(format!("cannot send {signal} to {id}")))
+        }
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.0.take() {
+            // A process that has ended already cannot be killed.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Returns the exit code if the process has ended.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        let status = self.0.as_mut()?.try_wait().ok()??;
+        status.code()
+    }
+}
+
+impl Drop for Child {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/deployment/mod.rs
@@ -0,0 +1,328 @@
+//! A whole deployment of separate processes on loopback: the stand-ins, and an
+//! entry and a steward daemon for each VM.
+
+pub mod block;
+pub mod child;
+pub mod plan;
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::{Duration, Instant},
+};
+
+use link::http::{
+    Limits, Pool,
+    client::{Call, Fetched},
+};
+
+pub use block::Block;
+pub use child::Child;
+pub use plan::{Back, Plan, Vm};
+
+use crate::Error;
+
+/// The addresses and processes of one VM.
+#[derive(Debug)]
+pub struct VmProcesses {
+    /// The VM.
+    pub vm: Vm,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where peers connect.
+    pub peers: SocketAddr,
+    /// The operators' pages of the entry daemon.
+    pub entry_admin: SocketAddr,
+    /// The operators' pages of the steward daemon.
+    pub steward_admin: SocketAddr,
+    /// The entry daemon.
+    pub entry: Child,
+    /// The steward daemon.
+    pub steward: Child,
+}
+
+/// One endpoint's process.
+#[derive(Debug)]
+pub struct Endpoint {
+    /// What was planned.
+    pub back: Back,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The process.
+    pub process: Child,
+}
+
+/// A running deployment, which is stopped when it is dropped.
+pub struct Deployment {
+    /// The platform.
+    pub platform: SocketAddr,
+    /// The weight store.
+    pub weights: SocketAddr,
+    /// The scorer.
+    pub scorer: SocketAddr,
+    /// The VMs.
+    pub vms: Vec<VmProcesses>,
+    /// The endpoints.
+    pub endpoints: Vec<Endpoint>,
+    /// The operators' files, copied with addresses filled in.
+    pub tree: PathBuf,
+    /// The folder of the deployment.
+    pub folder: PathBuf,
+    /// A client for drivers.
+    pub pool: Pool,
+    program: PathBuf,
+    stand_ins: Vec<Child>,
+    block: Block,
+}
+
+const READY_TIME: Duration = Duration::from_secs(20);
+const POLL_TIME: Duration = Duration::from_millis(50);
+
+impl Deployment {
+    /// Starts every process of `plan` from `program`, which has the subcommand
+    /// `part` of the command line, and waits until each answers.
+    ///
+    /// The configuration is not published yet: no VM is ready.
+    ///
+    /// # Errors
+    ///
+    /// When a process does not come up.
+    pub async fn start(program: &Path, plan: &Plan) -> Result<Self, Error> {
+        let mut block = Block::take()?;
+        let folder = block.folder();
+        fs::create_dir_all(&folder)?;
+        let scorer = block.next();
+        let mut deployment = Self {
+            platform: block.next(),
+            weights: block.next(),
+            scorer,
+            vms: Vec::new(),
+            endpoints: Vec::new(),
+            tree: plan::copy_tree(&plan.tree, &folder.join("tree"), scorer)?,
+            folder,
+            pool: Pool::new(Limits::new()),
+            program: program.to_owned(),
+            stand_ins: Vec::new(),
+            block,
+        };
+        deployment.start_stand_ins(plan)?;
+        deployment.start_vms(plan)?;
+        deployment.wait_healthy().await?;
+        Ok(deployment)
+    }
+
+    fn start_stand_ins(&mut self, plan: &Plan) -> Result<(), Error> {
+        let weights = self.weights.to_string();
+        for back in &plan.backs {
+            let address = self.block.next();
+            let arguments = back.arguments(address, &weights);
+            let process = self.spawn(&back.id, &arguments)?;
+            self.endpoints.push(Endpoint {
+                back: back.clone(),
+                address,
+                process,
+            });
+        }
+        let mut addresses = Vec::new();
+        for _ in &plan.vms {
+            addresses.push(self.block.next());
+        }
+        let vms = self.folder.join("vms.toml");
+        fs::write(&vms, plan::vms_file(&plan.vms, &addresses))?;
+        let endpoints = self.folder.join("endpoints.toml");
+        fs::write(&endpoints, plan::endpoints_file(&self.endpoints))?;
+        let platform = [
+            "fakes".to_string(),
+            "platform".to_string(),
+            format!("--listen={}", self.platform),
+            format!("--vms={}", vms.display()),
+            format!("--endpoints={}", endpoints.display()),
+        ];
+        let platform: Vec<_> = platform.into_iter().chain(plan.platform.clone()).collect();
+        let weight_store = [
+            "fakes".to_string(),
+            "weights".to_string(),
+            format!("--listen={}", self.weights),
+        ];
+        let weight_store: Vec<_> = weight_store
+            .into_iter()
+            .chain(plan.weights.clone())
+            .collect();
+        let scorer = [
+            "fakes".to_string(),
+            "scorer".to_string(),
+            format!("--listen={}", self.scorer),
+        ];
+        for (name, arguments) in [
+            ("platform", platform),
+            ("weights", weight_store),
+            ("scorer", scorer.to_vec()),
+        ] {
+            let child = self.spawn(name, &arguments)?;
+            self.stand_ins.push(child);
+        }
+        for (vm, peers) in plan.vms.iter().zip(addresses) {
+            self.prepare_vm(vm, peers, plan)?;
+        }
+        Ok(())
+    }
+
+    fn prepare_vm(&mut self, vm: &Vm, peers: SocketAddr, plan: &Plan) -> Result<(), Error> {
+        let callers = self.block.next();
+        let entry_admin = self.block.next();
+        let steward_admin = self.block.next();
+        let (vm_id, domain) = (&vm.id, &vm.failure_domain);
+        let shared = format!(
+            "vm = \"{vm_id}\"\nfailure_domain = \"{domain}\"\nplatform = \"{}\"\nwindow_ms = {}\n",
+            self.platform,
+            plan.window.as_millis()
+        );
+        let entry = format!(
+            "{shared}callers = \"{callers}\"\npeers = \"{peers}\"\nadmin = \"{entry_admin}\"\n{}",
+            vm.entry_settings
+        );
+        let steward = format!(
+            "{shared}admin = \"{steward_admin}\"\n{}",
+            vm.steward_settings
+        );
+        fs::write(self.settings("entry", vm_id), entry)?;
+        fs::write(self.settings("steward", vm_id), steward)?;
+        self.vms.push(VmProcesses {
+            vm: vm.clone(),
+            callers,
+            peers,
+            entry_admin,
+            steward_admin,
+            entry: Child::none(),
+            steward: Child::none(),
+        });
+        Ok(())
+    }
+
+    fn start_vms(&mut self, plan: &Plan) -> Result<(), Error> {
+        for place in 0..plan.vms.len() {
+            self.start_entry(place)?;
+            self.start_steward(place)?;
+        }
+        Ok(())
+    }
+
+    /// Starts the entry daemon of the VM at `place`, in place of the one that
+    /// ran.
+    ///
+    /// # Errors
+    ///
+    /// When the process cannot be started.
+    pub fn start_entry(&mut self, place: usize) -> Result<(), Error> {
+        let id = self.vms[place].vm.id.clone();
+        let child = self.spawn_daemon("entry", &id)?;
+        self.vms[place].entry = child;
+        Ok(())
+    }
+
+    /// Starts the steward daemon of the VM at `place`, in place of the one
+    /// that ran.
+    ///
+    /// # Errors
+    ///
+    /// When the process cannot be started.
+    pub fn start_steward(&mut self, place: usize) -> Result<(), Error> {
+        let id = self.vms[place].vm.id.clone();
+        let child = self.spawn_daemon("steward", &id)?;
+        self.vms[place].steward = child;
+        Ok(())
+    }
+
+    fn spawn_daemon(&self, daemon: &str, vm: &str) -> Result<Child, Error> {
+        let settings = format!("--settings={}", self.settings(daemon, vm).display());
+        self.spawn(&format!("{daemon}-{vm}"), &[daemon.to_string(), settings])
+    }
+
+    fn settings(&self, daemon: &str, vm: &str) -> PathBuf {
+        self.folder.join(format!("{daemon}-{vm}.toml"))
+    }
+
+    fn spawn(&self, name: &str, arguments: &[String]) -> Result<Child, Error> {
+        let log = self.folder.join(format!("{name}.log"));
+        Child::start(&self.program, arguments, &log)
+    }
+
+    async fn wait_healthy(&self) -> Result<(), Error> {
+        let stand_ins = [self.platform, self.weights, self.scorer];
+        let endpoints = self.endpoints.iter().map(|endpoint| endpoint.address);
+        for address in stand_ins.into_iter().chain(endpoints) {
+            self.wait_status(address, "/health", 200).await?;
+        }
+        for vm in &self.vms {
+            self.wait_status(vm.entry_admin, "/status", 200).await?;
+            self.wait_status(vm.steward_admin, "/status", 200).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until every entry daemon is ready for callers.
+    ///
+    /// # Errors
+    ///
+    /// When one is not ready in time.
+    pub async fn wait_ready(&self) -> Result<(), Error> {
+        for vm in &self.vms {
+            self.wait_status(vm.entry_admin, "/ready", 200).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until `path` at `address` answers with `status`.
+    ///
+    /// # Errors
+    ///
+    /// When it does not in time.
+    pub async fn wait_status(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        status: u16,
+    ) -> Result<(), Error> {
+        self.wait_for(address, path, |answer| answer.status == status)
+            .await
+            .map(|_| ())
+    }
+
+    /// Waits until `path` at `address` gives an answer that `wanted` accepts.
+    ///
+    /// # Errors
+    ///
+    /// When it does not in time.
+    pub async fn wait_for(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        wanted: impl Fn(&Fetched) -> bool,
+    ) -> Result<Fetched, Error> {
+        let start = Instant::now();
+        loop {
+            let last = self.pool.fetch(address, Call::get(path)).await;
+            match last {
+                Ok(answer) if wanted(&answer) => return Ok(answer),
+                _ if start.elapsed() < READY_TIME => monoio::time::sleep(POLL_TIME).await,
+                last => {
+                    let seen = last.map(|answer| answer.body);
+                    return Err(Error::Late(format!("{address}{path}: {seen:?}")));
+                }
+            }
+        }
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        self.vms.clear();
+        self.endpoints.clear();
+        self.stand_ins.clear();
+        if !std::thread::panicking() {
+            // What is left behind costs only disk space.
+            let _ = fs::remove_dir_all(&self.folder);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/deployment/plan.rs
@@ -0,0 +1,202 @@
+//! What a deployment consists of.
+
+use std::{
+    fmt::Write as _,
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+use super::Endpoint;
+use crate::Error;
+
+/// A VM for the system.
+#[derive(Clone, Debug)]
+pub struct Vm {
+    /// Its name.
+    pub id: String,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// Further lines of the entry daemon's settings.
+    pub entry_settings: String,
+    /// Further lines of the steward daemon's settings.
+    pub steward_settings: String,
+}
+
+/// An endpoint's process, ready or spare.
+#[derive(Clone, Debug)]
+pub struct Back {
+    /// Its name.
+    pub id: String,
+    /// The model or plain service.
+    pub service: String,
+    /// Whether it is a model engine.
+    pub is_model: bool,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// `stable` or `cheap`.
+    pub class: String,
+    /// Whether it is ready at once; a spare one waits for an order.
+    pub is_ready: bool,
+    /// Whether it refuses orders with an old epoch.
+    pub checks_epoch: bool,
+    /// Further arguments of the stand-in.
+    pub arguments: Vec<String>,
+}
+
+impl Back {
+    pub(super) fn arguments(&self, address: SocketAddr, weights: &str) -> Vec<String> {
+        let kind = if self.is_model { "engine" } else { "service" };
+        let mut arguments = vec![
+            "fakes".to_string(),
+            kind.to_string(),
+            format!("--listen={address}"),
+            format!("--id={}", self.id),
+        ];
+        if self.is_model {
+            arguments.push(format!("--model={}=1", self.service));
+            arguments.push(format!("--weight-store={weights}"));
+        } else {
+            arguments.push(format!("--name={}", self.service));
+        }
+        if self.checks_epoch {
+            arguments.push("--checks-epoch".to_string());
+        }
+        arguments.extend(self.arguments.iter().cloned());
+        arguments
+    }
+}
+
+/// Everything that a deployment starts.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The folder with the operators' files.
+    pub tree: PathBuf,
+    /// The VMs.
+    pub vms: Vec<Vm>,
+    /// The endpoints.
+    pub backs: Vec<Back>,
+    /// The length of a window of usage.
+    pub window: Duration,
+    /// Further arguments of the platform.
+    pub platform: Vec<String>,
+    /// Further arguments of the weight store.
+    pub weights: Vec<String>,
+}
+
+/// A short window, so that a run sees some end.
+const WINDOW: Duration = Duration::from_secs(2);
+
+impl Plan {
+    /// Returns an empty plan for the files in `tree`.
+    pub fn new(tree: impl Into<PathBuf>) -> Self {
+        Self {
+            tree: tree.into(),
+            vms: Vec::new(),
+            backs: Vec::new(),
+            window: WINDOW,
+            platform: Vec::new(),
+            weights: Vec::new(),
+        }
+    }
+
+    /// Adds `count` VMs, spread over `domains`.
+    pub fn vms(mut self, count: usize, domains: &[&str]) -> Self {
+        for place in 0..count {
+            let domain = domains[place % domains.len()];
+            self.vms.push(Vm {
+                id: format!("vm-{domain}{}", place / domains.len() + 1),
+                failure_domain: domain.to_string(),
+                entry_settings: String::new(),
+                steward_settings: String::new(),
+            });
+        }
+        self
+    }
+
+    /// Adds `count` ready engines of `model`, spread over `domains`: the first
+    /// of each failure domain stable, the others cheap.
+    pub fn engines(self, model: &str, count: usize, domains: &[&str]) -> Self {
+        self.backs(model, true, count, domains)
+    }
+
+    /// Adds `count` ready endpoints of a plain service, spread over `domains`.
+    pub fn services(self, name: &str, count: usize, domains: &[&str]) -> Self {
+        self.backs(name, false, count, domains)
+    }
+
+    fn backs(mut self, service: &str, is_model: bool, count: usize, domains: &[&str]) -> Self {
+        for place in 0..count {
+            let domain = domains[place % domains.len()];
+            let class = match place < domains.len() {
+                true => "stable",
+                false => "cheap",
+            };
+            self.backs.push(Back {
+                id: format!("{service}-{domain}{}", place / domains.len() + 1),
+                service: service.to_string(),
+                is_model,
+                failure_domain: domain.to_string(),
+                class: class.to_string(),
+                is_ready: true,
+                checks_epoch: place % 2 == 0,
+                arguments: Vec::new(),
+            });
+        }
+        self
+    }
+}
+
+/// The scorer's address in the example files.
+const SCORER_PLACES: [&str; 2] = ["127.0.0.1:7340", "127.0.0.1:7440"];
+
+/// Copies the operators' files, with the scorer's address filled in.
+pub(super) fn copy_tree(from: &Path, to: &Path, scorer: SocketAddr) -> Result<PathBuf, Error> {
+    fs::create_dir_all(to)?;
+    for entry in fs::read_dir(from)? {
+        let path = entry?.path();
+        let Some(name) = path.file_name() else {
+            continue;
+        };
+        let target = to.join(name);
+        if path.is_dir() {
+            copy_tree(&path, &target, scorer)?;
+            continue;
+        }
+        let mut text = fs::read_to_string(&path)?;
+        for place in SCORER_PLACES {
+            text = text.replace(place, &scorer.to_string());
+        }
+        fs::write(target, text)?;
+    }
+    Ok(to.to_owned())
+}
+
+pub(super) fn vms_file(vms: &[Vm], addresses: &[SocketAddr]) -> String {
+    let mut out = String::new();
+    for (vm, address) in vms.iter().zip(addresses) {
+        // Writing to a string cannot fail.
+        let _ = write!(
+            out,
+            "[[vm]]\nid = \"{}\"\naddress = \"{address}\"\nfailure_domain = \"{}\"\n\n",
+            vm.id, vm.failure_domain
+        );
+    }
+    out
+}
+
+pub(super) fn endpoints_file(endpoints: &[Endpoint]) -> String {
+    let mut out = String::new();
+    for Endpoint { back, address, .. } in endpoints {
+        let state = if back.is_ready { "ready" } else { "spare" };
+        // Writing to a string cannot fail.
+        let _ = write!(
+            out,
+            "[[endpoint]]\nid = \"{}\"\naddress = \"{address}\"\nfailure_domain = \"{}\"\n\
+             service = \"{}\"\nclass = \"{}\"\nstate = \"{state}\"\nchecks_epoch = {}\n\n",
+            back.id, back.failure_domain, back.service, back.class, back.checks_epoch
+        );
+    }
+    out
+}
--- a/crates/fakes/src/error.rs
+++ b/crates/fakes/src/error.rs
@@ -30,6 +30,9 @@
     /// An answer is not the JSON that was expected.
     #[error("unexpected answer: {0}")]
     Json(#[from] serde_json::Error),
+    /// Something did not come about in time.
+    #[error("not in time: {0}")]
+    Late(String),
     /// A stand-in ended before it listened.
     #[error("the stand-in ended before it listened")]
     Ended,
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -20,6 +20,7 @@
 pub(crate) mod batch;
 pub(crate) mod bucket;
 pub(crate) mod clock;
+pub mod deployment;
 pub mod drive;
 pub mod engine;
 pub mod error;
