fakes: free the slot of a silent stream, and end watches in an outage

Change: a silent stream gives its slot back and only holds its connection. A change of switches wakes the watches, which answer 503 in an outage. The stand-ins read bodies up to 4 MiB, so that the platform itself answers 413 for a value over 1 MiB; the loss of a refusal in the HTTP server remains.

--- a/crates/fakes/src/engine/stream.rs
+++ b/crates/fakes/src/engine/stream.rs
@@ -41,6 +41,7 @@
 
 const CANCELLED: Finish = "cancelled";
 const CUT: Finish = "cut";
+const SILENT: Finish = "silent";
 
 /// How a truncated stream ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -114,6 +115,9 @@
             Ok(finish) | Err(finish) => finish,
         };
         self.engine.log.borrow_mut().finish(self.key, finish);
+        if finish == SILENT {
+            self.hang().await;
+        }
         let mut flags = self.engine.cancelled.borrow_mut();
         let id = &self.request.request_id;
         if flags
@@ -205,19 +209,25 @@
     /// Applies cancellation and the faults of a running stream.
     async fn check(&self, sent: u64) -> Result<(), Finish> {
         self.check_caller().await?;
-        let host = &self.engine.host;
-        let is_silent = || {
-            host.switch(|s| s.silent_after)
-                .is_some_and(|after| sent >= after)
-        };
-        if !is_silent() && !host.switch(|s| s.mute) {
-            return Ok(());
+        match self.is_silent(sent) {
+            true => Err(SILENT),
+            false => Ok(()),
         }
-        while is_silent() || host.switch(|s| s.mute) {
+    }
+
+    fn is_silent(&self, sent: u64) -> bool {
+        self.engine.host.switch(|switches| {
+            let silent = switches.silent_after.is_some_and(|after| sent >= after);
+            silent || switches.mute
+        })
+    }
+
+    /// Holds the connection open without a word, for as long as the switch
+    /// that silenced the stream stays on; the slot is free meanwhile.
+    async fn hang(&self) {
+        while self.is_silent(u64::MAX) && self.check_caller().await.is_ok() {
             monoio::time::sleep(QUEUE_POLL).await;
-            self.check_caller().await?;
         }
-        Err("silent")
     }
 
     async fn check_caller(&self) -> Result<(), Finish> {
--- a/crates/fakes/src/host.rs
+++ b/crates/fakes/src/host.rs
@@ -19,17 +19,25 @@
 use monoio::net::TcpListener;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use crate::{clock, fault::Switches, stats::Stats};
+use crate::{
+    clock,
+    fault::{Reclaim, Switches},
+    stats::Stats,
+};
 
 /// The answer of a stand-in, to be awaited.
 pub(crate) type Answer = Pin<Box<dyn Future<Output = Reply>>>;
 
+/// What a stand-in does after its switches changed.
+pub(crate) type OnFault = Box<dyn Fn(Option<&Reclaim>)>;
+
 /// One stand-in: how it answers, and what it does when switches change.
 pub(crate) struct Routes {
     /// Answers a call.
     pub(crate) answer: Box<dyn Fn(Request) -> Answer>,
-    /// Is told each change of the switches.
-    pub(crate) on_fault: Box<dyn Fn(&Switches)>,
+    /// Is called after each change of the switches, with a reclaim if one was
+    /// asked for.
+    pub(crate) on_fault: OnFault,
 }
 
 /// The state that all stand-ins have.
@@ -54,6 +62,9 @@
 const CROSS_WAIT: Duration = Duration::from_millis(500);
 const CRASH_TIME: Duration = Duration::from_secs(1);
 const MAX_IDLE: Duration = Duration::from_secs(600);
+/// Above the largest value of an object, so that a larger one is read whole
+/// and its refusal is not lost to a reset.
+const MAX_BODY: usize = 4 * 1024 * 1024;
 
 impl Host {
     /// Returns a host without faults that calls `on_crash` to end.
@@ -132,10 +143,10 @@
             self.crash();
             return Reply::cut();
         }
-        (routes.on_fault)(&next);
-        next.reclaim = None;
+        let reclaim = next.reclaim.take();
         let reply = Reply::json(StatusCode::OK, &next);
         *self.switches.borrow_mut() = next;
+        (routes.on_fault)(reclaim.as_ref());
         reply
     }
 
@@ -217,6 +228,12 @@
     }
 }
 
+/// Returns the answer to a call in an outage.
+pub(crate) fn unavailable() -> Reply {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    Reply::error(status, "unavailable", "an outage is switched on")
+}
+
 /// Serves `routes` on `listener`, and on `control` without the refusal of
 /// connections, until the task is dropped.
 pub(crate) async fn serve(
@@ -226,7 +243,7 @@
     control: Option<TcpListener>,
 ) {
     let routes = Rc::new(routes);
-    let limits = Limits::new().idle_time(MAX_IDLE);
+    let limits = Limits::new().idle_time(MAX_IDLE).body_bytes(MAX_BODY);
     let drain = host.drain.clone();
     let handler = move |request: Request| {
         let (host, routes) = (host.clone(), routes.clone());
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -5,6 +5,20 @@
 //! through [`spawn`], in a thread of a test. All of them take fault switches
 //! at `POST /fault` and report counters at `GET /stats`.
 //!
+//! Where the page of interfaces leaves room, the stand-ins do this:
+//!
+//! - An engine serves a higher `priority` first.
+//! - The `tokens` of a stream's last event count the resumed ones as well.
+//! - An order for more endpoints than are spare gets those that there are.
+//! - Usage reports of a window are the same when their figures are, in any
+//!   order and under any epoch.
+//! - The switch `gone` cuts every call and stream of a stand-in, as when its
+//!   machine was taken away; `platform --cut-gone` sets it on the endpoints
+//!   that it lists as gone.
+//! - `POST /v1/vms` on the platform replaces the list of VMs.
+//! - The log of an engine also holds the orders that it took or refused.
+//! - `POST /fault` without a body returns the switches as they are.
+//!
 //! # Examples
 //!
 //! ```
--- a/crates/fakes/src/platform/mod.rs
+++ b/crates/fakes/src/platform/mod.rs
@@ -87,14 +87,15 @@
         orders: order::Desk::new(host.clone(), &config, endpoints),
         usage: usage::Sink::default(),
     });
-    let orders = platform.orders.clone();
+    let (orders, objects) = (platform.orders.clone(), platform.objects.clone());
     Ok(Routes {
         answer: Box::new(move |request| {
             let platform = platform.clone();
             Box::pin(async move { platform.answer(&request).await })
         }),
-        on_fault: Box::new(move |switches| {
-            if let Some(reclaim) = &switches.reclaim {
+        on_fault: Box::new(move |reclaim| {
+            objects.wake_watches();
+            if let Some(reclaim) = reclaim {
                 orders.reclaim(reclaim);
             }
         }),
--- a/crates/fakes/src/platform/object.rs
+++ b/crates/fakes/src/platform/object.rs
@@ -17,7 +17,7 @@
 use super::not_found;
 use crate::{
     bucket::{Bucket, too_many},
-    host::Host,
+    host::{Host, unavailable},
     signal::Signal,
 };
 
@@ -112,6 +112,11 @@
         }
     }
 
+    /// Makes waiting watches look at the switches again.
+    pub(crate) fn wake_watches(&self) {
+        self.changed.notify();
+    }
+
     fn admit(&self, method: &str) -> bool {
         if method == "GET" {
             let switched = self.host.switch(|s| s.reads_per_s);
@@ -190,6 +195,9 @@
         let wait = Duration::from_millis(number("wait_ms").unwrap_or(0).min(WAIT_MAX_MS));
         let deadline = Instant::now() + wait;
         loop {
+            if self.host.switch(|s| s.outage) {
+                return unavailable();
+            }
             let seen = self.changed.count();
             let left = deadline.saturating_duration_since(Instant::now());
             if let Some(reply) = self.objects.borrow().changes(kind, after, left.is_zero()) {
--- a/crates/fakes/tests/faults.rs
+++ b/crates/fakes/tests/faults.rs
@@ -30,6 +30,7 @@
             version: 1,
         }],
         first_token_ms: 1,
+        slots: 1,
         ..engine::Config::default()
     };
     spawn(Config::Engine(config)).unwrap()
@@ -228,18 +229,40 @@
 #[test]
 fn engine_silent_after() {
     let engine = start_engine();
+    let at = engine.address();
     engine.fault(&json!({"silent_after": 3})).unwrap();
-    let stream = stream(engine.address(), 10);
+    let silent = stream(at, 10);
     assert_eq!(
-        (stream.tokens().len(), stream.failure),
+        (silent.tokens().len(), silent.failure),
         (3, Some(Kind::Timeout))
     );
-    assert_eq!(
-        drive::fetch(engine.address(), Call::get("/health"))
-            .unwrap()
-            .status,
-        200
-    );
+    let other = stream(at, 2);
+    assert_eq!((other.tokens().len(), other.failure), (2, None));
+}
+
+#[test]
+fn engine_mute_mid_stream() {
+    let engine = start_engine();
+    let at = engine.address();
+    let running = thread::spawn(move || stream(at, 1000));
+    thread::sleep(Duration::from_millis(100));
+    engine.fault(&json!({"mute": true})).unwrap();
+    let muted = running.join().unwrap();
+    assert!(!muted.tokens().is_empty());
+    assert_eq!(muted.failure, Some(Kind::Timeout));
+    engine.fault(&json!({"mute": false})).unwrap();
+    assert_eq!(stream(at, 3).tokens().len(), 3);
+}
+
+#[test]
+fn watch_outage() {
+    let platform = spawn(Config::Platform(platform::Config::default())).unwrap();
+    let at = platform.address();
+    let watch = move || drive::fetch(at, Call::get("/v1/watch/key?after=0&wait_ms=8000")).unwrap();
+    let waiting = thread::spawn(watch);
+    thread::sleep(Duration::from_millis(50));
+    platform.fault(&json!({"outage": true})).unwrap();
+    assert_eq!(waiting.join().unwrap().status, 503);
 }
 
 #[test]
