--- a/crates/board/src/key.rs
+++ b/crates/board/src/key.rs
@@ -1,6 +1,9 @@
 //! Callers' keys: only digests are stored, spread and compared.
 
-use std::fmt;
+use std::{
+    fmt,
+    hash::{Hash, Hasher},
+};
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest as _, Sha256};
@@ -18,7 +21,7 @@
 /// let digest = Digest::of("a secret");
 /// assert_eq!(digest.to_string().parse(), Ok(digest));
 /// ```
-#[derive(Clone, Copy, Eq, Hash, Serialize, Deserialize, PartialOrd, Ord)]
+#[derive(Clone, Copy, Eq, Serialize, Deserialize, PartialOrd, Ord)]
 #[serde(into = "String", try_from = "String")]
 pub struct Digest([u8; DIGEST_BYTES]);
 
@@ -35,6 +38,12 @@
     }
 }
 
+impl Hash for Digest {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.0.hash(state);
+    }
+}
+
 impl fmt::Display for Digest {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
--- a/crates/entry/src/vm.rs
+++ b/crates/entry/src/vm.rs
@@ -33,7 +33,7 @@
     pub(crate) waiting: RefCell<Map<ticket::Key, oneshot::Sender<Verdict>>>,
     /// Number of the next request.
     pub(crate) next_request: Cell<u64>,
-    /// Whether all keys have been read once.
+    /// Whether all keys and endpoints have been read once.
     pub(crate) primed: Cell<bool>,
     /// Whether the process is shutting down.
     pub(crate) leaving: Cell<bool>,
--- a/crates/fakes/src/deployment/mod.rs
+++ b/crates/fakes/src/deployment/mod.rs
@@ -76,6 +76,9 @@
     block: Block,
 }
 
+/// The environment variable that keeps the folder of a deployment.
+const KEEP_LOGS: &str = "TARRAGONSEAM_KEEP_LOGS";
+
 const READY_TIME: Duration = Duration::from_secs(20);
 const POLL_TIME: Duration = Duration::from_millis(50);
 
@@ -320,7 +323,7 @@
         self.vms.clear();
         self.endpoints.clear();
         self.stand_ins.clear();
-        if !std::thread::panicking() {
+        if !std::thread::panicking() && std::env::var_os(KEEP_LOGS).is_none() {
             // What is left behind costs only disk space.
             let _ = fs::remove_dir_all(&self.folder);
         }
--- a/crates/fakes/src/deployment/plan.rs
+++ b/crates/fakes/src/deployment/plan.rs
@@ -57,12 +57,12 @@
         if self.is_model {
             arguments.push(format!("--model={}=1", self.service));
             arguments.push(format!("--weight-store={weights}"));
+            if self.checks_epoch {
+                arguments.push("--checks-epoch".to_string());
+            }
         } else {
             arguments.push(format!("--name={}", self.service));
         }
-        if self.checks_epoch {
-            arguments.push("--checks-epoch".to_string());
-        }
         arguments.extend(self.arguments.iter().cloned());
         arguments
     }
--- a/crates/link/src/feed.rs
+++ b/crates/link/src/feed.rs
@@ -30,7 +30,8 @@
 pub struct Feed {
     board: Rc<RefCell<Board>>,
     platform: Client,
-    primed: Rc<Cell<bool>>,
+    keys_known: Rc<Cell<bool>>,
+    endpoints_known: Rc<Cell<bool>>,
     on_change: Rc<dyn Fn()>,
 }
 
@@ -44,14 +45,15 @@
         Self {
             board,
             platform,
-            primed: Rc::default(),
+            keys_known: Rc::default(),
+            endpoints_known: Rc::default(),
             on_change: Rc::new(on_change),
         }
     }
 
-    /// Returns whether all keys have been read once.
+    /// Returns whether all keys and endpoints have been read once.
     pub fn is_primed(&self) -> bool {
-        self.primed.get()
+        self.keys_known.get() && self.endpoints_known.get()
     }
 
     /// Starts the tasks that keep the board up to date for ever.
@@ -93,8 +95,8 @@
 }
 
 fn note_primed(feed: &Feed, kind: &str) {
-    if kind == "key" && !feed.primed.get() {
-        feed.primed.set(true);
+    if kind == "key" && !feed.keys_known.get() {
+        feed.keys_known.set(true);
         spdlog::info!("keys known");
     }
 }
@@ -159,7 +161,7 @@
 
 async fn list_endpoints(feed: Feed) {
     loop {
-        if let Ok(records) = feed.platform.endpoints("").await {
+        if let Ok(records) = feed.platform.endpoints(None).await {
             let mut board = feed.board.borrow_mut();
             for record in records {
                 let id = record.id.clone();
@@ -171,6 +173,7 @@
                 }
             }
             drop(board);
+            feed.endpoints_known.set(true);
             (feed.on_change)();
         }
         monoio::time::sleep(LIST_TIME).await;
--- a/crates/link/src/platform.rs
+++ b/crates/link/src/platform.rs
@@ -263,13 +263,19 @@
         parse::<Vms>(&answer.body).map(|list| list.vms)
     }
 
-    /// Returns the endpoints of a failure domain.
+    /// Returns the endpoints of a failure domain, or all for `None`.
     ///
     /// # Errors
     ///
     /// An [`Error`] when nothing is known.
-    pub async fn endpoints(&self, failure_domain: &str) -> Result<Vec<endpoint::Record>, Error> {
-        let call = Call::get(format!("/v1/endpoints?failure_domain={failure_domain}"));
+    pub async fn endpoints(
+        &self,
+        failure_domain: Option<&str>,
+    ) -> Result<Vec<endpoint::Record>, Error> {
+        let call = Call::get(match failure_domain {
+            Some(domain) => format!("/v1/endpoints?failure_domain={domain}"),
+            None => "/v1/endpoints".to_string(),
+        });
         let answer = self.call(call, CALL_TIME).await?;
         parse::<Endpoints>(&answer.body).map(|list| list.endpoints)
     }
--- a/crates/link/src/settings.rs
+++ b/crates/link/src/settings.rs
@@ -18,11 +18,9 @@
         source: std::io::Error,
     },
     /// The file is not TOML of the right shape.
-    #[error("bad settings in {file}: {problem}")]
+    #[error("bad settings in {}: {problem}", text.name())]
     #[diagnostic(help("see docs/OPERATING.md for every setting"))]
     Parse {
-        /// The file.
-        file: String,
         /// What is wrong.
         problem: String,
         /// The text of the file.
@@ -49,6 +47,5 @@
         problem: e.message().to_string(),
         text: NamedSource::new(&file, text.clone()),
         span: e.span().map(SourceSpan::from),
-        file,
     })
 }
--- a/crates/link/src/telemetry.rs
+++ b/crates/link/src/telemetry.rs
@@ -26,6 +26,8 @@
 #[derive(Clone, Debug)]
 pub struct Telemetry {
     registry: Registry,
+    /// Dropping the provider would end its instruments.
+    _meters: SdkMeterProvider,
     meter: Meter,
     tracer: SdkTracer,
     recent: Recent,
@@ -54,9 +56,11 @@
         let traces = SdkTracerProvider::builder()
             .with_simple_exporter(recent.clone())
             .build();
+        let meters = meters.build();
         Self {
             registry,
-            meter: meters.build().meter(name),
+            meter: meters.meter(name),
+            _meters: meters,
             tracer: traces.tracer(name),
             recent,
         }
--- a/tarragonseam/src/lib.rs
+++ b/tarragonseam/src/lib.rs
@@ -1,1 +1,32 @@
-//! Placeholder.
+//! A rollout service for reinforcement learning, as a library of coordination
+//! parts.
+//!
+//! [`board`] holds what one VM knows; [`policy`] decides what to do about it.
+//! Both do no I/O and read no clock, so they run the same in a daemon, a test
+//! and an experiment.
+//!
+//! # Examples
+//!
+//! A lease taken and lost, with time as a parameter:
+//!
+//! ```
+//! use tarragonseam::{
+//!     board::{Time, lease::{Lease, Terms}},
+//!     policy::lease::{self, Outcome, Step},
+//! };
+//!
+//! let terms = Terms::default();
+//! let mut lease = Lease::default();
+//! let start = Time::from_millis(60_000);
+//! assert_eq!(lease::step(&mut lease, start, terms, "vm-1"), Step::Read);
+//! lease::read(&mut lease, start, None, terms);
+//! let Step::Write { record, .. } = lease::step(&mut lease, start, terms, "vm-1") else {
+//!     panic!("an absent lease is free");
+//! };
+//! lease::wrote(&mut lease, start, record, Outcome::Written(1), terms);
+//! assert_eq!(lease::epoch(&lease, start), Some(1));
+//! assert_eq!(lease::epoch(&lease, start + terms.ttl), None);
+//! ```
+
+pub use board;
+pub use policy;
