Send spans to a collector, and test what comes from outside

Cause: traces stayed in the process; frames, files and digests had no test against bytes that cannot be trusted; nothing showed what operators see when a process cannot start.

--- a/crates/board/src/key.rs
+++ b/crates/board/src/key.rs
@@ -65,7 +65,8 @@
     type Err = BadDigest;
 
     fn from_str(text: &str) -> Result<Self, BadDigest> {
-        if text.len() != 2 * DIGEST_BYTES || !text.is_ascii() {
+        let is_hexadecimal = text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        if text.len() != 2 * DIGEST_BYTES || !is_hexadecimal {
             return Err(BadDigest);
         }
         let mut bytes = [0; DIGEST_BYTES];
--- /dev/null
+++ b/crates/cli/tests/start.rs
@@ -0,0 +1,137 @@
+//! What operators see when a process cannot start, and when they stop one.
+
+use std::{
+    fs,
+    net::TcpListener,
+    path::PathBuf,
+    process::{Command, Output, Stdio},
+    thread,
+    time::{Duration, Instant},
+};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_tarragonseam");
+const EXAMPLES: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples");
+
+/// A file that is removed with its folder.
+struct Temporary(PathBuf);
+
+impl Temporary {
+    fn new(case: &str, text: &str) -> Self {
+        let name = format!("tarragonseam-start-{case}-{}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        fs::create_dir_all(&folder).unwrap();
+        fs::write(folder.join("settings.toml"), text).unwrap();
+        Self(folder)
+    }
+
+    fn start(&self, daemon: &str) -> Output {
+        let settings = self.0.join("settings.toml");
+        Command::new(PROGRAM)
+            .args(["part", daemon, "--settings"])
+            .arg(settings)
+            .output()
+            .unwrap()
+    }
+}
+
+impl Drop for Temporary {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+fn entry_settings(callers: &str) -> String {
+    format!(
+        "vm = \"vm-1\"\nfailure_domain = \"a\"\ncallers = \"{callers}\"\npeers = \"127.0.0.1:0\"\n\
+         admin = \"127.0.0.1:0\"\nplatform = \"127.0.0.1:1\"\n"
+    )
+}
+
+/// Settings, and what the error must name.
+#[test]
+fn start_bad_settings() {
+    let good = entry_settings("127.0.0.1:0");
+    let cases = [
+        ("unknown", format!("{good}colour = \"red\"\n"), "colour"),
+        ("missing", good.replace("vm = \"vm-1\"\n", ""), "vm"),
+        ("address", entry_settings("somewhere"), "address"),
+        ("syntax", "vm = \n".to_string(), "settings.toml:1"),
+    ];
+    for (case, text, named) in cases {
+        let output = Temporary::new(case, &text).start("entry");
+        let errors = String::from_utf8_lossy(&output.stderr);
+        assert!(!output.status.success(), "{case}");
+        assert!(!errors.contains("panicked"), "{case}: {errors}");
+        for part in [named, "settings.toml", "OPERATING.md"] {
+            assert!(errors.contains(part), "{case}: no {part:?} in {errors}");
+        }
+    }
+}
+
+#[test]
+fn start_address_in_use() {
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap().to_string();
+    let output = Temporary::new("in-use", &entry_settings(&address)).start("entry");
+    let errors = String::from_utf8_lossy(&output.stderr);
+    assert!(!output.status.success());
+    for part in [address.as_str(), "callers"] {
+        assert!(errors.contains(part), "no {part:?} in {errors}");
+    }
+}
+
+#[test]
+fn publish_wrong_port() {
+    let tree = format!("{EXAMPLES}/cider-festival");
+    let output = Command::new(PROGRAM)
+        .args(["publish", &tree, "--platform", "127.0.0.1:1"])
+        .output()
+        .unwrap();
+    let errors = String::from_utf8_lossy(&output.stderr);
+    assert!(!output.status.success());
+    for part in ["unavailable", "nothing changed"] {
+        assert!(errors.contains(part), "no {part:?} in {errors}");
+    }
+}
+
+const STOP_TIME: Duration = Duration::from_secs(20);
+
+/// Returns the ids of the processes that `parent` started.
+fn children(parent: u32) -> Vec<u32> {
+    let path = format!("/proc/{parent}/task/{parent}/children");
+    let text = fs::read_to_string(path).unwrap_or_default();
+    text.split_whitespace()
+        .filter_map(|id| id.parse().ok())
+        .collect()
+}
+
+fn wait_until(what: &str, mut met: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !met() {
+        assert!(start.elapsed() < STOP_TIME, "{what} not in time");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn demo_interrupted() {
+    let mut demo = Command::new(PROGRAM)
+        .args(["demo", "--tree", &format!("{EXAMPLES}/cider-festival")])
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    let id = demo.id();
+    wait_until("start", || children(id).len() > 10);
+    let started = children(id);
+    let sent = Command::new("kill")
+        .args(["-INT", &id.to_string()])
+        .status()
+        .unwrap();
+    assert!(sent.success());
+    assert!(!demo.wait().unwrap().success());
+    for child in started {
+        let path = PathBuf::from(format!("/proc/{child}"));
+        wait_until("end of a child", || !path.exists());
+    }
+}
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -48,6 +48,9 @@
     let peer_listener = listen("peers", settings.peers)?;
     let admin_listener = listen("admin", settings.admin)?;
     let vm = Vm::new(settings);
+    if let Some(collector) = vm.settings.collector {
+        vm.telemetry.export_to(collector);
+    }
     follow_platform(&vm);
 
     let for_peers = vm.clone();
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -40,6 +40,9 @@
     pub admin: SocketAddr,
     /// The platform.
     pub platform: SocketAddr,
+    /// The collector of traces, which takes OTLP over HTTP.
+    #[serde(default)]
+    pub collector: Option<SocketAddr>,
     /// The folder for bulk data, on a VM that has a disk.
     #[serde(default)]
     pub data: Option<PathBuf>,
--- /dev/null
+++ b/crates/link/src/telemetry/export.rs
@@ -0,0 +1,74 @@
+//! Sending of ended spans to a collector, in the OTLP protobuf over HTTP.
+
+use std::{net::SocketAddr, time::Duration};
+
+use opentelemetry::metrics::Counter;
+use opentelemetry_proto::{
+    tonic::collector::trace::v1::ExportTraceServiceRequest,
+    transform::{
+        common::tonic::ResourceAttributesWithSchema,
+        trace::tonic::group_spans_by_resource_and_scope,
+    },
+};
+use opentelemetry_sdk::{Resource, trace::SpanData};
+use prost::Message;
+
+use super::recent::Recent;
+use crate::http::{Limits, Pool, client::Call};
+
+const PERIOD: Duration = Duration::from_secs(1);
+const SEND_TIME: Duration = Duration::from_secs(2);
+const BATCH_MAX: usize = 512;
+
+/// Sends batches to one collector.
+pub(super) struct Sender {
+    address: SocketAddr,
+    resource: ResourceAttributesWithSchema,
+    pool: Pool,
+    sent: Counter<u64>,
+    dropped: Counter<u64>,
+}
+
+impl Sender {
+    pub(super) fn new(
+        address: SocketAddr,
+        name: &'static str,
+        sent: Counter<u64>,
+        dropped: Counter<u64>,
+    ) -> Self {
+        let resource = Resource::builder_empty().with_service_name(name).build();
+        Self {
+            address,
+            resource: (&resource).into(),
+            pool: Pool::new(Limits::new()),
+            sent,
+            dropped,
+        }
+    }
+
+    /// Sends what has ended once a second, for ever. A batch that is not taken
+    /// is dropped: traces are never worth memory that requests need.
+    pub(super) async fn run(self, recent: Recent) {
+        loop {
+            monoio::time::sleep(PERIOD).await;
+            let (spans, dropped) = recent.take_unsent();
+            self.dropped.add(dropped, &[]);
+            for batch in spans.chunks(BATCH_MAX) {
+                self.send(batch).await;
+            }
+        }
+    }
+
+    async fn send(&self, batch: &[SpanData]) {
+        let request = ExportTraceServiceRequest {
+            resource_spans: group_spans_by_resource_and_scope(batch.to_vec(), &self.resource),
+        };
+        let call = Call::post("/v1/traces", request.encode_to_vec())
+            .header("content-type", "application/x-protobuf")
+            .deadline(SEND_TIME);
+        let answer = self.pool.fetch(self.address, call).await;
+        let is_taken = answer.is_ok_and(|answer| answer.status.is_success());
+        let counter = if is_taken { &self.sent } else { &self.dropped };
+        counter.add(batch.len() as u64, &[]);
+    }
+}
--- /dev/null
+++ b/crates/link/src/telemetry/mod.rs
@@ -0,0 +1,128 @@
+//! Metrics and traces of a process, through OpenTelemetry.
+//!
+//! Metrics are read by the operators' collector; ended spans are kept in a
+//! ring for the operators' pages and, where a collector of traces is set, sent
+//! there in batches. Neither ever waits on the path of a request: spans that
+//! cannot be sent are dropped and counted.
+
+mod export;
+mod recent;
+mod span;
+
+use std::{net::SocketAddr, sync::Arc};
+
+use ::http::HeaderMap;
+use opentelemetry::{
+    Context,
+    metrics::{Counter, Meter, MeterProvider},
+    propagation::TextMapPropagator,
+    trace::{SpanBuilder, TraceContextExt, Tracer, TracerProvider},
+};
+use opentelemetry_sdk::{
+    metrics::SdkMeterProvider,
+    propagation::TraceContextPropagator,
+    trace::{SdkTracer, SdkTracerProvider},
+};
+use prometheus::{Encoder, Registry, TextEncoder};
+
+use recent::Recent;
+use span::Carrier;
+
+pub use recent::Finished;
+pub use span::Span;
+
+/// The metrics, the tracer and the recent spans of a process.
+#[derive(Clone, Debug)]
+pub struct Telemetry {
+    name: &'static str,
+    registry: Registry,
+    /// Dropping the provider would end its instruments.
+    _meters: Arc<SdkMeterProvider>,
+    meter: Meter,
+    tracer: SdkTracer,
+    recent: Recent,
+}
+
+impl Telemetry {
+    /// Starts the telemetry of the process `name`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use tarragonseam_link::telemetry::Telemetry;
+    ///
+    /// let telemetry = Telemetry::new("tarragonseam-entry");
+    /// telemetry.counter("requests").add(1, &[]);
+    /// assert!(telemetry.render().contains("requests_total"));
+    /// ```
+    pub fn new(name: &'static str) -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter().with_registry(registry.clone());
+        let mut meters = SdkMeterProvider::builder();
+        if let Ok(reader) = exporter.build() {
+            meters = meters.with_reader(reader);
+        }
+        let recent = Recent::default();
+        let traces = SdkTracerProvider::builder()
+            .with_simple_exporter(recent.clone())
+            .build();
+        let meters = meters.build();
+        Self {
+            name,
+            registry,
+            meter: meters.meter(name),
+            _meters: Arc::new(meters),
+            tracer: traces.tracer(name),
+            recent,
+        }
+    }
+
+    /// Sends ended spans to the collector at `address`, from now on and for
+    /// ever. Needs the runtime of this thread.
+    pub fn export_to(&self, address: SocketAddr) {
+        let dropped = self.counter("tarragonseam_spans_dropped");
+        let sent = self.counter("tarragonseam_spans_sent");
+        self.recent.keep_for_export();
+        let sender = export::Sender::new(address, self.name, sent, dropped);
+        monoio::spawn(sender.run(self.recent.clone()));
+    }
+
+    /// Returns the counter `name`.
+    pub fn counter(&self, name: &'static str) -> Counter<u64> {
+        self.meter.u64_counter(name).build()
+    }
+
+    /// Returns the meter, for other instruments.
+    pub fn meter(&self) -> &Meter {
+        &self.meter
+    }
+
+    /// Returns all metrics in the text format of Prometheus.
+    pub fn render(&self) -> String {
+        let mut out = Vec::new();
+        // Encoding into a vector fails only for families without metrics.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut out);
+        String::from_utf8(out).unwrap_or_default()
+    }
+
+    /// Starts the span of a request that came with `headers`.
+    pub fn accept(&self, name: &'static str, headers: &HeaderMap) -> Span {
+        let parent = TraceContextPropagator::new().extract(&Carrier(headers));
+        self.start(name, &parent)
+    }
+
+    /// Returns the recent spans of a trace, or of every trace for an empty id.
+    pub fn spans(&self, trace: &str) -> Vec<Finished> {
+        self.recent.of_trace(trace)
+    }
+
+    fn start(&self, name: &'static str, parent: &Context) -> Span {
+        let span = self
+            .tracer
+            .build_with_context(SpanBuilder::from_name(name), parent);
+        Span {
+            telemetry: self.clone(),
+            context: parent.with_span(span),
+        }
+    }
+}
--- /dev/null
+++ b/crates/link/src/telemetry/recent.rs
@@ -0,0 +1,117 @@
+//! Ended spans.
+
+use std::{
+    collections::VecDeque,
+    mem,
+    sync::{Arc, Mutex},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use opentelemetry::KeyValue;
+use opentelemetry_sdk::{
+    error::OTelSdkResult,
+    trace::{SpanData, SpanExporter},
+};
+use serde::Serialize;
+
+/// A span that has ended.
+#[derive(Clone, Debug, Serialize)]
+pub struct Finished {
+    /// The trace, in hexadecimal.
+    pub trace: String,
+    /// The span, in hexadecimal.
+    pub span: String,
+    /// The parent span, in hexadecimal.
+    pub parent: String,
+    /// What it covers.
+    pub name: String,
+    /// When it started, in microseconds of wall-clock time.
+    pub start_us: u64,
+    /// How long it took, in microseconds.
+    pub took_us: u64,
+    /// Its attributes.
+    pub attributes: Vec<(String, String)>,
+}
+
+/// Ended spans: a ring for the operators' pages, and those still to be sent.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Recent(Arc<Mutex<State>>);
+
+#[derive(Debug, Default)]
+struct State {
+    ring: VecDeque<SpanData>,
+    is_exporting: bool,
+    unsent: Vec<SpanData>,
+    dropped: u64,
+}
+
+const RECENT_MAX: usize = 4096;
+const UNSENT_MAX: usize = 8192;
+
+impl Recent {
+    /// Keeps ended spans until [`Recent::take_unsent`] takes them.
+    pub(super) fn keep_for_export(&self) {
+        if let Ok(mut state) = self.0.lock() {
+            state.is_exporting = true;
+        }
+    }
+
+    /// Takes the spans to send, and how many were dropped since the last call.
+    pub(super) fn take_unsent(&self) -> (Vec<SpanData>, u64) {
+        match self.0.lock() {
+            Ok(mut state) => (mem::take(&mut state.unsent), mem::take(&mut state.dropped)),
+            Err(_) => (Vec::new(), 0),
+        }
+    }
+
+    pub(super) fn of_trace(&self, trace: &str) -> Vec<Finished> {
+        let Ok(state) = self.0.lock() else {
+            return Vec::new();
+        };
+        state
+            .ring
+            .iter()
+            .filter(|span| trace.is_empty() || span.span_context.trace_id().to_string() == trace)
+            .map(finished)
+            .collect()
+    }
+}
+
+impl State {
+    fn add(&mut self, span: SpanData) {
+        if self.is_exporting && self.unsent.len() < UNSENT_MAX {
+            self.unsent.push(span.clone());
+        } else if self.is_exporting {
+            self.dropped += 1;
+        }
+        if self.ring.len() == RECENT_MAX {
+            self.ring.pop_front();
+        }
+        self.ring.push_back(span);
+    }
+}
+
+impl SpanExporter for Recent {
+    async fn export(&self, batch: Vec<SpanData>) -> OTelSdkResult {
+        if let Ok(mut state) = self.0.lock() {
+            batch.into_iter().for_each(|span| state.add(span));
+        }
+        Ok(())
+    }
+}
+
+fn finished(span: &SpanData) -> Finished {
+    let micros = |at: SystemTime| at.duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+    let start = micros(span.start_time);
+    let end = micros(span.end_time);
+    let attribute = |kv: &KeyValue| (kv.key.to_string(), kv.value.to_string());
+    Finished {
+        trace: span.span_context.trace_id().to_string(),
+        span: span.span_context.span_id().to_string(),
+        parent: span.parent_span_id.to_string(),
+        name: span.name.to_string(),
+        start_us: start.as_micros() as u64,
+        took_us: end.saturating_sub(start).as_micros() as u64,
+        attributes: span.attributes.iter().map(attribute).collect(),
+    }
+}
--- a/crates/steward/src/run.rs
+++ b/crates/steward/src/run.rs
@@ -50,6 +50,9 @@
     let address = settings.admin;
     let listener = net::listen(address).map_err(|source| Error::Listen { address, source })?;
     let vm = Vm::new(settings);
+    if let Some(collector) = vm.settings.collector {
+        vm.telemetry.export_to(collector);
+    }
     Feed::new(vm.board.clone(), vm.platform.clone(), || {}).start();
     let domain = vm.settings.failure_domain.clone();
     let poller = Poller::new(vm.board.clone(), vm.pool.clone(), vm.clock);
--- a/crates/steward/src/settings.rs
+++ b/crates/steward/src/settings.rs
@@ -34,6 +34,9 @@
     pub admin: SocketAddr,
     /// The platform.
     pub platform: SocketAddr,
+    /// The collector of traces, which takes OTLP over HTTP.
+    #[serde(default)]
+    pub collector: Option<SocketAddr>,
     /// The length of a window of usage, in milliseconds.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "window_ms", default = "window")]
