Add budgets for retries and hedges of each service

Cause: an attempt after a failed one was limited by a count for each request, so a service that fails for all saw its load tripled; nothing said when a slow idempotent call deserves a second attempt.

Ruled out: a fixed rate of retries a second, which is too much for a small service and too little for a large one; a fixed hedge delay, which must be set again whenever a service changes.

Change: policy::retry spends tokens that answers earn (10 at first, one for ten answers); policy::hedge gives the delay (95th percentile of observed latency, at least 50 answers) and spends from a smaller budget (one for 50 answers); call::start_now takes a place for a hedge without waiting, and entry's slot::hedge joins the two. Tickets have a constructor, a cost in units of work and the time they were sent; generations set the cost to their tokens and a hash of the first 32 words of the prompt.

Against the earlier code the tests of crates/policy/tests/retry.rs do not compile, since neither module existed. Callers do not use the budgets yet.

--- a/crates/board/src/blackboard.rs
+++ b/crates/board/src/blackboard.rs
@@ -7,7 +7,7 @@
     endpoint,
     hash::Map,
     key::{Digest, Grant},
-    ticket,
+    service, ticket,
     usage::Ledger,
 };
 
@@ -37,6 +37,8 @@
     pub endpoints: endpoint::Table,
     /// The version of each model's weights that should be in force.
     pub weights: Map<String, u64>,
+    /// What was observed of each service.
+    pub services: service::Table,
     /// Requests that wait or run on this VM.
     pub tickets: ticket::Table,
     /// Usage measured here.
@@ -56,6 +58,7 @@
             keys: Map::default(),
             endpoints: endpoint::Table::default(),
             weights: Map::default(),
+            services: service::Table::default(),
             tickets: ticket::Table::default(),
             usage: Ledger::default(),
             rng: SmallRng::seed_from_u64(seed),
@@ -73,6 +76,15 @@
         true
     }
 
+    /// Returns what was observed of the service `name`, to change it.
+    pub fn service(&mut self, name: &str) -> &mut service::Service {
+        if !self.services.contains_key(name) {
+            self.services
+                .insert(name.into(), service::Service::default());
+        }
+        self.services.entry(name.into()).or_default()
+    }
+
     /// Notes what is known of a key. A withdrawal is never undone.
     pub fn note_key(&mut self, digest: Digest, grant: Grant) {
         let known = self.keys.entry(digest).or_insert_with(|| grant.clone());
--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -4,13 +4,16 @@
 //! Nothing here does I/O or reads a clock.
 
 pub mod blackboard;
+pub mod budget;
 pub mod config;
 pub mod endpoint;
 pub mod hash;
+pub mod histogram;
 pub mod key;
 pub mod lease;
 pub mod lot;
 mod record;
+pub mod service;
 pub mod ticket;
 pub mod time;
 pub mod usage;
--- a/crates/board/src/ticket.rs
+++ b/crates/board/src/ticket.rs
@@ -12,6 +12,15 @@
 }
 
 /// One request, or one attempt of it.
+///
+/// # Examples
+///
+/// ```
+/// use tarragonseam_board::{Time, ticket::Ticket};
+///
+/// let ticket = Ticket::new("cidery", "entries", Time::ZERO, Time::from_millis(200)).cost(3);
+/// assert_eq!(ticket.cost, 3);
+/// ```
 #[derive(Clone, Debug)]
 pub struct Ticket {
     /// The client account, or the name of the public route.
@@ -24,6 +33,8 @@
     pub arrived: Time,
     /// When the caller stops waiting.
     pub deadline: Time,
+    /// Units of work, such as tokens: what fair shares are counted in. Never 0.
+    pub cost: u32,
     /// Hash of the prompt's prefix, 0 for none.
     pub prefix: u64,
     /// Endpoints that must not be used, such as those that failed it.
@@ -34,6 +45,63 @@
     pub oldest_version: u64,
     /// Where it runs, once it does.
     pub endpoint: Option<endpoint::Key>,
+    /// When it was sent there.
+    pub started: Time,
+}
+
+impl Ticket {
+    /// Returns a request of one unit of work in the caller class.
+    pub fn new(
+        account: impl Into<Arc<str>>,
+        service: impl Into<Arc<str>>,
+        arrived: Time,
+        deadline: Time,
+    ) -> Self {
+        Self {
+            account: account.into(),
+            service: service.into(),
+            class: Class::Caller,
+            arrived,
+            deadline,
+            cost: 1,
+            prefix: 0,
+            avoid: Vec::new(),
+            takes_cheap: true,
+            oldest_version: 0,
+            endpoint: None,
+            started: Time::ZERO,
+        }
+    }
+
+    /// Sets the priority class.
+    pub fn class(mut self, class: Class) -> Self {
+        self.class = class;
+        self
+    }
+
+    /// Sets the units of work.
+    pub fn cost(mut self, cost: u32) -> Self {
+        self.cost = cost.max(1);
+        self
+    }
+
+    /// Sets the hash of the prompt's prefix.
+    pub fn prefix(mut self, prefix: u64) -> Self {
+        self.prefix = prefix;
+        self
+    }
+
+    /// Sets the endpoints that must not be used.
+    pub fn avoid(mut self, avoid: impl Into<Vec<endpoint::Key>>) -> Self {
+        self.avoid = avoid.into();
+        self
+    }
+
+    /// Sets the oldest version of the weights that will do.
+    pub fn oldest_version(mut self, version: u64) -> Self {
+        self.oldest_version = version;
+        self
+    }
 }
 
 /// The tickets of one VM.
--- a/crates/entry/src/generation.rs
+++ b/crates/entry/src/generation.rs
@@ -3,7 +3,12 @@
 //! A generation that loses its engine goes on elsewhere from the tokens so
 //! far, so that no token is lost or doubled.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{
+    hash::{Hash, Hasher},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use board::{
     Time,
@@ -170,18 +175,28 @@
 }
 
 fn ticket(vm: &Vm, task: &Task, avoid: &[endpoint::Key]) -> Ticket {
-    Ticket {
-        account: task.account.clone(),
-        service: task.model.clone(),
-        class: task.class,
-        arrived: vm.now(),
-        deadline: task.deadline,
-        prefix: 0,
-        avoid: avoid.to_vec(),
-        takes_cheap: true,
-        oldest_version: task.oldest_version,
-        endpoint: None,
+    Ticket::new(
+        task.account.clone(),
+        task.model.clone(),
+        vm.now(),
+        task.deadline,
+    )
+    .class(task.class)
+    .cost(task.max_tokens)
+    .prefix(prefix(&task.prompt))
+    .avoid(avoid)
+    .oldest_version(task.oldest_version)
+}
+
+const PREFIX_WORDS: usize = 32;
+
+/// Returns a hash of the start of `prompt`, which names the cached prefix.
+fn prefix(prompt: &str) -> u64 {
+    let mut hasher = board::hash::Hasher::default();
+    for word in prompt.split_whitespace().take(PREFIX_WORDS) {
+        word.hash(&mut hasher);
     }
+    hasher.finish()
 }
 
 fn left() -> Failure {
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -84,18 +84,9 @@
         auth::check(vm, request)?.account
     };
     let now = vm.now();
-    let mut ticket = Ticket {
-        account: account.clone(),
-        service: route.service.as_str().into(),
-        class: route.class,
-        arrived: now,
-        deadline: now + generate::deadline(request, route.deadline),
-        prefix: 0,
-        avoid: Vec::new(),
-        takes_cheap: true,
-        oldest_version: 0,
-        endpoint: None,
-    };
+    let deadline = now + generate::deadline(request, route.deadline);
+    let mut ticket =
+        Ticket::new(account.clone(), route.service.as_str(), now, deadline).class(route.class);
     let method = request.method.as_str();
     let may_repeat = route.idempotent.iter().any(|known| known == method);
     let request_id = vm.request_id();
--- a/crates/entry/src/slot.rs
+++ b/crates/entry/src/slot.rs
@@ -81,19 +81,34 @@
     };
     let endpoint = receiver.await.map_err(|_| gone)??;
     waiter.ticket = None;
-    let found = vm
-        .board
-        .borrow()
-        .endpoints
-        .get(endpoint)
-        .map(|e| (e.record.id.clone(), e.record.address));
-    let (id, address) = found.ok_or(gone)?;
-    Ok(Slot {
+    hold(vm, key, endpoint).ok_or(gone)
+}
+
+/// Takes a place for a second attempt beside a slow one, if one is free now
+/// and the service's budget for such attempts allows it.
+#[allow(dead_code, reason = "the HTTP side calls it once it hedges")]
+pub(crate) fn hedge(vm: &Rc<Vm>, ticket: Ticket) -> Option<Slot> {
+    let now = vm.now();
+    let mut board = vm.board.borrow_mut();
+    let service = ticket.service.clone();
+    if !board.service(&service).hedge.is_open() {
+        return None;
+    }
+    let (key, endpoint) = call::start_now(&mut board, now, ticket)?;
+    policy::hedge::take(&mut board, &service);
+    drop(board);
+    hold(vm, key, endpoint)
+}
+
+fn hold(vm: &Rc<Vm>, ticket: ticket::Key, endpoint: endpoint::Key) -> Option<Slot> {
+    let board = vm.board.borrow();
+    let record = &board.endpoints.get(endpoint)?.record;
+    Some(Slot {
         vm: vm.clone(),
-        ticket: key,
+        ticket,
         endpoint,
-        id,
-        address,
+        id: record.id.clone(),
+        address: record.address,
     })
 }
 
--- a/crates/policy/src/call.rs
+++ b/crates/policy/src/call.rs
@@ -4,7 +4,7 @@
 
 use board::{Board, Time, endpoint, ticket};
 
-use crate::{admission, fairness, health, routing};
+use crate::{admission, fairness, health, hedge, retry, routing};
 
 /// What to do with a ticket.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -87,7 +87,7 @@
     let mut orders = expire(board, now);
     for ticket in fairness::order(board) {
         if let Some(endpoint) = routing::pick(board, now, ticket) {
-            start(board, ticket, endpoint);
+            start(board, now, ticket, endpoint);
             orders.push(Order::Send { ticket, endpoint });
         }
     }
@@ -106,11 +106,34 @@
         endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
         health::note(endpoint, now, outcome);
     }
+    if outcome == Outcome::Answered {
+        let latency = (now - ticket.started) / ticket.cost;
+        board.service(&ticket.service).latency.add(latency);
+        retry::earn(board, &ticket.service);
+        hedge::earn(board, &ticket.service);
+    }
+}
+
+/// Takes a place for `ticket` that is free now, without waiting for one. Used
+/// for second attempts of hedged requests.
+pub fn start_now(
+    board: &mut Board,
+    now: Time,
+    ticket: ticket::Ticket,
+) -> Option<(ticket::Key, endpoint::Key)> {
+    let key = board.tickets.insert(ticket);
+    let Some(endpoint) = routing::pick(board, now, key) else {
+        board.tickets.remove(key);
+        return None;
+    };
+    start(board, now, key, endpoint);
+    Some((key, endpoint))
 }
 
-fn start(board: &mut Board, key: ticket::Key, endpoint: endpoint::Key) {
+fn start(board: &mut Board, now: Time, key: ticket::Key, endpoint: endpoint::Key) {
     if let Some(ticket) = board.tickets.get_mut(key) {
         ticket.endpoint = Some(endpoint);
+        ticket.started = now;
     }
     if let Some(endpoint) = board.endpoints.get_mut(endpoint) {
         endpoint.in_flight += 1;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod capacity;
 pub mod fairness;
 pub mod health;
+pub mod hedge;
 pub mod lease;
+pub mod retry;
 pub mod routing;
 pub mod weights;
--- /dev/null
+++ b/crates/policy/tests/retry.rs
@@ -0,0 +1,131 @@
+//! Budgets of retries and hedges.
+
+use std::time::Duration;
+
+use board::{
+    Board, Time,
+    endpoint::{Record, State, Tenure},
+    ticket::Ticket,
+};
+use proptest::prelude::*;
+use tarragonseam_policy::{
+    call::{self, Outcome},
+    hedge, retry,
+};
+
+const SERVICE: &str = "entries";
+
+fn board() -> Board {
+    let mut board = Board::new("vm-1", "a", 7);
+    for id in ["e1", "e2"] {
+        board.endpoints.put(Record {
+            id: id.to_string(),
+            address: ([127, 0, 0, 1], 9000).into(),
+            failure_domain: "a".to_string(),
+            service: SERVICE.to_string(),
+            tenure: Tenure::Stable,
+            state: State::Ready,
+            checks_epoch: false,
+            price: 0.0,
+        });
+    }
+    board
+}
+
+fn ticket(now: Time) -> Ticket {
+    Ticket::new("cidery", SERVICE, now, now + Duration::from_secs(2))
+}
+
+fn answer(board: &mut Board, now: Time, latency: Duration) {
+    let (key, _) = call::start_now(board, now, ticket(now)).expect("a free place");
+    call::finish(board, now + latency, key, Outcome::Answered);
+}
+
+#[test]
+fn retry_without_answers() {
+    let mut board = board();
+    let granted = (0..1000).filter(|_| retry::take(&mut board, SERVICE));
+    assert_eq!(granted.count(), 10);
+}
+
+#[test]
+fn retry_earned_by_answers() {
+    let mut board = board();
+    while retry::take(&mut board, SERVICE) {}
+    for call in 0..20 {
+        answer(
+            &mut board,
+            Time::from_millis(call),
+            Duration::from_millis(1),
+        );
+    }
+    assert!(retry::take(&mut board, SERVICE));
+    assert!(retry::take(&mut board, SERVICE));
+    assert!(!retry::take(&mut board, SERVICE));
+}
+
+#[test]
+fn retry_other_service() {
+    let mut board = board();
+    while retry::take(&mut board, SERVICE) {}
+    assert!(retry::take(&mut board, "another"));
+}
+
+#[test]
+fn hedge_before_observations() {
+    let mut board = board();
+    assert_eq!(hedge::delay(&board, SERVICE), None);
+    answer(&mut board, Time::ZERO, Duration::from_millis(5));
+    assert_eq!(hedge::delay(&board, SERVICE), None);
+}
+
+#[test]
+fn hedge_at_high_quantile() {
+    let mut board = board();
+    for call in 0..100 {
+        let latency = if call % 50 == 0 { 500 } else { 10 };
+        answer(&mut board, Time::ZERO, Duration::from_millis(latency));
+    }
+    let delay = hedge::delay(&board, SERVICE).expect("enough answers");
+    assert!(delay >= Duration::from_millis(10), "{delay:?}");
+    assert!(delay < Duration::from_millis(13), "{delay:?}");
+}
+
+#[test]
+fn hedge_budget_spent() {
+    let mut board = board();
+    for _ in 0..100 {
+        answer(&mut board, Time::ZERO, Duration::from_millis(10));
+    }
+    while hedge::take(&mut board, SERVICE) {}
+    assert_eq!(hedge::delay(&board, SERVICE), None);
+}
+
+#[test]
+fn hedge_without_free_place() {
+    let mut board = board();
+    let now = Time::ZERO;
+    let mut first = ticket(now);
+    first.avoid = board.endpoints.of_service(SERVICE).to_vec();
+    assert!(call::start_now(&mut board, now, first).is_none());
+    assert!(board.tickets.is_empty(), "nothing is left waiting");
+}
+
+proptest! {
+    /// Extra attempts never exceed the first budget and a fixed share of the
+    /// answers, in whatever order they come.
+    #[test]
+    fn retry_share_of_answers(events in prop::collection::vec(any::<bool>(), 0..2000)) {
+        let mut board = board();
+        let (mut answers, mut retries) = (0, 0);
+        for is_answer in events {
+            if is_answer {
+                retry::earn(&mut board, SERVICE);
+                answers += 1;
+            } else if retry::take(&mut board, SERVICE) {
+                retries += 1;
+            }
+            prop_assert!(retries <= 10 + answers / 10);
+        }
+    }
+}
