Limit each endpoint's work adaptively, and route by load, domain and prefix

Cause: a VM sent up to the endpoint's reported slots whatever other VMs had there, and took the less loaded of two random endpoints without regard to failure domain, tenure, prefix or the age of a report.

Ruled out: dividing the slots by the number of VMs, which wastes capacity as soon as load is uneven; latency alone as the signal, which says little when generations differ in length (it is taken for each token here).

Change: policy::limit keeps a limit for each endpoint: multiplicative decrease on latency above twice the least seen or on reports of waiting work, additive increase while in use, between one and the slots. Reports of other VMs' work fade to their average as they age. policy::routing picks by expected time among two near and two far endpoints: load beyond half of the slots, the hop, a tenure that does not suit. A prefix goes to one of two endpoints by rendezvous hash while their load is at most a quarter above the mean. A grant of slots, once there is one, replaces the limit until it ends.

--- a/crates/board/src/endpoint.rs
+++ b/crates/board/src/endpoint.rs
@@ -4,7 +4,11 @@
 
 use slotmap::SlotMap;
 
-use crate::{hash::Map, time::Time};
+use crate::{
+    hash::Map,
+    limit::{Credit, Elsewhere, Limit},
+    time::Time,
+};
 
 slotmap::new_key_type! {
     /// Refers to an endpoint on this board.
@@ -93,6 +97,12 @@
     pub failures: u32,
     /// Until when it gets no work after failures.
     pub rest_until: Time,
+    /// How many requests this VM may have there.
+    pub limit: Limit,
+    /// What other VMs have there.
+    pub elsewhere: Elsewhere,
+    /// Slots granted by its owner, if any.
+    pub credit: Option<Credit>,
 }
 
 impl Endpoint {
@@ -104,6 +114,9 @@
             in_flight: 0,
             failures: 0,
             rest_until: Time::ZERO,
+            limit: Limit::default(),
+            elsewhere: Elsewhere::default(),
+            credit: None,
         }
     }
 
--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod histogram;
 pub mod key;
 pub mod lease;
+pub mod limit;
 pub mod lot;
 pub mod pace;
 pub mod queue;
--- /dev/null
+++ b/crates/board/src/limit.rs
@@ -0,0 +1,38 @@
+//! The adaptive limit of one VM's requests at one endpoint.
+
+use crate::time::Time;
+
+/// How many requests this VM may have at an endpoint, and what that was
+/// learned from. Decisions about it are in `policy::limit`.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Limit {
+    /// The limit, or `None` before the first observation. Fractions carry over
+    /// from step to step; the whole part counts.
+    pub value: Option<f64>,
+    /// Moving average of the latency of a unit of cost, in microseconds.
+    pub latency_us: f64,
+    /// Latency when the endpoint was least loaded, in microseconds.
+    pub base_us: f64,
+    /// When it was last lowered.
+    pub lowered: Time,
+}
+
+/// What other VMs have at an endpoint, by its lagging reports.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Elsewhere {
+    /// By the last report.
+    pub last: f64,
+    /// Moving average over reports.
+    pub mean: f64,
+    /// When the last report was made, or `None` before the first one.
+    pub at: Option<Time>,
+}
+
+/// Slots granted by the owner of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Credit {
+    /// How many requests this VM may have there.
+    pub slots: u32,
+    /// When the grant ends.
+    pub until: Time,
+}
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -88,7 +88,8 @@
         slot::pump(&changed)
     });
     feed.start();
-    let poller = Poller::new(vm.board.clone(), vm.pool.clone(), vm.clock);
+    let poller =
+        Poller::new(vm.board.clone(), vm.pool.clone(), vm.clock).note(policy::limit::report);
     monoio::spawn(poller.run(|_| true));
     let vm = vm.clone();
     monoio::spawn(async move {
--- a/crates/link/src/load.rs
+++ b/crates/link/src/load.rs
@@ -3,8 +3,8 @@
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use board::{
-    Board,
-    endpoint::{self, Endpoint, State},
+    Board, Time,
+    endpoint::{self, Endpoint, Load, State},
 };
 
 use crate::{
@@ -21,12 +21,24 @@
     board: Rc<RefCell<Board>>,
     pool: Pool,
     clock: Clock,
+    note: fn(&mut Endpoint, Time, Load),
 }
 
 impl Poller {
     /// Returns a poller that notes reports with the time of `clock`.
     pub fn new(board: Rc<RefCell<Board>>, pool: Pool, clock: Clock) -> Self {
-        Self { board, pool, clock }
+        Self {
+            board,
+            pool,
+            clock,
+            note: |endpoint, now, load| endpoint.load = Some((now, load)),
+        }
+    }
+
+    /// Sets what notes a report on an endpoint, in place of keeping it only.
+    pub fn note(mut self, note: fn(&mut Endpoint, Time, Load)) -> Self {
+        self.note = note;
+        self
     }
 
     /// Reads the load of every ready endpoint that `wanted` picks, for ever.
@@ -60,7 +72,7 @@
         };
         let now = self.clock.now();
         if let Some(endpoint) = self.board.borrow_mut().endpoints.get_mut(key) {
-            endpoint.load = Some((now, load));
+            (self.note)(endpoint, now, load);
         }
     }
 }
--- a/crates/policy/src/call.rs
+++ b/crates/policy/src/call.rs
@@ -4,7 +4,7 @@
 
 use board::{Board, Time, endpoint, ticket};
 
-use crate::{admission, fairness, health, hedge, retry, routing};
+use crate::{admission, fairness, health, hedge, limit, retry, routing};
 
 /// What to do with a ticket.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -109,6 +109,9 @@
         return;
     };
     if let Some(endpoint) = board.endpoints.get_mut(endpoint) {
+        if outcome == Outcome::Answered {
+            limit::answered(endpoint, now, now - ticket.started, ticket.cost);
+        }
         endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
         health::note(endpoint, now, outcome);
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod health;
 pub mod hedge;
 pub mod lease;
+pub mod limit;
 pub mod retry;
 pub mod routing;
 pub mod weights;
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -1,39 +1,68 @@
 //! Which endpoint a request goes to.
+//!
+//! A prompt whose prefix an engine is likely to have cached goes to that
+//! engine, unless it is loaded well above the others. Otherwise two endpoints
+//! are taken at random from the VM's failure domain and two from the others,
+//! and the one that costs least time is picked: its load, the way there, and
+//! the risk of a tenure that does not suit the request. Two random choices do
+//! almost as well as the least loaded of all, and do not send every VM to the
+//! same endpoint between two reports.
+
+use std::time::Duration;
 
 use board::{
     Board, Time,
+    config::Class,
     endpoint::{self, Endpoint, State, Tenure},
+    hash,
     ticket::{self, Ticket},
 };
 use rand::Rng;
 
-const DEFAULT_SLOTS: u32 = 4;
+use crate::limit;
+
+/// Added time of an answer from another failure domain.
+const HOP_TIME: Duration = Duration::from_millis(1);
+
+/// Latency assumed for a unit of cost before any answer.
+const LATENCY_DEFAULT: Duration = Duration::from_millis(20);
+
+/// Up to this part of its slots, an endpoint is as fast as an idle one.
+const LOAD_KNEE: f64 = 0.5;
+
+/// What a tenure that does not suit costs, as a part of the latency.
+const TENURE_COST: f64 = 0.25;
+
+/// How much more than the average a cached prefix may load an endpoint.
+const AFFINITY_BOUND: f64 = 1.25;
+
+/// How many endpoints may hold the same prefix.
+const AFFINITY_PLACES: usize = 2;
+
+/// What a full load costs among endpoints that are equal otherwise, in
+/// seconds.
+const LOAD_TIE_S: f64 = 1e-6;
+
+const CHOICES: usize = 2;
 
-/// Picks an endpoint with room for the ticket: the less loaded of two taken at
-/// random.
+/// Picks an endpoint with room for the ticket.
 pub fn pick(board: &mut Board, now: Time, key: ticket::Key) -> Option<endpoint::Key> {
     let ticket = board.tickets.get(key)?;
-    let fit: Vec<_> = board
-        .endpoints
-        .of_service(&ticket.service)
-        .iter()
-        .copied()
-        .filter(|key| {
-            let endpoint = board.endpoints.get(*key);
-            endpoint.is_some_and(|e| !ticket.avoid.contains(key) && is_fit(e, ticket, now))
-        })
-        .collect();
+    let fit = fit(board, now, ticket);
     if fit.is_empty() {
         return None;
     }
-    let first = fit[board.rng.random_range(0..fit.len())];
-    let second = fit[board.rng.random_range(0..fit.len())];
-    let load = |key| board.endpoints.get(key).map_or(u32::MAX, load_of);
-    Some(if load(first) <= load(second) {
-        first
-    } else {
-        second
-    })
+    if let Some(key) = affine(board, now, ticket, &fit) {
+        return Some(key);
+    }
+    let (near, far): (Vec<_>, Vec<_>) = fit.into_iter().partition(|key| is_near(board, *key));
+    let mut choices = choose(board, &near);
+    choices.extend(choose(board, &far));
+    let ticket = board.tickets.get(key)?;
+    let time = |key: &endpoint::Key| expected_time(board, now, ticket, *key);
+    choices
+        .into_iter()
+        .min_by(|a, b| time(a).total_cmp(&time(b)))
 }
 
 /// Returns whether any endpoint of `service` has room.
@@ -43,8 +72,17 @@
         .any(|endpoint| is_open(endpoint, now))
 }
 
+fn fit(board: &Board, now: Time, ticket: &Ticket) -> Vec<endpoint::Key> {
+    let is_fit = |key: &endpoint::Key| {
+        let endpoint = board.endpoints.get(*key);
+        endpoint.is_some_and(|e| !ticket.avoid.contains(key) && is_fit(e, ticket, now))
+    };
+    let keys = board.endpoints.of_service(&ticket.service).iter().copied();
+    keys.filter(is_fit).collect()
+}
+
 fn is_open(endpoint: &Endpoint, now: Time) -> bool {
-    let has_room = endpoint.in_flight < slots(endpoint);
+    let has_room = endpoint.in_flight < limit::allowed(endpoint, now);
     let is_ready = endpoint.record.state == State::Ready && endpoint.rest_until <= now;
     has_room && is_ready
 }
@@ -58,15 +96,95 @@
     is_open(endpoint, now) && tenure_fits && version_fits
 }
 
-fn slots(endpoint: &Endpoint) -> u32 {
-    match &endpoint.load {
-        Some((_, load)) if load.slots > 0 => load.slots,
-        _ => DEFAULT_SLOTS,
+fn is_near(board: &Board, key: endpoint::Key) -> bool {
+    let endpoint = board.endpoints.get(key);
+    endpoint.is_some_and(|e| e.record.failure_domain == board.failure_domain)
+}
+
+/// Returns the endpoint that should hold the ticket's prefix, if its load is
+/// within bounds. All ready endpoints are ranked, so that one without room for
+/// a moment does not move its prefixes to many others.
+fn affine(
+    board: &Board,
+    now: Time,
+    ticket: &Ticket,
+    fit: &[endpoint::Key],
+) -> Option<endpoint::Key> {
+    if ticket.prefix == 0 {
+        return None;
+    }
+    let mut ranked: Vec<_> = board
+        .endpoints
+        .of_service(&ticket.service)
+        .iter()
+        .filter_map(|key| Some((*key, board.endpoints.get(*key)?)))
+        .filter(|(_, endpoint)| endpoint.record.state == State::Ready)
+        .map(|(key, e)| (hash::rendezvous(ticket.prefix, &e.record.id), key, e))
+        .collect();
+    let mean = ranked.iter().map(|(.., e)| load(e, now)).sum::<f64>() / ranked.len() as f64;
+    ranked.sort_unstable_by(|(a, ..), (b, ..)| b.cmp(a));
+    let within = |endpoint: &Endpoint| {
+        let slot = 1.0 / f64::from(limit::slots(endpoint));
+        load(endpoint, now) <= mean * AFFINITY_BOUND + slot
+    };
+    ranked
+        .into_iter()
+        .take(AFFINITY_PLACES)
+        .find(|(_, key, endpoint)| fit.contains(key) && within(endpoint))
+        .map(|(_, key, _)| key)
+}
+
+fn choose(board: &mut Board, keys: &[endpoint::Key]) -> Vec<endpoint::Key> {
+    if keys.len() <= CHOICES {
+        return keys.to_vec();
     }
+    let first = board.rng.random_range(0..keys.len());
+    // Drawn from one place fewer and shifted, so that the two always differ.
+    let second = board.rng.random_range(0..keys.len() - 1);
+    let second = if second >= first { second + 1 } else { second };
+    vec![keys[first], keys[second]]
+}
+
+/// Returns the requests at `endpoint`, of all VMs, as a part of its slots.
+fn load(endpoint: &Endpoint, now: Time) -> f64 {
+    let total = f64::from(endpoint.in_flight) + limit::elsewhere(endpoint, now);
+    total / f64::from(limit::slots(endpoint))
+}
+
+/// Returns the seconds that an answer is expected to take beyond those of an
+/// idle endpoint nearby, with the load as a tie-breaker.
+fn expected_time(board: &Board, now: Time, ticket: &Ticket, key: endpoint::Key) -> f64 {
+    let Some(endpoint) = board.endpoints.get(key) else {
+        return f64::INFINITY;
+    };
+    let latency = latency(board, ticket).as_secs_f64();
+    let load = load(endpoint, now);
+    let wait = latency * (load - LOAD_KNEE).max(0.0) / (1.0 - LOAD_KNEE);
+    let hop = if is_near(board, key) {
+        0.0
+    } else {
+        HOP_TIME.as_secs_f64()
+    };
+    let tenure = if suits(ticket, endpoint) {
+        0.0
+    } else {
+        latency * TENURE_COST
+    };
+    wait + hop + tenure + load * LOAD_TIE_S
+}
+
+fn latency(board: &Board, ticket: &Ticket) -> Duration {
+    let service = board.services.get(&ticket.service);
+    let unit = service.and_then(|service| service.latency.quantile(0.5));
+    unit.map_or(LATENCY_DEFAULT, |unit| unit * ticket.cost)
 }
 
-fn load_of(endpoint: &Endpoint) -> u32 {
-    let reported = endpoint.load.as_ref();
-    let elsewhere = reported.map_or(0, |(_, load)| load.in_flight + load.queued);
-    endpoint.in_flight.max(elsewhere)
+/// Work that can be resumed or waits for nobody suits endpoints that may be
+/// reclaimed; a call that someone waits for suits those that stay.
+fn suits(ticket: &Ticket, endpoint: &Endpoint) -> bool {
+    let wanted = match ticket.class {
+        Class::Caller => Tenure::Stable,
+        Class::Trainer | Class::Bulk => Tenure::Cheap,
+    };
+    endpoint.record.tenure == wanted
 }
