entry: give a ticket back whose endpoint went away before it was held

Cause: read as a newcomer: a ticket whose endpoint was removed between dispatch and pick-up stayed on the board for good. Change: the waiter lets go only once the place is held. Not shown by a test: the window is one poll of a task.

--- a/crates/entry/src/slot.rs
+++ b/crates/entry/src/slot.rs
@@ -80,8 +80,9 @@
         retry_after: policy::admission::RETRY_AFTER,
     };
     let endpoint = receiver.await.map_err(|_| gone)??;
+    let slot = hold(vm, key, endpoint).ok_or(gone)?;
     waiter.ticket = None;
-    hold(vm, key, endpoint).ok_or(gone)
+    Ok(slot)
 }
 
 /// Takes a place for a second attempt beside a slow one, if one is free now
@@ -97,7 +98,11 @@
     let (key, endpoint) = call::start_now(&mut board, now, ticket)?;
     policy::hedge::take(&mut board, &service);
     drop(board);
-    hold(vm, key, endpoint)
+    let slot = hold(vm, key, endpoint);
+    if slot.is_none() {
+        call::finish(&mut vm.board.borrow_mut(), now, key, Outcome::Abandoned);
+    }
+    slot
 }
 
 fn hold(vm: &Rc<Vm>, ticket: ticket::Key, endpoint: endpoint::Key) -> Option<Slot> {
