Add membership, dissemination and isolation as decisions

Every VM watches the platform for itself today, so calls grow with the fleet, and a VM that starts in an outage learns nothing. The decisions for one channel between VMs come first, without sockets: failure detection with indirect probes inside a failure domain, versioned facts that only move upwards, and what a cut-off VM does.

A swarm of boards over a made-up network drives them. Its first run failed step_crash_and_restart_converges: a VM that restarts with one known peer learned only the members that later changed. Packets now carry a digest of the live members, and a difference is settled by a pull; the test passes since. Daemons do not use any of this yet.

--- a/crates/board/src/blackboard.rs
+++ b/crates/board/src/blackboard.rs
@@ -1,5 +1,7 @@
 //! The blackboard: one VM's view of the deployment.
 
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+
 use rand::{SeedableRng, rngs::SmallRng};
 
 use crate::{
@@ -7,10 +9,13 @@
     endpoint,
     hash::Map,
     key::{Digest, Grant},
-    ticket,
+    member, shared, ticket,
     usage::Ledger,
 };
 
+/// The address of a VM that has no peers.
+const NO_ADDRESS: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0));
+
 /// What one VM knows. Decisions take it by mutable reference.
 ///
 /// # Examples
@@ -37,6 +42,10 @@
     pub endpoints: endpoint::Table,
     /// The version of each model's weights that should be in force.
     pub weights: Map<String, u64>,
+    /// Facts that every VM holds, with their versions.
+    pub shared: shared::Store,
+    /// The VMs known.
+    pub members: member::Table,
     /// Requests that wait or run on this VM.
     pub tickets: ticket::Table,
     /// Usage measured here.
@@ -56,6 +65,13 @@
             keys: Map::default(),
             endpoints: endpoint::Table::default(),
             weights: Map::default(),
+            shared: shared::Store::default(),
+            members: member::Table::new(member::Record {
+                vm: vm.to_string(),
+                failure_domain: failure_domain.to_string(),
+                address: NO_ADDRESS,
+                incarnation: seed,
+            }),
             tickets: ticket::Table::default(),
             usage: Ledger::default(),
             rng: SmallRng::seed_from_u64(seed),
--- /dev/null
+++ b/crates/board/src/shared.rs
@@ -0,0 +1,173 @@
+//! Facts that every VM holds: configuration, keys, endpoints and weights, each
+//! under a version that only grows.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    config::Manifest,
+    endpoint,
+    hash::{Map, mix},
+    key::{self, Grant},
+};
+
+crate::record! {
+    /// The kind of a fact.
+    copy pub enum Kind {
+        /// The manifest of the configuration.
+        Config,
+        /// A caller's key.
+        Key,
+        /// An endpoint.
+        Endpoint,
+        /// The weights of a model.
+        Weights,
+    }
+}
+
+/// How many kinds there are.
+pub const KINDS: usize = 4;
+
+/// How many buckets anti-entropy compares.
+pub const BUCKETS: usize = 64;
+
+/// One digest for each kind, in the order of [`Kind`].
+pub type Digests = [u64; KINDS];
+
+crate::record! {
+    /// A fact.
+    pub enum Fact {
+        /// The manifest of the configuration in force.
+        Config(Manifest),
+        /// What is known of a key.
+        Key(key::Digest, Grant),
+        /// An endpoint as the platform describes it.
+        Endpoint(endpoint::Record),
+        /// The version of a model's weights that should be in force.
+        Weights(String, u64),
+    }
+}
+
+impl Fact {
+    /// Returns its kind.
+    pub fn kind(&self) -> Kind {
+        match self {
+            Self::Config(_) => Kind::Config,
+            Self::Key(..) => Kind::Key,
+            Self::Endpoint(_) => Kind::Endpoint,
+            Self::Weights(..) => Kind::Weights,
+        }
+    }
+
+    /// Returns the name that it has among the facts of its kind.
+    pub fn name(&self) -> String {
+        match self {
+            Self::Config(_) => String::new(),
+            Self::Key(digest, _) => digest.to_string(),
+            Self::Endpoint(record) => record.id.clone(),
+            Self::Weights(model, _) => model.clone(),
+        }
+    }
+}
+
+crate::record! {
+    /// A fact and its version.
+    pub struct Item {
+        /// The version, which grows with each change of the fact.
+        pub version: u64,
+        /// The fact.
+        pub fact: Fact,
+    }
+}
+
+/// Every fact known, by kind and name, and the texts of the configuration.
+///
+/// # Examples
+///
+/// ```
+/// use tarragonseam_board::shared::{Fact, Item, Store};
+///
+/// let mut store = Store::default();
+/// let item = |version| Item { version, fact: Fact::Weights("m".into(), version) };
+/// assert!(store.put(item(2)));
+/// assert!(!store.put(item(1)));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Store {
+    items: BTreeMap<(Kind, String), Item>,
+    digests: Digests,
+    buckets: Vec<u64>,
+    /// The texts of the configuration's parts by digest.
+    pub parts: Map<key::Digest, String>,
+}
+
+impl Store {
+    /// Takes `item` if its version is higher than the one known, and returns
+    /// whether it did.
+    pub fn put(&mut self, item: Item) -> bool {
+        let key = (item.fact.kind(), item.fact.name());
+        if self.version(key.0, &key.1) >= item.version {
+            return false;
+        }
+        if let Some(old) = self.items.get(&key) {
+            let old = old.version;
+            self.toggle(&key, old);
+        }
+        self.toggle(&key, item.version);
+        self.items.insert(key, item);
+        true
+    }
+
+    fn toggle(&mut self, key: &(Kind, String), version: u64) {
+        self.buckets.resize(BUCKETS, 0);
+        let hash = mix(key.1.as_bytes(), key.0 as u64);
+        let mark = mix(&version.to_be_bytes(), hash);
+        self.digests[key.0 as usize] ^= mark;
+        self.buckets[hash as usize % BUCKETS] ^= mark;
+    }
+
+    /// Returns the version of a fact, 0 when it is not known.
+    pub fn version(&self, kind: Kind, name: &str) -> u64 {
+        let item = self.items.get(&(kind, name.to_string()));
+        item.map_or(0, |item| item.version)
+    }
+
+    /// Returns a fact with its version.
+    pub fn get(&self, kind: Kind, name: &str) -> Option<&Item> {
+        self.items.get(&(kind, name.to_string()))
+    }
+
+    /// Returns the facts of a kind.
+    pub fn of_kind(&self, kind: Kind) -> impl Iterator<Item = &Item> {
+        self.items
+            .range((kind, String::new())..)
+            .take_while(move |((other, _), _)| *other == kind)
+            .map(|(_, item)| item)
+    }
+
+    /// Returns the digest of each kind.
+    pub fn digests(&self) -> Digests {
+        self.digests
+    }
+
+    /// Returns the digest of each bucket.
+    pub fn buckets(&self) -> Vec<u64> {
+        let mut buckets = self.buckets.clone();
+        buckets.resize(BUCKETS, 0);
+        buckets
+    }
+
+    /// Returns up to `limit` facts from the buckets that differ from `theirs`.
+    pub fn differing(&self, theirs: &[u64], limit: usize) -> Vec<Item> {
+        let ours = self.buckets();
+        let differs = |key: &(Kind, String)| {
+            let bucket = mix(key.1.as_bytes(), key.0 as u64) as usize % BUCKETS;
+            theirs.get(bucket) != Some(&ours[bucket])
+        };
+        self.items
+            .iter()
+            .filter(|(key, _)| differs(key))
+            .map(|(_, item)| item.clone())
+            .take(limit)
+            .collect()
+    }
+}
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod service;
 pub(crate) mod signal;
 pub(crate) mod stats;
+pub mod swarm;
 pub mod text;
 pub mod weights;
 
--- /dev/null
+++ b/crates/fakes/tests/swarm.rs
@@ -0,0 +1,242 @@
+//! Membership and dissemination of many VMs over a bad network.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use board::{
+    config::{Isolated, Part, manifest},
+    key::{Digest, Grant},
+    member::State,
+    shared::{Fact, Item, Kind},
+};
+use policy::{dissemination, isolation, relay};
+use proptest::{prelude::*, test_runner::RngSeed};
+use tarragonseam_fakes::swarm::Swarm;
+
+const DOMAINS: [&str; 3] = ["a", "b", "c"];
+const SETTLE: Duration = Duration::from_secs(20);
+/// A round of probes in a failure domain of four, suspicion, and spreading.
+const DEATH: Duration = Duration::from_secs(20);
+
+fn cut_domains(swarm: &mut Swarm, from: &str, to: &str) {
+    let domain = |swarm: &Swarm, place: usize| swarm.nodes[place].board.failure_domain.clone();
+    for one in 0..swarm.nodes.len() {
+        for other in 0..swarm.nodes.len() {
+            if domain(swarm, one) == from && domain(swarm, other) == to {
+                swarm.cuts.push((one, other));
+            }
+        }
+    }
+}
+
+fn key(version: u64, withdrawn: bool) -> Item {
+    let account = "a".to_string();
+    let fact = Fact::Key(Digest::of("secret"), Grant { account, withdrawn });
+    Item { version, fact }
+}
+
+fn is_withdrawn(swarm: &Swarm, place: usize) -> bool {
+    let keys = &swarm.nodes[place].board.keys;
+    keys.get(&Digest::of("secret"))
+        .is_some_and(|grant| grant.withdrawn)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 24, rng_seed: RngSeed::Fixed(20), failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn step_loss_without_false_death(seed: u64, loss in 0.0..0.15_f64) {
+        let mut swarm = Swarm::new(12, &DOMAINS, seed);
+        swarm.loss = loss;
+        for _ in 0..60 {
+            swarm.run(Duration::from_secs(1));
+            prop_assert!(!swarm.has_false_death());
+        }
+        swarm.loss = 0.0;
+        prop_assert!(swarm.run_until(SETTLE, Swarm::is_converged).is_some());
+    }
+
+    #[test]
+    fn step_crash_and_restart_converges(seed: u64, place in 0..12_usize, loss in 0.0..0.05_f64) {
+        let mut swarm = Swarm::new(12, &DOMAINS, seed);
+        swarm.loss = loss;
+        swarm.run(Duration::from_secs(3));
+        swarm.crash(place);
+        prop_assert!(swarm.run_until(DEATH, Swarm::is_converged).is_some());
+        swarm.restart(place, (place + 1) % 12);
+        prop_assert!(swarm.run_until(SETTLE, Swarm::is_converged).is_some());
+    }
+
+    #[test]
+    fn step_one_way_cut_between_two_kills_neither(seed: u64, one in 0..12_usize, step in 1..4_usize) {
+        let other = (one + 3 * step) % 12;
+        let mut swarm = Swarm::new(12, &DOMAINS, seed);
+        swarm.cuts.push((one, other));
+        swarm.run(Duration::from_secs(40));
+        prop_assert!(!swarm.has_false_death());
+    }
+
+    #[test]
+    fn step_silent_domain_kills_nobody(seed: u64, one_way: bool) {
+        let mut swarm = Swarm::new(12, &DOMAINS, seed);
+        swarm.run(Duration::from_secs(3));
+        for other in ["b", "c"] {
+            cut_domains(&mut swarm, "a", other);
+            if !one_way {
+                cut_domains(&mut swarm, other, "a");
+            }
+        }
+        swarm.run(Duration::from_secs(40));
+        prop_assert!(!swarm.has_false_death());
+    }
+
+    #[test]
+    fn take_any_order_never_reverts(versions in prop::collection::vec(1..9_u64, 1..20)) {
+        let mut swarm = Swarm::new(1, &["a"], 1);
+        let mut highest = 0;
+        for version in versions {
+            let fact = Fact::Weights("m".to_string(), version);
+            dissemination::take(&mut swarm.nodes[0].board, vec![Item { version, fact }]);
+            highest = highest.max(version);
+            prop_assert_eq!(swarm.nodes[0].board.weights["m"], highest);
+            prop_assert_eq!(swarm.nodes[0].board.shared.version(Kind::Weights, "m"), highest);
+        }
+    }
+
+    #[test]
+    fn publish_withdrawal_reaches_all(seed: u64, place in 0..12_usize, loss in 0.0..0.2_f64) {
+        let mut swarm = Swarm::new(12, &DOMAINS, seed);
+        swarm.publish(0, vec![key(1, false)]);
+        swarm.run(Duration::from_secs(3));
+        swarm.loss = loss;
+        swarm.publish(place, vec![key(2, true)]);
+        let all = |swarm: &Swarm| (0..12).all(|place| is_withdrawn(swarm, place));
+        prop_assert!(swarm.run_until(Duration::from_secs(2), all).is_some());
+    }
+}
+
+#[test]
+fn leave_announced_is_known_without_suspicion() {
+    let mut swarm = Swarm::new(12, &DOMAINS, 7);
+    swarm.run(Duration::from_secs(3));
+    swarm.leave(4);
+    swarm.run(Duration::from_secs(3));
+    for node in swarm.nodes.iter().filter(|node| node.board.vm != "vm-4") {
+        assert_eq!(node.board.members.others["vm-4"].state, State::Left);
+    }
+}
+
+#[test]
+fn list_without_a_silent_domains_vm_buries_it() {
+    let mut swarm = Swarm::new(6, &DOMAINS, 3);
+    let mut listed = swarm.listed();
+    swarm.crash(1);
+    swarm.crash(4);
+    swarm.run(Duration::from_secs(10));
+    let live = |swarm: &Swarm| swarm.nodes[0].board.members.live_in("b").count();
+    assert_eq!(
+        live(&swarm),
+        2,
+        "nobody in the failure domain is left to suspect"
+    );
+    listed.retain(|record| record.failure_domain != "b");
+    let now = swarm.now;
+    policy::membership::list(&mut swarm.nodes[0].board, now, &listed);
+    assert_eq!(live(&swarm), 0);
+}
+
+#[test]
+fn is_relay_two_of_each_domain() {
+    let mut swarm = Swarm::new(24, &DOMAINS, 5);
+    swarm.run(Duration::from_secs(5));
+    for domain in DOMAINS {
+        let of_domain = swarm
+            .nodes
+            .iter()
+            .filter(|n| n.board.failure_domain == domain);
+        let relays = of_domain
+            .filter(|node| relay::is_relay(&node.board))
+            .count();
+        assert_eq!(relays, relay::RELAYS);
+    }
+}
+
+#[test]
+fn is_owner_one_for_each_endpoint() {
+    let mut swarm = Swarm::new(24, &DOMAINS, 5);
+    swarm.run(Duration::from_secs(5));
+    for endpoint in 0..50 {
+        let name = format!("endpoint-{endpoint}");
+        let of_domain = swarm.nodes.iter().filter(|n| n.board.failure_domain == "a");
+        let owners = of_domain
+            .filter(|n| relay::is_owner(&n.board, &name))
+            .count();
+        assert_eq!(owners, 1);
+    }
+}
+
+#[test]
+fn take_manifest_waits_for_its_parts() {
+    let mut swarm = Swarm::new(1, &["a"], 1);
+    let board = &mut swarm.nodes[0].board;
+    let text = |weight| format!("[accounts.a]\nweight = {weight}\n");
+    let part = |weight| Part {
+        file: "a.toml".to_string(),
+        text: text(weight),
+    };
+    let item = |revision, weight| Item {
+        version: revision,
+        fact: Fact::Config(manifest::of_parts(revision, &[part(weight)])),
+    };
+    let taken = dissemination::take(board, vec![item(1, 2)]);
+    assert_eq!((board.revision, taken.missing.len()), (0, 1));
+    dissemination::take_part(board, text(2));
+    assert_eq!(
+        dissemination::take(board, vec![item(1, 2)]).revision,
+        Some(1)
+    );
+    dissemination::take_part(board, "not a table".to_string());
+    let broken = Part {
+        file: "a.toml".to_string(),
+        text: "not a table".to_string(),
+    };
+    let fact = Fact::Config(manifest::of_parts(2, &[broken]));
+    let taken = dissemination::take(board, vec![Item { version: 2, fact }]);
+    assert_eq!((board.revision, taken.unreadable), (1, Some(2)));
+    dissemination::take_part(board, text(4));
+    assert_eq!(
+        dissemination::take(board, vec![item(3, 4)]).revision,
+        Some(3)
+    );
+    assert_eq!(board.config.accounts["a"].weight, 4);
+}
+
+/// Who may run a request with a key in each row of the table of a cut-off VM.
+#[test]
+fn may_run_table() {
+    let outage = Duration::from_secs(30);
+    for (name, cut, refused) in [
+        ("platform out for everyone", vec![], vec![]),
+        (
+            "a failure domain cut off",
+            vec![("a", "b"), ("b", "a"), ("a", "c"), ("c", "a")],
+            vec!["a", "b", "c"],
+        ),
+        ("a hears nobody", vec![("b", "a"), ("c", "a")], vec!["a"]),
+    ] {
+        let mut swarm = Swarm::new(12, &DOMAINS, 11);
+        swarm.publish(0, vec![key(1, false)]);
+        swarm.run(Duration::from_secs(3));
+        for (from, to) in cut {
+            cut_domains(&mut swarm, from, to);
+        }
+        swarm.run(outage);
+        let mut found = BTreeSet::new();
+        for node in &swarm.nodes {
+            assert!(isolation::may_run(&node.board, swarm.now, Isolated::Serve));
+            if !isolation::may_run(&node.board, swarm.now, Isolated::Refuse) {
+                found.insert(node.board.failure_domain.clone());
+            }
+        }
+        assert_eq!(found.into_iter().collect::<Vec<_>>(), refused, "{name}");
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,8 +8,12 @@
 pub mod admission;
 pub mod call;
 pub mod capacity;
+pub mod dissemination;
 pub mod fairness;
 pub mod health;
+pub mod isolation;
 pub mod lease;
+pub mod membership;
+pub mod relay;
 pub mod routing;
 pub mod weights;
--- /dev/null
+++ b/crates/policy/src/membership/mod.rs
@@ -0,0 +1,236 @@
+//! Which VMs live: probes inside a failure domain, made through others before
+//! a VM is suspected, and opinions that ride on every packet.
+//!
+//! Only VMs of its own failure domain suspect a VM. A failure domain that is
+//! cut off as a whole therefore stays known; that it is silent shows in
+//! [`board::member::Table::heard`].
+
+mod opinion;
+mod probe;
+
+use std::{net::SocketAddr, time::Duration};
+
+use board::{
+    Board, Time,
+    member::{Heard, Packet, Purpose, State, Update},
+};
+use rand::{
+    Rng,
+    rngs::SmallRng,
+    seq::{IndexedRandom, SliceRandom},
+};
+
+use opinion::{contradict, expire, spread};
+pub use opinion::{list, note, opinions};
+use probe::{answer, conclude_probe, relay_probe, revisit, start_probe};
+
+use crate::{dissemination, relay};
+
+/// The pace of failure detection.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use tarragonseam_policy::membership::Config;
+///
+/// let config = Config::new().suspect_time(Duration::from_secs(8));
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct Config {
+    probe_period: Duration,
+    probe_timeout: Duration,
+    suspect_time: Duration,
+    beat_period: Duration,
+    forget_time: Duration,
+}
+
+impl Config {
+    /// Returns the pace of the daemons.
+    pub fn new() -> Self {
+        Self {
+            probe_period: Duration::from_secs(1),
+            probe_timeout: Duration::from_millis(300),
+            suspect_time: Duration::from_secs(4),
+            beat_period: Duration::from_millis(250),
+            forget_time: Duration::from_secs(60),
+        }
+    }
+
+    /// Sets how often a member is probed.
+    pub fn probe_period(mut self, period: Duration) -> Self {
+        self.probe_period = period;
+        self
+    }
+
+    /// Sets how long a suspected member has to refute.
+    pub fn suspect_time(mut self, time: Duration) -> Self {
+        self.suspect_time = time;
+        self
+    }
+
+    /// Sets how often what is known here is told to another member.
+    pub fn beat_period(mut self, period: Duration) -> Self {
+        self.beat_period = period;
+        self
+    }
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// A packet to send.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Order {
+    /// Where to.
+    pub to: SocketAddr,
+    /// What.
+    pub packet: Packet,
+}
+
+/// Packets that carry a farewell.
+const FAREWELLS: usize = 3;
+const BEATS: usize = 2;
+/// Opinions in one packet, so that it stays below 1400 bytes.
+const UPDATES_MAX: usize = 10;
+/// One in so many beats of a VM that is no relay crosses failure domains.
+const CROSSING: u32 = 10;
+
+/// Does what is due at `now`.
+pub fn step(board: &mut Board, now: Time, config: &Config) -> Vec<Order> {
+    let mut orders = Vec::new();
+    expire(board, now, config);
+    relay_probe(board, now, config, &mut orders);
+    if board.members.next_probe <= now {
+        board.members.next_probe = now + config.probe_period;
+        conclude_probe(board, now);
+        start_probe(board, now, &mut orders);
+        revisit(board, &mut orders, now);
+    }
+    if board.members.next_beat <= now {
+        board.members.next_beat = now + config.beat_period;
+        beat(board, now, &mut orders);
+    }
+    orders
+}
+
+/// Takes a packet in. The flag says whether the sender knows other facts or
+/// members.
+pub fn receive(
+    board: &mut Board,
+    now: Time,
+    from: SocketAddr,
+    packet: &Packet,
+) -> (Vec<Order>, bool) {
+    if packet.from.vm == board.vm {
+        return (Vec::new(), false);
+    }
+    let mut orders = Vec::new();
+    board.members.met = Some(now);
+    let opinion = Update {
+        record: packet.from.clone(),
+        state: State::Live,
+    };
+    note(board, now, opinion);
+    for update in &packet.updates {
+        note(board, now, update.clone());
+    }
+    contradict(board, now, packet, &mut orders);
+    answer(board, now, from, &packet.purpose, &mut orders);
+    let facts_differ = dissemination::compare(board, now, packet);
+    let members_differ = board.members.digest() != packet.members;
+    (orders, facts_differ || members_differ)
+}
+
+/// Announces that this VM leaves.
+pub fn leave(board: &mut Board, now: Time) -> Vec<Order> {
+    board.members.is_leaving = true;
+    let update = Update {
+        record: board.members.me.clone(),
+        state: State::Left,
+    };
+    spread(board, update);
+    let mut orders = Vec::new();
+    for _ in 0..FAREWELLS {
+        beat(board, now, &mut orders);
+    }
+    orders
+}
+
+pub(super) fn send(
+    board: &mut Board,
+    now: Time,
+    to: SocketAddr,
+    purpose: Purpose,
+    orders: &mut Vec<Order>,
+) {
+    let packet = compose(board, now, purpose);
+    orders.push(Order { to, packet });
+}
+
+pub(super) fn compose(board: &mut Board, now: Time, purpose: Purpose) -> Packet {
+    let table = &mut board.members;
+    table
+        .outbox
+        .sort_by_key(|(_, left)| std::cmp::Reverse(*left));
+    let mut updates = Vec::new();
+    for (update, left) in table.outbox.iter_mut().take(UPDATES_MAX) {
+        updates.push(update.clone());
+        *left -= 1;
+    }
+    table.outbox.retain(|(_, left)| *left > 0);
+    let age = |time: Time| (now - time).as_millis().min(u128::from(u32::MAX)) as u32;
+    let heard = table.heard.iter().map(|(domain, time)| Heard {
+        failure_domain: domain.clone(),
+        age_ms: age(*time),
+    });
+    let members = table.digest();
+    Packet {
+        members,
+        from: table.me.clone(),
+        purpose,
+        updates,
+        digests: board.shared.digests(),
+        fresh_ms: table.fresh.map(age),
+        heard: heard.collect(),
+    }
+}
+
+pub(super) fn next_number(board: &mut Board) -> u32 {
+    board.members.number = board.members.number.wrapping_add(1);
+    board.members.number
+}
+
+/// Returns `count` of `all`, or all when there are fewer.
+pub(super) fn choose<T>(mut all: Vec<T>, count: usize, rng: &mut SmallRng) -> Vec<T> {
+    all.shuffle(rng);
+    all.truncate(count);
+    all
+}
+
+/// Tells a few members what is known here. Relays tell other failure domains
+/// each time, the others now and then.
+fn beat(board: &mut Board, now: Time, orders: &mut Vec<Order>) {
+    let domain = board.failure_domain.clone();
+    let (near, far): (Vec<_>, Vec<_>) = board
+        .members
+        .live()
+        .map(|member| {
+            (
+                member.record.failure_domain == domain,
+                member.record.address,
+            )
+        })
+        .partition(|(is_near, _)| *is_near);
+    let crosses = relay::is_relay(board) || board.rng.random_range(0..CROSSING) == 0;
+    let mut chosen = choose(near, BEATS, &mut board.rng);
+    if crosses {
+        chosen.extend(far.choose(&mut board.rng).copied());
+    }
+    for (_, to) in chosen {
+        send(board, now, to, Purpose::Beat, orders);
+    }
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -1,6 +1,12 @@
 //! What processes ask of each other.
 
-use board::usage::{Sheet, Window};
+use board::{
+    endpoint::Load,
+    key::Digest,
+    member::Update,
+    shared::Item,
+    usage::{Sheet, Window},
+};
 
 board::record! {
     /// A question to another process.
@@ -9,6 +15,22 @@
         Usage(Window),
         /// What the process is and knows.
         Status,
+        /// The facts in buckets whose digests differ from these, and the members
+        /// if their digest does.
+        Sync {
+            /// The digests of the asker's buckets.
+            buckets: Vec<u64>,
+            /// The digest of the asker's members.
+            members: u64,
+        },
+        /// Texts of the configuration.
+        Parts(Vec<Digest>),
+        /// Facts that the platform has accepted.
+        Offer(Vec<Item>),
+        /// The loads known, by endpoint.
+        Loads,
+        /// Why a request with this key, or on this route, would be refused.
+        Explain(Subject),
     }
 }
 
@@ -19,6 +41,16 @@
         Usage(Sheet),
         /// What the process is and knows.
         Status(Status),
+        /// Facts.
+        Facts(Facts),
+        /// Texts of the configuration, those that are known.
+        Parts(Vec<String>),
+        /// Loads by endpoint.
+        Loads(Vec<(String, Load)>),
+        /// An explanation, one line for each finding.
+        Explanation(Vec<String>),
+        /// It is done.
+        Done,
         /// The question was not understood or cannot be answered now.
         Refused(String),
     }
@@ -39,3 +71,30 @@
         pub endpoints: u64,
     }
 }
+
+board::record! {
+    /// What an explanation is about.
+    pub enum Subject {
+        /// A key, by its digest.
+        Key(Digest),
+        /// The path of a request.
+        Path(String),
+    }
+}
+
+board::record! {
+    /// Facts that one process holds and the other may not.
+    pub struct Facts {
+        /// The facts.
+        pub items: Vec<Item>,
+        /// Whether there are more.
+        pub has_more: bool,
+        /// How long ago the process knew its keys to be complete, in
+        /// milliseconds.
+        pub fresh_ms: Option<u32>,
+        /// Whether the process knows every kind of fact.
+        pub is_primed: bool,
+        /// What it thinks of the VMs, if that differs.
+        pub members: Vec<Update>,
+    }
+}
