Spread facts between VMs, and watch the platform from relays only

Cause: every entry and every steward watched three kinds, listed all endpoints each 500 ms and read every endpoint's load, so calls grew with VMs times endpoints. Nothing reached a VM that started in an outage.

Change: link::gossip carries failure detection and news over UDP and pulls over TCP on the peers' address; link::feed runs on two relays of a failure domain, and on any VM that was without news for 4 s; the steward follows its own VM's entry daemon; an endpoint's load is read by one owner and told to the others.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -5,7 +5,7 @@
 use clap::{Parser, Subcommand};
 use miette::IntoDiagnostic;
 
-use crate::{collect, demo, keys, publish, status};
+use crate::{collect, demo, diff, explain, keys, publish, status};
 
 /// Operates a deployment of tarragonseam.
 #[derive(Debug, Parser)]
@@ -25,11 +25,33 @@
     /// Collects the files below a folder, checks the whole and puts it in
     /// force.
     Publish {
+        /// The folder that holds the services' code.
+        tree: PathBuf,
+        #[command(flatten)]
+        base: Base,
+        #[command(flatten)]
+        platform: Platform,
+    },
+    /// Shows what publishing the files below a folder would change.
+    Diff {
         /// The folder that holds the services' code.
         tree: PathBuf,
         #[command(flatten)]
         platform: Platform,
     },
+    /// Tells why a VM would refuse a request, or where it would send it.
+    #[command(group = clap::ArgGroup::new("subject").required(true).args(["key", "path"]))]
+    Explain {
+        /// The VM's address for peers.
+        #[arg(long)]
+        vm: SocketAddr,
+        /// A key, or its digest.
+        #[arg(long)]
+        key: Option<String>,
+        /// The path of a request.
+        #[arg(long)]
+        path: Option<String>,
+    },
     /// Shows what VMs know.
     Status {
         /// Peer addresses of VMs; those that the platform lists by default.
@@ -95,6 +117,14 @@
     pub(crate) platform: SocketAddr,
 }
 
+#[derive(Debug, clap::Args)]
+pub(crate) struct Base {
+    /// The revision that the files were written from: refuses to publish when
+    /// another one is in force.
+    #[arg(long, value_name = "REVISION")]
+    pub(crate) base: Option<u64>,
+}
+
 /// Runs one command.
 ///
 /// # Errors
@@ -107,10 +137,19 @@
             println!("{} files are good", set.parts.len());
             Ok(())
         }
-        Command::Publish { tree, platform } => {
+        Command::Publish {
+            tree,
+            base,
+            platform,
+        } => {
+            let set = collect::checked(&tree)?;
+            block(publish::run(&platform, set, base))
+        }
+        Command::Diff { tree, platform } => {
             let set = collect::checked(&tree)?;
-            block(publish::run(&platform, set))
+            block(diff::run(&platform, set))
         }
+        Command::Explain { vm, key, path } => block(explain::run(vm, key, path)),
         Command::Status { vm, platform } => block(status::run(&platform, vm)),
         Command::Demo { tree } => block(demo::run(&tree)),
         Command::Part(part) => run_part(part),
--- /dev/null
+++ b/crates/cli/src/diff.rs
@@ -0,0 +1,79 @@
+//! What differs between files and the configuration in force.
+
+use board::config::{Manifest, Part, manifest};
+use link::platform::Client;
+
+use crate::{
+    collect::Checked,
+    command::Platform,
+    publish::{self, failed},
+};
+
+/// Prints what publishing would change.
+pub(crate) async fn run(platform: &Platform, set: Checked) -> miette::Result<()> {
+    let client = Client::new(platform.platform, "cli");
+    let current = publish::read(&client).await?.manifest;
+    println!("revision {} is in force", current.revision);
+    let lines = lines(&client, &current, &set.parts).await?;
+    if lines.is_empty() {
+        println!("no difference");
+    }
+    for line in lines {
+        println!("{line}");
+    }
+    Ok(())
+}
+
+/// Returns the files and lines in which `parts` differ from `current`: `+` is
+/// only in `parts`, `-` only in force.
+pub(crate) async fn lines(
+    client: &Client,
+    current: &Manifest,
+    parts: &[Part],
+) -> miette::Result<Vec<String>> {
+    let mut lines = Vec::new();
+    for part in parts {
+        let before = current.parts.iter().find(|known| known.file == part.file);
+        let digest = board::key::Digest::of(&part.text);
+        match before {
+            Some(before) if before.digest == digest => continue,
+            Some(_) => lines.push(format!("~ {}", part.file)),
+            None => lines.push(format!("+ {}", part.file)),
+        }
+        let old = match before {
+            Some(reference) => text(client, reference).await?,
+            None => String::new(),
+        };
+        lines.extend(text_lines(&old, &part.text));
+    }
+    for reference in &current.parts {
+        if !parts.iter().any(|part| part.file == reference.file) {
+            lines.push(format!("- {}", reference.file));
+        }
+    }
+    Ok(lines)
+}
+
+async fn text(client: &Client, reference: &manifest::Reference) -> miette::Result<String> {
+    let name = reference.digest.to_string();
+    let object = client.get(manifest::PART_KIND, &name).await;
+    let object = object.map_err(|e| failed(&e))?;
+    Ok(String::from_utf8_lossy(&object.value).into_owned())
+}
+
+/// Returns the lines between the common start and the common end.
+fn text_lines(old: &str, new: &str) -> Vec<String> {
+    let old: Vec<_> = old.lines().collect();
+    let new: Vec<_> = new.lines().collect();
+    let start = old.iter().zip(&new).take_while(|(a, b)| a == b).count();
+    let (old, new) = (&old[start..], &new[start..]);
+    let backwards = old.iter().rev().zip(new.iter().rev());
+    let end = backwards.take_while(|(a, b)| a == b).count();
+    let removed = old[..old.len() - end]
+        .iter()
+        .map(|line| format!("  - {line}"));
+    let added = new[..new.len() - end]
+        .iter()
+        .map(|line| format!("  + {line}"));
+    removed.chain(added).collect()
+}
--- a/crates/cli/src/keys.rs
+++ b/crates/cli/src/keys.rs
@@ -3,11 +3,12 @@
 use board::{
     config::{Manifest, manifest},
     key::{Digest, Grant},
+    shared::{Fact, Item},
 };
 use link::platform::{Client, Error, When};
 use rand::{TryRngCore, rngs::OsRng};
 
-use crate::{command::Platform, fault::Failed, publish::failed};
+use crate::{announce, command::Platform, fault::Failed, publish::failed};
 
 /// The kind of the objects that hold keys.
 const KIND: &str = "key";
@@ -37,7 +38,10 @@
     let name = Digest::of(&secret).to_string();
     let value = serde_json::to_vec(&grant).unwrap_or_default();
     let created = client.create(KIND, &name, value);
-    created.await.map_err(|e| failed(&e))?;
+    let object = created.await.map_err(|e| failed(&e))?;
+    let fact = Fact::Key(Digest::of(&secret), grant);
+    let version = object.version;
+    announce::tell(client, Item { version, fact }).await;
     Ok(secret)
 }
 
@@ -53,22 +57,26 @@
 /// Withdraws a key, given as itself or as its digest.
 pub(crate) async fn withdraw(platform: &Platform, key: String) -> miette::Result<()> {
     let client = Client::new(platform.platform, "cli");
-    mark_withdrawn(&client, &key).await?;
-    println!("withdrawn");
+    let told = mark_withdrawn(&client, &key).await?;
+    println!("withdrawn; {told} VMs were told, the others learn it from them");
     Ok(())
 }
 
-/// Marks a key as withdrawn and returns once that is seen to stand.
-pub(crate) async fn mark_withdrawn(client: &Client, key: &str) -> miette::Result<()> {
+/// Marks a key as withdrawn, returns once that is seen to stand, and tells how
+/// many VMs took it.
+pub(crate) async fn mark_withdrawn(client: &Client, key: &str) -> miette::Result<usize> {
     let digest = key.parse().unwrap_or_else(|_| Digest::of(key));
     let name = digest.to_string();
+    // Read first: the platform may go out right after it accepts.
+    let vms = client.vms().await.unwrap_or_default();
     loop {
         let (version, grant) = client
             .read::<Grant>(KIND, &name)
             .await
             .map_err(|e| failed(&e))?;
         if grant.withdrawn {
-            return Ok(());
+            let fact = Fact::Key(digest, grant);
+            return Ok(announce::tell_vms(&vms, &Item { version, fact }).await);
         }
         let next = Grant {
             withdrawn: true,
@@ -76,8 +84,12 @@
         };
         let written = client.write(KIND, &name, When::At(version), &next);
         match written.await {
+            Ok(version) => {
+                let fact = Fact::Key(digest, next);
+                return Ok(announce::tell_vms(&vms, &Item { version, fact }).await);
+            }
             // Read again: a withdrawal counts only once it is seen to stand.
-            Ok(_) | Err(Error::Conflict(_) | Error::Unknown(_)) => {}
+            Err(Error::Conflict(_) | Error::Unknown(_)) => {}
             Err(e) => return Err(failed(&e).into()),
         }
     }
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use link::{
-    StatusCode,
+    StatusCode, fault,
     http::{Reply, Request},
 };
 use wire::{Answer, Ask};
@@ -20,6 +20,7 @@
             Answer::Status(status) => Reply::json(StatusCode::OK, &status),
             _ => Reply::error(StatusCode::INTERNAL_SERVER_ERROR, "no-status", ""),
         },
+        "/fault" if vm.settings.test_faults => cut(request),
         "/spans" => {
             let trace = request.query("trace").unwrap_or_default();
             Reply::json(StatusCode::OK, &vm.telemetry.spans(trace))
@@ -28,6 +29,17 @@
     }
 }
 
+/// Cuts links to other VMs, for tests.
+fn cut(request: &Request) -> Reply {
+    match serde_json::from_slice(&request.body) {
+        Ok(cuts) => {
+            fault::set(cuts);
+            Reply::new(StatusCode::OK, "cut\n")
+        }
+        Err(e) => Reply::error(StatusCode::BAD_REQUEST, "bad-cuts", &e.to_string()),
+    }
+}
+
 fn ready(vm: &Rc<Vm>) -> Reply {
     if vm.leaving.get() {
         return Reply::error(StatusCode::SERVICE_UNAVAILABLE, "leaving", "shutting down");
--- a/crates/entry/src/auth.rs
+++ b/crates/entry/src/auth.rs
@@ -4,6 +4,7 @@
 
 use board::{Board, key::Digest};
 use link::{StatusCode, http::Request};
+use policy::isolation::{self, View};
 
 use crate::{
     refusal::{Failure, Ran},
@@ -23,14 +24,8 @@
 ///
 /// 401 without a good key, 503 before the keys are known.
 pub(crate) fn check(vm: &Vm, request: &Request) -> Result<Caller, Failure> {
-    if !vm.primed.get() {
-        return Err(Failure {
-            status: StatusCode::SERVICE_UNAVAILABLE,
-            code: "not-ready",
-            detail: "keys are not known here yet".to_string(),
-            ran: Ran::NotRun,
-            retry_after: Some(policy::admission::RETRY_AFTER),
-        });
+    if !vm.primed.get() || vm.board.borrow().revision == 0 {
+        return Err(Failure::not_ready());
     }
     let refuse = |code, detail| Failure::rejected(StatusCode::UNAUTHORIZED, code, detail);
     let secret = request
@@ -42,11 +37,29 @@
     let grant = board.keys.get(&digest);
     match grant {
         Some(grant) if grant.withdrawn => Err(refuse("key-withdrawn", "the key was withdrawn")),
-        Some(grant) if board.config.accounts.contains_key(&grant.account) => Ok(Caller {
-            account: grant.account.as_str().into(),
-            digest,
-        }),
-        _ => Err(refuse("bad-key", "no account has this key")),
+        Some(grant) => match board.config.accounts.get(&grant.account) {
+            Some(account) if isolation::may_run(&board, vm.now(), account.when_isolated) => {
+                Ok(Caller {
+                    account: grant.account.as_str().into(),
+                    digest,
+                })
+            }
+            Some(_) => Err(isolated()),
+            None => Err(refuse("bad-key", "no account has this key")),
+        },
+        // The key may be known where this VM cannot reach.
+        None if isolation::view(&board, vm.now()) == View::Isolated => Err(isolated()),
+        None => Err(refuse("bad-key", "no account has this key")),
+    }
+}
+
+fn isolated() -> Failure {
+    Failure {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        code: "isolated",
+        detail: "this VM is cut off and its keys may be out of date".to_string(),
+        ran: Ran::NotRun,
+        retry_after: Some(policy::admission::RETRY_AFTER),
     }
 }
 
--- /dev/null
+++ b/crates/entry/src/explain.rs
@@ -0,0 +1,90 @@
+//! Why a request with a key, or on a route, would be refused on this VM.
+
+use board::{Board, Time, config::Isolated, endpoint::State, key::Digest, shared::Kind};
+use policy::isolation::{self, View};
+use wire::message::Subject;
+
+use crate::vm::Vm;
+
+/// Returns what there is to say about `subject`, one finding a line.
+pub(crate) fn lines(vm: &Vm, board: &Board, subject: &Subject) -> Vec<String> {
+    let mut lines = of_vm(vm, board);
+    match subject {
+        Subject::Key(digest) => lines.extend(of_key(board, vm.now(), digest)),
+        Subject::Path(path) => lines.extend(of_path(board, path)),
+    }
+    lines
+}
+
+fn of_vm(vm: &Vm, board: &Board) -> Vec<String> {
+    let now = vm.now();
+    let age = match board.members.fresh {
+        Some(time) => format!("{} ms ago", (now - time).as_millis()),
+        None => "never".to_string(),
+    };
+    let view = match isolation::view(board, now) {
+        View::Fresh => "its keys are up to date",
+        View::Outage => "the platform is out for every VM that it hears, in all failure domains",
+        View::Isolated => "it is cut off: others may know of withdrawals that it does not",
+    };
+    let mut lines = vec![
+        format!("{} in failure domain {}", board.vm, board.failure_domain),
+        format!("revision {} in force", board.revision),
+        format!("keys last known to be complete: {age}; {view}"),
+    ];
+    if !vm.primed.get() || board.revision == 0 {
+        lines.push("refuses all keys: configuration or keys are not known yet".to_string());
+    }
+    lines
+}
+
+fn of_key(board: &Board, now: Time, digest: &Digest) -> Vec<String> {
+    let Some(grant) = board.keys.get(digest) else {
+        return vec!["the key is not known here: refused with 401".to_string()];
+    };
+    let version = board.shared.version(Kind::Key, &digest.to_string());
+    let known = format!("the key acts for {} (version {version})", grant.account);
+    let verdict = match board.config.accounts.get(&grant.account) {
+        _ if grant.withdrawn => "it was withdrawn: refused with 401",
+        None => "no such account is declared: refused with 401",
+        Some(account) if isolation::may_run(board, now, account.when_isolated) => "it is good",
+        Some(_) => "refused with 503 while the VM is cut off",
+    };
+    let declared = board.config.accounts.get(&grant.account);
+    let mut lines = vec![known, verdict.to_string()];
+    if declared.is_some_and(|account| account.when_isolated == Isolated::Serve) {
+        lines.push("its account is served by cut-off VMs too".to_string());
+    }
+    lines
+}
+
+fn of_path(board: &Board, path: &str) -> Vec<String> {
+    let routes = board.config.routes.iter();
+    let found = routes
+        .filter(|(_, route)| path.starts_with(&route.path))
+        .max_by_key(|(_, route)| route.path.len());
+    let Some((name, route)) = found else {
+        return vec!["no route takes this path: refused with 404".to_string()];
+    };
+    let access = if route.public {
+        "public"
+    } else {
+        "needs a key"
+    };
+    let endpoints = board.endpoints.of_service(&route.service).iter();
+    let endpoints: Vec<_> = endpoints
+        .filter_map(|key| board.endpoints.get(*key))
+        .collect();
+    let ready = endpoints.iter().filter(|e| e.record.state == State::Ready);
+    vec![
+        format!(
+            "route {name} takes it to service {}, {access}",
+            route.service
+        ),
+        format!(
+            "{} endpoints known, {} ready",
+            endpoints.len(),
+            ready.count()
+        ),
+    ]
+}
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -21,6 +21,7 @@
         ["v1", ..] => Failure::rejected(StatusCode::NOT_FOUND, "no-page", "no such call").reply(),
         _ => match proxy::find(&vm, request.uri.path()) {
             Some((name, route)) => proxy::handle(vm, request, name, route).await,
+            None if vm.board.borrow().revision == 0 => Failure::not_ready().reply(),
             None => proxy::not_found(),
         },
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,6 +3,7 @@
 pub(crate) mod admin;
 pub(crate) mod auth;
 pub(crate) mod engine;
+pub(crate) mod explain;
 pub(crate) mod generate;
 pub(crate) mod generation;
 pub(crate) mod handler;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -2,9 +2,29 @@
 
 use std::rc::Rc;
 
+use board::endpoint::Endpoint;
+use link::gossip::Source;
 use wire::{Answer, Ask, message::Status};
 
-use crate::vm::Vm;
+use crate::{explain, vm::Vm};
+
+/// Answers one question, after what it asks for is done.
+pub(crate) async fn serve(vm: &Rc<Vm>, ask: Ask) -> Answer {
+    match ask {
+        Ask::Offer(items) => {
+            if vm
+                .gossip
+                .take(items, &Source::Platform(vm.platform.clone()))
+                .await
+            {
+                Answer::Done
+            } else {
+                Answer::Refused("a part of the configuration is missing".to_string())
+            }
+        }
+        other => answer(vm, &other),
+    }
+}
 
 /// Answers one question.
 pub(crate) fn answer(vm: &Rc<Vm>, ask: &Ask) -> Answer {
@@ -18,5 +38,24 @@
             keys: board.keys.len() as u64,
             endpoints: board.endpoints.iter().count() as u64,
         }),
+        Ask::Sync { buckets, members } => Answer::Facts(vm.gossip.facts(buckets, *members)),
+        Ask::Parts(digests) => {
+            let texts = digests
+                .iter()
+                .filter_map(|digest| board.shared.parts.get(digest));
+            Answer::Parts(texts.cloned().collect())
+        }
+        Ask::Loads => {
+            let near =
+                |endpoint: &&Endpoint| endpoint.record.failure_domain == board.failure_domain;
+            let load = |endpoint: &Endpoint| {
+                let (_, load) = endpoint.load.clone()?;
+                Some((endpoint.record.id.clone(), load))
+            };
+            let endpoints = board.endpoints.iter().map(|(_, endpoint)| endpoint);
+            Answer::Loads(endpoints.filter(near).filter_map(load).collect())
+        }
+        Ask::Explain(subject) => Answer::Explanation(explain::lines(vm, &board, subject)),
+        Ask::Offer(_) => Answer::Refused("offers are taken over TCP only".to_string()),
     }
 }
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -56,6 +56,18 @@
         }
     }
 
+    /// Returns the failure of a request that came before this VM knew the
+    /// configuration and the keys.
+    pub(crate) fn not_ready() -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            code: "not-ready",
+            detail: "configuration or keys are not known here yet".to_string(),
+            ran: Ran::NotRun,
+            retry_after: Some(policy::admission::RETRY_AFTER),
+        }
+    }
+
     /// Returns the failure of a request that the system gave up.
     pub(crate) fn refused(refusal: Refusal, ran: Ran) -> Self {
         let status = match refusal.reason {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -47,7 +47,12 @@
     let callers = listen("callers", settings.callers)?;
     let peer_listener = listen("peers", settings.peers)?;
     let admin_listener = listen("admin", settings.admin)?;
-    let vm = Vm::new(settings);
+    let address = settings.peers;
+    let vm = Vm::new(settings).map_err(|source| Error::Listen {
+        setting: "peers",
+        address,
+        source,
+    })?;
     if let Some(collector) = vm.settings.collector {
         vm.telemetry.export_to(collector);
     }
@@ -55,8 +60,8 @@
 
     let for_peers = vm.clone();
     monoio::spawn(peer::serve(peer_listener, move |ask| {
-        let answer = peers::answer(&for_peers, &ask);
-        async move { answer }
+        let vm = for_peers.clone();
+        async move { peers::serve(&vm, ask).await }
     }));
     let for_admin = vm.clone();
     let admin_drain = server::Drain::default();
@@ -87,17 +92,20 @@
 /// Keeps the board up to date and drives the clock of waiting requests.
 fn follow_platform(vm: &Rc<Vm>) {
     let changed = vm.clone();
-    let feed = Feed::new(vm.board.clone(), vm.platform.clone(), move || {
-        slot::pump(&changed)
-    });
-    feed.start();
-    let poller = Poller::new(vm.board.clone(), vm.pool.clone(), vm.clock);
-    monoio::spawn(poller.run(|_| true));
+    vm.gossip.start(move || slot::pump(&changed));
+    Feed::new(vm.gossip.clone(), vm.platform.clone()).start();
+    Poller::new(vm.gossip.clone(), vm.pool.clone()).start();
     let vm = vm.clone();
+    let greeting = vm.clone();
+    monoio::spawn(async move {
+        for seed in &greeting.settings.seeds {
+            greeting.gossip.greet(*seed).await;
+        }
+    });
     monoio::spawn(async move {
         loop {
             monoio::time::sleep(TICK_TIME).await;
-            vm.primed.set(feed.is_primed());
+            vm.primed.set(vm.gossip.is_primed());
             if !vm.waiting.borrow().is_empty() {
                 slot::pump(&vm);
             }
@@ -118,6 +126,7 @@
 async fn shut_down(vm: &Rc<Vm>, drain: &server::Drain) {
     vm.leaving.set(true);
     spdlog::info!("leaving", kv: { vm = vm.settings.vm.as_str() });
+    vm.gossip.leave().await;
     monoio::time::sleep(UNREADY_TIME).await;
     drain.close();
     let whole = drain.wait(vm.settings.drain).await;
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -34,8 +34,14 @@
     pub failure_domain: String,
     /// Where callers and trainers connect.
     pub callers: SocketAddr,
-    /// Where other processes of the project connect.
+    /// Where other processes of the project connect, over TCP and UDP.
     pub peers: SocketAddr,
+    /// Peers of other VMs to greet at the start, should the platform be out.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Whether `POST /fault` on the admin address cuts links; for tests only.
+    #[serde(default)]
+    pub test_faults: bool,
     /// Where operators read metrics and state.
     pub admin: SocketAddr,
     /// The platform.
--- a/crates/entry/src/vm.rs
+++ b/crates/entry/src/vm.rs
@@ -2,12 +2,14 @@
 
 use std::{
     cell::{Cell, RefCell},
+    io,
     rc::Rc,
 };
 
 use board::{Board, Time, endpoint, hash::Map, ticket, usage::Window};
 use link::{
     clock::{self, Clock},
+    gossip::Gossip,
     http::{Limits, Pool},
     platform,
     telemetry::Telemetry,
@@ -27,6 +29,8 @@
     pub(crate) clock: Clock,
     pub(crate) pool: Pool,
     pub(crate) platform: platform::Client,
+    /// The links to other VMs.
+    pub(crate) gossip: Gossip,
     pub(crate) telemetry: Telemetry,
     pub(crate) metrics: Metrics,
     /// Requests that wait for a verdict.
@@ -40,13 +44,21 @@
 }
 
 impl Vm {
-    pub(crate) fn new(settings: Settings) -> Rc<Self> {
+    /// Opens the links to other VMs.
+    ///
+    /// # Errors
+    ///
+    /// The error of the socket.
+    pub(crate) fn new(settings: Settings) -> io::Result<Rc<Self>> {
         let seed = clock::wall_millis();
         let telemetry = Telemetry::new("tarragonseam-entry");
         let board = Board::new(&settings.vm, &settings.failure_domain, seed);
-        Rc::new(Self {
-            board: Rc::new(RefCell::new(board)),
-            clock: Clock::default(),
+        let board = Rc::new(RefCell::new(board));
+        let clock = Clock::default();
+        Ok(Rc::new(Self {
+            gossip: Gossip::open(board.clone(), clock, settings.peers)?,
+            board,
+            clock,
             pool: Pool::new(Limits::new()),
             platform: platform::Client::new(settings.platform, &settings.vm),
             metrics: Metrics::new(&telemetry),
@@ -56,7 +68,7 @@
             primed: Cell::new(false),
             leaving: Cell::new(false),
             settings,
-        })
+        }))
     }
 
     pub(crate) fn now(&self) -> Time {
--- a/crates/fakes/src/deployment/mod.rs
+++ b/crates/fakes/src/deployment/mod.rs
@@ -186,7 +186,7 @@
             vm.entry_settings
         );
         let steward = format!(
-            "{shared}admin = \"{steward_admin}\"\n{}",
+            "{shared}admin = \"{steward_admin}\"\nentry = \"{peers}\"\n{}",
             vm.steward_settings
         );
         fs::write(self.settings("entry", vm_id), entry)?;
--- a/crates/fakes/src/swarm.rs
+++ b/crates/fakes/src/swarm.rs
@@ -57,7 +57,7 @@
 
 #[derive(Debug)]
 enum Event {
-    Member(SocketAddr, Packet),
+    Member(SocketAddr, Box<Packet>),
     News(Vec<Item>),
     Pull(usize),
 }
@@ -293,7 +293,7 @@
         for Order { to, packet } in orders {
             let size = wire::encode(&Gram::Member(packet.clone())).map_or(0, |b| b.len());
             assert!(size <= wire::gram::GRAM_MAX, "a datagram of {size} bytes");
-            self.post(place, to, size, Event::Member(from, packet));
+            self.post(place, to, size, Event::Member(from, Box::new(packet)));
         }
     }
 
--- a/crates/link/src/feed.rs
+++ b/crates/link/src/feed.rs
@@ -1,181 +1,302 @@
-//! What the platform holds, brought onto the board.
+//! What the platform holds, brought to this failure domain.
+//!
+//! Only the relays of a failure domain watch the platform; the other VMs learn
+//! from them. A VM whose keys were not known to be complete for a while tries
+//! for itself, at a slower pace.
 
-use std::{
-    cell::{Cell, RefCell},
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use board::{
-    Board,
-    config::{self, Manifest, Part, manifest},
-    endpoint::State,
+    Time,
+    config::{Manifest, manifest},
+    endpoint,
+    hash::Set,
     key::{Digest, Grant},
+    member::Record,
+    shared::{Fact, Item},
 };
+use policy::{dissemination, membership, relay};
 use serde::Deserialize;
 
-use crate::platform::{Change, Client, Error};
+use crate::{
+    clock,
+    gossip::{Gossip, Source},
+    platform::{Change, Client, Error},
+};
 
-const WATCH_TIME: Duration = Duration::from_secs(20);
+/// How long a watch waits. Keys are known to be complete only as of the end of
+/// a watch, so those of keys and configuration are short.
+const SHORT_WATCH: Duration = Duration::from_secs(1);
+const LONG_WATCH: Duration = Duration::from_secs(20);
 const RETRY_TIME: Duration = Duration::from_millis(500);
+/// Pace of a VM that is no relay, and as long it may be without news.
+const FALLBACK_TIME: Duration = Duration::from_secs(4);
+const IDLE_TIME: Duration = Duration::from_millis(200);
 const LIST_TIME: Duration = Duration::from_millis(500);
+const VMS_TIME: Duration = Duration::from_secs(10);
+/// How long a VM that starts listens for others before it watches.
+const JOIN_TIME: Duration = Duration::from_millis(500);
+
+const KINDS: [&str; 3] = [manifest::KIND, "key", "weights"];
 
 #[derive(Debug, Deserialize)]
 struct Weights {
     version: u64,
 }
 
-/// Brings what the platform holds onto a board.
+/// Until when each kind is known to be complete.
+#[derive(Default)]
+struct Complete {
+    kinds: [Cell<Option<Time>>; KINDS.len()],
+    endpoints: Cell<bool>,
+}
+
+/// Brings what the platform holds to the VMs of a failure domain.
 #[derive(Clone)]
 pub struct Feed {
-    board: Rc<RefCell<Board>>,
+    gossip: Gossip,
     platform: Client,
-    keys_known: Rc<Cell<bool>>,
-    endpoints_known: Rc<Cell<bool>>,
-    on_change: Rc<dyn Fn()>,
+    complete: Rc<Complete>,
 }
 
 impl Feed {
-    /// Returns a feed of `board` that calls `on_change` after each change.
-    pub fn new(
-        board: Rc<RefCell<Board>>,
-        platform: Client,
-        on_change: impl Fn() + 'static,
-    ) -> Self {
+    /// Returns a feed from `platform` into `gossip`.
+    pub fn new(gossip: Gossip, platform: Client) -> Self {
         Self {
-            board,
+            gossip,
             platform,
-            keys_known: Rc::default(),
-            endpoints_known: Rc::default(),
-            on_change: Rc::new(on_change),
+            complete: Rc::default(),
         }
     }
 
-    /// Returns whether all keys and endpoints have been read once.
-    pub fn is_primed(&self) -> bool {
-        self.keys_known.get() && self.endpoints_known.get()
-    }
-
     /// Starts the tasks that keep the board up to date for ever.
     pub fn start(&self) {
-        for kind in [manifest::KIND, "key", "weights"] {
+        for place in 0..KINDS.len() {
             let feed = self.clone();
-            monoio::spawn(async move { follow(feed, kind).await });
+            monoio::spawn(async move { follow(feed, place).await });
+        }
+        monoio::spawn(list_endpoints(self.clone()));
+        monoio::spawn(list_vms(self.clone()));
+    }
+
+    fn source(&self) -> Source {
+        Source::Platform(self.platform.clone())
+    }
+
+    fn is_relay(&self) -> bool {
+        relay::is_relay(&self.gossip.board.borrow())
+    }
+
+    /// Waits until this VM has to ask the platform itself.
+    async fn turn(&self) {
+        loop {
+            if self.is_relay() || self.is_behind() {
+                return;
+            }
+            monoio::time::sleep(IDLE_TIME).await;
+        }
+    }
+
+    fn is_behind(&self) -> bool {
+        let fresh = self.gossip.board.borrow().members.fresh;
+        let now = self.gossip.clock.now();
+        now - fresh.unwrap_or_default() > FALLBACK_TIME
+    }
+
+    async fn pause(&self) {
+        let time = if self.is_relay() {
+            RETRY_TIME
+        } else {
+            FALLBACK_TIME
+        };
+        monoio::time::sleep(time).await;
+    }
+
+    fn note_complete(&self, place: usize, since: Time) {
+        self.complete.kinds[place].set(Some(since));
+        let kinds = &self.complete.kinds;
+        if kinds.iter().all(|kind| kind.get().is_some()) && self.complete.endpoints.get() {
+            self.gossip.note_primed();
+        }
+        // Weights may lag behind: they open no door to a caller.
+        let doors = [kinds[0].get(), kinds[1].get()];
+        if let [Some(config), Some(keys)] = doors {
+            let mut board = self.gossip.board.borrow_mut();
+            dissemination::note_complete(&mut board, config.min(keys));
         }
-        let feed = self.clone();
-        monoio::spawn(async move { list_endpoints(feed).await });
     }
 }
 
-async fn follow(feed: Feed, kind: &'static str) {
+async fn follow(feed: Feed, place: usize) {
+    monoio::time::sleep(JOIN_TIME).await;
+    let kind = KINDS[place];
+    let wait = if kind == "weights" {
+        LONG_WATCH
+    } else {
+        SHORT_WATCH
+    };
     let mut after = None;
     loop {
+        feed.turn().await;
+        let asked = feed.gossip.clock.now();
         let step = match after {
             None => feed.platform.list(kind, "").await,
-            Some(version) => feed.platform.watch(kind, version, WATCH_TIME).await,
+            Some(version) => feed.platform.watch(kind, version, wait).await,
         };
         let applied = match step {
             Ok(changes) => {
-                let result = apply_all(&feed, kind, &changes.changes).await;
-                result.map(|()| changes.version)
+                let applied = bring(&feed, kind, &changes.changes).await;
+                applied.map(|()| changes.version)
             }
             Err(e) => Err(e),
         };
         match applied {
             Ok(version) => {
                 after = Some(version);
-                note_primed(&feed, kind);
-                (feed.on_change)();
+                // The answer may have been long on its way.
+                feed.note_complete(place, asked);
             }
             // The version is too old to watch from: list again.
             Err(Error::Refused { status: 410, .. }) => after = None,
-            Err(_) => monoio::time::sleep(RETRY_TIME).await,
+            Err(_) => feed.pause().await,
         }
     }
 }
 
-fn note_primed(feed: &Feed, kind: &str) {
-    if kind == "key" && !feed.keys_known.get() {
-        feed.keys_known.set(true);
-        spdlog::info!("keys known");
-    }
-}
-
-async fn apply_all(feed: &Feed, kind: &str, changes: &[Change]) -> Result<(), Error> {
+/// Brings the objects that are news here.
+async fn bring(feed: &Feed, kind: &str, changes: &[Change]) -> Result<(), Error> {
     for change in changes.iter().filter(|change| !change.deleted) {
-        let applied = match kind {
-            manifest::KIND => apply_config(feed, &change.name).await,
-            "key" => apply_key(feed, &change.name).await,
-            _ => apply_weights(feed, &change.name).await,
-        };
-        match applied {
+        if is_known(feed, kind, change) {
+            continue;
+        }
+        let item = match read(feed, kind, &change.name).await {
+            Ok(Some(item)) => item,
             // An object that went away or cannot be read holds nothing back.
-            Err(Error::Absent | Error::Refused { status: 0, .. }) => {}
-            other => other?,
+            Ok(None) | Err(Error::Absent | Error::Refused { status: 0, .. }) => continue,
+            Err(e) => return Err(e),
+        };
+        if !feed.gossip.take(vec![item], &feed.source()).await {
+            return Err(Error::Unavailable("a part is missing".to_string()));
         }
     }
     Ok(())
 }
 
-async fn apply_config(feed: &Feed, name: &str) -> Result<(), Error> {
-    if name != manifest::CURRENT {
-        return Ok(());
+fn is_known(feed: &Feed, kind: &str, change: &Change) -> bool {
+    use board::shared::Kind;
+    let (kind, name) = match kind {
+        manifest::KIND => (Kind::Config, ""),
+        "key" => (Kind::Key, change.name.as_str()),
+        _ => (Kind::Weights, change.name.as_str()),
+    };
+    let board = feed.gossip.board.borrow();
+    board.shared.version(kind, name) >= change.version
+}
+
+async fn read(feed: &Feed, kind: &str, name: &str) -> Result<Option<Item>, Error> {
+    let (version, fact) = match kind {
+        manifest::KIND if name == manifest::CURRENT => {
+            let (version, manifest) = feed.platform.read::<Manifest>(kind, name).await?;
+            (version, Fact::Config(manifest))
+        }
+        "key" => {
+            let Ok(digest) = name.parse::<Digest>() else {
+                return Ok(None);
+            };
+            let (version, grant) = feed.platform.read::<Grant>(kind, name).await?;
+            (version, Fact::Key(digest, grant))
+        }
+        "weights" => {
+            let (version, weights) = feed.platform.read::<Weights>(kind, name).await?;
+            (version, Fact::Weights(name.to_string(), weights.version))
+        }
+        _ => return Ok(None),
+    };
+    Ok(Some(Item { version, fact }))
+}
+
+/// Lists the endpoints of this failure domain, and of those that no live VM
+/// stands for.
+async fn list_endpoints(feed: Feed) {
+    monoio::time::sleep(JOIN_TIME).await;
+    loop {
+        feed.turn().await;
+        if list_endpoints_once(&feed).await.is_err() {
+            feed.pause().await;
+        }
+        monoio::time::sleep(LIST_TIME).await;
     }
-    let (_, manifest) = feed.platform.read::<Manifest>(manifest::KIND, name).await?;
-    if manifest.revision <= feed.board.borrow().revision {
+}
+
+async fn list_endpoints_once(feed: &Feed) -> Result<(), Error> {
+    if !feed.complete.endpoints.get() {
+        let records = feed.platform.endpoints(None).await?;
+        relist(feed, records).await;
+        feed.complete.endpoints.set(true);
         return Ok(());
     }
-    let mut parts = Vec::with_capacity(manifest.parts.len());
-    for reference in &manifest.parts {
-        let digest = reference.digest.to_string();
-        let object = feed.platform.get(manifest::PART_KIND, &digest).await?;
-        parts.push(Part {
-            file: reference.file.clone(),
-            text: String::from_utf8_lossy(&object.value).into_owned(),
-        });
-    }
-    let Ok(config) = config::merge(&parts) else {
-        spdlog::error!("configuration not applied", kv: { revision = manifest.revision });
-        return Ok(());
-    };
-    if feed.board.borrow_mut().apply(manifest.revision, config) {
-        spdlog::info!("configuration in force", kv: { revision = manifest.revision });
+    for domain in domains_to_list(feed) {
+        let records = feed.platform.endpoints(Some(&domain)).await?;
+        relist(feed, records).await;
     }
     Ok(())
 }
 
-async fn apply_key(feed: &Feed, name: &str) -> Result<(), Error> {
-    let Ok(digest) = name.parse::<Digest>() else {
-        return Ok(());
+fn domains_to_list(feed: &Feed) -> Set<String> {
+    let board = feed.gossip.board.borrow();
+    let now = feed.gossip.clock.now();
+    let is_silent = |domain: &&str| {
+        let heard = board.members.heard.get(*domain);
+        heard.is_none_or(|time| now - *time > FALLBACK_TIME)
     };
-    let (_, grant) = feed.platform.read::<Grant>("key", name).await?;
-    feed.board.borrow_mut().note_key(digest, grant);
-    Ok(())
+    let mut domains: Set<String> = board
+        .endpoints
+        .iter()
+        .map(|(_, endpoint)| endpoint.record.failure_domain.as_str())
+        .filter(|domain| *domain != board.failure_domain)
+        .filter(is_silent)
+        .map(str::to_string)
+        .collect();
+    domains.insert(board.failure_domain.clone());
+    domains
 }
 
-async fn apply_weights(feed: &Feed, model: &str) -> Result<(), Error> {
-    let (_, weights) = feed.platform.read::<Weights>("weights", model).await?;
-    feed.board.borrow_mut().note_weights(model, weights.version);
-    Ok(())
+async fn relist(feed: &Feed, records: Vec<endpoint::Record>) {
+    let wall = clock::wall_millis();
+    let mut items = Vec::new();
+    for record in records {
+        let fact = Fact::Endpoint(record);
+        let version = dissemination::relist(&feed.gossip.board.borrow(), &fact, wall);
+        items.extend(version.map(|version| Item { version, fact }));
+    }
+    if !items.is_empty() {
+        feed.gossip.take(items, &feed.source()).await;
+    }
 }
 
-async fn list_endpoints(feed: Feed) {
+/// Lists the VMs: often while none is known, then as a grave list.
+async fn list_vms(feed: Feed) {
     loop {
-        if let Ok(records) = feed.platform.endpoints(None).await {
-            let mut board = feed.board.borrow_mut();
-            for record in records {
-                let id = record.id.clone();
-                let is_gone = record.state == State::Gone;
-                let key = board.endpoints.put(record);
-                if is_gone {
-                    board.endpoints.remove(key);
-                    spdlog::info!("endpoint gone", kv: { endpoint = id.as_str() });
-                }
-            }
-            drop(board);
-            feed.endpoints_known.set(true);
-            (feed.on_change)();
+        let is_alone = feed.gossip.board.borrow().members.met.is_none();
+        if is_alone || feed.is_relay() {
+            list_vms_once(&feed).await;
         }
-        monoio::time::sleep(LIST_TIME).await;
+        let time = if is_alone { RETRY_TIME } else { VMS_TIME };
+        monoio::time::sleep(time).await;
     }
 }
+
+async fn list_vms_once(feed: &Feed) {
+    let Ok(vms) = feed.platform.vms().await else {
+        return;
+    };
+    let record = |vm: crate::platform::Vm| Record {
+        vm: vm.id,
+        failure_domain: vm.failure_domain,
+        address: vm.address,
+        incarnation: 0,
+    };
+    let listed: Vec<_> = vms.into_iter().map(record).collect();
+    let mut board = feed.gossip.board.borrow_mut();
+    membership::list(&mut board, feed.gossip.clock.now(), &listed);
+}
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -3,7 +3,10 @@
 
 pub mod clock;
 pub mod event;
+pub mod fault;
 pub mod feed;
+pub mod follow;
+pub mod gossip;
 pub mod http;
 pub mod load;
 pub mod log;
--- a/crates/link/src/load.rs
+++ b/crates/link/src/load.rs
@@ -1,53 +1,50 @@
-//! Load reports of endpoints, read at a steady pace.
+//! Load reports of endpoints, read by one VM each and told to the others.
+//!
+//! The owner of an endpoint, by rendezvous hash over the live VMs of its
+//! failure domain, reads its load. It tells the VMs of its failure domain each
+//! second, and the others less often as the endpoints grow in number.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use board::{
-    Board,
-    endpoint::{self, Endpoint, State},
+    Board, Time,
+    endpoint::{self, Endpoint, Load, State},
+    hash::{Map, mix},
 };
+use policy::relay;
+use wire::{Gram, gram::Report};
 
 use crate::{
-    clock::Clock,
+    gossip::Gossip,
     http::{Pool, client::Call},
 };
 
 const POLL_TIME: Duration = Duration::from_millis(500);
 const CALL_TIME: Duration = Duration::from_secs(1);
+const TELL_TIME: Duration = Duration::from_secs(1);
+/// Reports in one datagram.
+const REPORTS_MAX: usize = 60;
+/// Endpoints of other failure domains whose loads may be told each second.
+const FAR_REPORTS: usize = 500;
+const FAR_TIME_MAX: usize = 10;
 
-/// Reads load reports onto a board.
+/// Reads load reports onto a board and tells them to other VMs.
 #[derive(Clone)]
 pub struct Poller {
-    board: Rc<RefCell<Board>>,
+    gossip: Gossip,
     pool: Pool,
-    clock: Clock,
 }
 
 impl Poller {
-    /// Returns a poller that notes reports with the time of `clock`.
-    pub fn new(board: Rc<RefCell<Board>>, pool: Pool, clock: Clock) -> Self {
-        Self { board, pool, clock }
+    /// Returns a poller that tells others through `gossip`.
+    pub fn new(gossip: Gossip, pool: Pool) -> Self {
+        Self { gossip, pool }
     }
 
-    /// Reads the load of every ready endpoint that `wanted` picks, for ever.
-    pub async fn run(self, wanted: impl Fn(&Endpoint) -> bool) {
-        loop {
-            for (key, address) in self.ready(&wanted) {
-                let poller = self.clone();
-                monoio::spawn(async move { poller.poll(key, address).await });
-            }
-            monoio::time::sleep(POLL_TIME).await;
-        }
-    }
-
-    fn ready(&self, wanted: impl Fn(&Endpoint) -> bool) -> Vec<(endpoint::Key, SocketAddr)> {
-        let board = self.board.borrow();
-        board
-            .endpoints
-            .iter()
-            .filter(|(_, endpoint)| endpoint.record.state == State::Ready && wanted(endpoint))
-            .map(|(key, endpoint)| (key, endpoint.record.address))
-            .collect()
+    /// Starts the tasks that read and tell loads for ever.
+    pub fn start(&self) {
+        monoio::spawn(read(self.clone()));
+        monoio::spawn(tell(self.clone()));
     }
 
     async fn poll(&self, key: endpoint::Key, address: SocketAddr) {
@@ -58,9 +55,116 @@
         let Ok(load) = serde_json::from_slice(&answer.body) else {
             return;
         };
-        let now = self.clock.now();
-        if let Some(endpoint) = self.board.borrow_mut().endpoints.get_mut(key) {
+        let now = self.gossip.clock.now();
+        if let Some(endpoint) = self.gossip.board.borrow_mut().endpoints.get_mut(key) {
             endpoint.load = Some((now, load));
         }
     }
 }
+
+async fn read(poller: Poller) {
+    loop {
+        let due: Vec<_> = {
+            let board = poller.gossip.board.borrow();
+            let due = owned(&board).map(|(key, endpoint)| (key, endpoint.record.address));
+            due.collect()
+        };
+        for (key, address) in due {
+            let poller = poller.clone();
+            monoio::spawn(async move { poller.poll(key, address).await });
+        }
+        monoio::time::sleep(POLL_TIME).await;
+    }
+}
+
+/// Returns the ready endpoints whose load this VM reads.
+fn owned(board: &Board) -> impl Iterator<Item = (endpoint::Key, &Endpoint)> {
+    board.endpoints.iter().filter(|(_, endpoint)| {
+        let record = &endpoint.record;
+        record.state == State::Ready
+            && record.failure_domain == board.failure_domain
+            && relay::is_owner(board, &record.id)
+    })
+}
+
+async fn tell(poller: Poller) {
+    let gossip = &poller.gossip;
+    let mut turn = 0;
+    loop {
+        monoio::time::sleep(TELL_TIME).await;
+        turn += 1;
+        let (reports, targets) = {
+            let board = gossip.board.borrow();
+            let now = gossip.clock.now();
+            let reports: Vec<_> = owned(&board).filter_map(|(_, e)| report(e, now)).collect();
+            (reports, targets(&board, turn))
+        };
+        for chunk in reports.chunks(REPORTS_MAX) {
+            let gram = Gram::Loads(chunk.to_vec());
+            for to in &targets {
+                gossip.post(*to, &gram).await;
+            }
+        }
+    }
+}
+
+/// Returns who is told this time: all VMs of this failure domain, and a part
+/// of the others, so that each is told once in a while.
+fn targets(board: &Board, turn: usize) -> Vec<SocketAddr> {
+    let endpoints = board.endpoints.iter().count();
+    let period = endpoints.div_ceil(FAR_REPORTS).clamp(1, FAR_TIME_MAX);
+    let is_due = |vm: &str| mix(vm.as_bytes(), 0) as usize % period == turn % period;
+    board
+        .members
+        .live()
+        .filter(|member| {
+            let record = &member.record;
+            record.failure_domain == board.failure_domain || is_due(&record.vm)
+        })
+        .map(|member| member.record.address)
+        .collect()
+}
+
+fn report(endpoint: &Endpoint, now: Time) -> Option<Report> {
+    let (time, load) = endpoint.load.as_ref()?;
+    let record = &endpoint.record;
+    let narrow = |number: u32| number.min(u32::from(u16::MAX)) as u16;
+    let age = (now - *time).as_millis() as u64 + load.age_ms;
+    Some(Report {
+        endpoint: mark(&record.id),
+        in_flight: narrow(load.in_flight),
+        queued: narrow(load.queued),
+        slots: narrow(load.slots),
+        version: load.versions.get(&record.service).copied().unwrap_or(0),
+        age_ms: age.min(u64::from(u16::MAX)) as u16,
+    })
+}
+
+fn mark(id: &str) -> u32 {
+    mix(id.as_bytes(), 0) as u32
+}
+
+/// Notes what another VM tells of endpoints.
+pub(crate) fn note(board: &mut Board, now: Time, reports: &[Report]) {
+    let by_mark: Map<u32, &Report> = reports.iter().map(|r| (r.endpoint, r)).collect();
+    let known: Vec<_> = board
+        .endpoints
+        .iter()
+        .filter_map(|(key, endpoint)| Some((key, *by_mark.get(&mark(&endpoint.record.id))?)))
+        .collect();
+    for (key, report) in known {
+        let Some(endpoint) = board.endpoints.get_mut(key) else {
+            continue;
+        };
+        let service = endpoint.record.service.clone();
+        let version = (report.version > 0).then_some((service, report.version));
+        let load = Load {
+            in_flight: u32::from(report.in_flight),
+            queued: u32::from(report.queued),
+            slots: u32::from(report.slots),
+            versions: BTreeMap::from_iter(version),
+            age_ms: u64::from(report.age_ms),
+        };
+        endpoint.load = Some((now, load));
+    }
+}
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -9,7 +9,7 @@
 };
 use wire::{Answer, Ask, frame::FRAME_MAX};
 
-use crate::net;
+use crate::{fault, net};
 
 /// Why a peer gave no answer.
 #[derive(Debug, thiserror::Error)]
@@ -31,6 +31,9 @@
 ///
 /// An [`Error`] when no whole answer came.
 pub async fn ask(peer: SocketAddr, ask: &Ask, limit: Duration) -> Result<Answer, Error> {
+    if fault::is_cut_to(peer) || fault::is_cut_from(peer) {
+        return Err(Error::Timeout);
+    }
     let exchange = async {
         let mut stream = net::connect(peer, limit).await?;
         write_frame(&mut stream, wire::encode(ask)?).await?;
--- a/crates/policy/src/membership/mod.rs
+++ b/crates/policy/src/membership/mod.rs
@@ -145,6 +145,16 @@
     (orders, facts_differ || members_differ)
 }
 
+/// Greets a VM that may live at `address`.
+pub fn greet(board: &mut Board, now: Time, address: SocketAddr) -> Order {
+    let number = next_number(board);
+    let packet = compose(board, now, Purpose::Ping(number));
+    Order {
+        to: address,
+        packet,
+    }
+}
+
 /// Announces that this VM leaves.
 pub fn leave(board: &mut Board, now: Time) -> Vec<Order> {
     board.members.is_leaving = true;
--- a/crates/steward/src/run.rs
+++ b/crates/steward/src/run.rs
@@ -4,9 +4,8 @@
 
 use link::{
     StatusCode,
-    feed::Feed,
+    follow::Follower,
     http::{Limits, Reply, Request, server},
-    load::Poller,
     net, runtime,
 };
 use serde::Serialize;
@@ -53,10 +52,7 @@
     if let Some(collector) = vm.settings.collector {
         vm.telemetry.export_to(collector);
     }
-    Feed::new(vm.board.clone(), vm.platform.clone(), || {}).start();
-    let domain = vm.settings.failure_domain.clone();
-    let poller = Poller::new(vm.board.clone(), vm.pool.clone(), vm.clock);
-    monoio::spawn(poller.run(move |endpoint| endpoint.record.failure_domain == domain));
+    Follower::new(vm.board.clone(), vm.clock, vm.settings.entry).start();
 
     let job = format!("orders.{}", vm.settings.failure_domain);
     monoio::spawn(lease::hold(vm.clone(), job, |vm| &vm.orders));
--- a/crates/steward/src/settings.rs
+++ b/crates/steward/src/settings.rs
@@ -16,6 +16,7 @@
 ///     vm = "vm-1"
 ///     failure_domain = "a"
 ///     admin = "127.0.0.1:9004"
+///     entry = "127.0.0.1:9002"
 ///     platform = "127.0.0.1:9300"
 /// "#;
 /// let settings: Settings = toml::from_str(text)?;
@@ -32,6 +33,9 @@
     pub failure_domain: String,
     /// Where operators read metrics and state.
     pub admin: SocketAddr,
+    /// The address of this VM's entry daemon for peers, from which it learns
+    /// what is in force.
+    pub entry: SocketAddr,
     /// The platform.
     pub platform: SocketAddr,
     /// The collector of traces, which takes OTLP over HTTP.
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -94,6 +94,8 @@
         pub fresh_ms: Option<u32>,
         /// Whether the process knows every kind of fact.
         pub is_primed: bool,
+        /// The digest of its members.
+        pub digest: u64,
         /// What it thinks of the VMs, if that differs.
         pub members: Vec<Update>,
     }
