Test outages, cuts and publications with real processes

Six VMs in three failure domains, as processes; cuts by POST /fault on the entry daemons and by the platform's switches.

--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use link::{peer, platform::Client};
-use wire::{Answer, Ask};
+use wire::{Answer, Ask, message::Status};
 
 use crate::{command::Platform, publish::failed};
 
@@ -17,18 +17,40 @@
         vms = listed.into_iter().map(|vm| vm.address).collect();
     }
     println!(
-        "{:<22} {:<10} {:<8} {:>8} {:>6} {:>9}",
-        "peer", "vm", "domain", "revision", "keys", "endpoints"
+        "{:<22} {:<10} {:<8} {:>8} {:>6} {:>9} {:>5} {:>6} {:>9}",
+        "peer", "vm", "domain", "revision", "keys", "endpoints", "live", "relay", "keys_age"
     );
     for address in vms {
         match peer::ask(address, &Ask::Status, ASK_TIME).await {
-            Ok(Answer::Status(s)) => println!(
-                "{:<22} {:<10} {:<8} {:>8} {:>6} {:>9}",
-                address, s.vm, s.failure_domain, s.revision, s.keys, s.endpoints
-            ),
+            Ok(Answer::Status(status)) => println!("{}", line(address, &status)),
             Ok(_) => println!("{address:<22} gave another answer"),
             Err(e) => println!("{address:<22} {e}"),
         }
     }
     Ok(())
 }
+
+fn line(address: SocketAddr, s: &Status) -> String {
+    let relay = if s.is_relay { "yes" } else { "no" };
+    let age = match s.fresh_ms {
+        Some(age) => format!("{age} ms"),
+        None => "never".to_string(),
+    };
+    let isolated = if s.is_isolated {
+        " cut off: refuses keys"
+    } else {
+        ""
+    };
+    format!(
+        "{:<22} {:<10} {:<8} {:>8} {:>6} {:>9} {:>5} {:>6} {:>9}{isolated}",
+        address.to_string(),
+        s.vm,
+        s.failure_domain,
+        s.revision,
+        s.keys,
+        s.endpoints,
+        s.live,
+        relay,
+        age
+    )
+}
--- a/crates/cli/tests/docs.rs
+++ b/crates/cli/tests/docs.rs
@@ -71,7 +71,7 @@
     .unwrap();
     let steward: steward::Settings = toml::from_str(
         "vm = \"v\"\nfailure_domain = \"a\"\nadmin = \"127.0.0.1:1\"\nplatform = \"127.0.0.1:1\"\n\
-         collector = \"127.0.0.1:1\"\n",
+         entry = \"127.0.0.1:1\"\ncollector = \"127.0.0.1:1\"\n",
     )
     .unwrap();
     let known = [
--- /dev/null
+++ b/crates/cli/tests/spread/mod.rs
@@ -0,0 +1,239 @@
+//! A deployment of six VMs in three failure domains, with what tests of
+//! outages, cuts and publications need.
+
+#![allow(dead_code)]
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Command, Output},
+    time::{Duration, Instant},
+};
+
+use fakes::deployment::{Deployment, Plan};
+use link::http::client::{Call, Fetched};
+use serde_json::{Value, json};
+
+pub(crate) const DOMAINS: [&str; 3] = ["a", "b", "c"];
+pub(crate) const VMS: usize = 6;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_tarragonseam");
+const EXAMPLE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/cider-festival");
+const POLL: Duration = Duration::from_millis(50);
+/// Long enough for a busy machine.
+const WAIT: Duration = Duration::from_secs(40);
+
+pub(crate) struct Bench {
+    pub(crate) deployment: Deployment,
+}
+
+impl Bench {
+    /// Starts a deployment whose configuration is in force on every VM.
+    pub(crate) async fn start() -> Self {
+        let mut plan = Plan::new(EXAMPLE)
+            .vms(VMS, &DOMAINS)
+            .engines("tasting-notes", 3, &DOMAINS)
+            .services("entry-registry", 3, &DOMAINS);
+        for vm in &mut plan.vms {
+            vm.entry_settings = "test_faults = true\ndrain_ms = 2000\n".to_string();
+        }
+        let deployment = Deployment::start(Path::new(PROGRAM), &plan).await.unwrap();
+        let bench = Self { deployment };
+        let text = "\n[accounts.steady]\nwhen_isolated = \"serve\"\n";
+        bench.append("accounts/tarragonseam.toml", text);
+        bench.good(&["publish", &bench.tree()]);
+        bench.deployment.wait_ready().await.unwrap();
+        bench
+            .wait("the VMs to know each other", |status| {
+                status["live"].as_u64() == Some(VMS as u64)
+            })
+            .await;
+        bench
+    }
+
+    pub(crate) fn tree(&self) -> String {
+        self.deployment.tree.display().to_string()
+    }
+
+    /// Copies the operators' files.
+    pub(crate) fn copy_tree(&self, name: &str) -> PathBuf {
+        let target = self.deployment.folder.join(name);
+        copy(&self.deployment.tree, &target);
+        target
+    }
+
+    pub(crate) fn append(&self, file: &str, text: &str) {
+        append(&self.deployment.tree, file, text);
+    }
+
+    /// Runs a command of the operators' program against the platform.
+    pub(crate) fn run(&self, arguments: &[&str]) -> Output {
+        self.command(arguments).output().unwrap()
+    }
+
+    pub(crate) fn command(&self, arguments: &[&str]) -> Command {
+        let platform = format!("--platform={}", self.deployment.platform);
+        let mut command = Command::new(PROGRAM);
+        command.args(arguments).arg(platform);
+        command
+    }
+
+    pub(crate) fn good(&self, arguments: &[&str]) -> String {
+        let output = self.run(arguments);
+        assert!(output.status.success(), "{arguments:?}: {output:?}");
+        String::from_utf8(output.stdout).unwrap()
+    }
+
+    pub(crate) fn key(&self, account: &str) -> String {
+        let text = self.good(&["key", "issue", account]);
+        text.trim().to_string()
+    }
+
+    pub(crate) async fn fault(&self, switches: Value) {
+        self.post(self.deployment.platform, &switches).await;
+    }
+
+    async fn post(&self, to: SocketAddr, switches: &Value) {
+        let call = Call::post("/fault", switches.to_string());
+        let answer = self.deployment.pool.fetch(to, call).await.unwrap();
+        assert!(answer.status.is_success(), "{answer:?}");
+    }
+
+    pub(crate) fn places(&self, domain: &str) -> Vec<usize> {
+        let vms = self.deployment.vms.iter().enumerate();
+        vms.filter(|(_, vm)| vm.vm.failure_domain == domain)
+            .map(|(place, _)| place)
+            .collect()
+    }
+
+    fn peers(&self, domains: &[&str]) -> Vec<SocketAddr> {
+        let vms = self.deployment.vms.iter();
+        vms.filter(|vm| domains.contains(&vm.vm.failure_domain.as_str()))
+            .map(|vm| vm.peers)
+            .collect()
+    }
+
+    /// Cuts what failure domain `a` sends to the others, what it takes from
+    /// them, or both.
+    pub(crate) async fn cut_a(&self, to: bool, from: bool) {
+        let others = self.peers(&["b", "c"]);
+        let none = Vec::new();
+        let cuts = json!({
+            "to": if to { &others } else { &none },
+            "from": if from { &others } else { &none },
+        });
+        for place in self.places("a") {
+            self.post(self.deployment.vms[place].entry_admin, &cuts)
+                .await;
+        }
+    }
+
+    /// Sets the cuts of the VM at `place`.
+    pub(crate) async fn cut(&self, place: usize, cuts: &Value) {
+        self.post(self.deployment.vms[place].entry_admin, cuts)
+            .await;
+    }
+
+    /// Cuts the VMs of failure domain `a` off from the platform.
+    pub(crate) async fn cut_a_from_platform(&self) {
+        let vms = self.places("a").into_iter();
+        let ids: Vec<_> = vms.map(|place| &self.deployment.vms[place].vm.id).collect();
+        self.fault(json!({ "cut": ids })).await;
+    }
+
+    pub(crate) async fn ask(&self, place: usize, key: &str) -> Fetched {
+        let body = json!({ "prompt": "a still cider", "max_tokens": 1 }).to_string();
+        let call = Call::post("/v1/models/tasting-notes/generate", body)
+            .header("authorization", format!("Bearer {key}"))
+            .deadline(Duration::from_secs(20));
+        self.fetch(place, call).await
+    }
+
+    /// Sends a call that does no harm when it is sent twice: a kept connection
+    /// may be that of a process that was killed.
+    async fn fetch(&self, place: usize, call: Call) -> Fetched {
+        let callers = self.deployment.vms[place].callers;
+        match self.deployment.pool.fetch(callers, call.clone()).await {
+            Ok(answer) => answer,
+            Err(_) => self.deployment.pool.fetch(callers, call).await.unwrap(),
+        }
+    }
+
+    pub(crate) async fn look_up(&self, place: usize) -> Fetched {
+        let call = Call::get("/entries/4711").deadline(Duration::from_secs(20));
+        self.fetch(place, call).await
+    }
+
+    /// Waits until the VMs in `places` answer a request with `key` by `status`.
+    pub(crate) async fn wait_answer(&self, places: &[usize], key: &str, status: u16) {
+        for place in places {
+            let start = Instant::now();
+            loop {
+                let answer = self.ask(*place, key).await;
+                if answer.status == status {
+                    break;
+                }
+                assert!(start.elapsed() < WAIT, "{place}: {answer:?}");
+                monoio::time::sleep(POLL).await;
+            }
+        }
+    }
+
+    pub(crate) async fn status(&self, place: usize) -> Option<Value> {
+        let admin = self.deployment.vms[place].entry_admin;
+        let answer = self
+            .deployment
+            .pool
+            .fetch(admin, Call::get("/status"))
+            .await;
+        serde_json::from_slice(&answer.ok()?.body).ok()
+    }
+
+    /// Waits until the status of every VM is as `wanted`.
+    pub(crate) async fn wait(&self, what: &str, wanted: impl Fn(&Value) -> bool) {
+        for place in 0..VMS {
+            let start = Instant::now();
+            loop {
+                let status = self.status(place).await;
+                if status.as_ref().is_some_and(&wanted) {
+                    break;
+                }
+                assert!(start.elapsed() < WAIT, "{what}: {place}: {status:?}");
+                monoio::time::sleep(POLL).await;
+            }
+        }
+    }
+}
+
+pub(crate) fn append(tree: &Path, file: &str, text: &str) {
+    let path = tree.join(file);
+    let before = fs::read_to_string(&path).unwrap();
+    fs::write(path, format!("{before}{text}")).unwrap();
+}
+
+fn copy(from: &Path, to: &Path) {
+    fs::create_dir_all(to).unwrap();
+    for entry in fs::read_dir(from).unwrap() {
+        let path = entry.unwrap().path();
+        let target = to.join(path.file_name().unwrap());
+        if path.is_dir() {
+            copy(&path, &target);
+        } else {
+            fs::copy(&path, &target).unwrap();
+        }
+    }
+}
+
+/// Asserts that a request was refused as not run, with when to come back.
+pub(crate) fn assert_not_run(answer: &Fetched, code: &str) {
+    assert_eq!(answer.status, 503, "{answer:?}");
+    let text = String::from_utf8_lossy(&answer.body);
+    assert!(text.contains(code), "{text}");
+    assert!(text.contains("not-run"), "{text}");
+    assert!(answer.headers.contains_key("retry-after"), "{answer:?}");
+}
+
+pub(crate) fn all() -> Vec<usize> {
+    (0..VMS).collect()
+}
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -4,6 +4,10 @@
 
 use board::endpoint::Endpoint;
 use link::gossip::Source;
+use policy::{
+    isolation::{self, View},
+    relay,
+};
 use wire::{Answer, Ask, message::Status};
 
 use crate::{explain, vm::Vm};
@@ -37,6 +41,10 @@
             revision: board.revision,
             keys: board.keys.len() as u64,
             endpoints: board.endpoints.iter().count() as u64,
+            live: 1 + board.members.live().count() as u64,
+            is_relay: relay::is_relay(&board),
+            fresh_ms: vm.gossip.fresh_ms(),
+            is_isolated: isolation::view(&board, vm.now()) == View::Isolated,
         }),
         Ask::Sync { buckets, members } => Answer::Facts(vm.gossip.facts(buckets, *members)),
         Ask::Parts(digests) => {
--- a/crates/entry/src/vm.rs
+++ b/crates/entry/src/vm.rs
@@ -56,7 +56,7 @@
         let board = Rc::new(RefCell::new(board));
         let clock = Clock::default();
         Ok(Rc::new(Self {
-            gossip: Gossip::open(board.clone(), clock, settings.peers)?,
+            gossip: Gossip::open(board.clone(), clock, settings.peers, &telemetry)?,
             board,
             clock,
             pool: Pool::new(Limits::new()),
--- a/crates/link/src/gossip.rs
+++ b/crates/link/src/gossip.rs
@@ -21,7 +21,7 @@
 };
 use wire::{Answer, Ask, Gram, gram::GRAM_MAX, message::Facts};
 
-use crate::{clock::Clock, fault, load, peer, platform};
+use crate::{clock::Clock, fault, load, peer, platform, telemetry::Telemetry, traffic::Traffic};
 
 const TICK_TIME: Duration = Duration::from_millis(50);
 const ASK_TIME: Duration = Duration::from_secs(2);
@@ -48,6 +48,7 @@
     pub(crate) clock: Clock,
     socket: Rc<UdpSocket>,
     config: membership::Config,
+    traffic: Rc<Traffic>,
     is_primed: Rc<Cell<bool>>,
     is_pulling: Rc<Cell<bool>>,
     next_pull: Rc<Cell<Time>>,
@@ -60,7 +61,12 @@
     /// # Errors
     ///
     /// The error of the socket.
-    pub fn open(board: Rc<RefCell<Board>>, clock: Clock, address: SocketAddr) -> io::Result<Self> {
+    pub fn open(
+        board: Rc<RefCell<Board>>,
+        clock: Clock,
+        address: SocketAddr,
+        telemetry: &Telemetry,
+    ) -> io::Result<Self> {
         let socket = UdpSocket::bind(address)?;
         board.borrow_mut().members.me.address = address;
         Ok(Self {
@@ -68,6 +74,7 @@
             clock,
             socket: Rc::new(socket),
             config: membership::Config::new(),
+            traffic: Rc::new(Traffic::new(telemetry)),
             is_primed: Rc::default(),
             is_pulling: Rc::default(),
             next_pull: Rc::default(),
@@ -130,18 +137,24 @@
         false
     }
 
+    /// Returns how long ago the keys were known to be complete, in
+    /// milliseconds.
+    pub fn fresh_ms(&self) -> Option<u32> {
+        let age = |time: Time| (self.clock.now() - time).as_millis() as u32;
+        self.board.borrow().members.fresh.map(age)
+    }
+
     /// Answers a pull.
     pub fn facts(&self, buckets: &[u64], members: u64) -> Facts {
         let board = self.board.borrow();
         let items = board.shared.differing(buckets, PULL_ITEMS);
-        let age = |time: Time| (self.clock.now() - time).as_millis() as u32;
         let opinions = || membership::opinions(&board);
         let digest = board.members.digest();
         let differs = digest != members;
         Facts {
             has_more: items.len() == PULL_ITEMS,
             items,
-            fresh_ms: board.members.fresh.map(age),
+            fresh_ms: self.fresh_ms(),
             is_primed: self.is_primed(),
             digest,
             members: if differs { opinions() } else { Vec::new() },
@@ -154,6 +167,7 @@
             return;
         };
         if bytes.len() <= GRAM_MAX && !fault::is_cut_to(to) {
+            self.traffic.sent(gram, bytes.len());
             // A datagram that is not sent is one that is lost.
             let _ = self.socket.send_to(bytes, to).await;
         }
@@ -204,6 +218,8 @@
         let Ok(Answer::Facts(facts)) = peer::ask(from, &ask, ASK_TIME).await else {
             return false;
         };
+        self.traffic
+            .pulled(wire::encode(&facts).map_or(0, |bytes| bytes.len()));
         let now = self.clock.now();
         for opinion in facts.members {
             membership::note(&mut self.board.borrow_mut(), now, opinion);
@@ -227,7 +243,11 @@
         if fault::is_cut_from(from) {
             continue;
         }
-        match wire::decode::<Gram>(&buffer[..length]) {
+        let gram = wire::decode::<Gram>(&buffer[..length]);
+        if let Ok(gram) = &gram {
+            gossip.traffic.received(gram, length);
+        }
+        match gram {
             Ok(Gram::Member(packet)) => {
                 let received = membership::receive(
                     &mut gossip.board.borrow_mut(),
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod runtime;
 pub mod settings;
 pub mod telemetry;
+pub(crate) mod traffic;
 
 pub use ::http::{HeaderMap, Method, StatusCode};
 pub use bytes::Bytes;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -69,6 +69,14 @@
         pub keys: u64,
         /// How many endpoints are known.
         pub endpoints: u64,
+        /// How many VMs are thought to live, itself included.
+        pub live: u64,
+        /// Whether it watches the platform for its failure domain.
+        pub is_relay: bool,
+        /// How long ago its keys were known to be complete, in milliseconds.
+        pub fresh_ms: Option<u32>,
+        /// Whether it refuses keys because it is cut off.
+        pub is_isolated: bool,
     }
 }
 
