--- a/crates/board/src/blackboard.rs
+++ b/crates/board/src/blackboard.rs
@@ -9,7 +9,7 @@
     endpoint,
     hash::Map,
     key::{Digest, Grant},
-    member, shared, ticket,
+    member, service, shared, ticket,
     usage::Ledger,
 };
 
@@ -46,6 +46,8 @@
     pub shared: shared::Store,
     /// The VMs known.
     pub members: member::Table,
+    /// What was observed of each service.
+    pub services: service::Table,
     /// Requests that wait or run on this VM.
     pub tickets: ticket::Table,
     /// Usage measured here.
@@ -72,6 +74,7 @@
                 address: NO_ADDRESS,
                 incarnation: seed,
             }),
+            services: service::Table::default(),
             tickets: ticket::Table::default(),
             usage: Ledger::default(),
             rng: SmallRng::seed_from_u64(seed),
@@ -89,6 +92,15 @@
         true
     }
 
+    /// Returns what was observed of the service `name`, to change it.
+    pub fn service(&mut self, name: &str) -> &mut service::Service {
+        if !self.services.contains_key(name) {
+            self.services
+                .insert(name.into(), service::Service::default());
+        }
+        self.services.entry(name.into()).or_default()
+    }
+
     /// Notes what is known of a key. A withdrawal is never undone.
     pub fn note_key(&mut self, digest: Digest, grant: Grant) {
         let known = self.keys.entry(digest).or_insert_with(|| grant.clone());
--- a/crates/board/src/hash.rs
+++ b/crates/board/src/hash.rs
@@ -26,3 +26,6 @@
     hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     hash ^ (hash >> 31)
 }
+
+/// The hasher behind them, the same on every VM.
+pub type Hasher = rustc_hash::FxHasher;
--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -4,14 +4,17 @@
 //! Nothing here does I/O or reads a clock.
 
 pub mod blackboard;
+pub mod budget;
 pub mod config;
 pub mod endpoint;
 pub mod hash;
+pub mod histogram;
 pub mod key;
 pub mod lease;
 pub mod lot;
 pub mod member;
 mod record;
+pub mod service;
 pub mod shared;
 pub mod ticket;
 pub mod time;
