demo: stand ready for the signal before the first process is started

demo_interrupted failed once beside other builds: the signal came while the first processes were being started, before the handler stood, so the demo died and left its processes behind. The select now polls the signal first. The test passed five times in a row after that; the race was not brought about on purpose.

--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -19,14 +19,16 @@
 /// Brings the deployment up, uses it, prints a table and stops everything.
 pub(crate) async fn run(tree: &Path) -> miette::Result<()> {
     monoio::select! {
-        done = monoio::time::timeout(RUN_TIME, whole(tree)) => match done {
-            Ok(result) => result,
-            Err(_) => Err(Failed::new("the demo took too long", "run it on an idle machine").into()),
-        },
+        // The signal's handler must stand before the first process is started.
+        biased;
         stopped = link::runtime::stop_signal() => {
             stopped.into_diagnostic()?;
             Err(Failed::new("stopped", "everything that was started is stopped too").into())
         }
+        done = monoio::time::timeout(RUN_TIME, whole(tree)) => match done {
+            Ok(result) => result,
+            Err(_) => Err(Failed::new("the demo took too long", "run it on an idle machine").into()),
+        },
     }
 }
 
--- a/crates/fakes/src/bin/tarragonseam-swarm.rs
+++ b/crates/fakes/src/bin/tarragonseam-swarm.rs
@@ -15,7 +15,10 @@
     shared::{Fact, Item},
 };
 use clap::Parser;
-use link::http::client::Call;
+use link::{
+    http::client::Call,
+    platform::{Client, When},
+};
 use serde::Serialize;
 use serde_json::{Value, json};
 use tarragonseam_fakes::{
@@ -69,8 +72,11 @@
     quiet_core: f64,
     /// Memory of one VM, in bytes.
     memory_bytes: f64,
-    /// From a change at one relay to all VMs, in milliseconds.
+    /// From the acceptance of a withdrawal, told to no VM by the command, to
+    /// all VMs, in milliseconds.
     withdrawal_ms: Vec<u64>,
+    /// From the start of a publication, with the command's own time, to all
+    /// VMs, in milliseconds.
     configuration_ms: Vec<u64>,
     /// From a crash to all VMs thinking so, in milliseconds.
     crash_ms: Option<u64>,
@@ -298,29 +304,41 @@
         row.detail
             .insert(format!("platform calls a minute {kind}"), json!(rate));
     }
+    let platform = Client::new(deployment.platform, "experiment");
     for revision in 2..7_u64 {
         let file = deployment.tree.join("accounts/tarragonseam.toml");
         let text = fs::read_to_string(&file).unwrap_or_default();
         let text = format!("{text}\n[accounts.next-{revision}]\n");
         fs::write(&file, text).expect("a file");
-        run(&["publish", &tree]);
         let start = Instant::now();
+        run(&["publish", &tree]);
         wait(&deployment, |status| status["revision"] == revision).await;
         row.configuration_ms
             .push(start.elapsed().as_millis() as u64);
         let key = run(&["key", "issue", "panel-nord"]);
         wait(&deployment, |status| status["keys"] == revision - 1).await;
-        let key = key.trim();
-        run(&["key", "withdraw", key]);
+        withdraw(&platform, key.trim()).await;
         let start = Instant::now();
         for vm in &deployment.vms {
-            while answer(&deployment, vm.callers, key).await != 401 {}
+            while answer(&deployment, vm.callers, key.trim()).await != 401 {}
         }
         row.withdrawal_ms.push(start.elapsed().as_millis() as u64);
     }
     row
 }
 
+/// Marks a key as withdrawn at the platform without telling any VM.
+async fn withdraw(platform: &Client, key: &str) {
+    let name = Digest::of(key).to_string();
+    let (version, grant) = platform.read::<Grant>("key", &name).await.expect("a key");
+    let next = Grant {
+        withdrawn: true,
+        ..grant
+    };
+    let written = platform.write("key", &name, When::At(version), &next);
+    written.await.expect("a withdrawal");
+}
+
 async fn answer(deployment: &Deployment, callers: std::net::SocketAddr, key: &str) -> u16 {
     let body = json!({ "prompt": "a still cider", "max_tokens": 1 }).to_string();
     let call = Call::post("/v1/models/tasting-notes/generate", body)
