--- a/crates/policy/src/isolation.rs
+++ b/crates/policy/src/isolation.rs
@@ -48,7 +48,7 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use tarragonseam_board::{Board, Time, config::Isolated};
+/// use board::{Board, Time, config::Isolated};
 /// use tarragonseam_policy::isolation;
 ///
 /// let mut board = Board::new("vm-1", "a", 1);
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -12,7 +12,7 @@
 /// # Examples
 ///
 /// ```
-/// use tarragonseam_board::Board;
+/// use board::Board;
 /// use tarragonseam_policy::relay;
 ///
 /// // A VM that knows no other has to watch itself.
