--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,11 +8,15 @@
 pub mod admission;
 pub mod call;
 pub mod capacity;
+pub mod dissemination;
 pub mod fairness;
 pub mod health;
 pub mod hedge;
+pub mod isolation;
 pub mod lease;
 pub mod limit;
+pub mod membership;
+pub mod relay;
 pub mod retry;
 pub mod routing;
 pub mod weights;
