--- a/crates/board/src/key.rs
+++ b/crates/board/src/key.rs
@@ -28,7 +28,12 @@
 impl Digest {
     /// Returns the digest of `secret`.
     pub fn of(secret: &str) -> Self {
-        Self(Sha256::digest(secret.as_bytes()).into())
+        Self::of_bytes(secret.as_bytes())
+    }
+
+    /// Returns the digest of `bytes`, such as the content of a lot.
+    pub fn of_bytes(bytes: &[u8]) -> Self {
+        Self(Sha256::digest(bytes).into())
     }
 }
 
--- a/crates/board/src/lot.rs
+++ b/crates/board/src/lot.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use crate::key::Digest;
+
 crate::record! {
     /// The name of one sample. The same name always means the same place in
     /// the same step.
@@ -75,7 +77,7 @@
 }
 
 crate::record! {
-    /// A sealed lot.
+    /// The whole content of a lot, as a trainer draws it.
     pub struct Lot {
         /// The trainer.
         pub trainer: String,
@@ -88,6 +90,63 @@
     }
 }
 
+crate::record! {
+    /// What the platform keeps of a sealed lot. It is written once, and its
+    /// digest fixes the content.
+    pub struct Manifest {
+        /// The trainer.
+        pub trainer: String,
+        /// The lot's number, counted over all steps.
+        pub number: u64,
+        /// The step that it belongs to.
+        pub step: u64,
+        /// The newest version of the weights when the lot was sealed, against
+        /// which the staleness of each sample was checked.
+        pub newest_version: u64,
+        /// The samples, without their tokens.
+        pub samples: Vec<Entry>,
+        /// SHA-256 of the content.
+        pub digest: Digest,
+        /// Length of the content in bytes.
+        pub bytes: u64,
+        /// Where the content is.
+        pub content: Content,
+    }
+}
+
+crate::record! {
+    /// One sample in a [`Manifest`].
+    pub struct Entry {
+        /// Its name.
+        pub id: Id,
+        /// Which versions produced its tokens.
+        pub spans: Vec<Span>,
+    }
+}
+
+crate::record! {
+    /// Where the content of a lot is.
+    #[serde(rename_all = "kebab-case")]
+    pub enum Content {
+        /// In the manifest itself.
+        Inline(String),
+        /// In objects of the platform, in this order.
+        Objects(Vec<Digest>),
+        /// On the disks of these VMs, whole on each.
+        Disks(Vec<String>),
+    }
+}
+
+crate::record! {
+    /// Who produces a lot. The epoch grows with each change of the owner.
+    pub struct Claim {
+        /// The VM.
+        pub owner: String,
+        /// Counts the owners.
+        pub epoch: u64,
+    }
+}
+
 crate::record! {
     /// The prompts of one step.
     pub struct Step {
--- /dev/null
+++ b/crates/policy/src/claim.rs
@@ -0,0 +1,88 @@
+//! Which VM produces a lot, and when another takes it over.
+//!
+//! Every VM orders the live VMs by rendezvous hash for each lot. The first one
+//! produces; the next few guard it by asking those before them whether they
+//! still produce. A guard that hears nothing for its whole patience takes the
+//! claim over by a conditional write that raises the epoch.
+//!
+//! Ownership saves work and is never relied on for safety: a frozen owner that
+//! wakes after a takeover may finish its samples, but the lot is sealed by one
+//! create-if-absent, and the loser takes what stands.
+
+use std::time::Duration;
+
+use board::{Time, hash, lot::Claim};
+
+/// How long an owner may be silent before the first guard takes over.
+pub const SILENCE_MAX: Duration = Duration::from_secs(4);
+
+/// How many VMs care for one lot: its owner and its guards.
+pub const CANDIDATES: usize = 3;
+
+/// Returns the VMs that care for `lot`, the one that should produce it first.
+///
+/// # Examples
+///
+/// ```
+/// use tarragonseam_policy::claim;
+///
+/// let order = claim::candidates(["vm-1", "vm-2", "vm-3", "vm-4"], "notes.7");
+/// assert_eq!(order.len(), claim::CANDIDATES);
+/// let again = claim::candidates(["vm-4", "vm-3", "vm-2", "vm-1"], "notes.7");
+/// assert_eq!(order, again);
+/// ```
+pub fn candidates<'a>(vms: impl IntoIterator<Item = &'a str>, lot: &str) -> Vec<&'a str> {
+    let mut order: Vec<_> = vms.into_iter().collect();
+    order.sort_by_key(|vm| (std::cmp::Reverse(hash::of(&(*vm, lot))), *vm));
+    order.truncate(CANDIDATES);
+    order
+}
+
+/// What one VM knows of a lot that it guards.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Guard {
+    heard: Time,
+}
+
+/// What to do about a lot that is not sealed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Duty {
+    /// Claim and produce it.
+    Produce,
+    /// Ask the VMs before this one whether they produce it.
+    Ask,
+    /// Nothing.
+    Nothing,
+}
+
+impl Guard {
+    /// Returns a guard that starts at `now`.
+    pub fn new(now: Time) -> Self {
+        Self { heard: now }
+    }
+
+    /// Notes that another VM produces the lot.
+    pub fn hear(&mut self, now: Time) {
+        self.heard = now;
+    }
+
+    /// Returns what the VM with this `rank` among the candidates does now.
+    /// Each rank is more patient than the one before, so that guards rarely
+    /// take over at once.
+    pub fn duty(&self, rank: Option<usize>, now: Time) -> Duty {
+        match rank {
+            None => Duty::Nothing,
+            Some(0) => Duty::Produce,
+            Some(rank) if now - self.heard >= SILENCE_MAX * rank as u32 => Duty::Produce,
+            Some(_) => Duty::Ask,
+        }
+    }
+}
+
+/// Returns the claim to write over `found` for `owner`.
+pub fn next(found: Option<&Claim>, owner: &str) -> Claim {
+    Claim {
+        owner: owner.to_string(),
+        epoch: found.map_or(0, |claim| claim.epoch) + 1,
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,8 +8,12 @@
 pub mod admission;
 pub mod call;
 pub mod capacity;
+pub mod claim;
 pub mod fairness;
 pub mod health;
 pub mod lease;
+pub mod lot;
 pub mod routing;
+pub mod staleness;
+pub mod straggler;
 pub mod weights;
