--- /dev/null
+++ b/crates/entry/src/bulk/disk.rs
@@ -0,0 +1,243 @@
+//! The folder for bulk data on a VM that has a disk.
+//!
+//! A file is written under a temporary name, checked against its digest,
+//! flushed, renamed, and the folder flushed; only then is it acknowledged. A
+//! crash leaves the whole file or a temporary one, which the next start
+//! removes. Calls to the file system run on a thread of their own, so that a
+//! slow flush stalls no stream.
+
+use std::{
+    fs::{self, File, OpenOptions},
+    io::{self, Read, Seek, SeekFrom, Write},
+    path::{Path, PathBuf},
+    sync::mpsc,
+    thread,
+    time::Duration,
+};
+
+use board::key::Digest;
+use wire::message::{self, Chunk, Piece};
+
+/// Why the disk did not do what it was asked for.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The folder cannot be used.
+    #[error("cannot use {folder} as folder for bulk data: {source}")]
+    Folder {
+        /// The folder.
+        folder: PathBuf,
+        /// What the file system says.
+        source: io::Error,
+    },
+    /// The file system failed, for example because it is full.
+    #[error("disk: {0}")]
+    Io(#[from] io::Error),
+    /// Pieces did not come in order.
+    #[error("piece at {found}, expected at {expected}")]
+    Order {
+        /// Where the piece starts.
+        found: u64,
+        /// Where the file ends so far.
+        expected: u64,
+    },
+    /// The content does not have the digest in its name.
+    #[error("the content does not have its digest")]
+    Digest,
+    /// The name of a trainer that cannot be part of a file name.
+    #[error("not a name of a file")]
+    Name,
+    /// The thread of the disk is gone.
+    #[error("the disk has stopped")]
+    Stopped,
+}
+
+type Job = Box<dyn FnOnce(&Path) + Send>;
+
+/// A folder and the thread that works on it.
+#[derive(Debug)]
+pub struct Disk {
+    jobs: mpsc::Sender<Job>,
+}
+
+const TEMPORARY: &str = "tmp";
+const POLL_TIME: Duration = Duration::from_millis(1);
+
+impl Disk {
+    /// Opens `folder`, creates it when it does not exist, and removes what a
+    /// crash left unfinished.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Folder`] when the folder cannot be used.
+    pub fn open(folder: &Path) -> Result<Self, Error> {
+        prepare(folder).map_err(|source| Error::Folder {
+            folder: folder.to_owned(),
+            source,
+        })?;
+        let (jobs, queue) = mpsc::channel::<Job>();
+        let folder = folder.to_owned();
+        thread::spawn(move || {
+            for job in queue {
+                job(&folder);
+            }
+        });
+        Ok(Self { jobs })
+    }
+
+    /// Keeps a piece of a file. After the last piece the file is durable.
+    ///
+    /// # Errors
+    ///
+    /// An [`Error`], after which the unfinished file is gone and may be sent
+    /// again from its start.
+    pub async fn store(&self, chunk: Chunk) -> Result<(), Error> {
+        self.run(move |folder| store(folder, &chunk)).await
+    }
+
+    /// Reads a piece of a file.
+    ///
+    /// # Errors
+    ///
+    /// An [`Error`] when the file is not here.
+    pub async fn load(&self, piece: Piece) -> Result<Vec<u8>, Error> {
+        self.run(move |folder| load(folder, &piece)).await
+    }
+
+    /// Returns the files of the folder.
+    ///
+    /// # Errors
+    ///
+    /// An [`Error`] when the folder cannot be read.
+    pub async fn list(&self) -> Result<Vec<message::File>, Error> {
+        self.run(list).await
+    }
+
+    /// Removes a file; one that is not there is no error.
+    ///
+    /// # Errors
+    ///
+    /// An [`Error`] when the file cannot be removed.
+    pub async fn remove(&self, file: message::File) -> Result<(), Error> {
+        let job = move |folder: &Path| match fs::remove_file(path(folder, &file)?) {
+            Err(e) if e.kind() != io::ErrorKind::NotFound => Err(e.into()),
+            _ => Ok(()),
+        };
+        self.run(job).await
+    }
+
+    async fn run<T: Send + 'static>(
+        &self,
+        job: impl FnOnce(&Path) -> Result<T, Error> + Send + 'static,
+    ) -> Result<T, Error> {
+        let (sender, receiver) = mpsc::channel();
+        let job: Job = Box::new(move |folder| {
+            // A receiver that is gone has lost interest.
+            let _ = sender.send(job(folder));
+        });
+        self.jobs.send(job).map_err(|_| Error::Stopped)?;
+        loop {
+            match receiver.try_recv() {
+                Ok(result) => return result,
+                Err(mpsc::TryRecvError::Disconnected) => return Err(Error::Stopped),
+                // The runtime is not woken by other threads, so it looks again.
+                Err(mpsc::TryRecvError::Empty) => monoio::time::sleep(POLL_TIME).await,
+            }
+        }
+    }
+}
+
+fn prepare(folder: &Path) -> io::Result<()> {
+    fs::create_dir_all(folder)?;
+    for entry in fs::read_dir(folder)? {
+        let path = entry?.path();
+        if path.extension().is_some_and(|kind| kind == TEMPORARY) {
+            fs::remove_file(path)?;
+        }
+    }
+    Ok(())
+}
+
+fn path(folder: &Path, file: &message::File) -> Result<PathBuf, Error> {
+    let message::File {
+        trainer,
+        lot,
+        digest,
+    } = file;
+    let is_plain = |c: char| c.is_ascii_alphanumeric() || "-_".contains(c);
+    if trainer.is_empty() || !trainer.chars().all(is_plain) {
+        return Err(Error::Name);
+    }
+    Ok(folder.join(format!("{trainer}.{lot}.{digest}")))
+}
+
+fn parse(name: &str) -> Option<message::File> {
+    let mut parts = name.split('.');
+    let file = message::File {
+        trainer: parts.next()?.to_string(),
+        lot: parts.next()?.parse().ok()?,
+        digest: parts.next()?.parse().ok()?,
+    };
+    parts.next().is_none().then_some(file)
+}
+
+fn list(folder: &Path) -> Result<Vec<message::File>, Error> {
+    let mut files = Vec::new();
+    for entry in fs::read_dir(folder)? {
+        files.extend(entry?.file_name().to_str().and_then(parse));
+    }
+    Ok(files)
+}
+
+fn store(folder: &Path, chunk: &Chunk) -> Result<(), Error> {
+    let target = path(folder, &chunk.file)?;
+    if target.exists() {
+        return Ok(());
+    }
+    let writer = board::hash::of(&chunk.writer);
+    let temporary = PathBuf::from(format!("{}.{writer:x}.{TEMPORARY}", target.display()));
+    let result = append(&temporary, chunk).and_then(|is_whole| match is_whole {
+        true => finish(folder, &temporary, &target, &chunk.file.digest),
+        false => Ok(()),
+    });
+    if result.is_err() {
+        // Room on a full disk matters more than why this fails too.
+        let _ = fs::remove_file(&temporary);
+    }
+    result
+}
+
+fn append(temporary: &Path, chunk: &Chunk) -> Result<bool, Error> {
+    let mut options = OpenOptions::new();
+    options.write(true).create(true);
+    let mut file = match chunk.offset {
+        0 => options.truncate(true).open(temporary)?,
+        _ => options.truncate(false).open(temporary)?,
+    };
+    let expected = file.metadata()?.len();
+    if expected != chunk.offset {
+        let found = chunk.offset;
+        return Err(Error::Order { found, expected });
+    }
+    file.seek(SeekFrom::Start(chunk.offset))?;
+    file.write_all(&chunk.bytes)?;
+    Ok(chunk.offset + chunk.bytes.len() as u64 >= chunk.total)
+}
+
+fn finish(folder: &Path, temporary: &Path, target: &Path, digest: &Digest) -> Result<(), Error> {
+    let content = fs::read(temporary)?;
+    if Digest::of_bytes(&content) != *digest {
+        return Err(Error::Digest);
+    }
+    File::open(temporary)?.sync_all()?;
+    fs::rename(temporary, target)?;
+    File::open(folder)?.sync_all()?;
+    Ok(())
+}
+
+fn load(folder: &Path, piece: &Piece) -> Result<Vec<u8>, Error> {
+    let mut file = File::open(path(folder, &piece.file)?)?;
+    file.seek(SeekFrom::Start(piece.offset))?;
+    let mut bytes = Vec::new();
+    file.take(u64::from(piece.length)).read_to_end(&mut bytes)?;
+    Ok(bytes)
+}
--- /dev/null
+++ b/crates/entry/src/bulk/mod.rs
@@ -0,0 +1,190 @@
+//! Bulk data: the contents of lots on the disks of other VMs.
+//!
+//! The content of a lot stands whole on two disks in two failure domains
+//! before the lot is sealed. It is named by its digest and checked by whoever
+//! reads it, so a damaged copy is only a reason to read the other one.
+
+pub mod disk;
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use board::{hash, key::Digest};
+use link::{Bytes, peer, platform};
+use wire::{
+    Answer, Ask,
+    message::{Chunk, File, Piece},
+};
+
+use crate::{rollout, vm::Vm};
+
+/// The largest piece of a file in one message, in bytes.
+const PIECE_BYTES: usize = 1024 * 1024;
+const PIECE_TIME: Duration = Duration::from_secs(10);
+const DISK_ASK_TIME: Duration = Duration::from_millis(500);
+const PIECE_MAX: u32 = 2 * 1024 * 1024;
+
+/// Copies of each file, in as many failure domains.
+const COPIES: usize = 2;
+
+/// Keeps a piece that a peer sent.
+pub(crate) async fn store(vm: &Rc<Vm>, chunk: Chunk) -> Answer {
+    let Some(disk) = &vm.disk else {
+        return Answer::Refused("no disk here".to_string());
+    };
+    match disk.store(chunk).await {
+        Ok(()) => Answer::Stored,
+        Err(e) => {
+            let error = e.to_string();
+            vm.metrics.bulk("store-failed");
+            spdlog::error!("bulk data not stored", kv: { error = error.as_str() });
+            Answer::Refused(error)
+        }
+    }
+}
+
+/// Reads a piece for a peer.
+pub(crate) async fn load(vm: &Rc<Vm>, mut piece: Piece) -> Answer {
+    let Some(disk) = &vm.disk else {
+        return Answer::Refused("no disk here".to_string());
+    };
+    piece.length = piece.length.min(PIECE_MAX);
+    match disk.load(piece).await {
+        Ok(bytes) => Answer::Piece(bytes),
+        Err(e) => Answer::Refused(e.to_string()),
+    }
+}
+
+/// Puts `content` on disks in different failure domains and returns their VMs,
+/// or `None` when there are not enough that take it.
+pub(crate) async fn spread(vm: &Rc<Vm>, file: &File, content: &[u8]) -> Option<Vec<String>> {
+    let mut places: Vec<platform::Vm> = Vec::new();
+    for candidate in candidates(vm, file).await {
+        let is_new_domain = |known: &platform::Vm| known.failure_domain != candidate.failure_domain;
+        if !places.iter().all(is_new_domain) {
+            continue;
+        }
+        if send(vm, candidate.address, file, content).await {
+            places.push(candidate);
+        }
+        if places.len() == COPIES {
+            return Some(places.into_iter().map(|vm| vm.id).collect());
+        }
+    }
+    None
+}
+
+/// Returns the VMs with a disk in the order in which `file` prefers them.
+async fn candidates(vm: &Rc<Vm>, file: &File) -> Vec<platform::Vm> {
+    let mut found = Vec::new();
+    for other in rollout::vms(vm).await {
+        if has_disk(vm, &other).await {
+            found.push(other);
+        }
+    }
+    found.sort_by_key(|other| hash::of(&(&other.id, &file.digest)));
+    found
+}
+
+async fn has_disk(vm: &Rc<Vm>, other: &platform::Vm) -> bool {
+    if let Some(known) = vm.rollouts.disks.borrow().get(&other.id) {
+        return *known;
+    }
+    let answer = peer::ask(other.address, &Ask::Disk, DISK_ASK_TIME).await;
+    // A VM that does not answer now may do so later.
+    let Ok(Answer::Disk(has_disk)) = answer else {
+        return false;
+    };
+    let mut disks = vm.rollouts.disks.borrow_mut();
+    disks.insert(other.id.clone(), has_disk);
+    has_disk
+}
+
+async fn send(vm: &Rc<Vm>, to: SocketAddr, file: &File, content: &[u8]) -> bool {
+    let writer = vm.request_id();
+    let mut offset = 0;
+    for bytes in content.chunks(PIECE_BYTES) {
+        let chunk = Chunk {
+            file: file.clone(),
+            writer: writer.clone(),
+            offset,
+            total: content.len() as u64,
+            bytes: bytes.to_vec(),
+        };
+        offset += bytes.len() as u64;
+        let answer = peer::ask(to, &Ask::Store(chunk), PIECE_TIME).await;
+        if !matches!(answer, Ok(Answer::Stored)) {
+            vm.metrics.bulk("copy-failed");
+            return false;
+        }
+    }
+    vm.metrics.bulk("copied");
+    true
+}
+
+/// Reads a file from the first of `places` whose copy is whole.
+pub(crate) async fn fetch(
+    vm: &Rc<Vm>,
+    file: &File,
+    bytes: u64,
+    places: &[String],
+) -> Option<Bytes> {
+    let vms = rollout::vms(vm).await;
+    for place in places {
+        let Some(other) = vms.iter().find(|other| other.id == *place) else {
+            continue;
+        };
+        let Some(content) = receive(other.address, file, bytes).await else {
+            continue;
+        };
+        if Digest::of_bytes(&content) == file.digest {
+            return Some(content.into());
+        }
+        vm.metrics.bulk("damaged");
+        let place = place.as_str();
+        spdlog::error!("copy of bulk data damaged", kv: { place });
+    }
+    None
+}
+
+async fn receive(from: SocketAddr, file: &File, total: u64) -> Option<Vec<u8>> {
+    let mut content = Vec::new();
+    while (content.len() as u64) < total {
+        let piece = Piece {
+            file: file.clone(),
+            offset: content.len() as u64,
+            length: PIECE_BYTES as u32,
+        };
+        match peer::ask(from, &Ask::Load(piece), PIECE_TIME).await {
+            Ok(Answer::Piece(bytes)) if !bytes.is_empty() => content.extend_from_slice(&bytes),
+            _ => return None,
+        }
+    }
+    Some(content)
+}
+
+const SWEEP_TIME: Duration = Duration::from_secs(60);
+/// Lots behind the acknowledged one whose content is kept.
+const KEPT_LOTS: u64 = 4;
+
+/// Removes files of lots that their trainer has left behind, for ever.
+pub(crate) async fn sweep(vm: Rc<Vm>) {
+    let Some(disk) = &vm.disk else {
+        return;
+    };
+    loop {
+        monoio::time::sleep(SWEEP_TIME).await;
+        let files = disk.list().await.unwrap_or_default();
+        let mut acknowledged = hash::Map::default();
+        for file in files {
+            if !acknowledged.contains_key(&file.trainer) {
+                let cursor = rollout::cursor(&vm, &file.trainer).await;
+                acknowledged.insert(file.trainer.clone(), cursor.unwrap_or_default());
+            }
+            let next = acknowledged[&file.trainer];
+            if file.lot + KEPT_LOTS < next {
+                // A file that cannot be removed now is met again next time.
+                let _ = disk.remove(file).await;
+            }
+        }
+    }
+}
--- a/crates/entry/src/generation.rs
+++ b/crates/entry/src/generation.rs
@@ -3,7 +3,7 @@
 //! A generation that loses its engine goes on elsewhere from the tokens so
 //! far, so that no token is lost or doubled.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
 use board::{
     Time,
@@ -46,6 +46,10 @@
     pub(crate) tokens: Vec<String>,
     pub(crate) spans: Vec<Span>,
     pub(crate) finish: String,
+    /// Endpoints that the next attempt keeps away from.
+    pub(crate) avoid: Vec<endpoint::Key>,
+    /// Where the attempt that runs was sent, for who watches it.
+    pub(crate) endpoint: Rc<Cell<Option<endpoint::Key>>>,
 }
 
 const ATTEMPTS_MAX: usize = 4;
@@ -63,7 +67,7 @@
     span: &telemetry::Span,
     mut sink: impl AsyncFnMut(&Token) -> bool,
 ) -> Result<(), Failure> {
-    let mut avoid = Vec::new();
+    let mut avoid = output.avoid.clone();
     let mut ran = Ran::NotRun;
     let mut last = String::new();
     for _ in 0..ATTEMPTS_MAX {
@@ -72,6 +76,7 @@
         drop(queue);
         let slot = slot.map_err(|refusal| Failure::refused(refusal, ran))?;
         let endpoint = slot.endpoint;
+        output.endpoint.set(Some(endpoint));
         match attempt(vm, task, output, span, slot, &mut sink).await {
             Ok(Ended::Whole) => return Ok(()),
             Ok(Ended::Left) => return Err(left()),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod admin;
 pub(crate) mod auth;
+pub mod bulk;
 pub(crate) mod engine;
 pub(crate) mod generate;
 pub(crate) mod generation;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -12,6 +12,12 @@
     attempts: Counter<u64>,
     /// Samples by result.
     samples: Counter<u64>,
+    /// Lots by what happened to them.
+    lots: Counter<u64>,
+    /// Tokens generated in vain, by reason.
+    wasted_tokens: Counter<u64>,
+    /// Copies of bulk data by result.
+    bulk: Counter<u64>,
 }
 
 impl Metrics {
@@ -20,6 +26,9 @@
             requests: telemetry.counter("tarragonseam_requests"),
             attempts: telemetry.counter("tarragonseam_attempts"),
             samples: telemetry.counter("tarragonseam_samples"),
+            lots: telemetry.counter("tarragonseam_lots"),
+            wasted_tokens: telemetry.counter("tarragonseam_wasted_tokens"),
+            bulk: telemetry.counter("tarragonseam_bulk_copies"),
         }
     }
 
@@ -35,4 +44,17 @@
     pub(crate) fn sample(&self, result: &'static str) {
         self.samples.add(1, &[KeyValue::new("result", result)]);
     }
+
+    pub(crate) fn lot(&self, result: &'static str) {
+        self.lots.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    pub(crate) fn wasted(&self, reason: &'static str, tokens: u64) {
+        self.wasted_tokens
+            .add(tokens, &[KeyValue::new("reason", reason)]);
+    }
+
+    pub(crate) fn bulk(&self, result: &'static str) {
+        self.bulk.add(1, &[KeyValue::new("result", result)]);
+    }
 }
--- /dev/null
+++ b/crates/entry/src/rollout/attempt.rs
@@ -0,0 +1,127 @@
+//! One attempt at a sample, watched while it runs.
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use board::{
+    config::Class,
+    endpoint,
+    lot::{self, Id},
+};
+use link::telemetry;
+use policy::{staleness, straggler::Progress};
+
+use super::{newest_version, produce::Job, sample};
+use crate::{
+    engine::Token,
+    generate,
+    generation::{self, Output, Task},
+    vm::Vm,
+};
+
+/// How long one attempt may take in all.
+const SAMPLE_TIME: Duration = Duration::from_secs(600);
+
+/// An attempt and what shows of it from outside.
+#[derive(Clone)]
+pub(crate) struct Attempt {
+    pub(super) vm: Rc<Vm>,
+    pub(super) job: Rc<Job>,
+    pub(super) endpoint: Rc<Cell<Option<endpoint::Key>>>,
+    /// Set once the attempt has a place on an engine.
+    pub(super) progress: Rc<Cell<Option<Progress>>>,
+    task: Rc<Task>,
+    avoid: Vec<endpoint::Key>,
+}
+
+impl Attempt {
+    pub(crate) fn new(
+        vm: &Rc<Vm>,
+        job: &Rc<Job>,
+        id: &Id,
+        prompt: &str,
+        avoid: Vec<endpoint::Key>,
+    ) -> Self {
+        let task = Task {
+            request_id: vm.request_id(),
+            account: job.trainer.account.as_str().into(),
+            model: job.trainer.model.as_str().into(),
+            prompt: prompt.to_string(),
+            max_tokens: job.trainer.max_tokens,
+            seed: u64::from(id.index),
+            class: Class::Trainer,
+            deadline: vm.now() + SAMPLE_TIME,
+            digest: None,
+            oldest_version: oldest_at_dispatch(vm, job),
+        };
+        Self {
+            vm: vm.clone(),
+            job: job.clone(),
+            endpoint: Rc::default(),
+            progress: Rc::default(),
+            task: Rc::new(task),
+            avoid,
+        }
+    }
+
+    /// Counts the tokens of an attempt that is given up.
+    pub(super) fn waste(&self) {
+        let tokens = self.progress.get().map_or(0, |progress| progress.tokens);
+        self.vm.metrics.wasted("second-attempt", u64::from(tokens));
+    }
+
+    /// Notes a token and returns whether to go on.
+    fn note(&self, token: &Token) -> bool {
+        let now = self.vm.now();
+        let mut progress = self.progress.get().unwrap_or(Progress {
+            started: now,
+            first_token: None,
+            last_token: None,
+            tokens: 0,
+            tokens_max: self.task.max_tokens,
+        });
+        progress.first_token.get_or_insert(now);
+        progress.last_token = Some(now);
+        progress.tokens += 1;
+        self.progress.set(Some(progress));
+        let newest = newest_version(&self.vm, &self.job.trainer.model);
+        let bound = self.job.trainer.max_staleness;
+        let is_fresh = token.version >= staleness::oldest_at_sealing(newest, bound);
+        is_fresh && !self.job.is_over.get()
+    }
+}
+
+/// Generates the tokens; `None` when the sample has to be drawn again.
+pub(crate) async fn run(attempt: Attempt, span: telemetry::Span) -> Option<Output> {
+    let vm = &attempt.vm;
+    let start = vm.now();
+    let mut output = Output {
+        avoid: attempt.avoid.clone(),
+        endpoint: attempt.endpoint.clone(),
+        ..Output::default()
+    };
+    let sink = async |token: &Token| attempt.note(token);
+    let result = generation::run(vm, &attempt.task, &mut output, &span, sink).await;
+    generate::bill(vm, &attempt.task, &output);
+    if result.is_err() {
+        vm.metrics.wasted("failed", output.tokens.len() as u64);
+        return None;
+    }
+    lot::oldest(&output.spans)?;
+    let took = vm.now() - start;
+    sample::note(vm, &attempt.job, output.tokens.len() as u32, took);
+    Some(output)
+}
+
+/// Returns the oldest version that an engine may hold for a new attempt.
+fn oldest_at_dispatch(vm: &Vm, job: &Job) -> u64 {
+    let model = &job.trainer.model;
+    let newest = newest_version(vm, model);
+    let now = vm.now();
+    let mut pace = vm.rollouts.pace.borrow_mut();
+    let pace = pace.entry(model.clone()).or_default();
+    pace.note(now, newest);
+    let usual = vm.rollouts.usual.borrow();
+    let length = usual.get(model).and_then(|usual| usual.sample());
+    let expected = pace.expected(now, length.unwrap_or_default());
+    staleness::oldest_at_dispatch(newest, job.trainer.max_staleness, expected)
+}
--- /dev/null
+++ b/crates/entry/src/rollout/mod.rs
@@ -0,0 +1,130 @@
+//! Production of lots.
+//!
+//! Every VM follows the steps that trainers declare. For each lot a few VMs
+//! are candidates: the first produces it, the others guard it and take over
+//! when it falls silent ([`owner`]). Producing means generating each sample
+//! ([`sample`]), scoring it ([`score`]) and sealing the whole ([`seal`]).
+
+pub(crate) mod attempt;
+pub(crate) mod owner;
+pub(crate) mod produce;
+pub(crate) mod read;
+pub(crate) mod sample;
+pub(crate) mod score;
+pub(crate) mod seal;
+pub(crate) mod step;
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    time::Duration,
+};
+
+use board::{
+    Time,
+    hash::Map,
+    lot::{Manifest, Step},
+};
+use link::platform::{self, Error};
+use policy::{
+    claim::Guard,
+    staleness::Pace,
+    straggler::{Budget, Usual},
+};
+use serde::{Deserialize, Serialize};
+use wire::message::Progress;
+
+use crate::vm::Vm;
+
+/// What one VM knows of steps and lots.
+#[derive(Default)]
+pub(crate) struct State {
+    /// Steps with lots that are not known as sealed.
+    steps: RefCell<BTreeMap<step::Name, Rc<RefCell<Open>>>>,
+    /// Lots that this VM produces, with the flag that ends the work.
+    producing: RefCell<Map<String, Rc<Cell<bool>>>>,
+    /// Lots known as sealed.
+    sealed: RefCell<read::Cache>,
+    /// The live VMs, with when they were read.
+    vms: RefCell<Option<(Time, Vec<platform::Vm>)>>,
+    /// Whether a VM has a disk, by name.
+    pub(crate) disks: RefCell<Map<String, bool>>,
+    /// How often versions come, by model.
+    pace: RefCell<Map<String, Pace>>,
+    /// How long a sample usually takes, by model.
+    usual: RefCell<Map<String, Usual>>,
+    /// What may be spent on second attempts, by trainer.
+    budgets: RefCell<Map<String, Budget>>,
+}
+
+/// A step with lots that are not known as sealed.
+pub(crate) struct Open {
+    content: Option<Rc<Step>>,
+    lots: BTreeMap<u64, Guard>,
+}
+
+/// How far a trainer has acknowledged its lots.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(crate) struct Cursor {
+    /// The number of the last lot acknowledged.
+    pub(crate) acknowledged: u64,
+}
+
+/// Starts the tasks of rollouts.
+pub(crate) fn start(vm: &Rc<Vm>) {
+    monoio::spawn(step::follow(vm.clone()));
+    monoio::spawn(owner::run(vm.clone()));
+    monoio::spawn(owner::prune(vm.clone()));
+    monoio::spawn(crate::bulk::sweep(vm.clone()));
+}
+
+/// Returns where a lot stands on this VM.
+pub(crate) fn progress(vm: &Vm, lot: &str) -> Progress {
+    let state = &vm.rollouts;
+    if let Some(manifest) = state.sealed.borrow().manifest(lot) {
+        return Progress::Sealed(Manifest::clone(&manifest));
+    }
+    match state.producing.borrow().contains_key(lot) {
+        true => Progress::Producing,
+        false => Progress::Idle,
+    }
+}
+
+const VMS_AGE_MAX: Duration = Duration::from_secs(5);
+
+/// Returns the live VMs as the platform lists them, this one included; in an
+/// outage, as it last listed them.
+pub(crate) async fn vms(vm: &Rc<Vm>) -> Vec<platform::Vm> {
+    let known = vm.rollouts.vms.borrow().clone();
+    if let Some((read, vms)) = &known
+        && vm.now() - *read < VMS_AGE_MAX
+    {
+        return vms.clone();
+    }
+    let listed = match vm.platform.vms().await {
+        Ok(mut listed) => {
+            listed.retain(|other| other.state == "live" || other.id == vm.settings.vm);
+            listed
+        }
+        Err(_) => known.map(|(_, vms)| vms).unwrap_or_default(),
+    };
+    *vm.rollouts.vms.borrow_mut() = Some((vm.now(), listed.clone()));
+    listed
+}
+
+/// Returns the number of the next lot that `trainer` has to acknowledge, or
+/// `None` when it cannot be learned.
+pub(crate) async fn cursor(vm: &Vm, trainer: &str) -> Option<u64> {
+    match vm.platform.read::<Cursor>("cursor", trainer).await {
+        Ok((_, cursor)) => Some(cursor.acknowledged + 1),
+        Err(Error::Absent) => Some(0),
+        Err(_) => None,
+    }
+}
+
+/// Returns the newest version of `model` that this VM knows, 0 for none.
+fn newest_version(vm: &Vm, model: &str) -> u64 {
+    let board = vm.board.borrow();
+    board.weights.get(model).copied().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/entry/src/rollout/owner.rs
@@ -0,0 +1,310 @@
+//! Which lots this VM produces, guards and takes over.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use board::{
+    config::Trainer,
+    lot::{Claim, Manifest},
+};
+use link::{
+    peer,
+    platform::{self, Error, When},
+};
+use policy::claim::{self, Duty, Guard, SILENCE_MAX};
+use wire::{Answer, Ask, message::Progress};
+
+use super::{Open, produce, step};
+use crate::vm::Vm;
+
+/// The kind of the objects that hold claims.
+const KIND: &str = "claim";
+
+const TICK_TIME: Duration = Duration::from_millis(500);
+const PRUNE_TIME: Duration = Duration::from_secs(300);
+const ASK_TIME: Duration = Duration::from_millis(500);
+
+/// A lot that is not known as sealed.
+#[derive(Clone)]
+struct Lot {
+    step: step::Name,
+    open: Rc<RefCell<Open>>,
+    number: u64,
+    trainer: Trainer,
+}
+
+impl Lot {
+    fn name(&self) -> String {
+        format!("{}.{}", self.step.trainer, self.number)
+    }
+
+    fn guard(&self) -> Option<Guard> {
+        self.open.borrow().lots.get(&self.number).copied()
+    }
+
+    fn hear(&self, vm: &Vm) {
+        if let Some(guard) = self.open.borrow_mut().lots.get_mut(&self.number) {
+            guard.hear(vm.now());
+        }
+    }
+}
+
+/// Cares for every open lot, for ever.
+pub(crate) async fn run(vm: Rc<Vm>) {
+    let busy = Rc::new(RefCell::new(board::hash::Set::default()));
+    let mut last = vm.now();
+    loop {
+        monoio::time::sleep(TICK_TIME).await;
+        let now = vm.now();
+        if now - last > SILENCE_MAX {
+            // This process stood still: its lots may be in other hands.
+            recheck(&vm).await;
+        }
+        last = vm.now();
+        if vm.rollouts.steps.borrow().is_empty() || vm.leaving.get() {
+            continue;
+        }
+        let vms = super::vms(&vm).await;
+        for lot in open_lots(&vm) {
+            tend(&vm, &vms, lot, &busy);
+        }
+    }
+}
+
+fn open_lots(vm: &Vm) -> Vec<Lot> {
+    let steps = vm.rollouts.steps.borrow();
+    let board = vm.board.borrow();
+    let mut lots = Vec::new();
+    for (name, open) in steps.iter() {
+        let Some(trainer) = board.config.trainers.get(&name.trainer) else {
+            continue;
+        };
+        let mut state = open.borrow_mut();
+        if state.lots.is_empty() {
+            let guards = name.lots(trainer).map(|lot| (lot, Guard::new(vm.now())));
+            state.lots = guards.collect();
+        }
+        lots.extend(state.lots.keys().map(|number| Lot {
+            step: name.clone(),
+            open: open.clone(),
+            number: *number,
+            trainer: trainer.clone(),
+        }));
+    }
+    lots
+}
+
+/// Forgets, for ever, lots that their trainer has acknowledged: a VM that is no
+/// candidate does not hear that they were sealed.
+pub(crate) async fn prune(vm: Rc<Vm>) {
+    loop {
+        monoio::time::sleep(PRUNE_TIME).await;
+        let steps: Vec<_> = vm.rollouts.steps.borrow().keys().cloned().collect();
+        let trainers: std::collections::BTreeSet<_> =
+            steps.into_iter().map(|step| step.trainer).collect();
+        for trainer in trainers {
+            if let Some(next) = super::cursor(&vm, &trainer).await {
+                forget_before(&vm, &trainer, next);
+            }
+        }
+    }
+}
+
+fn forget_before(vm: &Vm, trainer: &str, next: u64) {
+    vm.rollouts.steps.borrow_mut().retain(|name, open| {
+        if name.trainer != trainer {
+            return true;
+        }
+        let mut open = open.borrow_mut();
+        let had_lots = !open.lots.is_empty();
+        open.lots.retain(|lot, _| *lot >= next);
+        !(had_lots && open.lots.is_empty())
+    });
+}
+
+/// Starts whatever this VM has to do for `lot` now.
+fn tend(vm: &Rc<Vm>, vms: &[platform::Vm], lot: Lot, busy: &Rc<RefCell<board::hash::Set<String>>>) {
+    let name = lot.name();
+    if vm.rollouts.producing.borrow().contains_key(&name) {
+        return;
+    }
+    let order = claim::candidates(vms.iter().map(|vm| vm.id.as_str()), &name);
+    let rank = order.iter().position(|id| *id == vm.settings.vm);
+    let Some(guard) = lot.guard() else {
+        return;
+    };
+    let duty = guard.duty(rank, vm.now());
+    if duty == Duty::Nothing || !busy.borrow_mut().insert(name.clone()) {
+        return;
+    }
+    let others = order.into_iter().filter(|id| *id != vm.settings.vm);
+    let others: Vec<_> = others.filter_map(|id| address(vms, id)).collect();
+    let (vm, vms, busy) = (vm.clone(), vms.to_vec(), busy.clone());
+    monoio::spawn(async move {
+        match duty {
+            Duty::Produce => take(&vm, &vms, &lot).await,
+            _ => ask_all(&vm, &lot, &others).await,
+        }
+        busy.borrow_mut().remove(&name);
+    });
+}
+
+fn address(vms: &[platform::Vm], id: &str) -> Option<SocketAddr> {
+    vms.iter().find(|vm| vm.id == id).map(|vm| vm.address)
+}
+
+async fn ask_all(vm: &Rc<Vm>, lot: &Lot, others: &[SocketAddr]) {
+    for other in others {
+        match ask(*other, &lot.name()).await {
+            Some(Progress::Producing) => return lot.hear(vm),
+            Some(Progress::Sealed(manifest)) => return note_sealed(vm, &lot.name(), manifest),
+            Some(Progress::Idle) | None => {}
+        }
+    }
+}
+
+/// Asks one VM where a lot stands; `None` when it does not answer.
+pub(crate) async fn ask(other: SocketAddr, lot: &str) -> Option<Progress> {
+    match peer::ask(other, &Ask::Lot(lot.to_string()), ASK_TIME).await {
+        Ok(Answer::Lot(progress)) => Some(progress),
+        _ => None,
+    }
+}
+
+/// Notes that a lot is sealed, so that nothing more is done for it.
+pub(crate) fn note_sealed(vm: &Vm, name: &str, manifest: Manifest) {
+    let state = &vm.rollouts;
+    if let Some(is_over) = state.producing.borrow_mut().remove(name) {
+        is_over.set(true);
+    }
+    let step = step::Name {
+        trainer: manifest.trainer.clone(),
+        number: manifest.step,
+    };
+    let mut steps = state.steps.borrow_mut();
+    if let Some(open) = steps.get(&step).cloned() {
+        open.borrow_mut().lots.remove(&manifest.number);
+        if open.borrow().lots.is_empty() {
+            steps.remove(&step);
+        }
+    }
+    state.sealed.borrow_mut().put(name, manifest);
+}
+
+/// Claims `lot` unless another VM produces it, and produces it.
+async fn take(vm: &Rc<Vm>, vms: &[platform::Vm], lot: &Lot) {
+    // A failed call is repeated at the next tick.
+    if let Ok(true) = claim_lot(vm, vms, lot).await {
+        start(vm, lot);
+    }
+}
+
+async fn claim_lot(vm: &Rc<Vm>, vms: &[platform::Vm], lot: &Lot) -> Result<bool, Error> {
+    let name = lot.name();
+    let me = vm.settings.vm.as_str();
+    let found = match vm.platform.read::<Claim>(KIND, &name).await {
+        Ok(found) => Some(found),
+        Err(Error::Absent) => None,
+        Err(e) => return Err(e),
+    };
+    if let Some((_, claim)) = &found {
+        if is_sealed(vm, &name).await? {
+            return Ok(false);
+        }
+        if claim.owner != me && is_owner_alive(vm, vms, lot, claim).await {
+            return Ok(false);
+        }
+    }
+    let when = match &found {
+        Some((version, _)) => When::At(*version),
+        None => When::Absent,
+    };
+    let claim = claim::next(found.as_ref().map(|(_, claim)| claim), me);
+    match vm.platform.write(KIND, &name, when, &claim).await {
+        Ok(_) => {
+            let (lot, epoch) = (name.as_str(), claim.epoch);
+            if epoch > 1 {
+                vm.metrics.lot("taken-over");
+                spdlog::info!("lot taken over", kv: { lot, epoch });
+            }
+            Ok(true)
+        }
+        // Someone else was faster, or a reply was lost; the next tick reads
+        // who it was.
+        Err(Error::Conflict(_) | Error::Unknown(_)) => Ok(false),
+        Err(e) => Err(e),
+    }
+}
+
+async fn is_sealed(vm: &Vm, name: &str) -> Result<bool, Error> {
+    match vm.platform.read::<Manifest>(super::seal::KIND, name).await {
+        Ok((_, manifest)) => {
+            note_sealed(vm, name, manifest);
+            Ok(true)
+        }
+        Err(Error::Absent) => Ok(false),
+        Err(e) => Err(e),
+    }
+}
+
+/// Returns whether the owner of a claim still works on the lot, or has not
+/// been silent for long enough.
+async fn is_owner_alive(vm: &Rc<Vm>, vms: &[platform::Vm], lot: &Lot, claim: &Claim) -> bool {
+    let answer = match address(vms, &claim.owner) {
+        Some(owner) => ask(owner, &lot.name()).await,
+        // It is listed no more, so it is gone or about to go.
+        None => return false,
+    };
+    match answer {
+        Some(Progress::Producing) => {
+            lot.hear(vm);
+            true
+        }
+        Some(Progress::Sealed(manifest)) => {
+            note_sealed(vm, &lot.name(), manifest);
+            true
+        }
+        Some(Progress::Idle) => false,
+        None => lot.guard().is_some_and(|guard| guard.is_fresh(vm.now())),
+    }
+}
+
+fn start(vm: &Rc<Vm>, lot: &Lot) {
+    let name = lot.name();
+    let is_over = Rc::new(Cell::new(false));
+    let mut producing = vm.rollouts.producing.borrow_mut();
+    if producing.insert(name.clone(), is_over.clone()).is_some() {
+        return;
+    }
+    drop(producing);
+    let (vm, lot) = (vm.clone(), lot.clone());
+    monoio::spawn(async move {
+        let job = produce::Job {
+            step: lot.step.clone(),
+            number: lot.number,
+            trainer: lot.trainer.clone(),
+            is_over: is_over.clone(),
+        };
+        produce::run(&vm, job, &lot.open).await;
+        let mut producing = vm.rollouts.producing.borrow_mut();
+        if producing
+            .get(&name)
+            .is_some_and(|flag| Rc::ptr_eq(flag, &is_over))
+        {
+            producing.remove(&name);
+        }
+    });
+}
+
+/// Ends the work on lots that were sealed while this process stood still.
+async fn recheck(vm: &Vm) {
+    let names: Vec<_> = vm.rollouts.producing.borrow().keys().cloned().collect();
+    for name in names {
+        // A lot whose state cannot be read is settled when it is sealed.
+        let _ = is_sealed(vm, &name).await;
+    }
+}
--- /dev/null
+++ b/crates/entry/src/rollout/score.rs
@@ -0,0 +1,66 @@
+//! Scoring of samples.
+
+use std::{rc::Rc, time::Duration};
+
+use board::{hash, lot::Id};
+use link::{http::client::Call, telemetry};
+use serde::{Deserialize, Serialize};
+
+use super::produce::Job;
+use crate::vm::Vm;
+
+#[derive(Serialize)]
+struct Question<'a> {
+    key: String,
+    prompt: &'a str,
+    tokens: &'a [String],
+}
+
+#[derive(Deserialize)]
+struct Scored {
+    key: String,
+    score: f64,
+}
+
+const SCORE_TIME: Duration = Duration::from_secs(5);
+const PAUSE_FIRST: Duration = Duration::from_millis(100);
+const PAUSE_MAX: Duration = Duration::from_secs(5);
+
+/// Returns the score of a sample. It is asked for until it comes, always under
+/// the same key, because tokens cost more than questions; `None` once the lot
+/// is over.
+pub(crate) async fn fetch(
+    vm: &Rc<Vm>,
+    job: &Job,
+    id: &Id,
+    prompt: &str,
+    tokens: &[String],
+    span: &telemetry::Span,
+) -> Option<f64> {
+    let span = span.child("scoring");
+    // A sample that is drawn again with other tokens has another key.
+    let key = format!("{id}.{:016x}", hash::of(&tokens));
+    let question = Question {
+        key: key.clone(),
+        prompt,
+        tokens,
+    };
+    let body = serde_json::to_vec(&question).ok()?;
+    let mut pause = PAUSE_FIRST;
+    while !job.is_over.get() {
+        let call = Call::post("/v1/score", body.clone())
+            .deadline(SCORE_TIME)
+            .traced(&span);
+        if let Ok(answer) = vm.pool.fetch(job.trainer.scorer, call).await
+            && answer.status.is_success()
+            && let Ok(scored) = serde_json::from_slice::<Scored>(&answer.body)
+            && scored.key == key
+        {
+            return Some(scored.score);
+        }
+        vm.metrics.sample("score-retried");
+        monoio::time::sleep(pause).await;
+        pause = (pause * 2).min(PAUSE_MAX);
+    }
+    None
+}
--- /dev/null
+++ b/crates/entry/src/rollout/seal.rs
@@ -0,0 +1,120 @@
+//! Sealing of lots: the content is stored first, then one create-if-absent
+//! of the manifest decides what the lot is.
+
+use std::rc::Rc;
+
+use board::{
+    key::Digest,
+    lot::{Content, Entry, Lot, Manifest},
+};
+use link::platform::Error;
+use serde::Deserialize;
+use wire::message::File;
+
+use crate::{bulk, vm::Vm};
+
+/// The kind of the objects that hold manifests.
+pub(crate) const KIND: &str = "lot";
+/// The kind of the objects that hold parts of contents.
+pub(crate) const PART_KIND: &str = "lot-part";
+
+/// The largest object, in bytes, with room for the platform's own overhead.
+const OBJECT_BYTES: usize = 900 * 1024;
+
+#[derive(Deserialize)]
+struct Weights {
+    version: u64,
+}
+
+/// Returns the newest version of `model` as the platform holds it now.
+///
+/// # Errors
+///
+/// An [`Error`] when it cannot be learned.
+pub(crate) async fn newest_version(vm: &Vm, model: &str) -> Result<u64, Error> {
+    match vm.platform.read::<Weights>("weights", model).await {
+        Ok((_, weights)) => {
+            vm.board.borrow_mut().note_weights(model, weights.version);
+            Ok(weights.version)
+        }
+        Err(Error::Absent) => Ok(0),
+        Err(e) => Err(e),
+    }
+}
+
+/// Seals `lot` under `name` and returns the manifest that stands, whoever
+/// wrote it.
+///
+/// # Errors
+///
+/// An [`Error`] when that is not known; the call may be repeated.
+pub(crate) async fn write(
+    vm: &Rc<Vm>,
+    name: &str,
+    lot: &Lot,
+    newest_version: u64,
+) -> Result<Manifest, Error> {
+    let content = serde_json::to_string(lot).map_err(|e| Error::Refused {
+        status: 0,
+        detail: e.to_string(),
+    })?;
+    let digest = Digest::of(&content);
+    let entry = |sample: &board::lot::Sample| Entry {
+        id: sample.id.clone(),
+        spans: sample.spans.clone(),
+    };
+    let mut manifest = Manifest {
+        trainer: lot.trainer.clone(),
+        number: lot.number,
+        step: lot.step,
+        newest_version,
+        samples: lot.samples.iter().map(entry).collect(),
+        digest,
+        bytes: content.len() as u64,
+        content: Content::Objects(Vec::new()),
+    };
+    manifest.content = place(vm, &manifest, &content).await?;
+    let value = serde_json::to_vec(&manifest).unwrap_or_default();
+    let object = vm.platform.create(KIND, name, value).await?;
+    let stands: Manifest = object.json()?;
+    let is_mine = stands.digest == digest;
+    vm.metrics.lot(if is_mine {
+        "sealed"
+    } else {
+        "sealed-elsewhere"
+    });
+    spdlog::info!("lot sealed", kv: { lot = name, mine = is_mine });
+    vm.rollouts.sealed.borrow_mut().put(name, stands.clone());
+    if is_mine {
+        let mut sealed = vm.rollouts.sealed.borrow_mut();
+        sealed.put_content(name, content.into());
+    }
+    Ok(stands)
+}
+
+/// Stores the content where it costs the fewest calls: a small one in the
+/// manifest, a large one on two disks, and without disks in objects.
+async fn place(vm: &Rc<Vm>, manifest: &Manifest, content: &str) -> Result<Content, Error> {
+    let entries = serde_json::to_vec(&manifest.samples).unwrap_or_default();
+    // Quotes double in a string within JSON.
+    let escaped = content.len() + content.bytes().filter(|byte| *byte == b'"').count();
+    if entries.len() + escaped < OBJECT_BYTES {
+        return Ok(Content::Inline(content.to_string()));
+    }
+    let file = File {
+        trainer: manifest.trainer.clone(),
+        lot: manifest.number,
+        digest: manifest.digest,
+    };
+    if let Some(places) = bulk::spread(vm, &file, content.as_bytes()).await {
+        return Ok(Content::Disks(places));
+    }
+    let mut parts = Vec::new();
+    for part in content.as_bytes().chunks(OBJECT_BYTES) {
+        let digest = Digest::of_bytes(part);
+        let name = digest.to_string();
+        vm.platform.create(PART_KIND, &name, part.to_vec()).await?;
+        parts.push(digest);
+    }
+    Ok(Content::Objects(parts))
+}
--- /dev/null
+++ b/crates/entry/src/rollout/step.rs
@@ -0,0 +1,126 @@
+//! Steps that trainers have declared.
+
+use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
+
+use board::{config::Trainer, lot::Step};
+use link::platform::{Change, Error};
+use policy::claim::Guard;
+
+use super::Open;
+use crate::vm::Vm;
+
+/// The kind of the objects that hold steps.
+pub(crate) const KIND: &str = "step";
+
+/// The name of a step.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Name {
+    /// The trainer.
+    pub(crate) trainer: String,
+    /// The step's number.
+    pub(crate) number: u64,
+}
+
+impl Name {
+    /// Returns the name of the step's object.
+    pub(crate) fn object(&self) -> String {
+        format!("{}.{}", self.trainer, self.number)
+    }
+
+    fn parse(object: &str) -> Option<Self> {
+        let (trainer, number) = object.rsplit_once('.')?;
+        Some(Self {
+            trainer: trainer.to_string(),
+            number: number.parse().ok()?,
+        })
+    }
+
+    /// Returns the numbers of its lots.
+    pub(crate) fn lots(&self, trainer: &Trainer) -> std::ops::Range<u64> {
+        let count = u64::from(trainer.lots_per_step());
+        self.number * count..(self.number + 1) * count
+    }
+}
+
+const WATCH_TIME: Duration = Duration::from_secs(20);
+const RETRY_TIME: Duration = Duration::from_millis(500);
+
+/// Follows the steps that are declared, on whatever VM, for ever.
+pub(crate) async fn follow(vm: Rc<Vm>) {
+    let mut after = None;
+    loop {
+        let step = match after {
+            None => vm.platform.list(KIND, "").await,
+            Some(version) => vm.platform.watch(KIND, version, WATCH_TIME).await,
+        };
+        match step {
+            Ok(changes) => {
+                note_all(&vm, &changes.changes, after.is_none()).await;
+                after = Some(changes.version);
+            }
+            // The version is too old to watch from: list again.
+            Err(Error::Refused { status: 410, .. }) => after = None,
+            Err(_) => monoio::time::sleep(RETRY_TIME).await,
+        }
+    }
+}
+
+async fn note_all(vm: &Rc<Vm>, changes: &[Change], is_list: bool) {
+    let mut cursors = BTreeMap::new();
+    for change in changes.iter().filter(|change| !change.deleted) {
+        let Some(name) = Name::parse(&change.name) else {
+            continue;
+        };
+        let mut first_open = 0;
+        if is_list {
+            // Lots acknowledged before this VM started need nobody's care.
+            if !cursors.contains_key(&name.trainer) {
+                let cursor = super::cursor(vm, &name.trainer).await;
+                cursors.insert(name.trainer.clone(), cursor.unwrap_or_default());
+            }
+            first_open = cursors[&name.trainer];
+        }
+        open(vm, name, None, first_open);
+    }
+}
+
+/// Notes a declared step, with its content where that is known.
+pub(crate) fn open(vm: &Vm, name: Name, content: Option<Rc<Step>>, first_open: u64) {
+    let now = vm.now();
+    let declared = vm
+        .board
+        .borrow()
+        .config
+        .trainers
+        .get(&name.trainer)
+        .cloned();
+    let mut steps = vm.rollouts.steps.borrow_mut();
+    if let Some(known) = steps.get(&name) {
+        let mut known = known.borrow_mut();
+        known.content = known.content.take().or(content);
+        return;
+    }
+    // Before the configuration is known, the step stays without lots; `owner`
+    // fills them in.
+    let lots = declared.map_or(0..0, |trainer| name.lots(&trainer));
+    let is_known = !lots.is_empty();
+    let lots: BTreeMap<_, _> = lots
+        .filter(|lot| *lot >= first_open)
+        .map(|lot| (lot, Guard::new(now)))
+        .collect();
+    if is_known && lots.is_empty() {
+        return;
+    }
+    steps.insert(name, Rc::new(RefCell::new(Open { content, lots })));
+}
+
+/// Returns the content of a step, read from the platform at most once.
+pub(crate) async fn content(vm: &Vm, name: &Name, open: &RefCell<Open>) -> Result<Rc<Step>, Error> {
+    if let Some(content) = &open.borrow().content {
+        return Ok(content.clone());
+    }
+    let (_, step) = vm.platform.read::<Step>(KIND, &name.object()).await?;
+    let step = Rc::new(step);
+    open.borrow_mut().content = Some(step.clone());
+    Ok(step)
+}
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -10,7 +10,7 @@
 };
 use monoio::net::TcpListener;
 
-use crate::{admin, handler, peers, settings::Settings, slot, vm::Vm};
+use crate::{admin, handler, peers, rollout, settings::Settings, slot, vm::Vm};
 
 /// Why the daemon could not run.
 #[derive(Debug, thiserror::Error)]
@@ -25,6 +25,9 @@
         /// What the socket says.
         source: io::Error,
     },
+    /// The folder for bulk data cannot be used.
+    #[error(transparent)]
+    Disk(#[from] crate::bulk::disk::Error),
     /// The runtime or its signals cannot be set up.
     #[error("cannot start: {0}")]
     Start(#[from] io::Error),
@@ -47,13 +50,13 @@
     let callers = listen("callers", settings.callers)?;
     let peer_listener = listen("peers", settings.peers)?;
     let admin_listener = listen("admin", settings.admin)?;
-    let vm = Vm::new(settings);
+    let vm = Vm::new(settings)?;
     follow_platform(&vm);
+    rollout::start(&vm);
 
     let for_peers = vm.clone();
     monoio::spawn(peer::serve(peer_listener, move |ask| {
-        let answer = peers::answer(&for_peers, &ask);
-        async move { answer }
+        peers::reply(for_peers.clone(), ask)
     }));
     let for_admin = vm.clone();
     let admin_drain = server::Drain::default();
--- a/crates/entry/src/trainer.rs
+++ b/crates/entry/src/trainer.rs
@@ -5,9 +5,12 @@
     time::{Duration, Instant},
 };
 
-use board::{config::Trainer, lot::Step};
+use board::{
+    config::Trainer,
+    lot::{Manifest, Step},
+};
 use link::{
-    Method, StatusCode,
+    Bytes, Method, StatusCode,
     http::{Reply, Request},
     platform::{Error, When},
 };
@@ -16,19 +19,19 @@
 use crate::{
     auth,
     refusal::{Failure, Ran},
-    rollout,
+    rollout::{self, Cursor, read, step},
     vm::Vm,
 };
 
-#[derive(Deserialize)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Version {
     version: u64,
 }
 
-#[derive(Serialize, Deserialize)]
-struct Cursor {
-    acknowledged: u64,
+#[derive(Serialize)]
+struct Position {
+    next_lot: u64,
 }
 
 #[derive(Serialize)]
@@ -38,7 +41,6 @@
 }
 
 const WAIT_MAX: Duration = Duration::from_secs(30);
-const WAIT_POLL: Duration = Duration::from_millis(100);
 
 /// Answers a request below `/v1/trainers/{name}`.
 pub(crate) async fn handle(vm: Rc<Vm>, request: Request, name: String) -> Reply {
@@ -63,6 +65,7 @@
         }
         (&Method::GET, ["lots", lot]) => draw(vm, request, name, number(lot)?).await,
         (&Method::POST, ["lots", lot, "ack"]) => acknowledge(vm, name, number(lot)?).await,
+        (&Method::GET, ["cursor"]) => position(vm, name).await,
         (&Method::POST, ["weights"]) => put_weights(vm, request, &trainer).await,
         _ => Err(Failure::rejected(
             StatusCode::NOT_FOUND,
@@ -139,7 +142,11 @@
             "the step was declared with other prompts",
         ));
     }
-    rollout::start(vm, name, trainer, number, step);
+    let step_name = step::Name {
+        trainer: name.to_string(),
+        number,
+    };
+    step::open(vm, step_name, Some(Rc::new(step)), 0);
     let lots = trainer.lots_per_step();
     let declared = Declared {
         first_lot: number * u64::from(lots),
@@ -155,38 +162,100 @@
     let wait = asked
         .map_or(Duration::ZERO, Duration::from_millis)
         .min(WAIT_MAX);
+    let lot = format!("{name}.{lot}");
+    let manifest = await_sealed(vm, &lot, wait).await?;
+    let content = read::content(vm, &lot, &manifest)
+        .await
+        .map_err(unavailable)?;
+    slice(request, &manifest, content)
+}
+
+async fn await_sealed(vm: &Rc<Vm>, lot: &str, wait: Duration) -> Result<Rc<Manifest>, Failure> {
     let start = Instant::now();
+    let mut round = read::Wait::default();
     loop {
-        match vm.platform.get("lot", &format!("{name}.{lot}")).await {
-            Ok(object) => {
-                let reply = Reply::new(StatusCode::OK, object.value);
-                return Ok(reply.header("content-type", "application/json"));
-            }
-            Err(Error::Absent) if start.elapsed() < wait => {}
-            Err(Error::Absent) => {
-                return Err(Failure {
-                    retry_after: Some(policy::admission::RETRY_AFTER),
-                    ..Failure::rejected(
-                        StatusCode::NOT_FOUND,
-                        "not-sealed",
-                        "the lot is not sealed yet",
-                    )
-                });
-            }
-            Err(e) => return Err(unavailable(e)),
+        let failure = match round.look(vm, lot).await {
+            Ok(manifest) => return Ok(manifest),
+            Err(Error::Absent) => not_sealed(),
+            Err(e) => unavailable(e),
+        };
+        // In an outage the peers may learn of the lot while this call waits.
+        if start.elapsed() >= wait {
+            return Err(failure);
         }
-        monoio::time::sleep(WAIT_POLL).await;
+        monoio::time::sleep(read::Wait::ROUND_TIME).await;
+    }
+}
+
+fn not_sealed() -> Failure {
+    Failure {
+        retry_after: Some(policy::admission::RETRY_AFTER),
+        ..Failure::rejected(
+            StatusCode::NOT_FOUND,
+            "not-sealed",
+            "the lot is not sealed yet",
+        )
     }
 }
 
+/// Returns the content, or its rest from where the trainer says that an
+/// earlier answer ended.
+fn slice(request: &Request, manifest: &Manifest, content: Bytes) -> Result<Reply, Failure> {
+    let total = content.len();
+    let reply = |status, body: Bytes| {
+        Reply::new(status, body)
+            .header("content-type", "application/json")
+            .header("accept-ranges", "bytes")
+            .header("etag", format!("\"{}\"", manifest.digest))
+            .header("x-lot-digest", manifest.digest.to_string())
+            .header("x-lot-bytes", total.to_string())
+    };
+    let Some(range) = request.header("range") else {
+        return Ok(reply(StatusCode::OK, content));
+    };
+    let first = range
+        .strip_prefix("bytes=")
+        .and_then(|range| range.strip_suffix('-'))
+        .and_then(|first| first.parse::<usize>().ok())
+        .filter(|first| *first < total);
+    let Some(first) = first else {
+        return Err(Failure::rejected(
+            StatusCode::RANGE_NOT_SATISFIABLE,
+            "bad-range",
+            "the range must be bytes=FIRST- within the lot",
+        ));
+    };
+    let shown = format!("bytes {first}-{}/{total}", total - 1);
+    Ok(reply(StatusCode::PARTIAL_CONTENT, content.slice(first..)).header("content-range", shown))
+}
+
+/// Conditional updates that are tried before the trainer is told to come back.
+const UPDATE_TRIES: usize = 5;
+
 async fn acknowledge(vm: &Rc<Vm>, name: &str, lot: u64) -> Result<Reply, Failure> {
+    let mut last = Error::Unavailable("not tried".to_string());
+    for _ in 0..UPDATE_TRIES {
+        match move_cursor(vm, name, lot).await? {
+            Ok(()) => return Ok(Reply::json(StatusCode::OK, &Cursor { acknowledged: lot })),
+            // Another update came first, or the reply was lost: the next turn
+            // reads what stands.
+            Err(e @ (Error::Conflict(_) | Error::Unknown(_))) => last = e,
+            Err(e) => return Err(unavailable(e)),
+        }
+    }
+    Err(unavailable(last))
+}
+
+async fn move_cursor(vm: &Rc<Vm>, name: &str, lot: u64) -> Result<Result<(), Error>, Failure> {
     let read = vm.platform.read::<Cursor>("cursor", name).await;
-    let (when, cursor) = match read {
-        Ok((version, cursor)) => (When::At(version), Some(cursor)),
-        Err(Error::Absent) => (When::Absent, None),
-        Err(e) => return Err(unavailable(e)),
+    let (when, next) = match read {
+        Ok((version, cursor)) => (When::At(version), cursor.acknowledged + 1),
+        Err(Error::Absent) => (When::Absent, 0),
+        Err(e) => return Ok(Err(e)),
     };
-    let next = cursor.as_ref().map_or(0, |cursor| cursor.acknowledged + 1);
+    if lot < next {
+        return Ok(Ok(()));
+    }
     if lot > next {
         return Err(Failure::rejected(
             StatusCode::CONFLICT,
@@ -194,27 +263,45 @@
             "an earlier lot is not acknowledged",
         ));
     }
-    if lot == next {
-        let moved = Cursor { acknowledged: lot };
-        let written = vm.platform.write("cursor", name, when, &moved).await;
-        written.map_err(unavailable)?;
+    await_sealed(vm, &format!("{name}.{lot}"), Duration::ZERO).await?;
+    let moved = Cursor { acknowledged: lot };
+    let written = vm.platform.write("cursor", name, when, &moved).await;
+    Ok(written.map(drop))
+}
+
+/// Tells the trainer which lot it has to draw next.
+async fn position(vm: &Rc<Vm>, name: &str) -> Result<Reply, Failure> {
+    match rollout::cursor(vm, name).await {
+        Some(next_lot) => Ok(Reply::json(StatusCode::OK, &Position { next_lot })),
+        None => Err(unavailable(Error::Unavailable("no answer".to_string()))),
     }
-    Ok(Reply::json(StatusCode::OK, &Cursor { acknowledged: lot }))
 }
 
 async fn put_weights(vm: &Rc<Vm>, request: &Request, trainer: &Trainer) -> Result<Reply, Failure> {
     let asked: Version = body(request)?;
-    let read = vm.platform.read::<Version>("weights", &trainer.model).await;
-    let when = match read {
-        Ok((_, known)) if known.version >= asked.version => {
-            return Ok(Reply::json(StatusCode::OK, &known.version));
+    let mut last = Error::Unavailable("not tried".to_string());
+    for _ in 0..UPDATE_TRIES {
+        match raise_version(vm, &trainer.model, asked.version).await {
+            Ok(version) => {
+                vm.board.borrow_mut().note_weights(&trainer.model, version);
+                return Ok(Reply::json(StatusCode::OK, &version));
+            }
+            Err(e @ (Error::Conflict(_) | Error::Unknown(_))) => last = e,
+            Err(e) => return Err(unavailable(e)),
         }
-        Ok((version, _)) => When::At(version),
+    }
+    Err(unavailable(last))
+}
+
+/// Returns the version in force, which is `version` or a higher one.
+async fn raise_version(vm: &Rc<Vm>, model: &str, version: u64) -> Result<u64, Error> {
+    let when = match vm.platform.read::<Version>("weights", model).await {
+        Ok((_, known)) if known.version >= version => return Ok(known.version),
+        Ok((at, _)) => When::At(at),
         Err(Error::Absent) => When::Absent,
-        Err(e) => return Err(unavailable(e)),
+        Err(e) => return Err(e),
     };
-    let value = format!("{{\"version\":{}}}", asked.version);
-    let written = vm.platform.put("weights", &trainer.model, when, value);
-    written.await.map_err(unavailable)?;
-    Ok(Reply::json(StatusCode::OK, &asked.version))
+    let wanted = Version { version };
+    vm.platform.write("weights", model, when, &wanted).await?;
+    Ok(version)
 }
--- a/crates/entry/src/vm.rs
+++ b/crates/entry/src/vm.rs
@@ -15,7 +15,7 @@
 use local_sync::oneshot;
 use policy::call::Refusal;
 
-use crate::{metrics::Metrics, settings::Settings};
+use crate::{bulk, metrics::Metrics, rollout, settings::Settings};
 
 /// What a waiting request is told.
 pub(crate) type Verdict = Result<endpoint::Key, Refusal>;
@@ -37,14 +37,22 @@
     pub(crate) primed: Cell<bool>,
     /// Whether the process is shutting down.
     pub(crate) leaving: Cell<bool>,
+    /// Steps and lots in production.
+    pub(crate) rollouts: rollout::State,
+    /// The disk for bulk data, on a VM that has one.
+    pub(crate) disk: Option<bulk::disk::Disk>,
 }
 
 impl Vm {
-    pub(crate) fn new(settings: Settings) -> Rc<Self> {
+    pub(crate) fn new(settings: Settings) -> Result<Rc<Self>, bulk::disk::Error> {
         let seed = clock::wall_millis();
         let telemetry = Telemetry::new("tarragonseam-entry");
         let board = Board::new(&settings.vm, &settings.failure_domain, seed);
-        Rc::new(Self {
+        let disk = match &settings.data {
+            Some(folder) => Some(bulk::disk::Disk::open(folder)?),
+            None => None,
+        };
+        Ok(Rc::new(Self {
             board: Rc::new(RefCell::new(board)),
             clock: Clock::default(),
             pool: Pool::new(Limits::new()),
@@ -55,8 +63,10 @@
             next_request: Cell::new(seed),
             primed: Cell::new(false),
             leaving: Cell::new(false),
+            rollouts: rollout::State::default(),
+            disk,
             settings,
-        })
+        }))
     }
 
     pub(crate) fn now(&self) -> Time {
--- a/crates/policy/src/claim.rs
+++ b/crates/policy/src/claim.rs
@@ -42,6 +42,8 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Guard {
     heard: Time,
+    /// Whether another VM was seen to produce the lot.
+    is_taken: bool,
 }
 
 /// What to do about a lot that is not sealed.
@@ -58,18 +60,32 @@
 impl Guard {
     /// Returns a guard that starts at `now`.
     pub fn new(now: Time) -> Self {
-        Self { heard: now }
+        Self {
+            heard: now,
+            is_taken: false,
+        }
     }
 
     /// Notes that another VM produces the lot.
     pub fn hear(&mut self, now: Time) {
         self.heard = now;
+        self.is_taken = true;
+    }
+
+    /// Returns whether the owner was heard too recently to be given up.
+    pub fn is_fresh(&self, now: Time) -> bool {
+        now - self.heard < SILENCE_MAX
     }
 
     /// Returns what the VM with this `rank` among the candidates does now.
     /// Each rank is more patient than the one before, so that guards rarely
     /// take over at once.
     pub fn duty(&self, rank: Option<usize>, now: Time) -> Duty {
+        let rank = match rank {
+            // The order changed while another VM produces: it goes on.
+            Some(0) if self.is_taken => Some(1),
+            rank => rank,
+        };
         match rank {
             None => Duty::Nothing,
             Some(0) => Duty::Produce,
--- a/crates/policy/tests/rollouts.rs
+++ b/crates/policy/tests/rollouts.rs
@@ -174,6 +174,11 @@
     for (rank, after, duty) in table {
         assert_eq!(guard.duty(rank, start + after), duty, "{rank:?} {after:?}");
     }
+    // A VM that became the first keeps off while the owner answers.
+    let mut guard = guard;
+    guard.hear(start);
+    assert_eq!(guard.duty(Some(0), start), Duty::Ask);
+    assert_eq!(guard.duty(Some(0), start + SILENCE_MAX), Duty::Produce);
 }
 
 #[test]
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -1,6 +1,10 @@
 //! What processes ask of each other.
 
-use board::usage::{Sheet, Window};
+use board::{
+    key::Digest,
+    lot::Manifest,
+    usage::{Sheet, Window},
+};
 
 board::record! {
     /// A question to another process.
@@ -9,6 +13,67 @@
         Usage(Window),
         /// What the process is and knows.
         Status,
+        /// Where the named lot stands.
+        Lot(String),
+        /// Whether the VM has a disk for bulk data.
+        Disk,
+        /// A piece of a file to keep on the VM's disk.
+        Store(Chunk),
+        /// A piece of a file that the VM's disk holds.
+        Load(Piece),
+    }
+}
+
+board::record! {
+    /// A piece of a file on its way to a disk. Pieces come in order; the one
+    /// that ends the file is answered once the whole file is durable.
+    pub struct Chunk {
+        /// The file.
+        pub file: File,
+        /// Tells writers of one file apart.
+        pub writer: String,
+        /// Where the piece starts in the file, in bytes.
+        pub offset: u64,
+        /// The length of the whole file in bytes.
+        pub total: u64,
+        /// The piece.
+        pub bytes: Vec<u8>,
+    }
+}
+
+board::record! {
+    /// A file of bulk data: the content of one lot.
+    pub struct File {
+        /// The trainer.
+        pub trainer: String,
+        /// The number of the lot.
+        pub lot: u64,
+        /// The SHA-256 of the content.
+        pub digest: Digest,
+    }
+}
+
+board::record! {
+    /// A piece of a file that is asked for.
+    pub struct Piece {
+        /// The file.
+        pub file: File,
+        /// Where the piece starts, in bytes.
+        pub offset: u64,
+        /// The largest length wanted, in bytes.
+        pub length: u32,
+    }
+}
+
+board::record! {
+    /// Where a lot stands on one VM.
+    pub enum Progress {
+        /// The VM does not work on it and does not know it as sealed.
+        Idle,
+        /// The VM produces it.
+        Producing,
+        /// It is sealed.
+        Sealed(Manifest),
     }
 }
 
@@ -19,6 +84,14 @@
         Usage(Sheet),
         /// What the process is and knows.
         Status(Status),
+        /// Where a lot stands.
+        Lot(Progress),
+        /// Whether the VM has a disk for bulk data.
+        Disk(bool),
+        /// The piece is kept; after the last one, the file is durable.
+        Stored,
+        /// A piece of a file.
+        Piece(Vec<u8>),
         /// The question was not understood or cannot be answered now.
         Refused(String),
     }
