--- a/crates/board/src/lot.rs
+++ b/crates/board/src/lot.rs
@@ -65,6 +65,8 @@
     pub struct Sample {
         /// Its name.
         pub id: Id,
+        /// The id under which engines ran it, as their logs show it.
+        pub request_id: String,
         /// The prompt.
         pub prompt: String,
         /// The tokens generated.
--- a/crates/entry/src/rollout/attempt.rs
+++ b/crates/entry/src/rollout/attempt.rs
@@ -91,7 +91,7 @@
 }
 
 /// Generates the tokens; `None` when the sample has to be drawn again.
-pub(crate) async fn run(attempt: Attempt, span: telemetry::Span) -> Option<Output> {
+pub(crate) async fn run(attempt: Attempt, span: telemetry::Span) -> Option<(String, Output)> {
     let vm = &attempt.vm;
     let start = vm.now();
     let mut output = Output {
@@ -109,7 +109,7 @@
     lot::oldest(&output.spans)?;
     let took = vm.now() - start;
     sample::note(vm, &attempt.job, output.tokens.len() as u32, took);
-    Some(output)
+    Some((attempt.task.request_id.clone(), output))
 }
 
 /// Returns the oldest version that an engine may hold for a new attempt.
--- a/crates/entry/src/rollout/sample.rs
+++ b/crates/entry/src/rollout/sample.rs
@@ -27,7 +27,7 @@
     prompt: &str,
     span: &telemetry::Span,
 ) -> Option<Sample> {
-    let output = generate(vm, job, id, prompt, span).await?;
+    let (request_id, output) = generate(vm, job, id, prompt, span).await?;
     let score = score::fetch(vm, job, id, prompt, &output.tokens, span).await?;
     let newest = newest_version(vm, &job.trainer.model);
     let allowed = policy::staleness::oldest_at_sealing(newest, job.trainer.max_staleness);
@@ -37,6 +37,7 @@
     }
     Some(Sample {
         id: id.clone(),
+        request_id,
         prompt: prompt.to_string(),
         tokens: output.tokens,
         spans: output.spans,
@@ -44,7 +45,9 @@
     })
 }
 
-type Running = Pin<Box<dyn Future<Output = Option<Output>>>>;
+/// A whole output and the id of its request.
+type Whole = (String, Output);
+type Running = Pin<Box<dyn Future<Output = Option<Whole>>>>;
 
 /// Runs one attempt, and a second one beside it when the first is slow. The
 /// first whole output wins; dropping the other closes its connection, which
@@ -55,7 +58,7 @@
     id: &Id,
     prompt: &str,
     span: &telemetry::Span,
-) -> Option<Output> {
+) -> Option<Whole> {
     let first = Attempt::new(vm, job, id, prompt, Vec::new());
     let mut running: Running = Box::pin(attempt::run(first.clone(), span.clone()));
     loop {
@@ -78,7 +81,7 @@
     first_attempt: &Attempt,
     mut second: Running,
     second_attempt: &Attempt,
-) -> Option<Output> {
+) -> Option<Whole> {
     let (output, rest, loser) = monoio::select! {
         output = first.as_mut() => (output, second, second_attempt),
         output = second.as_mut() => (output, first, first_attempt),
