Put weights in force in waves, and check histories of rollouts under faults

Weights: a window that follows the store's rate, a floor of serving capacity, back-off, and endpoints set aside with a log line.

--- /dev/null
+++ b/crates/cli/tests/rollouts.rs
@@ -0,0 +1,93 @@
+//! Trainers against whole deployments under faults.
+
+mod rollouts_support;
+
+use std::{cell::RefCell, time::Duration};
+
+use board::lot::{Content, Manifest};
+use link::platform::Client;
+use rand::{SeedableRng, rngs::StdRng};
+use rollouts_support::{
+    history,
+    run::{self, Bench, EXPECTED},
+};
+
+/// Seeds to run, as `FIRST..END`; a few by default.
+const SEEDS: &str = "TARRAGONSEAM_SEEDS";
+
+fn seeds() -> std::ops::Range<u64> {
+    let Ok(text) = std::env::var(SEEDS) else {
+        return 0..2;
+    };
+    let (first, end) = text.split_once("..").expect("FIRST..END");
+    first.parse().unwrap()..end.parse().unwrap()
+}
+
+#[test]
+fn histories_under_faults() {
+    for seed in seeds() {
+        let record = link::runtime::run(run::faults(seed)).unwrap();
+        run::clean();
+        let found = history::check(&record, EXPECTED);
+        assert!(found.is_empty(), "seed {seed}: {found:?}");
+        println!("seed {seed}: {} draws, no violation", record.draws.len());
+    }
+}
+
+/// Prompts so long that the content of a lot does not fit into one object.
+const LONG_PROMPT_WORDS: usize = 15_000;
+
+/// Draws a long lot from a deployment with the given number of disks, with
+/// `fault` brought about between sealing and drawing.
+async fn long_lot(disks: usize, fault: impl AsyncFnOnce(&run::Bench, &Manifest)) {
+    let mut plan = run::plan(4);
+    let folder = std::env::temp_dir().join(format!("tarragonseam-{}-{disks}", std::process::id()));
+    for vm in plan.vms.iter_mut().take(disks) {
+        let path = folder.join(&vm.id);
+        vm.entry_settings = format!("data = \"{}\"\n", path.display());
+    }
+    let bench = Bench::start(&plan, 4).await;
+    let rng = RefCell::new(StdRng::seed_from_u64(1));
+    bench.declare(&rng, 0, LONG_PROMPT_WORDS).await;
+    let client = Client::new(bench.deployment.platform, "test");
+    let manifest: Manifest = loop {
+        match client.read("lot", "notes.0").await {
+            Ok((_, manifest)) => break manifest,
+            Err(_) => monoio::time::sleep(Duration::from_millis(100)).await,
+        }
+    };
+    fault(&bench, &manifest).await;
+    let draw = bench.draw(&rng, 0).await;
+    assert_eq!(draw.digest, manifest.digest.to_string());
+    assert_eq!(draw.lot.samples.len(), 16);
+    drop(bench);
+    // What is left behind costs only disk space.
+    let _ = std::fs::remove_dir_all(folder);
+}
+
+#[test]
+fn long_lot_on_two_disks() {
+    link::runtime::run(long_lot(3, async |bench, manifest| {
+        let Content::Disks(places) = &manifest.content else {
+            panic!("not on disks: {:?}", manifest.content);
+        };
+        let place = |id: &String| bench.deployment.vms.iter().find(|vm| vm.vm.id == *id);
+        let vms: Vec<_> = places.iter().map(|id| place(id).unwrap()).collect();
+        assert_eq!(vms.len(), 2);
+        assert_ne!(vms[0].vm.failure_domain, vms[1].vm.failure_domain);
+        // One of the two is lost; the other has it all.
+        vms[0].entry.signal("KILL").unwrap();
+    }))
+    .unwrap();
+}
+
+#[test]
+fn long_lot_without_disks() {
+    link::runtime::run(long_lot(0, async |_, manifest| {
+        let Content::Objects(parts) = &manifest.content else {
+            panic!("not in objects: {:?}", manifest.content);
+        };
+        assert!(parts.len() > 1);
+    }))
+    .unwrap();
+}
--- /dev/null
+++ b/crates/cli/tests/rollouts_support/history.rs
@@ -0,0 +1,188 @@
+//! What trainers saw, and whether it keeps the promises about samples.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+};
+
+use board::lot::{Lot, Sample, Span};
+use serde::Deserialize;
+use todc_utils::{Action, History as Operations, Specification, WGLChecker};
+
+/// One answer to a draw.
+#[derive(Clone, Debug)]
+pub(crate) struct Draw {
+    pub(crate) digest: String,
+    pub(crate) lot: Lot,
+}
+
+/// A stream in an engine's own log.
+#[derive(Clone, Debug, Deserialize)]
+pub(crate) struct Stream {
+    pub(crate) request_id: String,
+    pub(crate) spans: Vec<Span>,
+}
+
+/// An operation on a trainer's cursor.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Operation {
+    /// Acknowledged this lot.
+    Acknowledge(u64),
+    /// Read the number of the next lot; `None` while it is not known.
+    Read(Option<u64>),
+}
+
+/// Everything that one run recorded.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Record {
+    pub(crate) draws: Vec<Draw>,
+    /// Digests as the platform holds them at the end, by number of the lot.
+    pub(crate) manifests: BTreeMap<u64, String>,
+    pub(crate) streams: Vec<Stream>,
+    /// Versions that were in force before each step was declared.
+    pub(crate) version_before_step: BTreeMap<u64, u64>,
+    /// Operations on the cursor, with the process that called them.
+    pub(crate) cursor: Vec<(usize, Action<Operation>)>,
+}
+
+/// What the samples have to be.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Expected {
+    pub(crate) steps: u64,
+    pub(crate) groups: u32,
+    pub(crate) group: u32,
+    pub(crate) max_staleness: u64,
+}
+
+/// A broken promise.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Violation {
+    LotChanged(u64),
+    LotUnsealed(u64),
+    SampleDoubled(String),
+    SampleMissing(String),
+    GroupSplit(u64),
+    LabelWrong(String),
+    SampleStale(String),
+    CursorNotLinearizable,
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Debug::fmt(self, f)
+    }
+}
+
+/// Returns every broken promise.
+pub(crate) fn check(record: &Record, expected: Expected) -> BTreeSet<Violation> {
+    let mut found = BTreeSet::new();
+    let lots = check_lots(record, &mut found);
+    check_ids(&lots, expected, &mut found);
+    let mut streams: BTreeMap<&str, Vec<&Stream>> = BTreeMap::new();
+    for stream in &record.streams {
+        streams.entry(&stream.request_id).or_default().push(stream);
+    }
+    for sample in lots.values().flat_map(|lot| &lot.samples) {
+        let own = streams.get(sample.request_id.as_str());
+        if !own.is_some_and(|own| is_labelled(sample, own)) {
+            found.insert(Violation::LabelWrong(sample.id.to_string()));
+        }
+        let before = record.version_before_step.get(&sample.id.step);
+        let oldest = board::lot::oldest(&sample.spans).unwrap_or_default();
+        if before.is_some_and(|before| oldest + expected.max_staleness < *before) {
+            found.insert(Violation::SampleStale(sample.id.to_string()));
+        }
+    }
+    let operations = Operations::from_actions(record.cursor.clone());
+    if !record.cursor.is_empty() && !WGLChecker::<Cursor>::is_linearizable(operations) {
+        found.insert(Violation::CursorNotLinearizable);
+    }
+    found
+}
+
+/// Checks that each lot is one and the same in all draws and on the platform.
+fn check_lots<'a>(record: &'a Record, found: &mut BTreeSet<Violation>) -> BTreeMap<u64, &'a Lot> {
+    let mut lots: BTreeMap<u64, &Lot> = BTreeMap::new();
+    for Draw { digest, lot } in &record.draws {
+        let first = lots.entry(lot.number).or_insert(lot);
+        if *first != lot {
+            found.insert(Violation::LotChanged(lot.number));
+        }
+        if record.manifests.get(&lot.number) != Some(digest) {
+            found.insert(Violation::LotUnsealed(lot.number));
+        }
+        let mut groups: BTreeMap<u32, BTreeSet<u32>> = BTreeMap::new();
+        for sample in &lot.samples {
+            groups
+                .entry(sample.id.group)
+                .or_default()
+                .insert(sample.id.index);
+        }
+        let sizes: BTreeSet<_> = groups.values().map(BTreeSet::len).collect();
+        if sizes.len() > 1 {
+            found.insert(Violation::GroupSplit(lot.number));
+        }
+    }
+    lots
+}
+
+/// Checks that each sample came exactly once.
+fn check_ids(lots: &BTreeMap<u64, &Lot>, expected: Expected, found: &mut BTreeSet<Violation>) {
+    let mut seen = BTreeSet::new();
+    for sample in lots.values().flat_map(|lot| &lot.samples) {
+        let id = &sample.id;
+        if !seen.insert((id.step, id.group, id.index)) {
+            found.insert(Violation::SampleDoubled(id.to_string()));
+        }
+    }
+    for step in 0..expected.steps {
+        for group in 0..expected.groups {
+            for index in 0..expected.group {
+                if !seen.contains(&(step, group, index)) {
+                    found.insert(Violation::SampleMissing(format!("{step}.{group}.{index}")));
+                }
+            }
+        }
+    }
+}
+
+/// Returns whether the spans name, for each token, a version under which an
+/// engine's own log says that it produced this token of this request.
+fn is_labelled(sample: &Sample, streams: &[&Stream]) -> bool {
+    let mut next = 0;
+    for span in &sample.spans {
+        if span.from != next || span.to <= span.from {
+            return false;
+        }
+        next = span.to;
+    }
+    let is_logged = |index: u32, version: u64| {
+        let mut spans = streams.iter().flat_map(|stream| &stream.spans);
+        spans.any(|s| s.version == version && s.from <= index && index < s.to)
+    };
+    let is_whole = next as usize == sample.tokens.len();
+    let mut tokens = sample
+        .spans
+        .iter()
+        .flat_map(|span| (span.from..span.to).map(|index| (index, span.version)));
+    is_whole && tokens.all(|(index, version)| is_logged(index, version))
+}
+
+/// The cursor as one process would see it: the number of the next lot.
+struct Cursor;
+
+impl Specification for Cursor {
+    type State = u64;
+    type Operation = Operation;
+
+    fn init() -> u64 {
+        0
+    }
+
+    fn apply(operation: &Operation, state: &u64) -> (bool, u64) {
+        match *operation {
+            Operation::Acknowledge(lot) => (lot <= *state, (lot + 1).max(*state)),
+            Operation::Read(next) => (next == Some(*state), *state),
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/rollouts_support/mod.rs
@@ -0,0 +1,7 @@
+//! Runs of trainers against whole deployments under faults, and the checker
+//! of what they saw.
+
+#![allow(dead_code, reason = "each test file uses a part of this")]
+
+pub(crate) mod history;
+pub(crate) mod run;
--- /dev/null
+++ b/crates/cli/tests/rollouts_support/run.rs
@@ -0,0 +1,398 @@
+//! One run: a deployment, trainers that draw from it, and faults by a seed.
+
+use std::{
+    cell::{Cell, RefCell},
+    path::Path,
+    process::Command,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use board::lot::{Lot, Manifest};
+use fakes::deployment::{Deployment, Plan};
+use link::{
+    http::client::{Call, Fetched},
+    platform::Client,
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use todc_utils::Action;
+
+use super::history::{Draw, Expected, Operation, Record, Stream};
+
+pub(crate) const PROGRAM: &str = env!("CARGO_BIN_EXE_tarragonseam");
+const TREE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/cider-festival");
+pub(crate) const DOMAINS: [&str; 3] = ["a", "b", "c"];
+
+/// What the example's trainer declares, with smaller lots.
+pub(crate) const EXPECTED: Expected = Expected {
+    steps: 3,
+    groups: 8,
+    group: 4,
+    max_staleness: 2,
+};
+const LOTS_PER_STEP: u64 = 4;
+const LOTS: u64 = EXPECTED.steps * LOTS_PER_STEP;
+
+/// A deployment with its configuration published, and a trainer's key.
+pub(crate) struct Bench {
+    pub(crate) deployment: Deployment,
+    pub(crate) key: String,
+    pub(crate) record: RefCell<Record>,
+}
+
+/// Returns the plan of the fault runs.
+pub(crate) fn plan(vms: usize) -> Plan {
+    Plan::new(TREE)
+        .vms(vms, &DOMAINS)
+        .engines("tasting-notes", 3, &DOMAINS)
+}
+
+impl Bench {
+    /// Starts `plan` with lots of `groups_per_lot` groups.
+    pub(crate) async fn start(plan: &Plan, groups_per_lot: u32) -> Rc<Self> {
+        let deployment = Deployment::start(Path::new(PROGRAM), plan).await.unwrap();
+        let file = deployment.tree.join("tasting-notes/tarragonseam.toml");
+        let text = std::fs::read_to_string(&file).unwrap();
+        let lots = format!("groups_per_lot = {groups_per_lot}");
+        std::fs::write(&file, text.replace("groups_per_lot = 4", &lots)).unwrap();
+        let platform = format!("--platform={}", deployment.platform);
+        let tree = deployment.tree.display().to_string();
+        command(&["publish", &tree, &platform]);
+        let key = command(&["key", "issue", "festival", &platform]);
+        deployment.wait_ready().await.unwrap();
+        Rc::new(Self {
+            deployment,
+            key: key.trim().to_string(),
+            record: RefCell::default(),
+        })
+    }
+
+    /// Sends `call` to one VM; `None` when no answer came in time.
+    pub(crate) async fn try_at(&self, vm: usize, call: Call) -> Option<Fetched> {
+        let call = call
+            .header("authorization", format!("Bearer {}", self.key))
+            .fresh()
+            .deadline(Duration::from_secs(4));
+        let vm = &self.deployment.vms[vm % self.deployment.vms.len()];
+        self.deployment.pool.fetch(vm.callers, call).await.ok()
+    }
+
+    /// Sends what `call` returns to one VM after another until one answers
+    /// with success.
+    pub(crate) async fn insist(&self, rng: &RefCell<StdRng>, call: impl Fn() -> Call) -> Fetched {
+        let start = Instant::now();
+        let mut last = None;
+        loop {
+            let vm = rng.borrow_mut().random_range(0..self.deployment.vms.len());
+            let answer = self.try_at(vm, call()).await;
+            match answer {
+                Some(answer) if answer.status.is_success() => return answer,
+                Some(answer) => last = Some(answer),
+                None => {}
+            }
+            let path = call().path().to_string();
+            assert!(start.elapsed() < RUN_TIME, "{path}: last answer {last:?}");
+            monoio::time::sleep(RETRY_TIME).await;
+        }
+    }
+
+    /// Sets fault switches of a stand-in.
+    pub(crate) async fn fault(&self, address: std::net::SocketAddr, switches: Value) {
+        let call = Call::post("/fault", switches.to_string());
+        let set = self.deployment.pool.fetch(address, call).await.unwrap();
+        assert!(set.status.is_success(), "{set:?}");
+    }
+
+    /// Declares a step with prompts of the given number of words.
+    pub(crate) async fn declare(&self, rng: &RefCell<StdRng>, step: u64, words: usize) {
+        let pad = " dry".repeat(words);
+        let prompts: Vec<_> = (0..EXPECTED.groups)
+            .map(|group| format!("describe bottle {step}-{group}{pad}"))
+            .collect();
+        let body = json!({ "prompts": prompts }).to_string();
+        let path = format!("/v1/trainers/notes/steps/{step}");
+        self.insist(rng, || Call::post(path.clone(), body.clone()))
+            .await;
+    }
+
+    /// Puts new weights in force.
+    pub(crate) async fn raise_weights(&self, rng: &RefCell<StdRng>, version: u64) {
+        let body = json!({ "version": version }).to_string();
+        let path = "/v1/trainers/notes/weights";
+        self.insist(rng, || Call::post(path, body.clone())).await;
+    }
+
+    /// Draws a lot and records the answer.
+    pub(crate) async fn draw(&self, rng: &RefCell<StdRng>, number: u64) -> Draw {
+        let path = format!("/v1/trainers/notes/lots/{number}?wait_ms=2000");
+        let answer = self.insist(rng, || Call::get(path.clone())).await;
+        let digest = answer.headers["x-lot-digest"].to_str().unwrap().to_string();
+        let seen = board::key::Digest::of_bytes(&answer.body).to_string();
+        assert_eq!(seen, digest, "the checksum of lot {number}");
+        let lot: Lot = serde_json::from_slice(&answer.body).unwrap();
+        let draw = Draw { digest, lot };
+        self.record.borrow_mut().draws.push(draw.clone());
+        draw
+    }
+
+    fn note(&self, process: usize, action: Action<Operation>) {
+        self.record.borrow_mut().cursor.push((process, action));
+    }
+
+    /// Reads the cursor and records it.
+    pub(crate) async fn next_lot(&self, rng: &RefCell<StdRng>, process: usize) -> u64 {
+        #[derive(Deserialize)]
+        struct Position {
+            next_lot: u64,
+        }
+        self.note(process, Action::Call(Operation::Read(None)));
+        let path = "/v1/trainers/notes/cursor";
+        let answer = self.insist(rng, || Call::get(path)).await;
+        let position: Position = serde_json::from_slice(&answer.body).unwrap();
+        let seen = Operation::Read(Some(position.next_lot));
+        self.note(process, Action::Response(seen));
+        position.next_lot
+    }
+
+    /// Acknowledges a lot and records it.
+    pub(crate) async fn acknowledge(&self, rng: &RefCell<StdRng>, process: usize, lot: u64) {
+        let operation = Operation::Acknowledge(lot);
+        self.note(process, Action::Call(operation));
+        let path = format!("/v1/trainers/notes/lots/{lot}/ack");
+        self.insist(rng, || Call::post(path.clone(), "{}")).await;
+        self.note(process, Action::Response(operation));
+    }
+
+    /// A trainer process that draws and acknowledges every lot, and now and
+    /// then crashes between the two and starts again from the cursor.
+    pub(crate) async fn train(self: Rc<Self>, process: usize, seed: u64) {
+        let rng = RefCell::new(StdRng::seed_from_u64(seed));
+        loop {
+            let lot = self.next_lot(&rng, process).await;
+            if lot == LOTS {
+                return;
+            }
+            self.draw(&rng, lot).await;
+            let is_crash = rng.borrow_mut().random_bool(0.25);
+            if !is_crash {
+                self.acknowledge(&rng, process, lot).await;
+            }
+        }
+    }
+
+    /// Reads what the platform and the engines hold at the end.
+    pub(crate) async fn finish(&self) -> Record {
+        let client = Client::new(self.deployment.platform, "test");
+        let mut record = self.record.borrow().clone();
+        for lot in 0..LOTS {
+            if let Ok((_, manifest)) = client
+                .read::<Manifest>("lot", &format!("notes.{lot}"))
+                .await
+            {
+                record.manifests.insert(lot, manifest.digest.to_string());
+            }
+        }
+        for endpoint in &self.deployment.endpoints {
+            record
+                .streams
+                .extend(log(&self.deployment, endpoint.address).await);
+        }
+        record
+    }
+}
+
+/// Returns the log of an engine.
+pub(crate) async fn log(deployment: &Deployment, engine: std::net::SocketAddr) -> Vec<Stream> {
+    #[derive(Deserialize)]
+    struct Log {
+        entries: Vec<Stream>,
+    }
+    let pool = link::http::Pool::new(link::http::Limits::new().body_bytes(64 * 1024 * 1024));
+    let call = Call::get("/v1/log").deadline(Duration::from_secs(20));
+    let answer = pool.fetch(engine, call).await.unwrap();
+    assert!(deployment.endpoints.iter().any(|e| e.address == engine));
+    serde_json::from_slice::<Log>(&answer.body).unwrap().entries
+}
+
+/// A run that is not over by then hangs.
+const RUN_TIME: Duration = Duration::from_secs(120);
+const RETRY_TIME: Duration = Duration::from_millis(100);
+
+/// Runs the command line and returns what it prints.
+pub(crate) fn command(arguments: &[&str]) -> String {
+    let output = Command::new(PROGRAM).args(arguments).output().unwrap();
+    assert!(output.status.success(), "{arguments:?}: {output:?}");
+    String::from_utf8(output.stdout).unwrap()
+}
+
+/// One fault of a run.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    Kill,
+    Freeze,
+    CutVm,
+    Outage,
+    LoseReplies,
+    TruncateStreams,
+    ScorerBusy,
+}
+
+const FAULTS: [Fault; 7] = [
+    Fault::Kill,
+    Fault::Freeze,
+    Fault::CutVm,
+    Fault::Outage,
+    Fault::LoseReplies,
+    Fault::TruncateStreams,
+    Fault::ScorerBusy,
+];
+
+/// How many faults one run brings about.
+const FAULTS_PER_RUN: usize = 4;
+
+/// Runs two processes of one trainer through all steps under faults drawn from
+/// `seed`, and returns what was recorded.
+pub(crate) async fn faults(seed: u64) -> Record {
+    let bench = Bench::start(&plan(4), 2).await;
+    let rng = RefCell::new(StdRng::seed_from_u64(seed));
+    let done = Rc::new(Cell::new(0));
+    for process in 0..2 {
+        let (bench, done) = (bench.clone(), done.clone());
+        monoio::spawn(async move {
+            bench.train(process, seed * 2 + process as u64).await;
+            done.set(done.get() + 1);
+        });
+    }
+    let steps = bench.clone();
+    monoio::spawn(async move { declare_all(&steps, seed).await });
+    for _ in 0..FAULTS_PER_RUN {
+        let pause = rng.borrow_mut().random_range(200..1500);
+        monoio::time::sleep(Duration::from_millis(pause)).await;
+        let fault = FAULTS[rng.borrow_mut().random_range(0..FAULTS.len())];
+        bring_about(&bench, &rng, fault).await;
+    }
+    let start = Instant::now();
+    while done.get() < 2 {
+        assert!(
+            start.elapsed() < RUN_TIME,
+            "the trainers did not end: seed {seed}"
+        );
+        monoio::time::sleep(RETRY_TIME).await;
+    }
+    bench.finish().await
+}
+
+/// Declares all steps, with new weights before each.
+async fn declare_all(bench: &Bench, seed: u64) {
+    let rng = RefCell::new(StdRng::seed_from_u64(seed + 1));
+    for step in 0..EXPECTED.steps {
+        let version = 2 + step * 2;
+        bench.raise_weights(&rng, version).await;
+        let mut record = bench.record.borrow_mut();
+        record.version_before_step.insert(step, version);
+        drop(record);
+        bench.declare(&rng, step, 0).await;
+        monoio::time::sleep(Duration::from_millis(1500)).await;
+        bench.raise_weights(&rng, version + 1).await;
+    }
+}
+
+async fn bring_about(bench: &Rc<Bench>, rng: &RefCell<StdRng>, fault: Fault) {
+    let vms = bench.deployment.vms.len();
+    let vm = rng.borrow_mut().random_range(0..vms);
+    let millis = rng.borrow_mut().random_range(1000..4000);
+    let span = Duration::from_millis(millis);
+    let platform = bench.deployment.platform;
+    let engines: Vec<_> = bench
+        .deployment
+        .endpoints
+        .iter()
+        .map(|e| e.address)
+        .collect();
+    match fault {
+        Fault::Kill => kill(bench, vm, span).await,
+        Fault::Freeze => {
+            let entry = &bench.deployment.vms[vm].entry;
+            entry.signal("STOP").unwrap();
+            // Long enough for a takeover.
+            monoio::time::sleep(Duration::from_secs(6)).await;
+            entry.signal("CONT").unwrap();
+        }
+        Fault::CutVm => {
+            let id = &bench.deployment.vms[vm].vm.id;
+            bench.fault(platform, json!({ "cut": [id] })).await;
+            monoio::time::sleep(span).await;
+            bench.fault(platform, json!({ "cut": [] })).await;
+        }
+        Fault::Outage => {
+            bench.fault(platform, json!({ "outage": true })).await;
+            monoio::time::sleep(span).await;
+            bench.fault(platform, json!({ "outage": false })).await;
+        }
+        Fault::LoseReplies => {
+            bench.fault(platform, json!({ "lost_reply": 0.3 })).await;
+            monoio::time::sleep(span).await;
+            lift(bench, platform, json!({ "lost_reply": 0.0 })).await;
+        }
+        Fault::TruncateStreams => {
+            for engine in &engines {
+                bench.fault(*engine, json!({ "truncate": 0.3 })).await;
+            }
+            monoio::time::sleep(span).await;
+            for engine in &engines {
+                bench.fault(*engine, json!({ "truncate": 0.0 })).await;
+            }
+        }
+        Fault::ScorerBusy => {
+            let scorer = bench.deployment.scorer;
+            bench.fault(scorer, json!({ "outage": true })).await;
+            monoio::time::sleep(span).await;
+            bench
+                .fault(scorer, json!({ "outage": false, "lost_reply": 0.2 }))
+                .await;
+            monoio::time::sleep(span).await;
+            lift(bench, scorer, json!({ "lost_reply": 0.0 })).await;
+        }
+    }
+}
+
+/// Clears switches whose own reply may be lost.
+async fn lift(bench: &Bench, address: std::net::SocketAddr, switches: Value) {
+    loop {
+        let call = Call::post("/fault", switches.to_string());
+        let set = bench.deployment.pool.fetch(address, call).await;
+        if set.is_ok_and(|answer| answer.status.is_success()) {
+            return;
+        }
+    }
+}
+
+/// Kills an entry daemon outright and starts it again after `span`.
+async fn kill(bench: &Rc<Bench>, vm: usize, span: Duration) {
+    let id = bench.deployment.vms[vm].vm.id.clone();
+    bench.deployment.vms[vm].entry.signal("KILL").unwrap();
+    monoio::time::sleep(span).await;
+    let settings = bench.deployment.folder.join(format!("entry-{id}.toml"));
+    let arguments = [
+        "entry".to_string(),
+        format!("--settings={}", settings.display()),
+    ];
+    let log = bench
+        .deployment
+        .folder
+        .join(format!("entry-{id}-again.log"));
+    let child = fakes::deployment::Child::start(Path::new(PROGRAM), &arguments, &log).unwrap();
+    RESTARTED.with(|restarted| restarted.borrow_mut().push(child));
+}
+
+thread_local! {
+    /// Daemons that were started again, which end with the run.
+    static RESTARTED: RefCell<Vec<fakes::deployment::Child>> = const { RefCell::new(Vec::new()) };
+}
+
+/// Ends daemons that were started again.
+pub(crate) fn clean() {
+    RESTARTED.with(|restarted| restarted.borrow_mut().clear());
+}
--- a/crates/steward/src/weights.rs
+++ b/crates/steward/src/weights.rs
@@ -2,14 +2,13 @@
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
-use board::hash::Set;
-use link::http::client::Call;
-use policy::weights::{self, Swap};
+use link::{StatusCode, http::client::Call};
+use policy::weights::{Outcome, Rollout, Swap, Verdict};
 use serde::Serialize;
 
 use crate::vm::Vm;
 
-const PERIOD: Duration = Duration::from_millis(250);
+const PERIOD: Duration = Duration::from_millis(100);
 const LOAD_TIME: Duration = Duration::from_secs(30);
 
 #[derive(Serialize)]
@@ -22,28 +21,44 @@
 
 /// Sends the swaps that are due, for ever.
 pub(crate) async fn run(vm: Rc<Vm>) {
-    let running = Rc::new(RefCell::new(Set::default()));
+    let rollout = Rc::new(RefCell::new(Rollout::default()));
     loop {
         monoio::time::sleep(PERIOD).await;
-        let due = weights::due(&vm.board.borrow(), &vm.settings.failure_domain);
+        if vm.epoch(&vm.orders).is_none() {
+            continue;
+        }
+        let domain = &vm.settings.failure_domain;
+        let due = rollout
+            .borrow_mut()
+            .due(&vm.board.borrow(), vm.now(), domain);
         for swap in due {
-            let Some(epoch) = vm.epoch(&vm.orders) else {
-                break;
-            };
-            if !running.borrow_mut().insert(swap.endpoint) {
-                continue;
-            }
-            let vm = vm.clone();
-            let running = running.clone();
+            let (vm, rollout) = (vm.clone(), rollout.clone());
             monoio::spawn(async move {
-                send(&vm, epoch, &swap).await;
-                running.borrow_mut().remove(&swap.endpoint);
+                let outcome = send(&vm, &swap).await;
+                let verdict = rollout.borrow_mut().finish(vm.now(), &swap, outcome);
+                note(&vm, &swap, outcome, verdict);
             });
         }
     }
 }
 
-async fn send(vm: &Vm, epoch: u64, swap: &Swap) {
+fn note(vm: &Vm, swap: &Swap, outcome: Outcome, verdict: Verdict) {
+    let board = vm.board.borrow();
+    let id = board
+        .endpoints
+        .get(swap.endpoint)
+        .map(|e| e.record.id.as_str());
+    let endpoint = id.unwrap_or("gone");
+    let (model, version) = (swap.model.as_str(), swap.version);
+    if outcome == Outcome::Loaded {
+        spdlog::info!("weights loaded", kv: { endpoint, model, version });
+    }
+    if verdict == Verdict::SetAside {
+        spdlog::error!("endpoint set aside: weights do not load", kv: { endpoint, model, version });
+    }
+}
+
+async fn send(vm: &Vm, swap: &Swap) -> Outcome {
     let found = vm
         .board
         .borrow()
@@ -51,7 +66,11 @@
         .get(swap.endpoint)
         .map(|e| (e.record.id.clone(), e.record.address));
     let Some((id, address)) = found else {
-        return;
+        return Outcome::Failed;
+    };
+    // The lease is looked at last, right before the order leaves.
+    let Some(epoch) = vm.epoch(&vm.orders) else {
+        return Outcome::Stale;
     };
     let order = Order {
         key: format!("{id}.{}.{}", swap.model, swap.version),
@@ -61,8 +80,11 @@
     };
     let body = serde_json::to_vec(&order).unwrap_or_default();
     let call = Call::post("/v1/weights", body).deadline(LOAD_TIME);
-    let sent = vm.pool.fetch(address, call).await;
-    let loaded = sent.is_ok_and(|answer| answer.status.is_success());
-    let (endpoint, version) = (id.as_str(), swap.version);
-    spdlog::info!("weights ordered", kv: { endpoint, version, loaded });
+    match vm.pool.fetch(address, call).await {
+        Ok(answer) if answer.status.is_success() => Outcome::Loaded,
+        Ok(answer) if answer.status == StatusCode::CONFLICT => Outcome::Stale,
+        Ok(_) => Outcome::Failed,
+        Err(e) if e.is_unsent() => Outcome::Failed,
+        Err(_) => Outcome::Unknown,
+    }
 }
