--- a/crates/entry/src/bulk/mod.rs
+++ b/crates/entry/src/bulk/mod.rs
@@ -6,7 +6,7 @@
 
 pub mod disk;
 
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cmp::Reverse, net::SocketAddr, rc::Rc, time::Duration};
 
 use board::{hash, key::Digest};
 use link::{Bytes, peer, platform};
@@ -81,7 +81,8 @@
             found.push(other);
         }
     }
-    found.sort_by_key(|other| hash::of(&(&other.id, &file.digest)));
+    let key = hash::of(&file.digest);
+    found.sort_by_key(|other| Reverse(hash::rendezvous(key, &other.id)));
     found
 }
 
--- a/crates/policy/src/claim.rs
+++ b/crates/policy/src/claim.rs
@@ -9,7 +9,7 @@
 //! wakes after a takeover may finish its samples, but the lot is sealed by one
 //! create-if-absent, and the loser takes what stands.
 
-use std::time::Duration;
+use std::{cmp::Reverse, time::Duration};
 
 use board::{Time, hash, lot::Claim};
 
@@ -32,8 +32,9 @@
 /// assert_eq!(order, again);
 /// ```
 pub fn candidates<'a>(vms: impl IntoIterator<Item = &'a str>, lot: &str) -> Vec<&'a str> {
+    let key = hash::of(&lot);
     let mut order: Vec<_> = vms.into_iter().collect();
-    order.sort_by_key(|vm| (std::cmp::Reverse(hash::of(&(*vm, lot))), *vm));
+    order.sort_by_key(|vm| (Reverse(hash::rendezvous(key, vm)), *vm));
     order.truncate(CANDIDATES);
     order
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod health;
 pub mod hedge;
 pub mod lease;
+pub mod limit;
 pub mod lot;
 pub mod retry;
 pub mod routing;
--- a/crates/policy/src/weights.rs
+++ b/crates/policy/src/weights.rs
@@ -99,7 +99,7 @@
     /// # Examples
     ///
     /// ```
-    /// use tarragonseam_board::{Board, Time};
+    /// use board::{Board, Time};
     /// use tarragonseam_policy::weights::Rollout;
     ///
     /// let board = Board::new("vm-1", "a", 7);
