--- a/crates/board/src/hash.rs
+++ b/crates/board/src/hash.rs
@@ -1,5 +1,7 @@
 //! Hash maps with a fast hasher.
 
+use std::hash::{BuildHasher, Hash};
+
 /// A map for keys that callers cannot choose freely.
 pub type Map<K, V> = rustc_hash::FxHashMap<K, V>;
 
@@ -30,6 +32,19 @@
 /// The hasher behind them, the same on every VM.
 pub type Hasher = rustc_hash::FxHasher;
 
+/// Returns a hash that is the same in every process of one build.
+///
+/// # Examples
+///
+/// ```
+/// use tarragonseam_board::hash;
+///
+/// assert_eq!(hash::of(&("vm-1", 7)), hash::of(&("vm-1", 7)));
+/// ```
+pub fn of<T: Hash>(value: &T) -> u64 {
+    mix(&rustc_hash::FxBuildHasher.hash_one(value).to_le_bytes(), 0)
+}
+
 /// Returns the rank of `name` for `key` in rendezvous hashing: for each key,
 /// the name with the highest rank is chosen, so names that come and go move
 /// only the keys that they win.
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use board::endpoint::Endpoint;
+use board::{endpoint::Endpoint, shared::Item};
 use link::gossip::Source;
 use policy::{
     isolation::{self, View},
@@ -10,27 +10,30 @@
 };
 use wire::{Answer, Ask, message::Status};
 
-use crate::{explain, vm::Vm};
+use crate::{bulk, explain, rollout, vm::Vm};
 
 /// Answers one question, after what it asks for is done.
-pub(crate) async fn serve(vm: &Rc<Vm>, ask: Ask) -> Answer {
+pub(crate) async fn serve(vm: Rc<Vm>, ask: Ask) -> Answer {
     match ask {
-        Ask::Offer(items) => {
-            if vm
-                .gossip
-                .take(items, &Source::Platform(vm.platform.clone()))
-                .await
-            {
-                Answer::Done
-            } else {
-                Answer::Refused("a part of the configuration is missing".to_string())
-            }
-        }
-        other => answer(vm, &other),
+        Ask::Offer(items) => take(&vm, items).await,
+        Ask::Lot(name) => Answer::Lot(rollout::progress(&vm, &name)),
+        Ask::Disk => Answer::Disk(vm.disk.is_some()),
+        Ask::Store(chunk) => bulk::store(&vm, chunk).await,
+        Ask::Load(piece) => bulk::load(&vm, piece).await,
+        other => answer(&vm, &other),
+    }
+}
+
+async fn take(vm: &Rc<Vm>, items: Vec<Item>) -> Answer {
+    let source = Source::Platform(vm.platform.clone());
+    if vm.gossip.take(items, &source).await {
+        Answer::Done
+    } else {
+        Answer::Refused("a part of the configuration is missing".to_string())
     }
 }
 
-/// Answers one question.
+/// Answers a question about what this VM knows.
 pub(crate) fn answer(vm: &Rc<Vm>, ask: &Ask) -> Answer {
     let board = vm.board.borrow();
     match ask {
@@ -64,6 +67,6 @@
             Answer::Loads(endpoints.filter(near).filter_map(load).collect())
         }
         Ask::Explain(subject) => Answer::Explanation(explain::lines(vm, &board, subject)),
-        Ask::Offer(_) => Answer::Refused("offers are taken over TCP only".to_string()),
+        _ => Answer::Refused("not answered here".to_string()),
     }
 }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -10,7 +10,7 @@
 };
 use monoio::net::TcpListener;
 
-use crate::{admin, handler, peers, settings::Settings, slot, vm::Vm};
+use crate::{admin, handler, peers, rollout, settings::Settings, slot, vm::Vm};
 
 /// Why the daemon could not run.
 #[derive(Debug, thiserror::Error)]
@@ -25,6 +25,9 @@
         /// What the socket says.
         source: io::Error,
     },
+    /// The folder for bulk data cannot be used.
+    #[error(transparent)]
+    Disk(#[from] crate::bulk::disk::Error),
     /// The runtime or its signals cannot be set up.
     #[error("cannot start: {0}")]
     Start(#[from] io::Error),
@@ -47,21 +50,16 @@
     let callers = listen("callers", settings.callers)?;
     let peer_listener = listen("peers", settings.peers)?;
     let admin_listener = listen("admin", settings.admin)?;
-    let address = settings.peers;
-    let vm = Vm::new(settings).map_err(|source| Error::Listen {
-        setting: "peers",
-        address,
-        source,
-    })?;
+    let vm = Vm::new(settings)?;
     if let Some(collector) = vm.settings.collector {
         vm.telemetry.export_to(collector);
     }
     follow_platform(&vm);
+    rollout::start(&vm);
 
     let for_peers = vm.clone();
     monoio::spawn(peer::serve(peer_listener, move |ask| {
-        let vm = for_peers.clone();
-        async move { peers::serve(&vm, ask).await }
+        peers::serve(for_peers.clone(), ask)
     }));
     let for_admin = vm.clone();
     let admin_drain = server::Drain::default();
