Bound what loads and beats cost a VM, and calls in an outage

At 128 VMs and 2,000 endpoints the swarm's quiet traffic was 5.3 to 6.2 KB/s a VM in both directions, mostly beats; worked out for 390 VMs, loads each second in a failure domain of 763 endpoints would have brought 22 KB/s more. One beat goes to one member now, and the period of loads grows with the endpoints. Only four VMs of a failure domain try the platform when keys are old, so calls in an outage do not grow with the fleet.

--- a/crates/cli/tests/spread_publish.rs
+++ b/crates/cli/tests/spread_publish.rs
@@ -105,12 +105,14 @@
             let name = format!("account-{place}");
             bench.append("accounts/tarragonseam.toml", &account(&name));
             bench.deployment.vms[place].entry.signal("TERM").unwrap();
+            bench.deployment.vms[place].steward.signal("TERM").unwrap();
             bench.good(&["publish", &bench.tree()]);
             while bench.deployment.vms[place].entry.exit_code().is_none() {
                 note(&bench, &mut highest, None).await;
                 monoio::time::sleep(Duration::from_millis(50)).await;
             }
             bench.deployment.start_entry(place).unwrap();
+            bench.deployment.start_steward(place).unwrap();
             let admin = bench.deployment.vms[place].entry_admin;
             bench
                 .deployment
--- a/crates/link/src/feed.rs
+++ b/crates/link/src/feed.rs
@@ -1,8 +1,8 @@
 //! What the platform holds, brought to this failure domain.
 //!
 //! Only the relays of a failure domain watch the platform; the other VMs learn
-//! from them. A VM whose keys were not known to be complete for a while tries
-//! for itself, at a slower pace.
+//! from them. While the keys are not known to be complete, two more VMs of the
+//! failure domain try for themselves, at a slower pace.
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
@@ -34,6 +34,7 @@
 const IDLE_TIME: Duration = Duration::from_millis(200);
 const LIST_TIME: Duration = Duration::from_millis(500);
 const VMS_TIME: Duration = Duration::from_secs(10);
+const ALONE_TIME: Duration = Duration::from_secs(1);
 /// How long a VM that starts listens for others before it watches.
 const JOIN_TIME: Duration = Duration::from_millis(500);
 
@@ -87,10 +88,14 @@
         relay::is_relay(&self.gossip.board.borrow())
     }
 
+    fn is_substitute(&self) -> bool {
+        relay::is_substitute(&self.gossip.board.borrow())
+    }
+
     /// Waits until this VM has to ask the platform itself.
     async fn turn(&self) {
         loop {
-            if self.is_relay() || self.is_behind() {
+            if self.is_relay() || self.is_behind() && self.is_substitute() {
                 return;
             }
             monoio::time::sleep(IDLE_TIME).await;
@@ -281,7 +286,7 @@
         if is_alone || feed.is_relay() {
             list_vms_once(&feed).await;
         }
-        let time = if is_alone { RETRY_TIME } else { VMS_TIME };
+        let time = if is_alone { ALONE_TIME } else { VMS_TIME };
         monoio::time::sleep(time).await;
     }
 }
--- a/crates/link/src/load.rs
+++ b/crates/link/src/load.rs
@@ -24,9 +24,12 @@
 const TELL_TIME: Duration = Duration::from_secs(1);
 /// Reports in one datagram.
 const REPORTS_MAX: usize = 60;
-/// Endpoints of other failure domains whose loads may be told each second.
-const FAR_REPORTS: usize = 500;
-const FAR_TIME_MAX: usize = 10;
+/// Reports of its own failure domain that a VM may receive each second.
+const NEAR_REPORTS: usize = 400;
+/// Reports of other failure domains that it may receive each second.
+const FAR_REPORTS: usize = 200;
+/// The longest time between two reports, in seconds.
+const PERIOD_MAX: usize = 30;
 
 /// Reads load reports onto a board and tells them to other VMs.
 #[derive(Clone)]
@@ -108,18 +111,24 @@
     }
 }
 
-/// Returns who is told this time: all VMs of this failure domain, and a part
-/// of the others, so that each is told once in a while.
+/// Returns who is told this time: each VM once in a period that grows with the
+/// endpoints, so that what a VM receives stays bounded.
 fn targets(board: &Board, turn: usize) -> Vec<SocketAddr> {
-    let endpoints = board.endpoints.iter().count();
-    let period = endpoints.div_ceil(FAR_REPORTS).clamp(1, FAR_TIME_MAX);
-    let is_due = |vm: &str| mix(vm.as_bytes(), 0) as usize % period == turn % period;
+    let is_near = |domain: &str| domain == board.failure_domain;
+    let endpoints = board.endpoints.iter();
+    let (near, far): (Vec<_>, Vec<_>) =
+        endpoints.partition(|(_, endpoint)| is_near(&endpoint.record.failure_domain));
+    let period = |count: usize, rate: usize| count.div_ceil(rate).clamp(1, PERIOD_MAX);
+    let near = period(near.len(), NEAR_REPORTS);
+    let far = period(far.len(), FAR_REPORTS);
+    let is_due = |vm: &str, period: usize| mix(vm.as_bytes(), 0) as usize % period == turn % period;
     board
         .members
         .live()
         .filter(|member| {
             let record = &member.record;
-            record.failure_domain == board.failure_domain || is_due(&record.vm)
+            let is_near = is_near(&record.failure_domain);
+            is_due(&record.vm, if is_near { near } else { far })
         })
         .map(|member| member.record.address)
         .collect()
--- a/crates/policy/src/membership/mod.rs
+++ b/crates/policy/src/membership/mod.rs
@@ -93,7 +93,7 @@
 
 /// Packets that carry a farewell.
 const FAREWELLS: usize = 3;
-const BEATS: usize = 2;
+const BEATS: usize = 1;
 /// Opinions in one packet, so that it stays below 1400 bytes.
 const UPDATES_MAX: usize = 10;
 /// One in so many beats of a VM that is no relay crosses failure domains.
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -7,6 +7,8 @@
 /// How many VMs of a failure domain watch the platform.
 pub const RELAYS: usize = 2;
 
+const SUBSTITUTES: usize = 2;
+
 /// Returns whether this VM watches the platform for its failure domain.
 ///
 /// # Examples
@@ -22,6 +24,13 @@
     rank(board, "relay") < RELAYS
 }
 
+/// Returns whether this VM tries the platform when the relays of its failure
+/// domain bring no news. Only a few do, so that calls in an outage do not grow
+/// with the VMs; beyond those, other failure domains bring news.
+pub fn is_substitute(board: &Board) -> bool {
+    rank(board, "relay") < RELAYS + SUBSTITUTES
+}
+
 /// Returns whether this VM reads the load of an endpoint of its failure
 /// domain.
 pub fn is_owner(board: &Board, endpoint: &str) -> bool {
