--- a/crates/board/src/blackboard.rs
+++ b/crates/board/src/blackboard.rs
@@ -9,7 +9,7 @@
     endpoint,
     hash::Map,
     key::{Digest, Grant},
-    member, service, shared, ticket,
+    member, queue, service, shared, ticket,
     usage::Ledger,
 };
 
@@ -50,6 +50,8 @@
     pub services: service::Table,
     /// Requests that wait or run on this VM.
     pub tickets: ticket::Table,
+    /// The order in which requests wait.
+    pub queue: queue::Queue,
     /// Usage measured here.
     pub usage: Ledger,
     /// The source of randomness of every decision.
@@ -76,6 +78,7 @@
             }),
             services: service::Table::default(),
             tickets: ticket::Table::default(),
+            queue: queue::Queue::default(),
             usage: Ledger::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
--- a/crates/link/src/load.rs
+++ b/crates/link/src/load.rs
@@ -11,7 +11,7 @@
     endpoint::{self, Endpoint, Load, State},
     hash::{Map, mix},
 };
-use policy::relay;
+use policy::{limit, relay};
 use wire::{Gram, gram::Report};
 
 use crate::{
@@ -60,7 +60,7 @@
         };
         let now = self.gossip.clock.now();
         if let Some(endpoint) = self.gossip.board.borrow_mut().endpoints.get_mut(key) {
-            endpoint.load = Some((now, load));
+            limit::report(endpoint, now, load);
         }
     }
 }
@@ -174,6 +174,6 @@
             versions: BTreeMap::from_iter(version),
             age_ms: u64::from(report.age_ms),
         };
-        endpoint.load = Some((now, load));
+        limit::report(endpoint, now, load);
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod hedge;
 pub mod isolation;
 pub mod lease;
+pub mod limit;
 pub mod membership;
 pub mod relay;
 pub mod retry;
