--- a/crates/fakes/src/swarm.rs
+++ b/crates/fakes/src/swarm.rs
@@ -283,6 +283,9 @@
     fn take(&mut self, place: usize, items: Vec<Item>) {
         let board = &mut self.nodes[place].board;
         let taken = dissemination::take(board, items);
+        if taken.news.len() > dissemination::NEWS_MAX {
+            return;
+        }
         for item in taken.news {
             let news = vec![item];
             let Ok(bytes) = wire::encode(&Gram::News(news.clone())) else {
--- a/crates/link/src/gossip.rs
+++ b/crates/link/src/gossip.rs
@@ -182,9 +182,7 @@
     /// Sends each fact in a datagram of its own. Those that do not fit are
     /// found by the comparison of digests.
     async fn pass_on(&self, news: &[Item]) {
-        // A whole store that arrives at once is no news to the others.
-        const NEWS_MAX: usize = 50;
-        if news.len() > NEWS_MAX {
+        if news.len() > dissemination::NEWS_MAX {
             return;
         }
         for item in news {
--- a/crates/policy/src/dissemination.rs
+++ b/crates/policy/src/dissemination.rs
@@ -18,6 +18,10 @@
 
 const FANOUT: usize = 3;
 
+/// Facts that are passed on as news. More of them at once are a whole store,
+/// which the others find by the comparison of digests.
+pub const NEWS_MAX: usize = 50;
+
 /// What became of facts that were offered.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Taken {
