Measure the decisions, grant slots by owner, and mend the limit by what was seen

Cause: nothing showed what the decisions do when several VMs share endpoints. A new crate runs the state machines of many VMs in one process against models of endpoints with message delays (tarragonseam-experiment run callers|ways).

Change: reports scale the limit with damping, growth only if work waited for want of it; latency counts only where reports are missing. Limits are fractions that are added up over the endpoints of a service, since the fair part of one endpoint is little above one request and rounding each was off by half. The predicted wait follows the tags of the queue, and time for a safe quantile of latency must be left, except for a service with nothing in flight, which is probed. policy::owner names an endpoint's owner, policy::credit divides its slots.

--- a/crates/board/src/histogram.rs
+++ b/crates/board/src/histogram.rs
@@ -2,15 +2,15 @@
 
 use std::time::Duration;
 
-const BUCKETS: usize = 96;
-const BUCKETS_PER_OCTAVE: f64 = 4.0;
+const BUCKETS: usize = 192;
+const BUCKETS_PER_OCTAVE: f64 = 8.0;
 const FIRST_BUCKET_US: f64 = 10.0;
 
 /// Counts are halved when there are this many, so that old values fade.
-const COUNT_MAX: u32 = 2048;
+const COUNT_MAX: u32 = 512;
 
-/// Durations in buckets whose bounds grow by a fourth of an octave, from ten
-/// microseconds to about two minutes. A quantile is exact to 19 percent.
+/// Durations in buckets whose bounds grow by an eighth of an octave, from ten
+/// microseconds to about two minutes. A quantile is exact to 9 percent.
 ///
 /// # Examples
 ///
--- a/crates/board/src/limit.rs
+++ b/crates/board/src/limit.rs
@@ -7,14 +7,17 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Limit {
     /// The limit, or `None` before the first observation. Fractions carry over
-    /// from step to step; the whole part counts.
+    /// from step to step.
     pub value: Option<f64>,
     /// Moving average of the latency of a unit of cost, in microseconds.
     pub latency_us: f64,
     /// Latency when the endpoint was least loaded, in microseconds.
     pub base_us: f64,
-    /// When it was last lowered.
+    /// When it was last lowered for latency.
     pub lowered: Time,
+    /// Whether work has waited for want of a higher limit since the last
+    /// report.
+    pub is_short: bool,
 }
 
 /// What other VMs have at an endpoint, by its lagging reports.
@@ -29,10 +32,10 @@
 }
 
 /// Slots granted by the owner of an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Credit {
-    /// How many requests this VM may have there.
-    pub slots: u32,
+    /// How many requests this VM may have there, with a fraction.
+    pub slots: f64,
     /// When the grant ends.
     pub until: Time,
 }
--- a/crates/board/src/pace.rs
+++ b/crates/board/src/pace.rs
@@ -24,13 +24,18 @@
     measured: Option<Time>,
     since: Option<Time>,
     sent: u64,
+    count: u32,
 }
 
 const MEASURE_TIME: Duration = Duration::from_millis(250);
 const MEASURE_GAIN: f64 = 0.3;
 
 /// A measurement older than this says nothing of the queue of now.
-const LIFE_TIME: Duration = Duration::from_secs(2);
+const LIFE_TIME: Duration = Duration::from_secs(5);
+
+/// A measurement goes on until it covers this many requests, or this long.
+const MEASURE_COUNT: u32 = 8;
+const MEASURE_TIME_MAX: Duration = Duration::from_secs(2);
 
 impl Pace {
     /// Returns the units of cost sent a second, or `None` when that was not
@@ -44,19 +49,16 @@
     /// measurement covers only time in which work waited: an idle queue says
     /// nothing of how fast it could be served.
     pub fn note(&mut self, now: Time, cost: u64, is_busy: bool) {
-        if !is_busy {
-            self.since = None;
-            self.sent = 0;
-            return;
-        }
-        let Some(since) = self.since else {
-            self.since = Some(now);
-            self.sent = 0;
+        let Some(since) = self.since.filter(|_| is_busy) else {
+            self.restart(is_busy.then_some(now));
             return;
         };
         self.sent += cost;
-        if now - since >= MEASURE_TIME {
-            self.measure(now, now - since);
+        self.count += u32::from(cost > 0);
+        let span = now - since;
+        let is_enough = span >= MEASURE_TIME && self.count >= MEASURE_COUNT;
+        if is_enough || span >= MEASURE_TIME_MAX {
+            self.measure(now, span);
         }
     }
 
@@ -65,7 +67,12 @@
         let before = self.at(now).unwrap_or(measured);
         self.per_s = before + MEASURE_GAIN * (measured - before);
         self.measured = Some(now);
-        self.since = Some(now);
+        self.restart(Some(now));
+    }
+
+    fn restart(&mut self, since: Option<Time>) {
+        self.since = since;
         self.sent = 0;
+        self.count = 0;
     }
 }
--- a/crates/board/src/queue.rs
+++ b/crates/board/src/queue.rs
@@ -163,6 +163,17 @@
             .filter_map(|(_, account)| self.flows.get_key_value(account))
     }
 
+    /// Returns the cost that is sent before a new request of `account` is: its
+    /// own requests and, of each other account, those with a lower tag.
+    pub fn cost_before(&self, account: &str, weight: u32) -> u64 {
+        let flow = self.flows.get(account);
+        let own = flow.map_or(0, |flow| flow.cost);
+        let start = flow.map_or(0, |flow| flow.tag).max(self.virtual_time);
+        let tag = start + own * TAG_SCALE / u64::from(weight.max(1));
+        let others = self.waiting().filter(|(other, _)| ***other != *account);
+        own + others.map(|(_, flow)| flow.cost_below(tag)).sum::<u64>()
+    }
+
     fn push(&mut self, key: ticket::Key, ticket: &Ticket, weight: u32) {
         let virtual_time = self.virtual_time;
         let flow = self.flows.entry(ticket.account.clone());
@@ -225,6 +236,16 @@
         }
     }
 
+    /// Returns the cost of the requests whose tag is below `tag`.
+    fn cost_below(&self, tag: u64) -> u64 {
+        if self.tag >= tag {
+            return 0;
+        }
+        let head = self.tickets.front().map_or(0, |(_, cost)| u64::from(*cost));
+        let later = (tag - self.tag) * self.weight / TAG_SCALE;
+        self.cost.min(later.max(head))
+    }
+
     /// Returns the weight of the account.
     pub fn weight(&self) -> u64 {
         self.weight
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,32 @@
+//! Experiments with decisions: the state machines of many VMs in one process.
+//!
+//! Each VM has a board of its own and runs the functions of `policy` on it, as
+//! the daemons do. Endpoints are models of slots and queues, messages are
+//! delays, and time is simulated, so a run gives the same figures on a busy
+//! machine. What sockets, parsing and scheduling cost is not in the figures.
+//!
+//! # Examples
+//!
+//! ```
+//! use tarragonseam_lab::{Plan, Setup, Way};
+//!
+//! let setup = Setup::new(Plan::festival(), Way::Independent).load(0.7).seconds(2);
+//! let result = tarragonseam_lab::run(&setup, 7);
+//! assert!(result.services["entries"].answered > 0);
+//! ```
+
+pub(crate) mod account;
+pub(crate) mod endpoint;
+pub mod error;
+pub mod experiment;
+pub mod plan;
+pub mod report;
+pub mod result;
+pub(crate) mod traffic;
+pub(crate) mod vm;
+pub(crate) mod world;
+
+pub use error::Error;
+pub use plan::{Plan, Setup, Way};
+pub use result::{Cell, Summary};
+pub use world::run;
--- /dev/null
+++ b/crates/lab/src/report.rs
@@ -0,0 +1,164 @@
+//! Files and tables of results.
+
+use std::{collections::BTreeMap, fmt::Write as _, fs};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Cell, Error, Summary};
+
+/// The results of one experiment.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct File {
+    /// The name of the experiment.
+    pub experiment: String,
+    /// What the figures are of.
+    pub kind: String,
+    /// Every run.
+    pub cells: Vec<Cell>,
+}
+
+/// What the figures of these experiments are of.
+pub const KIND: &str = "state machines in one process";
+
+impl File {
+    /// Returns the results of an experiment.
+    pub fn new(experiment: &str, cells: Vec<Cell>) -> Self {
+        Self {
+            experiment: experiment.to_string(),
+            kind: KIND.to_string(),
+            cells,
+        }
+    }
+
+    /// Reads results.
+    ///
+    /// # Errors
+    ///
+    /// When the file cannot be read or holds something else.
+    pub fn read(path: &str) -> Result<Self, Error> {
+        let text = fs::read(path).map_err(|source| file_error(path, source))?;
+        serde_json::from_slice(&text).map_err(|source| Error::Json {
+            path: path.to_string(),
+            source,
+        })
+    }
+
+    /// Writes results, one run a line.
+    ///
+    /// # Errors
+    ///
+    /// When the file cannot be written.
+    pub fn write(&self, path: &str) -> Result<(), Error> {
+        let json_error = |source| Error::Json {
+            path: path.to_string(),
+            source,
+        };
+        let cells: Result<Vec<_>, _> = self.cells.iter().map(serde_json::to_string).collect();
+        let cells = cells.map_err(json_error)?.join(",\n");
+        let text = format!(
+            "{{\"experiment\":\"{}\",\"kind\":\"{}\",\"cells\":[\n{cells}\n]}}\n",
+            self.experiment, self.kind
+        );
+        fs::write(path, text).map_err(|source| file_error(path, source))
+    }
+
+    /// Returns a table with a line for each service and circumstance: medians
+    /// over the seeds, with the least and most of the worst account's figure.
+    pub fn table(&self) -> String {
+        let mut out = format!("{} ({})\n{HEAD}\n", self.experiment, self.kind);
+        for (name, summaries) in self.groups() {
+            // Writing to a string cannot fail.
+            let _ = writeln!(out, "{name} {}", line(&summaries));
+        }
+        out
+    }
+
+    /// Returns the summaries of all seeds by circumstance, in order.
+    fn groups(&self) -> Vec<(String, Vec<Summary>)> {
+        let mut order = Vec::new();
+        let mut groups: BTreeMap<String, Vec<Summary>> = BTreeMap::new();
+        let names = self.cells.iter().flat_map(|cell| cell.services.keys());
+        let mut services: Vec<_> = names.cloned().collect();
+        services.sort();
+        services.dedup();
+        for service in &services {
+            for cell in &self.cells {
+                let Some(summary) = cell.services.get(service) else {
+                    continue;
+                };
+                let name = circumstance(cell, service);
+                if !groups.contains_key(&name) {
+                    order.push(name.clone());
+                }
+                groups.entry(name).or_default().push(*summary);
+            }
+        }
+        let take = |name: String| (name.clone(), groups.remove(&name).unwrap_or_default());
+        order.into_iter().map(take).collect()
+    }
+}
+
+/// Returns a table of the medians of two files side by side.
+pub fn compare(a: &File, b: &File) -> String {
+    let others: BTreeMap<_, _> = b.groups().into_iter().collect();
+    let mut out = format!(
+        "first line of each: {}; second: {}\n{HEAD}\n",
+        a.experiment, b.experiment
+    );
+    for (name, summaries) in a.groups() {
+        let Some(other) = others.get(&name) else {
+            continue;
+        };
+        // Writing to a string cannot fail.
+        let _ = writeln!(out, "{name} {}", line(&summaries));
+        let _ = writeln!(out, "{:<60} {}", "", line(other));
+    }
+    out
+}
+
+const HEAD: &str = "service    plan       vms mix    fault load way                \
+     late  lateQ lateW refus refusQ  fair (min..max)    waste    p50    p99   p99.9";
+
+fn circumstance(cell: &Cell, service: &str) -> String {
+    let mix = if cell.greedy { "greedy" } else { "even" };
+    let fault = if cell.loss { "loss" } else { "none" };
+    let way = serde_json::to_value(cell.way).unwrap_or_default();
+    let way = way.as_str().unwrap_or_default();
+    format!(
+        "{service:<10} {:<10} {:>3} {mix:<6} {fault:<5} {:>4.1} {way:<17}",
+        cell.plan, cell.vms, cell.load
+    )
+}
+
+fn line(summaries: &[Summary]) -> String {
+    let middle = |figure: fn(&Summary) -> f64| median(summaries.iter().map(figure).collect());
+    let percent = |figure| 100.0 * middle(figure);
+    let fair = summaries.iter().map(|s| s.fair_worst);
+    format!(
+        "{:>5.2} {:>5.2} {:>5.2} {:>5.1} {:>5.2} {:>6.3} ({:.3}..{:.3}) {:>6.2} {:>7.1} {:>7.1} {:>7.1}",
+        percent(|s| s.late),
+        percent(|s| s.late_quota),
+        percent(|s| s.late_worst),
+        percent(|s| s.refused),
+        percent(|s| s.refused_quota),
+        middle(|s| s.fair_worst),
+        fair.clone().fold(f64::INFINITY, f64::min),
+        fair.fold(0.0, f64::max),
+        percent(|s| s.wasted),
+        middle(|s| s.p50_ms),
+        middle(|s| s.p99_ms),
+        middle(|s| s.p999_ms),
+    )
+}
+
+fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied().unwrap_or_default()
+}
+
+fn file_error(path: &str, source: std::io::Error) -> Error {
+    Error::File {
+        path: path.to_string(),
+        source,
+    }
+}
--- /dev/null
+++ b/crates/lab/src/result.rs
@@ -0,0 +1,156 @@
+//! Figures of a run.
+
+use std::collections::BTreeMap;
+
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    account::Account,
+    plan::{Setup, Way},
+};
+
+/// One run: its setup, seed and figures by service.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Cell {
+    /// The deployment.
+    pub plan: String,
+    /// How many VMs it had.
+    pub vms: usize,
+    /// How the VMs decided.
+    pub way: Way,
+    /// Offered work as a part of capacity.
+    pub load: f64,
+    /// Whether one account was greedy.
+    pub greedy: bool,
+    /// Whether a failure domain lost its cheap endpoints.
+    pub loss: bool,
+    /// The seed.
+    pub seed: u64,
+    /// Figures by service.
+    pub services: BTreeMap<String, Summary>,
+}
+
+impl Cell {
+    pub(crate) fn new(setup: &Setup, seed: u64, services: BTreeMap<String, Summary>) -> Self {
+        Self {
+            plan: setup.plan.name.to_string(),
+            vms: setup.plan.vms,
+            way: setup.way,
+            load: setup.load,
+            greedy: setup.greedy,
+            loss: setup.loss,
+            seed,
+            services,
+        }
+    }
+}
+
+/// Figures of one service in one run. Shares are parts of one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Summary {
+    /// Requests offered.
+    pub offered: u64,
+    /// Requests answered, also late.
+    pub answered: u64,
+    /// Part of all requests answered late or not answered by the deadline,
+    /// without those refused at once.
+    pub late: f64,
+    /// The same of accounts that offered no more than their share.
+    pub late_quota: f64,
+    /// The same of the account where it is worst, but for the greedy one.
+    pub late_worst: f64,
+    /// Part of all requests refused.
+    pub refused: f64,
+    /// The same of accounts that offered no more than their share.
+    pub refused_quota: f64,
+    /// Answers in time against the fair part, of the account where it is least.
+    pub fair_worst: f64,
+    /// Work that ended in no answer in time, as a part of all work done.
+    pub wasted: f64,
+    /// Latency at the client in milliseconds.
+    pub p50_ms: f64,
+    /// The same.
+    pub p99_ms: f64,
+    /// The same.
+    pub p999_ms: f64,
+}
+
+/// Offered work within this part above the fair one counts as within quota.
+const QUOTA_SLACK: f64 = 1.001;
+
+pub(crate) fn summarize(
+    accounts: &[Account],
+    fair: &[f64],
+    span_s: f64,
+    greedy: Option<usize>,
+    wasted: f64,
+) -> Summary {
+    let offered = sum(accounts, |a| a.offered);
+    let within: Vec<_> = accounts
+        .iter()
+        .zip(fair)
+        .filter(|(a, fair)| {
+            a.offered as f64 / span_s <= **fair * QUOTA_SLACK + noise(a.offered, span_s)
+        })
+        .map(|(a, _)| a.clone())
+        .collect();
+    let others = accounts
+        .iter()
+        .enumerate()
+        .filter(|(n, _)| Some(*n) != greedy);
+    let latency = latency(accounts);
+    let ms = |quantile| latency.value_at_quantile(quantile) as f64 / 1000.0;
+    Summary {
+        offered,
+        answered: sum(accounts, |a| a.on_time + a.late),
+        late: part(sum(accounts, |a| a.late + a.failed), offered),
+        late_quota: part(
+            sum(&within, |a| a.late + a.failed),
+            sum(&within, |a| a.offered),
+        ),
+        late_worst: others.map(|(_, a)| a.late_share()).fold(0.0, f64::max),
+        refused: part(sum(accounts, |a| a.refused), offered),
+        refused_quota: part(sum(&within, |a| a.refused), sum(&within, |a| a.offered)),
+        fair_worst: fair_worst(accounts, fair, span_s),
+        wasted,
+        p50_ms: ms(0.5),
+        p99_ms: ms(0.99),
+        p999_ms: ms(0.999),
+    }
+}
+
+/// Three standard deviations of a rate that was counted over `span_s`.
+fn noise(count: u64, span_s: f64) -> f64 {
+    3.0 * (count as f64).sqrt() / span_s
+}
+
+/// What an account really offered, when less than its fair part, takes the
+/// place of the part: random arrivals are no unfairness.
+fn fair_worst(accounts: &[Account], fair: &[f64], span_s: f64) -> f64 {
+    let ratio = |(account, fair): (&Account, &f64)| {
+        let due = (fair * span_s).min(account.offered as f64);
+        account.on_time as f64 / due.max(1.0)
+    };
+    accounts
+        .iter()
+        .zip(fair)
+        .map(ratio)
+        .fold(f64::INFINITY, f64::min)
+}
+
+fn latency(accounts: &[Account]) -> Histogram<u64> {
+    let mut all = Account::new().latency;
+    for account in accounts {
+        all.add(&account.latency).expect("histograms that grow");
+    }
+    all
+}
+
+fn sum(accounts: &[Account], count: impl Fn(&Account) -> u64) -> u64 {
+    accounts.iter().map(count).sum()
+}
+
+fn part(count: u64, of: u64) -> f64 {
+    count as f64 / of.max(1) as f64
+}
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -29,8 +29,14 @@
 /// How many requests of one account may wait in one lane.
 pub const ACCOUNT_WAITING_MAX: usize = 128;
 
-/// The quantile of a service's latency that a request must have time for.
-const LATENCY_QUANTILE: f64 = 0.5;
+/// A request needs time for this quantile of the latency in any case.
+const LATENCY_LIKELY: f64 = 0.5;
+
+/// One that has waited needs time for this quantile, as long as that is not
+/// more than its part of the caller's patience below: late answers cost as
+/// much as timely ones.
+const LATENCY_SAFE: f64 = 0.95;
+const PATIENCE_PART: u32 = 2;
 
 /// Checks that `ticket` can be served in time, and makes room for it.
 ///
@@ -49,12 +55,17 @@
     make_room(board, now, ticket)
 }
 
-/// Returns the time that an answer takes once the request is sent, or zero
-/// when that is not known.
+/// Returns the time that must be left when a request is sent, or zero when
+/// nothing is known of the service's latency.
 pub fn service_time(board: &Board, ticket: &Ticket) -> Duration {
     let service = board.services.get(&ticket.service);
-    let unit = service.and_then(|service| service.latency.quantile(LATENCY_QUANTILE));
-    unit.unwrap_or_default() * ticket.cost
+    let quantile = |quantile| {
+        let unit = service.and_then(|service| service.latency.quantile(quantile));
+        unit.unwrap_or_default() * ticket.cost
+    };
+    let patience = ticket.deadline - ticket.arrived;
+    let safe = quantile(LATENCY_SAFE).min(patience / PATIENCE_PART);
+    safe.max(quantile(LATENCY_LIKELY))
 }
 
 /// Returns how long a new `ticket` would wait, or zero when the pace of its
@@ -64,7 +75,7 @@
         return Duration::ZERO;
     };
     let weight = fairness::weight(board, &ticket.account);
-    let ahead = fairness::cost_ahead(lane, &ticket.account, ticket.cost, weight);
+    let ahead = lane.cost_before(&ticket.account, weight);
     time_for(lane, now, ahead)
 }
 
--- a/crates/policy/src/call.rs
+++ b/crates/policy/src/call.rs
@@ -94,7 +94,7 @@
         while routing::has_room(board, now, &service)
             && send_next(board, now, &service, &mut orders)
         {}
-        note_pace(board, now, &service);
+        note_waiting(board, now, &service);
     }
     orders
 }
@@ -130,6 +130,9 @@
     now: Time,
     ticket: ticket::Ticket,
 ) -> Option<(ticket::Key, endpoint::Key)> {
+    if !routing::has_room(board, now, &ticket.service) {
+        return None;
+    }
     let key = board.tickets.insert(ticket);
     let Some(endpoint) = routing::pick(board, now, key) else {
         board.tickets.remove(key);
@@ -189,7 +192,11 @@
     start(board, now, key, endpoint);
 }
 
-fn note_pace(board: &mut Board, now: Time, service: &str) {
+fn note_waiting(board: &mut Board, now: Time, service: &str) {
+    let lanes = board.queue.lanes(service);
+    if lanes.is_some_and(|lanes| lanes.iter().any(|lane| !lane.is_empty())) {
+        routing::note_short(board, now, service);
+    }
     if let Some(lanes) = board.queue.lanes_mut(service) {
         for lane in lanes {
             lane.pace.note(now, 0, !lane.is_empty());
@@ -197,12 +204,15 @@
     }
 }
 
-/// Returns whether an answer would most likely come after the deadline.
+/// Returns whether an answer would most likely come after the deadline. A
+/// service without work in flight gets the request all the same: if nothing
+/// were sent, its latency would stay at what made requests seem vain.
 fn is_in_vain(board: &Board, now: Time, key: ticket::Key) -> bool {
-    board
-        .tickets
-        .get(key)
-        .is_some_and(|ticket| now + admission::service_time(board, ticket) > ticket.deadline)
+    let is_short = |ticket: &ticket::Ticket| {
+        now + admission::service_time(board, ticket) > ticket.deadline
+            && routing::in_flight(board, &ticket.service) > 0
+    };
+    board.tickets.get(key).is_some_and(is_short)
 }
 
 fn refuse_shed(board: &mut Board, now: Time) -> Vec<Order> {
--- a/crates/policy/src/fairness.rs
+++ b/crates/policy/src/fairness.rs
@@ -6,8 +6,6 @@
 //! so none starves. Within a class, accounts share by weight (see
 //! [`board::queue`]).
 
-use std::sync::Arc;
-
 use board::{
     Board,
     config::Class,
@@ -136,17 +134,6 @@
     declared.map_or(1, |account| account.weight.max(1))
 }
 
-/// Returns the cost that is sent before a new request of `account` would be:
-/// its own requests and, of each other account, what fair order puts before
-/// the last of them.
-pub fn cost_ahead(lane: &Lane, account: &Arc<str>, cost: u32, weight: u32) -> u64 {
-    let own = lane.flow(account).map_or(0, Flow::cost);
-    let turn = (own + u64::from(cost)).div_ceil(u64::from(weight.max(1)));
-    let others = lane.waiting().filter(|(other, _)| *other != account);
-    let before = |flow: &Flow| flow.cost().min(turn * flow.weight());
-    own + others.map(|(_, flow)| before(flow)).sum::<u64>()
-}
-
 fn head_cost(lane: &Lane) -> Option<u64> {
     let (_, flow) = lane.waiting().next()?;
     let (_, cost) = flow.tickets().next()?;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,11 +8,13 @@
 pub mod admission;
 pub mod call;
 pub mod capacity;
+pub mod credit;
 pub mod fairness;
 pub mod health;
 pub mod hedge;
 pub mod lease;
 pub mod limit;
+pub mod owner;
 pub mod retry;
 pub mod routing;
 pub mod weights;
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -1,12 +1,16 @@
 //! How many requests a VM may have at an endpoint.
 //!
 //! A VM sees only its own part of an endpoint's work, so it cannot tell from
-//! its own count whether the endpoint is full. Two signals tell: the latency
-//! of its own answers against the least that it has seen (at once, but noisy)
-//! and the endpoint's reports (exact, but late). Either lowers the limit by a
-//! factor; while neither does and the limit is in use, it grows by a constant.
-//! Additive growth and multiplicative decrease bring VMs that share an
-//! endpoint to equal limits.
+//! its own count whether the endpoint is full. The endpoint's reports tell,
+//! late but exactly: each report scales the limit towards full slots, down
+//! whenever too much is there, up only if work waited here for want of a higher
+//! limit. A constant added to each growth brings VMs that share an endpoint to
+//! equal limits.
+//!
+//! Where reports are missing, the latency of answers against the least seen
+//! takes their place (additive increase, multiplicative decrease). With
+//! reports it is not used: the latency of a batch grows with each request that
+//! joins it, long before the slots are full.
 //!
 //! A grant from the endpoint's owner ([`crate::credit`]) replaces the limit as
 //! long as it lasts.
@@ -22,7 +26,9 @@
 /// Slots of an endpoint that has not reported any.
 pub const DEFAULT_SLOTS: u32 = 4;
 
-const LIMIT_MIN: f64 = 1.0;
+/// Well below one: with many VMs, the fair part of an endpoint is less than a
+/// request, and [`room`] adds the parts up.
+const LIMIT_MIN: f64 = 0.05;
 
 /// Gain of the moving average of latency.
 const LATENCY_GAIN: f64 = 0.1;
@@ -34,18 +40,28 @@
 const LATENCY_FACTOR: f64 = 2.0;
 
 const LATENCY_DECREASE: f64 = 0.9;
-const REPORT_DECREASE_MIN: f64 = 0.5;
 
-/// Growth for each report that shows room.
-const REPORT_INCREASE: f64 = 0.5;
+/// Bounds of the factor by which one report changes the limit.
+const REPORT_DECREASE: f64 = 0.5;
+const REPORT_INCREASE: f64 = 1.5;
+
+/// Power of the factor. A report is older than the last change made after it,
+/// so following it in full would overshoot.
+const REPORT_DAMPING: f64 = 0.25;
+
+/// What is added when a report lets the limit grow.
+const REPORT_STEP: f64 = 0.03;
 
 /// Work that may wait at the endpoint, as a part of its slots: enough that a
-/// free slot finds work there, and small enough that order is decided here.
-const QUEUED_SHARE: f64 = 0.125;
+/// free slot finds work there, and little enough that order is decided here.
+const QUEUED_SHARE: f64 = 0.5;
 
 /// How long reports of other VMs' work stay meaningful.
 const REPORT_LIFE: Duration = Duration::from_millis(1000);
 
+/// Without a report for this long, answers alone move the limit.
+const REPORT_TRUST: Duration = Duration::from_secs(3);
+
 const REPORT_GAIN: f64 = 0.3;
 
 /// Returns how many requests `endpoint` runs at once.
@@ -56,16 +72,39 @@
     }
 }
 
-/// Returns how many requests this VM may have at `endpoint`.
-pub fn allowed(endpoint: &Endpoint, now: Time) -> u32 {
+/// Returns how many requests this VM may have at `endpoint`, with a fraction:
+/// [`room`] tells what that means for whole requests.
+pub fn allowed(endpoint: &Endpoint, now: Time) -> f64 {
     if let Some(credit) = endpoint.credit
         && now < credit.until
     {
         return credit.slots;
     }
-    let slots = slots(endpoint);
-    let limit = endpoint.limit.value.unwrap_or(f64::from(slots));
-    (limit.max(LIMIT_MIN) as u32).min(slots)
+    let slots = f64::from(slots(endpoint));
+    let limit = endpoint.limit.value.unwrap_or(slots);
+    limit.clamp(LIMIT_MIN, slots)
+}
+
+/// Returns whether `endpoint` takes one more request of this VM. A fraction
+/// counts as a whole one here; [`room`] keeps the sum over endpoints right.
+pub fn is_open(endpoint: &Endpoint, now: Time) -> bool {
+    f64::from(endpoint.in_flight) < allowed(endpoint, now)
+}
+
+/// Returns how many more requests this VM may have at all of `endpoints`.
+///
+/// Where many VMs share endpoints of few slots, a VM's limit at each is little
+/// above one, and rounding each of them would be off by half. Fractions are
+/// added up instead. One request is allowed in any case, or a VM whose parts
+/// add up to less than one would never learn that there is room again.
+pub fn room<'a>(endpoints: impl Iterator<Item = &'a Endpoint>, now: Time) -> u32 {
+    let mut allowed_sum = 0.0;
+    let mut in_flight = 0;
+    for endpoint in endpoints {
+        allowed_sum += allowed(endpoint, now);
+        in_flight += endpoint.in_flight;
+    }
+    (allowed_sum.round().max(1.0) as u32).saturating_sub(in_flight)
 }
 
 /// Returns how many requests other VMs have at `endpoint`: the last report,
@@ -106,23 +145,37 @@
 fn adjust(endpoint: &mut Endpoint, total: f64, slots: f64) {
     let limit = endpoint.limit.value.unwrap_or(slots).min(slots);
     let wanted = slots * (1.0 + QUEUED_SHARE);
-    let is_in_use = f64::from(endpoint.in_flight) + 1.0 >= limit;
+    let is_short = std::mem::take(&mut endpoint.limit.is_short);
     let changed = if total > wanted {
-        limit * (wanted / total).max(REPORT_DECREASE_MIN)
-    } else if is_in_use {
-        limit + REPORT_INCREASE
+        limit * (wanted / total).powf(REPORT_DAMPING).max(REPORT_DECREASE)
+    } else if is_short {
+        let factor = (slots / total.max(1.0)).powf(REPORT_DAMPING);
+        limit * factor.clamp(1.0, REPORT_INCREASE) + REPORT_STEP
     } else {
         limit
     };
     endpoint.limit.value = Some(changed.clamp(LIMIT_MIN, slots));
 }
 
+/// Notes that work waits because [`room`] allows no more at `endpoint`.
+pub fn short(endpoint: &mut Endpoint, now: Time) {
+    let is_bound = f64::from(endpoint.in_flight) + 1.0 > allowed(endpoint, now);
+    endpoint.limit.is_short |= is_bound;
+}
+
 /// Notes the latency of an answered request of `cost` units, before the
 /// request is taken off the endpoint's count.
 pub fn answered(endpoint: &mut Endpoint, now: Time, latency: Duration, cost: u32) {
     let unit_us = latency.as_secs_f64() * 1e6 / f64::from(cost);
     let slots = f64::from(slots(endpoint));
     let own = f64::from(endpoint.in_flight);
+    let is_reported = endpoint
+        .elsewhere
+        .at
+        .is_some_and(|at| now - at < REPORT_TRUST);
+    if is_reported {
+        return;
+    }
     let limit = &mut endpoint.limit;
     observe(limit, unit_us);
     let value = limit.value.unwrap_or(slots).min(slots);
--- /dev/null
+++ b/crates/policy/src/owner.rs
@@ -0,0 +1,30 @@
+//! Which VM owns an endpoint.
+//!
+//! Each VM computes the owner from its own view of who is alive, so two VMs
+//! may name different owners for a while. Ownership is a hint that makes
+//! better use of endpoints; nothing that must hold depends on it.
+
+use std::hash::{Hash, Hasher};
+
+use board::hash;
+
+/// Returns the owner of `name` among the live `members` of its failure domain,
+/// or `None` without members.
+///
+/// # Examples
+///
+/// ```
+/// use tarragonseam_policy::owner;
+///
+/// let before = owner::of(["vm-1", "vm-2", "vm-3"], "engine-7");
+/// let after = owner::of(["vm-3", "vm-1", "vm-2"], "engine-7");
+/// assert_eq!(before, after);
+/// ```
+pub fn of<'a>(members: impl IntoIterator<Item = &'a str>, name: &str) -> Option<&'a str> {
+    let mut hasher = hash::Hasher::default();
+    name.hash(&mut hasher);
+    let key = hasher.finish();
+    members
+        .into_iter()
+        .max_by_key(|member| (hash::rendezvous(key, member), *member))
+}
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -65,11 +65,32 @@
         .min_by(|a, b| time(a).total_cmp(&time(b)))
 }
 
-/// Returns whether any endpoint of `service` has room.
+/// Returns whether the endpoints of `service` have room for one more request.
 pub fn has_room(board: &Board, now: Time, service: &str) -> bool {
+    let keys = board.endpoints.of_service(service).iter();
+    let usable = keys
+        .filter_map(|key| board.endpoints.get(*key))
+        .filter(|endpoint| is_usable(endpoint, now));
+    limit::room(usable, now) > 0
+}
+
+/// Notes that work of `service` waits though its endpoints are fit for it.
+pub fn note_short(board: &mut Board, now: Time, service: &str) {
+    for key in board.endpoints.of_service(service).to_vec() {
+        if let Some(endpoint) = board.endpoints.get_mut(key)
+            && is_usable(endpoint, now)
+        {
+            limit::short(endpoint, now);
+        }
+    }
+}
+
+/// Returns how many requests this VM has at endpoints of `service`.
+pub fn in_flight(board: &Board, service: &str) -> u32 {
     let keys = board.endpoints.of_service(service).iter();
     keys.filter_map(|key| board.endpoints.get(*key))
-        .any(|endpoint| is_open(endpoint, now))
+        .map(|endpoint| endpoint.in_flight)
+        .sum()
 }
 
 fn fit(board: &Board, now: Time, ticket: &Ticket) -> Vec<endpoint::Key> {
@@ -81,10 +102,8 @@
     keys.filter(is_fit).collect()
 }
 
-fn is_open(endpoint: &Endpoint, now: Time) -> bool {
-    let has_room = endpoint.in_flight < limit::allowed(endpoint, now);
-    let is_ready = endpoint.record.state == State::Ready && endpoint.rest_until <= now;
-    has_room && is_ready
+fn is_usable(endpoint: &Endpoint, now: Time) -> bool {
+    endpoint.record.state == State::Ready && endpoint.rest_until <= now
 }
 
 fn is_fit(endpoint: &Endpoint, ticket: &Ticket, now: Time) -> bool {
@@ -93,7 +112,8 @@
         || endpoint
             .version(&ticket.service)
             .is_some_and(|version| version >= ticket.oldest_version);
-    is_open(endpoint, now) && tenure_fits && version_fits
+    let is_open = is_usable(endpoint, now) && limit::is_open(endpoint, now);
+    is_open && tenure_fits && version_fits
 }
 
 fn is_near(board: &Board, key: endpoint::Key) -> bool {
--- /dev/null
+++ b/crates/policy/tests/credit.rs
@@ -0,0 +1,81 @@
+//! Grants by the owner of an endpoint.
+
+use board::Time;
+use proptest::prelude::*;
+use tarragonseam_policy::{
+    credit::{self, GRANT_TIME, Pool},
+    owner,
+};
+
+/// Asks for every VM twice, so that the last answers know all questions.
+fn grants(wanted: &[u32], slots: u32) -> Vec<f64> {
+    let mut pool = Pool::default();
+    let names: Vec<_> = (0..wanted.len()).map(|n| format!("vm-{n}")).collect();
+    let mut ask = || -> Vec<f64> {
+        let asked = names.iter().zip(wanted);
+        asked
+            .map(|(vm, wanted)| credit::ask(&mut pool, Time::ZERO, vm, *wanted, slots).slots)
+            .collect()
+    };
+    ask();
+    ask()
+}
+
+#[test]
+fn grant_by_demand() {
+    let cases: &[(&[u32], &[f64])] = &[
+        (&[20], &[8.0]),
+        (&[1, 20], &[1.0, 7.0]),
+        (&[20, 20], &[4.0, 4.0]),
+        (&[1, 3, 20], &[1.0, 3.0, 4.0]),
+        (&[2, 2, 2], &[2.0, 2.0, 2.0]),
+        (&[0, 20], &[0.0, 8.0]),
+        (&[1, 9, 9], &[1.0, 3.5, 3.5]),
+        (&[9; 16], &[0.5; 16]),
+    ];
+    for (wanted, expected) in cases {
+        assert_eq!(grants(wanted, 8), *expected, "{wanted:?}");
+    }
+}
+
+#[test]
+fn grant_flows_back() {
+    let mut pool = Pool::default();
+    credit::ask(&mut pool, Time::ZERO, "vm-1", 20, 8);
+    let shared = credit::ask(&mut pool, Time::ZERO, "vm-2", 20, 8);
+    assert_eq!(shared.slots, 4.0);
+    let later = Time::ZERO + GRANT_TIME;
+    let alone = credit::ask(&mut pool, later, "vm-2", 20, 8);
+    assert_eq!(alone.slots, 8.0, "vm-1 has not asked again");
+}
+
+#[test]
+fn owner_moves_only_its_own() {
+    let all = ["vm-1", "vm-2", "vm-3", "vm-4"];
+    for number in 0..200 {
+        let name = format!("engine-{number}");
+        let before = owner::of(all, &name).unwrap();
+        let after = owner::of(all.into_iter().filter(|vm| *vm != "vm-2"), &name).unwrap();
+        assert!(
+            before == after || before == "vm-2",
+            "{name} moved from {before}"
+        );
+    }
+}
+
+#[test]
+fn owner_without_members() {
+    assert_eq!(owner::of([], "engine-1"), None);
+}
+
+proptest! {
+    /// Settled grants use the slots up as far as they are wanted, and nobody
+    /// gets more than it wants.
+    #[test]
+    fn grant_within_slots(wanted in prop::collection::vec(1_u32..40, 1..12), slots in 1_u32..64) {
+        let granted = grants(&wanted, slots);
+        let expected = f64::from(slots.min(wanted.iter().sum()));
+        prop_assert!((granted.iter().sum::<f64>() - expected).abs() < 1e-6, "{granted:?}");
+        prop_assert!(granted.iter().zip(&wanted).all(|(g, w)| *g <= f64::from(*w)));
+    }
+}
