Grow limits by a constant only

Cause: growth by a factor kept unequal limits of two VMs unequal, so requests of every account waited long on the VM that had the low ones (notes at 1.5 of capacity: 9 percent of requests within quota refused).

Change: a report adds a constant or lowers by a damped factor.

--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -674,7 +674,7 @@
                 &fair,
                 span,
                 quiet,
-                1.0 - self.useful[n] / done.max(1.0),
+                (1.0 - self.useful[n] / done.max(1.0)).max(0.0),
             );
             services.insert(service.name.to_string(), summary);
         }
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -2,10 +2,10 @@
 //!
 //! A VM sees only its own part of an endpoint's work, so it cannot tell from
 //! its own count whether the endpoint is full. The endpoint's reports tell,
-//! late but exactly: each report scales the limit towards full slots, down
-//! whenever too much is there, up only if work waited here for want of a higher
-//! limit. A constant added to each growth brings VMs that share an endpoint to
-//! equal limits.
+//! late but exactly: a report lowers the limit by a factor when too much is
+//! there, and raises it by a constant if work waited here for want of a higher
+//! limit. Additive growth and multiplicative decrease bring VMs that share an
+//! endpoint to equal limits.
 //!
 //! Where reports are missing, the latency of answers against the least seen
 //! takes their place (additive increase, multiplicative decrease). With
@@ -41,16 +41,17 @@
 
 const LATENCY_DECREASE: f64 = 0.9;
 
-/// Bounds of the factor by which one report changes the limit.
+/// The lowest factor by which one report changes the limit.
 const REPORT_DECREASE: f64 = 0.5;
-const REPORT_INCREASE: f64 = 1.5;
 
 /// Power of the factor. A report is older than the last change made after it,
 /// so following it in full would overshoot.
 const REPORT_DAMPING: f64 = 0.25;
 
-/// What is added when a report lets the limit grow.
-const REPORT_STEP: f64 = 0.03;
+/// What is added when a report lets the limit grow, and half of it once the
+/// endpoint is full but for the work that may wait there. Growth by a factor
+/// would keep unequal limits of VMs unequal.
+const REPORT_STEP: f64 = 0.1;
 
 /// Work that may wait at the endpoint, as a part of its slots: enough that a
 /// free slot finds work there, and little enough that order is decided here.
@@ -149,8 +150,12 @@
     let changed = if total > wanted {
         limit * (wanted / total).powf(REPORT_DAMPING).max(REPORT_DECREASE)
     } else if is_short {
-        let factor = (slots / total.max(1.0)).powf(REPORT_DAMPING);
-        limit * factor.clamp(1.0, REPORT_INCREASE) + REPORT_STEP
+        limit
+            + if total < slots {
+                REPORT_STEP
+            } else {
+                REPORT_STEP / 2.0
+            }
     } else {
         limit
     };
