--- a/crates/lab/src/result.rs
+++ b/crates/lab/src/result.rs
@@ -109,11 +109,11 @@
             sum(&within, |a| a.late + a.failed),
             sum(&within, |a| a.offered),
         ),
-        late_worst: others.map(|(_, a)| a.late_share()).fold(0.0, f64::max),
+        late_worst: rounded(others.map(|(_, a)| a.late_share()).fold(0.0, f64::max)),
         refused: part(sum(accounts, |a| a.refused), offered),
         refused_quota: part(sum(&within, |a| a.refused), sum(&within, |a| a.offered)),
-        fair_worst: fair_worst(accounts, fair, span_s),
-        wasted,
+        fair_worst: rounded(fair_worst(accounts, fair, span_s)),
+        wasted: rounded(wasted),
         p50_ms: ms(0.5),
         p99_ms: ms(0.99),
         p999_ms: ms(0.999),
@@ -152,5 +152,10 @@
 }
 
 fn part(count: u64, of: u64) -> f64 {
-    count as f64 / of.max(1) as f64
+    rounded(count as f64 / of.max(1) as f64)
+}
+
+/// Rounds to the digits that a run of some ten thousand requests can tell.
+fn rounded(part: f64) -> f64 {
+    (part * 1e5).round() / 1e5
 }
