--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,7 +2,9 @@
 
 pub(crate) mod admin;
 pub(crate) mod auth;
+pub mod bulk;
 pub(crate) mod engine;
+pub(crate) mod explain;
 pub(crate) mod generate;
 pub(crate) mod generation;
 pub(crate) mod handler;
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -10,7 +10,7 @@
 };
 use monoio::net::TcpListener;
 
-use crate::{admin, handler, peers, settings::Settings, slot, vm::Vm};
+use crate::{admin, handler, peers, rollout, settings::Settings, slot, vm::Vm};
 
 /// Why the daemon could not run.
 #[derive(Debug, thiserror::Error)]
@@ -25,6 +25,9 @@
         /// What the socket says.
         source: io::Error,
     },
+    /// The folder for bulk data cannot be used.
+    #[error(transparent)]
+    Disk(#[from] crate::bulk::disk::Error),
     /// The runtime or its signals cannot be set up.
     #[error("cannot start: {0}")]
     Start(#[from] io::Error),
@@ -47,16 +50,16 @@
     let callers = listen("callers", settings.callers)?;
     let peer_listener = listen("peers", settings.peers)?;
     let admin_listener = listen("admin", settings.admin)?;
-    let vm = Vm::new(settings);
+    let vm = Vm::new(settings)?;
     if let Some(collector) = vm.settings.collector {
         vm.telemetry.export_to(collector);
     }
     follow_platform(&vm);
+    rollout::start(&vm);
 
     let for_peers = vm.clone();
     monoio::spawn(peer::serve(peer_listener, move |ask| {
-        let answer = peers::answer(&for_peers, &ask);
-        async move { answer }
+        peers::serve(for_peers.clone(), ask)
     }));
     let for_admin = vm.clone();
     let admin_drain = server::Drain::default();
@@ -87,18 +90,20 @@
 /// Keeps the board up to date and drives the clock of waiting requests.
 fn follow_platform(vm: &Rc<Vm>) {
     let changed = vm.clone();
-    let feed = Feed::new(vm.board.clone(), vm.platform.clone(), move || {
-        slot::pump(&changed)
-    });
-    feed.start();
-    let poller =
-        Poller::new(vm.board.clone(), vm.pool.clone(), vm.clock).note(policy::limit::report);
-    monoio::spawn(poller.run(|_| true));
+    vm.gossip.start(move || slot::pump(&changed));
+    Feed::new(vm.gossip.clone(), vm.platform.clone()).start();
+    Poller::new(vm.gossip.clone(), vm.pool.clone()).start();
     let vm = vm.clone();
+    let greeting = vm.clone();
+    monoio::spawn(async move {
+        for seed in &greeting.settings.seeds {
+            greeting.gossip.greet(*seed).await;
+        }
+    });
     monoio::spawn(async move {
         loop {
             monoio::time::sleep(TICK_TIME).await;
-            vm.primed.set(feed.is_primed());
+            vm.primed.set(vm.gossip.is_primed());
             if !vm.waiting.borrow().is_empty() {
                 slot::pump(&vm);
             }
@@ -119,6 +124,7 @@
 async fn shut_down(vm: &Rc<Vm>, drain: &server::Drain) {
     vm.leaving.set(true);
     spdlog::info!("leaving", kv: { vm = vm.settings.vm.as_str() });
+    vm.gossip.leave().await;
     monoio::time::sleep(UNREADY_TIME).await;
     drain.close();
     let whole = drain.wait(vm.settings.drain).await;
--- a/crates/entry/src/vm.rs
+++ b/crates/entry/src/vm.rs
@@ -8,6 +8,7 @@
 use board::{Board, Time, endpoint, hash::Map, ticket, usage::Window};
 use link::{
     clock::{self, Clock},
+    gossip::Gossip,
     http::{Limits, Pool},
     platform,
     telemetry::Telemetry,
@@ -15,7 +16,7 @@
 use local_sync::oneshot;
 use policy::call::Refusal;
 
-use crate::{metrics::Metrics, settings::Settings};
+use crate::{bulk, metrics::Metrics, rollout, run, settings::Settings};
 
 /// What a waiting request is told.
 pub(crate) type Verdict = Result<endpoint::Key, Refusal>;
@@ -27,6 +28,8 @@
     pub(crate) clock: Clock,
     pub(crate) pool: Pool,
     pub(crate) platform: platform::Client,
+    /// The links to other VMs.
+    pub(crate) gossip: Gossip,
     pub(crate) telemetry: Telemetry,
     pub(crate) metrics: Metrics,
     /// Requests that wait for a verdict.
@@ -37,16 +40,35 @@
     pub(crate) primed: Cell<bool>,
     /// Whether the process is shutting down.
     pub(crate) leaving: Cell<bool>,
+    /// Steps and lots in production.
+    pub(crate) rollouts: rollout::State,
+    /// The disk for bulk data, on a VM that has one.
+    pub(crate) disk: Option<bulk::disk::Disk>,
 }
 
 impl Vm {
-    pub(crate) fn new(settings: Settings) -> Rc<Self> {
+    /// Opens the links to other VMs and the disk, if there is one.
+    ///
+    /// # Errors
+    ///
+    /// What the socket or the disk says.
+    pub(crate) fn new(settings: Settings) -> Result<Rc<Self>, run::Error> {
         let seed = clock::wall_millis();
         let telemetry = Telemetry::new("tarragonseam-entry");
         let board = Board::new(&settings.vm, &settings.failure_domain, seed);
-        Rc::new(Self {
-            board: Rc::new(RefCell::new(board)),
-            clock: Clock::default(),
+        let board = Rc::new(RefCell::new(board));
+        let clock = Clock::default();
+        let disk = settings.data.as_deref().map(bulk::disk::Disk::open);
+        let gossip = Gossip::open(board.clone(), clock, settings.peers, &telemetry);
+        Ok(Rc::new(Self {
+            disk: disk.transpose()?,
+            gossip: gossip.map_err(|source| run::Error::Listen {
+                setting: "peers",
+                address: settings.peers,
+                source,
+            })?,
+            board,
+            clock,
             pool: Pool::new(Limits::new()),
             platform: platform::Client::new(settings.platform, &settings.vm),
             metrics: Metrics::new(&telemetry),
@@ -55,8 +77,9 @@
             next_request: Cell::new(seed),
             primed: Cell::new(false),
             leaving: Cell::new(false),
+            rollouts: rollout::State::default(),
             settings,
-        })
+        }))
     }
 
     pub(crate) fn now(&self) -> Time {
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -3,7 +3,10 @@
 
 pub mod clock;
 pub mod event;
+pub mod fault;
 pub mod feed;
+pub mod follow;
+pub mod gossip;
 pub mod http;
 pub mod load;
 pub mod log;
@@ -13,6 +16,7 @@
 pub mod runtime;
 pub mod settings;
 pub mod telemetry;
+pub(crate) mod traffic;
 
 pub use ::http::{HeaderMap, Method, StatusCode};
 pub use bytes::Bytes;
