Answer a pull by whole buckets, so that a large store arrives

Measuring 390 VMs with 6,100 endpoints never ended: an answer held the first 4,000 facts of all buckets that differed, the same ones each time, so a VM that missed more never learned the rest. Answers now hold whole buckets, from a place that changes. differing_more_than_one_answer fails on the commit before and passes here.

--- a/crates/board/src/shared.rs
+++ b/crates/board/src/shared.rs
@@ -156,18 +156,28 @@
         buckets
     }
 
-    /// Returns up to `limit` facts from the buckets that differ from `theirs`.
-    pub fn differing(&self, theirs: &[u64], limit: usize) -> Vec<Item> {
+    /// Returns the facts of the buckets that differ from `theirs`, from bucket
+    /// `start` on, and whether buckets were left out.
+    ///
+    /// Buckets are returned whole, so that each answer brings some of them to
+    /// agree, until about `limit` facts are reached.
+    pub fn differing(&self, theirs: &[u64], limit: usize, start: usize) -> (Vec<Item>, bool) {
         let ours = self.buckets();
-        let differs = |key: &(Kind, String)| {
+        let mut groups: Vec<Vec<&Item>> = vec![Vec::new(); BUCKETS];
+        for (key, item) in &self.items {
             let bucket = mix(key.1.as_bytes(), key.0 as u64) as usize % BUCKETS;
-            theirs.get(bucket) != Some(&ours[bucket])
-        };
-        self.items
-            .iter()
-            .filter(|(key, _)| differs(key))
-            .map(|(_, item)| item.clone())
-            .take(limit)
-            .collect()
+            if theirs.get(bucket) != Some(&ours[bucket]) {
+                groups[bucket].push(item);
+            }
+        }
+        let mut items = Vec::new();
+        for step in 0..BUCKETS {
+            if items.len() >= limit {
+                return (items, true);
+            }
+            let group = &groups[(start + step) % BUCKETS];
+            items.extend(group.iter().map(|item| (*item).clone()));
+        }
+        (items, false)
     }
 }
--- a/crates/fakes/src/swarm.rs
+++ b/crates/fakes/src/swarm.rs
@@ -253,7 +253,8 @@
         }
         let buckets = self.nodes[place].board.shared.buckets();
         let other = &self.nodes[from].board;
-        let items = other.shared.differing(&buckets, PULL_ITEMS);
+        let start = self.number as usize;
+        let (items, _) = other.shared.differing(&buckets, PULL_ITEMS, start);
         let parts: Vec<_> = other.shared.parts.values().cloned().collect();
         let size = wire::encode(&items).map_or(0, |bytes| bytes.len() as u64);
         let asked = wire::encode(&buckets).map_or(0, |bytes| bytes.len() as u64);
--- a/crates/fakes/tests/swarm.rs
+++ b/crates/fakes/tests/swarm.rs
@@ -10,7 +10,7 @@
 };
 use policy::{dissemination, isolation, relay};
 use proptest::{prelude::*, test_runner::RngSeed};
-use tarragonseam_fakes::swarm::Swarm;
+use tarragonseam_fakes::swarm::{Node, Swarm};
 
 const DOMAINS: [&str; 3] = ["a", "b", "c"];
 const SETTLE: Duration = Duration::from_secs(20);
@@ -242,3 +242,21 @@
         assert_eq!(found.into_iter().collect::<Vec<_>>(), refused, "{name}");
     }
 }
+
+/// More facts than one answer holds, in every bucket.
+#[test]
+fn differing_more_than_one_answer() {
+    const FACTS: usize = 9_000;
+    let mut swarm = Swarm::new(3, &["a"], 2);
+    let fact = |number: usize| Fact::Weights(format!("model-{number}"), 1);
+    let items = (0..FACTS).map(|number| Item {
+        version: 1,
+        fact: fact(number),
+    });
+    swarm.publish(0, items.collect());
+    let all = |swarm: &Swarm| {
+        let known = |node: &Node| node.board.shared.of_kind(Kind::Weights).count();
+        swarm.nodes.iter().all(|node| known(node) == FACTS)
+    };
+    assert!(swarm.run_until(Duration::from_secs(10), all).is_some());
+}
--- a/crates/link/src/follow.rs
+++ b/crates/link/src/follow.rs
@@ -17,6 +17,8 @@
 use crate::{clock::Clock, peer};
 
 const FACT_TIME: Duration = Duration::from_millis(250);
+/// Pause before the rest of a large store is asked for.
+const MORE_TIME: Duration = Duration::from_millis(10);
 const LOAD_TIME: Duration = Duration::from_secs(1);
 const ASK_TIME: Duration = Duration::from_secs(2);
 /// Failures in a row after which another VM is asked.
@@ -111,8 +113,9 @@
 
 async fn follow_facts(follower: Follower) {
     loop {
-        while follower.pull().await {}
-        monoio::time::sleep(FACT_TIME).await;
+        let has_more = follower.pull().await;
+        let pause = if has_more { MORE_TIME } else { FACT_TIME };
+        monoio::time::sleep(pause).await;
     }
 }
 
--- a/crates/link/src/gossip.rs
+++ b/crates/link/src/gossip.rs
@@ -27,8 +27,10 @@
 const ASK_TIME: Duration = Duration::from_secs(2);
 /// The shortest time between two pulls.
 const PULL_PERIOD: Duration = Duration::from_millis(200);
-/// Facts in one answer to a pull.
+/// About as many facts are in one answer to a pull.
 pub const PULL_ITEMS: usize = 4000;
+/// Pulls in a row from one VM.
+const PULL_ROUNDS: usize = 8;
 /// Rounds in which texts of a configuration are fetched before giving up.
 const PART_ROUNDS: usize = 2;
 
@@ -147,13 +149,14 @@
     /// Answers a pull.
     pub fn facts(&self, buckets: &[u64], members: u64) -> Facts {
         let board = self.board.borrow();
-        let items = board.shared.differing(buckets, PULL_ITEMS);
+        let start = self.clock.now().millis() as usize;
+        let (items, has_more) = board.shared.differing(buckets, PULL_ITEMS, start);
         let opinions = || membership::opinions(&board);
         let digest = board.members.digest();
         let differs = digest != members;
         Facts {
-            has_more: items.len() == PULL_ITEMS,
             items,
+            has_more,
             fresh_ms: self.fresh_ms(),
             is_primed: self.is_primed(),
             digest,
@@ -201,7 +204,11 @@
 
     async fn pull(&self, from: SocketAddr) {
         self.is_pulling.set(true);
-        while self.pull_once(from).await {}
+        for _ in 0..PULL_ROUNDS {
+            if !self.pull_once(from).await {
+                break;
+            }
+        }
         self.is_pulling.set(false);
         self.next_pull.set(self.clock.now() + PULL_PERIOD);
     }
