--- a/crates/board/src/hash.rs
+++ b/crates/board/src/hash.rs
@@ -1,5 +1,7 @@
 //! Hash maps with a fast hasher.
 
+use std::hash::{BuildHasher, Hash};
+
 /// A map for keys that callers cannot choose freely.
 pub type Map<K, V> = rustc_hash::FxHashMap<K, V>;
 
@@ -30,6 +32,19 @@
 /// The hasher behind them, the same on every VM.
 pub type Hasher = rustc_hash::FxHasher;
 
+/// Returns a hash that is the same in every process of one build.
+///
+/// # Examples
+///
+/// ```
+/// use tarragonseam_board::hash;
+///
+/// assert_eq!(hash::of(&("vm-1", 7)), hash::of(&("vm-1", 7)));
+/// ```
+pub fn of<T: Hash>(value: &T) -> u64 {
+    mix(&rustc_hash::FxBuildHasher.hash_one(value).to_le_bytes(), 0)
+}
+
 /// Returns the rank of `name` for `key` in rendezvous hashing: for each key,
 /// the name with the highest rank is chosen, so names that come and go move
 /// only the keys that they win.
@@ -44,17 +59,5 @@
 /// assert_eq!(winner(7), winner(7));
 /// ```
 pub fn rendezvous(key: u64, name: &str) -> u64 {
-    use std::hash::Hasher as _;
-    let mut hasher = Hasher::default();
-    hasher.write(name.as_bytes());
-    stir(stir(hasher.finish()) ^ key)
-}
-
-/// Spreads every bit of the input over the output: the fast hasher alone keeps
-/// the order of similar names.
-const fn stir(mut bits: u64) -> u64 {
-    bits = bits.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    bits ^ (bits >> 31)
+    mix(name.as_bytes(), key)
 }
--- a/crates/entry/src/slot.rs
+++ b/crates/entry/src/slot.rs
@@ -80,8 +80,9 @@
         retry_after: policy::admission::RETRY_AFTER,
     };
     let endpoint = receiver.await.map_err(|_| gone)??;
+    let slot = hold(vm, key, endpoint).ok_or(gone)?;
     waiter.ticket = None;
-    hold(vm, key, endpoint).ok_or(gone)
+    Ok(slot)
 }
 
 /// Takes a place for a second attempt beside a slow one, if one is free now
@@ -97,7 +98,11 @@
     let (key, endpoint) = call::start_now(&mut board, now, ticket)?;
     policy::hedge::take(&mut board, &service);
     drop(board);
-    hold(vm, key, endpoint)
+    let slot = hold(vm, key, endpoint);
+    if slot.is_none() {
+        call::finish(&mut vm.board.borrow_mut(), now, key, Outcome::Abandoned);
+    }
+    slot
 }
 
 fn hold(vm: &Rc<Vm>, ticket: ticket::Key, endpoint: endpoint::Key) -> Option<Slot> {
@@ -112,6 +117,16 @@
     })
 }
 
+/// Empties `avoid` once it names every endpoint of `service`: a second try on
+/// one that failed is better than none.
+pub(crate) fn forgive(vm: &Vm, service: &str, avoid: &mut Vec<endpoint::Key>) {
+    let board = vm.board.borrow();
+    let all = board.endpoints.of_service(service);
+    if all.iter().all(|known| avoid.contains(known)) {
+        avoid.clear();
+    }
+}
+
 /// Carries out the dispatch orders that are due.
 pub(crate) fn pump(vm: &Rc<Vm>) {
     let now = vm.now();
--- a/crates/entry/src/vm.rs
+++ b/crates/entry/src/vm.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::{Cell, RefCell},
-    io,
     rc::Rc,
 };
 
@@ -17,7 +16,7 @@
 use local_sync::oneshot;
 use policy::call::Refusal;
 
-use crate::{metrics::Metrics, settings::Settings};
+use crate::{bulk, metrics::Metrics, rollout, run, settings::Settings};
 
 /// What a waiting request is told.
 pub(crate) type Verdict = Result<endpoint::Key, Refusal>;
@@ -41,22 +40,33 @@
     pub(crate) primed: Cell<bool>,
     /// Whether the process is shutting down.
     pub(crate) leaving: Cell<bool>,
+    /// Steps and lots in production.
+    pub(crate) rollouts: rollout::State,
+    /// The disk for bulk data, on a VM that has one.
+    pub(crate) disk: Option<bulk::disk::Disk>,
 }
 
 impl Vm {
-    /// Opens the links to other VMs.
+    /// Opens the links to other VMs and the disk, if there is one.
     ///
     /// # Errors
     ///
-    /// The error of the socket.
-    pub(crate) fn new(settings: Settings) -> io::Result<Rc<Self>> {
+    /// What the socket or the disk says.
+    pub(crate) fn new(settings: Settings) -> Result<Rc<Self>, run::Error> {
         let seed = clock::wall_millis();
         let telemetry = Telemetry::new("tarragonseam-entry");
         let board = Board::new(&settings.vm, &settings.failure_domain, seed);
         let board = Rc::new(RefCell::new(board));
         let clock = Clock::default();
+        let disk = settings.data.as_deref().map(bulk::disk::Disk::open);
+        let gossip = Gossip::open(board.clone(), clock, settings.peers, &telemetry);
         Ok(Rc::new(Self {
-            gossip: Gossip::open(board.clone(), clock, settings.peers, &telemetry)?,
+            disk: disk.transpose()?,
+            gossip: gossip.map_err(|source| run::Error::Listen {
+                setting: "peers",
+                address: settings.peers,
+                source,
+            })?,
             board,
             clock,
             pool: Pool::new(Limits::new()),
@@ -67,6 +77,7 @@
             next_request: Cell::new(seed),
             primed: Cell::new(false),
             leaving: Cell::new(false),
+            rollouts: rollout::State::default(),
             settings,
         }))
     }
--- a/crates/link/src/follow.rs
+++ b/crates/link/src/follow.rs
@@ -130,7 +130,7 @@
         for (id, load) in loads {
             let key = board.endpoints.find(&id);
             if let Some(endpoint) = key.and_then(|key| board.endpoints.get_mut(key)) {
-                endpoint.load = Some((now, load));
+                policy::limit::report(endpoint, now, load);
             }
         }
     }
