--- a/crates/board/src/config/mod.rs
+++ b/crates/board/src/config/mod.rs
@@ -198,9 +198,17 @@
         pub max_tokens: u32,
         /// How many versions behind the newest weights a sample may be.
         pub max_staleness: u32,
+        /// The share of useful tokens, in percent, that may be spent on second
+        /// attempts at slow samples; 0 for none.
+        #[serde(default = "rerun_percent")]
+        pub rerun_percent: u32,
     }
 }
 
+fn rerun_percent() -> u32 {
+    10
+}
+
 impl Trainer {
     /// Returns how many lots make up a step.
     pub fn lots_per_step(&self) -> u32 {
--- a/crates/cli/tests/rollouts.rs
+++ b/crates/cli/tests/rollouts.rs
@@ -4,13 +4,14 @@
 
 use std::{cell::RefCell, time::Duration};
 
-use board::lot::{Content, Manifest};
+use board::lot::{self, Content, Manifest};
 use link::platform::Client;
 use rand::{SeedableRng, rngs::StdRng};
 use rollouts_support::{
     history,
     run::{self, Bench, EXPECTED},
 };
+use serde_json::json;
 
 /// Seeds to run, as `FIRST..END`; a few by default.
 const SEEDS: &str = "TARRAGONSEAM_SEEDS";
@@ -30,7 +31,10 @@
         run::clean();
         let found = history::check(&record, EXPECTED);
         assert!(found.is_empty(), "seed {seed}: {found:?}");
-        println!("seed {seed}: {} draws, no violation", record.draws.len());
+        let samples = record.draws.iter().flat_map(|draw| &draw.lot.samples);
+        let split = samples.filter(|sample| sample.spans.len() > 1).count();
+        let draws = record.draws.len();
+        println!("seed {seed}: {draws} draws, {split} samples of two versions, no violation");
     }
 }
 
@@ -91,3 +95,32 @@
     }))
     .unwrap();
 }
+
+#[test]
+fn engine_without_new_weights_gets_no_samples() {
+    link::runtime::run(async {
+        let bench = Bench::start(&run::plan(2), 2).await;
+        let rng = RefCell::new(StdRng::seed_from_u64(1));
+        let stale = bench.deployment.endpoints[0].address;
+        bench.fault(stale, json!({ "swap_fail": 1.0 })).await;
+        // Version 1, which every engine starts with, is now too old.
+        let newest = 2 + EXPECTED.max_staleness;
+        bench.raise_weights(&rng, newest).await;
+        bench.declare(&rng, 0, 0).await;
+        for lot in 0..4 {
+            let draw = bench.draw(&rng, lot).await;
+            for sample in &draw.lot.samples {
+                let oldest = lot::oldest(&sample.spans).unwrap();
+                assert!(
+                    oldest >= newest - EXPECTED.max_staleness,
+                    "{:?}",
+                    sample.spans
+                );
+            }
+        }
+        let streams = run::log(&bench.deployment, stale).await;
+        let seen: Vec<_> = streams.iter().flat_map(|stream| &stream.spans).collect();
+        assert!(seen.is_empty(), "tokens in vain: {seen:?}");
+    })
+    .unwrap();
+}
--- a/crates/cli/tests/rollouts_measure.rs
+++ b/crates/cli/tests/rollouts_measure.rs
@@ -144,3 +144,117 @@
     }
     println!("{}", json!({"load_average": load(), "steps": rows}));
 }
+
+/// Time that the trainer spends on a lot.
+const TRAIN_MS: u64 = 250;
+const STEPS: u64 = 16;
+/// One engine in ten is this many times slower than the others.
+const SLOW_ENGINES: usize = 1;
+const ENGINES: usize = 9;
+
+/// Draws steps one after the other while one engine is slow and another is
+/// cut off now and then.
+async fn stragglers(rerun_percent: u32) -> Value {
+    let mut plan = run::plan(3);
+    plan.backs.clear();
+    let mut plan = plan.engines("tasting-notes", ENGINES, &DOMAINS);
+    for back in plan.backs.iter_mut().take(SLOW_ENGINES) {
+        back.arguments.push("--tokens-per-s=40".to_string());
+    }
+    let bench = Bench::start_with(&plan, 2, |text| {
+        text.replace(
+            "max_staleness = 2",
+            &format!("max_staleness = 2\nrerun_percent = {rerun_percent}"),
+        )
+    })
+    .await;
+    let faults = bench.clone();
+    monoio::spawn(async move { cut_engines(&faults).await });
+    let rng = RefCell::new(StdRng::seed_from_u64(1));
+    let start = Instant::now();
+    let mut waited = Duration::ZERO;
+    let mut lot_ms = Vec::new();
+    let mut ages: BTreeMap<u64, u64> = BTreeMap::new();
+    for step in 0..STEPS {
+        let declared = Instant::now();
+        let version = step + 2;
+        bench.raise_weights(&rng, version).await;
+        bench.declare(&rng, step, 0).await;
+        for lot in step * 4..step * 4 + 4 {
+            let asked = Instant::now();
+            let draw = bench.draw(&rng, lot).await;
+            waited += asked.elapsed();
+            lot_ms.push(declared.elapsed().as_millis() as u64);
+            for sample in &draw.lot.samples {
+                let oldest = board::lot::oldest(&sample.spans).unwrap();
+                *ages.entry(version - oldest).or_default() += 1;
+            }
+            monoio::time::sleep(Duration::from_millis(TRAIN_MS)).await;
+            bench.acknowledge(&rng, 0, lot).await;
+        }
+    }
+    let total = start.elapsed();
+    lot_ms.sort_unstable();
+    json!({
+        "rerun_percent": rerun_percent,
+        "steps": STEPS,
+        "idle_share": waited.as_secs_f64() / total.as_secs_f64(),
+        "lot_ms": {"p50": lot_ms[lot_ms.len() / 2], "p99": lot_ms[lot_ms.len() * 99 / 100]},
+        "samples_by_versions_behind": ages,
+        "counters": counters(&bench).await,
+    })
+}
+
+/// Takes one engine away for three seconds of each twenty.
+async fn cut_engines(bench: &Bench) {
+    let others = bench.deployment.endpoints.iter().skip(SLOW_ENGINES);
+    for endpoint in others.cycle() {
+        monoio::time::sleep(Duration::from_secs(17)).await;
+        bench.fault(endpoint.address, json!({"gone": true})).await;
+        monoio::time::sleep(Duration::from_secs(3)).await;
+        bench.fault(endpoint.address, json!({"gone": false})).await;
+    }
+}
+
+/// Returns counters of samples and wasted tokens, summed over all VMs.
+async fn counters(bench: &Bench) -> BTreeMap<String, u64> {
+    let mut sums = BTreeMap::new();
+    for vm in &bench.deployment.vms {
+        let call = bench
+            .deployment
+            .pool
+            .fetch(vm.entry_admin, Call::get("/metrics"));
+        let text = call.await.unwrap().body;
+        let text = String::from_utf8_lossy(&text).into_owned();
+        let wanted = [
+            "tarragonseam_samples_total",
+            "tarragonseam_wasted_tokens_total",
+        ];
+        for line in text
+            .lines()
+            .filter(|line| wanted.iter().any(|name| line.starts_with(name)))
+        {
+            let Some((name, count)) = line.rsplit_once(' ') else {
+                continue;
+            };
+            let label = name.split('"').nth(1).unwrap_or_default();
+            let kind = name.split('{').next().unwrap_or_default();
+            *sums.entry(format!("{kind} {label}")).or_default() += count.parse().unwrap_or(0);
+        }
+    }
+    sums
+}
+
+#[test]
+#[ignore = "an experiment"]
+fn measure_stragglers() {
+    let rows: Vec<_> = [0, 10, 0, 10]
+        .into_iter()
+        .map(|percent| link::runtime::run(stragglers(percent)).unwrap())
+        .collect();
+    let settings = json!({"engines": ENGINES, "slow_engines": SLOW_ENGINES, "slow_factor": 10, "train_ms_a_lot": TRAIN_MS});
+    println!(
+        "{}",
+        json!({"load_average": load(), "settings": settings, "runs": rows})
+    );
+}
--- a/crates/cli/tests/rollouts_support/run.rs
+++ b/crates/cli/tests/rollouts_support/run.rs
@@ -52,11 +52,21 @@
 impl Bench {
     /// Starts `plan` with lots of `groups_per_lot` groups.
     pub(crate) async fn start(plan: &Plan, groups_per_lot: u32) -> Rc<Self> {
+        Self::start_with(plan, groups_per_lot, |text| text).await
+    }
+
+    /// As [`Bench::start`], with the trainer's file changed by `edit`.
+    pub(crate) async fn start_with(
+        plan: &Plan,
+        groups_per_lot: u32,
+        edit: impl FnOnce(String) -> String,
+    ) -> Rc<Self> {
         let deployment = Deployment::start(Path::new(PROGRAM), plan).await.unwrap();
         let file = deployment.tree.join("tasting-notes/tarragonseam.toml");
         let text = std::fs::read_to_string(&file).unwrap();
         let lots = format!("groups_per_lot = {groups_per_lot}");
-        std::fs::write(&file, text.replace("groups_per_lot = 4", &lots)).unwrap();
+        let text = text.replace("groups_per_lot = 4", &lots);
+        std::fs::write(&file, edit(text)).unwrap();
         let platform = format!("--platform={}", deployment.platform);
         let tree = deployment.tree.display().to_string();
         command(&["publish", &tree, &platform]);
--- a/crates/entry/src/rollout/attempt.rs
+++ b/crates/entry/src/rollout/attempt.rs
@@ -3,6 +3,7 @@
 use std::{cell::Cell, rc::Rc, time::Duration};
 
 use board::{
+    Time,
     config::Class,
     endpoint,
     lot::{self, Id},
@@ -27,7 +28,7 @@
     pub(super) vm: Rc<Vm>,
     pub(super) job: Rc<Job>,
     pub(super) endpoint: Rc<Cell<Option<endpoint::Key>>>,
-    /// Set once the attempt has a place on an engine.
+    /// Set once the attempt is seen on an engine.
     pub(super) progress: Rc<Cell<Option<Progress>>>,
     task: Rc<Task>,
     avoid: Vec<endpoint::Key>,
@@ -69,16 +70,21 @@
         self.vm.metrics.wasted("second-attempt", u64::from(tokens));
     }
 
-    /// Notes a token and returns whether to go on.
-    fn note(&self, token: &Token) -> bool {
-        let now = self.vm.now();
-        let mut progress = self.progress.get().unwrap_or(Progress {
+    /// Returns the progress of an attempt that is on an engine since `now`.
+    pub(super) fn unstarted(&self, now: Time) -> Progress {
+        Progress {
             started: now,
             first_token: None,
             last_token: None,
             tokens: 0,
             tokens_max: self.task.max_tokens,
-        });
+        }
+    }
+
+    /// Notes a token and returns whether to go on.
+    fn note(&self, token: &Token) -> bool {
+        let now = self.vm.now();
+        let mut progress = self.progress.get().unwrap_or(self.unstarted(now));
         progress.first_token.get_or_insert(now);
         progress.last_token = Some(now);
         progress.tokens += 1;
--- a/crates/entry/src/rollout/sample.rs
+++ b/crates/entry/src/rollout/sample.rs
@@ -102,7 +102,7 @@
     let mut budgets = vm.rollouts.budgets.borrow_mut();
     let budget = budgets.entry(job.step.trainer.clone());
     budget
-        .or_insert_with(|| Budget::new(tokens_max))
+        .or_insert_with(|| Budget::new(tokens_max, job.trainer.rerun_percent))
         .spend(tokens_max)
 }
 
@@ -117,7 +117,7 @@
     let mut budgets = vm.rollouts.budgets.borrow_mut();
     let budget = budgets.entry(job.step.trainer.clone());
     budget
-        .or_insert_with(|| Budget::new(tokens_max))
+        .or_insert_with(|| Budget::new(tokens_max, job.trainer.rerun_percent))
         .earn(tokens, tokens_max);
 }
 
@@ -128,7 +128,9 @@
         let usual = self.vm.rollouts.usual.borrow();
         let usual = usual.get(&self.job.trainer.model)?;
         let endpoint = self.endpoint.get()?;
-        let progress = self.progress.get()?;
-        straggler::is_straggler(&progress, usual, self.vm.now()).then_some(endpoint)
+        let now = self.vm.now();
+        let progress = self.progress.get().unwrap_or(self.unstarted(now));
+        self.progress.set(Some(progress));
+        straggler::is_straggler(&progress, usual, now).then_some(endpoint)
     }
 }
--- a/crates/policy/src/straggler.rs
+++ b/crates/policy/src/straggler.rs
@@ -52,39 +52,46 @@
 /// Tokens that may be spent on second attempts.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Budget {
-    tokens: u64,
+    /// In hundredths of a token.
+    hundredths: u64,
+    percent: u32,
 }
 
-/// One token in this many may be spent on second attempts.
-const BUDGET_SHARE: u64 = 10;
+const HUNDREDTHS: u64 = 100;
 /// What a budget starts with and may hold at most, in samples of full length.
 const BUDGET_SAMPLES: u64 = 4;
 
 impl Budget {
     /// Returns the budget of a trainer whose samples have up to `tokens_max`
-    /// tokens.
-    pub fn new(tokens_max: u32) -> Self {
+    /// tokens, of which `percent` may be spent. With 0 percent, it stays empty.
+    pub fn new(tokens_max: u32, percent: u32) -> Self {
+        let most = Self::most(tokens_max);
         Self {
-            tokens: BUDGET_SAMPLES * u64::from(tokens_max),
+            hundredths: if percent == 0 { 0 } else { most },
+            percent,
         }
     }
 
     /// Adds the share that `tokens` useful tokens earn.
     pub fn earn(&mut self, tokens: u32, tokens_max: u32) {
-        let most = BUDGET_SAMPLES * u64::from(tokens_max);
-        self.tokens = (self.tokens + u64::from(tokens) / BUDGET_SHARE).min(most);
+        let earned = u64::from(tokens) * u64::from(self.percent);
+        self.hundredths = (self.hundredths + earned).min(Self::most(tokens_max));
     }
 
     /// Takes the cost of a second attempt, and returns whether there was
     /// enough for it.
     pub fn spend(&mut self, tokens_max: u32) -> bool {
-        let cost = u64::from(tokens_max);
-        let is_enough = self.tokens >= cost;
+        let cost = u64::from(tokens_max) * HUNDREDTHS;
+        let is_enough = self.hundredths >= cost;
         if is_enough {
-            self.tokens -= cost;
+            self.hundredths -= cost;
         }
         is_enough
     }
+
+    fn most(tokens_max: u32) -> u64 {
+        BUDGET_SAMPLES * u64::from(tokens_max) * HUNDREDTHS
+    }
 }
 
 /// Returns how long the attempt will go on at the rate seen so far, or `None`
--- a/crates/policy/tests/rollouts.rs
+++ b/crates/policy/tests/rollouts.rs
@@ -240,7 +240,7 @@
 
 #[test]
 fn budget_bounds_second_attempts() {
-    let mut budget = Budget::new(100);
+    let mut budget = Budget::new(100, 10);
     let spent = (0..10).filter(|_| budget.spend(100)).count();
     assert_eq!(spent, 4);
     for _ in 0..10 {
@@ -248,4 +248,7 @@
     }
     assert!(budget.spend(100));
     assert!(!budget.spend(100));
+    let mut none = Budget::new(100, 0);
+    none.earn(1_000_000, 100);
+    assert!(!none.spend(100));
 }
