--- a/crates/board/src/blackboard.rs
+++ b/crates/board/src/blackboard.rs
@@ -3,6 +3,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 
 use crate::{
+    capacity,
     config::Config,
     endpoint,
     hash::Map,
@@ -41,6 +42,8 @@
     pub tickets: ticket::Table,
     /// Usage measured here.
     pub usage: Ledger,
+    /// What is known of orders for endpoints.
+    pub capacity: capacity::Book,
     /// The source of randomness of every decision.
     pub rng: SmallRng,
 }
@@ -58,6 +61,7 @@
             weights: Map::default(),
             tickets: ticket::Table::default(),
             usage: Ledger::default(),
+            capacity: capacity::Book::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
--- /dev/null
+++ b/crates/board/src/capacity.rs
@@ -0,0 +1,112 @@
+//! Orders for endpoints, and what is known of how they went.
+
+use std::collections::BTreeSet;
+
+use crate::{endpoint::Tenure, hash::Map, time::Time};
+
+/// The kind of the objects that hold what a failure domain is ordering.
+pub const KIND: &str = "order-intent";
+
+crate::record! {
+    /// What an order does.
+    #[serde(rename_all = "kebab-case")]
+    copy pub enum Action {
+        /// Starts endpoints.
+        Start,
+        /// Stops one endpoint.
+        Stop,
+    }
+}
+
+crate::record! {
+    /// An order as the platform takes it.
+    pub struct Order {
+        /// Tells this order from every other: a repeat has the same key.
+        pub key: String,
+        /// The epoch of the lease under which it is sent.
+        pub epoch: u64,
+        /// Where.
+        pub failure_domain: String,
+        /// For which model or plain service.
+        pub service: String,
+        /// How long endpoints to start can be counted on.
+        #[serde(rename = "class", default, skip_serializing_if = "Option::is_none")]
+        pub tenure: Option<Tenure>,
+        /// What to do.
+        pub action: Action,
+        /// How many endpoints.
+        pub count: u32,
+        /// The endpoint to stop.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pub endpoint: Option<String>,
+    }
+}
+
+crate::record! {
+    /// The platform's answer to an order.
+    pub struct Accepted {
+        /// The key of the order.
+        pub key: String,
+        /// The endpoints that it moved, which may be fewer than were asked for.
+        #[serde(default)]
+        pub endpoints: Vec<String>,
+    }
+}
+
+crate::record! {
+    /// What the holder of a failure domain's lease is about to order. It is
+    /// written before the order is sent, so that a successor can settle it.
+    pub struct Intent {
+        /// The epoch of the lease.
+        pub epoch: u64,
+        /// Orders of this epoch so far, with this one.
+        #[serde(default)]
+        pub count: u64,
+        /// The order, or none.
+        pub order: Option<Order>,
+    }
+}
+
+/// Endpoints of one tenure for one service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Line {
+    /// The model or plain service.
+    pub service: String,
+    /// How long the endpoints can be counted on.
+    pub tenure: Tenure,
+}
+
+/// When a refused kind of order may be sent again.
+#[derive(Clone, Copy, Debug)]
+pub struct Backoff {
+    /// Refusals in a row.
+    pub refusals: u32,
+    /// Not before this.
+    pub until: Time,
+}
+
+/// An endpoint that was ordered and is not listed yet.
+#[derive(Clone, Debug)]
+pub struct Pending {
+    /// Its name.
+    pub endpoint: String,
+    /// What it counts for.
+    pub line: Line,
+    /// When it no longer counts without being listed.
+    pub until: Time,
+}
+
+/// What a VM knows of orders.
+#[derive(Clone, Debug, Default)]
+pub struct Book {
+    /// The failure domains of the deployment.
+    pub domains: BTreeSet<String>,
+    /// Kinds of orders that were refused.
+    pub refused: Map<Line, Backoff>,
+    /// Endpoints that were ordered and are not listed yet.
+    pub pending: Vec<Pending>,
+    /// Since when a failure domain has had fewer endpoints than declared.
+    pub short_since: Map<(String, Line), Time>,
+    /// Since when this failure domain has had more than it needs.
+    pub over_since: Map<Line, Time>,
+}
--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -4,6 +4,7 @@
 //! Nothing here does I/O or reads a clock.
 
 pub mod blackboard;
+pub mod capacity;
 pub mod config;
 pub mod endpoint;
 pub mod hash;
--- a/crates/link/src/http/client.rs
+++ b/crates/link/src/http/client.rs
@@ -61,8 +61,34 @@
     body: Bytes,
     fresh: bool,
     deadline: Duration,
+    fence: Option<Fence>,
 }
 
+/// A check made right before the bytes of a request leave.
+///
+/// A process can be paused between any two of its steps. A fenced request is
+/// checked after its connection stands, then is written or given up within
+/// [`FENCED_WRITE`], and its connection is dropped once the peer has not
+/// acknowledged the bytes for [`FENCED_UNACKNOWLEDGED`].
+#[derive(Clone)]
+pub struct Fence(Rc<dyn Fn() -> bool>);
+
+impl Fence {
+    /// Returns a fence that lets a request go while `is_open` holds.
+    pub fn new(is_open: impl Fn() -> bool + 'static) -> Self {
+        Self(Rc::new(is_open))
+    }
+}
+
+impl std::fmt::Debug for Fence {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Fence")
+    }
+}
+
+const FENCED_WRITE: Duration = Duration::from_secs(1);
+const FENCED_UNACKNOWLEDGED: Duration = Duration::from_secs(2);
+
 const CALL_TIME: Duration = Duration::from_secs(10);
 
 impl Call {
@@ -75,6 +101,7 @@
             body: Bytes::new(),
             fresh: false,
             deadline: CALL_TIME,
+            fence: None,
         }
     }
 
@@ -120,6 +147,14 @@
         self
     }
 
+    /// Sets a check that must hold when the bytes leave; the request then
+    /// goes on a connection of its own.
+    pub fn fence(mut self, fence: Fence) -> Self {
+        self.fence = Some(fence);
+        self.fresh = true;
+        self
+    }
+
     /// Sets the time allowed until the head of the answer is in.
     pub fn deadline(mut self, deadline: Duration) -> Self {
         self.deadline = deadline;
@@ -164,7 +199,14 @@
         connection
             .budget
             .allow(self.limits.head_bytes + READ_AHEAD, left(deadline));
-        let sent = monoio::time::timeout(left(deadline), connection.writer.send_and_flush(request));
+        let mut write_time = left(deadline);
+        if let Some(fence) = &call.fence {
+            write_time = write_time.min(FENCED_WRITE);
+            if !(fence.0)() {
+                return Err(Error::new(Kind::Fenced, "the fence is closed"));
+            }
+        }
+        let sent = monoio::time::timeout(write_time, connection.writer.send_and_flush(request));
         match sent.await {
             Err(_) => return Err(Error::new(Kind::Timeout, "request not taken")),
             Ok(Err(e)) => return Err(Error::new(Kind::Send, e)),
@@ -245,6 +287,10 @@
         let stream = net::connect(peer, call.deadline)
             .await
             .map_err(|e| Error::new(Kind::Connect, e))?;
+        if call.fence.is_some() {
+            net::set_user_timeout(&stream, FENCED_UNACKNOWLEDGED)
+                .map_err(|e| Error::new(Kind::Connect, e))?;
+        }
         let budget = Budget::default();
         let (read, write) = stream.into_split();
         Ok(Connection {
--- a/crates/link/src/http/error.rs
+++ b/crates/link/src/http/error.rs
@@ -9,6 +9,8 @@
     Connect,
     /// The request could not be built.
     Build,
+    /// The fence of the request was closed before its bytes left.
+    Fenced,
     /// Writing the request failed.
     Send,
     /// The peer did not answer within the time allowed.
@@ -44,7 +46,7 @@
 
     /// Returns whether no byte of the request can have reached the peer.
     pub fn is_unsent(&self) -> bool {
-        matches!(self.kind, Kind::Connect | Kind::Build)
+        matches!(self.kind, Kind::Connect | Kind::Build | Kind::Fenced)
     }
 }
 
@@ -53,6 +55,7 @@
         let what = match self.kind {
             Kind::Connect => "cannot connect",
             Kind::Build => "cannot build the request",
+            Kind::Fenced => "not sent",
             Kind::Send => "cannot send the request",
             Kind::Timeout => "no answer in time",
             Kind::Incomplete => "incomplete answer",
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod load;
 pub mod log;
 pub mod net;
+pub mod pace;
 pub mod peer;
 pub mod platform;
 pub mod runtime;
--- a/crates/link/src/net.rs
+++ b/crates/link/src/net.rs
@@ -44,6 +44,17 @@
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
 
+/// Makes the kernel drop `stream` once data was not acknowledged for `limit`.
+///
+/// # Errors
+///
+/// The error of the socket.
+pub fn set_user_timeout(stream: &TcpStream, limit: Duration) -> io::Result<()> {
+    // SAFETY: The descriptor stays open for as long as `stream` is borrowed.
+    let fd = unsafe { BorrowedFd::borrow_raw(stream.as_raw_fd()) };
+    socket2::SockRef::from(&fd).set_tcp_user_timeout(Some(limit))
+}
+
 /// Listens on `address`.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/link/src/platform/answer.rs
@@ -0,0 +1,76 @@
+//! What an answer of the platform means.
+
+use std::time::Duration;
+
+use ::http::StatusCode;
+use serde::{Deserialize, de::DeserializeOwned};
+
+use super::error::{Error, unreadable};
+use crate::http::client::Fetched;
+
+/// The answer to a write, also to one in conflict.
+#[derive(Deserialize)]
+pub(crate) struct Written {
+    pub(crate) version: u64,
+}
+
+/// Returns how long an answer over the rate asks to wait.
+pub(crate) fn retry_after(answer: &Fetched) -> Option<Duration> {
+    if answer.status != StatusCode::TOO_MANY_REQUESTS {
+        return None;
+    }
+    let header = answer.headers.get("retry-after");
+    let text = header.and_then(|value| value.to_str().ok());
+    let seconds = text.and_then(|text| text.parse().ok()).unwrap_or(1);
+    Some(Duration::from_secs(seconds))
+}
+
+/// The body of an error.
+#[derive(Deserialize)]
+struct Problem {
+    error: String,
+}
+
+/// An error of the interface itself, which says that the call had no effect.
+const OUT_OF_STOCK: &str = "out-of-stock";
+
+/// Turns an answer that is no success into its error.
+///
+/// # Errors
+///
+/// An [`Error`] that says whether the call can have had an effect.
+pub(crate) fn judge(answer: Fetched) -> Result<Fetched, Error> {
+    let detail = || String::from_utf8_lossy(&answer.body).into_owned();
+    let refused = || Error::Refused {
+        status: answer.status.as_u16(),
+        detail: detail(),
+    };
+    match answer.status {
+        status if status.is_success() => Ok(answer),
+        StatusCode::NOT_FOUND => Err(Error::Absent),
+        StatusCode::PRECONDITION_FAILED => {
+            let version = parse::<Written>(&answer.body).map_or(0, |written| written.version);
+            Err(Error::Conflict(version))
+        }
+        StatusCode::SERVICE_UNAVAILABLE
+            if parse::<Problem>(&answer.body).is_ok_and(|p| p.error == OUT_OF_STOCK) =>
+        {
+            Err(refused())
+        }
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+            Err(Error::Unavailable(detail()))
+        }
+        // Any other error of the server may come after the call took effect.
+        status if status.is_server_error() => Err(Error::Unknown(detail())),
+        _ => Err(refused()),
+    }
+}
+
+/// Reads a body as JSON.
+///
+/// # Errors
+///
+/// As [`unreadable`].
+pub(crate) fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Error> {
+    serde_json::from_slice(body).map_err(|e| unreadable(&e.to_string()))
+}
--- a/crates/link/src/platform.rs
+++ b/crates/link/src/platform/mod.rs
@@ -1,41 +1,29 @@
 //! The client of the platform: objects, VMs, endpoint orders, usage reports.
 
+pub(crate) mod answer;
+pub mod error;
+
 use std::{net::SocketAddr, time::Duration};
 
-use ::http::StatusCode;
-use board::endpoint;
+use board::{
+    capacity::{Accepted, Order},
+    endpoint,
+};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::http::{
-    Limits, Pool,
-    client::{Call, Fetched},
+use crate::{
+    http::{
+        Limits, Pool,
+        client::{Call, Fence, Fetched},
+        error::Kind,
+    },
+    pace::Pace,
 };
 
-/// Why a call to the platform did not succeed.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum Error {
-    /// The object has another version, given here (0 when it is absent).
-    #[error("conflict: the object is at version {0}")]
-    Conflict(u64),
-    /// There is no such object.
-    #[error("no such object")]
-    Absent,
-    /// The call was refused and had no effect.
-    #[error("refused with {status}: {detail}")]
-    Refused {
-        /// The status code.
-        status: u16,
-        /// What the platform said.
-        detail: String,
-    },
-    /// The call had no effect: the platform cannot be reached or is down.
-    #[error("platform unavailable: {0}")]
-    Unavailable(String),
-    /// The call may have taken effect.
-    #[error("outcome unknown: {0}")]
-    Unknown(String),
-}
+use self::answer::{Written, judge, parse, retry_after};
+pub use self::error::Error;
+use self::error::unreadable;
 
 /// A value with the version of its object.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -105,11 +93,6 @@
     endpoints: Vec<endpoint::Record>,
 }
 
-#[derive(Deserialize)]
-struct Written {
-    version: u64,
-}
-
 /// The condition of a write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum When {
@@ -125,9 +108,15 @@
     address: SocketAddr,
     vm: String,
     pool: Pool,
+    pace: Pace,
 }
 
 const CALL_TIME: Duration = Duration::from_secs(3);
+
+/// How long a read on a pooled connection waits before it is tried on a new
+/// one: the old one may have gone silent.
+const FIRST_READ_TIME: Duration = Duration::from_millis(1500);
+const CALLS_PER_S: u32 = 100;
 const WATCH_SLACK: Duration = Duration::from_secs(3);
 
 impl Client {
@@ -137,17 +126,23 @@
             address,
             vm: vm.to_string(),
             pool: Pool::new(Limits::new().body_bytes(4 * 1024 * 1024)),
+            pace: Pace::new(CALLS_PER_S),
         }
     }
 
+    /// Sets how many calls a second this client makes at most.
+    pub fn calls_per_s(mut self, rate: u32) -> Self {
+        self.pace = Pace::new(rate);
+        self
+    }
+
     /// Reads an object.
     ///
     /// # Errors
     ///
     /// [`Error::Absent`], or an error for which nothing is known.
     pub async fn get(&self, kind: &str, name: &str) -> Result<Object, Error> {
-        let call = Call::get(format!("/v1/objects/{kind}/{name}"));
-        let answer = self.call(call, CALL_TIME).await?;
+        let answer = self.look(&format!("/v1/objects/{kind}/{name}")).await?;
         let version = answer
             .headers
             .get("etag")
@@ -237,8 +232,8 @@
     ///
     /// An [`Error`] when nothing is known.
     pub async fn list(&self, kind: &str, prefix: &str) -> Result<Changes, Error> {
-        let call = Call::get(format!("/v1/objects/{kind}?prefix={prefix}"));
-        parse(&self.call(call, CALL_TIME).await?.body)
+        let path = format!("/v1/objects/{kind}?prefix={prefix}");
+        parse(&self.look(&path).await?.body)
     }
 
     /// Waits for changes of a kind after a version.
@@ -259,7 +254,7 @@
     ///
     /// An [`Error`] when nothing is known.
     pub async fn vms(&self) -> Result<Vec<Vm>, Error> {
-        let answer = self.call(Call::get("/v1/vms"), CALL_TIME).await?;
+        let answer = self.look("/v1/vms").await?;
         parse::<Vms>(&answer.body).map(|list| list.vms)
     }
 
@@ -272,11 +267,11 @@
         &self,
         failure_domain: Option<&str>,
     ) -> Result<Vec<endpoint::Record>, Error> {
-        let call = Call::get(match failure_domain {
+        let path = match failure_domain {
             Some(domain) => format!("/v1/endpoints?failure_domain={domain}"),
             None => "/v1/endpoints".to_string(),
-        });
-        let answer = self.call(call, CALL_TIME).await?;
+        };
+        let answer = self.look(&path).await?;
         parse::<Endpoints>(&answer.body).map(|list| list.endpoints)
     }
 
@@ -300,48 +295,63 @@
     ///
     /// An [`Error`] when nothing is known.
     pub async fn fetch<R: DeserializeOwned>(&self, path: &str) -> Result<R, Error> {
-        parse(&self.call(Call::get(path), CALL_TIME).await?.body)
+        parse(&self.look(path).await?.body)
+    }
+
+    /// Sends an order for endpoints, if `fence` is open when its bytes leave.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unknown`] when the order may have been taken: ask
+    /// [`Client::find_order`], or send the same key again.
+    pub async fn order(&self, order: &Order, fence: Fence) -> Result<Accepted, Error> {
+        let body = serde_json::to_vec(order).map_err(|e| unreadable(&e.to_string()))?;
+        let call = Call::post("/v1/orders", body).fence(fence);
+        parse(&self.call(call, CALL_TIME).await?.body)
+    }
+
+    /// Returns the platform's answer to the order `key`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Absent`] when no such order was taken.
+    pub async fn find_order(&self, key: &str) -> Result<Accepted, Error> {
+        self.fetch(&format!("/v1/orders/{key}")).await
+    }
+
+    /// Reads `path`, a second time on a new connection when the first one
+    /// broke or is silent.
+    async fn look(&self, path: &str) -> Result<Fetched, Error> {
+        match self.call(Call::get(path), FIRST_READ_TIME).await {
+            Err(Error::Unknown(_)) => self.call(Call::get(path).fresh(), CALL_TIME).await,
+            other => other,
+        }
     }
 
     async fn call(&self, call: Call, limit: Duration) -> Result<Fetched, Error> {
+        if !self.pace.admit(limit).await {
+            let detail = "the platform asked for fewer calls".to_string();
+            return Err(Error::Unavailable(detail));
+        }
         let call = call.deadline(limit).header("x-vm", &self.vm);
         match self.pool.fetch(self.address, call).await {
-            Ok(answer) => judge(answer),
+            Ok(answer) => self.judge(answer),
             Err(e) if e.is_unsent() => Err(Error::Unavailable(e.to_string())),
             Err(e) => {
-                self.pool.forget(self.address);
+                // What broke or hangs on one connection may do so on the
+                // others to this peer, which are as old.
+                if matches!(e.kind(), Kind::Timeout | Kind::Incomplete | Kind::Send) {
+                    self.pool.forget(self.address);
+                }
                 Err(Error::Unknown(e.to_string()))
             }
         }
     }
-}
 
-fn judge(answer: Fetched) -> Result<Fetched, Error> {
-    let detail = || String::from_utf8_lossy(&answer.body).into_owned();
-    match answer.status {
-        status if status.is_success() => Ok(answer),
-        StatusCode::NOT_FOUND => Err(Error::Absent),
-        StatusCode::PRECONDITION_FAILED => {
-            let version = parse::<Written>(&answer.body).map_or(0, |written| written.version);
-            Err(Error::Conflict(version))
+    fn judge(&self, answer: Fetched) -> Result<Fetched, Error> {
+        if let Some(span) = retry_after(&answer) {
+            self.pace.hold(span);
         }
-        status if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS => {
-            Err(Error::Unavailable(detail()))
-        }
-        status => Err(Error::Refused {
-            status: status.as_u16(),
-            detail: detail(),
-        }),
-    }
-}
-
-fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Error> {
-    serde_json::from_slice(body).map_err(|e| unreadable(&e.to_string()))
-}
-
-fn unreadable(detail: &str) -> Error {
-    Error::Refused {
-        status: 0,
-        detail: detail.to_string(),
+        judge(answer)
     }
 }
--- a/crates/policy/src/capacity.rs
+++ b/crates/policy/src/capacity.rs
@@ -1,20 +1,33 @@
 //! How many endpoints each failure domain should have.
+//!
+//! Each failure domain's lease holder decides for its own failure domain from
+//! the list of all endpoints, without talking to the others: what several
+//! failure domains must make up for together is split by their order of name.
+//!
+//! - A failure domain has at least its declared stable and cheap endpoints.
+//! - Cheap endpoints that another failure domain has lost, or cannot get, for
+//!   [`REPLACE_AFTER`] are replaced by cheap ones elsewhere.
+//! - Stable endpoints are added until the declared floor is met without the
+//!   cheap endpoints of whichever failure domain has most of them.
+//! - What is no longer needed is stopped after [`SHRINK_AFTER`], one at a time.
+
+use std::{collections::BTreeMap, time::Duration};
 
 use board::{
-    Board,
+    Board, Time,
+    capacity::{Accepted, Backoff, Line, Pending},
     config::Capacity,
     endpoint::{State, Tenure},
 };
+use rand::Rng;
 
 /// A change to the endpoints of one service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
     /// Start this many.
     Start {
-        /// The service.
-        service: String,
-        /// How long they can be counted on.
-        tenure: Tenure,
+        /// Of which kind.
+        line: Line,
         /// How many.
         count: u32,
     },
@@ -27,58 +40,230 @@
     },
 }
 
-/// Returns the changes that bring `failure_domain` to what is declared.
-pub fn plan(board: &Board, failure_domain: &str) -> Vec<Change> {
-    let models = board.config.models.iter().map(|(n, m)| (n, m.capacity));
-    let services = board.config.services.iter().map(|(n, s)| (n, s.capacity));
-    models
-        .chain(services)
-        .flat_map(|(service, capacity)| of_service(board, failure_domain, service, capacity))
-        .collect()
-}
+/// How long a shortage elsewhere lasts before it is made up for.
+pub const REPLACE_AFTER: Duration = Duration::from_secs(4);
 
-fn of_service(board: &Board, domain: &str, service: &str, capacity: Capacity) -> Vec<Change> {
-    let wanted = [
-        (Tenure::Stable, capacity.stable),
-        (Tenure::Cheap, capacity.cheap),
-    ];
-    wanted
+/// How long a surplus lasts before an endpoint is stopped.
+pub const SHRINK_AFTER: Duration = Duration::from_secs(60);
+
+/// How long an accepted order counts before its endpoint is listed.
+const LIST_LAG: Duration = Duration::from_secs(10);
+
+const BACKOFF_MIN: Duration = Duration::from_secs(2);
+const BACKOFF_MAX: Duration = Duration::from_secs(60);
+
+/// Returns the changes that bring the VM's failure domain to what is needed.
+pub fn plan(board: &mut Board, now: Time) -> Vec<Change> {
+    let domain = board.failure_domain.clone();
+    board.capacity.domains.insert(domain);
+    forget_pending(board, now);
+    let models = board.config.models.iter();
+    let models = models.map(|(name, model)| (name.clone(), model.capacity));
+    let services = board.config.services.iter();
+    let services = services.map(|(name, service)| (name.clone(), service.capacity));
+    let declared: Vec<_> = models.chain(services).collect();
+    declared
         .into_iter()
-        .filter_map(|(tenure, count)| of_tenure(board, domain, service, tenure, count))
+        .flat_map(|(service, capacity)| of_service(board, now, &service, capacity))
         .collect()
 }
 
-fn of_tenure(
-    board: &Board,
-    domain: &str,
-    service: &str,
-    tenure: Tenure,
-    wanted: u32,
-) -> Option<Change> {
-    let present: Vec<_> = board
-        .endpoints
-        .of_service(service)
-        .iter()
-        .filter_map(|key| board.endpoints.get(*key))
-        .filter(|e| e.record.failure_domain == domain && e.record.tenure == tenure)
-        .filter(|e| matches!(e.record.state, State::Starting | State::Ready))
-        .collect();
-    let count = present.len() as u32;
-    if count < wanted {
-        return Some(Change::Start {
+/// Notes that the platform took an order for `count` endpoints.
+pub fn accepted(board: &mut Board, now: Time, line: &Line, count: u32, answer: &Accepted) {
+    let got = answer.endpoints.len() as u32;
+    let pending = answer.endpoints.iter().map(|endpoint| Pending {
+        endpoint: endpoint.clone(),
+        line: line.clone(),
+        until: now + LIST_LAG,
+    });
+    board.capacity.pending.extend(pending);
+    if got < count {
+        refused(board, now, line);
+    } else {
+        board.capacity.refused.remove(line);
+    }
+}
+
+/// Notes that the platform refused an order, as when none are in stock.
+pub fn refused(board: &mut Board, now: Time, line: &Line) {
+    let known = board.capacity.refused.get(line);
+    let refusals = known.map_or(0, |backoff| backoff.refusals);
+    let span = (BACKOFF_MIN * 2_u32.pow(refusals.min(8))).min(BACKOFF_MAX);
+    // Failure domains that ran out together do not ask again together.
+    let jitter = span.mul_f64(board.rng.random_range(0.0..0.25));
+    let backoff = Backoff {
+        refusals: refusals + 1,
+        until: now + span + jitter,
+    };
+    board.capacity.refused.insert(line.clone(), backoff);
+}
+
+fn forget_pending(board: &mut Board, now: Time) {
+    let Board {
+        capacity,
+        endpoints,
+        ..
+    } = board;
+    let is_listed = |name: &str| endpoints.find(name).is_some();
+    capacity
+        .pending
+        .retain(|pending| now < pending.until && !is_listed(&pending.endpoint));
+}
+
+fn of_service(board: &mut Board, now: Time, service: &str, capacity: Capacity) -> Vec<Change> {
+    let counts = counts(board, service);
+    let domain = board.failure_domain.clone();
+    let needed = needed(board, now, service, capacity, &counts);
+    let present = counts.get(&domain).copied().unwrap_or_default();
+    let lines = [
+        (Tenure::Stable, needed.stable, present.stable),
+        (Tenure::Cheap, needed.cheap, present.cheap),
+    ];
+    let change = |(tenure, needed, present)| {
+        let line = Line {
             service: service.to_string(),
             tenure,
-            count: wanted - count,
-        });
+        };
+        of_line(board, now, line, needed, present)
+    };
+    lines.into_iter().filter_map(change).collect()
+}
+
+/// Endpoints that start or take work.
+#[derive(Clone, Copy, Debug, Default)]
+struct Count {
+    stable: u32,
+    cheap: u32,
+}
+
+impl Count {
+    fn add(&mut self, tenure: Tenure) {
+        match tenure {
+            Tenure::Stable => self.stable += 1,
+            Tenure::Cheap => self.cheap += 1,
+        }
     }
-    if count == wanted {
+}
+
+/// Counts the endpoints of `service` in each failure domain.
+fn counts(board: &Board, service: &str) -> BTreeMap<String, Count> {
+    let domains = board.capacity.domains.iter();
+    let mut counts: BTreeMap<_, _> = domains.map(|d| (d.clone(), Count::default())).collect();
+    let keys = board.endpoints.of_service(service).iter();
+    let endpoints = keys.filter_map(|key| board.endpoints.get(*key));
+    for endpoint in endpoints {
+        let record = &endpoint.record;
+        if matches!(record.state, State::Starting | State::Ready) {
+            let count = counts.entry(record.failure_domain.clone()).or_default();
+            count.add(record.tenure);
+        }
+    }
+    let pending = board.capacity.pending.iter();
+    let own = counts.entry(board.failure_domain.clone()).or_default();
+    pending
+        .filter(|pending| pending.line.service == service)
+        .for_each(|pending| own.add(pending.line.tenure));
+    counts
+}
+
+/// Returns what this failure domain should have of `service`.
+fn needed(
+    board: &mut Board,
+    now: Time,
+    service: &str,
+    capacity: Capacity,
+    counts: &BTreeMap<String, Count>,
+) -> Count {
+    let mut whole = Vec::new();
+    let (mut missing, mut stable, mut cheap) = (0, 0, Vec::new());
+    for (domain, count) in counts {
+        let mut lasting = |tenure, declared, present| {
+            let line = Line {
+                service: service.to_string(),
+                tenure,
+            };
+            lasting_shortage(board, now, (domain.clone(), line), declared, present)
+        };
+        let cheap_short = lasting(Tenure::Cheap, capacity.cheap, count.cheap);
+        let stable_short = lasting(Tenure::Stable, capacity.stable, count.stable);
+        missing += cheap_short;
+        stable += capacity.stable - stable_short;
+        cheap.push(count.cheap.max(capacity.cheap - cheap_short));
+        if cheap_short == 0 {
+            whole.push(domain);
+        }
+    }
+    let all: Vec<_> = counts.keys().collect();
+    let largest = cheap.iter().max().copied().unwrap_or_default();
+    let left = stable + cheap.iter().sum::<u32>() - largest;
+    let domain = &board.failure_domain;
+    Count {
+        stable: capacity.stable + share(capacity.floor.saturating_sub(left), &all, domain),
+        cheap: capacity.cheap + share(missing, &whole, domain),
+    }
+}
+
+/// Returns by how much a failure domain has been short for long enough.
+fn lasting_shortage(
+    board: &mut Board,
+    now: Time,
+    key: (String, Line),
+    declared: u32,
+    present: u32,
+) -> u32 {
+    if present >= declared {
+        board.capacity.short_since.remove(&key);
+        return 0;
+    }
+    let since = *board.capacity.short_since.entry(key).or_insert(now);
+    if now - since < REPLACE_AFTER {
+        return 0;
+    }
+    declared - present
+}
+
+/// Returns the part of `total` that falls to `domain` among `domains`.
+fn share(total: u32, domains: &[&String], domain: &str) -> u32 {
+    let Some(rank) = domains.iter().position(|other| *other == domain) else {
+        return 0;
+    };
+    let count = domains.len() as u32;
+    total / count + u32::from((rank as u32) < total % count)
+}
+
+fn of_line(board: &mut Board, now: Time, line: Line, needed: u32, present: u32) -> Option<Change> {
+    if present <= needed {
+        board.capacity.over_since.remove(&line);
+    }
+    if present < needed {
+        let backoff = board.capacity.refused.get(&line);
+        if backoff.is_some_and(|backoff| now < backoff.until) {
+            return None;
+        }
+        let count = needed - present;
+        return Some(Change::Start { line, count });
+    }
+    if present == needed {
+        return None;
+    }
+    let since = *board.capacity.over_since.entry(line.clone()).or_insert(now);
+    if now - since < SHRINK_AFTER {
         return None;
     }
-    let last = present
-        .iter()
-        .max_by(|a, b| a.record.id.cmp(&b.record.id))?;
+    let endpoint = last(board, &line)?;
     Some(Change::Stop {
-        service: service.to_string(),
-        endpoint: last.record.id.clone(),
+        service: line.service,
+        endpoint,
     })
 }
+
+/// Returns the endpoint of this failure domain to stop first.
+fn last(board: &Board, line: &Line) -> Option<String> {
+    let keys = board.endpoints.of_service(&line.service).iter();
+    keys.filter_map(|key| board.endpoints.get(*key))
+        .map(|endpoint| &endpoint.record)
+        .filter(|r| r.failure_domain == board.failure_domain && r.tenure == line.tenure)
+        .filter(|r| matches!(r.state, State::Starting | State::Ready))
+        .map(|r| r.id.clone())
+        .max()
+}
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -4,11 +4,23 @@
 //! lease; everyone else counts from after they saw that write. Only monotonic
 //! clocks are used, so no two processes need to agree on the time of day.
 
+use std::time::Duration;
+
 use board::{
-    Time,
+    Time, hash,
     lease::{Lease, Record, Terms},
 };
 
+/// A taker has read the object this shortly before, so that VMs which look
+/// seldom do not write against a version that is long gone.
+const LOOK_FRESH: Duration = Duration::from_secs(1);
+
+/// How many VMs of a rendezvous look at a lease often.
+const CANDIDATES: usize = 3;
+
+/// How often the other VMs look at it.
+const FAR_PERIOD: Duration = Duration::from_secs(15);
+
 /// What to do about a lease now.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
@@ -31,67 +43,98 @@
 pub enum Outcome {
     /// It stands at this version.
     Written(u64),
-    /// It had no effect.
-    Failed,
-    /// It may have had an effect.
-    Unknown,
+    /// It may stand or not: a read tells.
+    Unsettled,
 }
 
 /// Returns what `holder` does about `lease` now.
+///
+/// # Examples
+///
+/// ```
+/// use board::{Time, lease::{Lease, Terms}};
+/// use tarragonseam_policy::lease::{self, Outcome, Step};
+///
+/// let (terms, now) = (Terms::default(), Time::from_millis(10_000));
+/// let mut mine = Lease::new(1);
+/// assert_eq!(lease::step(&mut mine, now, terms, "vm-1"), Step::Read);
+/// lease::read(&mut mine, now, None, terms);
+/// let Step::Write { record, .. } = lease::step(&mut mine, now, terms, "vm-1") else {
+///     panic!("an absent lease is taken at once");
+/// };
+/// lease::wrote(&mut mine, now, record, Outcome::Written(1), terms);
+/// assert_eq!(lease::epoch(&mine, now), Some(1));
+/// assert_eq!(lease::epoch(&mine, now + terms.ttl), None);
+/// ```
 pub fn step(lease: &mut Lease, now: Time, terms: Terms, holder: &str) -> Step {
     if now < lease.next {
         return Step::Wait;
     }
     lease.next = now + terms.period;
-    let Some((version, record, since)) = &lease.seen else {
+    let Some((version, record, since)) = lease.seen.clone() else {
         return Step::Read;
     };
-    if lease.unsettled {
+    if lease.unsettled.is_some() {
         return Step::Read;
     }
-    if record.holder == holder && lease.held.is_some() {
-        let record = record.clone();
-        return Step::Write {
-            version: *version,
-            record,
-        };
-    }
-    let term = std::time::Duration::from_millis(record.ttl_ms) + terms.margin;
-    if now - *since < term {
+    let is_mine = lease.held.is_some();
+    let has_ended = now - since >= wait(&record, terms);
+    let is_fresh = now - lease.looked < LOOK_FRESH;
+    let may_take = has_ended && is_fresh;
+    if !is_mine && !may_take {
         return Step::Read;
     }
-    Step::Write {
-        version: *version,
-        record: next_record(record.epoch, terms, holder),
-    }
+    lease.serial += 1;
+    let epoch = if is_mine {
+        record.epoch
+    } else {
+        record.epoch + 1
+    };
+    let record = Record {
+        holder: holder.to_string(),
+        epoch,
+        ttl_ms: terms.ttl.as_millis() as u64,
+        nonce: lease.nonce,
+        serial: lease.serial,
+    };
+    Step::Write { version, record }
 }
 
 /// Notes what a read returned: the version and value, or `None` when the
 /// object does not exist.
 pub fn read(lease: &mut Lease, now: Time, found: Option<(u64, Record)>, terms: Terms) {
-    lease.unsettled = false;
+    let unsettled = lease.unsettled.take();
+    lease.looked = now;
     let Some((version, record)) = found else {
         // An absent lease may be taken at once: version 0 stands for absence.
         let nobody = Record {
             holder: String::new(),
             epoch: 0,
             ttl_ms: 0,
+            nonce: 0,
+            serial: 0,
         };
         lease.seen = Some((0, nobody, now - terms.margin));
         lease.held = None;
         lease.next = now;
         return;
     };
-    let is_new = lease
-        .seen
-        .as_ref()
-        .is_none_or(|(seen, ..)| *seen != version);
-    if is_new {
-        // A write of unknown outcome that took effect gives no term: when it
-        // took effect is not known, so the holder waits like everyone else.
-        lease.held = None;
-        lease.seen = Some((version, record, now));
+    if let Some((seen, record, since)) = &lease.seen
+        && *seen == version
+    {
+        let end = *since + wait(record, terms);
+        // A term that has ended, or ends before the next look, is not waited
+        // out for longer than it lasts.
+        lease.next = lease.next.min(end.max(now));
+        return;
     }
+    // A write of this process that did take effect counts from when it was
+    // sent, which is before anyone else can have seen it. Any other version
+    // ends what this process held.
+    lease.held = unsettled
+        .filter(|(sent, _)| *sent == record)
+        .map(|(_, at)| (record.epoch, at + (terms.ttl - terms.margin)));
+    lease.seen = Some((version, record, now));
 }
 
 /// Notes how the write of `record`, sent at `sent`, ended.
@@ -102,8 +145,7 @@
             lease.held = Some((record.epoch, until));
             lease.seen = Some((version, record, sent));
         }
-        Outcome::Failed => lease.unsettled = true,
-        Outcome::Unknown => lease.unsettled = true,
+        Outcome::Unsettled => lease.unsettled = Some((record, sent)),
     }
 }
 
@@ -115,10 +157,49 @@
     }
 }
 
-fn next_record(epoch: u64, terms: Terms, holder: &str) -> Record {
-    Record {
+/// Gives the lease up, and returns the write that says so. The record's shorter
+/// term still covers an order that has just been sent.
+pub fn release(lease: &mut Lease, terms: Terms, holder: &str) -> Option<Step> {
+    let (epoch, _) = lease.held.take()?;
+    let (version, ..) = lease.seen.clone()?;
+    lease.serial += 1;
+    let record = Record {
         holder: holder.to_string(),
-        epoch: epoch + 1,
-        ttl_ms: terms.ttl.as_millis() as u64,
+        epoch,
+        ttl_ms: terms.margin.as_millis() as u64,
+        nonce: lease.nonce,
+        serial: lease.serial,
+    };
+    Some(Step::Write { version, record })
+}
+
+/// Returns how often `vm` looks at the lease on `job`: the first few VMs by
+/// rendezvous hash often, so that calls do not grow with the number of VMs;
+/// the others seldom, for when all of those are lost together.
+///
+/// # Examples
+///
+/// ```
+/// use board::lease::Terms;
+/// use tarragonseam_policy::lease;
+///
+/// let terms = Terms::default();
+/// let vms = ["vm-1", "vm-2"];
+/// assert_eq!(lease::period("usage", "vm-1", &vms, terms), terms.period);
+/// ```
+pub fn period(job: &str, vm: &str, vms: &[&str], terms: Terms) -> Duration {
+    let seed = hash::mix(job.as_bytes(), 0);
+    let weight = |name: &str| hash::mix(name.as_bytes(), seed);
+    let own = weight(vm);
+    let above = vms.iter().filter(|other| weight(other) > own).count();
+    if vms.is_empty() || (vms.contains(&vm) && above < CANDIDATES) {
+        terms.period
+    } else {
+        FAR_PERIOD
     }
 }
+
+/// Returns how long a version must have been seen before it can be replaced.
+fn wait(record: &Record, terms: Terms) -> Duration {
+    Duration::from_millis(record.ttl_ms) + terms.margin
+}
--- /dev/null
+++ b/crates/policy/tests/capacity.rs
@@ -0,0 +1,236 @@
+//! Plans of capacity under losses, refusals and recoveries.
+
+use std::time::Duration;
+
+use board::{
+    Board, Time,
+    capacity::{Accepted, Line},
+    config::{Capacity, Service},
+    endpoint::{Record, State, Tenure},
+};
+use tarragonseam_policy::capacity::{self, Change, REPLACE_AFTER, SHRINK_AFTER};
+
+const DOMAINS: [&str; 3] = ["a", "b", "c"];
+const START: Time = Time::from_millis(1_000_000);
+
+/// Endpoints of each failure domain, as (stable, cheap).
+type Present = [(u32, u32); 3];
+
+fn board(domain: &str, declared: (u32, u32, u32), present: Present) -> Board {
+    let mut board = Board::new("vm-1", domain, 1);
+    let (stable, cheap, floor) = declared;
+    let capacity = Capacity {
+        stable,
+        cheap,
+        floor,
+    };
+    board
+        .config
+        .services
+        .insert("registry".into(), Service { capacity });
+    board.capacity.domains.extend(DOMAINS.map(String::from));
+    list(&mut board, present);
+    board
+}
+
+/// Replaces the endpoints that are listed.
+fn list(board: &mut Board, present: Present) {
+    let keys: Vec<_> = board.endpoints.iter().map(|(key, _)| key).collect();
+    keys.into_iter().for_each(|key| board.endpoints.remove(key));
+    for (domain, (stable, cheap)) in DOMAINS.iter().zip(present) {
+        let tenures = [(Tenure::Stable, stable), (Tenure::Cheap, cheap)];
+        for (tenure, count) in tenures {
+            (0..count).for_each(|n| put(board, domain, tenure, n, State::Ready));
+        }
+    }
+}
+
+fn put(board: &mut Board, domain: &str, tenure: Tenure, n: u32, state: State) {
+    board.endpoints.put(Record {
+        id: format!("{domain}-{tenure:?}-{n}"),
+        address: "127.0.0.1:1".parse().unwrap(),
+        failure_domain: domain.into(),
+        service: "registry".into(),
+        tenure,
+        state,
+        checks_epoch: false,
+        price: 1.0,
+    });
+}
+
+fn line(tenure: Tenure) -> Line {
+    Line {
+        service: "registry".into(),
+        tenure,
+    }
+}
+
+/// Returns what is started, as (stable, cheap), once a state has lasted.
+fn started(board: &mut Board) -> (u32, u32) {
+    capacity::plan(board, START);
+    let plan = capacity::plan(board, START + REPLACE_AFTER);
+    let count = |tenure| {
+        let of = |change: &Change| match change {
+            Change::Start { line, count } if line.tenure == tenure => *count,
+            _ => 0,
+        };
+        plan.iter().map(of).sum()
+    };
+    (count(Tenure::Stable), count(Tenure::Cheap))
+}
+
+struct Case {
+    name: &'static str,
+    declared: (u32, u32, u32),
+    present: Present,
+    /// What each failure domain starts.
+    started: Present,
+}
+
+const CASES: [Case; 8] = [
+    Case {
+        name: "whole",
+        declared: (1, 2, 3),
+        present: [(1, 2), (1, 2), (1, 2)],
+        started: [(0, 0), (0, 0), (0, 0)],
+    },
+    Case {
+        name: "nothing yet",
+        declared: (1, 2, 0),
+        present: [(0, 0), (0, 0), (0, 0)],
+        started: [(1, 2), (1, 2), (1, 2)],
+    },
+    Case {
+        name: "cheap ones of a reclaimed",
+        declared: (1, 2, 0),
+        present: [(1, 0), (1, 2), (1, 2)],
+        started: [(0, 2), (0, 1), (0, 1)],
+    },
+    Case {
+        name: "cheap ones of a reclaimed and replaced",
+        declared: (1, 2, 0),
+        present: [(1, 0), (1, 3), (1, 3)],
+        started: [(0, 2), (0, 0), (0, 0)],
+    },
+    Case {
+        name: "stable ones of a gone are not replaced elsewhere by cheap ones",
+        declared: (2, 0, 0),
+        present: [(0, 0), (2, 0), (2, 0)],
+        started: [(2, 0), (0, 0), (0, 0)],
+    },
+    Case {
+        // 3 stable and 4 cheap remain after any loss: 2 more are needed.
+        name: "floor above what is declared",
+        declared: (1, 2, 9),
+        present: [(1, 2), (1, 2), (1, 2)],
+        started: [(1, 0), (1, 0), (0, 0)],
+    },
+    Case {
+        name: "floor met by stable ones",
+        declared: (1, 2, 9),
+        present: [(2, 2), (2, 2), (1, 2)],
+        started: [(0, 0), (0, 0), (0, 0)],
+    },
+    Case {
+        // Without a, the next loss takes 2 of the 4 left: 3 + 2 against 7.
+        name: "floor after a reclaim",
+        declared: (1, 2, 7),
+        present: [(1, 0), (1, 2), (1, 2)],
+        started: [(1, 2), (1, 1), (0, 1)],
+    },
+];
+
+#[test]
+fn plan_each_case() {
+    for case in &CASES {
+        for (place, domain) in DOMAINS.iter().enumerate() {
+            let mut board = board(domain, case.declared, case.present);
+            let seen = started(&mut board);
+            assert_eq!(seen, case.started[place], "{}, domain {domain}", case.name);
+        }
+    }
+}
+
+#[test]
+fn plan_brief_shortage_elsewhere() {
+    let mut board = board("b", (1, 2, 0), [(1, 0), (1, 2), (1, 2)]);
+    assert!(capacity::plan(&mut board, START).is_empty());
+    let soon = START + REPLACE_AFTER - Duration::from_millis(1);
+    assert!(capacity::plan(&mut board, soon).is_empty());
+    list(&mut board, [(1, 2), (1, 2), (1, 2)]);
+    assert!(capacity::plan(&mut board, START + REPLACE_AFTER).is_empty());
+}
+
+#[test]
+fn plan_surplus_stops_late_and_one_at_a_time() {
+    let mut board = board("a", (1, 1, 0), [(1, 3), (1, 1), (1, 1)]);
+    assert!(capacity::plan(&mut board, START).is_empty());
+    let early = START + SHRINK_AFTER - Duration::from_millis(1);
+    assert!(capacity::plan(&mut board, early).is_empty());
+    let plan = capacity::plan(&mut board, START + SHRINK_AFTER);
+    let stop = Change::Stop {
+        service: "registry".into(),
+        endpoint: "a-Cheap-2".into(),
+    };
+    assert_eq!(plan, [stop]);
+}
+
+#[test]
+fn plan_refused_backs_off_alone() {
+    let mut board = board("a", (1, 1, 0), [(0, 0), (1, 1), (1, 1)]);
+    let mut now = START;
+    let mut asked = Vec::new();
+    for _ in 0..180 {
+        for change in capacity::plan(&mut board, now) {
+            let Change::Start { line, .. } = change else {
+                panic!("nothing to stop")
+            };
+            asked.push(line.tenure);
+            if line.tenure == Tenure::Cheap {
+                capacity::refused(&mut board, now, &line);
+            }
+        }
+        now = now + Duration::from_secs(1);
+    }
+    let cheap = asked.iter().filter(|t| **t == Tenure::Cheap).count();
+    let stable = asked.len() - cheap;
+    assert!(
+        (5..=9).contains(&cheap),
+        "{cheap} orders of cheap endpoints"
+    );
+    assert_eq!(stable, 180, "the other tenure is not held up");
+}
+
+#[test]
+fn plan_counts_accepted_before_listed() {
+    let mut board = board("a", (2, 0, 0), [(0, 0), (2, 0), (2, 0)]);
+    assert_eq!(capacity::plan(&mut board, START).len(), 1);
+    let answer = Accepted {
+        key: "a.1.1".into(),
+        endpoints: vec!["a-Stable-0".into(), "a-Stable-1".into()],
+    };
+    capacity::accepted(&mut board, START, &line(Tenure::Stable), 2, &answer);
+    assert!(capacity::plan(&mut board, START).is_empty());
+    list(&mut board, [(2, 0), (2, 0), (2, 0)]);
+    assert!(
+        capacity::plan(&mut board, START).is_empty(),
+        "counted twice"
+    );
+}
+
+#[test]
+fn plan_partial_order_backs_off() {
+    let mut board = board("a", (3, 0, 0), [(0, 0), (3, 0), (3, 0)]);
+    let answer = Accepted {
+        key: "a.1.1".into(),
+        endpoints: vec!["a-Stable-0".into()],
+    };
+    capacity::accepted(&mut board, START, &line(Tenure::Stable), 3, &answer);
+    assert!(capacity::plan(&mut board, START).is_empty());
+    let later = START + Duration::from_secs(3);
+    let rest = Change::Start {
+        line: line(Tenure::Stable),
+        count: 2,
+    };
+    assert_eq!(capacity::plan(&mut board, later), [rest]);
+}
--- /dev/null
+++ b/crates/policy/tests/lease.rs
@@ -0,0 +1,87 @@
+//! Leases over many processes with faulty clocks, pauses and calls.
+
+mod lease_model;
+
+use std::time::Duration;
+
+use board::lease::{SEND_MAX, Terms};
+use lease_model::{Event, Fault, World};
+use proptest::prelude::*;
+
+fn event() -> impl Strategy<Value = Event> {
+    let fault = prop_oneof![
+        3 => (200_u64..30_000).prop_map(Fault::Pause),
+        2 => Just(Fault::Restart),
+        2 => (500_u64..12_000).prop_map(Fault::SlowCalls),
+        2 => (500_u64..12_000).prop_map(Fault::LostReplies),
+        1 => (500_u64..12_000).prop_map(Fault::Outage),
+    ];
+    (0_u64..90_000, 0_usize..5, fault).prop_map(|(at_ms, process, fault)| Event {
+        at_ms,
+        process,
+        fault,
+    })
+}
+
+fn events() -> impl Strategy<Value = Vec<Event>> {
+    proptest::collection::vec(event(), 0..24)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(400))]
+
+    #[test]
+    fn orders_never_overlap(events in events(), seed in any::<u64>()) {
+        let mut world = World::new(Terms::default(), seed);
+        world.run(&events, Duration::from_secs(100));
+        world.check()?;
+    }
+}
+
+/// Returns whether any of many runs with `terms` lets orders overlap.
+fn overlaps(terms: Terms) -> bool {
+    (0..300).any(|seed| {
+        let events: Vec<_> = (0..10)
+            .map(|place| Event {
+                at_ms: 9_000 * place,
+                process: (place % 5) as usize,
+                fault: Fault::Outage(9_000 + 200 * (seed % 20)),
+            })
+            .collect();
+        let mut world = World::new(terms, seed);
+        world.run(&events, Duration::from_secs(100));
+        world.check().is_err()
+    })
+}
+
+#[test]
+fn terms_default_cover_the_longest_send() {
+    let terms = Terms::default();
+    // Two clocks that differ by a tenth over one whole wait still leave room.
+    let wait = terms.ttl + terms.margin;
+    assert!(terms.margin * 2 >= SEND_MAX + wait / 10);
+    assert!(!overlaps(terms));
+}
+
+#[test]
+fn terms_without_margin_overlap() {
+    let terms = Terms {
+        margin: Duration::ZERO,
+        ..Terms::default()
+    };
+    assert!(overlaps(terms), "the model misses a lease without a margin");
+}
+
+#[test]
+fn holder_keeps_lease_after_lost_reply() {
+    let mut world = World::new(Terms::default(), 1);
+    let lost = |at_ms| Event {
+        at_ms,
+        process: 0,
+        fault: Fault::LostReplies(2_000),
+    };
+    world.only(0);
+    world.run(&[lost(12_000), lost(24_000)], Duration::from_secs(40));
+    world.check().unwrap();
+    assert_eq!(world.last_epoch(), 1, "a lost reply cost the lease");
+}
--- /dev/null
+++ b/crates/policy/tests/lease_model/mod.rs
@@ -0,0 +1,309 @@
+//! A platform, its network and the processes that want one lease.
+
+use std::time::Duration;
+
+use board::{
+    Time,
+    lease::{Lease, Record, SEND_MAX, Terms},
+};
+use proptest::test_runner::TestCaseError;
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use tarragonseam_policy::lease::{self, Outcome, Step};
+
+const TICK_MS: u64 = 50;
+const TIMEOUT_MS: u64 = 3_000;
+const ORDER_EVERY_MS: u64 = 200;
+
+/// What befalls a process, for the milliseconds given.
+#[derive(Clone, Debug)]
+pub(crate) enum Fault {
+    Pause(u64),
+    Restart,
+    SlowCalls(u64),
+    LostReplies(u64),
+    Outage(u64),
+}
+
+/// A fault of one process at a time.
+#[derive(Clone, Debug)]
+pub(crate) struct Event {
+    pub(crate) at_ms: u64,
+    pub(crate) process: usize,
+    pub(crate) fault: Fault,
+}
+
+struct Call {
+    write: Option<(u64, Record)>,
+    sent: Time,
+    arrives_ms: u64,
+    answers_ms: u64,
+    expires_ms: u64,
+    is_lost: bool,
+    answer: Option<Answer>,
+}
+
+enum Answer {
+    Found(Option<(u64, Record)>),
+    Written(u64),
+    Conflict,
+}
+
+struct Process {
+    name: &'static str,
+    rate: f64,
+    lease: Lease,
+    paused_until: u64,
+    slow_until: u64,
+    lossy_until: u64,
+    cut_until: u64,
+    started_ms: u64,
+    next_order_ms: u64,
+    call: Option<Call>,
+}
+
+/// An order as its receiver, which ignores epochs, saw it.
+#[derive(Clone, Debug)]
+struct Order {
+    arrived_ms: u64,
+    epoch: u64,
+    nonce: u64,
+}
+
+/// Everything, in one thread and one time.
+pub(crate) struct World {
+    terms: Terms,
+    rng: SmallRng,
+    version: u64,
+    record: Option<Record>,
+    processes: Vec<Process>,
+    /// Calls whose process is gone or gave up, still on their way.
+    adrift: Vec<Call>,
+    orders: Vec<Order>,
+    next_nonce: u64,
+}
+
+impl World {
+    /// Returns five processes, two of them on a VM of the same name.
+    pub(crate) fn new(terms: Terms, seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let names = ["vm-1", "vm-2", "vm-3", "vm-1", "vm-4"];
+        let processes = names.iter().zip(1..).map(|(name, nonce)| Process {
+            name,
+            rate: rng.random_range(0.95..1.05),
+            lease: Lease::new(nonce),
+            paused_until: 0,
+            slow_until: 0,
+            lossy_until: 0,
+            cut_until: 0,
+            started_ms: 0,
+            next_order_ms: 0,
+            call: None,
+        });
+        Self {
+            terms,
+            processes: processes.collect(),
+            rng,
+            version: 0,
+            record: None,
+            adrift: Vec::new(),
+            orders: Vec::new(),
+            next_nonce: 100,
+        }
+    }
+
+    /// Keeps one process.
+    pub(crate) fn only(&mut self, place: usize) {
+        let process = self.processes.swap_remove(place);
+        self.processes = vec![process];
+    }
+
+    /// Runs with `events` for `length`.
+    pub(crate) fn run(&mut self, events: &[Event], length: Duration) {
+        let end = length.as_millis() as u64;
+        for now in (0..end).step_by(TICK_MS as usize) {
+            let due = events.iter().filter(|e| e.at_ms / TICK_MS == now / TICK_MS);
+            due.for_each(|event| self.befall(event, now));
+            self.deliver(now);
+            for place in 0..self.processes.len() {
+                self.turn(place, now);
+            }
+        }
+    }
+
+    /// Checks that receivers saw each epoch's orders apart from all others.
+    pub(crate) fn check(&self) -> Result<(), TestCaseError> {
+        let mut orders = self.orders.clone();
+        orders.sort_by_key(|order| order.arrived_ms);
+        for pair in orders.windows(2) {
+            let [first, second] = pair else { continue };
+            if second.epoch < first.epoch {
+                return Err(TestCaseError::fail(format!("{first:?} then {second:?}")));
+            }
+            if second.epoch == first.epoch && second.nonce != first.nonce {
+                return Err(TestCaseError::fail(format!("{first:?} and {second:?}")));
+            }
+        }
+        if orders.is_empty() && self.processes.len() > 1 && self.record.is_none() {
+            return Err(TestCaseError::fail("nobody ever took the lease"));
+        }
+        Ok(())
+    }
+
+    /// Returns the epoch of the last order.
+    pub(crate) fn last_epoch(&self) -> u64 {
+        self.orders.last().map_or(0, |order| order.epoch)
+    }
+
+    fn befall(&mut self, event: &Event, now: u64) {
+        let count = self.processes.len();
+        let process = &mut self.processes[event.process % count];
+        match event.fault {
+            Fault::Pause(span) => process.paused_until = now + span,
+            Fault::SlowCalls(span) => process.slow_until = now + span,
+            Fault::LostReplies(span) => process.lossy_until = now + span,
+            Fault::Outage(span) => process.cut_until = now + span,
+            Fault::Restart => {
+                self.next_nonce += 1;
+                process.lease = Lease::new(self.next_nonce);
+                process.started_ms = now;
+                process.paused_until = 0;
+                // A call of the old process may still take effect.
+                self.adrift.extend(process.call.take());
+            }
+        }
+    }
+
+    /// Lets calls take effect whose time has come.
+    fn deliver(&mut self, now: u64) {
+        let own = self.processes.iter_mut().filter_map(|p| p.call.as_mut());
+        for call in own.chain(self.adrift.iter_mut()) {
+            if call.answer.is_some() || now < call.arrives_ms {
+                continue;
+            }
+            call.answer = Some(match &call.write {
+                None => Answer::Found(self.record.clone().map(|record| (self.version, record))),
+                Some((version, record)) if *version == self.version => {
+                    self.version += 1;
+                    self.record = Some(record.clone());
+                    Answer::Written(self.version)
+                }
+                Some(_) => Answer::Conflict,
+            });
+        }
+        self.adrift.retain(|call| call.answer.is_none());
+    }
+
+    fn turn(&mut self, place: usize, now: u64) {
+        if now < self.processes[place].paused_until {
+            return;
+        }
+        self.finish_call(place, now);
+        self.order(place, now);
+        self.start_call(place, now);
+    }
+
+    fn finish_call(&mut self, place: usize, now: u64) {
+        let terms = self.terms;
+        let process = &mut self.processes[place];
+        let at = process.clock(now);
+        let Some(call) = process.call.take() else {
+            return;
+        };
+        let is_in = call.answer.is_some() && now >= call.answers_ms && !call.is_lost;
+        if !is_in && now < call.expires_ms {
+            process.call = Some(call);
+            return;
+        }
+        let answer = if is_in { &call.answer } else { &None };
+        match (&call.write, answer) {
+            (None, Some(Answer::Found(found))) => {
+                lease::read(&mut process.lease, at, found.clone(), terms);
+            }
+            (Some((_, record)), answer) => {
+                let outcome = match answer {
+                    Some(Answer::Written(version)) => Outcome::Written(*version),
+                    _ => Outcome::Unsettled,
+                };
+                lease::wrote(
+                    &mut process.lease,
+                    call.sent,
+                    record.clone(),
+                    outcome,
+                    terms,
+                );
+            }
+            (None, _) => {}
+        }
+        if call.answer.is_none() {
+            self.adrift.push(call);
+        }
+    }
+
+    /// Sends an order if the lease allows it at this very moment.
+    fn order(&mut self, place: usize, now: u64) {
+        let process = &mut self.processes[place];
+        if now < process.next_order_ms {
+            return;
+        }
+        let Some(epoch) = lease::epoch(&process.lease, process.clock(now)) else {
+            return;
+        };
+        process.next_order_ms = now + ORDER_EVERY_MS;
+        let travel = self.rng.random_range(0..=SEND_MAX.as_millis() as u64);
+        self.orders.push(Order {
+            arrived_ms: now + travel,
+            epoch,
+            nonce: process.lease.nonce,
+        });
+    }
+
+    fn start_call(&mut self, place: usize, now: u64) {
+        let process = &mut self.processes[place];
+        if process.call.is_some() {
+            return;
+        }
+        let at = process.clock(now);
+        let write = match lease::step(&mut process.lease, at, self.terms, process.name) {
+            Step::Wait => return,
+            Step::Read => None,
+            Step::Write { version, record } => Some((version, record)),
+        };
+        if now < process.cut_until {
+            if let Some((_, record)) = write {
+                lease::wrote(
+                    &mut process.lease,
+                    at,
+                    record,
+                    Outcome::Unsettled,
+                    self.terms,
+                );
+            }
+            return;
+        }
+        let slowest = if now < process.slow_until {
+            12_000
+        } else {
+            150
+        };
+        let arrives_ms = now + self.rng.random_range(0..slowest);
+        let is_lossy = now < process.lossy_until;
+        process.call = Some(Call {
+            write,
+            sent: at,
+            arrives_ms,
+            answers_ms: arrives_ms + self.rng.random_range(0..slowest),
+            expires_ms: now + TIMEOUT_MS,
+            is_lost: is_lossy && self.rng.random_bool(0.7),
+            answer: None,
+        });
+    }
+}
+
+impl Process {
+    /// Returns the monotonic time that the process reads: it starts anew with
+    /// each process and runs at a rate of its own.
+    fn clock(&self, now: u64) -> Time {
+        let run = (now - self.started_ms) as f64 * self.rate;
+        Time::from_millis(1_000_000 + run as u64)
+    }
+}
--- a/crates/steward/src/endpoints.rs
+++ b/crates/steward/src/endpoints.rs
@@ -2,94 +2,133 @@
 
 use std::{rc::Rc, time::Duration};
 
-use board::endpoint::Tenure;
-use link::platform::Error;
+use board::{
+    capacity::{Accepted, Action, Line, Order},
+    endpoint::{State, Tenure},
+};
 use policy::capacity::{self, Change};
-use serde::{Deserialize, Serialize};
 
-use crate::vm::Vm;
+use crate::{
+    order::{Desk, Outcome},
+    vm::Vm,
+};
 
 const PERIOD: Duration = Duration::from_secs(1);
-const SETTLE_TIME: Duration = Duration::from_secs(3);
 
-#[derive(Serialize)]
-struct Order<'a> {
-    key: String,
-    epoch: u64,
-    failure_domain: &'a str,
-    service: &'a str,
-    class: Option<Tenure>,
-    action: &'static str,
-    count: u32,
-    endpoint: Option<&'a str>,
-}
-
-#[derive(Deserialize)]
-struct Accepted {
-    #[allow(dead_code)]
-    key: String,
-}
-
-/// Brings the endpoints to what is declared, for ever.
+/// Brings the endpoints to what is needed, for ever.
 pub(crate) async fn run(vm: Rc<Vm>) {
-    let mut number = 0_u64;
+    let mut desk = None;
     loop {
         monoio::time::sleep(PERIOD).await;
-        if vm.board.borrow().revision == 0 {
+        count_spend(&vm);
+        if vm.board.borrow().revision == 0 || vm.vms.borrow().is_empty() {
             continue;
         }
-        let plan = capacity::plan(&vm.board.borrow(), &vm.settings.failure_domain);
-        for change in plan {
-            // The epoch is read anew for each order: a pause may have ended it.
-            let Some(epoch) = vm.epoch(&vm.orders) else {
-                break;
-            };
-            number += 1;
-            send(&vm, epoch, number, &change).await;
-            monoio::time::sleep(SETTLE_TIME).await;
+        let Some(epoch) = vm.epoch(&vm.orders) else {
+            desk = None;
+            continue;
+        };
+        if desk
+            .as_ref()
+            .is_none_or(|desk: &Desk| desk.epoch() != epoch)
+        {
+            desk = Desk::adopt(&vm, epoch).await;
+        }
+        if let Some(open) = &mut desk
+            && !carry_out(&vm, open).await
+        {
+            desk = None;
+        }
+    }
+}
+
+/// Sends what is due; returns false when the desk must be opened anew.
+async fn carry_out(vm: &Rc<Vm>, desk: &mut Desk) -> bool {
+    let now = vm.now();
+    let plan = capacity::plan(&mut vm.board.borrow_mut(), now);
+    for change in plan {
+        let (order, line) = order(vm, desk, &change);
+        let count = order.count;
+        match desk.send(vm, order).await {
+            Outcome::Accepted(answer) => accepted(vm, line, count, &answer),
+            Outcome::Refused => {
+                if let Some(line) = line {
+                    capacity::refused(&mut vm.board.borrow_mut(), vm.now(), &line);
+                }
+            }
+            Outcome::Unsettled => return false,
         }
     }
+    true
 }
 
-async fn send(vm: &Vm, epoch: u64, number: u64, change: &Change) {
-    let domain = &vm.settings.failure_domain;
-    let order = order(domain, epoch, number, change);
-    let sent: Result<Accepted, Error> = vm.platform.post("/v1/orders", &order).await;
-    match sent {
-        Ok(_) => spdlog::info!("endpoints ordered", kv: { key = order.key.as_str() }),
-        Err(e) => {
-            let problem = e.to_string();
-            spdlog::warn!("order not accepted", kv: { key = order.key.as_str(), problem });
+fn accepted(vm: &Vm, line: Option<Line>, count: u32, answer: &Accepted) {
+    let mut board = vm.board.borrow_mut();
+    if let Some(line) = line {
+        capacity::accepted(&mut board, vm.now(), &line, count, answer);
+        return;
+    }
+    // A stopped endpoint counts no more, before the list says so.
+    for id in &answer.endpoints {
+        let endpoint = board.endpoints.find(id);
+        if let Some(endpoint) = endpoint.and_then(|key| board.endpoints.get_mut(key)) {
+            endpoint.record.state = State::Leaving;
         }
     }
 }
 
-fn order<'a>(domain: &'a str, epoch: u64, number: u64, change: &'a Change) -> Order<'a> {
-    let key = format!("{domain}.{epoch}.{number}");
+fn order(vm: &Vm, desk: &mut Desk, change: &Change) -> (Order, Option<Line>) {
+    let failure_domain = vm.settings.failure_domain.clone();
+    let (key, epoch) = (desk.next_key(&failure_domain), desk.epoch());
     match change {
-        Change::Start {
-            service,
-            tenure,
-            count,
-        } => Order {
-            key,
-            epoch,
-            failure_domain: domain,
-            service,
-            class: Some(*tenure),
-            action: "start",
-            count: *count,
-            endpoint: None,
-        },
-        Change::Stop { service, endpoint } => Order {
-            key,
-            epoch,
-            failure_domain: domain,
-            service,
-            class: None,
-            action: "stop",
-            count: 1,
-            endpoint: Some(endpoint),
-        },
+        Change::Start { line, count } => {
+            let order = Order {
+                key,
+                epoch,
+                failure_domain,
+                service: line.service.clone(),
+                tenure: Some(line.tenure),
+                action: Action::Start,
+                count: *count,
+                endpoint: None,
+            };
+            (order, Some(line.clone()))
+        }
+        Change::Stop { service, endpoint } => {
+            let order = Order {
+                key,
+                epoch,
+                failure_domain,
+                service: service.clone(),
+                tenure: None,
+                action: Action::Stop,
+                count: 1,
+                endpoint: Some(endpoint.clone()),
+            };
+            (order, None)
+        }
+    }
+}
+
+/// Adds what the endpoints of this failure domain cost in one period, while
+/// this process is in charge of them.
+fn count_spend(vm: &Vm) {
+    if vm.epoch(&vm.orders).is_none() {
+        return;
+    }
+    let hours = PERIOD.as_secs_f64() / 3600.0;
+    let board = vm.board.borrow();
+    for (_, endpoint) in board.endpoints.iter() {
+        let record = &endpoint.record;
+        if record.failure_domain != board.failure_domain || record.state == State::Gone {
+            continue;
+        }
+        let class = match record.tenure {
+            Tenure::Stable => "stable",
+            Tenure::Cheap => "cheap",
+        };
+        let cost = record.price * hours;
+        vm.metrics
+            .spend(&record.failure_domain, &record.service, class, cost);
     }
 }
--- a/crates/steward/src/lease.rs
+++ b/crates/steward/src/lease.rs
@@ -6,33 +6,86 @@
 use link::platform::{Error, When};
 use policy::lease::{self, Outcome, Step};
 
-use crate::vm::Vm;
+use crate::vm::{Pick, Vm};
 
 const TICK_TIME: Duration = Duration::from_millis(100);
+const VMS_PERIOD: Duration = Duration::from_secs(30);
+const RETRY_TIME: Duration = Duration::from_secs(1);
 
-/// Keeps trying to hold `job`, for ever.
-pub(crate) async fn hold(vm: Rc<Vm>, job: String, pick: fn(&Vm) -> &RefCell<Lease>) {
-    let terms = Terms::default();
-    let mut was_held = false;
+/// Keeps trying to hold `job` among the VMs of `domain`, or of all failure
+/// domains, for ever.
+pub(crate) async fn hold(vm: Rc<Vm>, job: String, domain: Option<String>, pick: Pick) {
+    let mut was_held = None;
     loop {
+        let terms = terms(&vm, &job, domain.as_deref());
         turn(&vm, &job, pick(&vm), terms).await;
         let epoch = vm.epoch(pick(&vm));
-        if epoch.is_some() != was_held {
-            was_held = epoch.is_some();
-            let job = job.as_str();
-            spdlog::info!("lease changed", kv: { job, held = was_held, epoch = epoch.unwrap_or(0) });
+        if epoch != was_held {
+            note_change(&vm, &job, was_held, epoch);
+            was_held = epoch;
         }
         monoio::time::sleep(TICK_TIME).await;
     }
 }
 
+/// Gives a lease up, so that a successor need not wait its whole term.
+pub(crate) async fn release(vm: &Vm, job: &str, pick: Pick) {
+    let step = lease::release(
+        &mut pick(vm).borrow_mut(),
+        Terms::default(),
+        &vm.settings.vm,
+    );
+    if let Some(Step::Write { version, record }) = step {
+        // A successor that does not see this waits for the end of the term.
+        let when = When::At(version);
+        let _ = vm.lease_platform.write(KIND, job, when, &record).await;
+    }
+}
+
+/// Keeps the list of VMs up to date, for ever.
+pub(crate) async fn list_vms(vm: Rc<Vm>) {
+    loop {
+        match vm.platform.vms().await {
+            Ok(vms) => {
+                let domains = vms.iter().map(|vm| vm.failure_domain.clone());
+                vm.board.borrow_mut().capacity.domains.extend(domains);
+                *vm.vms.borrow_mut() = vms;
+                monoio::time::sleep(VMS_PERIOD).await;
+            }
+            Err(_) => monoio::time::sleep(RETRY_TIME).await,
+        }
+    }
+}
+
+fn terms(vm: &Vm, job: &str, domain: Option<&str>) -> Terms {
+    let vms = vm.vms.borrow();
+    let names: Vec<&str> = vms
+        .iter()
+        .filter(|vm| vm.state == "live")
+        .filter(|vm| domain.is_none_or(|domain| vm.failure_domain == domain))
+        .map(|vm| vm.id.as_str())
+        .collect();
+    let terms = Terms::default();
+    Terms {
+        period: lease::period(job, &vm.settings.vm, &names, terms),
+        ..terms
+    }
+}
+
+fn note_change(vm: &Vm, job: &str, before: Option<u64>, epoch: Option<u64>) {
+    let change = if epoch.is_some() { "taken" } else { "lost" };
+    vm.metrics.lease(job, change);
+    let epoch = epoch.or(before).unwrap_or_default();
+    spdlog::info!("lease changed", kv: { job, change, epoch });
+}
+
 async fn turn(vm: &Vm, job: &str, lease: &RefCell<Lease>, terms: Terms) {
     let now = vm.now();
     let step = lease::step(&mut lease.borrow_mut(), now, terms, &vm.settings.vm);
     match step {
         Step::Wait => {}
         Step::Read => {
-            let found = match vm.platform.read::<Record>(KIND, job).await {
+            let found = match vm.lease_platform.read::<Record>(KIND, job).await {
                 Ok(found) => Some(found),
                 Err(Error::Absent) => None,
                 Err(_) => return,
@@ -45,11 +98,8 @@
                 0 => When::Absent,
                 version => When::At(version),
             };
-            let outcome = match vm.platform.write(KIND, job, when, &record).await {
-                Ok(version) => Outcome::Written(version),
-                Err(Error::Unknown(_)) => Outcome::Unknown,
-                Err(_) => Outcome::Failed,
-            };
+            let written = vm.lease_platform.write(KIND, job, when, &record).await;
+            let outcome = written.map_or(Outcome::Unsettled, Outcome::Written);
             lease::wrote(&mut lease.borrow_mut(), sent, record, outcome, terms);
         }
     }
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -3,6 +3,8 @@
 
 pub(crate) mod endpoints;
 pub(crate) mod lease;
+pub(crate) mod metrics;
+pub(crate) mod order;
 pub mod run;
 pub mod settings;
 pub(crate) mod usage;
--- a/crates/steward/src/run.rs
+++ b/crates/steward/src/run.rs
@@ -46,6 +46,9 @@
     runtime::run(serve(settings))?
 }
 
+/// The job of reporting usage.
+const REPORTS: &str = "usage";
+
 async fn serve(settings: Settings) -> Result<(), Error> {
     let address = settings.admin;
     let listener = net::listen(address).map_err(|source| Error::Listen { address, source })?;
@@ -55,11 +58,13 @@
     let poller = Poller::new(vm.board.clone(), vm.pool.clone(), vm.clock);
     monoio::spawn(poller.run(move |endpoint| endpoint.record.failure_domain == domain));
 
-    let job = format!("orders.{}", vm.settings.failure_domain);
-    monoio::spawn(lease::hold(vm.clone(), job, |vm| &vm.orders));
-    monoio::spawn(lease::hold(vm.clone(), "usage".to_string(), |vm| {
-        &vm.reports
-    }));
+    monoio::spawn(lease::list_vms(vm.clone()));
+    let domain = vm.settings.failure_domain.clone();
+    let orders = format!("orders.{domain}");
+    let hold = lease::hold(vm.clone(), orders.clone(), Some(domain), |vm| &vm.orders);
+    monoio::spawn(hold);
+    let hold = lease::hold(vm.clone(), REPORTS.to_string(), None, |vm| &vm.reports);
+    monoio::spawn(hold);
     monoio::spawn(endpoints::run(vm.clone()));
     monoio::spawn(weights::run(vm.clone()));
     monoio::spawn(usage::run(vm.clone()));
@@ -77,6 +82,8 @@
     ));
     spdlog::info!("started", kv: { vm = vm.settings.vm.as_str() });
     runtime::stop_signal().await?;
+    lease::release(&vm, &orders, |vm| &vm.orders).await;
+    lease::release(&vm, REPORTS, |vm| &vm.reports).await;
     spdlog::info!("stopped");
     Ok(())
 }
--- a/crates/steward/src/vm.rs
+++ b/crates/steward/src/vm.rs
@@ -5,13 +5,17 @@
 use board::{Board, Time, lease::Lease};
 use link::{
     clock::{self, Clock},
-    http::{Limits, Pool},
+    http::{Limits, Pool, client::Fence},
     platform,
     telemetry::Telemetry,
 };
 use policy::lease;
+use rand::{Rng, SeedableRng};
 
-use crate::settings::Settings;
+use crate::{metrics::Metrics, settings::Settings};
+
+/// Picks one of the leases of a process.
+pub(crate) type Pick = fn(&Vm) -> &RefCell<Lease>;
 
 /// One steward process.
 pub(crate) struct Vm {
@@ -20,7 +24,12 @@
     pub(crate) clock: Clock,
     pub(crate) pool: Pool,
     pub(crate) platform: platform::Client,
+    /// A client of its own, so that no other call delays a renewal.
+    pub(crate) lease_platform: platform::Client,
     pub(crate) telemetry: Telemetry,
+    pub(crate) metrics: Metrics,
+    /// The VMs that the platform lists.
+    pub(crate) vms: RefCell<Vec<platform::Vm>>,
     /// The lease on the orders of this failure domain.
     pub(crate) orders: RefCell<Lease>,
     /// The lease on the reports of usage.
@@ -31,14 +40,19 @@
     pub(crate) fn new(settings: Settings) -> Rc<Self> {
         let seed = clock::wall_millis();
         let board = Board::new(&settings.vm, &settings.failure_domain, seed);
+        let telemetry = Telemetry::new("tarragonseam-steward");
+        let nonce = rand::rngs::SmallRng::from_os_rng().random();
         Rc::new(Self {
             board: Rc::new(RefCell::new(board)),
             clock: Clock::default(),
             pool: Pool::new(Limits::new()),
             platform: platform::Client::new(settings.platform, &settings.vm),
-            telemetry: Telemetry::new("tarragonseam-steward"),
-            orders: RefCell::default(),
-            reports: RefCell::default(),
+            lease_platform: platform::Client::new(settings.platform, &settings.vm),
+            metrics: Metrics::new(&telemetry),
+            telemetry,
+            vms: RefCell::default(),
+            orders: RefCell::new(Lease::new(nonce)),
+            reports: RefCell::new(Lease::new(nonce)),
             settings,
         })
     }
@@ -51,4 +65,10 @@
     pub(crate) fn epoch(&self, lease: &RefCell<Lease>) -> Option<u64> {
         lease::epoch(&lease.borrow(), self.now())
     }
+
+    /// Returns a fence that is open while `epoch` is held.
+    pub(crate) fn fence(self: &Rc<Self>, pick: Pick, epoch: u64) -> Fence {
+        let vm = self.clone();
+        Fence::new(move || vm.epoch(pick(&vm)) == Some(epoch))
+    }
 }
--- a/crates/steward/src/weights.rs
+++ b/crates/steward/src/weights.rs
@@ -43,7 +43,7 @@
     }
 }
 
-async fn send(vm: &Vm, epoch: u64, swap: &Swap) {
+async fn send(vm: &Rc<Vm>, epoch: u64, swap: &Swap) {
     let found = vm
         .board
         .borrow()
@@ -60,7 +60,10 @@
         version: swap.version,
     };
     let body = serde_json::to_vec(&order).unwrap_or_default();
-    let call = Call::post("/v1/weights", body).deadline(LOAD_TIME);
+    let fence = vm.fence(|vm| &vm.orders, epoch);
+    let call = Call::post("/v1/weights", body)
+        .deadline(LOAD_TIME)
+        .fence(fence);
     let sent = vm.pool.fetch(address, call).await;
     let loaded = sent.is_ok_and(|answer| answer.status.is_success());
     let (endpoint, version) = (id.as_str(), swap.version);
