--- a/crates/board/src/usage.rs
+++ b/crates/board/src/usage.rs
@@ -4,12 +4,22 @@
 
 use crate::hash::Map;
 
+/// The kind of the objects that hold the figures of reported windows.
+pub const KIND: &str = "usage-window";
+
 crate::record! {
     /// The number of a window: wall-clock milliseconds divided by its length.
     #[derive(Default)]
     copy pub struct Window(pub u64);
 }
 
+impl Window {
+    /// Returns the window after this one.
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
 crate::record! {
     /// What an account used.
     #[derive(Default)]
@@ -36,28 +46,276 @@
 /// Figures by account.
 pub type Sheet = BTreeMap<String, Figures>;
 
-/// The usage that this VM has measured.
+crate::record! {
+    /// One life of a VM's entry process, which measures usage.
+    #[derive(Eq, Hash, PartialOrd, Ord)]
+    pub struct Origin {
+        /// The VM.
+        pub vm: String,
+        /// Differs after each start.
+        pub incarnation: u64,
+    }
+}
+
+crate::record! {
+    /// The usage of one request.
+    pub struct Record {
+        /// The request.
+        pub id: String,
+        /// The client account.
+        pub account: String,
+        /// The window in which it is reported.
+        pub window: Window,
+        /// Whether it ended in an earlier window that was closed already.
+        pub late: bool,
+        /// What was used.
+        pub figures: Figures,
+    }
+}
+
+crate::record! {
+    /// What one process says of a window that takes no more records there.
+    pub struct Closed {
+        /// The process.
+        pub origin: Origin,
+        /// Its own figures.
+        pub sheet: Sheet,
+        /// How many of its records came late.
+        pub late: u64,
+        /// Processes for which it holds copies of records of the window.
+        pub copies: Vec<Origin>,
+        /// The first window of which it knows any record.
+        pub oldest: Option<Window>,
+    }
+}
+
+crate::record! {
+    /// Requests that were counted from copies, because their own process did
+    /// not answer.
+    pub struct Copied {
+        /// The process that measured them.
+        pub origin: Origin,
+        /// The requests.
+        pub ids: Vec<String>,
+    }
+}
+
+crate::record! {
+    /// The figures of one account.
+    pub struct Line {
+        /// The client account.
+        pub account: String,
+        /// What it used.
+        #[serde(flatten)]
+        pub figures: Figures,
+    }
+}
+
+crate::record! {
+    /// The figures of a window, which never change once they are written.
+    pub struct Frozen {
+        /// The window.
+        pub window: Window,
+        /// The epoch of the reporter that wrote them.
+        pub epoch: u64,
+        /// The figures by account.
+        pub figures: Vec<Line>,
+        /// How many records of an earlier, closed window are among them.
+        pub late: u64,
+        /// The processes that answered for themselves.
+        pub origins: Vec<Origin>,
+        /// What was counted from copies.
+        pub copied: Vec<Copied>,
+    }
+}
+
+/// The usage that this process has measured or holds for others.
+///
+/// # Examples
+///
+/// ```
+/// use tarragonseam_board::usage::{Figures, Ledger, Window};
+///
+/// let mut ledger = Ledger::default();
+/// let figures = Figures { requests: 1, ..Figures::default() };
+/// ledger.add("r1", "a", Window(7), figures);
+/// ledger.close(Window(7));
+/// // What comes after the end of a window goes into the next one.
+/// ledger.add("r2", "a", Window(7), figures);
+/// assert_eq!(ledger.sheet(Window(7))["a"].requests, 1);
+/// assert_eq!(ledger.sheet(Window(8))["a"].requests, 1);
+/// ```
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
-    windows: Map<Window, Sheet>,
+    closed: Window,
+    own: BTreeMap<Window, Map<String, Record>>,
+    copies: Map<Origin, Map<String, Record>>,
 }
 
 impl Ledger {
-    /// Adds `figures` to an account's use in `window`.
-    pub fn add(&mut self, window: Window, account: &str, figures: Figures) {
-        let sheet = self.windows.entry(window).or_default();
-        sheet.entry(account.to_string()).or_default().add(figures);
+    /// Adds the usage of a request that ended in `window`, or in the next
+    /// window that is open, and returns its record. A request that is there
+    /// already is not counted again.
+    pub fn add(&mut self, id: &str, account: &str, window: Window, figures: Figures) -> Record {
+        let known = self.own.values().find_map(|records| records.get(id));
+        if let Some(known) = known {
+            return known.clone();
+        }
+        let open = window.max(self.closed.next());
+        let record = Record {
+            id: id.to_string(),
+            account: account.to_string(),
+            window: open,
+            late: open != window,
+            figures,
+        };
+        let records = self.own.entry(open).or_default();
+        records.insert(record.id.clone(), record.clone());
+        record
+    }
+
+    /// Takes no more records into `window` and those before it.
+    pub fn close(&mut self, window: Window) {
+        self.closed = self.closed.max(window);
     }
 
-    /// Returns the figures of `window`.
+    /// Returns the last window that takes no more records.
+    pub fn closed(&self) -> Window {
+        self.closed
+    }
+
+    /// Returns the figures of `window` measured here.
     pub fn sheet(&self, window: Window) -> Sheet {
-        self.windows.get(&window).cloned().unwrap_or_default()
+        let mut sheet = Sheet::default();
+        for record in self.of(window) {
+            let figures = sheet.entry(record.account.clone()).or_default();
+            figures.add(record.figures);
+        }
+        sheet
+    }
+
+    /// Returns what this process, as `origin`, says of `window`.
+    pub fn answer(&self, origin: &Origin, window: Window) -> Closed {
+        let holds = |records: &Map<String, Record>| records.values().any(|r| r.window == window);
+        let copies = self.copies.iter();
+        Closed {
+            origin: origin.clone(),
+            sheet: self.sheet(window),
+            late: self.of(window).filter(|record| record.late).count() as u64,
+            copies: copies
+                .filter(|(_, records)| holds(records))
+                .map(|(origin, _)| origin.clone())
+                .collect(),
+            oldest: self.oldest(),
+        }
+    }
+
+    fn oldest(&self) -> Option<Window> {
+        let copies = self.copies.values().flat_map(|records| records.values());
+        let copied = copies.map(|record| record.window).min();
+        let own = self.own.keys().next().copied();
+        own.into_iter().chain(copied).min()
+    }
+
+    /// Returns the records measured here that are not known to be counted.
+    pub fn open_records(&self) -> Vec<Record> {
+        let all = self.own.values().flat_map(|records| records.values());
+        all.cloned().collect()
+    }
+
+    /// Returns the windows up to `last` that hold records measured here.
+    pub fn windows_through(&self, last: Window) -> Vec<Window> {
+        self.own.range(..=last).map(|(window, _)| *window).collect()
+    }
+
+    /// Moves a record to the next open window, unless its own window is closed
+    /// and so may have been reported; returns it as it stands then.
+    pub fn postpone(&mut self, id: &str, window: Window, after: Window) -> Option<Record> {
+        if window <= self.closed {
+            return None;
+        }
+        self.shift(id, window, after)
+    }
+
+    /// Forgets the records of `window` that were counted, and moves those that
+    /// were not to the next open window; returns these.
+    pub fn settle(&mut self, window: Window, is_counted: impl Fn(&str) -> bool) -> Vec<Record> {
+        let Some(records) = self.own.get(&window) else {
+            return Vec::new();
+        };
+        let ids: Vec<_> = records.keys().cloned().collect();
+        let mut moved = Vec::new();
+        for id in ids {
+            if is_counted(&id) {
+                self.remove(&id, window);
+            } else {
+                moved.extend(self.shift(&id, window, self.closed));
+            }
+        }
+        moved
+    }
+
+    /// Takes copies of records that another process measured. Those of closed
+    /// windows are left out: their owner has to move them.
+    pub fn hold(&mut self, origin: &Origin, records: Vec<Record>) {
+        let closed = self.closed;
+        let held = self.copies.entry(origin.clone()).or_default();
+        let open = records.into_iter().filter(|r| r.window > closed);
+        held.extend(open.map(|record| (record.id.clone(), record)));
+    }
+
+    /// Takes copies that another holder passes on, also those of closed
+    /// windows: their owner is lost and cannot move them.
+    pub fn inherit(&mut self, origin: &Origin, records: Vec<Record>) {
+        let held = self.copies.entry(origin.clone()).or_default();
+        held.extend(records.into_iter().map(|r| (r.id.clone(), r)));
+    }
+
+    /// Returns every copy held, by the process that measured it.
+    pub fn all_copies(&self) -> impl Iterator<Item = (&Origin, &Map<String, Record>)> {
+        self.copies.iter()
+    }
+
+    /// Returns the copies of `window` held for `origin`.
+    pub fn copies(&self, origin: &Origin, window: Window) -> Vec<Record> {
+        let held = self.copies.get(origin).into_iter();
+        let all = held.flat_map(|records| records.values());
+        all.filter(|r| r.window == window).cloned().collect()
+    }
+
+    /// Returns how many copies are held.
+    pub fn copies_len(&self) -> usize {
+        self.copies.values().map(Map::len).sum()
+    }
+
+    /// Forgets the copies of `window` and those before it.
+    pub fn forget_copies(&mut self, window: Window) {
+        for records in self.copies.values_mut() {
+            records.retain(|_, record| record.window > window);
+        }
+        self.copies.retain(|_, records| !records.is_empty());
+    }
+
+    fn of(&self, window: Window) -> impl Iterator<Item = &Record> {
+        let records = self.own.get(&window).into_iter();
+        records.flat_map(|records| records.values())
+    }
+
+    fn remove(&mut self, id: &str, window: Window) -> Option<Record> {
+        let records = self.own.get_mut(&window)?;
+        let record = records.remove(id);
+        if records.is_empty() {
+            self.own.remove(&window);
+        }
+        record
     }
 
-    /// Returns the windows that hold figures.
-    pub fn windows(&self) -> Vec<Window> {
-        let mut windows: Vec<_> = self.windows.keys().copied().collect();
-        windows.sort_unstable();
-        windows
+    fn shift(&mut self, id: &str, window: Window, after: Window) -> Option<Record> {
+        let mut record = self.remove(id, window)?;
+        record.window = after.max(self.closed).next();
+        record.late = true;
+        let records = self.own.entry(record.window).or_default();
+        records.insert(record.id.clone(), record.clone());
+        Some(record)
     }
 }
--- /dev/null
+++ b/crates/cli/tests/control_orders.rs
@@ -0,0 +1,195 @@
+//! One voice to the platform: orders for endpoints by real processes.
+
+mod control_setup;
+
+use std::time::Duration;
+
+use control_setup::{Tree, check_orders, fault, get, holder, present, spare, start, until};
+use fakes::deployment::{Deployment, Plan};
+use link::http::client::Call;
+use serde_json::{Value, json};
+
+const FILE: &str = "[services.registry]\n\
+    capacity = { stable = 1, cheap = 2 }\n\
+    [services.other]\n\
+    capacity = { stable = 1 }\n\
+    [models.notes]\n\
+    capacity = { stable = 2 }\n\
+    [accounts.a]\n";
+
+fn plan(tree: &Tree, vms: usize, domains: &[&str]) -> Plan {
+    let mut plan = Plan::new(&tree.0).vms(vms, domains);
+    for domain in domains {
+        plan = spare(plan, "registry", domain, "stable", 3);
+        plan = spare(plan, "registry", domain, "cheap", 6);
+        plan = spare(plan, "other", domain, "stable", 2);
+    }
+    plan
+}
+
+async fn orders(deployment: &Deployment) -> Value {
+    get(deployment, deployment.platform, "/v1/orders").await
+}
+
+async fn order_calls(deployment: &Deployment) -> u64 {
+    let stats = get(deployment, deployment.platform, "/stats").await;
+    stats["calls"]["POST /v1/orders"].as_u64().unwrap_or(0)
+}
+
+async fn wait_present(deployment: &Deployment, domain: &str, wanted: (u32, u32)) {
+    until("declared endpoints", async || {
+        (present(deployment, "registry", domain).await == wanted).then_some(())
+    })
+    .await;
+}
+
+async fn put_weights(deployment: &Deployment, version: u64) {
+    let call = Call::new(link::Method::PUT, "/v1/objects/weights/notes")
+        .header("if-none-match", "*")
+        .body(format!("{{\"version\":{version}}}"));
+    let answer = deployment.pool.fetch(deployment.platform, call).await;
+    assert!(answer.unwrap().status.is_success());
+}
+
+/// Checks that an engine, also one that ignores epochs, took orders of epochs
+/// that never fall.
+async fn check_engines(deployment: &Deployment) {
+    for endpoint in deployment.endpoints.iter().filter(|e| e.back.is_model) {
+        let log = get(deployment, endpoint.address, "/v1/log").await;
+        let epochs: Vec<_> = log["orders"]
+            .as_array()
+            .unwrap()
+            .iter()
+            .map(|order| order["epoch"].as_u64().unwrap())
+            .collect();
+        assert!(epochs.is_sorted(), "{}: {epochs:?}", endpoint.back.id);
+        assert!(!epochs.is_empty(), "{} took no order", endpoint.back.id);
+    }
+}
+
+#[test]
+fn frozen_holder_resumed_mid_order() {
+    let tree = Tree::new("frozen", FILE);
+    let mut plan = plan(&tree, 3, &["a"]).engines("notes", 2, &["a"]);
+    let engines = plan.backs.iter_mut().filter(|back| back.is_model);
+    engines.for_each(|back| back.class = "stable".to_string());
+    link::runtime::run(async {
+        let deployment = start(&plan).await;
+        let platform = deployment.platform;
+        wait_present(&deployment, "a", (1, 2)).await;
+        let (old, epoch) = until("holder", async || {
+            holder(&deployment, "orders_epoch", "a", None).await
+        })
+        .await;
+
+        let before = order_calls(&deployment).await;
+        let reclaim = json!({"failure_domain": "a", "notice_ms": 300});
+        fault(
+            &deployment,
+            platform,
+            json!({"latency_ms": 700, "reclaim": reclaim}),
+        )
+        .await;
+        until("order under way", async || {
+            (order_calls(&deployment).await > before).then_some(())
+        })
+        .await;
+        deployment.vms[old].steward.signal("STOP").unwrap();
+        fault(&deployment, platform, json!({"reset": true})).await;
+
+        let (new, next) = until("successor", async || {
+            holder(&deployment, "orders_epoch", "a", Some(old)).await
+        })
+        .await;
+        assert!(new != old && next > epoch, "epoch {next} after {epoch}");
+        put_weights(&deployment, 2).await;
+        wait_present(&deployment, "a", (1, 2)).await;
+        let reclaim = json!({"failure_domain": "a", "notice_ms": 300});
+        fault(&deployment, platform, json!({"reclaim": reclaim})).await;
+        until("order of the successor", async || {
+            let orders = orders(&deployment).await;
+            let mut list = orders["orders"].as_array()?.iter();
+            list.any(|o| o["epoch"] == next).then_some(())
+        })
+        .await;
+
+        deployment.vms[old].steward.signal("CONT").unwrap();
+        wait_present(&deployment, "a", (1, 2)).await;
+        // The old holder gets ample time for an order of its old epoch.
+        monoio::time::sleep(Duration::from_secs(5)).await;
+        let history = orders(&deployment).await;
+        check_orders(&history, "a");
+        assert_eq!(history["stale"], 0, "an order of an old epoch was sent");
+        check_engines(&deployment).await;
+        assert_eq!(present(&deployment, "registry", "a").await, (1, 2));
+    })
+    .unwrap();
+}
+
+#[test]
+fn lost_replies_never_double_an_order() {
+    let tree = Tree::new("lost", FILE);
+    let plan = plan(&tree, 2, &["a"]);
+    link::runtime::run(async {
+        let deployment = start(&plan).await;
+        let platform = deployment.platform;
+        wait_present(&deployment, "a", (1, 2)).await;
+        let reclaim = json!({"failure_domain": "a", "notice_ms": 300});
+        fault(
+            &deployment,
+            platform,
+            json!({"lost_reply": 0.4, "reclaim": reclaim}),
+        )
+        .await;
+        // Reads of this test are lost too, so it looks again only afterwards.
+        monoio::time::sleep(Duration::from_secs(15)).await;
+        fault(&deployment, platform, json!({"reset": true})).await;
+        wait_present(&deployment, "a", (1, 2)).await;
+        let history = orders(&deployment).await;
+        check_orders(&history, "a");
+        let started = |class: &str| {
+            let orders = history["orders"].as_array().unwrap().iter();
+            let of = orders.filter(|o| {
+                o["service"] == "registry" && o["class"] == class && o["action"] == "start"
+            });
+            of.map(|o| o["endpoints"].as_array().unwrap().len())
+                .sum::<usize>()
+        };
+        assert_eq!((started("stable"), started("cheap")), (1, 4), "{history:#}");
+    })
+    .unwrap();
+}
+
+#[test]
+fn out_of_stock_backs_off_and_is_replaced_elsewhere() {
+    let tree = Tree::new("stock", FILE);
+    let plan = plan(&tree, 2, &["a", "b"]);
+    link::runtime::run(async {
+        let deployment = Deployment::start(std::path::Path::new(control_setup::PROGRAM), &plan)
+            .await
+            .unwrap();
+        let stock = json!({"failure_domain": "a", "class": "cheap"});
+        fault(
+            &deployment,
+            deployment.platform,
+            json!({"out_of_stock": [stock]}),
+        )
+        .await;
+        control_setup::publish(&deployment);
+        wait_present(&deployment, "a", (1, 0)).await;
+        wait_present(&deployment, "b", (1, 4)).await;
+        until("the other service", async || {
+            (present(&deployment, "other", "a").await == (1, 0)).then_some(())
+        })
+        .await;
+        let before = order_calls(&deployment).await;
+        monoio::time::sleep(Duration::from_secs(12)).await;
+        let asked = order_calls(&deployment).await - before;
+        assert!(
+            asked <= 4,
+            "{asked} orders in 12 s for what is out of stock"
+        );
+        check_orders(&orders(&deployment).await, "a");
+    })
+    .unwrap();
+}
--- /dev/null
+++ b/crates/cli/tests/control_setup/mod.rs
@@ -0,0 +1,168 @@
+//! Deployments for the tests of control, and what their stand-ins saw.
+
+#![allow(dead_code)]
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::Command,
+    time::{Duration, Instant},
+};
+
+use fakes::deployment::{Back, Deployment, Plan};
+use link::http::client::Call;
+use serde_json::Value;
+
+pub(crate) const PROGRAM: &str = env!("CARGO_BIN_EXE_tarragonseam");
+
+/// How long anything may take to come about on a busy machine.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(60);
+
+const POLL: Duration = Duration::from_millis(50);
+
+/// The operators' file of a test.
+pub(crate) struct Tree(pub(crate) PathBuf);
+
+impl Tree {
+    pub(crate) fn new(name: &str, text: &str) -> Self {
+        let name = format!("tarragonseam-{name}-{}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        fs::create_dir_all(&folder).unwrap();
+        fs::write(folder.join("tarragonseam.toml"), text).unwrap();
+        Self(folder)
+    }
+}
+
+impl Drop for Tree {
+    fn drop(&mut self) {
+        // What is left behind costs only disk space.
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+/// Adds `count` spare endpoints of a plain service.
+pub(crate) fn spare(mut plan: Plan, service: &str, domain: &str, class: &str, count: u32) -> Plan {
+    for number in 1..=count {
+        plan.backs.push(Back {
+            id: format!("{service}-{domain}-{class}-{number}"),
+            service: service.to_string(),
+            is_model: false,
+            failure_domain: domain.to_string(),
+            class: class.to_string(),
+            is_ready: false,
+            checks_epoch: false,
+            arguments: Vec::new(),
+        });
+    }
+    plan
+}
+
+/// Starts `plan` and puts its files in force.
+pub(crate) async fn start(plan: &Plan) -> Deployment {
+    let deployment = Deployment::start(Path::new(PROGRAM), plan).await.unwrap();
+    publish(&deployment);
+    deployment.wait_ready().await.unwrap();
+    deployment
+}
+
+/// Puts the deployment's files in force.
+pub(crate) fn publish(deployment: &Deployment) {
+    let tree = deployment.tree.display().to_string();
+    let platform = deployment.platform.to_string();
+    run(&["publish", &tree, "--platform", &platform]);
+}
+
+/// Issues a key for `account`.
+pub(crate) fn issue_key(deployment: &Deployment, account: &str) -> String {
+    let platform = deployment.platform.to_string();
+    let out = run(&["key", "issue", account, "--platform", &platform]);
+    let word = out.split_whitespace().rev().find(|word| word.len() > 20);
+    word.unwrap_or_else(|| panic!("no key in {out:?}"))
+        .to_string()
+}
+
+fn run(arguments: &[&str]) -> String {
+    let output = Command::new(PROGRAM).args(arguments).output().unwrap();
+    assert!(output.status.success(), "{output:?}");
+    String::from_utf8(output.stdout).unwrap()
+}
+
+/// Reads JSON from a stand-in or daemon.
+pub(crate) async fn get(deployment: &Deployment, address: SocketAddr, path: &str) -> Value {
+    let answer = deployment.pool.fetch(address, Call::get(path)).await;
+    let answer = answer.unwrap_or_else(|e| panic!("{path}: {e}"));
+    serde_json::from_slice(&answer.body).unwrap()
+}
+
+/// Sets fault switches.
+pub(crate) async fn fault(deployment: &Deployment, address: SocketAddr, switches: Value) {
+    let call = Call::post("/fault", switches.to_string());
+    let answer = deployment.pool.fetch(address, call).await.unwrap();
+    assert!(answer.status.is_success(), "{answer:?}");
+}
+
+/// Polls until `found` finds something.
+pub(crate) async fn until<T>(what: &str, mut found: impl AsyncFnMut() -> Option<T>) -> T {
+    let start = Instant::now();
+    loop {
+        if let Some(value) = found().await {
+            return value;
+        }
+        assert!(start.elapsed() < PATIENCE, "no {what} in {PATIENCE:?}");
+        monoio::time::sleep(POLL).await;
+    }
+}
+
+/// Returns the VM whose steward holds an epoch of `job`, besides `but`.
+pub(crate) async fn holder(
+    deployment: &Deployment,
+    job: &str,
+    domain: &str,
+    but: Option<usize>,
+) -> Option<(usize, u64)> {
+    for (place, vm) in deployment.vms.iter().enumerate() {
+        if Some(place) == but || !vm.vm.failure_domain.starts_with(domain) {
+            continue;
+        }
+        let status = get(deployment, vm.steward_admin, "/status").await;
+        if let Some(epoch) = status[job].as_u64() {
+            return Some((place, epoch));
+        }
+    }
+    None
+}
+
+/// Counts the endpoints that start or take work.
+pub(crate) async fn present(deployment: &Deployment, service: &str, domain: &str) -> (u32, u32) {
+    let list = get(deployment, deployment.platform, "/v1/endpoints").await;
+    let endpoints = list["endpoints"].as_array().unwrap();
+    let count = |class: &str| {
+        let is_present = |e: &&Value| {
+            e["service"] == service
+                && e["failure_domain"] == domain
+                && e["class"] == class
+                && (e["state"] == "starting" || e["state"] == "ready")
+        };
+        endpoints.iter().filter(is_present).count() as u32
+    };
+    (count("stable"), count("cheap"))
+}
+
+/// Checks that epochs never fall and each has one holder, and returns the
+/// number of orders.
+pub(crate) fn check_orders(history: &Value, domain: &str) -> usize {
+    let orders = history["orders"].as_array().unwrap();
+    let orders: Vec<_> = orders
+        .iter()
+        .filter(|order| order["failure_domain"] == domain)
+        .collect();
+    for pair in orders.windows(2) {
+        let epoch = |order: &Value| order["epoch"].as_u64().unwrap();
+        assert!(epoch(pair[0]) <= epoch(pair[1]), "{pair:#?}");
+        if epoch(pair[0]) == epoch(pair[1]) {
+            assert_eq!(pair[0]["holder"], pair[1]["holder"], "{pair:#?}");
+        }
+    }
+    orders.len()
+}
--- /dev/null
+++ b/crates/cli/tests/control_usage.rs
@@ -0,0 +1,308 @@
+//! Exact bills: usage under kills, outages and lost replies, by real processes.
+
+mod control_setup;
+
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use control_setup::{PATIENCE, Tree, fault, get, holder, issue_key, start, until};
+use fakes::deployment::{Deployment, Plan};
+use link::http::{Pool, client::Call};
+use serde_json::{Value, json};
+
+const FILE: &str = "[models.notes]\n\
+    max_tokens = 64\n\
+    capacity = { stable = 1 }\n\
+    [accounts.steady]\n\
+    [accounts.shaky]\n";
+
+const DOMAINS: [&str; 3] = ["a", "b", "c"];
+
+/// What one account used.
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
+struct Used {
+    requests: u64,
+    tokens: u64,
+}
+
+/// Requests that were answered whole, with their tokens, by id.
+type Served = BTreeMap<String, u64>;
+
+fn plan(tree: &Tree) -> Plan {
+    Plan::new(&tree.0)
+        .vms(3, &DOMAINS)
+        .engines("notes", 3, &DOMAINS)
+}
+
+/// Asks for tokens once, and notes them if the whole answer came.
+async fn ask(
+    pool: &Pool,
+    callers: std::net::SocketAddr,
+    key: &str,
+    tokens: u64,
+    served: &RefCell<Served>,
+) -> bool {
+    let body = json!({"prompt": "two words", "max_tokens": tokens, "seed": tokens});
+    let call = Call::post("/v1/models/notes/generate", body.to_string())
+        .header("authorization", format!("Bearer {key}"))
+        .deadline(Duration::from_secs(10));
+    let Ok(answer) = pool.fetch(callers, call).await else {
+        return false;
+    };
+    if !answer.status.is_success() {
+        return false;
+    }
+    let answer: Value = serde_json::from_slice(&answer.body).unwrap();
+    let id = answer["request_id"].as_str().unwrap().to_string();
+    let tokens = answer["usage"]["tokens_out"].as_u64().unwrap();
+    assert!(served.borrow_mut().insert(id, tokens).is_none());
+    true
+}
+
+/// Asks until each VM has answered, and so knows the key.
+async fn warm_up(deployment: &Deployment, key: &str, served: &RefCell<Served>) {
+    for vm in &deployment.vms {
+        until("answer", async || {
+            ask(&deployment.pool, vm.callers, key, 1, served)
+                .await
+                .then_some(())
+        })
+        .await;
+    }
+}
+
+/// Adds up the reports of an account.
+fn reported(reports: &Value, account: &str) -> Used {
+    let mut used = Used::default();
+    for report in reports["reports"].as_array().unwrap() {
+        for line in report["figures"].as_array().unwrap() {
+            if line["account"] == account {
+                used.requests += line["requests"].as_u64().unwrap();
+                used.tokens += line["tokens_out"].as_u64().unwrap();
+            }
+        }
+    }
+    used
+}
+
+fn sum(served: &Served) -> Used {
+    Used {
+        requests: served.len() as u64,
+        tokens: served.values().sum(),
+    }
+}
+
+/// Returns what the engines' own logs say, by request.
+async fn engine_log(deployment: &Deployment) -> Served {
+    let mut all = Served::new();
+    for endpoint in &deployment.endpoints {
+        let log = get(deployment, endpoint.address, "/v1/log").await;
+        for entry in log["entries"].as_array().unwrap() {
+            let id = entry["request_id"].as_str().unwrap().to_string();
+            *all.entry(id).or_default() += entry["tokens"].as_u64().unwrap();
+        }
+    }
+    all
+}
+
+async fn usage(deployment: &Deployment) -> Value {
+    get(deployment, deployment.platform, "/v1/usage").await
+}
+
+/// Waits until windows that began after now are reported.
+async fn wait_reported(deployment: &Deployment, plan: &Plan) {
+    let millis = plan.window.as_millis() as u64;
+    let window = link::clock::wall_millis() / millis + 2;
+    until("report", async || {
+        let reports = usage(deployment).await;
+        let mut windows = reports["reports"].as_array()?.iter();
+        let is_past = |report: &Value| {
+            let number = report["window"].as_str().and_then(|text| text.parse().ok());
+            number.is_some_and(|number: u64| number >= window)
+        };
+        windows.any(is_past).then_some(())
+    })
+    .await;
+}
+
+/// Checks that no window was reported with two sets of figures, and that the
+/// epochs of its reporters are those of one holder each.
+fn check_reports(reports: &Value) {
+    assert_eq!(reports["violations"], 0, "{reports:#}");
+    let mut holders = BTreeMap::new();
+    for report in reports["reports"].as_array().unwrap() {
+        for call in report["calls"].as_array().unwrap() {
+            let epoch = call["epoch"].as_u64().unwrap();
+            assert_eq!(call["accepted"], true);
+            let windows: &mut Vec<u64> = holders.entry(epoch).or_default();
+            windows.push(call["at_ms"].as_u64().unwrap());
+        }
+    }
+}
+
+#[test]
+fn killed_vm_loses_no_usage() {
+    let tree = Tree::new("killed", FILE);
+    let plan = plan(&tree);
+    link::runtime::run(async {
+        let mut deployment = start(&plan).await;
+        let key = issue_key(&deployment, "shaky");
+        let served = RefCell::default();
+        warm_up(&deployment, &key, &served).await;
+        let callers = deployment.vms[0].callers;
+        for tokens in 1..=12 {
+            assert!(ask(&deployment.pool, callers, &key, tokens, &served).await);
+        }
+        // The last byte of the last answer is here: its usage must be safe.
+        deployment.vms[0].entry.kill();
+        wait_reported(&deployment, &plan).await;
+        deployment.start_entry(0).unwrap();
+        until("answer", async || {
+            ask(&deployment.pool, callers, &key, 5, &served)
+                .await
+                .then_some(())
+        })
+        .await;
+        deployment.vms[0].entry.kill();
+        wait_reported(&deployment, &plan).await;
+
+        let reports = usage(&deployment).await;
+        check_reports(&reports);
+        let log = engine_log(&deployment).await;
+        assert_eq!(sum(&log), sum(&served.borrow()), "the engines' logs");
+        assert_eq!(
+            reported(&reports, "shaky"),
+            sum(&served.borrow()),
+            "{reports}"
+        );
+    })
+    .unwrap();
+}
+
+#[test]
+fn reporter_frozen_and_resumed_repeats_nothing_else() {
+    let tree = Tree::new("reporter", FILE);
+    let plan = plan(&tree);
+    link::runtime::run(async {
+        let deployment = start(&plan).await;
+        let key = issue_key(&deployment, "steady");
+        let served = RefCell::default();
+        warm_up(&deployment, &key, &served).await;
+        let (old, _) = until("reporter", async || {
+            holder(&deployment, "reports_epoch", "", None).await
+        })
+        .await;
+        // A report under way is acted on, and its reply comes late.
+        fault(&deployment, deployment.platform, json!({"late_ms": 800})).await;
+        monoio::time::sleep(Duration::from_secs(2)).await;
+        deployment.vms[old].steward.signal("STOP").unwrap();
+        fault(&deployment, deployment.platform, json!({"reset": true})).await;
+        warm_up(&deployment, &key, &served).await;
+        until("successor", async || {
+            holder(&deployment, "reports_epoch", "", Some(old)).await
+        })
+        .await;
+        wait_reported(&deployment, &plan).await;
+        deployment.vms[old].steward.signal("CONT").unwrap();
+        warm_up(&deployment, &key, &served).await;
+        wait_reported(&deployment, &plan).await;
+        let reports = usage(&deployment).await;
+        check_reports(&reports);
+        assert_eq!(
+            reported(&reports, "steady"),
+            sum(&served.borrow()),
+            "{reports}"
+        );
+    })
+    .unwrap();
+}
+
+/// Keeps asking a VM until `end`.
+async fn drive(
+    pool: Pool,
+    callers: std::net::SocketAddr,
+    key: String,
+    served: Rc<RefCell<Served>>,
+    end: Instant,
+) {
+    let mut tokens = 1;
+    while Instant::now() < end {
+        if !ask(&pool, callers, &key, tokens, &served).await {
+            monoio::time::sleep(Duration::from_millis(100)).await;
+        }
+        tokens = tokens % 40 + 1;
+    }
+}
+
+#[test]
+fn history_under_faults() {
+    let tree = Tree::new("history", FILE);
+    let plan = plan(&tree);
+    link::runtime::run(async {
+        let mut deployment = start(&plan).await;
+        let platform = deployment.platform;
+        let keys = ["steady", "shaky"].map(|account| issue_key(&deployment, account));
+        let served: [Rc<RefCell<Served>>; 2] = Default::default();
+        for (key, served) in keys.iter().zip(&served) {
+            warm_up(&deployment, key, served).await;
+        }
+        let end = Instant::now() + Duration::from_secs(20);
+        let mut drivers = Vec::new();
+        for (place, account) in [(2, 0), (2, 0), (0, 1), (1, 1), (0, 1)] {
+            let callers = deployment.vms[place].callers;
+            let (key, served) = (keys[account].clone(), served[account].clone());
+            let driver = drive(deployment.pool.clone(), callers, key, served, end);
+            drivers.push(monoio::spawn(driver));
+        }
+        let pause = |seconds| monoio::time::sleep(Duration::from_secs(seconds));
+        pause(3).await;
+        deployment.vms[0].entry.kill();
+        pause(2).await;
+        deployment.start_entry(0).unwrap();
+        fault(&deployment, platform, json!({"outage": true})).await;
+        pause(5).await;
+        fault(
+            &deployment,
+            platform,
+            json!({"reset": true, "lost_reply": 0.3}),
+        )
+        .await;
+        pause(4).await;
+        deployment.vms[1].entry.kill();
+        pause(2).await;
+        fault(&deployment, platform, json!({"reset": true})).await;
+        deployment.start_entry(1).unwrap();
+        for driver in drivers {
+            driver.await;
+        }
+        wait_reported(&deployment, &plan).await;
+
+        let reports = usage(&deployment).await;
+        check_reports(&reports);
+        let log = engine_log(&deployment).await;
+        for served in &served {
+            for (id, tokens) in served.borrow().iter() {
+                assert_eq!(log.get(id), Some(tokens), "request {id}");
+            }
+        }
+        let [steady, shaky] = served.map(|served| sum(&served.borrow()));
+        assert_eq!(reported(&reports, "steady"), steady);
+        // A request that was cut may be billed as far as it went, or not.
+        let seen = reported(&reports, "shaky");
+        let all = sum(&log);
+        let cut = Used {
+            requests: all.requests - steady.requests - shaky.requests,
+            tokens: all.tokens - steady.tokens - shaky.tokens,
+        };
+        assert!(seen.requests >= shaky.requests, "{seen:?} of {shaky:?}");
+        assert!(seen.tokens >= shaky.tokens, "{seen:?} of {shaky:?}");
+        assert!(seen.requests <= shaky.requests + cut.requests, "{seen:?}");
+        assert!(seen.tokens <= shaky.tokens + cut.tokens, "{seen:?}");
+        assert!(shaky.requests > 50 && steady.requests > 50, "{PATIENCE:?}");
+    })
+    .unwrap();
+}
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -16,7 +16,7 @@
         "/metrics" => Reply::new(StatusCode::OK, vm.telemetry.render())
             .header("content-type", "text/plain; version=0.0.4"),
         "/ready" => ready(vm),
-        "/status" => match peers::answer(vm, &Ask::Status) {
+        "/status" => match peers::answer(vm, Ask::Status) {
             Answer::Status(status) => Reply::json(StatusCode::OK, &status),
             _ => Reply::error(StatusCode::INTERNAL_SERVER_ERROR, "no-status", ""),
         },
--- a/crates/entry/src/generate.rs
+++ b/crates/entry/src/generate.rs
@@ -18,6 +18,7 @@
     engine::Token,
     generation::{self, Output, Task},
     refusal::Failure,
+    usage,
     vm::Vm,
 };
 
@@ -132,7 +133,7 @@
 async fn whole(vm: &Rc<Vm>, task: Task, span: &telemetry::Span) -> Reply {
     let mut output = Output::default();
     let result = generation::run(vm, &task, &mut output, span, async |_| true).await;
-    bill(vm, &task, &output);
+    bill(vm, &task, &output).await;
     match result {
         Ok(()) => {
             vm.metrics.request("generate", "answered");
@@ -171,7 +172,7 @@
     let mut output = Output::default();
     let pass = async |token: &Token| send(&sender, piece(token)).await;
     let result = generation::run(&vm, &task, &mut output, &span, pass).await;
-    bill(&vm, &task, &output);
+    bill(&vm, &task, &output).await;
     match result {
         Ok(()) => {
             vm.metrics.request("generate", "answered");
@@ -202,7 +203,7 @@
 }
 
 /// Counts what the account used, also for a request that failed part-way.
-pub(crate) fn bill(vm: &Vm, task: &Task, output: &Output) {
+pub(crate) async fn bill(vm: &Rc<Vm>, task: &Task, output: &Output) {
     if output.tokens.is_empty() {
         return;
     }
@@ -211,11 +212,7 @@
         tokens_in: words(&task.prompt),
         tokens_out: output.tokens.len() as u64,
     };
-    let window = vm.window();
-    vm.board
-        .borrow_mut()
-        .usage
-        .add(window, &task.account, figures);
+    usage::bill(vm, &task.request_id, &task.account, figures).await;
 }
 
 /// Counts the words of a prompt, which are its tokens.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod settings;
 pub(crate) mod slot;
 pub(crate) mod trainer;
+pub(crate) mod usage;
 pub(crate) mod vm;
 
 pub use run::run;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -12,6 +12,8 @@
     attempts: Counter<u64>,
     /// Samples by result.
     samples: Counter<u64>,
+    /// Records of usage by what became of them.
+    usage: Counter<u64>,
 }
 
 impl Metrics {
@@ -20,6 +22,7 @@
             requests: telemetry.counter("tarragonseam_requests"),
             attempts: telemetry.counter("tarragonseam_attempts"),
             samples: telemetry.counter("tarragonseam_samples"),
+            usage: telemetry.counter("tarragonseam_usage_records"),
         }
     }
 
@@ -35,4 +38,8 @@
     pub(crate) fn sample(&self, result: &'static str) {
         self.samples.add(1, &[KeyValue::new("result", result)]);
     }
+
+    pub(crate) fn usage(&self, result: &'static str) {
+        self.usage.add(1, &[KeyValue::new("result", result)]);
+    }
 }
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -17,6 +17,7 @@
     auth, generate,
     refusal::{Failure, Ran},
     slot::{self, Slot},
+    usage,
     vm::Vm,
 };
 
@@ -110,7 +111,11 @@
         let call = call(vm, request, &request_id, &ticket, may_repeat);
         match attempt(vm, slot, call, &request_id, span).await {
             Ok(answer) => {
-                bill(vm, &account);
+                let figures = Figures {
+                    requests: 1,
+                    ..Figures::default()
+                };
+                usage::bill(vm, &request_id, &account, figures).await;
                 return Ok(reply(answer));
             }
             Err(fault) => {
@@ -202,15 +207,6 @@
     reply
 }
 
-fn bill(vm: &Vm, account: &str) {
-    let figures = Figures {
-        requests: 1,
-        ..Figures::default()
-    };
-    let window = vm.window();
-    vm.board.borrow_mut().usage.add(window, account, figures);
-}
-
 /// Answers a path that no route takes.
 pub(crate) fn not_found() -> Reply {
     Failure::rejected(
--- a/crates/entry/src/rollout.rs
+++ b/crates/entry/src/rollout.rs
@@ -133,7 +133,7 @@
     };
     let mut output = Output::default();
     let result = generation::run(vm, &task, &mut output, span, async |_| true).await;
-    generate::bill(vm, &task, &output);
+    generate::bill(vm, &task, &output).await;
     result.ok()?;
     let score = score(vm, job, id, prompt, &output.tokens, span).await?;
     if lot::oldest(&output.spans)? < oldest_version(vm, job) {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -10,7 +10,7 @@
 };
 use monoio::net::TcpListener;
 
-use crate::{admin, handler, peers, settings::Settings, slot, vm::Vm};
+use crate::{admin, handler, peers, settings::Settings, slot, usage::copy, vm::Vm};
 
 /// Why the daemon could not run.
 #[derive(Debug, thiserror::Error)]
@@ -49,10 +49,12 @@
     let admin_listener = listen("admin", settings.admin)?;
     let vm = Vm::new(settings);
     follow_platform(&vm);
+    monoio::spawn(copy::list_vms(vm.clone()));
+    monoio::spawn(copy::keep(vm.clone()));
 
     let for_peers = vm.clone();
     monoio::spawn(peer::serve(peer_listener, move |ask| {
-        let answer = peers::answer(&for_peers, &ask);
+        let answer = peers::answer(&for_peers, ask);
         async move { answer }
     }));
     let for_admin = vm.clone();
@@ -102,6 +104,9 @@
     });
 }
 
+/// How long a shutdown waits until its usage is held elsewhere.
+const FLUSH_TIME: Duration = Duration::from_secs(3);
+
 const TICK_TIME: Duration = Duration::from_millis(10);
 
 fn listen(setting: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
@@ -118,5 +123,6 @@
     monoio::time::sleep(UNREADY_TIME).await;
     drain.close();
     let whole = drain.wait(vm.settings.drain).await;
+    copy::flush(vm, FLUSH_TIME).await;
     spdlog::info!("stopped", kv: { all_answered = whole });
 }
--- /dev/null
+++ b/crates/entry/src/usage/copy.rs
@@ -0,0 +1,229 @@
+//! Copies of usage records on another VM.
+
+use std::{mem, net::SocketAddr, rc::Rc, time::Duration};
+
+use board::usage::{Origin, Record};
+use local_sync::oneshot;
+use policy::usage;
+use wire::{Answer, Ask, message::Held};
+
+use crate::vm::Vm;
+
+/// A record on its way to a holder.
+pub(crate) struct Waiting {
+    record: Record,
+    /// Whether a VM has held it before.
+    was_held: bool,
+    done: Option<oneshot::Sender<bool>>,
+}
+
+/// How long one holder may take to answer.
+const HOLD_TIME: Duration = Duration::from_millis(300);
+
+/// How long a VM that did not answer is passed over.
+const ABSENT_TIME: Duration = Duration::from_secs(5);
+
+/// How many VMs are asked before records wait for the next turn.
+const HOLDERS_MAX: usize = 3;
+
+/// Records in one message, which keeps it well below the largest frame.
+const BATCH_MAX: usize = 4096;
+
+/// How often a holder is asked when nothing is to be held, so that its loss is
+/// noticed.
+const PROBE_TIME: Duration = Duration::from_secs(2);
+
+/// How long a process may be silent before its copies are passed on.
+const SILENT_TIME: Duration = Duration::from_secs(5);
+
+const LIST_TIME: Duration = Duration::from_secs(30);
+const LIST_RETRY: Duration = Duration::from_secs(1);
+
+/// Keeps the list of VMs up to date, for ever.
+pub(crate) async fn list_vms(vm: Rc<Vm>) {
+    loop {
+        let listed = vm.platform.vms().await;
+        let is_listed = listed.is_ok();
+        if let Ok(vms) = listed {
+            *vm.usage.vms.borrow_mut() = vms;
+        }
+        let pause = if is_listed { LIST_TIME } else { LIST_RETRY };
+        monoio::time::sleep(pause).await;
+    }
+}
+
+/// Sends what could not be sent before, and notices a holder that is lost, for
+/// ever.
+pub(crate) async fn keep(vm: Rc<Vm>) {
+    loop {
+        monoio::time::sleep(PROBE_TIME).await;
+        pass_on(&vm).await;
+        if vm.usage.is_sending.get() {
+            continue;
+        }
+        if vm.usage.queue.borrow().is_empty() {
+            send(&vm, Vec::new()).await;
+        }
+        start(&vm);
+    }
+}
+
+/// Has another VM hold the copies of processes that went silent, so that they
+/// do not hang on this VM alone.
+async fn pass_on(vm: &Rc<Vm>) {
+    for (origin, records) in silent(vm) {
+        let ask = Ask::Inherit(origin.clone(), records);
+        for (name, address) in candidates(vm) {
+            if name == origin.vm {
+                continue;
+            }
+            if vm.usage.links.ask(address, &ask, HOLD_TIME).await.is_ok() {
+                vm.usage.heard.borrow_mut().remove(&origin);
+                break;
+            }
+        }
+    }
+}
+
+/// Returns what is held for processes that went silent and was not passed on.
+fn silent(vm: &Vm) -> Vec<(Origin, Vec<Record>)> {
+    let now = vm.now();
+    let heard = vm.usage.heard.borrow();
+    let is_silent = |origin: &Origin| heard.get(origin).is_some_and(|at| now - *at > SILENT_TIME);
+    let board = vm.board.borrow();
+    let copies = board.usage.all_copies();
+    copies
+        .filter(|(origin, _)| is_silent(origin))
+        .map(|(origin, records)| (origin.clone(), records.values().cloned().collect()))
+        .collect()
+}
+
+/// Waits up to `limit` until every record is held by another VM, as before a
+/// shutdown.
+pub(crate) async fn flush(vm: &Rc<Vm>, limit: Duration) {
+    start(vm);
+    let wait = async {
+        while vm.usage.is_sending.get() {
+            monoio::time::sleep(HOLD_TIME / 10).await;
+        }
+    };
+    let _ = monoio::time::timeout(limit, wait).await;
+}
+
+/// Sends a new record to a holder; `done` is told whether it is held.
+pub(crate) fn push(vm: &Rc<Vm>, record: Record, done: Option<oneshot::Sender<bool>>) {
+    vm.usage.queue.borrow_mut().push(Waiting {
+        record,
+        was_held: false,
+        done,
+    });
+    start(vm);
+}
+
+/// Starts the task that empties the queue, unless it runs.
+fn start(vm: &Rc<Vm>) {
+    if vm.usage.queue.borrow().is_empty() || vm.usage.is_sending.replace(true) {
+        return;
+    }
+    let vm = vm.clone();
+    monoio::spawn(async move {
+        let mut is_going = true;
+        while is_going && !vm.usage.queue.borrow().is_empty() {
+            let mut batch = mem::take(&mut *vm.usage.queue.borrow_mut());
+            let rest = batch.split_off(batch.len().min(BATCH_MAX));
+            *vm.usage.queue.borrow_mut() = rest;
+            is_going = send(&vm, batch).await;
+        }
+        vm.usage.is_sending.set(false);
+    });
+}
+
+/// Sends a batch to the best holder that answers; returns whether one did.
+async fn send(vm: &Rc<Vm>, mut batch: Vec<Waiting>) -> bool {
+    let records = batch.iter().map(|waiting| waiting.record.clone()).collect();
+    let ask = Ask::Hold(vm.usage.origin.clone(), records);
+    for (name, address) in candidates(vm) {
+        let answer = vm.usage.links.ask(address, &ask, HOLD_TIME).await;
+        if let Ok(Answer::Held(held)) = answer {
+            note_holder(vm, &held.by);
+            finish(vm, batch, &held);
+            return true;
+        }
+        let until = vm.now() + ABSENT_TIME;
+        vm.usage.absent.borrow_mut().insert(name, until);
+    }
+    // The callers go on; the records are sent again later.
+    for waiting in &mut batch {
+        if let Some(done) = waiting.done.take() {
+            let _ = done.send(false);
+        }
+    }
+    vm.usage.queue.borrow_mut().extend(batch);
+    false
+}
+
+/// Returns the VMs to ask, the best holder first.
+fn candidates(vm: &Vm) -> Vec<(String, SocketAddr)> {
+    let now = vm.now();
+    let vms = vm.usage.vms.borrow();
+    let absent = vm.usage.absent.borrow();
+    let live: Vec<_> = vms
+        .iter()
+        .filter(|other| other.state == "live")
+        .filter(|other| absent.get(&other.id).is_none_or(|until| *until <= now))
+        .collect();
+    let names: Vec<_> = live
+        .iter()
+        .map(|other| (other.id.as_str(), other.failure_domain.as_str()))
+        .collect();
+    let domain = &vm.settings.failure_domain;
+    usage::holders(&vm.settings.vm, domain, &names)
+        .into_iter()
+        .take(HOLDERS_MAX)
+        .map(|place| (live[place].id.clone(), live[place].address))
+        .collect()
+}
+
+/// Sends all records again when another process holds copies from now on.
+fn note_holder(vm: &Vm, by: &Origin) {
+    let before = vm.usage.holder.borrow_mut().replace(by.clone());
+    if before.is_none_or(|before| before == *by) {
+        return;
+    }
+    let (holder, records) = (by.vm.as_str(), vm.board.borrow().usage.open_records());
+    let count = records.len();
+    spdlog::info!("usage held by another process", kv: { holder, records = count });
+    let again = records.into_iter().map(|record| Waiting {
+        record,
+        was_held: true,
+        done: None,
+    });
+    vm.usage.queue.borrow_mut().extend(again);
+}
+
+/// Tells the callers, and moves records whose window the holder has closed.
+fn finish(vm: &Vm, batch: Vec<Waiting>, held: &Held) {
+    for mut waiting in batch {
+        let (id, window) = (&waiting.record.id, waiting.record.window);
+        if window > held.closed || waiting.was_held {
+            if let Some(done) = waiting.done.take() {
+                let _ = done.send(true);
+            }
+            continue;
+        }
+        let usage = &mut vm.board.borrow_mut().usage;
+        match usage.postpone(id, window, held.closed) {
+            Some(record) => {
+                waiting.record = record;
+                vm.usage.queue.borrow_mut().push(waiting);
+            }
+            // It is closed here too: whether it was counted is settled with
+            // the frozen figures.
+            None => {
+                if let Some(done) = waiting.done.take() {
+                    let _ = done.send(false);
+                }
+            }
+        }
+    }
+}
--- a/crates/entry/src/vm.rs
+++ b/crates/entry/src/vm.rs
@@ -5,7 +5,12 @@
     rc::Rc,
 };
 
-use board::{Board, Time, endpoint, hash::Map, ticket, usage::Window};
+use board::{
+    Board, Time, endpoint,
+    hash::Map,
+    ticket,
+    usage::{Origin, Window},
+};
 use link::{
     clock::{self, Clock},
     http::{Limits, Pool},
@@ -15,7 +20,7 @@
 use local_sync::oneshot;
 use policy::call::Refusal;
 
-use crate::{metrics::Metrics, settings::Settings};
+use crate::{metrics::Metrics, settings::Settings, usage};
 
 /// What a waiting request is told.
 pub(crate) type Verdict = Result<endpoint::Key, Refusal>;
@@ -29,6 +34,8 @@
     pub(crate) platform: platform::Client,
     pub(crate) telemetry: Telemetry,
     pub(crate) metrics: Metrics,
+    /// Usage on its way to other VMs.
+    pub(crate) usage: usage::State,
     /// Requests that wait for a verdict.
     pub(crate) waiting: RefCell<Map<ticket::Key, oneshot::Sender<Verdict>>>,
     /// Number of the next request.
@@ -44,6 +51,10 @@
         let seed = clock::wall_millis();
         let telemetry = Telemetry::new("tarragonseam-entry");
         let board = Board::new(&settings.vm, &settings.failure_domain, seed);
+        let origin = Origin {
+            vm: settings.vm.clone(),
+            incarnation: seed,
+        };
         Rc::new(Self {
             board: Rc::new(RefCell::new(board)),
             clock: Clock::default(),
@@ -51,6 +62,7 @@
             platform: platform::Client::new(settings.platform, &settings.vm),
             metrics: Metrics::new(&telemetry),
             telemetry,
+            usage: usage::State::new(origin),
             waiting: RefCell::default(),
             next_request: Cell::new(seed),
             primed: Cell::new(false),
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -1,8 +1,16 @@
 //! Questions and answers between processes over TCP: a length of four bytes,
 //! big-endian, then a frame.
 
-use std::{future::Future, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    future::Future,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
+use board::hash::Map;
 use monoio::{
     io::{AsyncReadRentExt, AsyncWriteRentExt},
     net::{TcpListener, TcpStream},
@@ -25,21 +33,81 @@
     Timeout,
 }
 
-/// Asks `peer` and waits up to `limit`.
+/// Asks `peer` on a connection of its own and waits up to `limit`.
 ///
 /// # Errors
 ///
 /// An [`Error`] when no whole answer came.
 pub async fn ask(peer: SocketAddr, ask: &Ask, limit: Duration) -> Result<Answer, Error> {
-    let exchange = async {
-        let mut stream = net::connect(peer, limit).await?;
-        write_frame(&mut stream, wire::encode(ask)?).await?;
-        let frame = read_frame(&mut stream).await?;
-        Ok(wire::decode(&frame)?)
-    };
-    match monoio::time::timeout(limit, exchange).await {
-        Ok(result) => result,
-        Err(_) => Err(Error::Timeout),
+    Links::default().ask(peer, ask, limit).await
+}
+
+/// Connections to peers that are kept for the next question.
+#[derive(Clone, Default)]
+pub struct Links {
+    idle: Rc<RefCell<Map<SocketAddr, Vec<Idle>>>>,
+}
+
+struct Idle {
+    stream: TcpStream,
+    since: Instant,
+}
+
+/// Below [`IDLE_MAX`], after which the peer closes the connection.
+const KEEP_TIME: Duration = Duration::from_secs(20);
+const KEEP_EACH: usize = 4;
+
+impl Links {
+    /// Asks `peer` and waits up to `limit`. Every question may be repeated, so
+    /// one that fails on a kept connection is asked again on a new one.
+    ///
+    /// # Errors
+    ///
+    /// An [`Error`] when no whole answer came.
+    pub async fn ask(&self, peer: SocketAddr, ask: &Ask, limit: Duration) -> Result<Answer, Error> {
+        let frame = wire::encode(ask)?;
+        let exchange = async {
+            if let Some(stream) = self.take(peer) {
+                let kept = self.exchange(peer, stream, frame.clone());
+                if let Ok(Ok(answer)) = monoio::time::timeout(limit / 2, kept).await {
+                    return Ok(answer);
+                }
+            }
+            let stream = net::connect(peer, limit).await?;
+            self.exchange(peer, stream, frame).await
+        };
+        match monoio::time::timeout(limit, exchange).await {
+            Ok(result) => result,
+            Err(_) => {
+                // The others to this peer may have gone silent too.
+                self.idle.borrow_mut().remove(&peer);
+                Err(Error::Timeout)
+            }
+        }
+    }
+
+    async fn exchange(
+        &self,
+        peer: SocketAddr,
+        mut stream: TcpStream,
+        frame: Vec<u8>,
+    ) -> Result<Answer, Error> {
+        write_frame(&mut stream, frame).await?;
+        let answer = wire::decode(&read_frame(&mut stream).await?)?;
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(peer).or_default();
+        if kept.len() < KEEP_EACH {
+            let since = Instant::now();
+            kept.push(Idle { stream, since });
+        }
+        Ok(answer)
+    }
+
+    fn take(&self, peer: SocketAddr) -> Option<TcpStream> {
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(&peer)?;
+        kept.retain(|idle| idle.since.elapsed() < KEEP_TIME);
+        kept.pop().map(|idle| idle.stream)
     }
 }
 
--- a/crates/link/src/platform/mod.rs
+++ b/crates/link/src/platform/mod.rs
@@ -319,6 +319,23 @@
         self.fetch(&format!("/v1/orders/{key}")).await
     }
 
+    /// Reports the usage of `window`, if `fence` is open when its bytes leave.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unknown`] when the report may have been taken: it may be sent
+    /// again as it is.
+    pub async fn report<T: Serialize>(
+        &self,
+        window: &str,
+        report: &T,
+        fence: Fence,
+    ) -> Result<(), Error> {
+        let body = serde_json::to_vec(report).map_err(|e| unreadable(&e.to_string()))?;
+        let call = Call::post(format!("/v1/usage/{window}"), body).fence(fence);
+        self.call(call, CALL_TIME).await.map(|_| ())
+    }
+
     /// Reads `path`, a second time on a new connection when the first one
     /// broke or is silent.
     async fn look(&self, path: &str) -> Result<Fetched, Error> {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod health;
 pub mod lease;
 pub mod routing;
+pub mod usage;
 pub mod weights;
--- /dev/null
+++ b/crates/policy/src/usage.rs
@@ -0,0 +1,124 @@
+//! Who holds copies of usage records, and what a window adds up to.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use board::{
+    Time,
+    hash::{self, Map},
+    usage::{Closed, Copied, Frozen, Line, Origin, Record, Sheet, Window},
+};
+
+/// How long a VM that does not answer is waited for before its records are
+/// taken from copies.
+pub const GRACE: Duration = Duration::from_secs(10);
+
+/// How long after its end a window is closed, so that clocks of VMs may differ
+/// by this much without use coming late.
+pub const SKEW: Duration = Duration::from_millis(500);
+
+/// Returns the places of `vms`, as (name, failure domain), that may hold the
+/// copies of `vm`, the best first: those of other failure domains by
+/// rendezvous hash, then those of its own.
+///
+/// # Examples
+///
+/// ```
+/// use tarragonseam_policy::usage::holders;
+///
+/// let vms = [("vm-a1", "a"), ("vm-a2", "a"), ("vm-b1", "b")];
+/// assert_eq!(holders("vm-a1", "a", &vms), [2, 1]);
+/// ```
+pub fn holders(vm: &str, domain: &str, vms: &[(&str, &str)]) -> Vec<usize> {
+    let seed = hash::mix(vm.as_bytes(), 0);
+    let mut places: Vec<_> = (0..vms.len()).filter(|place| vms[*place].0 != vm).collect();
+    places.sort_by_key(|place| {
+        let (name, other) = vms[*place];
+        (other == domain, hash::mix(name.as_bytes(), seed))
+    });
+    places
+}
+
+/// Which VMs a reporter could not ask, and since when.
+#[derive(Clone, Debug, Default)]
+pub struct Absences(Map<String, Time>);
+
+impl Absences {
+    /// Notes whether `vm` answered, and returns whether the window still has to
+    /// wait for it.
+    pub fn note(&mut self, vm: &str, now: Time, has_answered: bool) -> bool {
+        if has_answered {
+            self.0.remove(vm);
+            return false;
+        }
+        let since = *self.0.entry(vm.to_string()).or_insert(now);
+        now - since < GRACE
+    }
+}
+
+/// Returns the processes whose records can only be had from copies.
+pub fn missing(answers: &[Closed]) -> Vec<Origin> {
+    let copied = answers.iter().flat_map(|answer| &answer.copies);
+    let mut missing: Vec<_> = copied
+        .filter(|origin| answers.iter().all(|answer| answer.origin != **origin))
+        .cloned()
+        .collect();
+    missing.sort();
+    missing.dedup();
+    missing
+}
+
+/// Adds up a window: each process that answered by its own figures, the others
+/// by the copies of their records, each request once. What `previous` counted
+/// from copies is not counted again: a record that was moved to a later window
+/// can have left a copy behind.
+pub fn total(
+    window: Window,
+    epoch: u64,
+    answers: &[Closed],
+    copies: &[(Origin, Vec<Record>)],
+    previous: Option<&Frozen>,
+) -> Frozen {
+    let mut sheet = Sheet::default();
+    let mut late = 0;
+    for answer in answers {
+        for (account, figures) in &answer.sheet {
+            sheet.entry(account.clone()).or_default().add(*figures);
+        }
+        late += answer.late;
+    }
+    let mut by_origin: BTreeMap<&Origin, BTreeMap<&str, &Record>> = BTreeMap::new();
+    for (origin, records) in copies {
+        let is_new = |id: &str| previous.is_none_or(|frozen| !counts(frozen, origin, id));
+        let new = records.iter().filter(|record| is_new(&record.id));
+        let known = by_origin.entry(origin).or_default();
+        known.extend(new.map(|record| (record.id.as_str(), record)));
+    }
+    let mut copied = Vec::new();
+    for (origin, records) in by_origin {
+        for record in records.values() {
+            let figures = sheet.entry(record.account.clone()).or_default();
+            figures.add(record.figures);
+            late += u64::from(record.late);
+        }
+        copied.push(Copied {
+            origin: origin.clone(),
+            ids: records.keys().map(|id| (*id).to_string()).collect(),
+        });
+    }
+    let line = |(account, figures)| Line { account, figures };
+    Frozen {
+        window,
+        epoch,
+        figures: sheet.into_iter().map(line).collect(),
+        late,
+        origins: answers.iter().map(|answer| answer.origin.clone()).collect(),
+        copied,
+    }
+}
+
+/// Returns whether `frozen` counts the request `id` that `origin` measured.
+pub fn counts(frozen: &Frozen, origin: &Origin, id: &str) -> bool {
+    let is_copied =
+        |copied: &Copied| copied.origin == *origin && copied.ids.iter().any(|i| i == id);
+    frozen.origins.contains(origin) || frozen.copied.iter().any(is_copied)
+}
--- a/crates/steward/src/usage.rs
+++ b/crates/steward/src/usage.rs
@@ -1,107 +1,230 @@
 //! Reports of usage, one for each window, with figures frozen before they are
 //! first sent.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use board::usage::{Figures, Sheet, Window};
-use link::{clock, peer, platform::Error};
-use serde::{Deserialize, Serialize};
-use wire::{Answer, Ask};
+use board::{
+    hash::Map,
+    usage::{Closed, Frozen, KIND, Line, Origin, Record, Window},
+};
+use link::{clock, peer::Links, platform::Error};
+use policy::usage::{self, Absences, SKEW};
+use serde::Serialize;
+use wire::{Answer, Ask, message::Close};
 
 use crate::vm::Vm;
 
-const PERIOD: Duration = Duration::from_millis(500);
+const PERIOD: Duration = Duration::from_millis(250);
 const ASK_TIME: Duration = Duration::from_secs(2);
-const KIND: &str = "usage-window";
 
-#[derive(Debug, Serialize, Deserialize)]
-struct Report {
+/// A report as the platform takes it.
+#[derive(Debug, Serialize)]
+struct Report<'a> {
     window: String,
     epoch: u64,
-    figures: Vec<Line>,
+    figures: &'a [Line],
 }
 
-#[derive(Debug, Serialize, Deserialize)]
-struct Line {
-    account: String,
-    #[serde(flatten)]
-    figures: Figures,
+/// What the holder of the lease knows of reports.
+#[derive(Default)]
+struct Reporter {
+    /// Whether the predecessor's windows are known.
+    is_adopted: bool,
+    links: Links,
+    /// The window to report next.
+    next: Window,
+    /// The window reported last.
+    last: Option<Frozen>,
+    absences: Absences,
+    /// What VMs have said of the next window, by name.
+    answers: Map<String, Closed>,
 }
 
 /// Reports each window once it has ended, for ever.
 pub(crate) async fn run(vm: Rc<Vm>) {
-    let mut next = None;
+    let mut reporter = Reporter::default();
     loop {
         monoio::time::sleep(PERIOD).await;
         let Some(epoch) = vm.epoch(&vm.reports) else {
-            next = None;
+            reporter = Reporter::default();
             continue;
         };
-        let open = clock::wall_millis() / vm.settings.window.as_millis().max(1) as u64;
-        if next.is_none() {
-            next = first(&vm, open).await;
+        if !reporter.is_adopted {
+            reporter.is_adopted = reporter.adopt(&vm).await.is_some();
         }
-        let Some(window) = next else {
-            continue;
+        while reporter.is_adopted && reporter.report(&vm, epoch).await {}
+    }
+}
+
+impl Reporter {
+    /// Goes on with the last window that was frozen, which may not have been
+    /// reported yet; `None` when that cannot be learned now.
+    async fn adopt(&mut self, vm: &Rc<Vm>) -> Option<()> {
+        let frozen = vm.platform.list(KIND, "").await.ok()?;
+        let names = frozen.changes.iter().map(|change| &change.name);
+        let Some(last) = names.filter_map(|name| name.parse().ok()).max() else {
+            self.next = self.first(vm).await?;
+            return Some(());
         };
-        // The window before the open one may still be counted by a slow VM.
-        if window + 1 < open && report(&vm, epoch, Window(window)).await {
-            next = Some(window + 1);
+        self.next = Window(last);
+        let before = last.saturating_sub(1).to_string();
+        self.last = match vm.platform.read::<Frozen>(KIND, &before).await {
+            Ok((_, frozen)) => Some(frozen),
+            Err(Error::Absent) => None,
+            Err(_) => return None,
+        };
+        Some(())
+    }
+
+    /// Returns the first window of a deployment that has reported none: the
+    /// open one, or an earlier one of which a VM holds records.
+    async fn first(&mut self, vm: &Rc<Vm>) -> Option<Window> {
+        let open = Window(clock::wall_millis() / length(vm));
+        if !self.ask_all(vm).await {
+            return None;
         }
+        let answers = std::mem::take(&mut self.answers);
+        let oldest = answers.values().filter_map(|answer| answer.oldest).min();
+        Some(oldest.map_or(open, |oldest| oldest.min(open)))
     }
-}
 
-/// Returns the first window that is not frozen yet.
-async fn first(vm: &Vm, open: u64) -> Option<u64> {
-    let frozen = vm.platform.list(KIND, "").await.ok()?;
-    let last = frozen
-        .changes
-        .iter()
-        .filter_map(|c| c.name.parse().ok())
-        .max();
-    Some(last.unwrap_or(open - 1))
-}
+    /// Reports the next window if it has ended; returns whether it did.
+    async fn report(&mut self, vm: &Rc<Vm>, epoch: u64) -> bool {
+        let end = (self.next.0 + 1) * length(vm) + SKEW.as_millis() as u64;
+        if clock::wall_millis() < end {
+            return false;
+        }
+        let Some(frozen) = self.freeze(vm, epoch).await else {
+            return false;
+        };
+        let report = Report {
+            window: frozen.window.0.to_string(),
+            epoch: frozen.epoch,
+            figures: &frozen.figures,
+        };
+        let fence = vm.fence(|vm| &vm.reports, epoch);
+        let sent = vm.platform.report(&report.window, &report, fence).await;
+        match sent {
+            Ok(()) => vm.metrics.report("accepted"),
+            Err(e) => {
+                let (window, problem) = (frozen.window.0, e.to_string());
+                spdlog::warn!("usage not reported yet", kv: { window, problem });
+                vm.metrics.report("failed");
+                return false;
+            }
+        }
+        self.note(vm, frozen);
+        true
+    }
 
-async fn report(vm: &Vm, epoch: u64, window: Window) -> bool {
-    let Some(sheet) = collect(vm, window).await else {
-        return false;
-    };
-    let draft = Report {
-        window: window.0.to_string(),
-        epoch,
-        figures: lines(sheet),
-    };
-    let value = serde_json::to_vec(&draft).unwrap_or_default();
-    let Ok(frozen) = vm.platform.create(KIND, &draft.window, value).await else {
-        return false;
-    };
-    let Ok(report) = frozen.json::<Report>() else {
-        return false;
-    };
-    if vm.epoch(&vm.reports) != Some(epoch) {
-        return false;
+    fn note(&mut self, vm: &Vm, frozen: Frozen) {
+        let copied = frozen.copied.iter().map(|copied| copied.ids.len() as u64);
+        let tokens = frozen.figures.iter().map(|line| line.figures.tokens_out);
+        vm.metrics.window(frozen.late, copied.sum(), tokens.sum());
+        self.next = frozen.window.next();
+        self.last = Some(frozen);
+        self.answers.clear();
     }
-    let path = format!("/v1/usage/{}", report.window);
-    let sent: Result<serde_json::Value, Error> = vm.platform.post(&path, &report).await;
-    sent.is_ok()
-}
 
-/// Adds up what every VM measured; `None` when one cannot be asked.
-async fn collect(vm: &Vm, window: Window) -> Option<Sheet> {
-    let mut total = Sheet::default();
-    for peer in vm.platform.vms().await.ok()? {
-        let answer = peer::ask(peer.address, &Ask::Usage(window), ASK_TIME).await;
-        let Ok(Answer::Usage(sheet)) = answer else {
+    /// Returns the figures of the next window, which never change from then
+    /// on; `None` while they cannot be had.
+    async fn freeze(&mut self, vm: &Rc<Vm>, epoch: u64) -> Option<Frozen> {
+        let name = self.next.0.to_string();
+        match vm.platform.read::<Frozen>(KIND, &name).await {
+            Ok((_, frozen)) => return Some(frozen),
+            Err(Error::Absent) => {}
+            Err(_) => return None,
+        }
+        if !self.ask_all(vm).await {
+            return None;
+        }
+        let copies = self.collect_copies(vm).await?;
+        let answers: Vec<_> = self.answers.values().cloned().collect();
+        let draft = usage::total(self.next, epoch, &answers, &copies, self.last.as_ref());
+        let value = serde_json::to_vec(&draft).ok()?;
+        if vm.epoch(&vm.reports) != Some(epoch) {
             return None;
+        }
+        // Whoever wrote first has the word.
+        let frozen = vm.platform.create(KIND, &name, value).await.ok()?;
+        frozen.json().ok()
+    }
+
+    /// Closes the window on every VM; returns whether all have answered that
+    /// have to be waited for.
+    async fn ask_all(&mut self, vm: &Rc<Vm>) -> bool {
+        let Ok(vms) = vm.platform.vms().await else {
+            return false;
         };
-        for (account, figures) in sheet {
-            total.entry(account).or_default().add(figures);
+        let ask = Rc::new(Ask::Close(self.close()));
+        let mut asked = Vec::new();
+        for peer in vms {
+            if self.answers.contains_key(&peer.id) {
+                continue;
+            }
+            let (links, ask) = (self.links.clone(), ask.clone());
+            let answer = async move { links.ask(peer.address, &ask, ASK_TIME).await };
+            asked.push((peer.id, monoio::spawn(answer)));
+        }
+        let mut is_waiting = false;
+        for (id, answer) in asked {
+            let answer = answer.await;
+            let has_answered = matches!(answer, Ok(Answer::Closed(_)));
+            is_waiting |= self.absences.note(&id, vm.now(), has_answered);
+            if let Ok(Answer::Closed(closed)) = answer {
+                self.answers.insert(id, closed);
+            }
+        }
+        !is_waiting
+    }
+
+    fn close(&self) -> Close {
+        let last = self.last.as_ref();
+        Close {
+            window: self.next,
+            frozen: last.map_or(Window(0), |frozen| frozen.window),
+            counted: last.map_or_else(Vec::new, |frozen| frozen.origins.clone()),
+        }
+    }
+
+    /// Reads the records of processes that did not answer for themselves from
+    /// the VMs that hold copies; `None` when one of these is lost meanwhile.
+    async fn collect_copies(&mut self, vm: &Vm) -> Option<Vec<(Origin, Vec<Record>)>> {
+        let vms = vm.platform.vms().await.ok()?;
+        let addresses: Map<_, _> = vms
+            .into_iter()
+            .map(|peer| (peer.id, peer.address))
+            .collect();
+        let answers: Vec<_> = self.answers.values().cloned().collect();
+        let mut copies = Vec::new();
+        for origin in usage::missing(&answers) {
+            for answer in answers.iter().filter(|a| a.copies.contains(&origin)) {
+                let holder = &answer.origin.vm;
+                let records = match addresses.get(holder) {
+                    Some(address) => self.copies(*address, &origin).await,
+                    None => None,
+                };
+                let Some(records) = records else {
+                    // What it said stands no more: others may hold its copies.
+                    self.answers.remove(holder);
+                    return None;
+                };
+                copies.push((origin.clone(), records));
+            }
+        }
+        Some(copies)
+    }
+
+    async fn copies(&self, holder: SocketAddr, origin: &Origin) -> Option<Vec<Record>> {
+        let ask = Ask::Copies(origin.clone(), self.next);
+        match self.links.ask(holder, &ask, ASK_TIME).await {
+            Ok(Answer::Copies(records)) => Some(records),
+            _ => None,
         }
     }
-    Some(total)
 }
 
-fn lines(sheet: Sheet) -> Vec<Line> {
-    let line = |(account, figures)| Line { account, figures };
-    sheet.into_iter().map(line).collect()
+/// Returns the length of a window in milliseconds.
+fn length(vm: &Vm) -> u64 {
+    vm.settings.window.as_millis().max(1) as u64
 }
