Count copies of a process that answered for an earlier window

Ruled out: copies that were not held, and copies forgotten early; the frozen figures named the lost process with no request at all. The guard now looks at requests counted from copies alone.

--- a/crates/policy/src/usage.rs
+++ b/crates/policy/src/usage.rs
@@ -116,9 +116,9 @@
     }
 }
 
-/// Returns whether `frozen` counts the request `id` that `origin` measured.
+/// Returns whether `frozen` counts the request `id` of `origin` from a copy.
 pub fn counts(frozen: &Frozen, origin: &Origin, id: &str) -> bool {
-    let is_copied =
-        |copied: &Copied| copied.origin == *origin && copied.ids.iter().any(|i| i == id);
-    frozen.origins.contains(origin) || frozen.copied.iter().any(is_copied)
+    let copied = frozen.copied.iter();
+    let mut of_origin = copied.filter(|copied| copied.origin == *origin);
+    of_origin.any(|copied| copied.ids.iter().any(|other| other == id))
 }
--- /dev/null
+++ b/crates/policy/tests/usage.rs
@@ -0,0 +1,190 @@
+//! What a window adds up to.
+
+use board::usage::{Closed, Figures, Frozen, Ledger, Origin, Record, Window};
+use proptest::prelude::*;
+use tarragonseam_policy::usage::{self, holders};
+
+const WINDOW: Window = Window(7);
+
+fn origin(vm: &str) -> Origin {
+    Origin {
+        vm: vm.into(),
+        incarnation: 1,
+    }
+}
+
+fn one(tokens: u64) -> Figures {
+    Figures {
+        requests: 1,
+        tokens_in: 0,
+        tokens_out: tokens,
+    }
+}
+
+fn requests(frozen: &Frozen) -> u64 {
+    frozen
+        .figures
+        .iter()
+        .map(|line| line.figures.requests)
+        .sum()
+}
+
+/// Three processes, each with `count` records that the next one holds too.
+fn ledgers(count: usize) -> Vec<(Origin, Ledger)> {
+    let names = ["vm-a", "vm-b", "vm-c"];
+    let mut ledgers: Vec<_> = names.map(|name| (origin(name), Ledger::default())).into();
+    for place in 0..names.len() {
+        let records: Vec<Record> = (0..count)
+            .map(|n| {
+                ledgers[place]
+                    .1
+                    .add(&format!("{place}-{n}"), "a", WINDOW, one(1))
+            })
+            .collect();
+        let from = ledgers[place].0.clone();
+        let next = (place + 1) % names.len();
+        // A repeated message holds nothing twice.
+        ledgers[next].1.hold(&from, records.clone());
+        ledgers[next].1.hold(&from, records);
+    }
+    ledgers
+}
+
+/// Freezes [`WINDOW`] with the answers of all but `lost`.
+fn freeze(ledgers: &mut [(Origin, Ledger)], lost: usize) -> Frozen {
+    let mut answers: Vec<Closed> = Vec::new();
+    for (place, (origin, ledger)) in ledgers.iter_mut().enumerate() {
+        if place != lost {
+            ledger.close(WINDOW);
+            answers.push(ledger.answer(origin, WINDOW));
+        }
+    }
+    let mut copies = Vec::new();
+    for missing in usage::missing(&answers) {
+        for (origin, ledger) in ledgers.iter() {
+            if answers.iter().any(|answer| answer.origin == *origin) {
+                copies.push((missing.clone(), ledger.copies(&missing, WINDOW)));
+            }
+        }
+    }
+    usage::total(WINDOW, 1, &answers, &copies, None)
+}
+
+proptest! {
+    #[test]
+    fn total_counts_each_request_once(count in 0_usize..20, lost in 0_usize..4) {
+        let mut ledgers = ledgers(count);
+        let frozen = freeze(&mut ledgers, lost);
+        prop_assert_eq!(requests(&frozen), 3 * count as u64);
+    }
+
+    #[test]
+    fn settle_leaves_nothing_out_or_doubled(
+        held in 0_usize..10,
+        unheld in 0_usize..10,
+        lost in 0_usize..3,
+    ) {
+        let mut ledgers = ledgers(held);
+        for n in 0..unheld {
+            ledgers[lost].1.add(&format!("unheld-{n}"), "a", WINDOW, one(1));
+        }
+        let frozen = freeze(&mut ledgers, lost);
+        prop_assert_eq!(requests(&frozen), 3 * held as u64);
+        // The process was only cut off, and comes back.
+        let (origin, ledger) = &mut ledgers[lost];
+        ledger.close(WINDOW);
+        let moved = ledger.settle(WINDOW, |id| usage::counts(&frozen, origin, id));
+        prop_assert_eq!(moved.len(), unheld);
+        prop_assert!(moved.iter().all(|record| record.late && record.window > WINDOW));
+        prop_assert!(ledger.settle(WINDOW, |_| true).is_empty());
+        let next = ledger.sheet(WINDOW.next());
+        prop_assert_eq!(next.get("a").map_or(0, |f| f.requests), unheld as u64);
+    }
+}
+
+#[test]
+fn total_is_not_recounted_from_stale_copy() {
+    let lost = origin("vm-a");
+    let record = |window| Record {
+        id: "r1".into(),
+        account: "a".into(),
+        window,
+        late: false,
+        figures: one(3),
+    };
+    let first = usage::total(
+        WINDOW,
+        1,
+        &[],
+        &[(lost.clone(), vec![record(WINDOW)])],
+        None,
+    );
+    assert_eq!(requests(&first), 1);
+    let moved = [(lost, vec![record(WINDOW.next())])];
+    let second = usage::total(WINDOW.next(), 1, &[], &moved, Some(&first));
+    assert_eq!(requests(&second), 0);
+}
+
+#[test]
+fn total_counts_copies_of_a_process_that_answered_before() {
+    let lost = origin("vm-a");
+    let answered = Closed {
+        origin: lost.clone(),
+        sheet: Default::default(),
+        late: 0,
+        copies: Vec::new(),
+        oldest: None,
+    };
+    let first = usage::total(WINDOW, 1, &[answered], &[], None);
+    let record = Record {
+        id: "r1".into(),
+        account: "a".into(),
+        window: WINDOW.next(),
+        late: false,
+        figures: one(3),
+    };
+    let copies = [(lost, vec![record])];
+    let second = usage::total(WINDOW.next(), 1, &[], &copies, Some(&first));
+    assert_eq!(requests(&second), 1);
+}
+
+#[test]
+fn add_repeated_request() {
+    let mut ledger = Ledger::default();
+    ledger.add("r1", "a", WINDOW, one(3));
+    ledger.close(WINDOW);
+    ledger.add("r1", "a", WINDOW.next(), one(3));
+    assert_eq!(ledger.sheet(WINDOW)["a"], one(3));
+    assert!(ledger.sheet(WINDOW.next()).is_empty());
+}
+
+#[test]
+fn hold_closed_window() {
+    let (from, mut holder) = (origin("vm-a"), Ledger::default());
+    let mut ledger = Ledger::default();
+    let record = ledger.add("r1", "a", WINDOW, one(3));
+    holder.close(WINDOW);
+    holder.hold(&from, vec![record]);
+    assert!(holder.copies(&from, WINDOW).is_empty());
+    let moved = ledger.postpone("r1", WINDOW, holder.closed()).unwrap();
+    assert_eq!((moved.window, moved.late), (WINDOW.next(), true));
+    ledger.close(WINDOW.next());
+    assert!(
+        ledger
+            .postpone("r1", WINDOW.next(), WINDOW.next())
+            .is_none()
+    );
+}
+
+#[test]
+fn holders_other_failure_domains_first() {
+    let vms = [
+        ("vm-a1", "a"),
+        ("vm-a2", "a"),
+        ("vm-b1", "b"),
+        ("vm-c1", "c"),
+    ];
+    let order = holders("vm-a1", "a", &vms);
+    assert_eq!(order.len(), 3);
+    assert_eq!(order[2], 1, "the own failure domain comes last");
+}
