--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -4,14 +4,20 @@
 //! Nothing here does I/O or reads a clock.
 
 pub mod blackboard;
+pub mod budget;
 pub mod capacity;
 pub mod config;
 pub mod endpoint;
 pub mod hash;
+pub mod histogram;
 pub mod key;
 pub mod lease;
+pub mod limit;
 pub mod lot;
+pub mod pace;
+pub mod queue;
 mod record;
+pub mod service;
 pub mod ticket;
 pub mod time;
 pub mod usage;
--- /dev/null
+++ b/crates/cli/tests/control_platform.rs
@@ -0,0 +1,279 @@
+//! The client of the platform under each fault of the platform.
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    time::{Duration, Instant},
+};
+
+use fakes::{Config, Running, drive, platform, spawn};
+use link::{
+    http::client::Fence,
+    platform::{Client, Error, When},
+};
+use serde_json::{Value, json};
+
+use board::{
+    capacity::{Action, Order},
+    endpoint::Tenure,
+};
+
+const KIND: &str = "thing";
+
+fn start() -> Running {
+    let endpoint = platform::Endpoint {
+        id: "registry-1".into(),
+        address: "127.0.0.1:1".into(),
+        failure_domain: "a".into(),
+        service: "registry".into(),
+        class: "stable".into(),
+        state: platform::State::Spare,
+        checks_epoch: false,
+        price: 1.0,
+    };
+    let config = platform::Config {
+        first_endpoints: vec![endpoint],
+        ..platform::Config::default()
+    };
+    spawn(Config::Platform(config)).unwrap()
+}
+
+fn order(key: &str) -> Order {
+    Order {
+        key: key.into(),
+        epoch: 1,
+        failure_domain: "a".into(),
+        service: "registry".into(),
+        tenure: Some(Tenure::Stable),
+        action: Action::Start,
+        count: 1,
+        endpoint: None,
+    }
+}
+
+fn open() -> Fence {
+    Fence::new(|| true)
+}
+
+/// What a client makes of a call: nothing done, maybe done, or an answer.
+fn outcome<T>(result: Result<T, Error>) -> &'static str {
+    match result {
+        Ok(_) => "answer",
+        Err(Error::Unknown(_)) => "unknown",
+        Err(Error::Unavailable(_)) => "not done",
+        Err(_) => "refused",
+    }
+}
+
+/// Makes a call of each kind and returns what became of each.
+async fn each_kind(client: &Client) -> [&'static str; 5] {
+    let usage = json!({"window": "9", "epoch": 1, "figures": []});
+    [
+        outcome(client.get(KIND, "there").await),
+        outcome(client.put(KIND, "new", When::Absent, "1").await),
+        outcome(client.order(&order("a.1.1"), open()).await),
+        outcome(client.report("9", &usage, open()).await),
+        outcome(client.vms().await),
+    ]
+}
+
+#[test]
+fn each_kind_under_each_fault() {
+    let cases = [
+        (json!({}), ["answer"; 5]),
+        (json!({"outage": true}), ["not done"; 5]),
+        (json!({"error_rate": 1.0}), ["unknown"; 5]),
+        (json!({"lost_reply": 1.0}), ["unknown"; 5]),
+        (json!({"mute": true}), ["unknown"; 5]),
+    ];
+    for (switches, expected) in cases {
+        let platform = start();
+        let at = platform.address();
+        link::runtime::run(async {
+            let client = Client::new(at, "vm-1");
+            client.put(KIND, "there", When::Absent, "1").await.unwrap();
+            drive_fault(at, &switches).await;
+            assert_eq!(each_kind(&client).await, expected, "{switches}");
+        })
+        .unwrap();
+    }
+}
+
+/// Sets switches from another thread: a driver runs a runtime of its own.
+async fn drive_fault(at: SocketAddr, switches: &Value) {
+    let switches = switches.clone();
+    std::thread::spawn(move || drive::fault(at, &switches).unwrap())
+        .join()
+        .unwrap();
+}
+
+#[test]
+fn unreachable_platform_is_not_done() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    drop(listener);
+    link::runtime::run(async {
+        let client = Client::new(at, "vm-1");
+        assert_eq!(each_kind(&client).await, ["not done"; 5]);
+    })
+    .unwrap();
+}
+
+#[test]
+fn lost_replies_are_settled_by_reading() {
+    let platform = start();
+    let at = platform.address();
+    link::runtime::run(async {
+        let client = Client::new(at, "vm-1");
+        drive_fault(at, &json!({"lost_reply": 1.0})).await;
+        let lost = client.order(&order("a.1.1"), open()).await;
+        assert!(matches!(lost, Err(Error::Unknown(_))));
+        let lost = client.put(KIND, "new", When::Absent, "1").await;
+        assert!(matches!(lost, Err(Error::Unknown(_))));
+        drive_fault(at, &json!({"reset": true})).await;
+        let taken = client.find_order("a.1.1").await.unwrap();
+        assert_eq!(taken.endpoints, ["registry-1"]);
+        let none = client.find_order("a.1.2").await;
+        assert_eq!(none, Err(Error::Absent));
+        let stands = client.create(KIND, "new", "2").await.unwrap();
+        assert_eq!(stands.value, "1");
+    })
+    .unwrap();
+}
+
+#[test]
+fn order_behind_closed_fence_is_not_sent() {
+    let platform = start();
+    let at = platform.address();
+    link::runtime::run(async {
+        let client = Client::new(at, "vm-1");
+        let closed = Fence::new(|| false);
+        let result = client.order(&order("a.1.1"), closed).await;
+        assert!(matches!(result, Err(Error::Unavailable(_))), "{result:?}");
+        assert_eq!(client.find_order("a.1.1").await, Err(Error::Absent));
+    })
+    .unwrap();
+}
+
+#[test]
+fn stop_order_is_taken() {
+    let platform = start();
+    link::runtime::run(async {
+        let client = Client::new(platform.address(), "vm-1");
+        client.order(&order("a.1.1"), open()).await.unwrap();
+        let stop = Order {
+            tenure: None,
+            action: Action::Stop,
+            endpoint: Some("registry-1".into()),
+            ..order("a.1.2")
+        };
+        let answer = client.order(&stop, open()).await.unwrap();
+        assert_eq!(answer.endpoints, ["registry-1"]);
+    })
+    .unwrap();
+}
+
+#[test]
+fn out_of_stock_is_refused_and_not_an_outage() {
+    let platform = start();
+    let at = platform.address();
+    link::runtime::run(async {
+        let client = Client::new(at, "vm-1");
+        let stock = json!({"failure_domain": "a", "class": "stable"});
+        drive_fault(at, &json!({"out_of_stock": [stock]})).await;
+        let result = client.order(&order("a.1.1"), open()).await;
+        assert!(
+            matches!(result, Err(Error::Refused { status: 503, .. })),
+            "{result:?}"
+        );
+    })
+    .unwrap();
+}
+
+#[test]
+fn too_many_calls_hold_the_client() {
+    let platform = start();
+    let at = platform.address();
+    link::runtime::run(async {
+        let client = Client::new(at, "vm-1");
+        drive_fault(at, &json!({"reads_per_s": 1})).await;
+        let mut refused = None;
+        for _ in 0..5 {
+            let result = client.get(KIND, "there").await;
+            refused = refused.or(result.err().filter(|e| *e != Error::Absent));
+            if refused.is_some() {
+                break;
+            }
+        }
+        assert!(
+            matches!(refused, Some(Error::Unavailable(_))),
+            "{refused:?}"
+        );
+        drive_fault(at, &json!({"reset": true})).await;
+        // The platform asked to wait a second: the next call waits it out.
+        let start = Instant::now();
+        assert_eq!(client.get(KIND, "there").await, Err(Error::Absent));
+        assert!(start.elapsed() > Duration::from_millis(800));
+        let stats: Value = on_thread(move || drive::get(at, "/stats").unwrap());
+        assert_eq!(stats["answers"]["429"], 1);
+    })
+    .unwrap();
+}
+
+fn on_control(platform: &Running, switches: Value) {
+    let control = platform.control();
+    on_thread(move || drive::fault(control, &switches).unwrap());
+}
+
+fn on_thread<T: Send + 'static>(work: impl FnOnce() -> T + Send + 'static) -> T {
+    std::thread::spawn(work).join().unwrap()
+}
+
+#[test]
+fn calls_keep_to_their_rate() {
+    let platform = start();
+    link::runtime::run(async {
+        let client = Client::new(platform.address(), "vm-1").calls_per_s(10);
+        let start = Instant::now();
+        for _ in 0..20 {
+            client.vms().await.unwrap();
+        }
+        assert!(start.elapsed() > Duration::from_millis(900));
+    })
+    .unwrap();
+}
+
+#[test]
+fn closed_idle_connection_is_no_failed_read() {
+    let platform = start();
+    let at = platform.address();
+    link::runtime::run(async {
+        let client = Client::new(at, "vm-1");
+        client.vms().await.unwrap();
+        // The kept connection is cut in answer to the first call on it.
+        on_control(&platform, json!({"refuse": true}));
+        assert_eq!(outcome(client.vms().await), "not done");
+        on_control(&platform, json!({"reset": true}));
+        client.vms().await.unwrap();
+    })
+    .unwrap();
+}
+
+#[test]
+fn silent_watch_ends_and_goes_on_from_its_version() {
+    let platform = start();
+    let at = platform.address();
+    link::runtime::run(async {
+        let client = Client::new(at, "vm-1");
+        let from = client.put(KIND, "one", When::Absent, "1").await.unwrap();
+        drive_fault(at, &json!({"mute": true})).await;
+        let start = Instant::now();
+        let silent = client.watch(KIND, from, Duration::from_millis(500)).await;
+        assert!(matches!(silent, Err(Error::Unknown(_))), "{silent:?}");
+        assert!(start.elapsed() < Duration::from_secs(20));
+        drive_fault(at, &json!({"reset": true})).await;
+        client.put(KIND, "two", When::Absent, "1").await.unwrap();
+        let changes = client.watch(KIND, from, Duration::from_secs(5)).await;
+        assert_eq!(changes.unwrap().changes[0].name, "two");
+    })
+    .unwrap();
+}
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -48,6 +48,9 @@
     let peer_listener = listen("peers", settings.peers)?;
     let admin_listener = listen("admin", settings.admin)?;
     let vm = Vm::new(settings);
+    if let Some(collector) = vm.settings.collector {
+        vm.telemetry.export_to(collector);
+    }
     follow_platform(&vm);
     monoio::spawn(copy::list_vms(vm.clone()));
     monoio::spawn(copy::keep(vm.clone()));
@@ -90,7 +93,8 @@
         slot::pump(&changed)
     });
     feed.start();
-    let poller = Poller::new(vm.board.clone(), vm.pool.clone(), vm.clock);
+    let poller =
+        Poller::new(vm.board.clone(), vm.pool.clone(), vm.clock).note(policy::limit::report);
     monoio::spawn(poller.run(|_| true));
     let vm = vm.clone();
     monoio::spawn(async move {
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -188,8 +188,8 @@
 /// assert_eq!(lease::period("usage", "vm-1", &vms, terms), terms.period);
 /// ```
 pub fn period(job: &str, vm: &str, vms: &[&str], terms: Terms) -> Duration {
-    let seed = hash::mix(job.as_bytes(), 0);
-    let weight = |name: &str| hash::mix(name.as_bytes(), seed);
+    let seed = hash::rendezvous(0, job);
+    let weight = |name: &str| hash::rendezvous(seed, name);
     let own = weight(vm);
     let above = vms.iter().filter(|other| weight(other) > own).count();
     if vms.is_empty() || (vms.contains(&vm) && above < CANDIDATES) {
--- a/crates/policy/src/usage.rs
+++ b/crates/policy/src/usage.rs
@@ -29,11 +29,11 @@
 /// assert_eq!(holders("vm-a1", "a", &vms), [2, 1]);
 /// ```
 pub fn holders(vm: &str, domain: &str, vms: &[(&str, &str)]) -> Vec<usize> {
-    let seed = hash::mix(vm.as_bytes(), 0);
+    let seed = hash::rendezvous(0, vm);
     let mut places: Vec<_> = (0..vms.len()).filter(|place| vms[*place].0 != vm).collect();
     places.sort_by_key(|place| {
         let (name, other) = vms[*place];
-        (other == domain, hash::mix(name.as_bytes(), seed))
+        (other == domain, hash::rendezvous(seed, name))
     });
     places
 }
