--- a/crates/cli/tests/control_orders.rs
+++ b/crates/cli/tests/control_orders.rs
@@ -67,6 +67,12 @@
     }
 }
 
+async fn slow_engines(deployment: &Deployment, switches: Value) {
+    for endpoint in deployment.endpoints.iter().filter(|e| e.back.is_model) {
+        fault(deployment, endpoint.address, switches.clone()).await;
+    }
+}
+
 #[test]
 fn frozen_holder_resumed_mid_order() {
     let tree = Tree::new("frozen", FILE);
@@ -113,10 +119,14 @@
         })
         .await;
 
+        // Engines too slow to report their load leave the old holder with the
+        // view that it had: it would order the new weights on waking.
+        slow_engines(&deployment, json!({"latency_ms": 1500})).await;
         deployment.vms[old].steward.signal("CONT").unwrap();
         wait_present(&deployment, "a", (1, 2)).await;
         // The old holder gets ample time for an order of its old epoch.
         monoio::time::sleep(Duration::from_secs(5)).await;
+        slow_engines(&deployment, json!({"reset": true})).await;
         let history = orders(&deployment).await;
         check_orders(&history, "a");
         assert_eq!(history["stale"], 0, "an order of an old epoch was sent");
