--- a/crates/cli/tests/control_orders.rs
+++ b/crates/cli/tests/control_orders.rs
@@ -43,12 +43,19 @@
     .await;
 }
 
-async fn put_weights(deployment: &Deployment, version: u64) {
-    let call = Call::new(link::Method::PUT, "/v1/objects/weights/notes")
-        .header("if-none-match", "*")
-        .body(format!("{{\"version\":{version}}}"));
+/// Puts a version of the weights in force; `after` is what the call before
+/// returned.
+async fn put_weights(deployment: &Deployment, version: u64, after: Option<String>) -> String {
+    let call = Call::new(link::Method::PUT, "/v1/objects/weights/notes");
+    let call = match after {
+        Some(tag) => call.header("if-match", tag),
+        None => call.header("if-none-match", "*"),
+    };
+    let call = call.body(format!("{{\"version\":{version}}}"));
     let answer = deployment.pool.fetch(deployment.platform, call).await;
-    assert!(answer.unwrap().status.is_success());
+    let answer = answer.unwrap();
+    assert!(answer.status.is_success());
+    answer.headers["etag"].to_str().unwrap().to_string()
 }
 
 /// Checks that an engine, also one that ignores epochs, took orders of epochs
@@ -67,7 +74,19 @@
     }
 }
 
-async fn slow_engines(deployment: &Deployment, switches: Value) {
+/// Returns whether every engine has taken an order for version 3.
+async fn engines_ordered(deployment: &Deployment) -> bool {
+    for endpoint in deployment.endpoints.iter().filter(|e| e.back.is_model) {
+        let log = get(deployment, endpoint.address, "/v1/log").await;
+        let mut orders = log["orders"].as_array().unwrap().iter();
+        if !orders.any(|o| o["key"].as_str().is_some_and(|key| key.ends_with(".3"))) {
+            return false;
+        }
+    }
+    true
+}
+
+async fn switch_engines(deployment: &Deployment, switches: Value) {
     for endpoint in deployment.endpoints.iter().filter(|e| e.back.is_model) {
         fault(deployment, endpoint.address, switches.clone()).await;
     }
@@ -88,6 +107,11 @@
         })
         .await;
 
+        // The old holder knows of version 2 and cannot order it yet: on waking
+        // it would, were the lease not looked at.
+        switch_engines(&deployment, json!({"outage": true})).await;
+        let tag = put_weights(&deployment, 2, None).await;
+        monoio::time::sleep(Duration::from_secs(2)).await;
         let before = order_calls(&deployment).await;
         let reclaim = json!({"failure_domain": "a", "notice_ms": 300});
         fault(
@@ -101,6 +125,7 @@
         })
         .await;
         deployment.vms[old].steward.signal("STOP").unwrap();
+        put_weights(&deployment, 3, Some(tag)).await;
         fault(&deployment, platform, json!({"reset": true})).await;
 
         let (new, next) = until("successor", async || {
@@ -108,7 +133,7 @@
         })
         .await;
         assert!(new != old && next > epoch, "epoch {next} after {epoch}");
-        put_weights(&deployment, 2).await;
+        switch_engines(&deployment, json!({"reset": true})).await;
         wait_present(&deployment, "a", (1, 2)).await;
         let reclaim = json!({"failure_domain": "a", "notice_ms": 300});
         fault(&deployment, platform, json!({"reclaim": reclaim})).await;
@@ -119,14 +144,18 @@
         })
         .await;
 
+        until("weights ordered by the successor", async || {
+            engines_ordered(&deployment).await.then_some(())
+        })
+        .await;
         // Engines too slow to report their load leave the old holder with the
-        // view that it had: it would order the new weights on waking.
-        slow_engines(&deployment, json!({"latency_ms": 1500})).await;
+        // view that it had.
+        switch_engines(&deployment, json!({"latency_ms": 1500})).await;
         deployment.vms[old].steward.signal("CONT").unwrap();
         wait_present(&deployment, "a", (1, 2)).await;
         // The old holder gets ample time for an order of its old epoch.
         monoio::time::sleep(Duration::from_secs(5)).await;
-        slow_engines(&deployment, json!({"reset": true})).await;
+        switch_engines(&deployment, json!({"reset": true})).await;
         let history = orders(&deployment).await;
         check_orders(&history, "a");
         assert_eq!(history["stale"], 0, "an order of an old epoch was sent");
