--- a/crates/board/src/hash.rs
+++ b/crates/board/src/hash.rs
@@ -1,14 +1,50 @@
 //! Hash maps with a fast hasher.
 
+use std::hash::{BuildHasher, Hash};
+
 /// A map for keys that callers cannot choose freely.
 pub type Map<K, V> = rustc_hash::FxHashMap<K, V>;
 
 /// A set for keys that callers cannot choose freely.
 pub type Set<K> = rustc_hash::FxHashSet<K>;
 
+/// Returns a hash of `bytes` that is the same in every process and release.
+///
+/// # Examples
+///
+/// ```
+/// use tarragonseam_board::hash::mix;
+///
+/// assert_eq!(mix(b"vm-1", 7), mix(b"vm-1", 7));
+/// assert_ne!(mix(b"vm-1", 7), mix(b"vm-2", 7));
+/// ```
+pub fn mix(bytes: &[u8], seed: u64) -> u64 {
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+    const BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+    let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(PRIME);
+    let mut hash = bytes.iter().fold(BASIS ^ seed.rotate_left(17), step);
+    // The low bits of FNV are weak on short input, so they are stirred.
+    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
+}
+
 /// The hasher behind them, the same on every VM.
 pub type Hasher = rustc_hash::FxHasher;
 
+/// Returns a hash that is the same in every process of one build.
+///
+/// # Examples
+///
+/// ```
+/// use tarragonseam_board::hash;
+///
+/// assert_eq!(hash::of(&("vm-1", 7)), hash::of(&("vm-1", 7)));
+/// ```
+pub fn of<T: Hash>(value: &T) -> u64 {
+    mix(&rustc_hash::FxBuildHasher.hash_one(value).to_le_bytes(), 0)
+}
+
 /// Returns the rank of `name` for `key` in rendezvous hashing: for each key,
 /// the name with the highest rank is chosen, so names that come and go move
 /// only the keys that they win.
@@ -23,17 +59,5 @@
 /// assert_eq!(winner(7), winner(7));
 /// ```
 pub fn rendezvous(key: u64, name: &str) -> u64 {
-    use std::hash::Hasher as _;
-    let mut hasher = Hasher::default();
-    hasher.write(name.as_bytes());
-    mix(mix(hasher.finish()) ^ key)
-}
-
-/// Spreads every bit of the input over the output: the fast hasher alone keeps
-/// the order of similar names.
-const fn mix(mut bits: u64) -> u64 {
-    bits = bits.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    bits ^ (bits >> 31)
+    mix(name.as_bytes(), key)
 }
--- a/crates/entry/src/vm.rs
+++ b/crates/entry/src/vm.rs
@@ -13,6 +13,7 @@
 };
 use link::{
     clock::{self, Clock},
+    gossip::Gossip,
     http::{Limits, Pool},
     platform,
     telemetry::Telemetry,
@@ -20,7 +21,7 @@
 use local_sync::oneshot;
 use policy::call::Refusal;
 
-use crate::{metrics::Metrics, settings::Settings, usage};
+use crate::{bulk, metrics::Metrics, rollout, run, settings::Settings, usage};
 
 /// What a waiting request is told.
 pub(crate) type Verdict = Result<endpoint::Key, Refusal>;
@@ -32,6 +33,8 @@
     pub(crate) clock: Clock,
     pub(crate) pool: Pool,
     pub(crate) platform: platform::Client,
+    /// The links to other VMs.
+    pub(crate) gossip: Gossip,
     pub(crate) telemetry: Telemetry,
     pub(crate) metrics: Metrics,
     /// Usage on its way to other VMs.
@@ -44,10 +47,19 @@
     pub(crate) primed: Cell<bool>,
     /// Whether the process is shutting down.
     pub(crate) leaving: Cell<bool>,
+    /// Steps and lots in production.
+    pub(crate) rollouts: rollout::State,
+    /// The disk for bulk data, on a VM that has one.
+    pub(crate) disk: Option<bulk::disk::Disk>,
 }
 
 impl Vm {
-    pub(crate) fn new(settings: Settings) -> Rc<Self> {
+    /// Opens the links to other VMs and the disk, if there is one.
+    ///
+    /// # Errors
+    ///
+    /// What the socket or the disk says.
+    pub(crate) fn new(settings: Settings) -> Result<Rc<Self>, run::Error> {
         let seed = clock::wall_millis();
         let telemetry = Telemetry::new("tarragonseam-entry");
         let board = Board::new(&settings.vm, &settings.failure_domain, seed);
@@ -55,9 +67,19 @@
             vm: settings.vm.clone(),
             incarnation: seed,
         };
-        Rc::new(Self {
-            board: Rc::new(RefCell::new(board)),
-            clock: Clock::default(),
+        let board = Rc::new(RefCell::new(board));
+        let clock = Clock::default();
+        let disk = settings.data.as_deref().map(bulk::disk::Disk::open);
+        let gossip = Gossip::open(board.clone(), clock, settings.peers, &telemetry);
+        Ok(Rc::new(Self {
+            disk: disk.transpose()?,
+            gossip: gossip.map_err(|source| run::Error::Listen {
+                setting: "peers",
+                address: settings.peers,
+                source,
+            })?,
+            board,
+            clock,
             pool: Pool::new(Limits::new()),
             platform: platform::Client::new(settings.platform, &settings.vm),
             metrics: Metrics::new(&telemetry),
@@ -67,8 +89,9 @@
             next_request: Cell::new(seed),
             primed: Cell::new(false),
             leaving: Cell::new(false),
+            rollouts: rollout::State::default(),
             settings,
-        })
+        }))
     }
 
     pub(crate) fn now(&self) -> Time {
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -17,7 +17,7 @@
 };
 use wire::{Answer, Ask, frame::FRAME_MAX};
 
-use crate::net;
+use crate::{fault, net};
 
 /// Why a peer gave no answer.
 #[derive(Debug, thiserror::Error)]
@@ -65,6 +65,9 @@
     ///
     /// An [`Error`] when no whole answer came.
     pub async fn ask(&self, peer: SocketAddr, ask: &Ask, limit: Duration) -> Result<Answer, Error> {
+        if fault::is_cut_to(peer) || fault::is_cut_from(peer) {
+            return Err(Error::Timeout);
+        }
         let frame = wire::encode(ask)?;
         let exchange = async {
             if let Some(stream) = self.take(peer) {
