--- a/crates/board/src/blackboard.rs
+++ b/crates/board/src/blackboard.rs
@@ -5,6 +5,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 
 use crate::{
+    capacity,
     config::Config,
     endpoint,
     hash::Map,
@@ -54,6 +55,8 @@
     pub queue: queue::Queue,
     /// Usage measured here.
     pub usage: Ledger,
+    /// What is known of orders for endpoints.
+    pub capacity: capacity::Book,
     /// The source of randomness of every decision.
     pub rng: SmallRng,
 }
@@ -80,6 +83,7 @@
             tickets: ticket::Table::default(),
             queue: queue::Queue::default(),
             usage: Ledger::default(),
+            capacity: capacity::Book::default(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod blackboard;
 pub mod budget;
+pub mod capacity;
 pub mod config;
 pub mod endpoint;
 pub mod hash;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -12,6 +12,8 @@
     attempts: Counter<u64>,
     /// Samples by result.
     samples: Counter<u64>,
+    /// Records of usage by what became of them.
+    usage: Counter<u64>,
     /// Lots by what happened to them.
     lots: Counter<u64>,
     /// Tokens generated in vain, by reason.
@@ -26,6 +28,7 @@
             requests: telemetry.counter("tarragonseam_requests"),
             attempts: telemetry.counter("tarragonseam_attempts"),
             samples: telemetry.counter("tarragonseam_samples"),
+            usage: telemetry.counter("tarragonseam_usage_records"),
             lots: telemetry.counter("tarragonseam_lots"),
             wasted_tokens: telemetry.counter("tarragonseam_wasted_tokens"),
             bulk: telemetry.counter("tarragonseam_bulk_copies"),
@@ -45,6 +48,10 @@
         self.samples.add(1, &[KeyValue::new("result", result)]);
     }
 
+    pub(crate) fn usage(&self, result: &'static str) {
+        self.usage.add(1, &[KeyValue::new("result", result)]);
+    }
+
     pub(crate) fn lot(&self, result: &'static str) {
         self.lots.add(1, &[KeyValue::new("result", result)]);
     }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -10,7 +10,7 @@
 };
 use wire::{Answer, Ask, message::Status};
 
-use crate::{bulk, explain, rollout, vm::Vm};
+use crate::{bulk, explain, rollout, usage::settle, vm::Vm};
 
 /// Answers one question, after what it asks for is done.
 pub(crate) async fn serve(vm: Rc<Vm>, ask: Ask) -> Answer {
@@ -20,6 +20,12 @@
         Ask::Disk => Answer::Disk(vm.disk.is_some()),
         Ask::Store(chunk) => bulk::store(&vm, chunk).await,
         Ask::Load(piece) => bulk::load(&vm, piece).await,
+        Ask::Close(window) => settle::close(&vm, &window),
+        Ask::Copies(origin, window) => {
+            Answer::Copies(vm.board.borrow().usage.copies(&origin, window))
+        }
+        Ask::Hold(origin, records) => settle::hold(&vm, &origin, records),
+        Ask::Inherit(origin, records) => settle::inherit(&vm, &origin, records),
         other => answer(&vm, &other),
     }
 }
@@ -37,7 +43,6 @@
 pub(crate) fn answer(vm: &Rc<Vm>, ask: &Ask) -> Answer {
     let board = vm.board.borrow();
     match ask {
-        Ask::Usage(window) => Answer::Usage(board.usage.sheet(*window)),
         Ask::Status => Answer::Status(Status {
             vm: board.vm.clone(),
             failure_domain: board.failure_domain.clone(),
--- a/crates/entry/src/rollout/attempt.rs
+++ b/crates/entry/src/rollout/attempt.rs
@@ -107,7 +107,7 @@
     };
     let sink = async |token: &Token| attempt.note(token);
     let result = generation::run(vm, &attempt.task, &mut output, &span, sink).await;
-    generate::bill(vm, &attempt.task, &output);
+    generate::bill(vm, &attempt.task, &output).await;
     if result.is_err() {
         vm.metrics.wasted("failed", output.tokens.len() as u64);
         return None;
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -10,7 +10,7 @@
 };
 use monoio::net::TcpListener;
 
-use crate::{admin, handler, peers, rollout, settings::Settings, slot, vm::Vm};
+use crate::{admin, handler, peers, rollout, settings::Settings, slot, usage::copy, vm::Vm};
 
 /// Why the daemon could not run.
 #[derive(Debug, thiserror::Error)]
@@ -55,6 +55,8 @@
         vm.telemetry.export_to(collector);
     }
     follow_platform(&vm);
+    monoio::spawn(copy::list_vms(vm.clone()));
+    monoio::spawn(copy::keep(vm.clone()));
     rollout::start(&vm);
 
     let for_peers = vm.clone();
@@ -111,6 +113,9 @@
     });
 }
 
+/// How long a shutdown waits until its usage is held elsewhere.
+const FLUSH_TIME: Duration = Duration::from_secs(3);
+
 const TICK_TIME: Duration = Duration::from_millis(10);
 
 fn listen(setting: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
@@ -128,5 +133,6 @@
     monoio::time::sleep(UNREADY_TIME).await;
     drain.close();
     let whole = drain.wait(vm.settings.drain).await;
+    copy::flush(vm, FLUSH_TIME).await;
     spdlog::info!("stopped", kv: { all_answered = whole });
 }
--- a/crates/entry/src/vm.rs
+++ b/crates/entry/src/vm.rs
@@ -5,7 +5,12 @@
     rc::Rc,
 };
 
-use board::{Board, Time, endpoint, hash::Map, ticket, usage::Window};
+use board::{
+    Board, Time, endpoint,
+    hash::Map,
+    ticket,
+    usage::{Origin, Window},
+};
 use link::{
     clock::{self, Clock},
     gossip::Gossip,
@@ -16,7 +21,7 @@
 use local_sync::oneshot;
 use policy::call::Refusal;
 
-use crate::{bulk, metrics::Metrics, rollout, run, settings::Settings};
+use crate::{bulk, metrics::Metrics, rollout, run, settings::Settings, usage};
 
 /// What a waiting request is told.
 pub(crate) type Verdict = Result<endpoint::Key, Refusal>;
@@ -32,6 +37,8 @@
     pub(crate) gossip: Gossip,
     pub(crate) telemetry: Telemetry,
     pub(crate) metrics: Metrics,
+    /// Usage on its way to other VMs.
+    pub(crate) usage: usage::State,
     /// Requests that wait for a verdict.
     pub(crate) waiting: RefCell<Map<ticket::Key, oneshot::Sender<Verdict>>>,
     /// Number of the next request.
@@ -56,6 +63,10 @@
         let seed = clock::wall_millis();
         let telemetry = Telemetry::new("tarragonseam-entry");
         let board = Board::new(&settings.vm, &settings.failure_domain, seed);
+        let origin = Origin {
+            vm: settings.vm.clone(),
+            incarnation: seed,
+        };
         let board = Rc::new(RefCell::new(board));
         let clock = Clock::default();
         let disk = settings.data.as_deref().map(bulk::disk::Disk::open);
@@ -73,6 +84,7 @@
             platform: platform::Client::new(settings.platform, &settings.vm),
             metrics: Metrics::new(&telemetry),
             telemetry,
+            usage: usage::State::new(origin),
             waiting: RefCell::default(),
             next_request: Cell::new(seed),
             primed: Cell::new(false),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,4 +25,5 @@
 pub mod routing;
 pub mod staleness;
 pub mod straggler;
+pub mod usage;
 pub mod weights;
--- a/crates/steward/src/weights.rs
+++ b/crates/steward/src/weights.rs
@@ -58,7 +58,7 @@
     }
 }
 
-async fn send(vm: &Vm, swap: &Swap) -> Outcome {
+async fn send(vm: &Rc<Vm>, swap: &Swap) -> Outcome {
     let found = vm
         .board
         .borrow()
@@ -79,7 +79,10 @@
         version: swap.version,
     };
     let body = serde_json::to_vec(&order).unwrap_or_default();
-    let call = Call::post("/v1/weights", body).deadline(LOAD_TIME);
+    let fence = vm.fence(|vm| &vm.orders, epoch);
+    let call = Call::post("/v1/weights", body)
+        .deadline(LOAD_TIME)
+        .fence(fence);
     match vm.pool.fetch(address, call).await {
         Ok(answer) if answer.status.is_success() => Outcome::Loaded,
         Ok(answer) if answer.status == StatusCode::CONFLICT => Outcome::Stale,
