link: notice callers that leave, and let refused callers read the answer

Cause: the server read a request, then only wrote, so that a caller that left went unnoticed until a write failed; a body over the limit was refused by a close with unread bytes, and the reset could destroy the 413; each idle connection woke twice a second to look for the end of the server. Ruled out: a poll of the socket beside the decoder, which would have to share its buffer. Change: the next head is read while a request is answered, and its end of file drops the handler; after a last answer, bounded reads discard what still comes; one closed semaphore ends all idle connections; a leaving server closes after each answer and still takes what the kernel has accepted. server.rs is split by concept.

--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -115,6 +115,7 @@
 async fn shut_down(vm: &Rc<Vm>, drain: &server::Drain) {
     vm.leaving.set(true);
     spdlog::info!("leaving", kv: { vm = vm.settings.vm.as_str() });
+    drain.leave();
     monoio::time::sleep(UNREADY_TIME).await;
     drain.close();
     let whole = drain.wait(vm.settings.drain).await;
--- a/crates/link/src/http/guard.rs
+++ b/crates/link/src/http/guard.rs
@@ -43,9 +43,11 @@
         self.0.seen.set(0);
     }
 
-    /// Waits up to `idle` for the first byte, then allows `bytes` and `time`.
-    pub(crate) fn allow_after_idle(&self, bytes: usize, idle: Duration, time: Duration) {
-        self.allow(bytes, idle);
+    /// Waits without a limit for the first byte, then allows `time`, and
+    /// `bytes` in all.
+    pub(crate) fn allow_head(&self, bytes: usize, time: Duration) {
+        self.allow(bytes, time);
+        self.0.deadline.set(None);
         self.0.after_first.set(Some(time));
     }
 
@@ -59,6 +61,11 @@
         self.0.seen.get()
     }
 
+    /// Returns whether the first byte of a head is still to come.
+    fn is_idle(&self) -> bool {
+        self.0.after_first.get().is_some()
+    }
+
     fn remaining(&self) -> Option<Duration> {
         let deadline = self.0.deadline.get()?;
         Some(deadline.saturating_duration_since(Instant::now()))
@@ -102,7 +109,13 @@
     async fn read<T: IoBufMut>(&mut self, mut buf: T) -> BufResult<usize, T> {
         // The buffer is lost when a read is cancelled, so the read goes into a
         // buffer of its own and is copied over.
-        let room = buf.bytes_total().min(READ_BYTES);
+        // One that waits for a head is small, since it may wait for long.
+        let most = if self.budget.is_idle() {
+            IDLE_READ_BYTES
+        } else {
+            READ_BYTES
+        };
+        let room = buf.bytes_total().min(most);
         let own = Vec::with_capacity(room);
         let remaining = self.budget.remaining().unwrap_or(Duration::MAX);
         let outcome = if remaining == Duration::MAX {
@@ -143,4 +156,6 @@
     }
 }
 
-const READ_BYTES: usize = 16 * 1024;
+/// The most that one read takes in, and so may go over a limit.
+pub(crate) const READ_BYTES: usize = 16 * 1024;
+const IDLE_READ_BYTES: usize = 1024;
--- a/crates/link/src/http/mod.rs
+++ b/crates/link/src/http/mod.rs
@@ -7,11 +7,15 @@
 
 pub(crate) mod chunk;
 pub mod client;
+pub(crate) mod drain;
 pub mod error;
 pub(crate) mod framing;
 pub(crate) mod guard;
+pub(crate) mod intake;
 pub mod limits;
+pub(crate) mod reply;
 pub mod server;
+pub(crate) mod session;
 
 pub use client::{Pool, Response};
 pub use error::Error;
--- /dev/null
+++ b/crates/link/src/http/reply.rs
@@ -0,0 +1,135 @@
+//! Answers of a server: whole, streamed, or none at all.
+
+use std::{future::Future, pin::Pin};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, StatusCode};
+use local_sync::mpsc::bounded;
+use serde::Serialize;
+
+/// The sending end of a streamed reply.
+pub type Sender = bounded::Tx<Part>;
+
+/// One part of a streamed reply.
+#[derive(Debug)]
+pub enum Part {
+    /// Bytes to pass on.
+    Data(Bytes),
+    /// The end: the body is whole.
+    End,
+}
+
+const STREAM_DEPTH: usize = 16;
+
+/// An answer to a request.
+#[derive(Debug)]
+pub struct Reply {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: Box<HeaderMap>,
+    pub(crate) body: Content,
+}
+
+/// What produces the parts of a stream while the connection writes them.
+pub(crate) type Producer = Pin<Box<dyn Future<Output = ()>>>;
+
+pub(crate) enum Content {
+    Whole(Bytes),
+    Stream(bounded::Rx<Part>, Option<Producer>),
+    Cut,
+}
+
+impl std::fmt::Debug for Content {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Whole(body) => write!(f, "Whole({} bytes)", body.len()),
+            Self::Stream(..) => f.write_str("Stream"),
+            Self::Cut => f.write_str("Cut"),
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct Failure<'a> {
+    error: &'a str,
+    detail: &'a str,
+}
+
+impl Reply {
+    /// Returns a reply with `body` as it is.
+    pub fn new(status: StatusCode, body: impl Into<Bytes>) -> Self {
+        Self {
+            status,
+            headers: Box::default(),
+            body: Content::Whole(body.into()),
+        }
+    }
+
+    /// Returns a reply with `value` as JSON.
+    pub fn json<T: Serialize + ?Sized>(status: StatusCode, value: &T) -> Self {
+        match serde_json::to_vec(value) {
+            Ok(body) => Self::new(status, body).header("content-type", "application/json"),
+            Err(_) => Self::new(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
+        }
+    }
+
+    /// Returns an error as JSON: a stable code and a sentence.
+    pub fn error(status: StatusCode, error: &str, detail: &str) -> Self {
+        Self::json(status, &Failure { error, detail })
+    }
+
+    /// Returns a streamed reply and the end to feed it through.
+    ///
+    /// A stream whose sender is dropped before [`Part::End`] is cut, so that
+    /// the caller sees an incomplete body.
+    pub fn stream(status: StatusCode) -> (Self, Sender) {
+        let (sender, receiver) = bounded::channel(STREAM_DEPTH);
+        let reply = Self {
+            status,
+            headers: Box::default(),
+            body: Content::Stream(receiver, None),
+        };
+        (reply, sender)
+    }
+
+    /// Returns a streamed reply that `produce` feeds.
+    ///
+    /// The connection runs the producer itself, and drops it as soon as the
+    /// caller is gone, whatever it waits for.
+    pub fn produced<F>(status: StatusCode, produce: impl FnOnce(Sender) -> F) -> Self
+    where
+        F: Future<Output = ()> + 'static,
+    {
+        let (mut reply, sender) = Self::stream(status);
+        if let Content::Stream(_, producer) = &mut reply.body {
+            *producer = Some(Box::pin(produce(sender)));
+        }
+        reply
+    }
+
+    /// Returns a reply that closes the connection without an answer.
+    pub fn cut() -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            headers: Box::default(),
+            body: Content::Cut,
+        }
+    }
+
+    /// Sets one header; a value that HTTP cannot carry is left out.
+    pub fn header(mut self, name: &'static str, value: impl AsRef<str>) -> Self {
+        if let Ok(value) = HeaderValue::from_str(value.as_ref()) {
+            self.headers.insert(name, value);
+        }
+        self
+    }
+
+    /// Returns the headers, to change them.
+    pub fn headers_mut(&mut self) -> &mut HeaderMap {
+        &mut self.headers
+    }
+
+    /// Returns the status code.
+    pub fn status(&self) -> StatusCode {
+        self.status
+    }
+}
--- /dev/null
+++ b/crates/link/src/http/session.rs
@@ -0,0 +1,380 @@
+//! One caller's connection: requests read, answered and written in turn.
+//!
+//! The next head is read while a request is answered. So the close of the
+//! connection is noticed at once, and the handler is dropped.
+
+use std::{
+    cell::RefCell,
+    future::{Future, poll_fn},
+    net::SocketAddr,
+    pin::{Pin, pin},
+    rc::Rc,
+    task::Poll,
+    time::Duration,
+};
+
+use http::{HeaderMap, HeaderValue, Method, StatusCode, Version, header};
+use local_sync::mpsc::bounded;
+use monoio::{
+    io::{
+        AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf, Splitable,
+        stream::Stream,
+    },
+    net::TcpStream,
+};
+use monoio_http::h1::{codec::decoder::RequestDecoder, payload::Payload};
+
+use super::{
+    chunk,
+    drain::{Count, Drain},
+    guard::{Budget, Guard, Trip},
+    intake,
+    limits::Limits,
+    reply::{Content, Part, Producer, Reply},
+    server::Request,
+};
+
+pub(crate) type Decoder = RequestDecoder<Guard<OwnedReadHalf<TcpStream>>>;
+pub(crate) type Head = http::Request<Payload>;
+pub(crate) type Writer = OwnedWriteHalf<TcpStream>;
+
+/// What the decoder yields; its errors are told apart by the [`Budget`].
+type Read = Option<Result<Head, ()>>;
+
+/// What became of reading a head.
+enum Next {
+    Head(Box<Head>),
+    /// The head breaks a limit or the protocol.
+    Bad,
+    /// The caller closed, or the server ends.
+    Closed,
+}
+
+/// How a connection ends.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// Nothing more is owed to the caller.
+    Close,
+    /// An answer went out that a reset could destroy.
+    Linger,
+}
+
+/// What is left of a connection whose unread bytes are to be discarded.
+pub(crate) struct Tail(Option<OwnedReadHalf<TcpStream>>);
+
+struct Session<'a> {
+    peer: SocketAddr,
+    limits: Limits,
+    drain: &'a Drain,
+    budget: Budget,
+}
+
+/// Answers every request on `stream`.
+pub(crate) async fn run<H, F>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    limits: Limits,
+    drain: &Drain,
+    handler: Rc<H>,
+) -> Tail
+where
+    H: Fn(Request) -> F,
+    F: Future<Output = Reply>,
+{
+    let (read, mut writer) = stream.into_split();
+    let tail = OwnedReadHalf(read.0.clone());
+    let session = Session {
+        peer,
+        limits,
+        drain,
+        budget: Budget::default(),
+    };
+    let mut decoder = Decoder::new(Guard::new(read, session.budget.clone()));
+    let end = session.answer(&mut decoder, &mut writer, &*handler).await;
+    // A peer that is gone cannot be told.
+    let _ = writer.shutdown().await;
+    Tail((end == End::Linger).then_some(tail))
+}
+
+/// Bytes and time for what a caller still sends after its last answer. A
+/// close with unread bytes resets the connection, and a reset can destroy the
+/// answer before the caller reads it.
+const DISCARD_BYTES: usize = 8 * 1024 * 1024;
+const DISCARD_TIME: Duration = Duration::from_secs(2);
+const DISCARD_BUFFER: usize = 16 * 1024;
+
+/// Reads and discards what still comes in, within bounds.
+pub(crate) async fn discard(tail: Tail) {
+    let Some(mut read) = tail.0 else {
+        return;
+    };
+    let rest = async {
+        let mut buffer = vec![0; DISCARD_BUFFER];
+        let mut left = DISCARD_BYTES;
+        while left > 0 {
+            let (result, back) = read.read(buffer).await;
+            match result {
+                Ok(0) | Err(_) => return,
+                Ok(count) => left = left.saturating_sub(count),
+            }
+            buffer = back;
+        }
+    };
+    // After the time allowed, the close may reset the connection.
+    let _ = monoio::time::timeout(DISCARD_TIME, rest).await;
+}
+
+async fn read_head(decoder: &mut Decoder) -> Read {
+    let read = decoder.next().await?;
+    Some(read.map_err(drop))
+}
+
+impl Session<'_> {
+    async fn answer<H, F>(&self, decoder: &mut Decoder, writer: &mut Writer, handler: &H) -> End
+    where
+        H: Fn(Request) -> F,
+        F: Future<Output = Reply>,
+    {
+        self.await_head();
+        let mut next = self.next(pin!(read_head(decoder)), true).await;
+        loop {
+            let head = match next {
+                Next::Head(head) => *head,
+                Next::Bad => return self.refuse(writer, refuse_head(&self.budget), false).await,
+                Next::Closed => return End::Close,
+            };
+            let busy = Count::up(&self.drain.0.busy);
+            let is_head = head.method() == Method::HEAD;
+            let keep = keeps_alive(head.version(), head.headers());
+            let request =
+                intake::read(decoder, head, self.peer, &self.budget, &self.limits, writer);
+            let request = match request.await {
+                Ok(request) => request,
+                Err(reply) => return self.refuse(writer, reply, is_head).await,
+            };
+            self.await_head();
+            let mut reading = pin!(read_head(decoder));
+            let ahead = Ahead::new(reading.as_mut(), &self.budget);
+            let Some(reply) = ahead.during(handler(request)).await else {
+                return End::Close;
+            };
+            let close = !keep || self.drain.is_leaving();
+            let written = ahead.during(self.write(writer, reply, close, is_head));
+            match written.await {
+                Some(true) if close => return End::Linger,
+                Some(true) => {}
+                _ => return End::Close,
+            }
+            drop(busy);
+            next = match ahead.into_parts() {
+                (_, Some(early)) => early,
+                (reading, None) => self.next(reading, false).await,
+            };
+        }
+    }
+
+    /// Allows one head, with a time limit from its first byte on.
+    fn await_head(&self) {
+        self.budget
+            .allow_head(self.limits.head_bytes, self.limits.head_time);
+    }
+
+    /// Waits for a head while the connection is idle.
+    ///
+    /// A draining server still answers the first request of a connection, and
+    /// one whose first byte is in.
+    async fn next<R>(&self, mut reading: Pin<&mut R>, is_first: bool) -> Next
+    where
+        R: Future<Output = Read>,
+    {
+        if !self.drain.is_closing() {
+            let idle = monoio::time::timeout(self.limits.idle_time, async {
+                monoio::select! {
+                    read = reading.as_mut() => Some(read),
+                    () = self.drain.closed() => None,
+                }
+            });
+            match idle.await {
+                Ok(Some(read)) => return judge(read, &self.budget),
+                Err(_) if self.budget.seen() == 0 => return Next::Closed,
+                Ok(None) | Err(_) => {}
+            }
+        }
+        if self.drain.is_closing() && self.budget.seen() == 0 {
+            let grace = if is_first { FIRST_GRACE } else { IDLE_GRACE };
+            match monoio::time::timeout(grace, reading.as_mut()).await {
+                Ok(read) => return judge(read, &self.budget),
+                Err(_) if self.budget.seen() == 0 => return Next::Closed,
+                Err(_) => {}
+            }
+        }
+        judge(reading.await, &self.budget)
+    }
+
+    /// Writes a last answer.
+    async fn refuse(&self, writer: &mut Writer, reply: Reply, is_head: bool) -> End {
+        // The connection ends either way.
+        let _ = self.write(writer, reply, true, is_head).await;
+        End::Linger
+    }
+
+    /// Writes `reply` and returns whether all of it went out.
+    async fn write(
+        &self,
+        writer: &mut Writer,
+        mut reply: Reply,
+        close: bool,
+        is_head: bool,
+    ) -> bool {
+        if close {
+            reply
+                .headers
+                .insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        match reply.body {
+            Content::Whole(body) => {
+                let mut out = chunk::head(reply.status, &reply.headers, Some(body.len()));
+                if !is_head {
+                    out.extend_from_slice(&body);
+                }
+                self.put(writer, out).await
+            }
+            Content::Stream(receiver, producer) => {
+                let out = chunk::head(reply.status, &reply.headers, None);
+                self.put(writer, out).await
+                    && (is_head || alongside(producer, self.write_stream(writer, receiver)).await)
+            }
+            Content::Cut => false,
+        }
+    }
+
+    async fn write_stream(&self, writer: &mut Writer, mut receiver: bounded::Rx<Part>) -> bool {
+        loop {
+            match receiver.recv().await {
+                Some(Part::Data(data)) if data.is_empty() => {}
+                Some(Part::Data(data)) => {
+                    if !self.put(writer, chunk::frame(&data)).await {
+                        return false;
+                    }
+                }
+                Some(Part::End) => return self.put(writer, chunk::END.to_vec()).await,
+                None => return false,
+            }
+        }
+    }
+
+    async fn put(&self, writer: &mut Writer, out: Vec<u8>) -> bool {
+        let written = monoio::time::timeout(self.limits.write_time, writer.write_all(out));
+        matches!(written.await, Ok((Ok(_), _)))
+    }
+}
+
+/// How long a closing server waits for the first byte on a new connection,
+/// and on one that was idle.
+const FIRST_GRACE: Duration = Duration::from_millis(250);
+const IDLE_GRACE: Duration = Duration::from_millis(5);
+
+/// The read of the next head, polled while something else is done.
+struct Ahead<'a, R> {
+    reading: RefCell<Pin<&'a mut R>>,
+    early: RefCell<Option<Next>>,
+    budget: &'a Budget,
+}
+
+impl<'a, R: Future<Output = Read>> Ahead<'a, R> {
+    fn new(reading: Pin<&'a mut R>, budget: &'a Budget) -> Self {
+        Self {
+            reading: RefCell::new(reading),
+            early: RefCell::default(),
+            budget,
+        }
+    }
+
+    /// Runs `work` to its end; `None` when the caller closes before.
+    async fn during<W: Future>(&self, work: W) -> Option<W::Output> {
+        let mut work = pin!(work);
+        poll_fn(|cx| {
+            if let Poll::Ready(done) = work.as_mut().poll(cx) {
+                return Poll::Ready(Some(done));
+            }
+            let mut early = self.early.borrow_mut();
+            if early.is_some() {
+                return Poll::Pending;
+            }
+            match self.reading.borrow_mut().as_mut().poll(cx) {
+                Poll::Pending => Poll::Pending,
+                Poll::Ready(read) => match judge(read, self.budget) {
+                    Next::Closed => Poll::Ready(None),
+                    next => {
+                        *early = Some(next);
+                        Poll::Pending
+                    }
+                },
+            }
+        })
+        .await
+    }
+
+    /// Returns the read, and its outcome if it has ended.
+    fn into_parts(self) -> (Pin<&'a mut R>, Option<Next>) {
+        (self.reading.into_inner(), self.early.into_inner())
+    }
+}
+
+/// Runs `producer` for as long as `consumer` has not ended.
+async fn alongside<C: Future>(mut producer: Option<Producer>, consumer: C) -> C::Output {
+    let mut consumer = pin!(consumer);
+    poll_fn(|cx| {
+        if let Some(running) = &mut producer
+            && running.as_mut().poll(cx).is_ready()
+        {
+            producer = None;
+        }
+        consumer.as_mut().poll(cx)
+    })
+    .await
+}
+
+fn judge(read: Read, budget: &Budget) -> Next {
+    match read {
+        None => Next::Closed,
+        Some(Ok(head)) => Next::Head(Box::new(head)),
+        Some(Err(())) if budget.trip().is_none() && budget.seen() == 0 => Next::Closed,
+        Some(Err(())) => Next::Bad,
+    }
+}
+
+fn refuse_head(budget: &Budget) -> Reply {
+    let (status, error, detail) = match budget.trip() {
+        Some(Trip::Bytes) => (
+            StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            "head-too-large",
+            "the request head is over the limit",
+        ),
+        Some(Trip::Time) => (
+            StatusCode::REQUEST_TIMEOUT,
+            "head-too-slow",
+            "the request head did not arrive in time",
+        ),
+        None => (
+            StatusCode::BAD_REQUEST,
+            "bad-head",
+            "the request head cannot be read",
+        ),
+    };
+    Reply::error(status, error, detail)
+}
+
+fn keeps_alive(version: Version, headers: &HeaderMap) -> bool {
+    let says = |word: &str| {
+        let values = headers.get_all(header::CONNECTION).iter();
+        let mut words = values
+            .filter_map(|v| v.to_str().ok())
+            .flat_map(|v| v.split(','));
+        words.any(|found| found.trim().eq_ignore_ascii_case(word))
+    };
+    match version {
+        Version::HTTP_10 => says("keep-alive"),
+        _ => !says("close"),
+    }
+}
