--- /dev/null
+++ b/crates/cli/tests/callers/framing.rs
@@ -0,0 +1,227 @@
+//! Broken and hostile requests: a 4xx with a JSON body, or a clean close.
+
+use std::time::Duration;
+
+use super::{
+    raw::{self, Raw},
+    world::{self, World, plan},
+};
+
+const OVER_BODY: usize = 3 * 1024 * 1024;
+const ENDLESS: usize = 64 * 1024 * 1024;
+/// What one hostile connection may add to the daemon's memory, in KiB.
+const GROWTH_KIB: u64 = 8 * 1024;
+
+/// Requests, and the status of their answer.
+fn rows(key: &str) -> Vec<(&'static str, Vec<u8>, u16)> {
+    let model = "/v1/models/tasting-notes/generate";
+    let with = |head: &str, body: &str| {
+        format!("{head}\r\nhost: e\r\nauthorization: Bearer {key}\r\n{body}").into_bytes()
+    };
+    let post = |rest: &str| with(&format!("POST {model} HTTP/1.1"), rest);
+    let get = |rest: &str| with("GET /entries/1 HTTP/1.1", rest);
+    let name = "n".repeat(70_000);
+    let many = (0..97).fold(String::new(), |all, n| format!("{all}h{n}: 1\r\n"));
+    let chunk = "transfer-encoding: chunked\r\n\r\n";
+    vec![
+        (
+            "name of 70,000 bytes",
+            get(&format!("{name}: 1\r\n\r\n")),
+            431,
+        ),
+        ("97 more headers", get(&format!("{many}\r\n")), 400),
+        (
+            "length and chunked",
+            post("content-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n"),
+            400,
+        ),
+        (
+            "two lengths",
+            post("content-length: 3\r\ncontent-length: 5\r\n\r\n12345"),
+            400,
+        ),
+        ("signed length", post("content-length: +3\r\n\r\n123"), 400),
+        (
+            "other coding",
+            post("transfer-encoding: gzip, chunked\r\n\r\n0\r\n\r\n"),
+            400,
+        ),
+        (
+            "trailers",
+            post(&format!("{chunk}2\r\n{{}}\r\n0\r\nx: 1\r\n\r\n")),
+            400,
+        ),
+        (
+            "chunk size overflow",
+            post(&format!("{chunk}fffffffffffffffff\r\n")),
+            400,
+        ),
+        (
+            "chunk size of 2^64 - 1",
+            post(&format!("{chunk}ffffffffffffffff\r\n")),
+            400,
+        ),
+        ("no chunk size", post(&format!("{chunk}zz\r\n")), 400),
+        (
+            "space in the target",
+            with("GET /a b HTTP/1.1", "\r\n"),
+            400,
+        ),
+        ("no HTTP", b"\x16\x03\x01\x02\x00\x01\r\n\r\n".to_vec(), 400),
+        (
+            "malformed JSON",
+            post("content-length: 4\r\n\r\n{\"a\""),
+            400,
+        ),
+        (
+            "JSON of another shape",
+            post("content-length: 2\r\n\r\n[]"),
+            400,
+        ),
+        ("unknown path", with("GET /nowhere HTTP/1.1", "\r\n"), 404),
+        (
+            "unknown call",
+            with("GET /v1/nowhere HTTP/1.1", "\r\n"),
+            404,
+        ),
+        (
+            "unknown model",
+            with(
+                "POST /v1/models/x/generate HTTP/1.1",
+                "content-length: 2\r\n\r\n{}",
+            ),
+            404,
+        ),
+        (
+            "wrong method",
+            with(&format!("GET {model} HTTP/1.1"), "\r\n"),
+            404,
+        ),
+    ]
+}
+
+#[test]
+fn request_malformed() {
+    let mut world = World::start(&plan(1, 1));
+    for (what, bytes, status) in rows(&world.key) {
+        let answer = raw::ask(world.entry(), &bytes).unwrap_or_else(|| panic!("{what}: no answer"));
+        assert_eq!(answer.status, status, "{what}: {}", answer.text());
+        assert!(answer.json()["error"].is_string(), "{what}");
+    }
+    world.assert_well();
+}
+
+#[test]
+fn request_body_too_large() {
+    let mut world = World::start(&plan(1, 1));
+    let whole = world::request("POST", "/submissions", &world.key, &"x".repeat(OVER_BODY));
+    let chunked = format!(
+        "POST /submissions HTTP/1.1\r\nhost: e\r\nauthorization: Bearer {}\r\n\
+         transfer-encoding: chunked\r\n\r\n{OVER_BODY:x}\r\n{}\r\n0\r\n\r\n",
+        world.key,
+        "x".repeat(OVER_BODY)
+    );
+    for bytes in [whole, chunked] {
+        let mut raw = Raw::open(world.entry());
+        let length = bytes.len();
+        let sent = raw.pour(bytes.into_bytes());
+        // The caller sends all first, as simple clients do.
+        assert_eq!(sent.join().unwrap(), length, "the connection broke");
+        let answer = raw.answer().expect("an answer");
+        assert_eq!(answer.status, 413);
+        assert_eq!(answer.json()["error"], "body-too-large");
+    }
+    assert!(world.log(false).is_empty());
+    world.assert_well();
+}
+
+#[test]
+fn request_head_endless() {
+    let mut world = World::start(&plan(1, 1));
+    let before = world.resident();
+    let mut raw = Raw::open(world.entry());
+    let mut bytes = b"GET /entries/1 HTTP/1.1\r\nx: ".to_vec();
+    bytes.resize(ENDLESS, b'x');
+    let sent = raw.pour(bytes);
+    let answer = raw.answer().expect("an answer");
+    assert_eq!(answer.status, 431);
+    assert!(sent.join().unwrap() < ENDLESS, "all of it was read");
+    let grown = world.resident().saturating_sub(before);
+    assert!(grown < GROWTH_KIB, "grew by {grown} KiB");
+    world.assert_well();
+}
+
+#[test]
+fn request_head_slow() {
+    let mut world = World::start(&plan(1, 1));
+    let mut raw = Raw::open(world.entry());
+    raw.send(b"GET /entries/1 HTTP/1.1\r\n");
+    std::thread::sleep(Duration::from_secs(1));
+    raw.send(b"host: e\r\n");
+    let answer = raw.answer().expect("an answer");
+    assert_eq!(answer.status, 408);
+    let body = format!(
+        "POST /submissions HTTP/1.1\r\nauthorization: Bearer {}\r\n",
+        world.key
+    );
+    let mut raw = Raw::open(world.entry());
+    raw.send(format!("{body}content-length: 10\r\n\r\n12345").as_bytes());
+    let answer = raw.answer().expect("an answer");
+    assert_eq!(answer.status, 408);
+    assert!(world.log(false).is_empty());
+    world.assert_well();
+}
+
+#[test]
+fn request_pipelined() {
+    let world = World::start(&plan(1, 1));
+    let mut raw = Raw::open(world.entry());
+    let one = |n: u32| format!("GET /entries/{n} HTTP/1.1\r\nhost: e\r\n\r\n");
+    let post = world::request("POST", "/submissions/4", &world.key, "{}");
+    let all = format!("{}{}{}{post}{}", one(1), one(2), one(3), one(5));
+    raw.send(all.as_bytes());
+    for path in [
+        "/entries/1",
+        "/entries/2",
+        "/entries/3",
+        "/submissions/4",
+        "/entries/5",
+    ] {
+        let answer = raw.answer().expect("an answer");
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        assert_eq!(answer.json()["path"], path);
+    }
+}
+
+#[test]
+fn request_versions_and_expect() {
+    let world = World::start(&plan(1, 1));
+    let mut old = Raw::open(world.entry());
+    old.send(b"GET /entries/1 HTTP/1.0\r\n\r\n");
+    assert_eq!(old.answer().unwrap().status, 200);
+    assert!(old.is_closed());
+    let mut head = Raw::open(world.entry());
+    head.send(b"HEAD /entries/1 HTTP/1.1\r\nhost: e\r\nconnection: close\r\n\r\n");
+    assert!(head.head().starts_with("HTTP/1.1 200"));
+    assert!(head.is_closed());
+    let mut raw = Raw::open(world.entry());
+    let asks = format!(
+        "POST /submissions HTTP/1.1\r\nauthorization: Bearer {}\r\nexpect: 100-continue\r\n\
+         content-length: 2\r\n\r\n",
+        world.key
+    );
+    raw.send(asks.as_bytes());
+    assert!(raw.head().starts_with("HTTP/1.1 100"));
+    raw.send(b"{}");
+    assert_eq!(raw.answer().unwrap().status, 200);
+}
+
+#[test]
+fn connection_reused_after_error() {
+    let world = World::start(&plan(1, 1));
+    let mut raw = Raw::open(world.entry());
+    raw.send(b"GET /nowhere HTTP/1.1\r\n\r\n");
+    assert_eq!(raw.answer().unwrap().status, 404);
+    raw.send(b"GET /entries/1 HTTP/1.1\r\n\r\n");
+    assert_eq!(raw.answer().unwrap().status, 200);
+}
--- /dev/null
+++ b/crates/cli/tests/callers/main.rs
@@ -0,0 +1,11 @@
+//! What callers see of a running entry daemon, from the socket up.
+
+mod account;
+mod answer;
+mod fault;
+mod framing;
+mod gone;
+mod raw;
+mod service;
+mod shutdown;
+mod world;
--- /dev/null
+++ b/crates/cli/tests/callers/raw.rs
@@ -0,0 +1,190 @@
+//! A caller that speaks bytes, so that it can break each rule of HTTP.
+
+use std::{
+    io::{ErrorKind, Read, Write},
+    net::{SocketAddr, TcpStream},
+    thread,
+    time::Duration,
+};
+
+use serde_json::Value;
+
+/// Longer than any limit of the daemon, so that a hang fails the test.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// One answer, and how the connection ended after it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) head: String,
+    pub(crate) body: Vec<u8>,
+}
+
+impl Answer {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        let lines = self.head.lines().filter_map(|line| line.split_once(": "));
+        let mut found = lines.filter(|(key, _)| key.eq_ignore_ascii_case(name));
+        found.next().map(|(_, value)| value)
+    }
+
+    pub(crate) fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    pub(crate) fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or_else(|e| panic!("{e}: {}", self.text()))
+    }
+
+    /// Returns the events of a streamed body.
+    pub(crate) fn events(&self) -> Vec<Value> {
+        let text = self.text();
+        let lines = text.lines().filter_map(|line| line.strip_prefix("data: "));
+        lines
+            .filter_map(|line| serde_json::from_str(line).ok())
+            .collect()
+    }
+}
+
+/// One connection.
+pub(crate) struct Raw {
+    stream: TcpStream,
+    pending: Vec<u8>,
+}
+
+impl Raw {
+    pub(crate) fn open(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.set_write_timeout(Some(PATIENCE)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        Self {
+            stream,
+            pending: Vec::new(),
+        }
+    }
+
+    pub(crate) fn send(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+
+    /// Sends `bytes` from a thread of its own, whether or not they are taken.
+    pub(crate) fn pour(&self, bytes: Vec<u8>) -> thread::JoinHandle<usize> {
+        let mut stream = self.stream.try_clone().unwrap();
+        thread::spawn(move || {
+            let mut sent = 0;
+            for part in bytes.chunks(64 * 1024) {
+                if stream.write_all(part).is_err() {
+                    break;
+                }
+                sent += part.len();
+            }
+            sent
+        })
+    }
+
+    /// Reads one answer; `None` when the connection closes before its head.
+    pub(crate) fn answer(&mut self) -> Option<Answer> {
+        let end = loop {
+            if let Some(at) = find(&self.pending, b"\r\n\r\n") {
+                break at + 4;
+            }
+            if !self.fill() {
+                return None;
+            }
+        };
+        let head: Vec<u8> = self.pending.drain(..end).collect();
+        let head = String::from_utf8(head).unwrap();
+        let status = head.split(' ').nth(1).unwrap().parse().unwrap();
+        let mut answer = Answer {
+            status,
+            head,
+            body: Vec::new(),
+        };
+        answer.body = match answer.header("content-length") {
+            Some(length) => self.take(length.parse().unwrap())?,
+            None => self.chunks()?,
+        };
+        Some(answer)
+    }
+
+    /// Reads the head of a streamed answer and leaves its body.
+    pub(crate) fn head(&mut self) -> String {
+        loop {
+            if let Some(at) = find(&self.pending, b"\r\n\r\n") {
+                let head: Vec<u8> = self.pending.drain(..at + 4).collect();
+                return String::from_utf8(head).unwrap();
+            }
+            assert!(self.fill(), "closed before the head");
+        }
+    }
+
+    /// Reads until `needle` came in.
+    pub(crate) fn until(&mut self, needle: &str) {
+        while find(&self.pending, needle.as_bytes()).is_none() {
+            assert!(self.fill(), "closed before {needle:?}");
+        }
+    }
+
+    /// Reads a chunked body; `None` when it ends short.
+    pub(crate) fn chunks(&mut self) -> Option<Vec<u8>> {
+        let mut body = Vec::new();
+        loop {
+            let line = loop {
+                match find(&self.pending, b"\r\n") {
+                    Some(at) => break self.take(at + 2)?,
+                    None if self.fill() => {}
+                    None => return None,
+                }
+            };
+            let text = std::str::from_utf8(&line).unwrap().trim();
+            let size = usize::from_str_radix(text, 16).unwrap();
+            let data = self.take(size + 2)?;
+            if size == 0 {
+                return Some(body);
+            }
+            body.extend_from_slice(&data[..size]);
+        }
+    }
+
+    /// Returns whether the connection ends, and not by a reset.
+    pub(crate) fn is_closed(&mut self) -> bool {
+        while self.fill() {}
+        true
+    }
+
+    fn take(&mut self, count: usize) -> Option<Vec<u8>> {
+        while self.pending.len() < count {
+            if !self.fill() {
+                return None;
+            }
+        }
+        Some(self.pending.drain(..count).collect())
+    }
+
+    /// Reads once; false at the end of the connection.
+    fn fill(&mut self) -> bool {
+        let mut buffer = [0; 16 * 1024];
+        match self.stream.read(&mut buffer) {
+            Ok(0) => false,
+            Ok(count) => {
+                self.pending.extend_from_slice(&buffer[..count]);
+                true
+            }
+            Err(e) if e.kind() == ErrorKind::ConnectionReset => false,
+            Err(e) => panic!("{e}"),
+        }
+    }
+}
+
+fn find(haystack: &[u8], needle: &[u8]) -> Option<usize> {
+    haystack
+        .windows(needle.len())
+        .position(|part| part == needle)
+}
+
+/// Sends one request on a connection of its own and reads the answer.
+pub(crate) fn ask(address: SocketAddr, request: &[u8]) -> Option<Answer> {
+    let mut raw = Raw::open(address);
+    raw.send(request);
+    raw.answer()
+}
--- a/crates/entry/src/auth.rs
+++ b/crates/entry/src/auth.rs
@@ -1,6 +1,6 @@
 //! Which client account a request acts for.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use board::{Board, key::Digest};
 use link::{StatusCode, http::Request};
@@ -35,7 +35,9 @@
     let refuse = |code, detail| Failure::rejected(StatusCode::UNAUTHORIZED, code, detail);
     let secret = request
         .header("authorization")
-        .and_then(|value| value.strip_prefix("Bearer "))
+        .and_then(|value| value.split_once(' '))
+        .filter(|(scheme, _)| scheme.eq_ignore_ascii_case("bearer"))
+        .map(|(_, secret)| secret)
         .ok_or_else(|| refuse("no-key", "send the key as 'authorization: Bearer KEY'"))?;
     let digest = Digest::of(secret.trim());
     let board = vm.board.borrow();
@@ -50,6 +52,81 @@
     }
 }
 
+/// Waits until a key that was good no longer is.
+///
+/// It looks at the board, so that a request that waits for a silent endpoint
+/// ends too.
+pub(crate) async fn withdrawal(vm: &Vm, digest: &Digest) {
+    while is_good(&vm.board.borrow(), digest) {
+        monoio::time::sleep(WITHDRAWAL_POLL).await;
+    }
+}
+
+const WITHDRAWAL_POLL: Duration = Duration::from_millis(200);
+
+/// The form of the keys that are issued: this, then hexadecimal digits.
+const KEY_PREFIX: &[u8] = b"ts-";
+const KEY_DIGITS: usize = 48;
+
+/// Refuses a request that carries a key where an endpoint would see it.
+///
+/// # Errors
+///
+/// 400 for a key in the path, the query, the body or another header.
+pub(crate) fn check_places(request: &Request) -> Result<(), Failure> {
+    let target = request.uri.path_and_query();
+    let target = decode(target.map_or("", |target| target.as_str()));
+    let elsewhere = request
+        .headers
+        .iter()
+        .filter(|(name, _)| *name != "authorization");
+    let is_seen = has_key(&target)
+        || has_key(&request.body)
+        || elsewhere
+            .into_iter()
+            .any(|(_, value)| has_key(value.as_bytes()));
+    if !is_seen {
+        return Ok(());
+    }
+    let detail = "a key belongs into the authorization header alone";
+    Err(Failure::rejected(
+        StatusCode::BAD_REQUEST,
+        "key-misplaced",
+        detail,
+    ))
+}
+
+fn has_key(text: &[u8]) -> bool {
+    let whole = KEY_PREFIX.len() + KEY_DIGITS;
+    let is_key = |part: &[u8]| {
+        part.starts_with(KEY_PREFIX) && part[KEY_PREFIX.len()..].iter().all(u8::is_ascii_hexdigit)
+    };
+    text.windows(whole).any(is_key)
+}
+
+/// Replaces the escapes of a target by the bytes that they stand for.
+fn decode(target: &str) -> Vec<u8> {
+    let bytes = target.as_bytes();
+    let mut out = Vec::with_capacity(bytes.len());
+    let mut at = 0;
+    while at < bytes.len() {
+        let escape = (bytes[at] == b'%')
+            .then(|| target.get(at + 1..at + 3))
+            .flatten();
+        match escape.and_then(|digits| u8::from_str_radix(digits, 16).ok()) {
+            Some(byte) => {
+                out.push(byte);
+                at += 3;
+            }
+            None => {
+                out.push(bytes[at]);
+                at += 1;
+            }
+        }
+    }
+    out
+}
+
 /// Returns whether a key that was good still is.
 pub(crate) fn is_good(board: &Board, digest: &Digest) -> bool {
     board.keys.get(digest).is_some_and(|grant| !grant.withdrawn)
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -1,6 +1,6 @@
 //! One attempt on a model engine: its stream, checked token by token.
 
-use std::time::Duration;
+use std::{net::SocketAddr, pin::pin, time::Duration};
 
 use link::{
     HeaderMap, StatusCode,
@@ -9,7 +9,10 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::slot::Slot;
+use crate::{
+    patience::{PROBE_AFTER, PROBE_TIME, Patience},
+    slot::Slot,
+};
 
 /// What an engine is asked for.
 #[derive(Clone, Debug, Serialize)]
@@ -65,9 +68,18 @@
     /// The exchange failed.
     #[error("{0}")]
     Http(#[from] Error),
-    /// The engine refused and did not run it.
+    /// The engine refused it and says that it did not run.
     #[error("engine refused with {0}")]
     Refused(StatusCode),
+    /// The engine answered with an error that says nothing of the sort.
+    #[error("engine failed with {0}")]
+    Failed(StatusCode),
+    /// The stream went silent.
+    #[error("engine went silent")]
+    Silent,
+    /// The time of the whole request is over.
+    #[error("out of time")]
+    Late,
     /// The engine answered another request.
     #[error("answer to another request")]
     Foreign,
@@ -83,23 +95,44 @@
 }
 
 impl Fault {
-    /// Returns whether no byte of the request can have reached the engine.
-    pub(crate) fn is_unsent(&self) -> bool {
-        matches!(self, Self::Http(e) if e.is_unsent())
+    /// Returns whether the request cannot have run: no byte of it reached the
+    /// engine, or the engine itself says so.
+    pub(crate) fn is_not_run(&self) -> bool {
+        match self {
+            Self::Http(e) => e.is_unsent(),
+            Self::Refused(_) => true,
+            _ => false,
+        }
+    }
+
+    /// Returns whether the engine, or what lies between, stopped to speak.
+    pub(crate) fn is_silent(&self) -> bool {
+        match self {
+            Self::Http(e) => e.kind() == Kind::Timeout,
+            Self::Silent => true,
+            _ => false,
+        }
     }
 }
 
 /// An open stream.
+///
+/// A stream that is dropped before its end mark is cancelled at the engine, so
+/// that the engine's slot is free even when the close of the connection gets
+/// lost.
 pub(crate) struct Stream {
     response: Response,
     splitter: Splitter,
-    request_id: String,
     next_index: u32,
-    patience: Duration,
+    patience: Patience,
+    has_begun: bool,
+    is_done: bool,
+    pool: Pool,
+    address: SocketAddr,
+    request_id: String,
 }
 
-const FIRST_BYTE_TIME: Duration = Duration::from_secs(5);
-const TOKEN_TIME: Duration = Duration::from_secs(5);
+const CANCEL_TIME: Duration = Duration::from_secs(1);
 const EVENT_MAX: usize = 64 * 1024;
 
 /// Sends `prompt` to the engine of `slot`.
@@ -113,30 +146,110 @@
     prompt: &Prompt<'_>,
     mut headers: HeaderMap,
     limit: Duration,
+    patience: Patience,
 ) -> Result<Stream, Fault> {
     let body = serde_json::to_vec(prompt).map_err(|_| Fault::Unreadable)?;
     headers.insert("content-type", link::header_value("application/json"));
-    headers.insert("x-request-id", link::header_value(prompt.request_id));
     let call = Call::post("/v1/generate", body)
         .headers(headers)
-        .deadline(limit.min(FIRST_BYTE_TIME));
-    let response = pool.send(slot.address, call).await?;
+        .identified(prompt.request_id)
+        .idempotent(true)
+        .connect_time(patience.connect)
+        .deadline(limit.min(patience.head));
+    let mut sent = Sent::new(pool, slot.address, prompt.request_id);
+    let response = match pool.send(slot.address, call).await {
+        Ok(response) => response,
+        Err(e) if e.is_unsent() => return Err(sent.settle(e.into())),
+        Err(e) if e.kind() == Kind::Foreign => return Err(Fault::Foreign),
+        Err(e) => return Err(e.into()),
+    };
     if response.status != StatusCode::OK {
-        return Err(Fault::Refused(response.status));
-    }
-    let echoed = response.headers.get("x-request-id");
-    if echoed.is_none_or(|id| id.as_bytes() != prompt.request_id.as_bytes()) {
-        return Err(Fault::Foreign);
+        return Err(sent.settle(refusal(&response)));
     }
+    sent.is_open = false;
     Ok(Stream {
         response,
         splitter: Splitter::default(),
-        request_id: prompt.request_id.to_string(),
         next_index: prompt.resume.len() as u32,
-        patience: TOKEN_TIME,
+        patience,
+        has_begun: false,
+        is_done: false,
+        pool: pool.clone(),
+        address: slot.address,
+        request_id: prompt.request_id.to_string(),
     })
 }
 
+/// A request that an engine may have begun; cancelled there when dropped.
+struct Sent<'a> {
+    pool: &'a Pool,
+    address: SocketAddr,
+    request_id: &'a str,
+    is_open: bool,
+}
+
+impl<'a> Sent<'a> {
+    fn new(pool: &'a Pool, address: SocketAddr, request_id: &'a str) -> Self {
+        Self {
+            pool,
+            address,
+            request_id,
+            is_open: true,
+        }
+    }
+
+    /// Notes that the engine does not run it.
+    fn settle(&mut self, fault: Fault) -> Fault {
+        self.is_open = false;
+        fault
+    }
+}
+
+impl Drop for Sent<'_> {
+    fn drop(&mut self) {
+        if self.is_open {
+            cancel(self.pool, self.address, self.request_id);
+        }
+    }
+}
+
+#[derive(Serialize)]
+struct Cancel<'a> {
+    request_id: &'a str,
+}
+
+/// Tells an engine, on a new connection, to end a request.
+fn cancel(pool: &Pool, address: SocketAddr, request_id: &str) {
+    let body = serde_json::to_vec(&Cancel { request_id }).unwrap_or_default();
+    let call = Call::post("/v1/cancel", body)
+        .header("content-type", "application/json")
+        .fresh()
+        .deadline(CANCEL_TIME);
+    let pool = pool.clone();
+    monoio::spawn(async move {
+        // An engine that cannot be told notices the closed connection.
+        let _ = pool.fetch(address, call).await;
+    });
+}
+
+/// Asks on a new connection whether the engine answers at all.
+pub(crate) async fn probe(pool: &Pool, address: SocketAddr) -> bool {
+    let call = Call::get("/v1/load").fresh().deadline(PROBE_TIME);
+    pool.fetch(address, call).await.is_ok()
+}
+
+/// Tells a refusal, which the interface promises to come before any work,
+/// from a failure. A status from something between may carry anything, so the
+/// engine's echo of the request id is not asked for: it is checked already.
+fn refusal(response: &Response) -> Fault {
+    let is_full = response.status == StatusCode::SERVICE_UNAVAILABLE
+        && response.headers.contains_key("retry-after");
+    match response.status {
+        status if is_full || status == StatusCode::NOT_FOUND => Fault::Refused(status),
+        status => Fault::Failed(status),
+    }
+}
+
 impl Stream {
     /// Returns the next event.
     ///
@@ -152,31 +265,59 @@
             if self.splitter.pending() > EVENT_MAX {
                 return Err(Fault::Unreadable);
             }
-            match self.response.next(self.patience).await {
+            match self.part().await? {
                 Some(part) => self.splitter.push(&part?),
-                None => return Err(link::http::Error::new(Kind::Incomplete, "no end mark").into()),
+                None => return Err(Error::new(Kind::Incomplete, "no end mark").into()),
+            }
+        }
+    }
+
+    async fn part(&mut self) -> Result<Option<Result<link::Bytes, Error>>, Fault> {
+        if self.has_begun {
+            return Ok(self.response.next(self.patience.token).await);
+        }
+        let mut part = pin!(self.response.next(self.patience.first_token));
+        loop {
+            match monoio::time::timeout(PROBE_AFTER, part.as_mut()).await {
+                Ok(part) => return Ok(part),
+                Err(_) if probe(&self.pool, self.address).await => {}
+                Err(_) => return Err(Fault::Silent),
             }
         }
     }
 
     /// Reads the end of the body, so that the connection can be used again.
+    /// Anything else that follows the end mark closes it.
     pub(crate) async fn close(mut self) {
-        while let Some(Ok(_)) = self.response.next(CLOSE_TIME).await {}
+        // Whatever comes, the answer is whole already.
+        let _ = self.response.next(CLOSE_TIME).await;
     }
 
     fn check(&mut self, data: &[u8]) -> Result<Event, Fault> {
         match serde_json::from_slice(data).map_err(|_| Fault::Unreadable)? {
             Wire::Token(token) if token.index == self.next_index => {
                 self.next_index += 1;
+                self.has_begun = true;
                 Ok(Event::Token(token))
             }
             Wire::Token(_) => Err(Fault::Order),
             Wire::Done(done) if done.request_id != self.request_id => Err(Fault::Foreign),
             Wire::Done(done) if done.tokens != self.next_index => Err(Fault::Order),
-            Wire::Done(done) => Ok(Event::Done(done)),
+            Wire::Done(done) => {
+                self.is_done = true;
+                Ok(Event::Done(done))
+            }
             Wire::Broken(broken) => Err(Fault::Engine(broken.error)),
         }
     }
 }
 
+impl Drop for Stream {
+    fn drop(&mut self) {
+        if !self.is_done {
+            cancel(&self.pool, self.address, &self.request_id);
+        }
+    }
+}
+
 const CLOSE_TIME: Duration = Duration::from_millis(200);
--- a/crates/entry/src/generate.rs
+++ b/crates/entry/src/generate.rs
@@ -129,17 +129,44 @@
     asked.map_or(declared, |asked| asked.min(declared))
 }
 
+/// What an account uses; billed however the request ends, also when its caller
+/// leaves and the request is dropped.
+struct Meter {
+    vm: Rc<Vm>,
+    task: Task,
+    output: Output,
+    result: &'static str,
+}
+
+impl Meter {
+    fn new(vm: &Rc<Vm>, task: Task) -> Self {
+        Self {
+            vm: vm.clone(),
+            task,
+            output: Output::default(),
+            result: "caller-left",
+        }
+    }
+}
+
+impl Drop for Meter {
+    fn drop(&mut self) {
+        bill(&self.vm, &self.task, &self.output);
+        self.vm.metrics.request("generate", self.result);
+    }
+}
+
 async fn whole(vm: &Rc<Vm>, task: Task, span: &telemetry::Span) -> Reply {
-    let mut output = Output::default();
-    let result = generation::run(vm, &task, &mut output, span, async |_| true).await;
-    bill(vm, &task, &output);
+    let mut meter = Meter::new(vm, task);
+    let Meter { task, output, .. } = &mut meter;
+    let result = generation::run(vm, task, output, span, async |_| true).await;
     match result {
         Ok(()) => {
-            vm.metrics.request("generate", "answered");
-            Reply::json(StatusCode::OK, &summary(&task, &output))
+            meter.result = "answered";
+            Reply::json(StatusCode::OK, &summary(&meter.task, &meter.output))
         }
         Err(failure) => {
-            vm.metrics.request("generate", failure.code);
+            meter.result = failure.code;
             failure.reply()
         }
     }
@@ -160,31 +187,30 @@
 }
 
 fn stream(vm: &Rc<Vm>, task: Task, span: &telemetry::Span) -> Reply {
-    let (reply, sender) = Reply::stream(StatusCode::OK);
-    let vm = vm.clone();
-    let span = span.clone();
-    monoio::spawn(async move { feed(vm, task, span, sender).await });
-    reply.header("content-type", "text/event-stream")
-}
-
-async fn feed(vm: Rc<Vm>, task: Task, span: telemetry::Span, sender: Sender) {
-    let mut output = Output::default();
-    let pass = async |token: &Token| send(&sender, piece(token)).await;
-    let result = generation::run(&vm, &task, &mut output, &span, pass).await;
-    bill(&vm, &task, &output);
-    match result {
+    let meter = Meter::new(vm, task);
+    let (vm, span) = (vm.clone(), span.clone());
+    let feed = |sender| async move { feed(&vm, meter, &span, &sender).await };
+    Reply::produced(StatusCode::OK, feed).header("content-type", "text/event-stream")
+}
+
+async fn feed(vm: &Rc<Vm>, mut meter: Meter, span: &telemetry::Span, sender: &Sender) {
+    let pass = async |token: &Token| send(sender, piece(token)).await;
+    let Meter { task, output, .. } = &mut meter;
+    let result = generation::run(vm, task, output, span, pass).await;
+    let last = match result {
         Ok(()) => {
-            vm.metrics.request("generate", "answered");
-            let last = serde_json::to_vec(&summary(&task, &output)).unwrap_or_default();
-            send(&sender, event::encode(&last)).await;
+            meter.result = "answered";
+            serde_json::to_vec(&summary(&meter.task, &meter.output)).unwrap_or_default()
         }
         Err(failure) => {
-            vm.metrics.request("generate", failure.code);
-            send(&sender, event::encode(&failure.json())).await;
+            meter.result = failure.code;
+            failure.json()
         }
-    }
+    };
+    drop(meter);
+    send(sender, event::encode(&last)).await;
     // The end mark of the body is sent in both cases: the last event says
-    // whether the answer is whole.
+    // whether the answer is whole. A caller that is gone misses nothing.
     let _ = sender.send(Part::End).await;
 }
 
--- a/crates/entry/src/generation.rs
+++ b/crates/entry/src/generation.rs
@@ -3,7 +3,7 @@
 //! A generation that loses its engine goes on elsewhere from the tokens so
 //! far, so that no token is lost or doubled.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 
 use board::{
     Time,
@@ -19,6 +19,7 @@
 use crate::{
     auth,
     engine::{self, Event, Fault, Prompt, Token},
+    patience::Patience,
     refusal::{Failure, Ran},
     slot::{self, Slot},
     vm::Vm,
@@ -51,7 +52,8 @@
 const ATTEMPTS_MAX: usize = 4;
 
 /// Runs `task` and hands each new token to `sink`, which returns whether to go
-/// on. `output` holds the tokens so far, also after a failure.
+/// on. `output` holds the tokens so far, also after a failure or when the
+/// future is dropped.
 ///
 /// # Errors
 ///
@@ -61,25 +63,46 @@
     task: &Task,
     output: &mut Output,
     span: &telemetry::Span,
+    sink: impl AsyncFnMut(&Token) -> bool,
+) -> Result<(), Failure> {
+    let ran = Cell::new(Ran::NotRun);
+    let work = attempts(vm, task, output, span, &ran, sink);
+    let Some(digest) = &task.digest else {
+        return work.await;
+    };
+    monoio::select! {
+        result = work => result,
+        () = auth::withdrawal(vm, digest) => Err(Failure::withdrawn(ran.get())),
+    }
+}
+
+async fn attempts(
+    vm: &Rc<Vm>,
+    task: &Task,
+    output: &mut Output,
+    span: &telemetry::Span,
+    ran: &Cell<Ran>,
     mut sink: impl AsyncFnMut(&Token) -> bool,
 ) -> Result<(), Failure> {
     let mut avoid = Vec::new();
-    let mut ran = Ran::NotRun;
     let mut last = String::new();
-    for _ in 0..ATTEMPTS_MAX {
+    for number in 0..ATTEMPTS_MAX {
+        slot::forgive(vm, &task.model, &mut avoid);
         let queue = span.child("queue");
         let slot = slot::acquire(vm, ticket(vm, task, &avoid)).await;
         drop(queue);
-        let slot = slot.map_err(|refusal| Failure::refused(refusal, ran))?;
+        let slot = slot.map_err(|refusal| Failure::refused(refusal, ran.get()))?;
         let endpoint = slot.endpoint;
-        match attempt(vm, task, output, span, slot, &mut sink).await {
+        // Until the attempt proves otherwise, whatever ends this future.
+        let before = ran.replace(Ran::Unknown);
+        let request_id = attempt_id(task, number);
+        match attempt(vm, task, output, span, slot, &request_id, &mut sink).await {
             Ok(Ended::Whole) => return Ok(()),
             Ok(Ended::Left) => return Err(left()),
-            Ok(Ended::Withdrawn) => return Err(withdrawn()),
             Err(fault) => {
                 vm.metrics.attempt("failed");
-                if !fault.is_unsent() && !matches!(fault, Fault::Refused(_)) {
-                    ran = Ran::Unknown;
+                if fault.is_not_run() {
+                    ran.set(before);
                 }
                 last = fault.to_string();
                 avoid.push(endpoint);
@@ -90,16 +113,24 @@
                 reason: Reason::Deadline,
                 retry_after: policy::admission::RETRY_AFTER,
             };
-            return Err(Failure::refused(refusal, ran));
+            return Err(Failure::refused(refusal, ran.get()));
         }
     }
-    Err(Failure::endpoint(last, ran))
+    Err(Failure::endpoint(last, ran.get()))
+}
+
+/// Returns an id of its own for each attempt, so that neither a late answer nor
+/// a late cancellation of an earlier one touches it.
+fn attempt_id(task: &Task, number: usize) -> String {
+    match number {
+        0 => task.request_id.clone(),
+        number => format!("{}.{number}", task.request_id),
+    }
 }
 
 enum Ended {
     Whole,
     Left,
-    Withdrawn,
 }
 
 async fn attempt(
@@ -108,6 +139,7 @@
     output: &mut Output,
     span: &telemetry::Span,
     slot: Slot,
+    request_id: &str,
     sink: &mut impl AsyncFnMut(&Token) -> bool,
 ) -> Result<Ended, Fault> {
     let span = span.child("attempt");
@@ -116,7 +148,7 @@
     span.inject(&mut headers);
     let resume = output.tokens.clone();
     let prompt = Prompt {
-        request_id: &task.request_id,
+        request_id,
         model: &task.model,
         prompt: &task.prompt,
         max_tokens: task.max_tokens,
@@ -125,16 +157,36 @@
         resume: &resume,
     };
     let left = task.deadline - vm.now();
-    let result = stream(vm, task, output, &slot, &prompt, headers, left, sink).await;
-    let outcome = match &result {
-        Ok(Ended::Whole) => Outcome::Answered,
-        Ok(Ended::Left | Ended::Withdrawn) => Outcome::Abandoned,
-        Err(_) => Outcome::Failed,
+    let work = stream(vm, task, output, &slot, &prompt, headers, left, sink);
+    let result = match monoio::time::timeout(left, work).await {
+        Ok(result) => result,
+        Err(_) => Err(Fault::Late),
     };
-    slot.finish(outcome);
+    match &result {
+        Ok(Ended::Whole) => slot.finish(Outcome::Answered),
+        // A caller out of time says nothing of the engine.
+        Ok(Ended::Left) | Err(Fault::Late) => slot.finish(Outcome::Abandoned),
+        Err(fault) if fault.is_silent() => examine(vm, slot),
+        Err(_) => slot.finish(Outcome::Failed),
+    }
     result
 }
 
+/// Finds out on a new connection whether a silent engine or only the old
+/// connection is dead. Other connections as old as that one are dropped.
+fn examine(vm: &Rc<Vm>, slot: Slot) {
+    vm.pool.forget(slot.address);
+    let vm = vm.clone();
+    monoio::spawn(async move {
+        let outcome = match engine::probe(&vm.pool, slot.address).await {
+            true => Outcome::Abandoned,
+            false => Outcome::Failed,
+        };
+        vm.metrics.probe(outcome == Outcome::Abandoned);
+        slot.finish(outcome);
+    });
+}
+
 #[allow(clippy::too_many_arguments)]
 async fn stream(
     vm: &Rc<Vm>,
@@ -146,7 +198,8 @@
     left: Duration,
     sink: &mut impl AsyncFnMut(&Token) -> bool,
 ) -> Result<Ended, Fault> {
-    let mut stream = engine::open(&vm.pool, slot, prompt, headers, left).await?;
+    let patience = Patience::of(task.class);
+    let mut stream = engine::open(&vm.pool, slot, prompt, headers, left, patience).await?;
     loop {
         let token = match stream.next().await? {
             Event::Done(done) => {
@@ -157,10 +210,6 @@
             }
             Event::Token(token) => token,
         };
-        let is_good = |digest| auth::is_good(&vm.board.borrow(), digest);
-        if !task.digest.as_ref().is_none_or(is_good) {
-            return Ok(Ended::Withdrawn);
-        }
         lot::extend(&mut output.spans, token.index, token.version);
         output.tokens.push(token.token.clone());
         if !sink(&token).await {
@@ -191,14 +240,3 @@
         "the caller left",
     )
 }
-
-fn withdrawn() -> Failure {
-    Failure {
-        ran: Ran::Unknown,
-        ..Failure::rejected(
-            link::StatusCode::UNAUTHORIZED,
-            "key-withdrawn",
-            "the key was withdrawn",
-        )
-    }
-}
--- a/crates/entry/src/handler.rs
+++ b/crates/entry/src/handler.rs
@@ -7,10 +7,14 @@
     http::{Reply, Request},
 };
 
-use crate::{generate, proxy, refusal::Failure, trainer, vm::Vm};
+use crate::{auth, generate, proxy, refusal::Failure, trainer, vm::Vm};
 
 /// Answers one request of a caller or trainer.
 pub(crate) async fn handle(vm: Rc<Vm>, request: Request) -> Reply {
+    if let Err(failure) = auth::check_places(&request) {
+        vm.metrics.request("any", failure.code);
+        return failure.reply();
+    }
     let segments: Vec<String> = request.segments().into_iter().map(String::from).collect();
     let parts: Vec<&str> = segments.iter().map(String::as_str).collect();
     match parts.as_slice() {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -7,6 +7,7 @@
 pub(crate) mod generation;
 pub(crate) mod handler;
 pub(crate) mod metrics;
+pub(crate) mod patience;
 pub(crate) mod peers;
 pub(crate) mod proxy;
 pub(crate) mod refusal;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -10,6 +10,8 @@
     requests: Counter<u64>,
     /// Attempts on endpoints by result.
     attempts: Counter<u64>,
+    /// Probes of silent endpoints by result.
+    probes: Counter<u64>,
     /// Samples by result.
     samples: Counter<u64>,
 }
@@ -19,6 +21,7 @@
         Self {
             requests: telemetry.counter("tarragonseam_requests"),
             attempts: telemetry.counter("tarragonseam_attempts"),
+            probes: telemetry.counter("tarragonseam_probes"),
             samples: telemetry.counter("tarragonseam_samples"),
         }
     }
@@ -32,6 +35,11 @@
         self.attempts.add(1, &[KeyValue::new("result", result)]);
     }
 
+    pub(crate) fn probe(&self, is_answered: bool) {
+        let result = if is_answered { "answered" } else { "silent" };
+        self.probes.add(1, &[KeyValue::new("result", result)]);
+    }
+
     pub(crate) fn sample(&self, result: &'static str) {
         self.samples.add(1, &[KeyValue::new("result", result)]);
     }
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -1,6 +1,6 @@
 //! Routes to plain services.
 
-use std::{rc::Rc, sync::Arc};
+use std::{cell::Cell, rc::Rc, sync::Arc};
 
 use board::{config::Route, ticket::Ticket, usage::Figures};
 use link::{
@@ -8,13 +8,16 @@
     http::{
         Error, Reply, Request,
         client::{Call, Fetched},
+        error::Kind,
     },
     telemetry,
 };
 use policy::call::Outcome;
 
 use crate::{
-    auth, generate,
+    auth::{self, Caller},
+    generate,
+    patience::Patience,
     refusal::{Failure, Ran},
     slot::{self, Slot},
     vm::Vm,
@@ -23,7 +26,7 @@
 const ATTEMPTS_MAX: usize = 3;
 
 /// Headers that concern one connection, or that no endpoint may see.
-const STRIPPED: [&str; 12] = [
+const STRIPPED: [&str; 15] = [
     "authorization",
     "connection",
     "content-length",
@@ -32,10 +35,13 @@
     "host",
     "keep-alive",
     "proxy-authorization",
+    "proxy-connection",
     "te",
+    "trailer",
     "transfer-encoding",
     "upgrade",
     "x-api-key",
+    "x-request-ran",
 ];
 
 /// Returns the route that takes `path`: the one with the longest prefix.
@@ -78,127 +84,149 @@
     route: &Route,
     span: &telemetry::Span,
 ) -> Result<Reply, Failure> {
-    let account: Arc<str> = if route.public {
-        format!("public:{name}").into()
-    } else {
-        auth::check(vm, request)?.account
-    };
-    let now = vm.now();
-    let mut ticket = Ticket {
-        account: account.clone(),
-        service: route.service.as_str().into(),
-        class: route.class,
-        arrived: now,
-        deadline: now + generate::deadline(request, route.deadline),
-        prefix: 0,
-        avoid: Vec::new(),
-        takes_cheap: true,
-        oldest_version: 0,
-        endpoint: None,
-    };
+    let ran = Cell::new(Ran::NotRun);
+    if route.public {
+        let account = format!("public:{name}").into();
+        return attempts(vm, request, account, route, span, &ran).await;
+    }
+    let Caller { account, digest } = auth::check(vm, request)?;
+    monoio::select! {
+        result = attempts(vm, request, account, route, span, &ran) => result,
+        () = auth::withdrawal(vm, &digest) => Err(Failure::withdrawn(ran.get())),
+    }
+}
+
+async fn attempts(
+    vm: &Rc<Vm>,
+    request: &Request,
+    account: Arc<str>,
+    route: &Route,
+    span: &telemetry::Span,
+    ran: &Cell<Ran>,
+) -> Result<Reply, Failure> {
+    let mut ticket = ticket(vm, request, &account, route);
     let method = request.method.as_str();
     let may_repeat = route.idempotent.iter().any(|known| known == method);
     let request_id = vm.request_id();
-    let mut ran = Ran::NotRun;
     let mut last = String::new();
-    for _ in 0..ATTEMPTS_MAX {
+    for number in 1..=ATTEMPTS_MAX {
+        slot::forgive(vm, &route.service, &mut ticket.avoid);
         let queue = span.child("queue");
         let slot = slot::acquire(vm, ticket.clone()).await;
         drop(queue);
-        let slot = slot.map_err(|refusal| Failure::refused(refusal, ran))?;
+        let slot = slot.map_err(|refusal| Failure::refused(refusal, ran.get()))?;
         ticket.avoid.push(slot.endpoint);
-        let call = call(vm, request, &request_id, &ticket, may_repeat);
-        match attempt(vm, slot, call, &request_id, span).await {
+        let is_last = !may_repeat || number == ATTEMPTS_MAX;
+        let call = call(vm, request, &request_id, &ticket, may_repeat, is_last);
+        // Until the attempt proves otherwise, whatever ends this future.
+        let before = ran.replace(Ran::Unknown);
+        match attempt(vm, slot, call, span).await {
             Ok(answer) => {
                 bill(vm, &account);
                 return Ok(reply(answer));
             }
-            Err(fault) => {
+            Err(e) => {
                 vm.metrics.attempt("failed");
-                last = fault.detail;
-                if !fault.is_unsent {
-                    ran = Ran::Unknown;
+                if e.is_unsent() {
+                    ran.set(before);
                 }
-                if !fault.is_unsent && !may_repeat {
+                last = e.to_string();
+                if !e.is_unsent() && !may_repeat {
                     break;
                 }
             }
         }
     }
-    Err(Failure::endpoint(last, ran))
+    Err(Failure::endpoint(last, ran.get()))
 }
 
-struct Fault {
-    detail: String,
-    is_unsent: bool,
+fn ticket(vm: &Vm, request: &Request, account: &Arc<str>, route: &Route) -> Ticket {
+    let now = vm.now();
+    Ticket {
+        account: account.clone(),
+        service: route.service.as_str().into(),
+        class: route.class,
+        arrived: now,
+        deadline: now + generate::deadline(request, route.deadline),
+        prefix: 0,
+        avoid: Vec::new(),
+        takes_cheap: true,
+        oldest_version: 0,
+        endpoint: None,
+    }
 }
 
-impl From<Error> for Fault {
-    fn from(e: Error) -> Self {
-        Self {
-            detail: e.to_string(),
-            is_unsent: e.is_unsent(),
-        }
-    }
+/// Returns the call to an endpoint. One that may be repeated leaves time for
+/// another attempt; one that may not uses a connection that no request used
+/// before, which cannot be closed by its peer for being idle.
+fn call(
+    vm: &Vm,
+    request: &Request,
+    id: &str,
+    ticket: &Ticket,
+    may_repeat: bool,
+    is_last: bool,
+) -> Call {
+    let path = request.uri.path_and_query();
+    let left = ticket.deadline - vm.now();
+    let call = Call::new(
+        request.method.clone(),
+        path.map_or("/", |path| path.as_str()),
+    )
+    .headers(passed_on(&request.headers))
+    .identified(id)
+    .idempotent(may_repeat)
+    .body(request.body.clone())
+    .connect_time(Patience::of(ticket.class).connect)
+    .deadline(if is_last { left } else { left / 2 });
+    if may_repeat { call } else { call.fresh() }
 }
 
-fn call(vm: &Vm, request: &Request, id: &str, ticket: &Ticket, may_repeat: bool) -> Call {
-    let mut headers = HeaderMap::new();
-    for (name, value) in &request.headers {
-        if !STRIPPED.contains(&name.as_str()) {
-            headers.append(name.clone(), value.clone());
+/// Returns the headers that the other side may see: neither those of this
+/// connection, which it may name itself, nor the key.
+fn passed_on(headers: &HeaderMap) -> HeaderMap {
+    let connection = headers.get_all("connection").iter();
+    let named: Vec<String> = connection
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let mut out = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        if !STRIPPED.contains(&name.as_str()) && !named.iter().any(|n| n == name.as_str()) {
+            out.append(name.clone(), value.clone());
         }
     }
-    headers.insert("x-request-id", link::header_value(id));
-    let path = request
-        .uri
-        .path_and_query()
-        .map_or("/", |path| path.as_str());
-    let call = Call::new(request.method.clone(), path)
-        .headers(headers)
-        .body(request.body.clone())
-        .deadline(ticket.deadline - vm.now());
-    if may_repeat { call } else { call.fresh() }
+    out
 }
 
 async fn attempt(
     vm: &Rc<Vm>,
     slot: Slot,
     call: Call,
-    request_id: &str,
     span: &telemetry::Span,
-) -> Result<Fetched, Fault> {
+) -> Result<Fetched, Error> {
     let span = span.child("attempt");
     span.set("endpoint", slot.id.clone());
     let result = vm.pool.fetch(slot.address, call.traced(&span)).await;
-    let answer = match result {
-        Ok(answer) => answer,
+    match &result {
+        Ok(_) => {
+            vm.metrics.attempt("answered");
+            slot.finish(Outcome::Answered);
+        }
         Err(e) => {
+            if e.kind() == Kind::Timeout {
+                vm.pool.forget(slot.address);
+            }
             slot.finish(Outcome::Failed);
-            return Err(e.into());
         }
-    };
-    let echoed = answer.headers.get("x-request-id");
-    if echoed.is_none_or(|id| id.as_bytes() != request_id.as_bytes()) {
-        vm.pool.forget(slot.address);
-        slot.finish(Outcome::Failed);
-        return Err(Fault {
-            detail: "answer to another request".to_string(),
-            is_unsent: false,
-        });
     }
-    vm.metrics.attempt("answered");
-    slot.finish(Outcome::Answered);
-    Ok(answer)
+    result
 }
 
 fn reply(answer: Fetched) -> Reply {
     let mut reply = Reply::new(answer.status, answer.body);
-    for (name, value) in &answer.headers {
-        if !STRIPPED.contains(&name.as_str()) {
-            reply.headers_mut().append(name.clone(), value.clone());
-        }
-    }
+    *reply.headers_mut() = passed_on(&answer.headers);
     reply
 }
 
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -82,6 +82,15 @@
         }
     }
 
+    /// Returns the failure of a request whose key was withdrawn meanwhile.
+    pub(crate) fn withdrawn(ran: Ran) -> Self {
+        let detail = "the key was withdrawn";
+        Self {
+            ran,
+            ..Self::rejected(StatusCode::UNAUTHORIZED, "key-withdrawn", detail)
+        }
+    }
+
     /// Returns the body that callers see.
     pub(crate) fn json(&self) -> Vec<u8> {
         let body = Body {
--- a/crates/entry/src/slot.rs
+++ b/crates/entry/src/slot.rs
@@ -97,6 +97,16 @@
     })
 }
 
+/// Empties `avoid` once it names every endpoint of `service`: a second try on
+/// one that failed is better than none.
+pub(crate) fn forgive(vm: &Vm, service: &str, avoid: &mut Vec<endpoint::Key>) {
+    let board = vm.board.borrow();
+    let all = board.endpoints.of_service(service);
+    if all.iter().all(|known| avoid.contains(known)) {
+        avoid.clear();
+    }
+}
+
 /// Carries out the dispatch orders that are due.
 pub(crate) fn pump(vm: &Rc<Vm>) {
     let now = vm.now();
--- /dev/null
+++ b/crates/link/src/http/call.rs
@@ -0,0 +1,126 @@
+//! A request to a peer.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method};
+
+pub(crate) const REQUEST_ID: &str = "x-request-id";
+
+/// A request to a peer.
+///
+/// # Examples
+///
+/// ```
+/// use tarragonseam_link::http::client::Call;
+///
+/// let call = Call::post("/v1/orders", "{}").header("x-request-id", "7");
+/// assert_eq!(call.path(), "/v1/orders");
+/// ```
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) fresh: bool,
+    pub(crate) is_idempotent: bool,
+    pub(crate) echo: Option<HeaderValue>,
+    pub(crate) connect_time: Duration,
+    pub(crate) deadline: Duration,
+}
+
+const CALL_TIME: Duration = Duration::from_secs(10);
+const CONNECT_TIME: Duration = Duration::from_secs(1);
+
+impl Call {
+    /// Starts a request without a body.
+    pub fn new(method: Method, path: impl Into<String>) -> Self {
+        Self {
+            path: path.into(),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+            fresh: false,
+            is_idempotent: method.is_safe(),
+            echo: None,
+            connect_time: CONNECT_TIME,
+            deadline: CALL_TIME,
+            method,
+        }
+    }
+
+    /// Starts a GET request.
+    pub fn get(path: impl Into<String>) -> Self {
+        Self::new(Method::GET, path)
+    }
+
+    /// Starts a POST request with `body`.
+    pub fn post(path: impl Into<String>, body: impl Into<Bytes>) -> Self {
+        Self::new(Method::POST, path).body(body)
+    }
+
+    /// Sets the body.
+    pub fn body(mut self, body: impl Into<Bytes>) -> Self {
+        self.body = body.into();
+        self
+    }
+
+    /// Sets one header; a value that HTTP cannot carry is left out.
+    pub fn header(mut self, name: &'static str, value: impl AsRef<str>) -> Self {
+        if let Ok(value) = HeaderValue::from_str(value.as_ref()) {
+            self.headers.insert(name, value);
+        }
+        self
+    }
+
+    /// Replaces all headers.
+    pub fn headers(mut self, headers: HeaderMap) -> Self {
+        self.headers = headers;
+        self
+    }
+
+    /// Adds the trace context of `span`.
+    pub fn traced(mut self, span: &crate::telemetry::Span) -> Self {
+        span.inject(&mut self.headers);
+        self
+    }
+
+    /// Asks for a connection that no request has used before.
+    pub fn fresh(mut self) -> Self {
+        self.fresh = true;
+        self
+    }
+
+    /// Says that the call may be sent twice, as safe methods may: a connection
+    /// that the peer closed while it was idle then costs nothing.
+    pub fn idempotent(mut self, is_idempotent: bool) -> Self {
+        self.is_idempotent = is_idempotent;
+        self
+    }
+
+    /// Sends `id` as `x-request-id` and accepts only an answer that has it.
+    pub fn identified(mut self, id: &str) -> Self {
+        if let Ok(value) = HeaderValue::from_str(id) {
+            self.headers.insert(REQUEST_ID, value.clone());
+            self.echo = Some(value);
+        }
+        self
+    }
+
+    /// Sets the time allowed until a connection is open.
+    pub fn connect_time(mut self, time: Duration) -> Self {
+        self.connect_time = time;
+        self
+    }
+
+    /// Sets the time allowed until the head of the answer is in.
+    pub fn deadline(mut self, deadline: Duration) -> Self {
+        self.deadline = deadline;
+        self
+    }
+
+    /// Returns the path and query.
+    pub fn path(&self) -> &str {
+        &self.path
+    }
+}
--- a/crates/link/src/http/client.rs
+++ b/crates/link/src/http/client.rs
@@ -3,32 +3,37 @@
 use std::{
     cell::RefCell,
     collections::VecDeque,
+    io,
+    mem::MaybeUninit,
     net::SocketAddr,
+    os::fd::{AsRawFd, BorrowedFd, RawFd},
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use board::hash::Map;
-use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, HeaderValue, Method, StatusCode, Version, header};
+use http::{HeaderMap, HeaderValue, Method, Version, header};
 use monoio::{
     io::{OwnedReadHalf, OwnedWriteHalf, Splitable, sink::SinkExt, stream::Stream},
     net::TcpStream,
 };
 use monoio_http::h1::{
     BorrowFramedRead,
-    codec::{
-        decoder::{ChunkedBodyDecoder, ClientResponseDecoder, FixedBodyDecoder, PayloadDecoder},
-        encoder::GenericEncoder,
-    },
+    codec::{decoder::ClientResponseDecoder, encoder::GenericEncoder},
     payload::{FixedPayload, Payload},
 };
 
+pub use super::{
+    call::Call,
+    response::{Fetched, Response},
+};
 use super::{
+    call::REQUEST_ID,
     error::{Error, Kind},
     framing::{self, Framing},
-    guard::{Budget, Guard, Trip},
+    guard::{Budget, Guard, READ_BYTES, Trip},
     limits::Limits,
+    response::BodyReader,
 };
 use crate::net;
 
@@ -36,99 +41,39 @@
 type Writer = GenericEncoder<OwnedWriteHalf<TcpStream>>;
 
 /// One open connection.
-struct Connection {
-    reader: Reader,
+pub(crate) struct Connection {
+    pub(crate) reader: Reader,
     writer: Writer,
-    budget: Budget,
+    pub(crate) budget: Budget,
+    descriptor: RawFd,
     idle_since: Instant,
 }
 
-/// A request to a peer.
-///
-/// # Examples
-///
-/// ```
-/// use tarragonseam_link::http::client::Call;
-///
-/// let call = Call::post("/v1/orders", "{}").header("x-request-id", "7");
-/// assert_eq!(call.path(), "/v1/orders");
-/// ```
-#[derive(Clone, Debug)]
-pub struct Call {
-    method: Method,
-    path: String,
-    headers: HeaderMap,
-    body: Bytes,
-    fresh: bool,
-    deadline: Duration,
-}
-
-const CALL_TIME: Duration = Duration::from_secs(10);
-
-impl Call {
-    /// Starts a request without a body.
-    pub fn new(method: Method, path: impl Into<String>) -> Self {
+impl Connection {
+    fn new(stream: TcpStream) -> Self {
+        let descriptor = stream.as_raw_fd();
+        let budget = Budget::default();
+        let (read, write) = stream.into_split();
         Self {
-            method,
-            path: path.into(),
-            headers: HeaderMap::new(),
-            body: Bytes::new(),
-            fresh: false,
-            deadline: CALL_TIME,
+            reader: ClientResponseDecoder::new(Guard::new(read, budget.clone())),
+            writer: GenericEncoder::new(write),
+            budget,
+            descriptor,
+            idle_since: Instant::now(),
         }
     }
 
-    /// Starts a GET request.
-    pub fn get(path: impl Into<String>) -> Self {
-        Self::new(Method::GET, path)
-    }
-
-    /// Starts a POST request with `body`.
-    pub fn post(path: impl Into<String>, body: impl Into<Bytes>) -> Self {
-        Self::new(Method::POST, path).body(body)
-    }
-
-    /// Sets the body.
-    pub fn body(mut self, body: impl Into<Bytes>) -> Self {
-        self.body = body.into();
-        self
-    }
-
-    /// Sets one header; a value that HTTP cannot carry is left out.
-    pub fn header(mut self, name: &'static str, value: impl AsRef<str>) -> Self {
-        if let Ok(value) = HeaderValue::from_str(value.as_ref()) {
-            self.headers.insert(name, value);
+    /// Returns whether nothing came in since the last answer: neither the end
+    /// of the connection nor bytes that no request asked for.
+    fn is_quiet(&mut self) -> bool {
+        if !self.reader.framed_mut().read_buffer().is_empty() {
+            return false;
         }
-        self
-    }
-
-    /// Replaces all headers.
-    pub fn headers(mut self, headers: HeaderMap) -> Self {
-        self.headers = headers;
-        self
-    }
-
-    /// Adds the trace context of `span`.
-    pub fn traced(mut self, span: &crate::telemetry::Span) -> Self {
-        span.inject(&mut self.headers);
-        self
-    }
-
-    /// Asks for a connection that no request has used before.
-    pub fn fresh(mut self) -> Self {
-        self.fresh = true;
-        self
-    }
-
-    /// Sets the time allowed until the head of the answer is in.
-    pub fn deadline(mut self, deadline: Duration) -> Self {
-        self.deadline = deadline;
-        self
-    }
-
-    /// Returns the path and query.
-    pub fn path(&self) -> &str {
-        &self.path
+        // SAFETY: Both halves, and so the descriptor, live as long as `self`.
+        let descriptor = unsafe { BorrowedFd::borrow_raw(self.descriptor) };
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = socket2::SockRef::from(&descriptor).peek(&mut byte);
+        matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 }
 
@@ -158,12 +103,47 @@
     /// An error for which [`Error::is_unsent`] holds is safe to repeat.
     pub async fn send(&self, peer: SocketAddr, call: Call) -> Result<Response, Error> {
         let deadline = Instant::now() + call.deadline;
-        let mut connection = self.connect(peer, &call).await?;
-        let method = call.method.clone();
-        let request = build(peer, &call)?;
+        if !call.fresh
+            && let Some(connection) = self.take_idle(peer)
+        {
+            let budget = connection.budget.clone();
+            let result = self.exchange(connection, peer, &call, deadline).await;
+            let is_stale = |e: &Error| matches!(e.kind(), Kind::Incomplete | Kind::Send);
+            match result {
+                Err(e) if is_stale(&e) && budget.seen() == 0 && call.is_idempotent => {}
+                other => return other,
+            }
+            // The peer may have seen the first try, whatever the second meets.
+            let again = self.send_fresh(peer, &call, deadline).await;
+            return again.map_err(Error::into_sent);
+        }
+        self.send_fresh(peer, &call, deadline).await
+    }
+
+    async fn send_fresh(
+        &self,
+        peer: SocketAddr,
+        call: &Call,
+        deadline: Instant,
+    ) -> Result<Response, Error> {
+        let limit = left(deadline).min(call.connect_time);
+        let stream = net::connect(peer, limit).await;
+        let stream = stream.map_err(|e| Error::new(Kind::Connect, e))?;
+        self.exchange(Connection::new(stream), peer, call, deadline)
+            .await
+    }
+
+    async fn exchange(
+        &self,
+        mut connection: Connection,
+        peer: SocketAddr,
+        call: &Call,
+        deadline: Instant,
+    ) -> Result<Response, Error> {
+        let request = build(peer, call)?;
         connection
             .budget
-            .allow(self.limits.head_bytes + READ_AHEAD, left(deadline));
+            .allow(self.limits.head_bytes + READ_BYTES, left(deadline));
         let sent = monoio::time::timeout(left(deadline), connection.writer.send_and_flush(request));
         match sent.await {
             Err(_) => return Err(Error::new(Kind::Timeout, "request not taken")),
@@ -177,12 +157,17 @@
                 Some(Ok(head)) => head,
             };
             let (parts, decoder) = head.into_parts();
-            let framing = framing::of_response(&method, parts.status, &parts.headers)
+            let framing = framing::of_response(&call.method, parts.status, &parts.headers)
                 .map_err(|e| Error::new(Kind::Malformed, e.0))?;
             if !parts.status.is_informational() {
                 break (parts.status, parts.headers, framing, decoder);
             }
         };
+        if call.echo.is_some() && headers.get(REQUEST_ID) != call.echo.as_ref() {
+            // Others to this peer may be out of step too.
+            self.forget(peer);
+            return Err(Error::new(Kind::Foreign, "x-request-id differs"));
+        }
         if framing == Framing::UntilClose {
             return Err(Error::new(Kind::Incomplete, "answer without a length"));
         }
@@ -191,10 +176,7 @@
         {
             return Err(Error::new(Kind::Malformed, "body over the limit"));
         }
-        connection
-            .budget
-            .allow(self.limits.body_bytes, self.limits.body_time);
-        let keep = !closes(&headers) && !matches!(framing, Framing::UntilClose);
+        let keep = !closes(&headers);
         Ok(Response {
             status,
             headers,
@@ -236,37 +218,19 @@
         self.idle.borrow_mut().remove(&peer);
     }
 
-    async fn connect(&self, peer: SocketAddr, call: &Call) -> Result<Connection, Error> {
-        if !call.fresh
-            && let Some(connection) = self.take_idle(peer)
-        {
-            return Ok(connection);
-        }
-        let stream = net::connect(peer, call.deadline)
-            .await
-            .map_err(|e| Error::new(Kind::Connect, e))?;
-        let budget = Budget::default();
-        let (read, write) = stream.into_split();
-        Ok(Connection {
-            reader: ClientResponseDecoder::new(Guard::new(read, budget.clone())),
-            writer: GenericEncoder::new(write),
-            budget,
-            idle_since: Instant::now(),
-        })
-    }
-
     fn take_idle(&self, peer: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let queue = idle.get_mut(&peer)?;
-        while let Some(connection) = queue.pop_back() {
-            if connection.idle_since.elapsed() < IDLE_MAX {
+        while let Some(mut connection) = queue.pop_back() {
+            if connection.idle_since.elapsed() < IDLE_MAX && connection.is_quiet() {
                 return Some(connection);
             }
         }
         None
     }
 
-    fn give_back(&self, peer: SocketAddr, mut connection: Connection) {
+    /// Keeps a connection whose answer was read to its end.
+    pub(crate) fn give_back(&self, peer: SocketAddr, mut connection: Connection) {
         connection.idle_since = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let queue = idle.entry(peer).or_default();
@@ -276,110 +240,6 @@
     }
 }
 
-/// A whole answer.
-#[derive(Clone, Debug)]
-pub struct Fetched {
-    /// The status code.
-    pub status: StatusCode,
-    /// The headers.
-    pub headers: HeaderMap,
-    /// The body.
-    pub body: Bytes,
-}
-
-/// An answer whose body is still being read.
-pub struct Response {
-    /// The status code.
-    pub status: StatusCode,
-    /// The headers.
-    pub headers: HeaderMap,
-    body: BodyReader,
-}
-
-impl Response {
-    /// Returns the next part of the body, or `None` once it is whole.
-    ///
-    /// # Errors
-    ///
-    /// [`Kind::Timeout`] after `patience` without data, [`Kind::Incomplete`]
-    /// when the peer closes early.
-    pub async fn next(&mut self, patience: Duration) -> Option<Result<Bytes, Error>> {
-        self.body.next(patience).await
-    }
-
-    /// Reads the whole body.
-    ///
-    /// # Errors
-    ///
-    /// As [`Response::next`], and [`Kind::Malformed`] over the size limit.
-    pub async fn collect(&mut self) -> Result<Bytes, Error> {
-        let patience = self.body.limits.body_time;
-        let mut all = BytesMut::new();
-        while let Some(part) = self.body.next(patience).await {
-            let part = part?;
-            if all.is_empty() && self.body.done {
-                return Ok(part);
-            }
-            all.extend_from_slice(&part);
-        }
-        Ok(all.freeze())
-    }
-}
-
-struct BodyReader {
-    connection: Option<Connection>,
-    decoder: PayloadDecoder<FixedBodyDecoder, ChunkedBodyDecoder>,
-    framing: Framing,
-    limits: Limits,
-    done: bool,
-    home: Option<(Pool, SocketAddr)>,
-}
-
-impl BodyReader {
-    async fn next(&mut self, patience: Duration) -> Option<Result<Bytes, Error>> {
-        if self.done {
-            return None;
-        }
-        let connection = self.connection.as_mut()?;
-        connection
-            .budget
-            .allow(self.limits.body_bytes + READ_AHEAD, patience);
-        let framed = connection.reader.framed_mut();
-        let part = match &mut self.decoder {
-            PayloadDecoder::None => return None,
-            PayloadDecoder::Fixed(decoder) => {
-                framed.next_with(decoder).await.map(|part| part.map(Some))
-            }
-            PayloadDecoder::Streamed(decoder) => framed.next_with(decoder).await,
-        };
-        let failure = match part {
-            Some(Ok(Some(data))) => {
-                self.done = matches!(self.framing, Framing::Length(_));
-                return Some(Ok(data));
-            }
-            Some(Ok(None)) => {
-                self.done = true;
-                return None;
-            }
-            Some(Err(e)) => read_error(&connection.budget, e),
-            None => Error::new(Kind::Incomplete, "closed inside the body"),
-        };
-        self.connection = None;
-        Some(Err(failure))
-    }
-}
-
-impl Drop for BodyReader {
-    fn drop(&mut self) {
-        if !self.done {
-            return;
-        }
-        if let (Some(connection), Some((pool, peer))) = (self.connection.take(), self.home.take()) {
-            pool.give_back(peer, connection);
-        }
-    }
-}
-
 fn build(peer: SocketAddr, call: &Call) -> Result<http::Request<Payload>, Error> {
     let mut builder = http::Request::builder()
         .method(call.method.clone())
@@ -407,7 +267,7 @@
         .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
 }
 
-fn read_error(budget: &Budget, e: impl std::fmt::Display) -> Error {
+pub(crate) fn read_error(budget: &Budget, e: impl std::fmt::Display) -> Error {
     match budget.trip() {
         Some(Trip::Time) => Error::new(Kind::Timeout, "peer went silent"),
         Some(Trip::Bytes) => Error::new(Kind::Malformed, "answer over the size limit"),
@@ -418,5 +278,3 @@
 fn left(deadline: Instant) -> Duration {
     deadline.saturating_duration_since(Instant::now())
 }
-
-const READ_AHEAD: usize = 64 * 1024;
--- a/crates/link/src/http/error.rs
+++ b/crates/link/src/http/error.rs
@@ -17,6 +17,8 @@
     Incomplete,
     /// The answer broke the protocol or a limit.
     Malformed,
+    /// The answer belongs to another request.
+    Foreign,
 }
 
 /// A failed exchange.
@@ -42,6 +44,14 @@
         self.kind
     }
 
+    /// Returns the error of a call of which an earlier try may have arrived.
+    pub(crate) fn into_sent(self) -> Self {
+        if self.is_unsent() {
+            return Self::new(Kind::Incomplete, self);
+        }
+        self
+    }
+
     /// Returns whether no byte of the request can have reached the peer.
     pub fn is_unsent(&self) -> bool {
         matches!(self.kind, Kind::Connect | Kind::Build)
@@ -57,6 +67,7 @@
             Kind::Timeout => "no answer in time",
             Kind::Incomplete => "incomplete answer",
             Kind::Malformed => "malformed answer",
+            Kind::Foreign => "answer to another request",
         };
         write!(f, "{what}: {}", self.detail)
     }
--- a/crates/link/src/http/mod.rs
+++ b/crates/link/src/http/mod.rs
@@ -5,6 +5,7 @@
 //! module puts limits around it, and never reports a body as whole unless the
 //! framing proves that it is.
 
+pub(crate) mod call;
 pub(crate) mod chunk;
 pub mod client;
 pub(crate) mod drain;
@@ -14,6 +15,7 @@
 pub(crate) mod intake;
 pub mod limits;
 pub(crate) mod reply;
+pub(crate) mod response;
 pub mod server;
 pub(crate) mod session;
 
--- /dev/null
+++ b/crates/link/src/http/response.rs
@@ -0,0 +1,127 @@
+//! An answer of a peer, whole or while it is read.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, StatusCode};
+use monoio_http::h1::{
+    BorrowFramedRead,
+    codec::decoder::{ChunkedBodyDecoder, FixedBodyDecoder, PayloadDecoder},
+};
+
+use super::{
+    client::{Connection, Pool, read_error},
+    error::{Error, Kind},
+    framing::Framing,
+    guard::READ_BYTES,
+    limits::Limits,
+};
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Fetched {
+    /// The status code.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// An answer whose body is still being read.
+pub struct Response {
+    /// The status code.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: HeaderMap,
+    pub(crate) body: BodyReader,
+}
+
+impl Response {
+    /// Returns the next part of the body, or `None` once it is whole.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Timeout`] after `patience` without data, [`Kind::Incomplete`]
+    /// when the peer closes early.
+    pub async fn next(&mut self, patience: Duration) -> Option<Result<Bytes, Error>> {
+        self.body.next(patience).await
+    }
+
+    /// Reads the whole body.
+    ///
+    /// # Errors
+    ///
+    /// As [`Response::next`], and [`Kind::Malformed`] over the size limit.
+    pub async fn collect(&mut self) -> Result<Bytes, Error> {
+        let patience = self.body.limits.body_time;
+        let mut all = BytesMut::new();
+        while let Some(part) = self.body.next(patience).await {
+            let part = part?;
+            if all.is_empty() && self.body.done {
+                return Ok(part);
+            }
+            if all.len() + part.len() > self.body.limits.body_bytes {
+                self.body.connection = None;
+                return Err(Error::new(Kind::Malformed, "body over the limit"));
+            }
+            all.extend_from_slice(&part);
+        }
+        Ok(all.freeze())
+    }
+}
+
+/// The body of an answer while it is read.
+pub(crate) struct BodyReader {
+    pub(crate) connection: Option<Connection>,
+    pub(crate) decoder: PayloadDecoder<FixedBodyDecoder, ChunkedBodyDecoder>,
+    pub(crate) framing: Framing,
+    pub(crate) limits: Limits,
+    pub(crate) done: bool,
+    pub(crate) home: Option<(Pool, SocketAddr)>,
+}
+
+impl BodyReader {
+    async fn next(&mut self, patience: Duration) -> Option<Result<Bytes, Error>> {
+        if self.done {
+            return None;
+        }
+        let connection = self.connection.as_mut()?;
+        connection
+            .budget
+            .allow(self.limits.body_bytes + READ_BYTES, patience);
+        let framed = connection.reader.framed_mut();
+        let part = match &mut self.decoder {
+            PayloadDecoder::None => return None,
+            PayloadDecoder::Fixed(decoder) => {
+                framed.next_with(decoder).await.map(|part| part.map(Some))
+            }
+            PayloadDecoder::Streamed(decoder) => framed.next_with(decoder).await,
+        };
+        let failure = match part {
+            Some(Ok(Some(data))) => {
+                self.done = matches!(self.framing, Framing::Length(_));
+                return Some(Ok(data));
+            }
+            Some(Ok(None)) => {
+                self.done = true;
+                return None;
+            }
+            Some(Err(e)) => read_error(&connection.budget, e),
+            None => Error::new(Kind::Incomplete, "closed inside the body"),
+        };
+        self.connection = None;
+        Some(Err(failure))
+    }
+}
+
+impl Drop for BodyReader {
+    fn drop(&mut self) {
+        if !self.done {
+            return;
+        }
+        if let (Some(connection), Some((pool, peer))) = (self.connection.take(), self.home.take()) {
+            pool.give_back(peer, connection);
+        }
+    }
+}
