--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -4,7 +4,7 @@
 
 use board::{config::Route, ticket::Ticket, usage::Figures};
 use link::{
-    HeaderMap, StatusCode,
+    HeaderMap, Method, StatusCode,
     http::{
         Error, Reply, Request,
         client::{Call, Fetched},
@@ -123,7 +123,7 @@
         match attempt(vm, slot, call, span).await {
             Ok(answer) => {
                 bill(vm, &account);
-                return Ok(reply(answer));
+                return Ok(reply(request, answer));
             }
             Err(e) => {
                 vm.metrics.attempt("failed");
@@ -224,9 +224,15 @@
     result
 }
 
-fn reply(answer: Fetched) -> Reply {
+fn reply(request: &Request, answer: Fetched) -> Reply {
     let mut reply = Reply::new(answer.status, answer.body);
     *reply.headers_mut() = passed_on(&answer.headers);
+    if request.method == Method::HEAD
+        && let Some(length) = answer.headers.get("content-length")
+    {
+        // The length that the body of a GET would have.
+        reply.headers_mut().insert("content-length", length.clone());
+    }
     reply
 }
 
--- a/crates/link/src/http/chunk.rs
+++ b/crates/link/src/http/chunk.rs
@@ -11,8 +11,20 @@
 /// The end mark of a chunked body.
 pub(crate) const END: &[u8] = b"0\r\n\r\n";
 
-/// Returns the head of a response, chunked where no `length` is given.
-pub(crate) fn head(status: StatusCode, headers: &HeaderMap, length: Option<usize>) -> Vec<u8> {
+/// How a response says where its body ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Extent {
+    /// By its length in bytes.
+    Length(usize),
+    /// By an end mark.
+    Chunked,
+    /// Not at all: there is no body, and a length among the headers tells
+    /// that of another answer.
+    Implied,
+}
+
+/// Returns the head of a response.
+pub(crate) fn head(status: StatusCode, headers: &HeaderMap, extent: Extent) -> Vec<u8> {
     let mut out = Vec::with_capacity(256);
     let reason = status.canonical_reason().unwrap_or("Status");
     // Writing to a vector cannot fail.
@@ -23,9 +35,10 @@
         out.extend_from_slice(value.as_bytes());
         out.extend_from_slice(b"\r\n");
     }
-    let _ = match length {
-        Some(length) => write!(out, "content-length: {length}\r\n\r\n"),
-        None => write!(out, "transfer-encoding: chunked\r\n\r\n"),
+    let _ = match extent {
+        Extent::Length(length) => write!(out, "content-length: {length}\r\n\r\n"),
+        Extent::Chunked => write!(out, "transfer-encoding: chunked\r\n\r\n"),
+        Extent::Implied => write!(out, "\r\n"),
     };
     out
 }
--- a/crates/link/src/http/drain.rs
+++ b/crates/link/src/http/drain.rs
@@ -1,35 +1,29 @@
 //! The end of a server: no connection is cut while it is being answered.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    future::poll_fn,
+    rc::Rc,
+    task::{Poll, Waker},
+    time::Duration,
+};
 
-use local_sync::semaphore::Semaphore;
+use slotmap::SlotMap;
 
 /// Tells connections to end, and counts those that are busy.
 #[derive(Clone, Debug, Default)]
 pub struct Drain(pub(crate) Rc<State>);
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct State {
-    /// Never has a permit; its close wakes all that wait for the end.
-    closing: Semaphore,
+    closing: Cell<bool>,
     leaving: Cell<bool>,
     refusing: Cell<bool>,
     pub(crate) busy: Cell<usize>,
     pub(crate) open: Cell<usize>,
     pub(crate) panics: Cell<u64>,
-}
-
-impl Default for State {
-    fn default() -> Self {
-        Self {
-            closing: Semaphore::new(0),
-            leaving: Cell::new(false),
-            refusing: Cell::new(false),
-            busy: Cell::new(0),
-            open: Cell::new(0),
-            panics: Cell::new(0),
-        }
-    }
+    /// Those that wait for the close.
+    waiting: RefCell<SlotMap<slotmap::DefaultKey, Waker>>,
 }
 
 impl Drain {
@@ -43,7 +37,12 @@
     /// and takes no new ones once those in the backlog are answered.
     pub fn close(&self) {
         self.leave();
-        self.0.closing.close();
+        self.0.closing.set(true);
+        // Taken out first, since a waker may run code that waits again.
+        let waiting = self.0.waiting.take();
+        for (_, waker) in waiting {
+            waker.wake();
+        }
     }
 
     /// Sets whether new connections are closed as soon as they are accepted.
@@ -63,13 +62,23 @@
 
     /// Returns whether [`Drain::close`] was called.
     pub fn is_closing(&self) -> bool {
-        self.0.closing.is_closed()
+        self.0.closing.get()
     }
 
     /// Waits until [`Drain::close`] is called.
     pub(crate) async fn closed(&self) {
-        // There are no permits, so only the close ends the wait.
-        let _ = self.0.closing.acquire().await;
+        let mut place = Place {
+            state: &self.0,
+            key: None,
+        };
+        poll_fn(|cx| {
+            if self.is_closing() {
+                return Poll::Ready(());
+            }
+            place.hold(cx.waker());
+            Poll::Pending
+        })
+        .await;
     }
 
     /// Returns how many requests are being answered.
@@ -103,6 +112,31 @@
 
 const DRAIN_POLL: Duration = Duration::from_millis(10);
 
+/// The place of one that waits, given up on drop.
+struct Place<'a> {
+    state: &'a State,
+    key: Option<slotmap::DefaultKey>,
+}
+
+impl Place<'_> {
+    fn hold(&mut self, waker: &Waker) {
+        let mut waiting = self.state.waiting.borrow_mut();
+        let known = self.key.and_then(|key| waiting.get_mut(key));
+        match known {
+            Some(held) => held.clone_from(waker),
+            None => self.key = Some(waiting.insert(waker.clone())),
+        }
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        let key = self.key.take();
+        let waker = key.and_then(|key| self.state.waiting.borrow_mut().remove(key));
+        drop(waker);
+    }
+}
+
 /// One unit of a counter, taken back on drop.
 pub(crate) struct Count<'a>(&'a Cell<usize>);
 
--- a/crates/link/src/http/mod.rs
+++ b/crates/link/src/http/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod guard;
 pub(crate) mod intake;
 pub mod limits;
+pub mod pipe;
 pub(crate) mod reply;
 pub(crate) mod response;
 pub mod server;
--- /dev/null
+++ b/crates/link/src/http/pipe.rs
@@ -0,0 +1,144 @@
+//! The bounded queue between the producer of a body and its connection.
+//!
+//! Either side may be dropped while it waits, which is how a caller that
+//! leaves ends the work for it. The channels of `local-sync` panic when a
+//! sender is dropped after its place was granted and before it ran again.
+
+use std::{
+    cell::RefCell,
+    collections::VecDeque,
+    future::poll_fn,
+    rc::Rc,
+    task::{Poll, Waker},
+};
+
+#[derive(Debug)]
+struct State<T> {
+    queue: VecDeque<T>,
+    depth: usize,
+    senders: usize,
+    is_received: bool,
+    receiver: Option<Waker>,
+    waiting: Vec<Waker>,
+}
+
+/// The receiver is gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Closed;
+
+/// The sending end.
+#[derive(Debug)]
+pub struct Sender<T>(Rc<RefCell<State<T>>>);
+
+/// The receiving end.
+#[derive(Debug)]
+pub(crate) struct Receiver<T>(Rc<RefCell<State<T>>>);
+
+/// Returns the ends of a queue that holds up to `depth` items.
+pub(crate) fn pair<T>(depth: usize) -> (Sender<T>, Receiver<T>) {
+    let state = Rc::new(RefCell::new(State {
+        queue: VecDeque::new(),
+        depth,
+        senders: 1,
+        is_received: true,
+        receiver: None,
+        waiting: Vec::new(),
+    }));
+    (Sender(state.clone()), Receiver(state))
+}
+
+impl<T> Sender<T> {
+    /// Waits for room and queues `item`.
+    ///
+    /// # Errors
+    ///
+    /// [`Closed`] when nobody will receive it.
+    pub async fn send(&self, item: T) -> Result<(), Closed> {
+        let mut item = Some(item);
+        poll_fn(|cx| {
+            let mut state = self.0.borrow_mut();
+            if !state.is_received {
+                return Poll::Ready(Err(Closed));
+            }
+            if state.queue.len() >= state.depth {
+                if !state
+                    .waiting
+                    .iter()
+                    .any(|known| known.will_wake(cx.waker()))
+                {
+                    state.waiting.push(cx.waker().clone());
+                }
+                return Poll::Pending;
+            }
+            state.queue.extend(item.take());
+            let receiver = state.receiver.take();
+            drop(state);
+            wake(receiver);
+            Poll::Ready(Ok(()))
+        })
+        .await
+    }
+
+    /// Returns whether the receiver is gone.
+    pub fn is_closed(&self) -> bool {
+        !self.0.borrow().is_received
+    }
+}
+
+impl<T> Clone for Sender<T> {
+    fn clone(&self) -> Self {
+        self.0.borrow_mut().senders += 1;
+        Self(self.0.clone())
+    }
+}
+
+impl<T> Drop for Sender<T> {
+    fn drop(&mut self) {
+        let mut state = self.0.borrow_mut();
+        state.senders -= 1;
+        let receiver = state.receiver.take();
+        drop(state);
+        wake(receiver);
+    }
+}
+
+impl<T> Receiver<T> {
+    /// Waits for an item; `None` once every sender is gone.
+    pub(crate) async fn recv(&mut self) -> Option<T> {
+        poll_fn(|cx| {
+            let mut state = self.0.borrow_mut();
+            if let Some(item) = state.queue.pop_front() {
+                // A sender that was dropped wakes nobody, so all are woken.
+                let waiting = std::mem::take(&mut state.waiting);
+                drop(state);
+                wake(waiting);
+                return Poll::Ready(Some(item));
+            }
+            if state.senders == 0 {
+                return Poll::Ready(None);
+            }
+            state.receiver = Some(cx.waker().clone());
+            Poll::Pending
+        })
+        .await
+    }
+}
+
+impl<T> Drop for Receiver<T> {
+    fn drop(&mut self) {
+        let mut state = self.0.borrow_mut();
+        state.is_received = false;
+        let queue = std::mem::take(&mut state.queue);
+        let waiting = std::mem::take(&mut state.waiting);
+        drop(state);
+        drop(queue);
+        wake(waiting);
+    }
+}
+
+/// Wakes after every borrow has ended, since a waker may run code.
+fn wake(wakers: impl IntoIterator<Item = Waker>) {
+    for waker in wakers {
+        waker.wake();
+    }
+}
--- a/crates/link/src/http/reply.rs
+++ b/crates/link/src/http/reply.rs
@@ -4,11 +4,12 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, StatusCode};
-use local_sync::mpsc::bounded;
 use serde::Serialize;
 
+use super::pipe;
+
 /// The sending end of a streamed reply.
-pub type Sender = bounded::Tx<Part>;
+pub type Sender = pipe::Sender<Part>;
 
 /// One part of a streamed reply.
 #[derive(Debug)]
@@ -34,7 +35,7 @@
 
 pub(crate) enum Content {
     Whole(Bytes),
-    Stream(bounded::Rx<Part>, Option<Producer>),
+    Stream(pipe::Receiver<Part>, Option<Producer>),
     Cut,
 }
 
@@ -82,7 +83,7 @@
     /// A stream whose sender is dropped before [`Part::End`] is cut, so that
     /// the caller sees an incomplete body.
     pub fn stream(status: StatusCode) -> (Self, Sender) {
-        let (sender, receiver) = bounded::channel(STREAM_DEPTH);
+        let (sender, receiver) = pipe::pair(STREAM_DEPTH);
         let reply = Self {
             status,
             headers: Box::default(),
--- a/crates/link/src/http/session.rs
+++ b/crates/link/src/http/session.rs
@@ -14,7 +14,6 @@
 };
 
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Version, header};
-use local_sync::mpsc::bounded;
 use monoio::{
     io::{
         AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf, Splitable,
@@ -25,11 +24,12 @@
 use monoio_http::h1::{codec::decoder::RequestDecoder, payload::Payload};
 
 use super::{
-    chunk,
+    chunk::{self, Extent},
     drain::{Count, Drain},
     guard::{Budget, Guard, Trip},
     intake,
     limits::Limits,
+    pipe,
     reply::{Content, Part, Producer, Reply},
     server::Request,
 };
@@ -155,7 +155,8 @@
             self.await_head();
             let mut reading = pin!(read_head(decoder));
             let ahead = Ahead::new(reading.as_mut(), &self.budget);
-            let Some(reply) = ahead.during(handler(request)).await else {
+            // Boxed, so that an idle connection does not hold room for it.
+            let Some(reply) = ahead.during(Box::pin(handler(request))).await else {
                 return End::Close;
             };
             let close = !keep || self.drain.is_leaving();
@@ -233,14 +234,23 @@
         }
         match reply.body {
             Content::Whole(body) => {
-                let mut out = chunk::head(reply.status, &reply.headers, Some(body.len()));
-                if !is_head {
+                let is_bodiless = matches!(
+                    reply.status,
+                    StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+                );
+                let is_known = reply.headers.contains_key(header::CONTENT_LENGTH);
+                let extent = match is_bodiless || (is_head && is_known) {
+                    true => Extent::Implied,
+                    false => Extent::Length(body.len()),
+                };
+                let mut out = chunk::head(reply.status, &reply.headers, extent);
+                if !is_head && !is_bodiless {
                     out.extend_from_slice(&body);
                 }
                 self.put(writer, out).await
             }
             Content::Stream(receiver, producer) => {
-                let out = chunk::head(reply.status, &reply.headers, None);
+                let out = chunk::head(reply.status, &reply.headers, Extent::Chunked);
                 self.put(writer, out).await
                     && (is_head || alongside(producer, self.write_stream(writer, receiver)).await)
             }
@@ -248,7 +258,7 @@
         }
     }
 
-    async fn write_stream(&self, writer: &mut Writer, mut receiver: bounded::Rx<Part>) -> bool {
+    async fn write_stream(&self, writer: &mut Writer, mut receiver: pipe::Receiver<Part>) -> bool {
         loop {
             match receiver.recv().await {
                 Some(Part::Data(data)) if data.is_empty() => {}
