--- a/crates/entry/src/generation.rs
+++ b/crates/entry/src/generation.rs
@@ -3,7 +3,13 @@
 //! A generation that loses its engine goes on elsewhere from the tokens so
 //! far, so that no token is lost or doubled.
 
-use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::Cell,
+    hash::{Hash, Hasher},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use board::{
     Time,
@@ -96,6 +102,9 @@
         // Until the attempt proves otherwise, whatever ends this future.
         let before = ran.replace(Ran::Unknown);
         let request_id = attempt_id(task, number);
+        // A resumed stream repeats no work, so only one that got nowhere
+        // spends of the budget for retries.
+        let tokens = output.tokens.len();
         match attempt(vm, task, output, span, slot, &request_id, &mut sink).await {
             Ok(Ended::Whole) => return Ok(()),
             Ok(Ended::Left) => return Err(left()),
@@ -106,6 +115,10 @@
                 }
                 last = fault.to_string();
                 avoid.push(endpoint);
+                let has_cost = !fault.is_not_run() && output.tokens.len() == tokens;
+                if has_cost && !policy::retry::take(&mut vm.board.borrow_mut(), &task.model) {
+                    break;
+                }
             }
         }
         if task.deadline <= vm.now() {
@@ -219,18 +232,28 @@
 }
 
 fn ticket(vm: &Vm, task: &Task, avoid: &[endpoint::Key]) -> Ticket {
-    Ticket {
-        account: task.account.clone(),
-        service: task.model.clone(),
-        class: task.class,
-        arrived: vm.now(),
-        deadline: task.deadline,
-        prefix: 0,
-        avoid: avoid.to_vec(),
-        takes_cheap: true,
-        oldest_version: task.oldest_version,
-        endpoint: None,
+    Ticket::new(
+        task.account.clone(),
+        task.model.clone(),
+        vm.now(),
+        task.deadline,
+    )
+    .class(task.class)
+    .cost(task.max_tokens)
+    .prefix(prefix(&task.prompt))
+    .avoid(avoid)
+    .oldest_version(task.oldest_version)
+}
+
+const PREFIX_WORDS: usize = 32;
+
+/// Returns a hash of the start of `prompt`, which names the cached prefix.
+fn prefix(prompt: &str) -> u64 {
+    let mut hasher = board::hash::Hasher::default();
+    for word in prompt.split_whitespace().take(PREFIX_WORDS) {
+        word.hash(&mut hasher);
     }
+    hasher.finish()
 }
 
 fn left() -> Failure {
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -1,6 +1,13 @@
 //! Routes to plain services.
 
-use std::{cell::Cell, rc::Rc, sync::Arc};
+use std::{
+    cell::Cell,
+    future::{Future, poll_fn},
+    pin::{Pin, pin},
+    rc::Rc,
+    sync::Arc,
+    task::Poll,
+};
 
 use board::{config::Route, ticket::Ticket, usage::Figures};
 use link::{
@@ -120,7 +127,11 @@
         let call = call(vm, request, &request_id, &ticket, may_repeat, is_last);
         // Until the attempt proves otherwise, whatever ends this future.
         let before = ran.replace(Ran::Unknown);
-        match attempt(vm, slot, call, span).await {
+        let result = match may_repeat {
+            true => hedged(vm, slot, call, &ticket, span).await,
+            false => attempt(vm, slot, call, span).await,
+        };
+        match result {
             Ok(answer) => {
                 bill(vm, &account);
                 return Ok(reply(request, answer));
@@ -131,7 +142,10 @@
                     ran.set(before);
                 }
                 last = e.to_string();
-                if !e.is_unsent() && !may_repeat {
+                let service = &route.service;
+                let may_go_on = e.is_unsent()
+                    || (may_repeat && policy::retry::take(&mut vm.board.borrow_mut(), service));
+                if !may_go_on {
                     break;
                 }
             }
@@ -142,18 +156,8 @@
 
 fn ticket(vm: &Vm, request: &Request, account: &Arc<str>, route: &Route) -> Ticket {
     let now = vm.now();
-    Ticket {
-        account: account.clone(),
-        service: route.service.as_str().into(),
-        class: route.class,
-        arrived: now,
-        deadline: now + generate::deadline(request, route.deadline),
-        prefix: 0,
-        avoid: Vec::new(),
-        takes_cheap: true,
-        oldest_version: 0,
-        endpoint: None,
-    }
+    let deadline = now + generate::deadline(request, route.deadline);
+    Ticket::new(account.clone(), route.service.as_str(), now, deadline).class(route.class)
 }
 
 /// Returns the call to an endpoint. One that may be repeated leaves time for
@@ -200,6 +204,60 @@
     out
 }
 
+/// Runs an attempt, and a second one beside it once it takes longer than most.
+/// The first answer wins and the other attempt is dropped, which closes its
+/// connection and gives its place back.
+async fn hedged(
+    vm: &Rc<Vm>,
+    slot: Slot,
+    call: Call,
+    ticket: &Ticket,
+    span: &telemetry::Span,
+) -> Result<Fetched, Error> {
+    let delay = policy::hedge::delay(&vm.board.borrow(), &ticket.service);
+    let Some(delay) = delay else {
+        return attempt(vm, slot, call, span).await;
+    };
+    let mut first = pin!(attempt(vm, slot, call.clone(), span));
+    if let Ok(result) = monoio::time::timeout(delay, first.as_mut()).await {
+        return result;
+    }
+    let Some(slot) = slot::hedge(vm, ticket.clone()) else {
+        return first.await;
+    };
+    vm.metrics.attempt("hedged");
+    let second = pin!(attempt(vm, slot, call, span));
+    first_good(first, second).await
+}
+
+/// Returns the first success, or a failure once both have failed.
+///
+/// That failure counts as sent, since the first attempt was under way.
+async fn first_good<A>(mut first: Pin<&mut A>, mut second: Pin<&mut A>) -> Result<Fetched, Error>
+where
+    A: Future<Output = Result<Fetched, Error>>,
+{
+    let mut failed = [false; 2];
+    poll_fn(|cx| {
+        for (attempt, has_failed) in [&mut first, &mut second].into_iter().zip(&mut failed) {
+            if *has_failed {
+                continue;
+            }
+            match attempt.as_mut().poll(cx) {
+                Poll::Pending => {}
+                Poll::Ready(Ok(answer)) => return Poll::Ready(Ok(answer)),
+                Poll::Ready(Err(_)) => *has_failed = true,
+            }
+        }
+        if failed == [true; 2] {
+            let detail = "both attempts of a hedged call failed";
+            return Poll::Ready(Err(Error::new(Kind::Incomplete, detail)));
+        }
+        Poll::Pending
+    })
+    .await
+}
+
 async fn attempt(
     vm: &Rc<Vm>,
     slot: Slot,
