--- a/crates/cli/tests/callers/raw.rs
+++ b/crates/cli/tests/callers/raw.rs
@@ -118,6 +118,11 @@
         }
     }
 
+    /// Waits for the first bytes of an answer.
+    pub(crate) fn begin(&mut self) {
+        assert!(self.fill(), "closed before the head");
+    }
+
     /// Reads until `needle` came in.
     pub(crate) fn until(&mut self, needle: &str) {
         while find(&self.pending, needle.as_bytes()).is_none() {
