--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -30,10 +30,6 @@
     Start(#[from] io::Error),
 }
 
-/// How long the daemon goes on taking requests after it turned unready, so
-/// that the balancer can notice.
-const UNREADY_TIME: Duration = Duration::from_secs(1);
-
 /// Runs the daemon until SIGINT or SIGTERM, then drains it.
 ///
 /// # Errors
@@ -120,7 +116,7 @@
     vm.leaving.set(true);
     spdlog::info!("leaving", kv: { vm = vm.settings.vm.as_str() });
     drain.leave();
-    monoio::time::sleep(UNREADY_TIME).await;
+    monoio::time::sleep(vm.settings.unready).await;
     drain.close();
     let whole = drain.wait(vm.settings.drain).await;
     spdlog::info!("stopped", kv: { all_answered = whole });
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -50,6 +50,11 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "window_ms", default = "window")]
     pub window: Duration,
+    /// How long a shutdown goes on taking requests after it turned unready, in
+    /// milliseconds: more than the period of the balancer's checks.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "unready_ms", default = "unready")]
+    pub unready: Duration,
     /// How long a shutdown waits for requests, in milliseconds.
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "drain_ms", default = "drain")]
@@ -60,6 +65,10 @@
     Duration::from_secs(60)
 }
 
+fn unready() -> Duration {
+    Duration::from_secs(3)
+}
+
 fn drain() -> Duration {
     Duration::from_secs(120)
 }
