--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -67,7 +67,7 @@
     ));
     let drain = server::Drain::default();
     let for_callers = vm.clone();
-    monoio::spawn(server::serve(
+    let server = monoio::spawn(server::serve(
         callers,
         Limits::new(),
         drain.clone(),
@@ -76,7 +76,7 @@
 
     spdlog::info!("started", kv: { vm = vm.settings.vm.as_str() });
     runtime::stop_signal().await?;
-    shut_down(&vm, &drain).await;
+    shut_down(&vm, &drain, server).await;
     Ok(())
 }
 
@@ -112,12 +112,14 @@
     })
 }
 
-async fn shut_down(vm: &Rc<Vm>, drain: &server::Drain) {
+async fn shut_down(vm: &Rc<Vm>, drain: &server::Drain, server: impl Future<Output = ()>) {
     vm.leaving.set(true);
     spdlog::info!("leaving", kv: { vm = vm.settings.vm.as_str() });
     drain.leave();
     monoio::time::sleep(vm.settings.unready).await;
     drain.close();
+    // The port first: until it is closed, connections come in.
+    server.await;
     let whole = drain.wait(vm.settings.drain).await;
     spdlog::info!("stopped", kv: { all_answered = whole });
 }
--- a/crates/link/src/http/server.rs
+++ b/crates/link/src/http/server.rs
@@ -8,7 +8,7 @@
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -70,12 +70,14 @@
 }
 
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// How long a closing server waits for connections that the kernel has
-/// accepted already.
+/// A closing server takes what the kernel has accepted until nothing comes for
+/// the first time, and for the second at most.
 const BACKLOG_TIME: Duration = Duration::from_millis(50);
+const BACKLOG_MAX: Duration = Duration::from_secs(2);
 
 /// Accepts connections until `drain` closes and answers each request with
-/// `handler`.
+/// `handler`. Returns once the port is closed, while connections may still be
+/// open.
 ///
 /// The handler is dropped when its caller closes the connection, so what it
 /// holds must be given back on drop.
@@ -85,21 +87,35 @@
     F: Future<Output = Reply> + 'static,
 {
     let handler = Rc::new(handler);
+    let taken = |(stream, peer)| {
+        take(stream, peer, limits, &drain, &handler);
+        true
+    };
     loop {
         let accepted = monoio::select! {
             accepted = listener.accept() => accepted,
             () = drain.closed() => break,
         };
         match accepted {
-            Ok((stream, peer)) => take(stream, peer, limits, &drain, &handler),
+            Ok(connection) => {
+                taken(connection);
+            }
             // Out of descriptors: a pause lets connections end.
             Err(_) => monoio::time::sleep(ACCEPT_PAUSE).await,
         }
     }
-    while let Ok(Ok((stream, peer))) = monoio::time::timeout(BACKLOG_TIME, listener.accept()).await
+    let start = Instant::now();
+    while start.elapsed() < BACKLOG_MAX && accept(&listener, BACKLOG_TIME).await.is_some_and(&taken)
     {
-        take(stream, peer, limits, &drain, &handler);
     }
+    // What the kernel accepts after this last look and before the close of the
+    // port is reset; nothing narrows that further.
+    while accept(&listener, Duration::ZERO).await.is_some_and(&taken) {}
+}
+
+async fn accept(listener: &TcpListener, patience: Duration) -> Option<(TcpStream, SocketAddr)> {
+    let accepted = monoio::time::timeout(patience, listener.accept()).await;
+    accepted.ok()?.ok()
 }
 
 fn take<H, F>(stream: TcpStream, peer: SocketAddr, limits: Limits, drain: &Drain, handler: &Rc<H>)
