--- a/crates/entry/src/generation.rs
+++ b/crates/entry/src/generation.rs
@@ -53,6 +53,10 @@
     pub(crate) tokens: Vec<String>,
     pub(crate) spans: Vec<Span>,
     pub(crate) finish: String,
+    /// Endpoints that the next attempt keeps away from.
+    pub(crate) avoid: Vec<endpoint::Key>,
+    /// Where the attempt that runs was sent, for who watches it.
+    pub(crate) endpoint: Rc<Cell<Option<endpoint::Key>>>,
 }
 
 const ATTEMPTS_MAX: usize = 4;
@@ -90,7 +94,7 @@
     ran: &Cell<Ran>,
     mut sink: impl AsyncFnMut(&Token) -> bool,
 ) -> Result<(), Failure> {
-    let mut avoid = Vec::new();
+    let mut avoid = output.avoid.clone();
     let mut last = String::new();
     for number in 0..ATTEMPTS_MAX {
         slot::forgive(vm, &task.model, &mut avoid);
@@ -99,6 +103,7 @@
         drop(queue);
         let slot = slot.map_err(|refusal| Failure::refused(refusal, ran.get()))?;
         let endpoint = slot.endpoint;
+        output.endpoint.set(Some(endpoint));
         // Until the attempt proves otherwise, whatever ends this future.
         let before = ran.replace(Ran::Unknown);
         let request_id = attempt_id(task, number);
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -14,6 +14,12 @@
     probes: Counter<u64>,
     /// Samples by result.
     samples: Counter<u64>,
+    /// Lots by what happened to them.
+    lots: Counter<u64>,
+    /// Tokens generated in vain, by reason.
+    wasted_tokens: Counter<u64>,
+    /// Copies of bulk data by result.
+    bulk: Counter<u64>,
 }
 
 impl Metrics {
@@ -23,6 +29,9 @@
             attempts: telemetry.counter("tarragonseam_attempts"),
             probes: telemetry.counter("tarragonseam_probes"),
             samples: telemetry.counter("tarragonseam_samples"),
+            lots: telemetry.counter("tarragonseam_lots"),
+            wasted_tokens: telemetry.counter("tarragonseam_wasted_tokens"),
+            bulk: telemetry.counter("tarragonseam_bulk_copies"),
         }
     }
 
@@ -43,4 +52,17 @@
     pub(crate) fn sample(&self, result: &'static str) {
         self.samples.add(1, &[KeyValue::new("result", result)]);
     }
+
+    pub(crate) fn lot(&self, result: &'static str) {
+        self.lots.add(1, &[KeyValue::new("result", result)]);
+    }
+
+    pub(crate) fn wasted(&self, reason: &'static str, tokens: u64) {
+        self.wasted_tokens
+            .add(tokens, &[KeyValue::new("reason", reason)]);
+    }
+
+    pub(crate) fn bulk(&self, result: &'static str) {
+        self.bulk.add(1, &[KeyValue::new("result", result)]);
+    }
 }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -2,11 +2,38 @@
 
 use std::rc::Rc;
 
+use board::{endpoint::Endpoint, shared::Item};
+use link::gossip::Source;
+use policy::{
+    isolation::{self, View},
+    relay,
+};
 use wire::{Answer, Ask, message::Status};
 
-use crate::vm::Vm;
+use crate::{bulk, explain, rollout, vm::Vm};
 
-/// Answers one question.
+/// Answers one question, after what it asks for is done.
+pub(crate) async fn serve(vm: Rc<Vm>, ask: Ask) -> Answer {
+    match ask {
+        Ask::Offer(items) => take(&vm, items).await,
+        Ask::Lot(name) => Answer::Lot(rollout::progress(&vm, &name)),
+        Ask::Disk => Answer::Disk(vm.disk.is_some()),
+        Ask::Store(chunk) => bulk::store(&vm, chunk).await,
+        Ask::Load(piece) => bulk::load(&vm, piece).await,
+        other => answer(&vm, &other),
+    }
+}
+
+async fn take(vm: &Rc<Vm>, items: Vec<Item>) -> Answer {
+    let source = Source::Platform(vm.platform.clone());
+    if vm.gossip.take(items, &source).await {
+        Answer::Done
+    } else {
+        Answer::Refused("a part of the configuration is missing".to_string())
+    }
+}
+
+/// Answers a question about what this VM knows.
 pub(crate) fn answer(vm: &Rc<Vm>, ask: &Ask) -> Answer {
     let board = vm.board.borrow();
     match ask {
@@ -17,6 +44,29 @@
             revision: board.revision,
             keys: board.keys.len() as u64,
             endpoints: board.endpoints.iter().count() as u64,
+            live: 1 + board.members.live().count() as u64,
+            is_relay: relay::is_relay(&board),
+            fresh_ms: vm.gossip.fresh_ms(),
+            is_isolated: isolation::view(&board, vm.now()) == View::Isolated,
         }),
+        Ask::Sync { buckets, members } => Answer::Facts(vm.gossip.facts(buckets, *members)),
+        Ask::Parts(digests) => {
+            let texts = digests
+                .iter()
+                .filter_map(|digest| board.shared.parts.get(digest));
+            Answer::Parts(texts.cloned().collect())
+        }
+        Ask::Loads => {
+            let near =
+                |endpoint: &&Endpoint| endpoint.record.failure_domain == board.failure_domain;
+            let load = |endpoint: &Endpoint| {
+                let (_, load) = endpoint.load.clone()?;
+                Some((endpoint.record.id.clone(), load))
+            };
+            let endpoints = board.endpoints.iter().map(|(_, endpoint)| endpoint);
+            Answer::Loads(endpoints.filter(near).filter_map(load).collect())
+        }
+        Ask::Explain(subject) => Answer::Explanation(explain::lines(vm, &board, subject)),
+        _ => Answer::Refused("not answered here".to_string()),
     }
 }
