entry: keep one id for all attempts at a sample

Cause: the history check of rollouts finds the labels of a sample in the engines' logs by its request id; attempt ids of their own would hide a resumed one. Change: only callers' requests get an id for each attempt. Ruled out: a check by the start of the id, which would ease that check.

--- a/crates/entry/src/generation.rs
+++ b/crates/entry/src/generation.rs
@@ -137,13 +137,14 @@
     Err(Failure::endpoint(last, ran.get()))
 }
 
-/// Returns an id of its own for each attempt, so that neither a late answer nor
-/// a late cancellation of an earlier one touches it.
+/// Returns an id of its own for each attempt of a caller's request, so that
+/// neither a late answer nor a late cancellation of an earlier one touches it.
+/// A sample keeps one id, by which its labels are found in engines' logs.
 fn attempt_id(task: &Task, number: usize) -> String {
-    match number {
-        0 => task.request_id.clone(),
-        number => format!("{}.{number}", task.request_id),
+    if number == 0 || task.digest.is_none() {
+        return task.request_id.clone();
     }
+    format!("{}.{number}", task.request_id)
 }
 
 enum Ended {
