--- a/crates/entry/src/generate.rs
+++ b/crates/entry/src/generate.rs
@@ -130,17 +130,56 @@
     asked.map_or(declared, |asked| asked.min(declared))
 }
 
+/// What an account uses; billed however the request ends, also when its caller
+/// leaves and the request is dropped.
+struct Meter {
+    vm: Rc<Vm>,
+    task: Task,
+    output: Output,
+    result: &'static str,
+    is_billed: bool,
+}
+
+impl Meter {
+    fn new(vm: &Rc<Vm>, task: Task) -> Self {
+        Self {
+            vm: vm.clone(),
+            task,
+            output: Output::default(),
+            result: "caller-left",
+            is_billed: false,
+        }
+    }
+
+    /// Bills what was used, and waits until another VM holds the record.
+    async fn settle(&mut self) {
+        self.is_billed = true;
+        bill(&self.vm, &self.task, &self.output).await;
+    }
+}
+
+impl Drop for Meter {
+    fn drop(&mut self) {
+        if !self.is_billed && !self.output.tokens.is_empty() {
+            let figures = figures(&self.task, &self.output);
+            usage::note(&self.vm, &self.task.request_id, &self.task.account, figures);
+        }
+        self.vm.metrics.request("generate", self.result);
+    }
+}
+
 async fn whole(vm: &Rc<Vm>, task: Task, span: &telemetry::Span) -> Reply {
-    let mut output = Output::default();
-    let result = generation::run(vm, &task, &mut output, span, async |_| true).await;
-    bill(vm, &task, &output).await;
+    let mut meter = Meter::new(vm, task);
+    let Meter { task, output, .. } = &mut meter;
+    let result = generation::run(vm, task, output, span, async |_| true).await;
+    meter.settle().await;
     match result {
         Ok(()) => {
-            vm.metrics.request("generate", "answered");
-            Reply::json(StatusCode::OK, &summary(&task, &output))
+            meter.result = "answered";
+            Reply::json(StatusCode::OK, &summary(&meter.task, &meter.output))
         }
         Err(failure) => {
-            vm.metrics.request("generate", failure.code);
+            meter.result = failure.code;
             failure.reply()
         }
     }
@@ -161,31 +200,31 @@
 }
 
 fn stream(vm: &Rc<Vm>, task: Task, span: &telemetry::Span) -> Reply {
-    let (reply, sender) = Reply::stream(StatusCode::OK);
-    let vm = vm.clone();
-    let span = span.clone();
-    monoio::spawn(async move { feed(vm, task, span, sender).await });
-    reply.header("content-type", "text/event-stream")
-}
-
-async fn feed(vm: Rc<Vm>, task: Task, span: telemetry::Span, sender: Sender) {
-    let mut output = Output::default();
-    let pass = async |token: &Token| send(&sender, piece(token)).await;
-    let result = generation::run(&vm, &task, &mut output, &span, pass).await;
-    bill(&vm, &task, &output).await;
-    match result {
+    let meter = Meter::new(vm, task);
+    let (vm, span) = (vm.clone(), span.clone());
+    let feed = |sender| async move { feed(&vm, meter, &span, &sender).await };
+    Reply::produced(StatusCode::OK, feed).header("content-type", "text/event-stream")
+}
+
+async fn feed(vm: &Rc<Vm>, mut meter: Meter, span: &telemetry::Span, sender: &Sender) {
+    let pass = async |token: &Token| send(sender, piece(token)).await;
+    let Meter { task, output, .. } = &mut meter;
+    let result = generation::run(vm, task, output, span, pass).await;
+    meter.settle().await;
+    let last = match result {
         Ok(()) => {
-            vm.metrics.request("generate", "answered");
-            let last = serde_json::to_vec(&summary(&task, &output)).unwrap_or_default();
-            send(&sender, event::encode(&last)).await;
+            meter.result = "answered";
+            serde_json::to_vec(&summary(&meter.task, &meter.output)).unwrap_or_default()
         }
         Err(failure) => {
-            vm.metrics.request("generate", failure.code);
-            send(&sender, event::encode(&failure.json())).await;
+            meter.result = failure.code;
+            failure.json()
         }
-    }
+    };
+    drop(meter);
+    send(sender, event::encode(&last)).await;
     // The end mark of the body is sent in both cases: the last event says
-    // whether the answer is whole.
+    // whether the answer is whole. A caller that is gone misses nothing.
     let _ = sender.send(Part::End).await;
 }
 
@@ -207,12 +246,16 @@
     if output.tokens.is_empty() {
         return;
     }
-    let figures = Figures {
+    let figures = figures(task, output);
+    usage::bill(vm, &task.request_id, &task.account, figures).await;
+}
+
+fn figures(task: &Task, output: &Output) -> Figures {
+    Figures {
         requests: 1,
         tokens_in: words(&task.prompt),
         tokens_out: output.tokens.len() as u64,
-    };
-    usage::bill(vm, &task.request_id, &task.account, figures).await;
+    }
 }
 
 /// Counts the words of a prompt, which are its tokens.
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -1,20 +1,30 @@
 //! Routes to plain services.
 
-use std::{rc::Rc, sync::Arc};
+use std::{
+    cell::Cell,
+    future::{Future, poll_fn},
+    pin::{Pin, pin},
+    rc::Rc,
+    sync::Arc,
+    task::Poll,
+};
 
 use board::{config::Route, ticket::Ticket, usage::Figures};
 use link::{
-    HeaderMap, StatusCode,
+    HeaderMap, Method, StatusCode,
     http::{
         Error, Reply, Request,
         client::{Call, Fetched},
+        error::Kind,
     },
     telemetry,
 };
 use policy::call::Outcome;
 
 use crate::{
-    auth, generate,
+    auth::{self, Caller},
+    generate,
+    patience::Patience,
     refusal::{Failure, Ran},
     slot::{self, Slot},
     usage,
@@ -24,7 +34,7 @@
 const ATTEMPTS_MAX: usize = 3;
 
 /// Headers that concern one connection, or that no endpoint may see.
-const STRIPPED: [&str; 12] = [
+const STRIPPED: [&str; 15] = [
     "authorization",
     "connection",
     "content-length",
@@ -33,10 +43,13 @@
     "host",
     "keep-alive",
     "proxy-authorization",
+    "proxy-connection",
     "te",
+    "trailer",
     "transfer-encoding",
     "upgrade",
     "x-api-key",
+    "x-request-ran",
 ];
 
 /// Returns the route that takes `path`: the one with the longest prefix.
@@ -79,121 +92,209 @@
     route: &Route,
     span: &telemetry::Span,
 ) -> Result<Reply, Failure> {
-    let account: Arc<str> = if route.public {
-        format!("public:{name}").into()
-    } else {
-        auth::check(vm, request)?.account
-    };
-    let now = vm.now();
-    let deadline = now + generate::deadline(request, route.deadline);
-    let mut ticket =
-        Ticket::new(account.clone(), route.service.as_str(), now, deadline).class(route.class);
+    let ran = Cell::new(Ran::NotRun);
+    if route.public {
+        let account = format!("public:{name}").into();
+        return attempts(vm, request, account, route, span, &ran).await;
+    }
+    let Caller { account, digest } = auth::check(vm, request)?;
+    monoio::select! {
+        result = attempts(vm, request, account, route, span, &ran) => result,
+        () = auth::withdrawal(vm, &digest) => Err(Failure::withdrawn(ran.get())),
+    }
+}
+
+async fn attempts(
+    vm: &Rc<Vm>,
+    request: &Request,
+    account: Arc<str>,
+    route: &Route,
+    span: &telemetry::Span,
+    ran: &Cell<Ran>,
+) -> Result<Reply, Failure> {
+    let mut ticket = ticket(vm, request, &account, route);
     let method = request.method.as_str();
     let may_repeat = route.idempotent.iter().any(|known| known == method);
     let request_id = vm.request_id();
-    let mut ran = Ran::NotRun;
     let mut last = String::new();
-    for _ in 0..ATTEMPTS_MAX {
+    for number in 1..=ATTEMPTS_MAX {
+        slot::forgive(vm, &route.service, &mut ticket.avoid);
         let queue = span.child("queue");
         let slot = slot::acquire(vm, ticket.clone()).await;
         drop(queue);
-        let slot = slot.map_err(|refusal| Failure::refused(refusal, ran))?;
+        let slot = slot.map_err(|refusal| Failure::refused(refusal, ran.get()))?;
         ticket.avoid.push(slot.endpoint);
-        let call = call(vm, request, &request_id, &ticket, may_repeat);
-        match attempt(vm, slot, call, &request_id, span).await {
+        let is_last = !may_repeat || number == ATTEMPTS_MAX;
+        let call = call(vm, request, &request_id, &ticket, may_repeat, is_last);
+        // Until the attempt proves otherwise, whatever ends this future.
+        let before = ran.replace(Ran::Unknown);
+        let result = match may_repeat {
+            true => hedged(vm, slot, call, &ticket, span).await,
+            false => attempt(vm, slot, call, span).await,
+        };
+        match result {
             Ok(answer) => {
                 let figures = Figures {
                     requests: 1,
                     ..Figures::default()
                 };
                 usage::bill(vm, &request_id, &account, figures).await;
-                return Ok(reply(answer));
+                return Ok(reply(request, answer));
             }
-            Err(fault) => {
+            Err(e) => {
                 vm.metrics.attempt("failed");
-                last = fault.detail;
-                if !fault.is_unsent {
-                    ran = Ran::Unknown;
+                if e.is_unsent() {
+                    ran.set(before);
                 }
-                if !fault.is_unsent && !may_repeat {
+                last = e.to_string();
+                let service = &route.service;
+                let may_go_on = e.is_unsent()
+                    || (may_repeat && policy::retry::take(&mut vm.board.borrow_mut(), service));
+                if !may_go_on {
                     break;
                 }
             }
         }
     }
-    Err(Failure::endpoint(last, ran))
+    Err(Failure::endpoint(last, ran.get()))
 }
 
-struct Fault {
-    detail: String,
-    is_unsent: bool,
+fn ticket(vm: &Vm, request: &Request, account: &Arc<str>, route: &Route) -> Ticket {
+    let now = vm.now();
+    let deadline = now + generate::deadline(request, route.deadline);
+    Ticket::new(account.clone(), route.service.as_str(), now, deadline).class(route.class)
+}
+
+/// Returns the call to an endpoint. One that may be repeated leaves time for
+/// another attempt; one that may not uses a connection that no request used
+/// before, which cannot be closed by its peer for being idle.
+fn call(
+    vm: &Vm,
+    request: &Request,
+    id: &str,
+    ticket: &Ticket,
+    may_repeat: bool,
+    is_last: bool,
+) -> Call {
+    let path = request.uri.path_and_query();
+    let left = ticket.deadline - vm.now();
+    let call = Call::new(
+        request.method.clone(),
+        path.map_or("/", |path| path.as_str()),
+    )
+    .headers(passed_on(&request.headers))
+    .identified(id)
+    .idempotent(may_repeat)
+    .body(request.body.clone())
+    .connect_time(Patience::of(ticket.class).connect)
+    .deadline(if is_last { left } else { left / 2 });
+    if may_repeat { call } else { call.fresh() }
 }
 
-impl From<Error> for Fault {
-    fn from(e: Error) -> Self {
-        Self {
-            detail: e.to_string(),
-            is_unsent: e.is_unsent(),
+/// Returns the headers that the other side may see: neither those of this
+/// connection, which it may name itself, nor the key.
+fn passed_on(headers: &HeaderMap) -> HeaderMap {
+    let connection = headers.get_all("connection").iter();
+    let named: Vec<String> = connection
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let mut out = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        if !STRIPPED.contains(&name.as_str()) && !named.iter().any(|n| n == name.as_str()) {
+            out.append(name.clone(), value.clone());
         }
     }
+    out
 }
 
-fn call(vm: &Vm, request: &Request, id: &str, ticket: &Ticket, may_repeat: bool) -> Call {
-    let mut headers = HeaderMap::new();
-    for (name, value) in &request.headers {
-        if !STRIPPED.contains(&name.as_str()) {
-            headers.append(name.clone(), value.clone());
-        }
+/// Runs an attempt, and a second one beside it once it takes longer than most.
+/// The first answer wins and the other attempt is dropped, which closes its
+/// connection and gives its place back.
+async fn hedged(
+    vm: &Rc<Vm>,
+    slot: Slot,
+    call: Call,
+    ticket: &Ticket,
+    span: &telemetry::Span,
+) -> Result<Fetched, Error> {
+    let delay = policy::hedge::delay(&vm.board.borrow(), &ticket.service);
+    let Some(delay) = delay else {
+        return attempt(vm, slot, call, span).await;
+    };
+    let mut first = pin!(attempt(vm, slot, call.clone(), span));
+    if let Ok(result) = monoio::time::timeout(delay, first.as_mut()).await {
+        return result;
     }
-    headers.insert("x-request-id", link::header_value(id));
-    let path = request
-        .uri
-        .path_and_query()
-        .map_or("/", |path| path.as_str());
-    let call = Call::new(request.method.clone(), path)
-        .headers(headers)
-        .body(request.body.clone())
-        .deadline(ticket.deadline - vm.now());
-    if may_repeat { call } else { call.fresh() }
+    let Some(slot) = slot::hedge(vm, ticket.clone()) else {
+        return first.await;
+    };
+    vm.metrics.attempt("hedged");
+    let second = pin!(attempt(vm, slot, call, span));
+    first_good(first, second).await
+}
+
+/// Returns the first success, or a failure once both have failed.
+///
+/// That failure counts as sent, since the first attempt was under way.
+async fn first_good<A>(mut first: Pin<&mut A>, mut second: Pin<&mut A>) -> Result<Fetched, Error>
+where
+    A: Future<Output = Result<Fetched, Error>>,
+{
+    let mut failed = [false; 2];
+    poll_fn(|cx| {
+        for (attempt, has_failed) in [&mut first, &mut second].into_iter().zip(&mut failed) {
+            if *has_failed {
+                continue;
+            }
+            match attempt.as_mut().poll(cx) {
+                Poll::Pending => {}
+                Poll::Ready(Ok(answer)) => return Poll::Ready(Ok(answer)),
+                Poll::Ready(Err(_)) => *has_failed = true,
+            }
+        }
+        if failed == [true; 2] {
+            let detail = "both attempts of a hedged call failed";
+            return Poll::Ready(Err(Error::new(Kind::Incomplete, detail)));
+        }
+        Poll::Pending
+    })
+    .await
 }
 
 async fn attempt(
     vm: &Rc<Vm>,
     slot: Slot,
     call: Call,
-    request_id: &str,
     span: &telemetry::Span,
-) -> Result<Fetched, Fault> {
+) -> Result<Fetched, Error> {
     let span = span.child("attempt");
     span.set("endpoint", slot.id.clone());
     let result = vm.pool.fetch(slot.address, call.traced(&span)).await;
-    let answer = match result {
-        Ok(answer) => answer,
+    match &result {
+        Ok(_) => {
+            vm.metrics.attempt("answered");
+            slot.finish(Outcome::Answered);
+        }
         Err(e) => {
+            if e.kind() == Kind::Timeout {
+                vm.pool.forget(slot.address);
+            }
             slot.finish(Outcome::Failed);
-            return Err(e.into());
         }
-    };
-    let echoed = answer.headers.get("x-request-id");
-    if echoed.is_none_or(|id| id.as_bytes() != request_id.as_bytes()) {
-        vm.pool.forget(slot.address);
-        slot.finish(Outcome::Failed);
-        return Err(Fault {
-            detail: "answer to another request".to_string(),
-            is_unsent: false,
-        });
     }
-    vm.metrics.attempt("answered");
-    slot.finish(Outcome::Answered);
-    Ok(answer)
+    result
 }
 
-fn reply(answer: Fetched) -> Reply {
+fn reply(request: &Request, answer: Fetched) -> Reply {
     let mut reply = Reply::new(answer.status, answer.body);
-    for (name, value) in &answer.headers {
-        if !STRIPPED.contains(&name.as_str()) {
-            reply.headers_mut().append(name.clone(), value.clone());
-        }
+    *reply.headers_mut() = passed_on(&answer.headers);
+    if request.method == Method::HEAD
+        && let Some(length) = answer.headers.get("content-length")
+    {
+        // The length that the body of a GET would have.
+        reply.headers_mut().insert("content-length", length.clone());
     }
     reply
 }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -33,10 +33,6 @@
     Start(#[from] io::Error),
 }
 
-/// How long the daemon goes on taking requests after it turned unready, so
-/// that the balancer can notice.
-const UNREADY_TIME: Duration = Duration::from_secs(1);
-
 /// Runs the daemon until SIGINT or SIGTERM, then drains it.
 ///
 /// # Errors
@@ -76,7 +72,7 @@
     ));
     let drain = server::Drain::default();
     let for_callers = vm.clone();
-    monoio::spawn(server::serve(
+    let server = monoio::spawn(server::serve(
         callers,
         Limits::new(),
         drain.clone(),
@@ -85,7 +81,7 @@
 
     spdlog::info!("started", kv: { vm = vm.settings.vm.as_str() });
     runtime::stop_signal().await?;
-    shut_down(&vm, &drain).await;
+    shut_down(&vm, &drain, server).await;
     Ok(())
 }
 
@@ -126,12 +122,15 @@
     })
 }
 
-async fn shut_down(vm: &Rc<Vm>, drain: &server::Drain) {
+async fn shut_down(vm: &Rc<Vm>, drain: &server::Drain, server: impl Future<Output = ()>) {
     vm.leaving.set(true);
     spdlog::info!("leaving", kv: { vm = vm.settings.vm.as_str() });
+    drain.leave();
     vm.gossip.leave().await;
-    monoio::time::sleep(UNREADY_TIME).await;
+    monoio::time::sleep(vm.settings.unready).await;
     drain.close();
+    // The port first: until it is closed, connections come in.
+    server.await;
     let whole = drain.wait(vm.settings.drain).await;
     copy::flush(vm, FLUSH_TIME).await;
     spdlog::info!("stopped", kv: { all_answered = whole });
--- a/crates/entry/src/slot.rs
+++ b/crates/entry/src/slot.rs
@@ -87,7 +87,6 @@
 
 /// Takes a place for a second attempt beside a slow one, if one is free now
 /// and the service's budget for such attempts allows it.
-#[allow(dead_code, reason = "the HTTP side calls it once it hedges")]
 pub(crate) fn hedge(vm: &Rc<Vm>, ticket: Ticket) -> Option<Slot> {
     let now = vm.now();
     let mut board = vm.board.borrow_mut();
--- a/crates/entry/src/usage/mod.rs
+++ b/crates/entry/src/usage/mod.rs
@@ -68,6 +68,28 @@
 /// When none does in time, the answer goes out all the same: the record is
 /// counted as not held, and sent again until a VM takes it.
 pub(crate) async fn bill(vm: &Rc<Vm>, id: &str, account: &str, figures: Figures) {
+    let (done, held) = oneshot::channel();
+    add(vm, id, account, figures, Some(done));
+    let is_held = monoio::time::timeout(HOLD_WAIT, held).await;
+    let result = match is_held {
+        Ok(Ok(true)) => "held",
+        _ => "not-held",
+    };
+    vm.metrics.usage(result);
+}
+
+/// Counts what a request used whose caller left: nobody waits for its copy.
+pub(crate) fn note(vm: &Rc<Vm>, id: &str, account: &str, figures: Figures) {
+    add(vm, id, account, figures, None);
+}
+
+fn add(
+    vm: &Rc<Vm>,
+    id: &str,
+    account: &str,
+    figures: Figures,
+    done: Option<oneshot::Sender<bool>>,
+) {
     let window = vm.window();
     let record = vm
         .board
@@ -77,12 +99,5 @@
     if record.late {
         vm.metrics.usage("late");
     }
-    let (done, held) = oneshot::channel();
-    copy::push(vm, record, Some(done));
-    let is_held = monoio::time::timeout(HOLD_WAIT, held).await;
-    let result = match is_held {
-        Ok(Ok(true)) => "held",
-        _ => "not-held",
-    };
-    vm.metrics.usage(result);
+    copy::push(vm, record, done);
 }
--- a/crates/link/src/http/mod.rs
+++ b/crates/link/src/http/mod.rs
@@ -5,13 +5,21 @@
 //! module puts limits around it, and never reports a body as whole unless the
 //! framing proves that it is.
 
+pub(crate) mod call;
 pub(crate) mod chunk;
 pub mod client;
+pub(crate) mod drain;
 pub mod error;
+pub(crate) mod fence;
 pub(crate) mod framing;
 pub(crate) mod guard;
+pub(crate) mod intake;
 pub mod limits;
+pub mod pipe;
+pub(crate) mod reply;
+pub(crate) mod response;
 pub mod server;
+pub(crate) mod session;
 
 pub use client::{Pool, Response};
 pub use error::Error;
