fakes: pass over ports on which a process of an earlier run listens

Cause: two starts of deployments failed once while other suites ran (wrong process or refused connection); a run that is killed leaves processes that hold their ports after its block is free. Ruled out: ports that the system gives to connections (it gives 32768 and above), blocks that overlap (test take_two_blocks). Change: a block hands out only addresses that can be listened on (test next_port_in_use). Whether that was the cause of both is not known.

--- a/crates/fakes/src/deployment/block.rs
+++ b/crates/fakes/src/deployment/block.rs
@@ -43,17 +43,23 @@
         Err(Error::Late("no free block of ports".to_string()))
     }
 
-    /// Returns the next address of the block.
+    /// Returns the next address of the block on which nothing listens: a
+    /// process of a run that was killed may still hold its port.
     ///
     /// # Panics
     ///
     /// When the block is used up.
     #[allow(clippy::should_implement_trait)]
     pub fn next(&mut self) -> SocketAddr {
-        assert!(self.used < BLOCK_PORTS, "the block of ports is used up");
-        let port = self.first + self.used;
-        self.used += 1;
-        SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+        loop {
+            assert!(self.used < BLOCK_PORTS, "the block of ports is used up");
+            let port = self.first + self.used;
+            self.used += 1;
+            let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+            if TcpListener::bind(address).is_ok() {
+                return address;
+            }
+        }
     }
 
     /// Returns a folder that is this block's.
--- /dev/null
+++ b/crates/fakes/tests/block.rs
@@ -0,0 +1,23 @@
+//! Ports of deployments that run at the same time.
+
+use std::{collections::BTreeSet, net::TcpListener};
+
+use tarragonseam_fakes::deployment::Block;
+
+#[test]
+fn take_two_blocks() {
+    let mut one = Block::take().unwrap();
+    let mut other = Block::take().unwrap();
+    let ports: BTreeSet<_> = (0..20).flat_map(|_| [one.next(), other.next()]).collect();
+    assert_eq!(ports.len(), 40);
+}
+
+#[test]
+fn next_port_in_use() {
+    let mut block = Block::take().unwrap();
+    let first = block.next();
+    let mut held = first;
+    held.set_port(first.port() + 1);
+    let _listener = TcpListener::bind(held).unwrap();
+    assert_ne!(block.next(), held);
+}
