--- /dev/null
+++ b/crates/lab/src/world/grants.rs
@@ -0,0 +1,72 @@
+//! Slots that VMs ask the owners of endpoints for.
+
+use board::limit::Credit;
+use policy::credit;
+
+use super::{World, event::Event};
+
+impl World<'_> {
+    pub(super) fn ask(&mut self, vm: usize) {
+        self.vms[vm].asked = self.now;
+        for endpoint in 0..self.endpoints.len() {
+            let wanted = self.wanted(vm, endpoint);
+            let delay = self.delay(vm, endpoint);
+            self.after(
+                delay,
+                Event::Asked {
+                    vm,
+                    endpoint,
+                    wanted,
+                },
+            );
+        }
+    }
+
+    /// Returns how many requests a VM has at an endpoint or would send there.
+    pub(super) fn wanted(&self, vm: usize, endpoint: usize) -> u32 {
+        let board = &self.vms[vm].board;
+        let service = self.setup.plan.services[self.endpoints[endpoint].service].name;
+        let in_flight = board
+            .endpoints
+            .get(self.vms[vm].keys[endpoint])
+            .map_or(0, |e| e.in_flight);
+        let lanes = board.queue.lanes(service);
+        let waiting = lanes.into_iter().flatten().flat_map(|lane| lane.waiting());
+        let waiting: usize = waiting.map(|(_, flow)| flow.len()).sum();
+        in_flight + 1 + waiting as u32
+    }
+
+    pub(super) fn asked(&mut self, vm: usize, endpoint: usize, wanted: u32) {
+        if self.endpoints[endpoint].is_gone {
+            return;
+        }
+        let name = self.vms[vm].board.vm.clone();
+        let service = &self.setup.plan.services[self.endpoints[endpoint].service];
+        let credit = credit::ask(
+            &mut self.pools[endpoint],
+            self.now,
+            &name,
+            wanted,
+            service.slots,
+        );
+        let delay = self.delay(vm, endpoint);
+        self.after(
+            delay,
+            Event::Granted {
+                vm,
+                endpoint,
+                credit,
+            },
+        );
+    }
+
+    pub(super) fn granted(&mut self, vm: usize, endpoint: usize, credit: Credit) {
+        let key = self.vms[vm].keys[endpoint];
+        if let Some(known) = self.vms[vm].board.endpoints.get_mut(key) {
+            known.credit = Some(credit);
+        }
+        if !self.vms[vm].board.queue.is_empty() {
+            self.pump(vm);
+        }
+    }
+}
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world/mod.rs
@@ -1,17 +1,14 @@
 //! The simulated time in which VMs, endpoints and clients meet.
 
-use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap},
-    time::Duration,
-};
+mod event;
+mod grants;
+mod loss;
+mod summary;
 
-use board::{
-    Time,
-    endpoint::{Load, Tenure},
-    limit::Credit,
-    ticket::{self, Ticket},
-};
+use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
+
+use board::{Time, endpoint::Load, ticket::Ticket};
+use event::{Attempt, Due, Event, Job};
 use policy::{
     call::Outcome,
     credit::{self, Pool},
@@ -22,8 +19,8 @@
 use crate::{
     account::{Account, End},
     endpoint::{Endpoint, Work},
-    plan::{DOMAINS, GREEDY, Setup, WEIGHTS, Way},
-    result::{self, Cell},
+    plan::{DOMAINS, Setup, WEIGHTS, Way},
+    result::Cell,
     traffic,
     vm::{self, Move, Vm},
 };
@@ -34,9 +31,6 @@
 const REPORT_TIME: Duration = Duration::from_millis(500);
 const POLL_TIME: Duration = Duration::from_millis(500);
 
-/// How long VMs take to learn that the platform lost an endpoint.
-const NOTICE_TIME: Duration = Duration::from_secs(1);
-
 /// A VM with waiting work asks the owners at most this often.
 const ASK_GAP: Duration = Duration::from_millis(5);
 
@@ -46,87 +40,6 @@
 const BASELINE_ATTEMPTS: u32 = 3;
 const ATTEMPTS: u32 = 4;
 
-/// The domain whose cheap endpoints end in mid-run.
-const LOST_DOMAIN: &str = DOMAINS[0];
-
-/// One request of a client.
-struct Job {
-    service: usize,
-    account: usize,
-    vm: usize,
-    sent: Time,
-    deadline: Time,
-    units: f64,
-    prefix: u64,
-    attempts: u32,
-    avoid: Vec<board::endpoint::Key>,
-    is_over: bool,
-}
-
-#[derive(Clone, Copy, Debug)]
-enum Event {
-    /// A client of an account sends its next request.
-    Offer {
-        service: usize,
-        account: usize,
-    },
-    /// A request comes in at a VM.
-    Arrive {
-        job: usize,
-    },
-    /// An attempt comes in at an endpoint.
-    Reach(Attempt),
-    /// The next completion at an endpoint, unless it changed since.
-    Complete {
-        endpoint: usize,
-        change: u64,
-    },
-    /// An attempt's end comes in at its VM.
-    Back {
-        attempt: Attempt,
-        is_answer: bool,
-    },
-    Tick {
-        vm: usize,
-    },
-    Poll {
-        vm: usize,
-    },
-    Report {
-        endpoint: usize,
-    },
-    /// A VM asks every owner for slots.
-    Ask {
-        vm: usize,
-    },
-    /// A question comes in at the owner of an endpoint.
-    Asked {
-        vm: usize,
-        endpoint: usize,
-        wanted: u32,
-    },
-    Granted {
-        vm: usize,
-        endpoint: usize,
-        credit: Credit,
-    },
-    /// The cheap endpoints of a failure domain end.
-    Lose,
-    /// The VMs learn of that.
-    Notice,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Attempt {
-    job: usize,
-    vm: usize,
-    endpoint: usize,
-    /// Absent for the baselines.
-    ticket: Option<ticket::Key>,
-}
-
-type Due = Reverse<(Time, u64, usize)>;
-
 struct World<'a> {
     setup: &'a Setup,
     now: Time,
@@ -555,137 +468,4 @@
         }
         self.after(POLL_TIME, Event::Poll { vm });
     }
-
-    fn ask(&mut self, vm: usize) {
-        self.vms[vm].asked = self.now;
-        for endpoint in 0..self.endpoints.len() {
-            let wanted = self.wanted(vm, endpoint);
-            let delay = self.delay(vm, endpoint);
-            self.after(
-                delay,
-                Event::Asked {
-                    vm,
-                    endpoint,
-                    wanted,
-                },
-            );
-        }
-    }
-
-    /// Returns how many requests a VM has at an endpoint or would send there.
-    fn wanted(&self, vm: usize, endpoint: usize) -> u32 {
-        let board = &self.vms[vm].board;
-        let service = self.setup.plan.services[self.endpoints[endpoint].service].name;
-        let in_flight = board
-            .endpoints
-            .get(self.vms[vm].keys[endpoint])
-            .map_or(0, |e| e.in_flight);
-        let lanes = board.queue.lanes(service);
-        let waiting = lanes.into_iter().flatten().flat_map(|lane| lane.waiting());
-        let waiting: usize = waiting.map(|(_, flow)| flow.len()).sum();
-        in_flight + 1 + waiting as u32
-    }
-
-    fn asked(&mut self, vm: usize, endpoint: usize, wanted: u32) {
-        if self.endpoints[endpoint].is_gone {
-            return;
-        }
-        let name = self.vms[vm].board.vm.clone();
-        let service = &self.setup.plan.services[self.endpoints[endpoint].service];
-        let credit = credit::ask(
-            &mut self.pools[endpoint],
-            self.now,
-            &name,
-            wanted,
-            service.slots,
-        );
-        let delay = self.delay(vm, endpoint);
-        self.after(
-            delay,
-            Event::Granted {
-                vm,
-                endpoint,
-                credit,
-            },
-        );
-    }
-
-    fn granted(&mut self, vm: usize, endpoint: usize, credit: Credit) {
-        let key = self.vms[vm].keys[endpoint];
-        if let Some(known) = self.vms[vm].board.endpoints.get_mut(key) {
-            known.credit = Some(credit);
-        }
-        if !self.vms[vm].board.queue.is_empty() {
-            self.pump(vm);
-        }
-    }
-
-    fn lost(&self) -> Vec<usize> {
-        let services = self.setup.plan.services.iter();
-        let all =
-            services.flat_map(|service| (0..service.count).map(|place| service.endpoint(place)));
-        let lost = |(domain, tenure)| domain == LOST_DOMAIN && tenure == Tenure::Cheap;
-        all.enumerate()
-            .filter(|(_, e)| lost(*e))
-            .map(|(place, _)| place)
-            .collect()
-    }
-
-    fn lose(&mut self) {
-        for place in self.lost() {
-            for job in self.endpoints[place].end() {
-                self.answer(job, false);
-            }
-        }
-        self.after(NOTICE_TIME, Event::Notice);
-    }
-
-    fn notice(&mut self) {
-        for place in self.lost() {
-            for vm in &mut self.vms {
-                vm.lose(place);
-            }
-        }
-    }
-
-    fn result(self, seed: u64) -> Cell {
-        let mut services = BTreeMap::new();
-        for (n, service) in self.setup.plan.services.iter().enumerate() {
-            let done: f64 = self
-                .endpoints
-                .iter()
-                .filter(|e| e.service == n)
-                .map(|e| e.done)
-                .sum();
-            let lost = if self.setup.loss {
-                self.lost_share(n)
-            } else {
-                0.0
-            };
-            // The loss takes its part of the capacity for half of the run, a
-            // little more of the part that is measured.
-            let measured = 1.0 - 1.0 / f64::from(WARM_UP);
-            let capacity = service.capacity() * (1.0 - lost * 0.5 / measured);
-            let fair = traffic::fair(&self.offered[n], capacity);
-            let span = self.setup.length.as_secs_f64() * measured;
-            let quiet = self.setup.greedy.then_some(GREEDY);
-            let summary = result::summarize(
-                &self.accounts[n],
-                &fair,
-                span,
-                quiet,
-                (1.0 - self.useful[n] / done.max(1.0)).max(0.0),
-            );
-            services.insert(service.name.to_string(), summary);
-        }
-        Cell::new(self.setup, seed, services)
-    }
-
-    fn lost_share(&self, service: usize) -> f64 {
-        let model = &self.setup.plan.services[service];
-        let lost = (0..model.count).map(|place| model.endpoint(place));
-        let lost =
-            lost.filter(|(domain, tenure)| *domain == LOST_DOMAIN && *tenure == Tenure::Cheap);
-        lost.count() as f64 / model.count as f64
-    }
 }
