link: start both daemons in one place

Change: link::daemon::run; the settings are read first everywhere, so a fault in them shows as a report and not between log lines.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -160,13 +160,9 @@
 
 fn run_part(part: Part) -> miette::Result<()> {
     match part {
-        Part::Entry { settings } => {
-            link::log::start("tarragonseam-entry").into_diagnostic()?;
-            entry::run(link::settings::load(&settings)?).into_diagnostic()
-        }
+        Part::Entry { settings } => link::daemon::run("tarragonseam-entry", &settings, entry::run),
         Part::Steward { settings } => {
-            link::log::start("tarragonseam-steward").into_diagnostic()?;
-            steward::run(link::settings::load(&settings)?).into_diagnostic()
+            link::daemon::run("tarragonseam-steward", &settings, steward::run)
         }
         Part::Fakes(config) => fakes::serve(config).into_diagnostic(),
     }
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -3,7 +3,6 @@
 use std::path::PathBuf;
 
 use clap::Parser;
-use miette::IntoDiagnostic;
 
 /// Answers callers and trainers of one VM.
 #[derive(Parser)]
@@ -16,7 +15,9 @@
 
 fn main() -> miette::Result<()> {
     let arguments = Arguments::parse();
-    let settings = link::settings::load(&arguments.settings)?;
-    link::log::start("tarragonseam-entry").into_diagnostic()?;
-    tarragonseam_entry::run(settings).into_diagnostic()
+    link::daemon::run(
+        "tarragonseam-entry",
+        &arguments.settings,
+        tarragonseam_entry::run,
+    )
 }
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -2,6 +2,7 @@
 //! and telemetry, all on monoio's epoll driver.
 
 pub mod clock;
+pub mod daemon;
 pub mod event;
 pub mod fault;
 pub mod feed;
--- a/crates/steward/src/main.rs
+++ b/crates/steward/src/main.rs
@@ -3,7 +3,6 @@
 use std::path::PathBuf;
 
 use clap::Parser;
-use miette::IntoDiagnostic;
 
 /// Orders endpoints, puts weights in force and reports usage.
 #[derive(Parser)]
@@ -16,7 +15,9 @@
 
 fn main() -> miette::Result<()> {
     let arguments = Arguments::parse();
-    let settings = link::settings::load(&arguments.settings)?;
-    link::log::start("tarragonseam-steward").into_diagnostic()?;
-    tarragonseam_steward::run(settings).into_diagnostic()
+    link::daemon::run(
+        "tarragonseam-steward",
+        &arguments.settings,
+        tarragonseam_steward::run,
+    )
 }
