--- a/crates/cli/tests/callers/main.rs
+++ b/crates/cli/tests/callers/main.rs
@@ -6,6 +6,7 @@
 mod framing;
 mod gone;
 mod raw;
+mod reclaim;
 mod service;
 mod shutdown;
 mod world;
