lab: measure what an entry daemon adds; entry: let callers go on when alone

Cause: nothing measured the data path with real processes. The first runs of the new experiment showed that an entry daemon without a second VM to hold usage records gets slower with each answer: every request cloned and tried to send up to 4,096 records, and a record behind those in the queue made its caller wait the whole second for a holder.

Ruled out: the round trip to a holder (the run with two VMs has no such waits) and the engine or service (the direct calls of the same run).

Change: `tarragonseam-experiment run entry` brings up an entry with and without a holder and measures closed and open loops, processor time and memory. While no VM takes records, callers are let go at once and the records are sent again each 2 s, not with each request. Until then after a holder comes back, records go out not held.

What the holder's round trip, wake-ups and the busy machine each add was not taken apart. The queue of records of a VM alone has no bound in memory yet.

--- a/crates/entry/src/usage/copy.rs
+++ b/crates/entry/src/usage/copy.rs
@@ -17,6 +17,16 @@
     done: Option<oneshot::Sender<bool>>,
 }
 
+impl Waiting {
+    /// Lets the caller go on without a holder.
+    fn release(&mut self) {
+        if let Some(done) = self.done.take() {
+            // A caller that left does not wait.
+            let _ = done.send(false);
+        }
+    }
+}
+
 /// How long one holder may take to answer.
 const HOLD_TIME: Duration = Duration::from_millis(300);
 
@@ -46,6 +56,7 @@
         let is_listed = listed.is_ok();
         if let Ok(vms) = listed {
             *vm.usage.vms.borrow_mut() = vms;
+            start(&vm);
         }
         let pause = if is_listed { LIST_TIME } else { LIST_RETRY };
         monoio::time::sleep(pause).await;
@@ -111,13 +122,23 @@
 }
 
 /// Sends a new record to a holder; `done` is told whether it is held.
+///
+/// While no VM takes records, the caller is told so at once and the record
+/// waits for the next turn of [`keep`]: to try with each request would cost
+/// the more the longer this VM is alone.
 pub(crate) fn push(vm: &Rc<Vm>, record: Record, done: Option<oneshot::Sender<bool>>) {
-    vm.usage.queue.borrow_mut().push(Waiting {
+    let mut waiting = Waiting {
         record,
         was_held: false,
         done,
-    });
-    start(vm);
+    };
+    if vm.usage.is_alone.get() {
+        waiting.release();
+    }
+    vm.usage.queue.borrow_mut().push(waiting);
+    if !vm.usage.is_alone.get() {
+        start(vm);
+    }
 }
 
 /// Starts the task that empties the queue, unless it runs.
@@ -139,12 +160,18 @@
 }
 
 /// Sends a batch to the best holder that answers; returns whether one did.
-async fn send(vm: &Rc<Vm>, mut batch: Vec<Waiting>) -> bool {
+async fn send(vm: &Rc<Vm>, batch: Vec<Waiting>) -> bool {
+    let candidates = candidates(vm);
+    if candidates.is_empty() {
+        put_back(vm, batch);
+        return false;
+    }
     let records = batch.iter().map(|waiting| waiting.record.clone()).collect();
     let ask = Ask::Hold(vm.usage.origin.clone(), records);
-    for (name, address) in candidates(vm) {
+    for (name, address) in candidates {
         let answer = vm.usage.links.ask(address, &ask, HOLD_TIME).await;
         if let Ok(Answer::Held(held)) = answer {
+            vm.usage.is_alone.set(false);
             note_holder(vm, &held.by);
             finish(vm, batch, &held);
             return true;
@@ -152,16 +179,19 @@
         let until = vm.now() + ABSENT_TIME;
         vm.usage.absent.borrow_mut().insert(name, until);
     }
-    // The callers go on; the records are sent again later.
-    for waiting in &mut batch {
-        if let Some(done) = waiting.done.take() {
-            let _ = done.send(false);
-        }
-    }
-    vm.usage.queue.borrow_mut().extend(batch);
+    put_back(vm, batch);
     false
 }
 
+/// Lets every caller go on, also those behind `batch` in the queue; the
+/// records are sent again later.
+fn put_back(vm: &Vm, batch: Vec<Waiting>) {
+    vm.usage.is_alone.set(true);
+    let mut queue = vm.usage.queue.borrow_mut();
+    queue.extend(batch);
+    queue.iter_mut().for_each(Waiting::release);
+}
+
 /// Returns the VMs to ask, the best holder first.
 fn candidates(vm: &Vm) -> Vec<(String, SocketAddr)> {
     let now = vm.now();
--- a/crates/entry/src/usage/mod.rs
+++ b/crates/entry/src/usage/mod.rs
@@ -35,6 +35,8 @@
     /// Records that are not held by another VM yet.
     queue: RefCell<Vec<copy::Waiting>>,
     is_sending: Cell<bool>,
+    /// Whether the last turn found no VM that takes records.
+    is_alone: Cell<bool>,
     /// The process that holds the copies.
     holder: RefCell<Option<Origin>>,
     is_settling: Cell<bool>,
@@ -53,6 +55,7 @@
             absent: RefCell::default(),
             queue: RefCell::default(),
             is_sending: Cell::new(false),
+            is_alone: Cell::new(false),
             holder: RefCell::default(),
             is_settling: Cell::new(false),
             heard: RefCell::default(),
--- a/crates/lab/src/bin/tarragonseam-experiment.rs
+++ b/crates/lab/src/bin/tarragonseam-experiment.rs
@@ -1,9 +1,9 @@
 //! Runs experiments with decisions and compares their results.
 
-use std::process::ExitCode;
+use std::{path::PathBuf, process::ExitCode};
 
 use clap::{Parser, Subcommand};
-use tarragonseam_lab::{Error, experiment, report};
+use tarragonseam_lab::{Error, entry, experiment, report};
 
 /// Experiments with decisions: state machines of many VMs in one process.
 #[derive(Debug, Parser)]
@@ -28,6 +28,12 @@
         /// Where to write the results as JSON.
         #[arg(long)]
         out: Option<String>,
+        /// For `entry`: the program with the daemons.
+        #[arg(long)]
+        program: Option<PathBuf>,
+        /// For `entry`: the seconds of each phase.
+        #[arg(long, default_value_t = 5)]
+        seconds: u64,
     },
     /// Prints two results side by side.
     Compare {
@@ -38,13 +44,30 @@
     },
 }
 
+/// The experiment with real processes.
+const ENTRY: &str = "entry";
+
 fn run(job: Job) -> Result<(), Error> {
     match job {
+        Job::Run {
+            name,
+            seed,
+            out,
+            program,
+            seconds,
+            ..
+        } if name == ENTRY => {
+            let config = entry::Config::new(program.ok_or(Error::Program)?);
+            let report = entry::run(&config.seconds(seconds).seed(seed))?;
+            print!("{}", report.table());
+            out.map_or(Ok(()), |path| report.write(&path))
+        }
         Job::Run {
             name,
             seed,
             seeds,
             out,
+            ..
         } => {
             let setups = experiment::setups(&name)?;
             let seeds: Vec<_> = (seed..seed + seeds).collect();
--- /dev/null
+++ b/crates/lab/src/entry/mod.rs
@@ -0,0 +1,143 @@
+//! What one entry daemon adds to a call, and what it spends on it.
+//!
+//! Real processes on loopback: an entry daemon alone, then one with a second
+//! VM that holds the copies of its usage records. A plain service and engines
+//! stand behind it; the load comes from threads of this process.
+
+mod load;
+mod phase;
+mod process;
+mod site;
+mod table;
+
+use std::path::PathBuf;
+
+use serde::Serialize;
+
+use crate::Error;
+
+pub use phase::{Phase, Side};
+
+/// Settings of the measurement.
+///
+/// # Examples
+///
+/// ```
+/// use tarragonseam_lab::entry::Config;
+///
+/// let config = Config::new("target/release/tarragonseam").seconds(5).seed(7);
+/// assert_eq!(config.seed, 7);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The program with the daemons and the stand-ins.
+    pub program: PathBuf,
+    /// The length of each phase, in seconds.
+    pub seconds: u64,
+    /// The seed of the arrival times.
+    pub seed: u64,
+}
+
+const SECONDS: u64 = 5;
+const SECONDS_MAX: u64 = 60;
+
+impl Config {
+    /// Returns the default settings for `program`.
+    pub fn new(program: impl Into<PathBuf>) -> Self {
+        Self {
+            program: program.into(),
+            seconds: SECONDS,
+            seed: 1,
+        }
+    }
+
+    /// Sets the length of each phase in seconds, up to 60.
+    pub fn seconds(mut self, seconds: u64) -> Self {
+        self.seconds = seconds.clamp(1, SECONDS_MAX);
+        self
+    }
+
+    /// Sets the seed of the arrival times.
+    pub fn seed(mut self, seed: u64) -> Self {
+        self.seed = seed;
+        self
+    }
+}
+
+/// The figures of one deployment.
+#[derive(Clone, Debug, Serialize)]
+pub struct Run {
+    /// VMs of the deployment; the first is measured.
+    pub vms: usize,
+    /// The load average of the machine at the start.
+    pub load_average_before: String,
+    /// The load average of the machine at the end.
+    pub load_average_after: String,
+    /// Part of a core that the entry daemon spends without callers.
+    pub idle_core: f64,
+    /// Resident memory of the entry daemon without callers, in bytes.
+    pub idle_memory_bytes: u64,
+    /// The phases, in order.
+    pub phases: Vec<Phase>,
+    /// What one more token costs the entry daemon, in microseconds of
+    /// processor time.
+    pub token_cpu_us: f64,
+}
+
+/// All figures.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// The command line.
+    pub command: String,
+    /// The seed of the arrival times.
+    pub seed: u64,
+    /// The length of each phase, in seconds.
+    pub seconds: u64,
+    /// Processors of the machine.
+    pub processors: usize,
+    /// One run for each number of VMs.
+    pub runs: Vec<Run>,
+}
+
+/// Numbers of VMs: alone, and with one that holds usage records.
+const SIZES: [usize; 2] = [1, 2];
+
+/// Measures and returns the figures.
+///
+/// # Errors
+///
+/// When a process does not come up or a call of the set-up fails.
+pub fn run(config: &Config) -> Result<Report, Error> {
+    let measure = |vms| link::runtime::run(site::measure(config, vms)).map_err(Error::Runtime)?;
+    let runs: Result<Vec<_>, Error> = SIZES.into_iter().map(measure).collect();
+    Ok(Report {
+        command: std::env::args().collect::<Vec<_>>().join(" "),
+        seed: config.seed,
+        seconds: config.seconds,
+        processors: std::thread::available_parallelism().map_or(0, usize::from),
+        runs: runs?,
+    })
+}
+
+impl Report {
+    /// Writes the figures as JSON.
+    ///
+    /// # Errors
+    ///
+    /// When the file cannot be written.
+    pub fn write(&self, path: &str) -> Result<(), Error> {
+        let text = serde_json::to_string_pretty(self).map_err(|source| Error::Json {
+            path: path.to_string(),
+            source,
+        })?;
+        std::fs::write(path, text + "\n").map_err(|source| Error::File {
+            path: path.to_string(),
+            source,
+        })
+    }
+
+    /// Returns the figures as a table.
+    pub fn table(&self) -> String {
+        self.runs.iter().map(table::of_run).collect()
+    }
+}
--- /dev/null
+++ b/crates/lab/src/entry/process.rs
@@ -0,0 +1,37 @@
+//! Processor time and memory of processes, as the system counts them.
+
+use std::fs;
+
+/// Clock ticks of `/proc/PID/stat` in a second.
+const TICKS_PER_S: f64 = 100.0;
+
+/// Fields behind the name of the program: time in user and in system mode.
+const USER_FIELD: usize = 11;
+const SYSTEM_FIELD: usize = 12;
+
+/// Returns the processor time that process `id` has used, in seconds.
+pub(super) fn cpu_s(id: u32) -> f64 {
+    let text = fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    let after = text.rsplit(')').next().unwrap_or_default();
+    let fields: Vec<_> = after.split_whitespace().collect();
+    let ticks = |place: usize| {
+        fields
+            .get(place)
+            .and_then(|field| field.parse::<f64>().ok())
+    };
+    (ticks(USER_FIELD).unwrap_or_default() + ticks(SYSTEM_FIELD).unwrap_or_default()) / TICKS_PER_S
+}
+
+/// Returns the resident memory of process `id` in bytes.
+pub(super) fn memory_bytes(id: u32) -> u64 {
+    let text = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let line = text.lines().find(|line| line.starts_with("VmRSS:"));
+    let kib = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
+    kib.unwrap_or_default() * 1024
+}
+
+/// Returns the load averages of the machine over 1, 5 and 15 minutes.
+pub(super) fn load_average() -> String {
+    let text = fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    text.split(' ').take(3).collect::<Vec<_>>().join(" ")
+}
--- /dev/null
+++ b/crates/lab/src/entry/table.rs
@@ -0,0 +1,56 @@
+//! The table of a run.
+
+use std::fmt::Write as _;
+
+use super::{Phase, Run, Side};
+
+const MIB: f64 = 1024.0 * 1024.0;
+
+pub(super) fn of_run(run: &Run) -> String {
+    let mut out = format!(
+        "{} VM(s), load average {} before, {} after\n\
+         without callers: {:.4} of a core, {:.1} MiB; a further token: {:.1} us\n",
+        run.vms,
+        run.load_average_before,
+        run.load_average_after,
+        run.idle_core,
+        run.idle_memory_bytes as f64 / MIB,
+        run.token_cpu_us,
+    );
+    for phase in &run.phases {
+        lines(&mut out, phase);
+    }
+    out
+}
+
+fn lines(out: &mut String, phase: &Phase) {
+    // Writing to a string cannot fail.
+    let _ = writeln!(
+        out,
+        "{}: {:.1} us CPU each, entry {:.2} of a core, load {:.2}, {:.1} MiB",
+        phase.name,
+        phase.cpu_us,
+        phase.entry_core,
+        phase.load_core,
+        phase.memory_bytes as f64 / MIB
+    );
+    for (name, side) in [("direct", &phase.direct), ("entry", &phase.entry)] {
+        let _ = writeln!(out, "  {name:<7} {}", figures(side));
+    }
+    let (direct, entry) = (&phase.direct, &phase.entry);
+    let _ = writeln!(
+        out,
+        "  added   {:>22} p50 {:>9.0} us  p99 {:>9.0} us  p99.9 {:>9.0} us",
+        "",
+        entry.p50_us - direct.p50_us,
+        entry.p99_us - direct.p99_us,
+        entry.p999_us - direct.p999_us
+    );
+}
+
+fn figures(side: &Side) -> String {
+    format!(
+        "{:>8.0}/s {:>4} failed p50 {:>9.0} us  p99 {:>9.0} us  p99.9 {:>9.0} us",
+        side.rate, side.failed, side.p50_us, side.p99_us, side.p999_us
+    )
+}
--- a/crates/lab/src/error.rs
+++ b/crates/lab/src/error.rs
@@ -22,4 +22,19 @@
         /// What the parser says.
         source: serde_json::Error,
     },
+    /// A runtime, file or process of a measurement failed.
+    #[error("cannot run: {0}")]
+    Runtime(std::io::Error),
+    /// A deployment did not come up.
+    #[error(transparent)]
+    Deployment(#[from] fakes::Error),
+    /// A command on a deployment failed.
+    #[error("command failed: {0}")]
+    Command(String),
+    /// An address gave no good answer in time.
+    #[error("no good answer from {0}")]
+    Silent(String),
+    /// A measurement of processes needs the program that has them.
+    #[error("`entry` needs --program with the path of tarragonseam")]
+    Program,
 }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,7 +3,8 @@
 //! Each VM has a board of its own and runs the functions of `policy` on it, as
 //! the daemons do. Endpoints are models of slots and queues, messages are
 //! delays, and time is simulated, so a run gives the same figures on a busy
-//! machine. What sockets, parsing and scheduling cost is not in the figures.
+//! machine. What sockets, parsing and scheduling cost is not in the figures;
+//! [`entry`] measures that with real processes.
 //!
 //! # Examples
 //!
@@ -17,6 +18,7 @@
 
 pub(crate) mod account;
 pub(crate) mod endpoint;
+pub mod entry;
 pub mod error;
 pub mod experiment;
 pub mod plan;
