fakes: show what a process that does not come up logged

Cause: starts of deployments were refused once or twice on a busy machine, and the folder with the logs was gone by then. Change: a start that fails tells the unusual last lines of each log.

--- a/crates/fakes/src/deployment/mod.rs
+++ b/crates/fakes/src/deployment/mod.rs
@@ -80,6 +80,9 @@
 const KEEP_LOGS: &str = "TARRAGONSEAM_KEEP_LOGS";
 
 const READY_TIME: Duration = Duration::from_secs(20);
+/// Lines of a log that a failed start shows.
+const COMPLAINT_LINES: usize = 12;
+
 const POLL_TIME: Duration = Duration::from_millis(50);
 
 impl Deployment {
@@ -111,8 +114,29 @@
         };
         deployment.start_stand_ins(plan)?;
         deployment.start_vms(plan)?;
-        deployment.wait_healthy().await?;
-        Ok(deployment)
+        match deployment.wait_healthy().await {
+            Ok(()) => Ok(deployment),
+            Err(e) => Err(Error::Late(format!("{e}\n{}", deployment.complaints()))),
+        }
+    }
+
+    /// Returns the last lines of each log that tells more than the usual.
+    fn complaints(&self) -> String {
+        let Ok(files) = fs::read_dir(&self.folder) else {
+            return "the folder of the deployment is gone".to_string();
+        };
+        let logs = files.flatten().map(|file| file.path());
+        let logs = logs.filter(|path| path.extension().is_some_and(|end| end == "log"));
+        let told = logs.filter_map(|path| {
+            let text = fs::read_to_string(&path).ok()?;
+            let unusual = |line: &&str| {
+                !line.contains("\"level\":\"info\"") && !line.starts_with("listening on")
+            };
+            let lines: Vec<_> = text.lines().filter(unusual).collect();
+            let last = &lines[lines.len().saturating_sub(COMPLAINT_LINES)..];
+            (!last.is_empty()).then(|| format!("{}:\n{}", path.display(), last.join("\n")))
+        });
+        told.collect::<Vec<_>>().join("\n")
     }
 
     fn start_stand_ins(&mut self, plan: &Plan) -> Result<(), Error> {
