fakes: give each deployment a loopback address of its own

Blocks were ports of 127.0.0.1, below the range from which this kind of machine takes ports for outgoing connections; that range is a setting and may lie elsewhere, and then an outgoing connection of any test takes a port between the probe and the listener.

Ruled out: two deployments with one block, since a listener marks it; listeners left behind by killed runs, since the block probes each port and the listener sets SO_REUSEADDR. Not reproduced with the whole deployment: the machine's range was left as it is. The new test takes the port for an outgoing connection by hand.

Change: a block is a loopback address (127.x.y.1), whose ports no outgoing connection takes.

Before: next_port_of_outgoing_connection fails with addresses of 127.0.0.1 by construction.

--- a/crates/fakes/src/deployment/block.rs
+++ b/crates/fakes/src/deployment/block.rs
@@ -7,17 +7,26 @@
 
 use crate::Error;
 
-/// Ports below the range from which the system takes ports of its own.
-const FIRST_PORT: u16 = 12_000;
+/// The port that marks a loopback address as taken.
+const MARK_PORT: u16 = 12_000;
 const LAST_PORT: u16 = 32_000;
-const BLOCK_PORTS: u16 = 200;
+/// Loopback addresses that blocks share out, each with all of its ports.
+const BLOCKS: u32 = 50_000;
+/// Blocks that differ in the last but one octet of their address only.
+const ROW: u32 = 250;
 
-/// Ports that are this deployment's for as long as the block lives.
+/// A loopback address that is this deployment's for as long as the block
+/// lives.
+///
+/// Each block has an address of its own rather than ports of `127.0.0.1`: the
+/// system gives the ports of that address to outgoing connections, from a
+/// range that differs between machines, and then nothing can listen on them.
 #[derive(Debug)]
 pub struct Block {
     /// Holds the first port, which marks the block as taken.
     _mark: TcpListener,
-    first: u16,
+    address: Ipv4Addr,
+    /// The last port that was given out.
     used: u16,
 }
 
@@ -28,15 +37,14 @@
     ///
     /// When every block is taken.
     pub fn take() -> Result<Self, Error> {
-        let blocks = (LAST_PORT - FIRST_PORT) / BLOCK_PORTS;
-        let start = (std::process::id() % u32::from(blocks)) as u16;
-        for step in 0..blocks {
-            let first = FIRST_PORT + (start + step) % blocks * BLOCK_PORTS;
-            if let Ok(mark) = TcpListener::bind((Ipv4Addr::LOCALHOST, first)) {
+        let start = std::process::id() % BLOCKS;
+        for step in 0..BLOCKS {
+            let address = address((start + step) % BLOCKS);
+            if let Ok(mark) = TcpListener::bind((address, MARK_PORT)) {
                 return Ok(Self {
                     _mark: mark,
-                    first,
-                    used: 1,
+                    address,
+                    used: MARK_PORT,
                 });
             }
         }
@@ -52,10 +60,9 @@
     #[allow(clippy::should_implement_trait)]
     pub fn next(&mut self) -> SocketAddr {
         loop {
-            assert!(self.used < BLOCK_PORTS, "the block of ports is used up");
-            let port = self.first + self.used;
+            assert!(self.used < LAST_PORT, "the block of ports is used up");
             self.used += 1;
-            let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
+            let address = SocketAddr::from((self.address, self.used));
             if TcpListener::bind(address).is_ok() {
                 return address;
             }
@@ -64,7 +71,15 @@
 
     /// Returns a folder that is this block's.
     pub fn folder(&self) -> PathBuf {
-        let name = format!("tarragonseam-{}-{}", std::process::id(), self.first);
+        let name = format!("tarragonseam-{}-{}", std::process::id(), self.address);
         std::env::temp_dir().join(name)
     }
 }
+
+/// Returns the loopback address of the block at `place`; none is the
+/// machine's usual one, `127.0.0.1`.
+fn address(place: u32) -> Ipv4Addr {
+    let [.., row] = (1 + place / ROW).to_be_bytes();
+    let [.., column] = (1 + place % ROW).to_be_bytes();
+    Ipv4Addr::new(127, row, column, 1)
+}
--- a/crates/fakes/tests/block.rs
+++ b/crates/fakes/tests/block.rs
@@ -1,7 +1,11 @@
 //! Ports of deployments that run at the same time.
 
-use std::{collections::BTreeSet, net::TcpListener};
+use std::{
+    collections::BTreeSet,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+};
 
+use socket2::{Domain, Socket, Type};
 use tarragonseam_fakes::deployment::Block;
 
 #[test]
@@ -21,3 +25,16 @@
     let _listener = TcpListener::bind(held).unwrap();
     assert_ne!(block.next(), held);
 }
+
+#[test]
+fn next_port_of_outgoing_connection() {
+    let mut block = Block::take().unwrap();
+    let served = TcpListener::bind("127.0.0.1:0").unwrap();
+    let place = block.next();
+    let outgoing = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    let source = SocketAddr::from((Ipv4Addr::LOCALHOST, place.port()));
+    outgoing.bind(&source.into()).unwrap();
+    let target = served.local_addr().unwrap();
+    outgoing.connect(&target.into()).unwrap();
+    TcpListener::bind(place).unwrap();
+}
