policy: endpoints follow load, up to a declared most

Spend did not track the service it bought.

Ruled out: one planner over all failure domains (one that is cut off could add nothing); a summary of load sent between failure domains (one more message: requests already go where endpoints are free, so what one failure domain cannot add shows as load in the others); following each report (endpoints come and go with each wave of requests).

Change: `capacity = { most = N }`. The holder of a failure domain's lease averages what its own endpoints report, which it reads already, asks for more above 0.85 of what they can run, and for fewer after a minute below 0.5. Extra endpoints are cheap ones, and stable ones while cheap ones are refused. Without `most`, nothing changes.

Work that can wait asks for endpoints as much as work that cannot, since reports do not tell them apart: `most` bounds it.

--- a/crates/board/src/capacity.rs
+++ b/crates/board/src/capacity.rs
@@ -96,6 +96,19 @@
     pub until: Time,
 }
 
+/// How many endpoints the load of a service asks for in one failure domain.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Level {
+    /// Requests that run or wait at endpoints, as a moving average.
+    pub busy: f64,
+    /// When `busy` was last brought up to date.
+    pub at: Option<Time>,
+    /// Endpoints asked for.
+    pub endpoints: u32,
+    /// Since when fewer would do.
+    pub low_since: Option<Time>,
+}
+
 /// What a VM knows of orders.
 #[derive(Clone, Debug, Default)]
 pub struct Book {
@@ -107,6 +120,8 @@
     pub pending: Vec<Pending>,
     /// Since when a failure domain has had fewer endpoints than declared.
     pub short_since: Map<(String, Line), Time>,
+    /// What load asks for here, by service.
+    pub levels: Map<String, Level>,
     /// Since when this failure domain has had more than it needs.
     pub over_since: Map<Line, Time>,
 }
--- a/crates/board/src/config/check.rs
+++ b/crates/board/src/config/check.rs
@@ -89,6 +89,16 @@
                 self.fail("accounts", name, "weight is 0", "use 1 or more");
             }
         }
+        let services = config.services.iter();
+        let services = services.map(|(name, service)| ("services", name, service.capacity));
+        let models = config.models.iter();
+        let models = models.map(|(name, model)| ("models", name, model.capacity));
+        for (kind, name, capacity) in services.chain(models) {
+            if capacity.most > 0 && capacity.most < capacity.stable + capacity.cheap {
+                let problem = "most is less than stable and cheap together";
+                self.fail(kind, name, problem, "raise it, or leave it out");
+            }
+        }
         for (name, model) in &config.models {
             if model.max_tokens == 0 || model.deadline.is_zero() {
                 self.fail("models", name, "a limit is 0", "use 1 or more");
--- a/crates/board/src/config/mod.rs
+++ b/crates/board/src/config/mod.rs
@@ -72,6 +72,9 @@
         /// Ready endpoints over all failure domains that must survive the loss
         /// of any failure domain's cheap ones.
         pub floor: u32,
+        /// Up to how many endpoints load may ask for, over the declared ones;
+        /// 0 if the declared ones are to be kept whatever the load.
+        pub most: u32,
     }
 }
 
--- a/crates/lab/src/bin/tarragonseam-experiment.rs
+++ b/crates/lab/src/bin/tarragonseam-experiment.rs
@@ -3,7 +3,7 @@
 use std::{path::PathBuf, process::ExitCode};
 
 use clap::{Parser, Subcommand};
-use tarragonseam_lab::{Error, entry, experiment, report};
+use tarragonseam_lab::{Error, entry, experiment, report, spend};
 
 /// Experiments with decisions: state machines of many VMs in one process.
 #[derive(Debug, Parser)]
@@ -46,6 +46,8 @@
 
 /// The experiment with real processes.
 const ENTRY: &str = "entry";
+/// The experiment with the cost of endpoints.
+const SPEND: &str = "spend";
 
 fn run(job: Job) -> Result<(), Error> {
     match job {
@@ -62,6 +64,18 @@
             print!("{}", report.table());
             out.map_or(Ok(()), |path| report.write(&path))
         }
+        Job::Run {
+            name,
+            seed,
+            seeds,
+            out,
+            ..
+        } if name == SPEND => {
+            let seeds: Vec<_> = (seed..seed + seeds).collect();
+            let report = spend::Report::new(&seeds);
+            print!("{}", report.table());
+            out.map_or(Ok(()), |path| report.write(&path))
+        }
         Job::Run {
             name,
             seed,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod plan;
 pub mod report;
 pub mod result;
+pub mod spend;
 pub(crate) mod traffic;
 pub(crate) mod vm;
 pub(crate) mod world;
--- /dev/null
+++ b/crates/lab/src/spend/site.rs
@@ -0,0 +1,236 @@
+//! A made-up platform with endpoints in three failure domains.
+
+use std::time::Duration;
+
+use board::{
+    Board, Time,
+    capacity::{Accepted, Line},
+    config::{Capacity, Service},
+    endpoint::{Load, Record, State, Tenure},
+};
+use policy::capacity::{self, Change};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use super::Figures;
+use crate::plan::DOMAINS;
+
+/// Requests that an endpoint runs at once.
+pub(crate) const SLOTS: u32 = 8;
+
+const SERVICE: &str = "notes";
+const STABLE_PRICE: f64 = 1.0;
+const CHEAP_PRICE: f64 = 0.3;
+/// From an order to an endpoint that takes work.
+const START_TIME: Duration = Duration::from_secs(45);
+/// Cheap endpoints of a failure domain that the platform has, when it has any.
+const STOCK: usize = 12;
+/// How likely a failure domain's cheap endpoints vanish in a second, and how
+/// long there are none.
+const LOSS_RATE: f64 = 1.0 / (6.0 * 3600.0);
+const LOSS_TIME: Duration = Duration::from_secs(900);
+
+struct Endpoint {
+    domain: usize,
+    record: Record,
+    ready_at: Time,
+}
+
+/// The endpoints, and a board for each failure domain's plan.
+pub(crate) struct Site {
+    rng: SmallRng,
+    boards: Vec<Board>,
+    endpoints: Vec<Endpoint>,
+    /// Until when a failure domain has no cheap endpoints.
+    lost_until: [Time; DOMAINS.len()],
+    serial: u64,
+    offered_s: f64,
+    served_s: f64,
+    cheap_s: f64,
+    price_s: f64,
+    orders: u64,
+}
+
+impl Site {
+    /// Returns a deployment that declares `capacity` and has nothing yet.
+    pub(crate) fn new(capacity: Capacity, seed: u64) -> Self {
+        let board = |domain: &&str| {
+            let mut board = Board::new(&format!("vm-{domain}"), domain, seed);
+            board.capacity.domains.extend(DOMAINS.map(String::from));
+            let service = Service { capacity };
+            board.config.services.insert(SERVICE.into(), service);
+            board
+        };
+        Self {
+            rng: SmallRng::seed_from_u64(!seed),
+            boards: DOMAINS.iter().map(board).collect(),
+            endpoints: Vec::new(),
+            lost_until: [Time::ZERO; DOMAINS.len()],
+            serial: 0,
+            offered_s: 0.0,
+            served_s: 0.0,
+            cheap_s: 0.0,
+            price_s: 0.0,
+            orders: 0,
+        }
+    }
+
+    /// Goes on for `tick` with `offered` requests that want to run.
+    pub(crate) fn step(&mut self, now: Time, tick: Duration, offered: f64) {
+        self.lose(now);
+        self.start_ready(now);
+        self.serve(now, tick.as_secs_f64(), offered);
+        for domain in 0..DOMAINS.len() {
+            self.list(domain);
+            let plan = capacity::plan(&mut self.boards[domain], now);
+            for change in plan {
+                self.carry_out(now, domain, change);
+            }
+        }
+    }
+
+    /// Returns what it cost and gave so far.
+    pub(crate) fn figures(&self) -> Figures {
+        const HOUR_S: f64 = 3600.0;
+        Figures {
+            price_hours: self.price_s / HOUR_S,
+            served_hours: self.served_s / HOUR_S,
+            unserved: 1.0 - self.served_s / self.offered_s,
+            cheap: self.cheap_s / self.served_s,
+            orders: self.orders,
+        }
+    }
+
+    fn lose(&mut self, now: Time) {
+        for domain in 0..DOMAINS.len() {
+            if self.rng.random_bool(LOSS_RATE) {
+                self.lost_until[domain] = now + LOSS_TIME;
+                let is_lost = |e: &Endpoint| e.domain == domain && e.record.tenure == Tenure::Cheap;
+                self.endpoints.retain(|endpoint| !is_lost(endpoint));
+            }
+        }
+    }
+
+    fn start_ready(&mut self, now: Time) {
+        for endpoint in &mut self.endpoints {
+            if endpoint.ready_at <= now {
+                endpoint.record.state = State::Ready;
+            }
+        }
+    }
+
+    /// Spreads the load evenly, as routing does, and makes endpoints report.
+    fn serve(&mut self, now: Time, tick_s: f64, offered: f64) {
+        let is_ready = |e: &&Endpoint| e.record.state == State::Ready;
+        let ready = self.endpoints.iter().filter(is_ready).count();
+        let each = offered / ready.max(1) as f64;
+        let run = each.min(f64::from(SLOTS));
+        self.offered_s += offered * tick_s;
+        for endpoint in &self.endpoints {
+            self.price_s += endpoint.record.price * tick_s;
+        }
+        for endpoint in self.endpoints.iter().filter(is_ready) {
+            self.served_s += run * tick_s;
+            if endpoint.record.tenure == Tenure::Cheap {
+                self.cheap_s += run * tick_s;
+            }
+        }
+        let load = Load {
+            in_flight: run.round() as u32,
+            queued: (each - run).min(f64::from(SLOTS / 2)).round() as u32,
+            slots: SLOTS,
+            ..Load::default()
+        };
+        for board in &mut self.boards {
+            let keys: Vec<_> = board.endpoints.iter().map(|(key, _)| key).collect();
+            for key in keys {
+                if let Some(endpoint) = board.endpoints.get_mut(key) {
+                    endpoint.load = Some((now, load.clone()));
+                }
+            }
+        }
+    }
+
+    /// Brings the list of endpoints onto a board.
+    fn list(&mut self, domain: usize) {
+        let board = &mut self.boards[domain];
+        let known: Vec<_> = board.endpoints.iter().map(|(key, _)| key).collect();
+        for key in known {
+            let id = board.endpoints.get(key).map(|e| e.record.id.clone());
+            let is_there = self
+                .endpoints
+                .iter()
+                .any(|e| Some(&e.record.id) == id.as_ref());
+            if !is_there {
+                board.endpoints.remove(key);
+            }
+        }
+        for endpoint in &self.endpoints {
+            board.endpoints.put(endpoint.record.clone());
+        }
+    }
+
+    fn carry_out(&mut self, now: Time, domain: usize, change: Change) {
+        self.orders += 1;
+        match change {
+            Change::Start { line, count } => self.start(now, domain, &line, count),
+            Change::Stop { endpoint, .. } => {
+                self.endpoints.retain(|other| other.record.id != endpoint);
+                let board = &mut self.boards[domain];
+                if let Some(key) = board.endpoints.find(&endpoint) {
+                    board.endpoints.remove(key);
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, now: Time, domain: usize, line: &Line, count: u32) {
+        let got = (count as usize).min(self.stock(now, domain, line.tenure));
+        if got == 0 {
+            capacity::refused(&mut self.boards[domain], now, line);
+            return;
+        }
+        let mut ids = Vec::new();
+        for _ in 0..got {
+            self.serial += 1;
+            let endpoint = self.endpoint(now, domain, line);
+            ids.push(endpoint.record.id.clone());
+            self.endpoints.push(endpoint);
+        }
+        let answer = Accepted {
+            key: format!("{}.1.{}", DOMAINS[domain], self.serial),
+            endpoints: ids,
+        };
+        capacity::accepted(&mut self.boards[domain], now, line, count, &answer);
+    }
+
+    fn stock(&self, now: Time, domain: usize, tenure: Tenure) -> usize {
+        let has = |e: &&Endpoint| e.domain == domain && e.record.tenure == Tenure::Cheap;
+        match tenure {
+            Tenure::Stable => usize::MAX,
+            Tenure::Cheap if now < self.lost_until[domain] => 0,
+            Tenure::Cheap => STOCK.saturating_sub(self.endpoints.iter().filter(has).count()),
+        }
+    }
+
+    fn endpoint(&self, now: Time, domain: usize, line: &Line) -> Endpoint {
+        let price = match line.tenure {
+            Tenure::Stable => STABLE_PRICE,
+            Tenure::Cheap => CHEAP_PRICE,
+        };
+        let record = Record {
+            id: format!("{}-{:06}", DOMAINS[domain], self.serial),
+            address: ([127, 0, 0, 1], 1).into(),
+            failure_domain: DOMAINS[domain].into(),
+            service: SERVICE.into(),
+            tenure: line.tenure,
+            state: State::Starting,
+            checks_epoch: true,
+            price,
+        };
+        Endpoint {
+            domain,
+            record,
+            ready_at: now + START_TIME,
+        }
+    }
+}
--- a/crates/policy/src/capacity.rs
+++ b/crates/policy/src/capacity.rs
@@ -9,6 +9,8 @@
 //!   [`REPLACE_AFTER`] are replaced by cheap ones elsewhere.
 //! - Stable endpoints are added until the declared floor is met without the
 //!   cheap endpoints of whichever failure domain has most of them.
+//! - Cheap endpoints are added up to the declared most as load asks for them
+//!   ([`crate::demand`]), and stable ones while cheap ones are refused.
 //! - What is no longer needed is stopped after [`SHRINK_AFTER`], one at a time.
 
 use std::{collections::BTreeMap, time::Duration};
@@ -21,6 +23,8 @@
 };
 use rand::Rng;
 
+use crate::demand;
+
 /// A change to the endpoints of one service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -52,6 +56,10 @@
 const BACKOFF_MIN: Duration = Duration::from_secs(2);
 const BACKOFF_MAX: Duration = Duration::from_secs(60);
 
+/// Refusals in a row after which stable endpoints take the place of the cheap
+/// ones that load asks for.
+const REFUSALS_MAX: u32 = 2;
+
 /// Returns the changes that bring the VM's failure domain to what is needed.
 pub fn plan(board: &mut Board, now: Time) -> Vec<Change> {
     let domain = board.failure_domain.clone();
@@ -113,8 +121,10 @@
 fn of_service(board: &mut Board, now: Time, service: &str, capacity: Capacity) -> Vec<Change> {
     let counts = counts(board, service);
     let domain = board.failure_domain.clone();
-    let needed = needed(board, now, service, capacity, &counts);
     let present = counts.get(&domain).copied().unwrap_or_default();
+    let needed = needed(board, now, service, capacity, &counts);
+    let asked = demand::endpoints(board, now, service, capacity.most);
+    let needed = with_load(board, service, needed, asked, present);
     let lines = [
         (Tenure::Stable, needed.stable, present.stable),
         (Tenure::Cheap, needed.cheap, present.cheap),
@@ -203,6 +213,21 @@
     }
 }
 
+/// Returns `needed` with what load asks for beyond it.
+fn with_load(board: &Board, service: &str, needed: Count, asked: u32, present: Count) -> Count {
+    let extra = asked.saturating_sub(needed.stable + needed.cheap);
+    let cheap = needed.cheap + extra;
+    let line = Line {
+        service: service.to_string(),
+        tenure: Tenure::Cheap,
+    };
+    let refused = board.capacity.refused.get(&line);
+    let is_out = refused.is_some_and(|backoff| backoff.refusals >= REFUSALS_MAX);
+    let missing = cheap.saturating_sub(present.cheap);
+    let stable = needed.stable + if is_out { extra.min(missing) } else { 0 };
+    Count { stable, cheap }
+}
+
 /// Returns by how much a failure domain has been short for long enough.
 fn lasting_shortage(
     board: &mut Board,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod capacity;
 pub mod claim;
 pub mod credit;
+pub mod demand;
 pub mod dissemination;
 pub mod fairness;
 pub mod health;
--- a/crates/policy/tests/capacity.rs
+++ b/crates/policy/tests/capacity.rs
@@ -23,6 +23,7 @@
         stable,
         cheap,
         floor,
+        most: 0,
     };
     board
         .config
