link: declare the settings that both daemons share once

Cause: the settings of entry and steward repeated six fields, and their main.rs differed by name and description only.

Ruled out: a struct under `#[serde(flatten)]`.

Change: `daemon_settings!` declares the shared fields, then a daemon's own, in one struct; `daemon::main` reads the command line for both. link takes clap and serde_with for it, entry and steward drop clap. The fields that both `Vm` share are left: five lines each without logic, and a part of them would be named in some hundred places.

Test: start_bad_settings also asks for line and column of an unknown key, of a daemon's own field and of a shared one (three rows more, none changed).

--- a/crates/cli/tests/start.rs
+++ b/crates/cli/tests/start.rs
@@ -56,6 +56,21 @@
         ("missing", good.replace("vm = \"vm-1\"\n", ""), "vm"),
         ("address", entry_settings("somewhere"), "address"),
         ("syntax", "vm = \n".to_string(), "settings.toml:1"),
+        (
+            "unknown-line",
+            format!("{good}colour = \"red\"\n"),
+            "settings.toml:7:1",
+        ),
+        (
+            "own-line",
+            entry_settings("somewhere"),
+            "settings.toml:3:11",
+        ),
+        (
+            "shared-line",
+            good.replace("127.0.0.1:1\"", "somewhere\""),
+            "settings.toml:6:12",
+        ),
     ];
     for (case, text, named) in cases {
         let output = Temporary::new(case, &text).start("entry");
--- a/crates/link/src/daemon.rs
+++ b/crates/link/src/daemon.rs
@@ -1,23 +1,56 @@
-//! The start of a daemon: its settings, its logs, then its work.
+//! The start of a daemon: its command line, its settings, its logs, then its
+//! work.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
+use clap::{Args, Command, FromArgMatches};
 use miette::IntoDiagnostic;
 use serde::de::DeserializeOwned;
 
 use crate::{log, settings};
 
+/// What every daemon takes on its command line.
+#[derive(Args)]
+struct Arguments {
+    /// The settings file.
+    #[arg(long)]
+    settings: PathBuf,
+}
+
+/// Reads the command line of the daemon `name`, which does what `about` says,
+/// and runs it.
+///
+/// # Errors
+///
+/// As [`run`].
+pub fn main<S, E>(
+    name: &'static str,
+    about: &'static str,
+    start: fn(S) -> Result<(), E>,
+) -> miette::Result<()>
+where
+    S: DeserializeOwned,
+    E: std::error::Error + Send + Sync + 'static,
+{
+    let command = Command::new(name)
+        .about(about)
+        .version(env!("CARGO_PKG_VERSION"));
+    let matches = Arguments::augment_args(command).get_matches();
+    let arguments = Arguments::from_arg_matches(&matches).into_diagnostic()?;
+    run(name, &arguments.settings, start)
+}
+
 /// Reads the settings in `path` and runs the daemon `name` with them.
 ///
 /// # Errors
 ///
 /// A report on the settings, or what the daemon could not start with.
-pub fn run<S, E>(name: &str, path: &Path, run: fn(S) -> Result<(), E>) -> miette::Result<()>
+pub fn run<S, E>(name: &str, path: &Path, start: fn(S) -> Result<(), E>) -> miette::Result<()>
 where
     S: DeserializeOwned,
     E: std::error::Error + Send + Sync + 'static,
 {
     let settings = settings::load(path)?;
     log::start(name).into_diagnostic()?;
-    run(settings).into_diagnostic()
+    start(settings).into_diagnostic()
 }
--- a/crates/steward/src/main.rs
+++ b/crates/steward/src/main.rs
@@ -1,23 +1,9 @@
 //! The steward daemon.
 
-use std::path::PathBuf;
-
-use clap::Parser;
-
-/// Orders endpoints, puts weights in force and reports usage.
-#[derive(Parser)]
-#[command(name = "tarragonseam-steward", version)]
-struct Arguments {
-    /// The settings file.
-    #[arg(long)]
-    settings: PathBuf,
-}
-
 fn main() -> miette::Result<()> {
-    let arguments = Arguments::parse();
-    link::daemon::run(
+    link::daemon::main(
         "tarragonseam-steward",
-        &arguments.settings,
+        "Orders endpoints, puts weights in force and reports usage.",
         tarragonseam_steward::run,
     )
 }
--- a/crates/steward/src/settings.rs
+++ b/crates/steward/src/settings.rs
@@ -1,52 +1,29 @@
 //! The settings of the daemon.
 
-use std::{net::SocketAddr, time::Duration};
+use std::net::SocketAddr;
 
-use serde::{Deserialize, Serialize};
-use serde_with::{DurationMilliSeconds, serde_as};
-
-/// What a VM's steward is told of itself.
-///
-/// # Examples
-///
-/// ```
-/// use tarragonseam_steward::Settings;
-///
-/// let text = r#"
-///     vm = "vm-1"
-///     failure_domain = "a"
-///     admin = "127.0.0.1:9004"
-///     entry = "127.0.0.1:9002"
-///     platform = "127.0.0.1:9300"
-/// "#;
-/// let settings: Settings = toml::from_str(text)?;
-/// assert_eq!(settings.failure_domain, "a");
-/// # Ok::<(), toml::de::Error>(())
-/// ```
-#[serde_as]
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Settings {
-    /// The name of this VM.
-    pub vm: String,
-    /// Its failure domain.
-    pub failure_domain: String,
-    /// Where operators read metrics and state.
-    pub admin: SocketAddr,
-    /// The address of this VM's entry daemon for peers, from which it learns
-    /// what is in force.
-    pub entry: SocketAddr,
-    /// The platform.
-    pub platform: SocketAddr,
-    /// The collector of traces, which takes OTLP over HTTP.
-    #[serde(default)]
-    pub collector: Option<SocketAddr>,
-    /// The length of a window of usage, in milliseconds.
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
-    #[serde(rename = "window_ms", default = "window")]
-    pub window: Duration,
-}
-
-fn window() -> Duration {
-    Duration::from_secs(60)
+link::daemon_settings! {
+    /// What a VM's steward is told of itself.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use tarragonseam_steward::Settings;
+    ///
+    /// let text = r#"
+    ///     vm = "vm-1"
+    ///     failure_domain = "a"
+    ///     admin = "127.0.0.1:9004"
+    ///     entry = "127.0.0.1:9002"
+    ///     platform = "127.0.0.1:9300"
+    /// "#;
+    /// let settings: Settings = toml::from_str(text)?;
+    /// assert_eq!(settings.failure_domain, "a");
+    /// # Ok::<(), toml::de::Error>(())
+    /// ```
+    pub struct Settings {
+        /// The address of this VM's entry daemon for peers, from which it
+        /// learns what is in force.
+        pub entry: SocketAddr,
+    }
 }
