lab: draw results, and compare those of processes

Results of process runs could only be read as JSON: `compare` took files of simulated runs alone, and nothing drew them. Files name their experiment in different ways (`experiment`, or only the command that gave them), so the kind is read from either; a file that names none, and two files of different experiments, are refused with a cure.

Figures are matched by the circumstances of their run, not by their place: sizes are added and removed between runs. The rate in the name of an open-loop phase follows from an earlier phase of the same run and is left out of the name. Ruled out: a shared result type for all experiments, as the kept files would have had to be written again.

`plot` draws by plotters, SVG only and without fonts: callers and ways (goodput and late share by load and way), gossip (bytes and CPU by VMs), calls to the platform, latency of the entry, weights against their bound. Takeover, calls of lots and stragglers have no chart and say so.

The charts were checked by their texts and points, not looked at.

--- a/crates/lab/src/bin/tarragonseam-experiment.rs
+++ b/crates/lab/src/bin/tarragonseam-experiment.rs
@@ -1,9 +1,9 @@
 //! Runs experiments with decisions and compares their results.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::path::PathBuf;
 
 use clap::{Parser, Subcommand};
-use tarragonseam_lab::{Error, entry, experiment, report};
+use tarragonseam_lab::{Error, Measurement, entry, experiment, measurement, plot, report};
 
 /// Experiments with decisions: state machines of many VMs in one process.
 #[derive(Debug, Parser)]
@@ -35,13 +35,21 @@
         #[arg(long, default_value_t = 5)]
         seconds: u64,
     },
-    /// Prints two results side by side.
+    /// Prints two results of one experiment side by side.
     Compare {
-        /// One file of results.
+        /// The file of results before.
         a: String,
-        /// Another one.
+        /// The file of results after.
         b: String,
     },
+    /// Draws results as SVG charts.
+    Plot {
+        /// The file of results.
+        file: String,
+        /// The folder for the charts.
+        #[arg(long)]
+        out: PathBuf,
+    },
 }
 
 /// The experiment with real processes.
@@ -76,19 +84,19 @@
             out.map_or(Ok(()), |path| file.write(&path))
         }
         Job::Compare { a, b } => {
-            let (a, b) = (report::File::read(&a)?, report::File::read(&b)?);
-            print!("{}", report::compare(&a, &b));
+            let (a, b) = (Measurement::read(&a)?, Measurement::read(&b)?);
+            print!("{}", measurement::compare(&a, &b)?);
+            Ok(())
+        }
+        Job::Plot { file, out } => {
+            for path in plot::draw(&Measurement::read(&file)?, &out)? {
+                println!("{}", path.display());
+            }
             Ok(())
         }
     }
 }
 
-fn main() -> ExitCode {
-    match run(Command::parse().job) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(e) => {
-            eprintln!("tarragonseam-experiment: {e}");
-            ExitCode::FAILURE
-        }
-    }
+fn main() -> miette::Result<()> {
+    Ok(run(Command::parse().job)?)
 }
--- a/crates/lab/src/entry/mod.rs
+++ b/crates/lab/src/entry/mod.rs
@@ -12,7 +12,7 @@
 
 use std::path::PathBuf;
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::Error;
 
@@ -65,7 +65,7 @@
 }
 
 /// The figures of one deployment.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Run {
     /// VMs of the deployment; the first is measured.
     pub vms: usize,
@@ -85,7 +85,7 @@
 }
 
 /// All figures.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Report {
     /// The command line.
     pub command: String,
--- a/crates/lab/src/entry/phase.rs
+++ b/crates/lab/src/entry/phase.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use super::{
     load::{self, Tally, Target},
@@ -10,7 +10,7 @@
 };
 
 /// What came back on one way to the endpoint.
-#[derive(Clone, Copy, Debug, Serialize)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct Side {
     /// Whole answers.
     pub answered: u64,
@@ -27,7 +27,7 @@
 }
 
 /// A phase.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Phase {
     /// What was called and how.
     pub name: String,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -21,7 +21,9 @@
 pub mod entry;
 pub mod error;
 pub mod experiment;
+pub mod measurement;
 pub mod plan;
+pub mod plot;
 pub mod report;
 pub mod result;
 pub(crate) mod traffic;
@@ -29,6 +31,7 @@
 pub(crate) mod world;
 
 pub use error::Error;
+pub use measurement::Measurement;
 pub use plan::{Plan, Setup, Way};
 pub use result::{Cell, Summary};
 pub use world::run;
--- /dev/null
+++ b/crates/lab/src/measurement/figure.rs
@@ -0,0 +1,101 @@
+//! The figures of a file by name.
+//!
+//! Runs differ in their order and number between two files, so each is named
+//! by its circumstances and not by its place.
+
+use serde_json::Value;
+
+use crate::report::median;
+
+/// Names of members that tell the runs of an array apart.
+const CIRCUMSTANCES: [&str; 7] = [
+    "name",
+    "vms",
+    "endpoints",
+    "engines",
+    "lots",
+    "prompt_words",
+    "rerun_percent",
+];
+
+/// Returns each number with its name, in the order of the file. Of an array of
+/// numbers it returns the median.
+pub(super) fn list(value: &Value) -> Vec<(String, f64)> {
+    let mut figures = Vec::new();
+    collect(value, "", &mut figures);
+    figures
+}
+
+fn collect(value: &Value, name: &str, figures: &mut Vec<(String, f64)>) {
+    match value {
+        Value::Number(number) => {
+            figures.extend(number.as_f64().map(|number| (name.to_string(), number)));
+        }
+        Value::Array(items) if items.iter().all(Value::is_number) => {
+            let numbers: Vec<_> = items.iter().filter_map(Value::as_f64).collect();
+            if !numbers.is_empty() {
+                figures.push((format!("{name} (median)"), median(numbers)));
+            }
+        }
+        Value::Array(items) => collect_runs(items, name, figures),
+        Value::Object(members) => {
+            for (member, value) in members {
+                if !is_circumstance(member) {
+                    collect(value, &join(name, member), figures);
+                }
+            }
+        }
+        Value::Null | Value::Bool(_) | Value::String(_) => {}
+    }
+}
+
+fn collect_runs(items: &[Value], name: &str, figures: &mut Vec<(String, f64)>) {
+    let mut seen: Vec<String> = Vec::new();
+    for item in items {
+        let label = label(item);
+        let earlier = seen.iter().filter(|other| **other == label).count();
+        let run = match earlier {
+            0 => label.clone(),
+            _ => format!("{label} #{}", earlier + 1),
+        };
+        seen.push(label);
+        // The label says more than the name of the array.
+        let place = name.rsplit_once(' ').map_or("", |(place, _)| place);
+        collect(item, &join(place, &run), figures);
+    }
+}
+
+fn label(item: &Value) -> String {
+    let known = CIRCUMSTANCES.iter().filter_map(|name| match &item[*name] {
+        Value::String(text) => Some(without_rates(text)),
+        Value::Number(number) => Some(format!("{name}={number}")),
+        _ => None,
+    });
+    let known: Vec<_> = known.collect();
+    if known.is_empty() {
+        return "run".to_string();
+    }
+    known.join(" ")
+}
+
+fn is_circumstance(name: &str) -> bool {
+    CIRCUMSTANCES.contains(&name)
+}
+
+/// Returns the name of a phase without the rate that followed from an earlier
+/// phase of the same run, which differs from run to run.
+fn without_rates(text: &str) -> String {
+    const RATE: &str = " a second each way";
+    let Some((before, _)) = text.split_once(RATE) else {
+        return text.to_string();
+    };
+    let stem = before.trim_end_matches(|c: char| c.is_ascii_digit());
+    format!("{stem}N{RATE}")
+}
+
+fn join(name: &str, member: &str) -> String {
+    match name {
+        "" => member.to_string(),
+        _ => format!("{name} {member}"),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/plot/callers.rs
@@ -0,0 +1,83 @@
+//! Goodput and late answers by load and way.
+
+use std::collections::BTreeMap;
+
+use super::chart::{Chart, Line, Panel};
+use crate::{
+    Cell, Summary,
+    report::{File, median},
+};
+
+/// What one chart is of: deployment, VMs, greedy account, loss of endpoints.
+type Circumstance<'a> = (&'a str, usize, bool, bool);
+
+/// Returns a chart for each circumstance, with a row for each service.
+pub(super) fn charts(file: &File) -> Vec<Chart> {
+    let mut groups: BTreeMap<Circumstance<'_>, Vec<&Cell>> = BTreeMap::new();
+    for cell in &file.cells {
+        let key = (cell.plan.as_str(), cell.vms, cell.greedy, cell.loss);
+        groups.entry(key).or_default().push(cell);
+    }
+    groups
+        .into_iter()
+        .map(|(key, cells)| chart(file, key, &cells))
+        .collect()
+}
+
+fn chart(file: &File, key: Circumstance<'_>, cells: &[&Cell]) -> Chart {
+    let (plan, vms, greedy, loss) = key;
+    let mix = if greedy { "greedy" } else { "even" };
+    let fault = if loss { "loss" } else { "none" };
+    let mut services: Vec<_> = cells.iter().flat_map(|cell| cell.services.keys()).collect();
+    services.sort();
+    services.dedup();
+    let row = |service: &&String| {
+        vec![
+            panel(cells, service, "goodput", goodput),
+            panel(cells, service, "late share", |summary| 100.0 * summary.late),
+        ]
+    };
+    Chart {
+        name: format!("{plan}-{vms}-{mix}-{fault}"),
+        title: format!(
+            "{}: {plan}, {vms} VMs, {mix} accounts, fault: {fault} ({})",
+            file.experiment, file.kind
+        ),
+        rows: services.iter().map(row).collect(),
+    }
+}
+
+/// Returns the answers in time, in percent of what was offered.
+fn goodput(summary: &Summary) -> f64 {
+    100.0 * (1.0 - summary.late - summary.refused)
+}
+
+fn panel(cells: &[&Cell], service: &str, what: &str, figure: fn(&Summary) -> f64) -> Panel {
+    let mut ways: BTreeMap<String, BTreeMap<u64, Vec<f64>>> = BTreeMap::new();
+    for cell in cells {
+        let Some(summary) = cell.services.get(service) else {
+            continue;
+        };
+        let way = serde_json::to_value(cell.way).unwrap_or_default();
+        let way = way.as_str().unwrap_or_default().to_string();
+        let loads = ways.entry(way).or_default();
+        // Loads are positive, so their bits are in the order of the loads.
+        loads
+            .entry(cell.load.to_bits())
+            .or_default()
+            .push(figure(summary));
+    }
+    let line = |(name, loads): (String, BTreeMap<u64, Vec<f64>>)| Line {
+        name,
+        points: loads
+            .into_iter()
+            .map(|(load, values)| (f64::from_bits(load), median(values)))
+            .collect(),
+    };
+    Panel {
+        title: format!("{service}: {what}, median over the seeds"),
+        x: "offered work as a part of capacity".to_string(),
+        y: "% of offered requests".to_string(),
+        lines: ways.into_iter().map(line).collect(),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/plot/chart.rs
@@ -0,0 +1,125 @@
+//! Lines over an axis, in panels.
+
+use std::{error, ops::Range, path::Path};
+
+use plotters::{
+    coord::Shift,
+    prelude::{
+        BLACK, ChartBuilder, Circle, Color, DrawingArea, IntoDrawingArea, IntoFont, LineSeries,
+        Palette, Palette99, PathElement, SVGBackend, SeriesLabelPosition, WHITE,
+    },
+};
+
+use crate::Error;
+
+/// A file with panels.
+pub(super) struct Chart {
+    /// The last part of the file's name.
+    pub(super) name: String,
+    /// The title of the whole.
+    pub(super) title: String,
+    /// The panels by row.
+    pub(super) rows: Vec<Vec<Panel>>,
+}
+
+/// A pair of axes.
+pub(super) struct Panel {
+    pub(super) title: String,
+    pub(super) x: String,
+    pub(super) y: String,
+    pub(super) lines: Vec<Line>,
+}
+
+/// Points of one kind, in the order of their x.
+pub(super) struct Line {
+    pub(super) name: String,
+    pub(super) points: Vec<(f64, f64)>,
+}
+
+/// The size of a panel and of the title, in pixels.
+const PANEL: (usize, usize) = (520, 340);
+const TITLE: usize = 40;
+/// Room above the highest point, as a part of the axis.
+const HEADROOM: f64 = 1.15;
+const FONT: &str = "sans-serif";
+
+type Area<'a> = DrawingArea<SVGBackend<'a>, Shift>;
+type Drawn = Result<(), Box<dyn error::Error>>;
+
+impl Chart {
+    /// Writes the chart as SVG.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Draw`] when the file cannot be written.
+    pub(super) fn write(&self, path: &Path) -> Result<(), Error> {
+        self.draw(path).map_err(|e| Error::Draw {
+            path: path.display().to_string(),
+            problem: e.to_string(),
+        })
+    }
+
+    fn draw(&self, path: &Path) -> Drawn {
+        let columns = self.rows.iter().map(Vec::len).max().unwrap_or(1);
+        let width = PANEL.0 * columns;
+        let height = TITLE + PANEL.1 * self.rows.len();
+        let size = (u32::try_from(width)?, u32::try_from(height)?);
+        let root = SVGBackend::new(path, size).into_drawing_area();
+        root.fill(&WHITE)?;
+        let root = root.titled(&self.title, (FONT, 18).into_font())?;
+        let areas = root.split_evenly((self.rows.len(), columns));
+        for (row, areas) in self.rows.iter().zip(areas.chunks(columns)) {
+            for (panel, area) in row.iter().zip(areas) {
+                panel.draw(area)?;
+            }
+        }
+        root.present()?;
+        Ok(())
+    }
+}
+
+impl Panel {
+    fn draw(&self, area: &Area<'_>) -> Drawn {
+        let (xs, ys) = self.ranges();
+        let mut chart = ChartBuilder::on(area)
+            .caption(&self.title, (FONT, 14))
+            .margin(10)
+            .x_label_area_size(36)
+            .y_label_area_size(64)
+            .build_cartesian_2d(xs, ys)?;
+        chart
+            .configure_mesh()
+            .x_desc(&self.x)
+            .y_desc(&self.y)
+            .draw()?;
+        for (n, line) in self.lines.iter().enumerate() {
+            let color = Palette99::pick(n).to_rgba();
+            let points = line.points.iter().copied();
+            chart
+                .draw_series(LineSeries::new(points.clone(), color.stroke_width(2)))?
+                .label(&line.name)
+                .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], color));
+            chart.draw_series(points.map(|point| Circle::new(point, 3, color.filled())))?;
+        }
+        chart
+            .configure_series_labels()
+            .position(SeriesLabelPosition::UpperLeft)
+            .background_style(WHITE.mix(0.8))
+            .border_style(BLACK)
+            .draw()?;
+        Ok(())
+    }
+
+    /// The axes start at zero, so that what is twice as high is twice as much.
+    fn ranges(&self) -> (Range<f64>, Range<f64>) {
+        let points = self.lines.iter().flat_map(|line| &line.points);
+        let finite = points.filter(|(x, y)| x.is_finite() && y.is_finite());
+        let (mut right, mut top) = (0.0_f64, 0.0_f64);
+        for (x, y) in finite {
+            right = right.max(*x);
+            top = top.max(*y);
+        }
+        let end = |most: f64| if most > 0.0 { most * HEADROOM } else { 1.0 };
+        (0.0..end(right), 0.0..end(top))
+    }
+}
--- /dev/null
+++ b/crates/lab/src/plot/entry.rs
@@ -0,0 +1,57 @@
+//! What an entry daemon adds to the latency of a call.
+
+use super::chart::{Chart, Line, Panel};
+use crate::entry::{Phase, Report, Run, Side};
+
+/// Returns a chart for each number of VMs.
+pub(super) fn charts(report: &Report) -> Vec<Chart> {
+    report.runs.iter().map(chart).collect()
+}
+
+fn chart(run: &Run) -> Chart {
+    // A closed loop shows the highest rate; its latency is that of its queue.
+    let open: Vec<_> = run.phases.iter().filter(|p| is_open(p)).collect();
+    let panel = |phase: &&Phase| Panel {
+        title: phase.name.clone(),
+        x: "percentile of calls".to_string(),
+        y: "ms to the first part of the body".to_string(),
+        lines: vec![
+            line("direct", &phase.direct),
+            line("through the entry", &phase.entry),
+        ],
+    };
+    let panels: Vec<_> = open.iter().map(panel).collect();
+    let mut rows: Vec<Vec<Panel>> = Vec::new();
+    for panel in panels {
+        match rows.last_mut() {
+            Some(row) if row.len() < COLUMNS => row.push(panel),
+            _ => rows.push(vec![panel]),
+        }
+    }
+    Chart {
+        name: format!("latency-{}", run.vms),
+        title: format!(
+            "Latency with {} VM(s): direct and through an entry daemon",
+            run.vms
+        ),
+        rows,
+    }
+}
+
+const COLUMNS: usize = 2;
+
+fn is_open(phase: &Phase) -> bool {
+    phase.name.contains("open loop")
+}
+
+fn line(name: &str, side: &Side) -> Line {
+    let ms = |us: f64| us / 1000.0;
+    Line {
+        name: name.to_string(),
+        points: vec![
+            (50.0, ms(side.p50_us)),
+            (99.0, ms(side.p99_us)),
+            (99.9, ms(side.p999_us)),
+        ],
+    }
+}
--- /dev/null
+++ b/crates/lab/src/plot/weights.rs
@@ -0,0 +1,49 @@
+//! The time of weight rollouts against their bound.
+
+use serde::Deserialize;
+
+use super::chart::{Chart, Line, Panel};
+
+/// Rollouts of weights by the number of engines.
+#[derive(Debug, Deserialize)]
+pub(super) struct Weights {
+    rollouts: Vec<Rollout>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Rollout {
+    engines: u32,
+    bound_ms: f64,
+    times_ms: Vec<f64>,
+}
+
+/// Returns the chart.
+pub(super) fn chart(weights: &Weights) -> Chart {
+    let line = |name: &str, figure: fn(&Rollout) -> f64| Line {
+        name: name.to_string(),
+        points: weights
+            .rollouts
+            .iter()
+            .map(|rollout| (f64::from(rollout.engines), figure(rollout)))
+            .collect(),
+    };
+    let slowest = |rollout: &Rollout| rollout.times_ms.iter().copied().fold(0.0, f64::max);
+    let fastest = |rollout: &Rollout| {
+        let times = rollout.times_ms.iter().copied();
+        times.fold(f64::INFINITY, f64::min)
+    };
+    Chart {
+        name: "time".to_string(),
+        title: "Time until new weights are on all engines".to_string(),
+        rows: vec![vec![Panel {
+            title: "rollouts against the bound of the weight store".to_string(),
+            x: "engines".to_string(),
+            y: "ms".to_string(),
+            lines: vec![
+                line("bound", |rollout| rollout.bound_ms),
+                line("slowest rollout", slowest),
+                line("fastest rollout", fastest),
+            ],
+        }]],
+    }
+}
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -151,12 +151,12 @@
     )
 }
 
-fn median(mut values: Vec<f64>) -> f64 {
+pub(crate) fn median(mut values: Vec<f64>) -> f64 {
     values.sort_by(f64::total_cmp);
     values.get(values.len() / 2).copied().unwrap_or_default()
 }
 
-fn file_error(path: &str, source: std::io::Error) -> Error {
+pub(crate) fn file_error(path: &str, source: std::io::Error) -> Error {
     Error::File {
         path: path.to_string(),
         source,
