--- /dev/null
+++ b/crates/fakes/src/bin/tarragonseam-swarm/decisions.rs
@@ -0,0 +1,149 @@
+//! Many VMs' decisions in one process, over a made-up network.
+
+use std::time::{Duration, Instant};
+
+use board::{
+    config::{Part, manifest},
+    endpoint::{Record, State, Tenure},
+    key::{Digest, Grant},
+    shared::{Fact, Item},
+};
+use serde_json::json;
+use tarragonseam_fakes::swarm::Swarm;
+
+use crate::{
+    DOMAINS, process,
+    row::{self, Row},
+};
+
+/// The longest that anything may take to reach all VMs.
+const LIMIT: Duration = Duration::from_secs(60);
+const JOIN_TIME: Duration = Duration::from_secs(5);
+const SETTLE_TIME: Duration = Duration::from_secs(2);
+/// Changes of endpoints, and the pause after each.
+const CHANGES: usize = 50;
+const CHANGE_PAUSE: Duration = Duration::from_millis(100);
+
+/// Measures a swarm of `size`, written `VMSxENDPOINTSxDOMAINS`.
+pub(crate) fn run(size: &str, seconds: u64) -> Row {
+    let numbers: Vec<usize> = size.split('x').filter_map(|n| n.parse().ok()).collect();
+    let [vms, endpoints, domains] = numbers[..] else {
+        panic!("{size} is not VMSxENDPOINTSxDOMAINS");
+    };
+    let domains = &DOMAINS[..domains];
+    let mut row = Row {
+        mode: "decisions of many VMs in one process, without sockets",
+        vms,
+        endpoints,
+        failure_domains: domains.len(),
+        ..Row::default()
+    };
+    let mut swarm = start(&mut row, domains);
+    measure_quiet(&mut row, &mut swarm, seconds);
+    measure_changes(&mut row, &mut swarm);
+    measure_endpoints(&mut row, &mut swarm, domains);
+    swarm.crash(vms - 1);
+    let crash = swarm.run_until(LIMIT, Swarm::is_converged);
+    row.crash_ms = crash.map(|time| time.as_millis() as u64);
+    row
+}
+
+/// Starts a swarm whose VMs all learn of every endpoint from the first one.
+fn start(row: &mut Row, domains: &[&str]) -> Swarm {
+    let before = process::own_memory();
+    let mut swarm = Swarm::new(row.vms, domains, 1);
+    swarm.run(JOIN_TIME);
+    let records = (0..row.endpoints).map(|place| endpoint(place, domains, State::Ready));
+    let items = records.map(|record| fact(1, Fact::Endpoint(record)));
+    swarm.publish(0, items.collect());
+    swarm.publish(0, vec![key(1, false)]);
+    let learned = millis(swarm.run_until(LIMIT, is_known));
+    row.detail.insert("learned_ms".into(), json!(learned));
+    row.memory_bytes = (process::own_memory() - before) / row.vms as f64;
+    swarm.run(SETTLE_TIME);
+    swarm
+}
+
+/// Measures what VMs cost while nothing changes.
+fn measure_quiet(row: &mut Row, swarm: &mut Swarm, seconds: u64) {
+    let (bytes, start) = (traffic(swarm), Instant::now());
+    swarm.run(Duration::from_secs(seconds));
+    let vm_seconds = row.vms as f64 * seconds as f64;
+    row.quiet_core = start.elapsed().as_secs_f64() / vm_seconds;
+    row.quiet_bytes_per_s = (traffic(swarm) - bytes) / vm_seconds;
+    row.load_average = row::load_average();
+}
+
+/// Measures how long withdrawals and configurations take to reach all VMs.
+fn measure_changes(row: &mut Row, swarm: &mut Swarm) {
+    for version in 2..7 {
+        let place = version as usize * 7 % row.vms;
+        swarm.publish(place, vec![key(version, true)]);
+        let withdrawn = swarm.run_until(LIMIT, is_known);
+        row.withdrawal_ms.push(millis(withdrawn));
+        let text = format!("[accounts.a]\nweight = {version}\n");
+        let part = Part {
+            file: "a.toml".to_string(),
+            text: text.clone(),
+        };
+        let manifest = manifest::of_parts(version, &[part]);
+        policy::dissemination::take_part(&mut swarm.nodes[place].board, text);
+        swarm.publish(place, vec![fact(version, Fact::Config(manifest))]);
+        let changed = swarm.run_until(LIMIT, is_known);
+        row.configuration_ms.push(millis(changed));
+    }
+}
+
+/// Measures what one change of an endpoint costs a VM.
+fn measure_endpoints(row: &mut Row, swarm: &mut Swarm, domains: &[&str]) {
+    let (bytes, start) = (traffic(swarm), swarm.now);
+    for place in 0..CHANGES {
+        let record = endpoint(place, domains, State::Leaving);
+        swarm.publish(place % row.vms, vec![fact(2, Fact::Endpoint(record))]);
+        swarm.run(CHANGE_PAUSE);
+    }
+    swarm.run_until(LIMIT, is_known);
+    let quiet = row.quiet_bytes_per_s * row.vms as f64 * (swarm.now - start).as_secs_f64();
+    row.change_bytes = (traffic(swarm) - bytes - quiet) / (row.vms * CHANGES) as f64;
+}
+
+/// Returns whether all VMs know the same.
+fn is_known(swarm: &Swarm) -> bool {
+    let digests = swarm.nodes[0].board.shared.digests();
+    let mut nodes = swarm.nodes.iter();
+    nodes.all(|node| node.board.shared.digests() == digests)
+}
+
+fn millis(time: Option<Duration>) -> u64 {
+    time.map_or(u64::MAX, |time| time.as_millis() as u64)
+}
+
+fn traffic(swarm: &Swarm) -> f64 {
+    let bytes = swarm.nodes.iter().map(|node| node.sent + node.received);
+    bytes.sum::<u64>() as f64
+}
+
+fn fact(version: u64, fact: Fact) -> Item {
+    Item { version, fact }
+}
+
+fn key(version: u64, withdrawn: bool) -> Item {
+    let account = "panel-nord".to_string();
+    fact(
+        version,
+        Fact::Key(Digest::of("secret"), Grant { account, withdrawn }),
+    )
+}
+
+fn endpoint(place: usize, domains: &[&str], state: State) -> Record {
+    Record {
+        id: format!("tasting-notes-{place}"),
+        address: ([10, 1, (place / 250) as u8, (place % 250) as u8], 9000).into(),
+        failure_domain: domains[place % domains.len()].to_string(),
+        service: "tasting-notes".to_string(),
+        tenure: Tenure::Cheap,
+        state,
+        checks_epoch: true,
+        price: 1.0,
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/bin/tarragonseam-swarm/processes.rs
@@ -0,0 +1,176 @@
+//! An entry and a steward process for each VM, on loopback.
+
+use std::{
+    fs,
+    path::Path,
+    time::{Duration, Instant},
+};
+
+use board::key::{Digest, Grant};
+use link::{
+    http::client::Call,
+    platform::{Client, When},
+};
+use serde_json::{Value, json};
+use tarragonseam_fakes::deployment::{Deployment, Plan};
+
+use crate::{
+    PROCESS_DOMAINS, process,
+    row::{self, Row},
+    traffic,
+};
+
+/// How long a deployment settles before it is measured.
+const SETTLE_TIME: Duration = Duration::from_secs(5);
+
+/// A running deployment, and the program that operators use.
+struct Site<'a> {
+    program: &'a Path,
+    deployment: Deployment,
+}
+
+/// Measures a deployment of `vms` VMs with the files in `tree`.
+pub(crate) async fn run(program: &Path, tree: &Path, vms: usize, seconds: u64) -> Row {
+    let site = Site::start(program, tree, vms).await;
+    let mut row = Row {
+        mode: "an entry and a steward process for each VM, on loopback",
+        vms,
+        endpoints: site.deployment.endpoints.len(),
+        failure_domains: PROCESS_DOMAINS.len(),
+        load_average: row::load_average(),
+        ..Row::default()
+    };
+    site.measure_quiet(&mut row, Duration::from_secs(seconds))
+        .await;
+    site.measure_changes(&mut row).await;
+    row
+}
+
+impl<'a> Site<'a> {
+    async fn start(program: &'a Path, tree: &Path, vms: usize) -> Self {
+        let plan = Plan::new(tree)
+            .vms(vms, PROCESS_DOMAINS)
+            .engines("tasting-notes", 8, PROCESS_DOMAINS)
+            .services("entry-registry", 3, PROCESS_DOMAINS);
+        let deployment = Deployment::start(program, &plan).await;
+        let deployment = deployment.expect("a deployment");
+        let site = Self {
+            program,
+            deployment,
+        };
+        site.publish();
+        site.deployment.wait_ready().await.expect("ready VMs");
+        monoio::time::sleep(SETTLE_TIME).await;
+        site
+    }
+
+    /// Runs a command of operators and returns what it prints.
+    fn command(&self, arguments: &[&str]) -> String {
+        let platform = format!("--platform={}", self.deployment.platform);
+        let output = std::process::Command::new(self.program)
+            .args(arguments)
+            .arg(platform)
+            .output();
+        String::from_utf8(output.expect("a command").stdout).unwrap_or_default()
+    }
+
+    fn publish(&self) {
+        let tree = self.deployment.tree.display().to_string();
+        self.command(&["publish", &tree]);
+    }
+
+    /// Measures what VMs cost while nothing changes.
+    async fn measure_quiet(&self, row: &mut Row, time: Duration) {
+        let deployment = &self.deployment;
+        let vms = deployment.vms.iter();
+        let ids = vms.flat_map(|vm| [vm.entry.id(), vm.steward.id()]);
+        let ids: Vec<u32> = ids.flatten().collect();
+        let cpu = || ids.iter().map(|id| process::cpu_of(*id)).sum::<f64>();
+        let bytes = traffic::bytes(deployment).await;
+        let calls = traffic::calls(deployment).await;
+        let (used, start) = (cpu(), Instant::now());
+        monoio::time::sleep(time).await;
+        let took = start.elapsed().as_secs_f64();
+        let used = cpu() - used;
+        let memory = ids.iter().map(|id| process::memory_of(&id.to_string()));
+        let per_vm = |total: f64| total / deployment.vms.len() as f64;
+        row.quiet_core = per_vm(used) / took;
+        row.memory_bytes = per_vm(memory.sum());
+        for (kind, after) in traffic::bytes(deployment).await {
+            let rate = per_vm(after - bytes.get(&kind).unwrap_or(&0.0)) / took;
+            row.quiet_bytes_per_s += rate;
+            let name = format!("bytes_per_s {kind}");
+            row.detail.insert(name, json!(rate));
+        }
+        for (kind, after) in traffic::calls(deployment).await {
+            let rate = (after - calls.get(&kind).unwrap_or(&0.0)) * 60.0 / took;
+            let name = format!("platform calls a minute {kind}");
+            row.detail.insert(name, json!(rate));
+        }
+    }
+
+    /// Measures how long changes of configuration and withdrawals of keys take.
+    async fn measure_changes(&self, row: &mut Row) {
+        let platform = Client::new(self.deployment.platform, "experiment");
+        for revision in 2..7 {
+            let changed = self.change_configuration(revision).await;
+            row.configuration_ms.push(changed.as_millis() as u64);
+            let withdrawn = self.withdraw_key(&platform, revision - 1).await;
+            row.withdrawal_ms.push(withdrawn.as_millis() as u64);
+        }
+    }
+
+    async fn change_configuration(&self, revision: u64) -> Duration {
+        let file = self.deployment.tree.join("accounts/tarragonseam.toml");
+        let text = fs::read_to_string(&file).unwrap_or_default();
+        let text = format!("{text}\n[accounts.next-{revision}]\n");
+        fs::write(&file, text).expect("a file");
+        let start = Instant::now();
+        self.publish();
+        wait(&self.deployment, |status| status["revision"] == revision).await;
+        start.elapsed()
+    }
+
+    /// Issues the key `number` and returns how long its withdrawal takes.
+    async fn withdraw_key(&self, platform: &Client, number: u64) -> Duration {
+        let key = self.command(&["key", "issue", "panel-nord"]);
+        let key = key.trim();
+        wait(&self.deployment, |status| status["keys"] == number).await;
+        withdraw(platform, key).await;
+        let start = Instant::now();
+        for vm in &self.deployment.vms {
+            while answer(&self.deployment, vm.callers, key).await != 401 {}
+        }
+        start.elapsed()
+    }
+}
+
+/// Marks a key as withdrawn at the platform without telling any VM.
+async fn withdraw(platform: &Client, key: &str) {
+    let name = Digest::of(key).to_string();
+    let (version, grant) = platform.read::<Grant>("key", &name).await.expect("a key");
+    let next = Grant {
+        withdrawn: true,
+        ..grant
+    };
+    let written = platform.write("key", &name, When::At(version), &next);
+    written.await.expect("a withdrawal");
+}
+
+async fn answer(deployment: &Deployment, callers: std::net::SocketAddr, key: &str) -> u16 {
+    let body = json!({ "prompt": "a still cider", "max_tokens": 1 }).to_string();
+    let call = Call::post("/v1/models/tasting-notes/generate", body)
+        .header("authorization", format!("Bearer {key}"));
+    let answer = deployment.pool.fetch(callers, call).await;
+    answer.map_or(0, |answer| answer.status.as_u16())
+}
+
+async fn wait(deployment: &Deployment, wanted: impl Fn(&Value) -> bool) {
+    for vm in &deployment.vms {
+        let is_done = |answer: &link::http::client::Fetched| {
+            serde_json::from_slice(&answer.body).is_ok_and(|status| wanted(&status))
+        };
+        let seen = deployment.wait_for(vm.entry_admin, "/status", is_done);
+        seen.await.expect("a change to arrive");
+    }
+}
