steward: lost replies of orders under a lagging list of endpoints

Cause: lost_replies_never_double_an_order passed even when unknown outcomes were given up, because the stand-in's list showed each order at once, so that the next plan counted it whether or not the reply came.

The stand-in's list can now lag (endpoint_lag_ms), and replies can be lost for calls of one kind alone (lost_reply_of).

Found on the way by reading: an endpoint that was ordered counted as listed also while the list still showed it as gone, from its life before, so that it was ordered twice; plan_ordered_endpoint_listed_as_gone. The test of processes does not meet this case.

--- a/crates/fakes/src/fault.rs
+++ b/crates/fakes/src/fault.rs
@@ -23,6 +23,9 @@
     pub gone: bool,
     /// Probability that a call is acted on and then cut.
     pub lost_reply: f64,
+    /// The only calls that lose replies, by method and start of the path, as
+    /// in `POST /v1/orders`.
+    pub lost_reply_of: Option<String>,
     /// Probability that a call fails with 500 before it is acted on.
     pub error_rate: f64,
     /// Probability that a stream or body ends short.
@@ -42,6 +45,11 @@
     /// What cannot be ordered.
     #[serde_as(as = "OneOrMany<_>")]
     pub out_of_stock: Vec<Stock>,
+    /// Time until a change of an endpoint shows in their list, in milliseconds.
+    pub endpoint_lag_ms: u64,
+    /// Whether orders of an old epoch are taken, as by a platform that does not
+    /// check epochs.
+    pub ignore_epochs: bool,
     /// Client addresses, with or without port, and VM ids that get no answer.
     pub cut: Vec<String>,
     /// Reads allowed each second, in place of the configured rate.
@@ -88,6 +96,17 @@
         serde_json::from_value(all).map_err(|e| e.to_string())
     }
 
+    /// Returns the probability that the reply to a call is lost.
+    pub(crate) fn reply_loss(&self, method: &str, path: &str) -> f64 {
+        let call = format!("{method} {path}");
+        let is_meant = |of: &String| call.starts_with(of.as_str());
+        if self.lost_reply_of.as_ref().is_none_or(is_meant) {
+            self.lost_reply
+        } else {
+            0.0
+        }
+    }
+
     /// Returns whether a caller is cut off.
     pub(crate) fn is_cut(&self, vm: Option<&str>, peer: std::net::SocketAddr) -> bool {
         if self.cut.is_empty() {
--- a/crates/policy/src/capacity.rs
+++ b/crates/policy/src/capacity.rs
@@ -104,7 +104,11 @@
         endpoints,
         ..
     } = board;
-    let is_listed = |name: &str| endpoints.find(name).is_some();
+    // One that was gone before may still be listed as it was then.
+    let is_listed = |name: &str| {
+        let endpoint = endpoints.find(name).and_then(|key| endpoints.get(key));
+        endpoint.is_some_and(|e| matches!(e.record.state, State::Starting | State::Ready))
+    };
     capacity
         .pending
         .retain(|pending| now < pending.until && !is_listed(&pending.endpoint));
--- a/crates/policy/tests/capacity.rs
+++ b/crates/policy/tests/capacity.rs
@@ -234,3 +234,16 @@
     };
     assert_eq!(capacity::plan(&mut board, later), [rest]);
 }
+
+#[test]
+fn plan_ordered_endpoint_listed_as_gone() {
+    let mut board = board("a", (0, 1, 0), [(0, 0), (0, 1), (0, 1)]);
+    // It was taken away before, which is all that the list shows as yet.
+    put(&mut board, "a", Tenure::Cheap, 0, State::Gone);
+    let answer = Accepted {
+        key: "a.1.1".into(),
+        endpoints: vec!["a-Cheap-0".into()],
+    };
+    capacity::accepted(&mut board, START, &line(Tenure::Cheap), 1, &answer);
+    assert_eq!(started(&mut board), (0, 0));
+}
