steward: freeze a holder right before its order leaves

Cause: frozen_holder_resumed_mid_order passed even when the end of the lease was ignored, because its old holder had no order left to send on waking: the one under way had left before the freeze, and what it would have ordered next depended on loads that it read again.

Fenced requests can now be held back by a switch of the test faults (hold), after the lease was looked at and the intent written and before the fence is looked at. The test holds an order for endpoints and one for weights, freezes the holder, lets a successor settle and order the same, resumes the old one and lets the held orders go. It runs with a platform and engines that check epochs, and with ones that ignore them (ignore_epochs of the stand-in). The former test stays, under the name of what it does bring about: frozen_holder_order_on_its_way.

--- a/crates/cli/tests/control_orders.rs
+++ b/crates/cli/tests/control_orders.rs
@@ -98,9 +98,92 @@
     }
 }
 
+/// Holds back the orders for endpoints and weights of the VM at `place`, or
+/// lets them go.
+async fn hold(deployment: &Deployment, place: usize, paths: &[&str]) {
+    let steward = deployment.vms[place].steward_admin;
+    fault(deployment, steward, json!({"hold": paths})).await;
+}
+
+/// Freezes a holder whose orders have passed every look at the lease but the
+/// last, and lets them go after a successor has ordered the same.
+async fn resume_mid_order(name: &str, ignores_epochs: bool) {
+    let tree = Tree::new(name, FILE);
+    let mut plan = plan(&tree, 3, &["a"]).engines("notes", 2, &["a"]);
+    for back in plan.backs.iter_mut().filter(|back| back.is_model) {
+        back.class = "stable".to_string();
+        back.checks_epoch = !ignores_epochs;
+    }
+    for vm in &mut plan.vms {
+        vm.steward_settings = "test_faults = true\n".to_string();
+    }
+    let deployment = start(&plan).await;
+    let platform = deployment.platform;
+    wait_present(&deployment, "a", (1, 2)).await;
+    let (old, epoch) = until("holder", async || {
+        holder(&deployment, "orders_epoch", "a", None).await
+    })
+    .await;
+
+    let paths = ["/v1/orders", "/v1/weights"];
+    hold(&deployment, old, &paths).await;
+    let tag = put_weights(&deployment, 2, None).await;
+    let reclaim = json!({"failure_domain": "a", "notice_ms": 300});
+    let switches = json!({"ignore_epochs": ignores_epochs, "reclaim": reclaim});
+    fault(&deployment, platform, switches).await;
+    let steward = deployment.vms[old].steward_admin;
+    until("orders held back", async || {
+        let held = get(&deployment, steward, "/fault").await;
+        let held = held.as_array()?;
+        paths
+            .iter()
+            .all(|path| held.iter().any(|h| h == path))
+            .then_some(())
+    })
+    .await;
+    deployment.vms[old].steward.signal("STOP").unwrap();
+
+    let (new, next) = until("successor", async || {
+        holder(&deployment, "orders_epoch", "a", Some(old)).await
+    })
+    .await;
+    assert!(new != old && next > epoch, "epoch {next} after {epoch}");
+    put_weights(&deployment, 3, Some(tag)).await;
+    wait_present(&deployment, "a", (1, 2)).await;
+    until("weights ordered by the successor", async || {
+        engines_ordered(&deployment).await.then_some(())
+    })
+    .await;
+
+    deployment.vms[old].steward.signal("CONT").unwrap();
+    hold(&deployment, old, &[]).await;
+    until("orders let go", async || {
+        let held = get(&deployment, steward, "/fault").await;
+        held.as_array()?.is_empty().then_some(())
+    })
+    .await;
+    // What left would arrive within this time.
+    monoio::time::sleep(Duration::from_secs(3)).await;
+    let history = orders(&deployment).await;
+    check_orders(&history, "a");
+    assert_eq!(history["stale"], 0, "an order of an old epoch was sent");
+    check_engines(&deployment).await;
+    assert_eq!(present(&deployment, "registry", "a").await, (1, 2));
+}
+
 #[test]
 fn frozen_holder_resumed_mid_order() {
-    let tree = Tree::new("frozen", FILE);
+    link::runtime::run(resume_mid_order("frozen", false)).unwrap();
+}
+
+#[test]
+fn frozen_holder_resumed_mid_order_epochs_ignored() {
+    link::runtime::run(resume_mid_order("frozen-ignored", true)).unwrap();
+}
+
+#[test]
+fn frozen_holder_order_on_its_way() {
+    let tree = Tree::new("frozen-sent", FILE);
     let mut plan = plan(&tree, 3, &["a"]).engines("notes", 2, &["a"]);
     let engines = plan.backs.iter_mut().filter(|back| back.is_model);
     engines.for_each(|back| back.class = "stable".to_string());
--- a/crates/link/src/fault.rs
+++ b/crates/link/src/fault.rs
@@ -1,11 +1,11 @@
-//! Cuts of the links between VMs, for tests only.
+//! Cuts of the links between VMs, and fenced requests held back, for tests only.
 //!
 //! A daemon takes them at `POST /fault` on its admin address when its settings
 //! say `test_faults = true`. A cut drops datagrams; a question over TCP needs
 //! both ways, so a cut in either way fails it. The switches belong to the
 //! thread, as a daemon's sockets do.
 
-use std::{cell::RefCell, net::SocketAddr};
+use std::{cell::RefCell, net::SocketAddr, time::Duration};
 
 board::record! {
     /// Which links are cut.
@@ -16,13 +16,19 @@
         pub to: Vec<SocketAddr>,
         /// Peers that nothing is taken from.
         pub from: Vec<SocketAddr>,
+        /// Paths whose fenced requests wait until they are named here no more,
+        /// as if the process stood still before their bytes leave.
+        pub hold: Vec<String>,
     }
 }
 
 thread_local! {
     static CUTS: RefCell<Cuts> = RefCell::default();
+    static HELD: RefCell<Vec<String>> = RefCell::default();
 }
 
+const HOLD_POLL: Duration = Duration::from_millis(20);
+
 /// Sets the cuts of this thread's links.
 ///
 /// # Examples
@@ -47,3 +53,26 @@
 pub fn is_cut_from(peer: SocketAddr) -> bool {
     CUTS.with(|cuts| cuts.borrow().from.contains(&peer))
 }
+
+/// Returns the paths of the fenced requests that are held back now.
+pub fn held() -> Vec<String> {
+    HELD.with(|held| held.borrow().clone())
+}
+
+/// Waits while fenced requests to `path` are held back.
+pub(crate) async fn hold(path: &str) {
+    let is_held = || CUTS.with(|cuts| cuts.borrow().hold.iter().any(|held| held == path));
+    if !is_held() {
+        return;
+    }
+    HELD.with(|held| held.borrow_mut().push(path.to_string()));
+    while is_held() {
+        monoio::time::sleep(HOLD_POLL).await;
+    }
+    HELD.with(|held| {
+        let mut held = held.borrow_mut();
+        if let Some(place) = held.iter().position(|other| other == path) {
+            held.remove(place);
+        }
+    });
+}
--- a/crates/link/src/http/client.rs
+++ b/crates/link/src/http/client.rs
@@ -37,7 +37,7 @@
     limits::Limits,
     response::BodyReader,
 };
-use crate::net;
+use crate::{fault, net};
 
 type Reader = ClientResponseDecoder<Guard<OwnedReadHalf<TcpStream>>>;
 type Writer = GenericEncoder<OwnedWriteHalf<TcpStream>>;
@@ -210,6 +210,9 @@
     ///
     /// As [`Pool::send`]; a body that ends early is [`Kind::Incomplete`].
     pub async fn fetch(&self, peer: SocketAddr, call: Call) -> Result<Fetched, Error> {
+        if call.fence.is_some() {
+            fault::hold(&call.path).await;
+        }
         let limit = call.deadline;
         let exchange = async {
             let mut response = self.send(peer, call).await?;
--- a/crates/steward/src/run.rs
+++ b/crates/steward/src/run.rs
@@ -3,7 +3,7 @@
 use std::{io, net::SocketAddr, rc::Rc};
 
 use link::{
-    StatusCode,
+    StatusCode, fault,
     follow::Follower,
     http::{Limits, Reply, Request, server},
     net, runtime,
@@ -100,6 +100,21 @@
                 reports_epoch: vm.epoch(&vm.reports),
             },
         ),
+        "/fault" if vm.settings.test_faults => hold(request),
         _ => Reply::error(StatusCode::NOT_FOUND, "no-page", "no such page"),
     }
 }
+
+/// Holds orders back, for tests, and answers with the paths of those held.
+fn hold(request: &Request) -> Reply {
+    if request.body.is_empty() {
+        return Reply::json(StatusCode::OK, &fault::held());
+    }
+    match serde_json::from_slice(&request.body) {
+        Ok(cuts) => {
+            fault::set(cuts);
+            Reply::json(StatusCode::OK, &fault::held())
+        }
+        Err(e) => Reply::error(StatusCode::BAD_REQUEST, "bad-cuts", &e.to_string()),
+    }
+}
--- a/crates/steward/src/settings.rs
+++ b/crates/steward/src/settings.rs
@@ -36,6 +36,9 @@
     /// The address of this VM's entry daemon for peers, from which it learns
     /// what is in force.
     pub entry: SocketAddr,
+    /// Whether `/fault` on the admin address holds orders back; for tests only.
+    #[serde(default)]
+    pub test_faults: bool,
     /// The platform.
     pub platform: SocketAddr,
     /// The collector of traces, which takes OTLP over HTTP.
