--- a/crates/cli/tests/control_orders.rs
+++ b/crates/cli/tests/control_orders.rs
@@ -17,6 +17,12 @@
     capacity = { stable = 2 }\n\
     [accounts.a]\n";
 
+const IN_STOCK: &str = "[services.registry]\n\
+    capacity = { stable = 1, cheap = 2 }\n\
+    [services.other]\n\
+    capacity = { stable = 1 }\n\
+    [accounts.a]\n";
+
 fn plan(tree: &Tree, vms: usize, domains: &[&str]) -> Plan {
     let mut plan = Plan::new(&tree.0).vms(vms, domains);
     for domain in domains {
@@ -92,9 +98,92 @@
     }
 }
 
+/// Holds back the orders for endpoints and weights of the VM at `place`, or
+/// lets them go.
+async fn hold(deployment: &Deployment, place: usize, paths: &[&str]) {
+    let steward = deployment.vms[place].steward_admin;
+    fault(deployment, steward, json!({"hold": paths})).await;
+}
+
+/// Freezes a holder whose orders have passed every look at the lease but the
+/// last, and lets them go after a successor has ordered the same.
+async fn resume_mid_order(name: &str, ignores_epochs: bool) {
+    let tree = Tree::new(name, FILE);
+    let mut plan = plan(&tree, 3, &["a"]).engines("notes", 2, &["a"]);
+    for back in plan.backs.iter_mut().filter(|back| back.is_model) {
+        back.class = "stable".to_string();
+        back.checks_epoch = !ignores_epochs;
+    }
+    for vm in &mut plan.vms {
+        vm.steward_settings = "test_faults = true\n".to_string();
+    }
+    let deployment = start(&plan).await;
+    let platform = deployment.platform;
+    wait_present(&deployment, "a", (1, 2)).await;
+    let (old, epoch) = until("holder", async || {
+        holder(&deployment, "orders_epoch", "a", None).await
+    })
+    .await;
+
+    let paths = ["/v1/orders", "/v1/weights"];
+    hold(&deployment, old, &paths).await;
+    let tag = put_weights(&deployment, 2, None).await;
+    let reclaim = json!({"failure_domain": "a", "notice_ms": 300});
+    let switches = json!({"ignore_epochs": ignores_epochs, "reclaim": reclaim});
+    fault(&deployment, platform, switches).await;
+    let steward = deployment.vms[old].steward_admin;
+    until("orders held back", async || {
+        let held = get(&deployment, steward, "/fault").await;
+        let held = held.as_array()?;
+        paths
+            .iter()
+            .all(|path| held.iter().any(|h| h == path))
+            .then_some(())
+    })
+    .await;
+    deployment.vms[old].steward.signal("STOP").unwrap();
+
+    let (new, next) = until("successor", async || {
+        holder(&deployment, "orders_epoch", "a", Some(old)).await
+    })
+    .await;
+    assert!(new != old && next > epoch, "epoch {next} after {epoch}");
+    put_weights(&deployment, 3, Some(tag)).await;
+    wait_present(&deployment, "a", (1, 2)).await;
+    until("weights ordered by the successor", async || {
+        engines_ordered(&deployment).await.then_some(())
+    })
+    .await;
+
+    deployment.vms[old].steward.signal("CONT").unwrap();
+    hold(&deployment, old, &[]).await;
+    until("orders let go", async || {
+        let held = get(&deployment, steward, "/fault").await;
+        held.as_array()?.is_empty().then_some(())
+    })
+    .await;
+    // What left would arrive within this time.
+    monoio::time::sleep(Duration::from_secs(3)).await;
+    let history = orders(&deployment).await;
+    check_orders(&history, "a");
+    assert_eq!(history["stale"], 0, "an order of an old epoch was sent");
+    check_engines(&deployment).await;
+    assert_eq!(present(&deployment, "registry", "a").await, (1, 2));
+}
+
 #[test]
 fn frozen_holder_resumed_mid_order() {
-    let tree = Tree::new("frozen", FILE);
+    link::runtime::run(resume_mid_order("frozen", false)).unwrap();
+}
+
+#[test]
+fn frozen_holder_resumed_mid_order_epochs_ignored() {
+    link::runtime::run(resume_mid_order("frozen-ignored", true)).unwrap();
+}
+
+#[test]
+fn frozen_holder_order_on_its_way() {
+    let tree = Tree::new("frozen-sent", FILE);
     let mut plan = plan(&tree, 3, &["a"]).engines("notes", 2, &["a"]);
     let engines = plan.backs.iter_mut().filter(|back| back.is_model);
     engines.for_each(|back| back.class = "stable".to_string());
@@ -165,36 +254,52 @@
     .unwrap();
 }
 
+/// Counts the endpoints of a class that orders have started.
+fn started(history: &Value, class: &str) -> usize {
+    let orders = history["orders"].as_array().unwrap().iter();
+    let of = orders
+        .filter(|o| o["service"] == "registry" && o["class"] == class && o["action"] == "start");
+    of.map(|o| o["endpoints"].as_array().unwrap().len()).sum()
+}
+
 #[test]
 fn lost_replies_never_double_an_order() {
-    let tree = Tree::new("lost", FILE);
+    // Nothing is out of stock: a refusal that never arrives holds up the other
+    // orders of a failure domain.
+    let tree = Tree::new("lost", IN_STOCK);
     let plan = plan(&tree, 2, &["a"]);
     link::runtime::run(async {
         let deployment = start(&plan).await;
         let platform = deployment.platform;
         wait_present(&deployment, "a", (1, 2)).await;
+        // No order gets its reply, and what one did shows late in the list.
         let reclaim = json!({"failure_domain": "a", "notice_ms": 300});
-        fault(
-            &deployment,
-            platform,
-            json!({"lost_reply": 0.4, "reclaim": reclaim}),
-        )
+        let switches = json!({
+            "lost_reply": 1.0,
+            "lost_reply_of": "POST /v1/orders",
+            "endpoint_lag_ms": 6000,
+            "reclaim": reclaim,
+        });
+        fault(&deployment, platform, switches).await;
+        until("order without a reply", async || {
+            (started(&orders(&deployment).await, "cheap") >= 4).then_some(())
+        })
         .await;
+        // An order that is given up is repeated well within this time.
+        monoio::time::sleep(Duration::from_secs(10)).await;
+        let history = orders(&deployment).await;
+        assert_eq!(started(&history, "cheap"), 4, "{history:#}");
+
+        let switches = json!({"lost_reply": 0.4, "lost_reply_of": null, "reclaim": reclaim});
+        fault(&deployment, platform, switches).await;
         // Reads of this test are lost too, so it looks again only afterwards.
-        monoio::time::sleep(Duration::from_secs(15)).await;
+        monoio::time::sleep(Duration::from_secs(20)).await;
         fault(&deployment, platform, json!({"reset": true})).await;
         wait_present(&deployment, "a", (1, 2)).await;
         let history = orders(&deployment).await;
         check_orders(&history, "a");
-        let started = |class: &str| {
-            let orders = history["orders"].as_array().unwrap().iter();
-            let of = orders.filter(|o| {
-                o["service"] == "registry" && o["class"] == class && o["action"] == "start"
-            });
-            of.map(|o| o["endpoints"].as_array().unwrap().len())
-                .sum::<usize>()
-        };
-        assert_eq!((started("stable"), started("cheap")), (1, 4), "{history:#}");
+        let counts = (started(&history, "stable"), started(&history, "cheap"));
+        assert_eq!(counts, (1, 6), "{history:#}");
     })
     .unwrap();
 }
--- a/crates/steward/src/settings.rs
+++ b/crates/steward/src/settings.rs
@@ -25,5 +25,9 @@
         /// The address of this VM's entry daemon for peers, from which it
         /// learns what is in force.
         pub entry: SocketAddr,
+        /// Whether `/fault` on the admin address holds orders back; for tests
+        /// only.
+        #[serde(default)]
+        pub test_faults: bool,
     }
 }
