link, entry: TLS towards callers

Callers' keys went over the wire in plain text. With `tls_certificate` and `tls_key` the callers' address speaks TLS 1.2 and 1.3 and answers no plain text; with one of the two the daemon does not start.

Ruled out: the stream of monoio-rustls. Its buffers are lost when a read is cancelled, which the time limits of our sessions and the discarding of a tail do, and the next read then panics; its halves share the session through an unchecked cell, and a read that fails writes. Its handshake cannot be used alone either, as what a caller sends right behind it stays in the buffer. So `http::tls` moves the bytes of rustls itself: state is borrowed between waits only, and bytes that came in are handed over in the poll that read them. The session takes its two directions as a `Channel`, plain or encrypted; nothing else in it changed.

A handshake has 5 s and is counted: accepted, failed, slow. The files are read each 2 s and taken when their content changed; a pair that does not belong together (rustls takes any) is refused by a trial signature and the former one stays. Open connections go on.

Open: no TLS towards endpoints, the platform and between VMs; callers' certificates are not asked for; SIGHUP is not used.

`operating_lists_settings` now sees the two settings as well.

--- a/crates/cli/tests/callers/main.rs
+++ b/crates/cli/tests/callers/main.rs
@@ -9,4 +9,5 @@
 mod reclaim;
 mod service;
 mod shutdown;
+mod tls;
 mod world;
--- /dev/null
+++ b/crates/cli/tests/callers/tls.rs
@@ -0,0 +1,133 @@
+//! Callers over TLS: whole answers and streams, no plain text, and a shutdown
+//! that cuts nothing.
+
+use std::{
+    fs,
+    io::{Read, Write},
+    net::TcpStream,
+    sync::Arc,
+    time::Duration,
+};
+
+use fakes::drive;
+use link::http::client::Call;
+use rustls::{Certificate, ClientConfig, ClientConnection, RootCertStore, ServerName, StreamOwned};
+
+use super::{
+    raw::{Answer, Raw},
+    world::{World, plan_with, prompt, tokens, within},
+};
+
+const PATIENCE: Duration = Duration::from_secs(30);
+
+type Caller = StreamOwned<ClientConnection, TcpStream>;
+
+/// Starts a deployment and gives its entry daemon a certificate.
+fn start() -> (World, Arc<ClientConfig>) {
+    let mut world = World::start(&plan_with(1, 1, &["--tokens-per-s=60"]));
+    let made = rcgen::generate_simple_self_signed([world.entry().ip().to_string()]).unwrap();
+    let folder = world.deployment.folder.clone();
+    let (certificate, key) = (folder.join("tls.pem"), folder.join("tls.key"));
+    fs::write(&certificate, made.cert.pem()).unwrap();
+    fs::write(&key, made.key_pair.serialize_pem()).unwrap();
+    let settings = folder.join("entry-vm-a1.toml");
+    let mut text = fs::read_to_string(&settings).unwrap();
+    text.push_str(&format!(
+        "\ntls_certificate = {certificate:?}\ntls_key = {key:?}\n"
+    ));
+    fs::write(&settings, text).unwrap();
+    world.deployment.vms[0].entry.signal("TERM").unwrap();
+    within("ended", || {
+        world.deployment.vms[0].entry.exit_code() == Some(0)
+    });
+    world.deployment.start_entry(0).unwrap();
+    let admin = world.deployment.vms[0].entry_admin;
+    within("ready", || {
+        drive::fetch(admin, Call::get("/ready")).is_ok_and(|a| a.status == 200)
+    });
+    let mut roots = RootCertStore::empty();
+    roots.add(&Certificate(made.cert.der().to_vec())).unwrap();
+    let config = ClientConfig::builder()
+        .with_safe_defaults()
+        .with_root_certificates(roots)
+        .with_no_client_auth();
+    (world, Arc::new(config))
+}
+
+fn connect(world: &World, config: &Arc<ClientConfig>) -> Caller {
+    let stream = TcpStream::connect(world.entry()).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let name = ServerName::try_from(world.entry().ip().to_string().as_str()).unwrap();
+    let client = ClientConnection::new(config.clone(), name).unwrap();
+    StreamOwned::new(client, stream)
+}
+
+/// Reads up to the notice of the close, without which the read fails.
+fn rest(caller: &mut Caller) -> String {
+    let mut text = String::new();
+    caller.read_to_string(&mut text).unwrap();
+    text
+}
+
+fn events(text: String) -> Answer {
+    Answer {
+        body: text.into_bytes(),
+        ..Answer::default()
+    }
+}
+
+#[test]
+fn answer_over_tls() {
+    let (mut world, config) = start();
+    let mut caller = connect(&world, &config);
+    caller
+        .write_all(b"GET /entries/1 HTTP/1.1\r\nconnection: close\r\n\r\n")
+        .unwrap();
+    let text = rest(&mut caller);
+    assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+
+    let mut plain = Raw::open(world.entry());
+    plain.send(b"GET /entries/2 HTTP/1.1\r\n\r\n");
+    assert!(plain.answer().is_none(), "plain text was answered");
+    let admin = world.deployment.vms[0].entry_admin;
+    let metrics = drive::fetch(admin, Call::get("/metrics")).unwrap();
+    let metrics = String::from_utf8_lossy(&metrics.body).into_owned();
+    let count = |result: &str| {
+        let lines = metrics.lines();
+        let mut lines = lines.filter(|line| line.starts_with("tarragonseam_tls"));
+        lines.any(|line| line.contains(&format!("result=\"{result}\"")) && line.ends_with(" 1"))
+    };
+    assert!(count("accepted") && count("failed"), "{metrics}");
+
+    let id = world.deployment.vms[0].entry.id().unwrap();
+    for entry in fs::read_dir(format!("/proc/{id}/fd")).unwrap() {
+        let target = fs::read_link(entry.unwrap().path()).unwrap_or_default();
+        let target = target.display().to_string();
+        assert!(!target.contains("io_uring"), "{target}");
+    }
+    world.assert_well();
+}
+
+#[test]
+fn shutdown_with_stream_over_tls() {
+    let (mut world, config) = start();
+    let mut caller = connect(&world, &config);
+    let request = world.generate(&prompt(60, true));
+    caller.write_all(&request).unwrap();
+    let mut begin = Vec::new();
+    while !String::from_utf8_lossy(&begin).contains("\"index\":0") {
+        let mut byte = [0];
+        caller.read_exact(&mut byte).unwrap();
+        begin.push(byte[0]);
+    }
+    world.deployment.vms[0].entry.signal("TERM").unwrap();
+    let text = String::from_utf8(begin).unwrap() + &rest(&mut caller);
+    assert!(text.ends_with("0\r\n\r\n"), "no end mark: {text}");
+    assert_eq!(
+        events(text).events().last().unwrap()["text"],
+        tokens(60).join(" ").as_str()
+    );
+    within("ended", || {
+        world.deployment.vms[0].entry.exit_code() == Some(0)
+    });
+}
--- a/crates/cli/tests/docs.rs
+++ b/crates/cli/tests/docs.rs
@@ -66,7 +66,7 @@
     let text = page("OPERATING.md");
     let entry: entry::Settings = toml::from_str(
         "vm = \"v\"\nfailure_domain = \"a\"\ncallers = \"127.0.0.1:1\"\npeers = \"127.0.0.1:1\"\n\
-         admin = \"127.0.0.1:1\"\nplatform = \"127.0.0.1:1\"\ndata = \"/d\"\ncollector = \"127.0.0.1:1\"\n",
+         admin = \"127.0.0.1:1\"\nplatform = \"127.0.0.1:1\"\ndata = \"/d\"\ntls_certificate = \"/c\"\ntls_key = \"/k\"\ncollector = \"127.0.0.1:1\"\n",
     )
     .unwrap();
     let steward: steward::Settings = toml::from_str(
--- a/crates/cli/tests/start.rs
+++ b/crates/cli/tests/start.rs
@@ -68,6 +68,28 @@
     }
 }
 
+#[test]
+fn start_bad_certificate() {
+    let good = entry_settings("127.0.0.1:0");
+    let cases = [
+        ("half", "tls_key = \"/absent.pem\"\n", "tls_certificate"),
+        (
+            "absent",
+            "tls_certificate = \"/absent.pem\"\ntls_key = \"/absent.key\"\n",
+            "/absent.pem",
+        ),
+    ];
+    for (case, lines, named) in cases {
+        let output = Temporary::new(case, &format!("{good}{lines}")).start("entry");
+        let errors = String::from_utf8_lossy(&output.stderr);
+        assert!(!output.status.success(), "{case}");
+        assert!(!errors.contains("panicked"), "{case}: {errors}");
+        for part in [named, "tls_key"] {
+            assert!(errors.contains(part), "{case}: no {part:?} in {errors}");
+        }
+    }
+}
+
 #[test]
 fn start_address_in_use() {
     let taken = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,6 +1,6 @@
 //! The counters of the daemon.
 
-use link::telemetry::Telemetry;
+use link::{http::tls, telemetry::Telemetry};
 use opentelemetry::{KeyValue, metrics::Counter};
 
 /// Counters, named as they show at `/metrics`.
@@ -22,6 +22,8 @@
     wasted_tokens: Counter<u64>,
     /// Copies of bulk data by result.
     bulk: Counter<u64>,
+    /// Handshakes and certificates of the callers' address by result.
+    tls: Counter<u64>,
 }
 
 impl Metrics {
@@ -35,6 +37,7 @@
             lots: telemetry.counter("tarragonseam_lots"),
             wasted_tokens: telemetry.counter("tarragonseam_wasted_tokens"),
             bulk: telemetry.counter("tarragonseam_bulk_copies"),
+            tls: telemetry.counter("tarragonseam_tls"),
         }
     }
 
@@ -56,6 +59,17 @@
         self.samples.add(1, &[KeyValue::new("result", result)]);
     }
 
+    pub(crate) fn tls(&self, event: tls::Event) {
+        let result = match event {
+            tls::Event::Accepted => "accepted",
+            tls::Event::Failed => "failed",
+            tls::Event::Slow => "slow",
+            tls::Event::Reloaded => "reloaded",
+            tls::Event::ReloadFailed => "reload-failed",
+        };
+        self.tls.add(1, &[KeyValue::new("result", result)]);
+    }
+
     pub(crate) fn usage(&self, result: &'static str) {
         self.usage.add(1, &[KeyValue::new("result", result)]);
     }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -4,7 +4,10 @@
 
 use link::{
     feed::Feed,
-    http::{Limits, server},
+    http::{
+        Limits, Tls, server,
+        tls::{self, Files},
+    },
     load::Poller,
     net, peer, runtime,
 };
@@ -25,6 +28,12 @@
         /// What the socket says.
         source: io::Error,
     },
+    /// Only one of the settings for TLS is there.
+    #[error("set both of \"tls_certificate\" and \"tls_key\", or none")]
+    HalfTls,
+    /// The certificate of the callers' address cannot be used.
+    #[error("cannot use the settings \"tls_certificate\" and \"tls_key\": {0}")]
+    Tls(#[from] tls::Error),
     /// The folder for bulk data cannot be used.
     #[error(transparent)]
     Disk(#[from] crate::bulk::disk::Error),
@@ -46,7 +55,9 @@
     let callers = listen("callers", settings.callers)?;
     let peer_listener = listen("peers", settings.peers)?;
     let admin_listener = listen("admin", settings.admin)?;
+    let files = certificate(&settings)?;
     let vm = Vm::new(settings)?;
+    let tls = files.map(|files| encrypt(&vm, files)).transpose()?;
     if let Some(collector) = vm.settings.collector {
         vm.telemetry.export_to(collector);
     }
@@ -72,8 +83,9 @@
     ));
     let drain = server::Drain::default();
     let for_callers = vm.clone();
-    let server = monoio::spawn(server::serve(
+    let server = monoio::spawn(server::serve_with(
         callers,
+        tls,
         Limits::new(),
         drain.clone(),
         move |request| handler::handle(for_callers.clone(), request),
@@ -85,6 +97,22 @@
     Ok(())
 }
 
+fn certificate(settings: &Settings) -> Result<Option<Files>, Error> {
+    match (&settings.tls_certificate, &settings.tls_key) {
+        (Some(certificate), Some(key)) => Ok(Some(Files::new(certificate, key))),
+        (None, None) => Ok(None),
+        _ => Err(Error::HalfTls),
+    }
+}
+
+/// Reads the certificate, and again whenever it changes.
+fn encrypt(vm: &Rc<Vm>, files: Files) -> Result<Tls, Error> {
+    let counters = vm.clone();
+    let tls = Tls::new(files)?.on_event(move |event| counters.metrics.tls(event));
+    monoio::spawn(tls.clone().follow());
+    Ok(tls)
+}
+
 /// Keeps the board up to date and drives the clock of waiting requests.
 fn follow_platform(vm: &Rc<Vm>) {
     let changed = vm.clone();
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -34,6 +34,13 @@
     pub failure_domain: String,
     /// Where callers and trainers connect.
     pub callers: SocketAddr,
+    /// The certificate chain in PEM; with it and `tls_key`, callers connect over
+    /// TLS.
+    #[serde(default)]
+    pub tls_certificate: Option<PathBuf>,
+    /// The key of the certificate, in PEM.
+    #[serde(default)]
+    pub tls_key: Option<PathBuf>,
     /// Where other processes of the project connect, over TCP and UDP.
     pub peers: SocketAddr,
     /// Peers of other VMs to greet at the start, should the platform be out.
--- a/crates/link/src/http/intake.rs
+++ b/crates/link/src/http/intake.rs
@@ -11,12 +11,13 @@
 };
 
 use super::{
+    channel::Writer,
     framing::{self, Framing},
     guard::{Budget, Trip},
     limits::Limits,
     reply::Reply,
     server::Request,
-    session::{Decoder, Head, Writer},
+    session::{Decoder, Head},
 };
 
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
--- a/crates/link/src/http/mod.rs
+++ b/crates/link/src/http/mod.rs
@@ -6,6 +6,7 @@
 //! framing proves that it is.
 
 pub(crate) mod call;
+pub(crate) mod channel;
 pub(crate) mod chunk;
 pub mod client;
 pub(crate) mod drain;
@@ -20,8 +21,10 @@
 pub(crate) mod response;
 pub mod server;
 pub(crate) mod session;
+pub mod tls;
 
 pub use client::{Pool, Response};
 pub use error::Error;
 pub use limits::Limits;
 pub use server::{Reply, Request};
+pub use tls::Tls;
--- a/crates/link/src/http/server.rs
+++ b/crates/link/src/http/server.rs
@@ -15,7 +15,7 @@
 use http::{HeaderMap, Method, StatusCode, Uri};
 use monoio::net::{TcpListener, TcpStream};
 
-use super::{drain::Count, limits::Limits, session};
+use super::{channel::Channel, drain::Count, limits::Limits, session, tls::Tls};
 pub use super::{
     drain::Drain,
     reply::{Part, Reply, Sender},
@@ -85,10 +85,24 @@
 where
     H: Fn(Request) -> F + 'static,
     F: Future<Output = Reply> + 'static,
+{
+    serve_with(listener, None, limits, drain, handler).await;
+}
+
+/// As [`serve`], over TLS if `tls` is given.
+pub async fn serve_with<H, F>(
+    listener: TcpListener,
+    tls: Option<Tls>,
+    limits: Limits,
+    drain: Drain,
+    handler: H,
+) where
+    H: Fn(Request) -> F + 'static,
+    F: Future<Output = Reply> + 'static,
 {
     let handler = Rc::new(handler);
     let taken = |(stream, peer)| {
-        take(stream, peer, limits, &drain, &handler);
+        take(stream, peer, &tls, limits, &drain, &handler);
         true
     };
     loop {
@@ -118,8 +132,14 @@
     accepted.ok()?.ok()
 }
 
-fn take<H, F>(stream: TcpStream, peer: SocketAddr, limits: Limits, drain: &Drain, handler: &Rc<H>)
-where
+fn take<H, F>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    tls: &Option<Tls>,
+    limits: Limits,
+    drain: &Drain,
+    handler: &Rc<H>,
+) where
     H: Fn(Request) -> F + 'static,
     F: Future<Output = Reply> + 'static,
 {
@@ -128,13 +148,22 @@
     }
     let handler = handler.clone();
     let drain = drain.clone();
+    let tls = tls.clone();
     monoio::spawn(async move {
         let open = Count::up(&drain.0.open);
-        let run = session::run(stream, peer, limits, &drain, handler);
+        let run = async {
+            let channel = match tls {
+                Some(tls) => tls.accept(stream).await.ok()?,
+                None => Channel::plain(stream),
+            };
+            Some(session::run(channel, peer, limits, &drain, handler).await)
+        };
         let end = CatchUnwind(Box::pin(run)).await;
         drop(open);
         match end {
-            Ok(tail) => session::discard(tail).await,
+            Ok(Some(tail)) => session::discard(tail).await,
+            // A handshake that fails is counted there.
+            Ok(None) => {}
             Err(_) => drain.0.panics.set(drain.0.panics.get() + 1),
         }
     });
--- a/crates/link/src/http/session.rs
+++ b/crates/link/src/http/session.rs
@@ -15,15 +15,13 @@
 
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Version, header};
 use monoio::{
-    io::{
-        AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt, OwnedReadHalf, OwnedWriteHalf, Splitable,
-        stream::Stream,
-    },
+    io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt, OwnedReadHalf, stream::Stream},
     net::TcpStream,
 };
 use monoio_http::h1::{codec::decoder::RequestDecoder, payload::Payload};
 
 use super::{
+    channel::{Channel, Reader, Writer},
     chunk::{self, Extent},
     drain::{Count, Drain},
     guard::{Budget, Guard, Trip},
@@ -34,9 +32,8 @@
     server::Request,
 };
 
-pub(crate) type Decoder = RequestDecoder<Guard<OwnedReadHalf<TcpStream>>>;
+pub(crate) type Decoder = RequestDecoder<Guard<Reader>>;
 pub(crate) type Head = http::Request<Payload>;
-pub(crate) type Writer = OwnedWriteHalf<TcpStream>;
 
 /// What the decoder yields; its errors are told apart by the [`Budget`].
 type Read = Option<Result<Head, ()>>;
@@ -69,9 +66,9 @@
     budget: Budget,
 }
 
-/// Answers every request on `stream`.
+/// Answers every request on `channel`.
 pub(crate) async fn run<H, F>(
-    stream: TcpStream,
+    channel: Channel,
     peer: SocketAddr,
     limits: Limits,
     drain: &Drain,
@@ -81,15 +78,18 @@
     H: Fn(Request) -> F,
     F: Future<Output = Reply>,
 {
-    let (read, mut writer) = stream.into_split();
-    let tail = OwnedReadHalf(read.0.clone());
+    let Channel {
+        reader,
+        mut writer,
+        raw: tail,
+    } = channel;
     let session = Session {
         peer,
         limits,
         drain,
         budget: Budget::default(),
     };
-    let mut decoder = Decoder::new(Guard::new(read, session.budget.clone()));
+    let mut decoder = Decoder::new(Guard::new(reader, session.budget.clone()));
     let end = session.answer(&mut decoder, &mut writer, &*handler).await;
     // A peer that is gone cannot be told.
     let _ = writer.shutdown().await;
--- /dev/null
+++ b/crates/link/src/http/tls/certificate.rs
@@ -0,0 +1,132 @@
+//! The files of a certificate and its key.
+
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    sync::Arc,
+};
+
+use rustls::{
+    Certificate, PrivateKey, ServerConfig, SignatureScheme,
+    sign::{self, SigningKey},
+};
+use webpki::{EndEntityCert, SignatureAlgorithm};
+
+use super::Error;
+
+/// A certificate chain and its key, in PEM.
+#[derive(Clone, Debug)]
+pub struct Files {
+    certificate: PathBuf,
+    key: PathBuf,
+}
+
+/// The texts of the files, as far as they can be read. Times of change are too
+/// coarse to tell two changes in a row apart.
+pub(super) type Texts = [Option<Vec<u8>>; 2];
+
+impl Files {
+    /// Returns the files at these paths.
+    pub fn new(certificate: impl Into<PathBuf>, key: impl Into<PathBuf>) -> Self {
+        Self {
+            certificate: certificate.into(),
+            key: key.into(),
+        }
+    }
+
+    /// Returns what the files hold.
+    pub(super) fn texts(&self) -> Texts {
+        [&self.certificate, &self.key].map(|path| fs::read(path).ok())
+    }
+
+    /// Reads the files.
+    ///
+    /// # Errors
+    ///
+    /// An [`Error`] when they cannot be read or do not belong together, as in
+    /// the moment when only one of them is replaced.
+    pub(super) fn read(&self) -> Result<Arc<ServerConfig>, Error> {
+        let chain = read(&self.certificate, "certificate", |mut text| {
+            rustls_pemfile::certs(&mut text)
+        })?;
+        let keys = read(&self.key, "key", |mut text| {
+            let items = rustls_pemfile::read_all(&mut text)?;
+            Ok(items.into_iter().filter_map(key).collect())
+        })?;
+        let key = PrivateKey(keys.into_iter().next().unwrap_or_default());
+        let refused = |problem: String| Error::Refused {
+            path: self.key.clone(),
+            problem,
+        };
+        let signing = sign::any_supported_type(&key).map_err(|e| refused(e.to_string()))?;
+        check_pair(&chain[0], &*signing).map_err(refused)?;
+        let chain = chain.into_iter().map(Certificate).collect();
+        let mut config = ServerConfig::builder()
+            .with_safe_defaults()
+            .with_no_client_auth()
+            .with_single_cert(chain, key)
+            .map_err(|e| refused(e.to_string()))?;
+        config.alpn_protocols = vec![b"http/1.1".to_vec()];
+        Ok(Arc::new(config))
+    }
+}
+
+/// Reads the items of a file, at least one.
+fn read(
+    path: &Path,
+    what: &'static str,
+    parse: impl Fn(&[u8]) -> std::io::Result<Vec<Vec<u8>>>,
+) -> Result<Vec<Vec<u8>>, Error> {
+    let parsed = fs::read(path).and_then(|text| parse(&text));
+    let items = parsed.map_err(|source| Error::Read {
+        path: path.to_owned(),
+        source,
+    })?;
+    if items.is_empty() {
+        let path = path.to_owned();
+        return Err(Error::Empty { path, what });
+    }
+    Ok(items)
+}
+
+fn key(item: rustls_pemfile::Item) -> Option<Vec<u8>> {
+    use rustls_pemfile::Item::{ECKey, PKCS8Key, RSAKey};
+    match item {
+        PKCS8Key(key) | RSAKey(key) | ECKey(key) => Some(key),
+        _ => None,
+    }
+}
+
+/// The signatures by which a key is tried against its certificate.
+const SCHEMES: [(SignatureScheme, &SignatureAlgorithm); 4] = [
+    (
+        SignatureScheme::ECDSA_NISTP256_SHA256,
+        &webpki::ECDSA_P256_SHA256,
+    ),
+    (
+        SignatureScheme::ECDSA_NISTP384_SHA384,
+        &webpki::ECDSA_P384_SHA384,
+    ),
+    (SignatureScheme::ED25519, &webpki::ED25519),
+    (
+        SignatureScheme::RSA_PSS_SHA256,
+        &webpki::RSA_PSS_2048_8192_SHA256_LEGACY_KEY,
+    ),
+];
+
+/// The library takes any pair, and every handshake would fail with a wrong one.
+fn check_pair(certificate: &[u8], key: &dyn SigningKey) -> Result<(), String> {
+    const PROBE: &[u8] = b"a key signs what its certificate verifies";
+    let certificate = EndEntityCert::try_from(certificate).map_err(|e| e.to_string())?;
+    let schemes = SCHEMES.map(|(scheme, _)| scheme);
+    let signer = key.choose_scheme(&schemes);
+    let signer = signer.ok_or("a key of this kind is not supported")?;
+    let signature = signer.sign(PROBE).map_err(|e| e.to_string())?;
+    let algorithm = SCHEMES
+        .iter()
+        .find(|(scheme, _)| *scheme == signer.scheme())
+        .map(|(_, algorithm)| *algorithm)
+        .ok_or("a key of this kind is not supported")?;
+    let verified = certificate.verify_signature(algorithm, PROBE, &signature);
+    verified.map_err(|_| "the key does not belong to the certificate".to_string())
+}
--- /dev/null
+++ b/crates/link/src/http/tls/mod.rs
@@ -0,0 +1,148 @@
+//! TLS towards callers.
+//!
+//! `rustls` does the protocol; this module moves its bytes. The halves of the
+//! stream of `monoio-rustls` lose their buffer when a read is cancelled, which
+//! the limits of this server do, and share their state without a check.
+
+mod certificate;
+mod error;
+mod half;
+
+use std::{cell::RefCell, fmt, io, rc::Rc, sync::Arc, time::Duration};
+
+use monoio::net::TcpStream;
+use rustls::ServerConfig;
+
+use super::channel::{Channel, Reader as AnyReader, Writer as AnyWriter};
+
+use certificate::Texts;
+
+pub use certificate::Files;
+pub use error::Error;
+pub(crate) use half::{Reader, Writer};
+
+/// What happened, for counters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// A caller's handshake came to its end.
+    Accepted,
+    /// A handshake failed, as on plain text or an unknown protocol version.
+    Failed,
+    /// A handshake took longer than [`Tls::handshake_time`].
+    Slow,
+    /// A changed certificate is in force.
+    Reloaded,
+    /// A changed certificate cannot be used; the former one stays in force.
+    ReloadFailed,
+}
+
+const HANDSHAKE_TIME: Duration = Duration::from_secs(5);
+const RELOAD_PERIOD: Duration = Duration::from_secs(2);
+
+/// The certificate in force and the limits of handshakes.
+#[derive(Clone)]
+pub struct Tls {
+    files: Files,
+    /// What the files held when they were last read.
+    seen: Rc<RefCell<Texts>>,
+    config: Rc<RefCell<Arc<ServerConfig>>>,
+    handshake_time: Duration,
+    reload_period: Duration,
+    on_event: Rc<dyn Fn(Event)>,
+}
+
+impl fmt::Debug for Tls {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Tls").field("files", &self.files).finish()
+    }
+}
+
+impl Tls {
+    /// Reads the certificate and key in `files`.
+    ///
+    /// # Errors
+    ///
+    /// An [`Error`] when a file cannot be read, or the two do not belong
+    /// together.
+    pub fn new(files: Files) -> Result<Self, Error> {
+        let seen = files.texts();
+        let config = files.read()?;
+        Ok(Self {
+            files,
+            seen: Rc::new(RefCell::new(seen)),
+            config: Rc::new(RefCell::new(config)),
+            handshake_time: HANDSHAKE_TIME,
+            reload_period: RELOAD_PERIOD,
+            on_event: Rc::new(|_| {}),
+        })
+    }
+
+    /// Sets how long a handshake may take.
+    pub fn handshake_time(mut self, time: Duration) -> Self {
+        self.handshake_time = time;
+        self
+    }
+
+    /// Sets how often the files are looked at.
+    pub fn reload_period(mut self, period: Duration) -> Self {
+        self.reload_period = period;
+        self
+    }
+
+    /// Sets what is told of each [`Event`].
+    pub fn on_event(mut self, on_event: impl Fn(Event) + 'static) -> Self {
+        self.on_event = Rc::new(on_event);
+        self
+    }
+
+    /// Reads the files again whenever they change, for ever. Connections that
+    /// are open keep the certificate that they began with.
+    pub async fn follow(self) {
+        loop {
+            monoio::time::sleep(self.reload_period).await;
+            let texts = self.files.texts();
+            if texts != *self.seen.borrow() {
+                self.seen.replace(texts);
+                self.reload();
+            }
+        }
+    }
+
+    fn reload(&self) {
+        match self.files.read() {
+            Ok(config) => {
+                *self.config.borrow_mut() = config;
+                spdlog::info!("certificate read again");
+                (self.on_event)(Event::Reloaded);
+            }
+            Err(e) => {
+                let problem = e.to_string();
+                spdlog::warn!("certificate not taken", kv: { problem = problem.as_str() });
+                (self.on_event)(Event::ReloadFailed);
+            }
+        }
+    }
+
+    /// Does the handshake on `stream`.
+    ///
+    /// # Errors
+    ///
+    /// The error of the socket or the protocol, or
+    /// [`io::ErrorKind::TimedOut`].
+    pub(crate) async fn accept(&self, stream: TcpStream) -> io::Result<Channel> {
+        let config = self.config.borrow().clone();
+        let handshake = half::accept(stream, config);
+        let (event, result) = match monoio::time::timeout(self.handshake_time, handshake).await {
+            Ok(Ok(halves)) => (Event::Accepted, Ok(halves)),
+            Ok(Err(e)) => (Event::Failed, Err(e)),
+            Err(_) => (Event::Slow, Err(io::ErrorKind::TimedOut.into())),
+        };
+        (self.on_event)(event);
+        let (reader, writer, raw) = result?;
+        Ok(Channel {
+            reader: AnyReader::Tls(reader),
+            writer: AnyWriter::Tls(writer),
+            raw,
+        })
+    }
+}
