cli: keep what the platform holds as one file

Operators had no way to keep the configuration, the digests of keys, leases and windows as they stood together, or to see later what had changed.

Leases and intents are written all the time and are read one by one afterwards. Ruled out: the version of one list for all kinds, as the API has no read at a version.

Old keys, leases or windows written back would break what must hold.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -5,7 +5,7 @@
 use clap::{Parser, Subcommand};
 use miette::IntoDiagnostic;
 
-use crate::{collect, demo, diff, explain, keys, publish, status};
+use crate::{collect, demo, diff, explain, keys, publish, snapshot, status};
 
 /// Operates a deployment of tarragonseam.
 #[derive(Debug, Parser)]
@@ -60,6 +60,9 @@
         #[command(flatten)]
         platform: Platform,
     },
+    /// Keeps what the platform holds for the system as one file.
+    #[command(subcommand)]
+    Snapshot(Snapshot),
     /// Brings the cider festival's deployment up with stand-ins, uses it and
     /// shows what came back.
     Demo {
@@ -93,6 +96,39 @@
     },
 }
 
+#[derive(Debug, Subcommand)]
+enum Snapshot {
+    /// Reads configuration, digests of keys, leases, weights in force and
+    /// windows of usage into a file.
+    Save {
+        /// The file to write.
+        file: PathBuf,
+        #[command(flatten)]
+        platform: Platform,
+    },
+    /// Shows what a file holds.
+    Show {
+        /// The file.
+        file: PathBuf,
+    },
+    /// Shows in what the platform differs from a file.
+    Diff {
+        /// The file.
+        file: PathBuf,
+        #[command(flatten)]
+        platform: Platform,
+    },
+    /// Publishes the configuration of a file as a new revision.
+    Restore {
+        /// The file.
+        file: PathBuf,
+        #[command(flatten)]
+        base: Base,
+        #[command(flatten)]
+        platform: Platform,
+    },
+}
+
 #[derive(Debug, Subcommand)]
 enum Part {
     /// The entry daemon.
@@ -151,6 +187,7 @@
         }
         Command::Explain { vm, key, path } => block(explain::run(vm, key, path)),
         Command::Status { vm, platform } => block(status::run(&platform, vm)),
+        Command::Snapshot(command) => run_snapshot(command),
         Command::Demo { tree } => block(demo::run(&tree)),
         Command::Part(part) => run_part(part),
         Command::Key(Key::Issue { account, platform }) => block(keys::issue(&platform, account)),
@@ -158,6 +195,19 @@
     }
 }
 
+fn run_snapshot(command: Snapshot) -> miette::Result<()> {
+    match command {
+        Snapshot::Save { file, platform } => block(snapshot::save(&platform, &file)),
+        Snapshot::Show { file } => snapshot::show(&file),
+        Snapshot::Diff { file, platform } => block(snapshot::diff(&platform, &file)),
+        Snapshot::Restore {
+            file,
+            base,
+            platform,
+        } => block(snapshot::restore(&platform, &file, base)),
+    }
+}
+
 fn run_part(part: Part) -> miette::Result<()> {
     match part {
         Part::Entry { settings } => link::daemon::run("tarragonseam-entry", &settings, entry::run),
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -9,6 +9,7 @@
 pub(crate) mod fault;
 pub(crate) mod keys;
 pub(crate) mod publish;
+pub(crate) mod snapshot;
 pub(crate) mod status;
 
 pub use command::{Arguments, run};
--- /dev/null
+++ b/crates/cli/src/snapshot/table.rs
@@ -0,0 +1,52 @@
+//! A snapshot for people.
+
+use std::{collections::BTreeMap, fmt::Write as _};
+
+use board::{key::Grant, lease, usage};
+
+use super::Body;
+
+/// Returns the lines of `snapshot show`. Writing to a string cannot fail.
+pub(crate) fn of(body: &Body) -> String {
+    let mut out = format!(
+        "taken at {} ms after 1970, as of version {}\n",
+        body.taken_ms, body.version
+    );
+    if let Some(manifest) = body.manifest() {
+        let _ = writeln!(out, "configuration: revision {}", manifest.revision);
+        for part in &manifest.parts {
+            let _ = writeln!(out, "  {} {}", part.digest, part.file);
+        }
+    }
+    for (account, (good, withdrawn)) in accounts(body) {
+        let _ = writeln!(out, "keys of {account}: {good} good, {withdrawn} withdrawn");
+    }
+    for object in body.group("weights") {
+        let _ = writeln!(out, "weights of {}: {}", object.name, object.value);
+    }
+    for object in body.group(lease::KIND) {
+        if let Ok(record) = serde_json::from_str::<lease::Record>(&object.value) {
+            let (holder, epoch) = (record.holder, record.epoch);
+            let _ = writeln!(out, "lease {}: {holder}, epoch {epoch}", object.name);
+        }
+    }
+    let windows = body.group(usage::KIND).len();
+    let _ = writeln!(out, "windows of usage with frozen figures: {windows}");
+    out
+}
+
+/// Returns how many keys of each account are good and withdrawn.
+fn accounts(body: &Body) -> BTreeMap<String, (usize, usize)> {
+    let mut accounts: BTreeMap<String, (usize, usize)> = BTreeMap::new();
+    for object in body.group("key") {
+        let Ok(grant) = serde_json::from_str::<Grant>(&object.value) else {
+            continue;
+        };
+        let (good, withdrawn) = accounts.entry(grant.account).or_default();
+        match grant.withdrawn {
+            true => *withdrawn += 1,
+            false => *good += 1,
+        }
+    }
+    accounts
+}
