rollouts: delete acknowledged lots and settled windows

Files on disks went four lots after the acknowledgement, while their manifest stood, so a draw of such a lot got 503 for ever.

Change: a floor for each trainer (`retention/{trainer}`), raised by conditional update `keep_lots_ms` after the acknowledgement and before anything below it is deleted. Whoever reads or writes a manifest reads the floor after it; claims are not written and steps not taken below it. A draw below it gets 410 `deleted`, for good. Parts of contents are named by lot. Disks remove files below the floor, every 15 s.

Not run: a process frozen between its last look and the bytes of its seal.

--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod pace;
 pub mod queue;
 mod record;
+pub mod retention;
 pub mod service;
 pub mod shared;
 pub mod ticket;
--- a/crates/board/src/lot.rs
+++ b/crates/board/src/lot.rs
@@ -156,3 +156,16 @@
         pub prompts: Vec<String>,
     }
 }
+
+crate::record! {
+    /// How far a trainer has acknowledged its lots.
+    copy pub struct Cursor {
+        /// The number of the last lot acknowledged.
+        pub acknowledged: u64,
+    }
+}
+
+impl Cursor {
+    /// The kind of the objects that hold cursors.
+    pub const KIND: &str = "cursor";
+}
--- /dev/null
+++ b/crates/board/src/retention.rs
@@ -0,0 +1,38 @@
+//! How long what a trainer has acknowledged is kept.
+
+/// The kind of the objects that hold retentions, one for each trainer.
+pub const KIND: &str = "retention";
+
+/// The kind of the objects that hold manifests of lots.
+pub const LOT: &str = "lot";
+
+/// The kind of the objects that hold claims of lots.
+pub const CLAIM: &str = "claim";
+
+/// The kind of the objects that hold declared steps.
+pub const STEP: &str = "step";
+
+/// The kind of the objects that hold parts of contents.
+pub const PART: &str = "lot-part";
+
+crate::record! {
+    /// Where the cursor of a trainer stood at some time.
+    copy pub struct Mark {
+        /// The number of the lot that was to be acknowledged next.
+        pub next_lot: u64,
+        /// Wall-clock time in milliseconds.
+        pub at_ms: u64,
+    }
+}
+
+crate::record! {
+    /// Which lots of a trainer are deleted, and which will be when their time
+    /// is over. The floor only grows.
+    #[derive(Default)]
+    pub struct Retention {
+        /// The number of the first lot that is not deleted.
+        pub floor: u64,
+        /// Positions of the cursor above the floor, oldest first.
+        pub marks: Vec<Mark>,
+    }
+}
--- a/crates/cli/tests/rollouts_support/faults.rs
+++ b/crates/cli/tests/rollouts_support/faults.rs
@@ -146,7 +146,7 @@
 }
 
 /// Clears switches whose own reply may be lost.
-async fn lift(bench: &Bench, address: std::net::SocketAddr, switches: Value) {
+pub(crate) async fn lift(bench: &Bench, address: std::net::SocketAddr, switches: Value) {
     loop {
         let call = Call::post("/fault", switches.to_string());
         let set = bench.deployment.pool.fetch(address, call).await;
@@ -157,7 +157,7 @@
 }
 
 /// Kills an entry daemon outright and starts it again after `span`.
-async fn kill(bench: &Rc<Bench>, vm: usize, span: Duration) {
+pub(crate) async fn kill(bench: &Rc<Bench>, vm: usize, span: Duration) {
     let id = bench.deployment.vms[vm].vm.id.clone();
     bench.deployment.vms[vm].entry.signal("KILL").unwrap();
     monoio::time::sleep(span).await;
--- a/crates/entry/src/bulk/mod.rs
+++ b/crates/entry/src/bulk/mod.rs
@@ -163,11 +163,9 @@
     Some(content)
 }
 
-const SWEEP_TIME: Duration = Duration::from_secs(60);
-/// Lots behind the acknowledged one whose content is kept.
-const KEPT_LOTS: u64 = 4;
+const SWEEP_TIME: Duration = Duration::from_secs(15);
 
-/// Removes files of lots that their trainer has left behind, for ever.
+/// Removes files of lots that are deleted, for ever.
 pub(crate) async fn sweep(vm: Rc<Vm>) {
     let Some(disk) = &vm.disk else {
         return;
@@ -175,14 +173,13 @@
     loop {
         monoio::time::sleep(SWEEP_TIME).await;
         let files = disk.list().await.unwrap_or_default();
-        let mut acknowledged = hash::Map::default();
+        let mut floors = hash::Map::default();
         for file in files {
-            if !acknowledged.contains_key(&file.trainer) {
-                let cursor = rollout::cursor(&vm, &file.trainer).await;
-                acknowledged.insert(file.trainer.clone(), cursor.unwrap_or_default());
+            if !floors.contains_key(&file.trainer) {
+                let floor = rollout::floor(&vm, &file.trainer).await;
+                floors.insert(file.trainer.clone(), floor.unwrap_or_default());
             }
-            let next = acknowledged[&file.trainer];
-            if file.lot + KEPT_LOTS < next {
+            if file.lot < floors[&file.trainer] {
                 // A file that cannot be removed now is met again next time.
                 let _ = disk.remove(file).await;
             }
--- a/crates/entry/src/rollout/mod.rs
+++ b/crates/entry/src/rollout/mod.rs
@@ -24,7 +24,8 @@
 use board::{
     Time,
     hash::Map,
-    lot::{Manifest, Step},
+    lot::{Cursor, Manifest, Step},
+    retention::{self, Retention},
 };
 use link::platform::{self, Error};
 use policy::{
@@ -32,7 +33,6 @@
     staleness::Pace,
     straggler::{Budget, Usual},
 };
-use serde::{Deserialize, Serialize};
 use wire::message::Progress;
 
 use crate::vm::Vm;
@@ -64,13 +64,6 @@
     lots: BTreeMap<u64, Guard>,
 }
 
-/// How far a trainer has acknowledged its lots.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub(crate) struct Cursor {
-    /// The number of the last lot acknowledged.
-    pub(crate) acknowledged: u64,
-}
-
 /// Starts the tasks of rollouts.
 pub(crate) fn start(vm: &Rc<Vm>) {
     monoio::spawn(step::follow(vm.clone()));
@@ -116,13 +109,40 @@
 /// Returns the number of the next lot that `trainer` has to acknowledge, or
 /// `None` when it cannot be learned.
 pub(crate) async fn cursor(vm: &Vm, trainer: &str) -> Option<u64> {
-    match vm.platform.read::<Cursor>("cursor", trainer).await {
+    match vm.platform.read::<Cursor>(Cursor::KIND, trainer).await {
         Ok((_, cursor)) => Some(cursor.acknowledged + 1),
         Err(Error::Absent) => Some(0),
         Err(_) => None,
     }
 }
 
+/// Returns the number of the first lot of `trainer` that is not deleted.
+///
+/// # Errors
+///
+/// An [`Error`] when it cannot be learned.
+pub(crate) async fn floor(vm: &Vm, trainer: &str) -> Result<u64, Error> {
+    let found = vm
+        .platform
+        .read::<Retention>(retention::KIND, trainer)
+        .await;
+    match found {
+        Ok((_, lots)) => Ok(lots.floor),
+        Err(Error::Absent) => Ok(0),
+        Err(e) => Err(e),
+    }
+}
+
+/// Returns whether a lot of `trainer` is deleted for good. An object of the lot
+/// that was read or written before this call stands only if it is not.
+///
+/// # Errors
+///
+/// An [`Error`] when it cannot be learned.
+pub(crate) async fn is_deleted(vm: &Vm, trainer: &str, lot: u64) -> Result<bool, Error> {
+    Ok(lot < floor(vm, trainer).await?)
+}
+
 /// Returns the newest version of `model` that this VM knows, 0 for none.
 fn newest_version(vm: &Vm, model: &str) -> u64 {
     let board = vm.board.borrow();
--- a/crates/entry/src/rollout/owner.rs
+++ b/crates/entry/src/rollout/owner.rs
@@ -10,6 +10,7 @@
 use board::{
     config::Trainer,
     lot::{Claim, Manifest},
+    retention::CLAIM,
 };
 use link::{
     peer,
@@ -18,12 +19,13 @@
 use policy::claim::{self, Duty, Guard, SILENCE_MAX};
 use wire::{Answer, Ask, message::Progress};
 
-use super::{Open, produce, step};
+use super::{
+    Open, produce,
+    read::{self, Standing},
+    step,
+};
 use crate::vm::Vm;
 
-/// The kind of the objects that hold claims.
-const KIND: &str = "claim";
-
 const TICK_TIME: Duration = Duration::from_millis(500);
 const PRUNE_TIME: Duration = Duration::from_secs(300);
 const ASK_TIME: Duration = Duration::from_millis(500);
@@ -63,6 +65,7 @@
         if now - last > SILENCE_MAX {
             // This process stood still: its lots may be in other hands.
             recheck(&vm).await;
+            forget_acknowledged(&vm).await;
         }
         last = vm.now();
         if vm.rollouts.steps.borrow().is_empty() || vm.leaving.get() {
@@ -103,13 +106,17 @@
 pub(crate) async fn prune(vm: Rc<Vm>) {
     loop {
         monoio::time::sleep(PRUNE_TIME).await;
-        let steps: Vec<_> = vm.rollouts.steps.borrow().keys().cloned().collect();
-        let trainers: std::collections::BTreeSet<_> =
-            steps.into_iter().map(|step| step.trainer).collect();
-        for trainer in trainers {
-            if let Some(next) = super::cursor(&vm, &trainer).await {
-                forget_before(&vm, &trainer, next);
-            }
+        forget_acknowledged(&vm).await;
+    }
+}
+
+async fn forget_acknowledged(vm: &Vm) {
+    let steps: Vec<_> = vm.rollouts.steps.borrow().keys().cloned().collect();
+    let trainers: std::collections::BTreeSet<_> =
+        steps.into_iter().map(|step| step.trainer).collect();
+    for trainer in trainers {
+        if let Some(next) = super::cursor(vm, &trainer).await {
+            forget_before(vm, &trainer, next);
         }
     }
 }
@@ -195,6 +202,17 @@
     state.sealed.borrow_mut().put(name, manifest);
 }
 
+/// Notes that a lot is deleted, so that nothing more is done for it.
+pub(crate) fn note_deleted(vm: &Vm, name: &str) {
+    if let Some(is_over) = vm.rollouts.producing.borrow_mut().remove(name) {
+        is_over.set(true);
+    }
+    if let Some(lot) = step::Name::parse(name) {
+        // Lots are acknowledged, and so deleted, in order.
+        forget_before(vm, &lot.trainer, lot.number + 1);
+    }
+}
+
 /// Claims `lot` unless another VM produces it, and produces it.
 async fn take(vm: &Rc<Vm>, vms: &[platform::Vm], lot: &Lot) {
     // A failed call is repeated at the next tick.
@@ -206,11 +224,16 @@
 async fn claim_lot(vm: &Rc<Vm>, vms: &[platform::Vm], lot: &Lot) -> Result<bool, Error> {
     let name = lot.name();
     let me = vm.settings.vm.as_str();
-    let found = match vm.platform.read::<Claim>(KIND, &name).await {
+    let found = match vm.platform.read::<Claim>(CLAIM, &name).await {
         Ok(found) => Some(found),
         Err(Error::Absent) => None,
         Err(e) => return Err(e),
     };
+    // The claim of a deleted lot is deleted too.
+    if found.is_none() && super::is_deleted(vm, &lot.step.trainer, lot.number).await? {
+        note_deleted(vm, &name);
+        return Ok(false);
+    }
     if let Some((_, claim)) = &found {
         if is_sealed(vm, &name).await? {
             return Ok(false);
@@ -224,7 +247,7 @@
         None => When::Absent,
     };
     let claim = claim::next(found.as_ref().map(|(_, claim)| claim), me);
-    match vm.platform.write(KIND, &name, when, &claim).await {
+    match vm.platform.write(CLAIM, &name, when, &claim).await {
         Ok(_) => {
             let (lot, epoch) = (name.as_str(), claim.epoch);
             if epoch > 1 {
@@ -241,14 +264,7 @@
 }
 
 async fn is_sealed(vm: &Vm, name: &str) -> Result<bool, Error> {
-    match vm.platform.read::<Manifest>(super::seal::KIND, name).await {
-        Ok((_, manifest)) => {
-            note_sealed(vm, name, manifest);
-            Ok(true)
-        }
-        Err(Error::Absent) => Ok(false),
-        Err(e) => Err(e),
-    }
+    Ok(read::standing(vm, name).await? != Standing::Open)
 }
 
 /// Returns whether the owner of a claim still works on the lot, or has not
--- a/crates/entry/src/rollout/produce.rs
+++ b/crates/entry/src/rollout/produce.rs
@@ -165,10 +165,14 @@
         samples: samples.iter().flatten().cloned().collect(),
     };
     match seal::write(vm, &job.name(), &lot, newest).await {
-        Ok(manifest) => {
+        Ok(Some(manifest)) => {
             owner::note_sealed(vm, &job.name(), manifest);
             true
         }
+        Ok(None) => {
+            owner::note_deleted(vm, &job.name());
+            true
+        }
         Err(_) => {
             monoio::time::sleep(RETRY_TIME).await;
             false
--- a/crates/entry/src/rollout/read.rs
+++ b/crates/entry/src/rollout/read.rs
@@ -9,12 +9,13 @@
     hash::Map,
     key::Digest,
     lot::{Content, Manifest},
+    retention::{LOT, PART},
 };
 use link::{Bytes, platform::Error};
 use policy::claim;
 use wire::message::{File, Progress};
 
-use super::{owner, seal};
+use super::{owner, seal, step};
 use crate::{bulk, vm::Vm};
 
 /// Manifests and contents that this VM knows, the oldest forgotten first.
@@ -89,26 +90,60 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Absent`] when it is not known as sealed, or why the platform
-    /// cannot tell.
-    pub(crate) async fn look(&mut self, vm: &Rc<Vm>, name: &str) -> Result<Rc<Manifest>, Error> {
+    /// An [`Error`] when the platform cannot tell.
+    pub(crate) async fn look(&mut self, vm: &Rc<Vm>, name: &str) -> Result<Standing, Error> {
         if let Some(manifest) = vm.rollouts.sealed.borrow().manifest(name) {
-            return Ok(manifest);
+            return Ok(Standing::Sealed(manifest));
         }
         if let Some(manifest) = ask_peers(vm, name).await {
-            return Ok(manifest);
+            return Ok(Standing::Sealed(manifest));
         }
         let is_read_due = self.rounds.is_multiple_of(ROUNDS_PER_READ);
         self.rounds += 1;
         if !is_read_due {
-            return Err(Error::Absent);
+            return Ok(Standing::Open);
         }
-        let (_, manifest) = vm.platform.read::<Manifest>(seal::KIND, name).await?;
-        owner::note_sealed(vm, name, manifest.clone());
-        Ok(Rc::new(manifest))
+        standing(vm, name).await
     }
 }
 
+/// Where a lot stands.
+#[derive(Debug, PartialEq)]
+pub(crate) enum Standing {
+    /// It is not known as sealed.
+    Open,
+    /// It is sealed.
+    Sealed(Rc<Manifest>),
+    /// It was acknowledged and is deleted for good.
+    Deleted,
+}
+
+/// Returns where a lot stands by what the platform holds, and notes it.
+///
+/// # Errors
+///
+/// An [`Error`] when it cannot be learned.
+pub(crate) async fn standing(vm: &Vm, name: &str) -> Result<Standing, Error> {
+    let found = match vm.platform.read::<Manifest>(LOT, name).await {
+        Ok((_, manifest)) => Some(manifest),
+        Err(Error::Absent) => None,
+        Err(e) => return Err(e),
+    };
+    // The floor is read after the manifest: one that was written anew below
+    // the floor is no manifest of this lot.
+    if let Some(lot) = step::Name::parse(name)
+        && super::is_deleted(vm, &lot.trainer, lot.number).await?
+    {
+        owner::note_deleted(vm, name);
+        return Ok(Standing::Deleted);
+    }
+    let Some(manifest) = found else {
+        return Ok(Standing::Open);
+    };
+    owner::note_sealed(vm, name, manifest.clone());
+    Ok(Standing::Sealed(Rc::new(manifest)))
+}
+
 async fn ask_peers(vm: &Rc<Vm>, name: &str) -> Option<Rc<Manifest>> {
     let vms = super::vms(vm).await;
     let order = claim::candidates(vms.iter().map(|vm| vm.id.as_str()), name);
@@ -138,7 +173,7 @@
     }
     let content = match &manifest.content {
         Content::Inline(content) => Bytes::from(content.clone()),
-        Content::Objects(parts) => join(vm, parts).await?,
+        Content::Objects(parts) => join(vm, manifest, parts).await?,
         Content::Disks(places) => {
             let file = File {
                 trainer: manifest.trainer.clone(),
@@ -157,10 +192,11 @@
     Ok(content)
 }
 
-async fn join(vm: &Rc<Vm>, parts: &[Digest]) -> Result<Bytes, Error> {
+async fn join(vm: &Rc<Vm>, manifest: &Manifest, parts: &[Digest]) -> Result<Bytes, Error> {
     let mut content = Vec::new();
     for part in parts {
-        let object = vm.platform.get(seal::PART_KIND, &part.to_string()).await?;
+        let name = seal::part_name(manifest, part);
+        let object = vm.platform.get(PART, &name).await?;
         content.extend_from_slice(&object.value);
     }
     Ok(content.into())
--- a/crates/entry/src/rollout/seal.rs
+++ b/crates/entry/src/rollout/seal.rs
@@ -6,6 +6,7 @@
 use board::{
     key::Digest,
     lot::{Content, Entry, Lot, Manifest},
+    retention::{LOT, PART},
 };
 use link::platform::Error;
 use serde::Deserialize;
@@ -13,11 +14,6 @@
 
 use crate::{bulk, vm::Vm};
 
-/// The kind of the objects that hold manifests.
-pub(crate) const KIND: &str = "lot";
-/// The kind of the objects that hold parts of contents.
-pub(crate) const PART_KIND: &str = "lot-part";
-
 /// The largest object, in bytes, with room for the platform's own overhead.
 const OBJECT_BYTES: usize = 900 * 1024;
 
@@ -43,7 +39,7 @@
 }
 
 /// Seals `lot` under `name` and returns the manifest that stands, whoever
-/// wrote it.
+/// wrote it, or `None` when the lot was sealed before and is deleted.
 ///
 /// # Errors
 ///
@@ -53,7 +49,7 @@
     name: &str,
     lot: &Lot,
     newest_version: u64,
-) -> Result<Manifest, Error> {
+) -> Result<Option<Manifest>, Error> {
     let content = serde_json::to_string(lot).map_err(|e| Error::Refused {
         status: 0,
         detail: e.to_string(),
@@ -75,8 +71,16 @@
     };
     manifest.content = place(vm, &manifest, &content).await?;
     let value = serde_json::to_vec(&manifest).unwrap_or_default();
-    let object = vm.platform.create(KIND, name, value).await?;
+    let object = vm.platform.create(LOT, name, value).await?;
     let stands: Manifest = object.json()?;
+    // A process that was frozen since before the lot was sealed elsewhere may
+    // write it anew after its deletion, so the floor is read after the write.
+    if super::is_deleted(vm, &lot.trainer, lot.number).await? {
+        // If this fails, the next round of deletion finds the object.
+        let _ = vm.platform.delete(LOT, name, object.version).await;
+        vm.metrics.lot("sealed-deleted");
+        return Ok(None);
+    }
     let is_mine = stands.digest == digest;
     vm.metrics.lot(if is_mine {
         "sealed"
@@ -89,7 +93,7 @@
         let mut sealed = vm.rollouts.sealed.borrow_mut();
         sealed.put_content(name, content.into());
     }
-    Ok(stands)
+    Ok(Some(stands))
 }
 
 /// Stores the content where it costs the fewest calls: a small one in the
@@ -112,9 +116,16 @@
     let mut parts = Vec::new();
     for part in content.as_bytes().chunks(OBJECT_BYTES) {
         let digest = Digest::of_bytes(part);
-        let name = digest.to_string();
-        vm.platform.create(PART_KIND, &name, part.to_vec()).await?;
+        let name = part_name(manifest, &digest);
+        vm.platform.create(PART, &name, part.to_vec()).await?;
         parts.push(digest);
     }
     Ok(Content::Objects(parts))
 }
+
+/// Returns the name of the object that holds a part of a lot's content. It
+/// begins as the lot's name, so that no two lots share a part and parts that no
+/// manifest names can be found.
+pub(crate) fn part_name(manifest: &Manifest, part: &Digest) -> String {
+    format!("{}.{}.{part}", manifest.trainer, manifest.number)
+}
--- a/crates/entry/src/rollout/step.rs
+++ b/crates/entry/src/rollout/step.rs
@@ -2,16 +2,13 @@
 
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
 
-use board::{config::Trainer, lot::Step};
+use board::{config::Trainer, lot::Step, retention::STEP};
 use link::platform::{Change, Error};
 use policy::claim::Guard;
 
 use super::Open;
 use crate::vm::Vm;
 
-/// The kind of the objects that hold steps.
-pub(crate) const KIND: &str = "step";
-
 /// The name of a step.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Name {
@@ -27,7 +24,8 @@
         format!("{}.{}", self.trainer, self.number)
     }
 
-    fn parse(object: &str) -> Option<Self> {
+    /// Reads the name of an object; that of a lot gives the lot's number.
+    pub(crate) fn parse(object: &str) -> Option<Self> {
         let (trainer, number) = object.rsplit_once('.')?;
         Some(Self {
             trainer: trainer.to_string(),
@@ -50,8 +48,8 @@
     let mut after = None;
     loop {
         let step = match after {
-            None => vm.platform.list(KIND, "").await,
-            Some(version) => vm.platform.watch(KIND, version, WATCH_TIME).await,
+            None => vm.platform.list(STEP, "").await,
+            Some(version) => vm.platform.watch(STEP, version, WATCH_TIME).await,
         };
         match step {
             Ok(changes) => {
@@ -119,7 +117,7 @@
     if let Some(content) = &open.borrow().content {
         return Ok(content.clone());
     }
-    let (_, step) = vm.platform.read::<Step>(KIND, &name.object()).await?;
+    let (_, step) = vm.platform.read::<Step>(STEP, &name.object()).await?;
     let step = Rc::new(step);
     open.borrow_mut().content = Some(step.clone());
     Ok(step)
--- a/crates/entry/src/trainer.rs
+++ b/crates/entry/src/trainer.rs
@@ -7,7 +7,8 @@
 
 use board::{
     config::Trainer,
-    lot::{Manifest, Step},
+    lot::{Cursor, Manifest, Step},
+    retention::STEP,
 };
 use link::{
     Bytes, Method, StatusCode,
@@ -19,7 +20,11 @@
 use crate::{
     auth,
     refusal::{Failure, Ran},
-    rollout::{self, Cursor, read, step},
+    rollout::{
+        self,
+        read::{self, Standing},
+        step,
+    },
     vm::Vm,
 };
 
@@ -128,10 +133,15 @@
             &detail,
         ));
     }
+    let lots = trainer.lots_per_step();
+    let floor = rollout::floor(vm, name).await.map_err(unavailable)?;
+    if policy::retention::is_step_below(number, floor, lots) {
+        return Err(deleted("the step was acknowledged and is deleted"));
+    }
     let value = serde_json::to_vec(&step).unwrap_or_default();
     let object = vm
         .platform
-        .create("step", &format!("{name}.{number}"), value)
+        .create(STEP, &format!("{name}.{number}"), value)
         .await
         .map_err(unavailable)?;
     let stored: Step = object.json().map_err(unavailable)?;
@@ -146,8 +156,7 @@
         trainer: name.to_string(),
         number,
     };
-    step::open(vm, step_name, Some(Rc::new(step)), 0);
-    let lots = trainer.lots_per_step();
+    step::open(vm, step_name, Some(Rc::new(step)), floor);
     let declared = Declared {
         first_lot: number * u64::from(lots),
         lots,
@@ -162,12 +171,22 @@
     let wait = asked
         .map_or(Duration::ZERO, Duration::from_millis)
         .min(WAIT_MAX);
-    let lot = format!("{name}.{lot}");
-    let manifest = await_sealed(vm, &lot, wait).await?;
-    let content = read::content(vm, &lot, &manifest)
-        .await
-        .map_err(unavailable)?;
-    slice(request, &manifest, content)
+    let lot_name = format!("{name}.{lot}");
+    let manifest = await_sealed(vm, &lot_name, wait).await?;
+    match read::content(vm, &lot_name, &manifest).await {
+        Ok(content) => slice(request, &manifest, content),
+        // A manifest that is still known here may outlive its content.
+        Err(_) if rollout::is_deleted(vm, name, lot).await == Ok(true) => Err(deleted_lot()),
+        Err(e) => Err(unavailable(e)),
+    }
+}
+
+fn deleted(detail: &str) -> Failure {
+    Failure::rejected(StatusCode::GONE, "deleted", detail)
+}
+
+fn deleted_lot() -> Failure {
+    deleted("the lot was acknowledged and is deleted")
 }
 
 async fn await_sealed(vm: &Rc<Vm>, lot: &str, wait: Duration) -> Result<Rc<Manifest>, Failure> {
@@ -175,8 +194,9 @@
     let mut round = read::Wait::default();
     loop {
         let failure = match round.look(vm, lot).await {
-            Ok(manifest) => return Ok(manifest),
-            Err(Error::Absent) => not_sealed(),
+            Ok(Standing::Sealed(manifest)) => return Ok(manifest),
+            Ok(Standing::Deleted) => return Err(deleted_lot()),
+            Ok(Standing::Open) => not_sealed(),
             Err(e) => unavailable(e),
         };
         // In an outage the peers may learn of the lot while this call waits.
@@ -247,7 +267,7 @@
 }
 
 async fn move_cursor(vm: &Rc<Vm>, name: &str, lot: u64) -> Result<Result<(), Error>, Failure> {
-    let read = vm.platform.read::<Cursor>("cursor", name).await;
+    let read = vm.platform.read::<Cursor>(Cursor::KIND, name).await;
     let (when, next) = match read {
         Ok((version, cursor)) => (When::At(version), cursor.acknowledged + 1),
         Err(Error::Absent) => (When::Absent, 0),
@@ -265,7 +285,7 @@
     }
     await_sealed(vm, &format!("{name}.{lot}"), Duration::ZERO).await?;
     let moved = Cursor { acknowledged: lot };
-    let written = vm.platform.write("cursor", name, when, &moved).await;
+    let written = vm.platform.write(Cursor::KIND, name, when, &moved).await;
     Ok(written.map(drop))
 }
 
--- a/crates/link/src/platform/mod.rs
+++ b/crates/link/src/platform/mod.rs
@@ -226,6 +226,19 @@
         }
     }
 
+    /// Deletes an object that is at `version`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Absent`] when it is gone, [`Error::Conflict`] when it has
+    /// another version, [`Error::Unknown`] when it may be deleted or not.
+    pub async fn delete(&self, kind: &str, name: &str, version: u64) -> Result<(), Error> {
+        let path = format!("/v1/objects/{kind}/{name}");
+        let call =
+            Call::new(::http::Method::DELETE, path).header("if-match", format!("\"{version}\""));
+        self.call(call, CALL_TIME).await.map(drop)
+    }
+
     /// Lists the objects of a kind whose names start with `prefix`.
     ///
     /// # Errors
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod membership;
 pub mod owner;
 pub mod relay;
+pub mod retention;
 pub mod retry;
 pub mod routing;
 pub mod staleness;
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -5,6 +5,7 @@
 pub(crate) mod lease;
 pub(crate) mod metrics;
 pub(crate) mod order;
+pub(crate) mod retention;
 pub mod run;
 pub mod settings;
 pub(crate) mod usage;
--- a/crates/steward/src/metrics.rs
+++ b/crates/steward/src/metrics.rs
@@ -13,6 +13,7 @@
     copied_records: Counter<u64>,
     spend: Counter<f64>,
     served: Counter<u64>,
+    deleted: Counter<u64>,
 }
 
 impl Metrics {
@@ -28,6 +29,7 @@
                 .f64_counter("tarragonseam_spend_price_hours")
                 .build(),
             served: telemetry.counter("tarragonseam_usage_reported_tokens"),
+            deleted: telemetry.counter("tarragonseam_deleted_objects"),
         }
     }
 
@@ -57,6 +59,12 @@
         self.served.add(tokens, &[]);
     }
 
+    /// Counts an object that was to be deleted, by its kind and the result.
+    pub(crate) fn deleted(&self, kind: &'static str, result: &'static str) {
+        let attributes = [KeyValue::new("kind", kind), KeyValue::new("result", result)];
+        self.deleted.add(1, &attributes);
+    }
+
     /// Adds what endpoints cost.
     pub(crate) fn spend(&self, domain: &str, service: &str, class: &'static str, cost: f64) {
         let attributes = [
--- /dev/null
+++ b/crates/steward/src/retention.rs
@@ -0,0 +1,126 @@
+//! Deletion of what is no longer needed: objects of lots that their trainers
+//! have acknowledged, and figures of windows reported long ago.
+//!
+//! The steward that holds the lease on reports does it, so that it is done
+//! once; that it is safe comes from the floor of each trainer, which is
+//! written before anything below it is deleted and never goes down.
+
+use std::{rc::Rc, time::Duration};
+
+use board::{
+    lot::Cursor,
+    retention::{CLAIM, KIND, LOT, PART, Retention, STEP},
+    usage::{self, Window},
+};
+use link::{
+    clock,
+    platform::{Change, Error, When},
+};
+use policy::retention;
+
+use crate::vm::Vm;
+
+/// Rounds in the time that a lot is kept.
+const ROUNDS: u32 = 4;
+const ROUND_MIN: Duration = Duration::from_millis(200);
+const ROUND_MAX: Duration = Duration::from_secs(300);
+
+/// Deletes what is due, for ever, while this process holds the lease on
+/// reports.
+pub(crate) async fn run(vm: Rc<Vm>) {
+    let round = (vm.settings.keep_lots / ROUNDS).clamp(ROUND_MIN, ROUND_MAX);
+    loop {
+        monoio::time::sleep(round).await;
+        if !is_in_charge(&vm) {
+            continue;
+        }
+        // What fails now is due again in the next round.
+        let _ = delete_windows(&vm).await;
+        let trainers: Vec<_> = {
+            let board = vm.board.borrow();
+            let trainers = board.config.trainers.iter();
+            trainers
+                .map(|(name, trainer)| (name.clone(), trainer.lots_per_step()))
+                .collect()
+        };
+        for (trainer, lots_per_step) in trainers {
+            let _ = delete_lots(&vm, &trainer, lots_per_step).await;
+        }
+    }
+}
+
+fn is_in_charge(vm: &Vm) -> bool {
+    vm.epoch(&vm.reports).is_some()
+}
+
+async fn delete_lots(vm: &Vm, trainer: &str, lots_per_step: u32) -> Result<(), Error> {
+    let floor = raise_floor(vm, trainer).await?;
+    if floor == 0 {
+        return Ok(());
+    }
+    // The manifest goes last: while it stands, its parts are known to be due.
+    for kind in [STEP, CLAIM, PART, LOT] {
+        let listed = vm.cleanup.list(kind, &format!("{trainer}.")).await?;
+        let is_due = |change: &&Change| {
+            retention::is_below(kind, &change.name, trainer, floor, lots_per_step)
+        };
+        for object in listed.changes.iter().filter(is_due) {
+            delete(vm, kind, object).await?;
+        }
+    }
+    Ok(())
+}
+
+/// Returns the number of the first lot of `trainer` that has to be kept, after
+/// it was written down.
+async fn raise_floor(vm: &Vm, trainer: &str) -> Result<u64, Error> {
+    let cursor = vm.cleanup.read::<Cursor>(Cursor::KIND, trainer).await;
+    let next_lot = match cursor {
+        Ok((_, cursor)) => cursor.acknowledged + 1,
+        Err(Error::Absent) => return Ok(0),
+        Err(e) => return Err(e),
+    };
+    let (when, mut lots) = match vm.cleanup.read::<Retention>(KIND, trainer).await {
+        Ok((version, lots)) => (When::At(version), lots),
+        Err(Error::Absent) => (When::Absent, Retention::default()),
+        Err(e) => return Err(e),
+    };
+    let keep = vm.settings.keep_lots;
+    if retention::advance(&mut lots, next_lot, clock::wall_millis(), keep) {
+        // After a conflict or a lost reply the next round reads what stands.
+        vm.cleanup.write(KIND, trainer, when, &lots).await?;
+    }
+    Ok(lots.floor)
+}
+
+async fn delete_windows(vm: &Vm) -> Result<(), Error> {
+    let listed = vm.cleanup.list(usage::KIND, "").await?;
+    let number = |change: &Change| change.name.parse().ok().map(Window);
+    let windows = listed.changes.iter().filter_map(number).collect();
+    let length = vm.settings.window.as_millis().max(1) as u64;
+    let keep = vm.settings.keep_windows;
+    let due = retention::windows_due(windows, length, clock::wall_millis(), keep);
+    let is_due = |change: &&Change| number(change).is_some_and(|window| due.contains(&window));
+    for object in listed.changes.iter().filter(is_due) {
+        delete(vm, usage::KIND, object).await?;
+    }
+    Ok(())
+}
+
+/// Deletes one object, at the version that was listed.
+async fn delete(vm: &Vm, kind: &'static str, object: &Change) -> Result<(), Error> {
+    if !is_in_charge(vm) {
+        return Err(Error::Unavailable("the lease is lost".to_string()));
+    }
+    let deleted = vm.cleanup.delete(kind, &object.name, object.version).await;
+    match deleted {
+        Ok(()) => vm.metrics.deleted(kind, "deleted"),
+        // It is gone, or was written anew; the next list tells.
+        Err(Error::Absent | Error::Conflict(_)) => vm.metrics.deleted(kind, "changed"),
+        Err(e) => {
+            vm.metrics.deleted(kind, "failed");
+            return Err(e);
+        }
+    }
+    Ok(())
+}
--- a/crates/steward/src/run.rs
+++ b/crates/steward/src/run.rs
@@ -10,7 +10,7 @@
 };
 use serde::Serialize;
 
-use crate::{endpoints, lease, settings::Settings, usage, vm::Vm, weights};
+use crate::{endpoints, lease, retention, settings::Settings, usage, vm::Vm, weights};
 
 /// Why the daemon could not run.
 #[derive(Debug, thiserror::Error)]
@@ -67,6 +67,7 @@
     monoio::spawn(endpoints::run(vm.clone()));
     monoio::spawn(weights::run(vm.clone()));
     monoio::spawn(usage::run(vm.clone()));
+    monoio::spawn(retention::run(vm.clone()));
 
     let for_admin = vm.clone();
     let drain = server::Drain::default();
--- a/crates/steward/src/settings.rs
+++ b/crates/steward/src/settings.rs
@@ -45,6 +45,24 @@
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     #[serde(rename = "window_ms", default = "window")]
     pub window: Duration,
+    /// How long a lot is kept after its trainer acknowledged it, in
+    /// milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "keep_lots_ms", default = "keep_lots")]
+    pub keep_lots: Duration,
+    /// How long the figures of a window are kept after its end, in
+    /// milliseconds.
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "keep_windows_ms", default = "keep_windows")]
+    pub keep_windows: Duration,
+}
+
+fn keep_lots() -> Duration {
+    Duration::from_secs(30 * 60)
+}
+
+fn keep_windows() -> Duration {
+    Duration::from_secs(7 * 24 * 60 * 60)
 }
 
 fn window() -> Duration {
--- a/crates/steward/src/vm.rs
+++ b/crates/steward/src/vm.rs
@@ -14,6 +14,9 @@
 
 use crate::{metrics::Metrics, settings::Settings};
 
+/// The rate of calls that delete what is no longer needed.
+const CLEANUP_CALLS_PER_S: u32 = 10;
+
 /// Picks one of the leases of a process.
 pub(crate) type Pick = fn(&Vm) -> &RefCell<Lease>;
 
@@ -26,6 +29,8 @@
     pub(crate) platform: platform::Client,
     /// A client of its own, so that no other call delays a renewal.
     pub(crate) lease_platform: platform::Client,
+    /// A client of its own, whose rate leaves room for all other work.
+    pub(crate) cleanup: platform::Client,
     pub(crate) telemetry: Telemetry,
     pub(crate) metrics: Metrics,
     /// The VMs that the platform lists.
@@ -48,6 +53,8 @@
             pool: Pool::new(Limits::new()),
             platform: platform::Client::new(settings.platform, &settings.vm),
             lease_platform: platform::Client::new(settings.platform, &settings.vm),
+            cleanup: platform::Client::new(settings.platform, &settings.vm)
+                .calls_per_s(CLEANUP_CALLS_PER_S),
             metrics: Metrics::new(&telemetry),
             telemetry,
             vms: RefCell::default(),
