--- a/crates/steward/src/settings.rs
+++ b/crates/steward/src/settings.rs
@@ -1,6 +1,8 @@
 //! The settings of the daemon.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
+
+use serde_with::DurationMilliSeconds;
 
 link::daemon_settings! {
     /// What a VM's steward is told of itself.
@@ -29,5 +31,23 @@
         /// only.
         #[serde(default)]
         pub test_faults: bool,
+        /// How long a lot is kept after its trainer acknowledged it, in
+        /// milliseconds.
+        #[serde_as(as = "DurationMilliSeconds<u64>")]
+        #[serde(rename = "keep_lots_ms", default = "keep_lots")]
+        pub keep_lots: Duration,
+        /// How long the figures of a window are kept after its end, in
+        /// milliseconds.
+        #[serde_as(as = "DurationMilliSeconds<u64>")]
+        #[serde(rename = "keep_windows_ms", default = "keep_windows")]
+        pub keep_windows: Duration,
     }
 }
+
+fn keep_lots() -> Duration {
+    Duration::from_secs(30 * 60)
+}
+
+fn keep_windows() -> Duration {
+    Duration::from_secs(7 * 24 * 60 * 60)
+}
