link's tests: start a TLS server before its files are replaced

The test learned the address before the server had read its files, and replaced them first, so the server began with a key of another certificate. Ruled out: the reload itself, which was never reached.

Change: the server tells its address after it has read the files. All checks of the test stay as they were.

--- a/crates/link/tests/tls.rs
+++ b/crates/link/tests/tls.rs
@@ -93,9 +93,10 @@
         thread::spawn(move || {
             runtime::run(async move {
                 let listener = net::listen(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
-                sender.send(listener.local_addr().unwrap()).unwrap();
                 let files = Files::new(folder.join("c.pem"), folder.join("k.pem"));
                 let tls = Tls::new(files).unwrap();
+                // Tests may replace the files from now on.
+                sender.send(listener.local_addr().unwrap()).unwrap();
                 let tls = tls
                     .handshake_time(handshake_time)
                     .reload_period(POLL)
