link, steward, entry: one reading of the list of VMs

Cause: each VM read the platform's list of VMs in several places, the steward for its leases and the entry daemon for holders of usage copies, each every 30 s, besides the relays of the feed: 4 calls a minute for each VM. The members that the VMs tell each other hold the same, and sooner.

Now only the feed reads it: relays every 10 s, and a VM that hears no other for 10 s. Holders of copies, candidates of leases and failure domains come from the members; a steward takes them from its entry daemon, forgets those that this one forgets, and orders nothing before that one is primed. Being primed needs the list now. Whoever closes a window of usage still reads the list, twice a window: it has to ask also VMs that are thought dead. The trainers' side keeps its own.

Looks at leases grew with the VMs too, by one each 15 s from every VM for each of its two leases. Eight VMs look that often now, the rest the more seldom the more there are: period_looks_do_not_grow_with_vms.

The state of a listed VM is an enum. The record of a lease is built in one place. Two tests of cuts that differed by a line share a function.

Tests run: control_orders, control_usage, control_lists, usage_alone, spread_cut, spread_publish, fakes platform, policy lease; all pass, one run each.

--- a/crates/cli/tests/spread_cut.rs
+++ b/crates/cli/tests/spread_cut.rs
@@ -69,38 +69,31 @@
     .unwrap();
 }
 
+/// Checks that keys go on, and that a withdrawal reaches every VM, while `cut`
+/// leaves each one way to it.
+async fn withdraw_while_cut(cut: impl AsyncFn(&Bench)) {
+    let bench = Bench::start().await;
+    let (kept, withdrawn) = (bench.key("maison-verte"), bench.key("trois-pommes"));
+    bench.wait_answer(&all(), &kept, 200).await;
+    cut(&bench).await;
+    monoio::time::sleep(CUT).await;
+    bench.good(&["key", "withdraw", &withdrawn]);
+    bench.wait_answer(&all(), &withdrawn, 401).await;
+    for place in all() {
+        assert_eq!(bench.ask(place, &kept).await.status, 200);
+    }
+}
+
 #[test]
 fn cut_from_platform_only() {
-    link::runtime::run(async {
-        let bench = Bench::start().await;
-        let (kept, withdrawn) = (bench.key("maison-verte"), bench.key("trois-pommes"));
-        bench.wait_answer(&all(), &kept, 200).await;
-        bench.cut_a_from_platform().await;
-        monoio::time::sleep(CUT).await;
-        bench.good(&["key", "withdraw", &withdrawn]);
-        bench.wait_answer(&all(), &withdrawn, 401).await;
-        for place in all() {
-            assert_eq!(bench.ask(place, &kept).await.status, 200);
-        }
-    })
-    .unwrap();
+    let cut = async |bench: &Bench| bench.cut_a_from_platform().await;
+    link::runtime::run(withdraw_while_cut(cut)).unwrap();
 }
 
 #[test]
 fn cut_from_others_only() {
-    link::runtime::run(async {
-        let bench = Bench::start().await;
-        let (kept, withdrawn) = (bench.key("maison-verte"), bench.key("trois-pommes"));
-        bench.wait_answer(&all(), &kept, 200).await;
-        bench.cut_a(true, true).await;
-        monoio::time::sleep(CUT).await;
-        bench.good(&["key", "withdraw", &withdrawn]);
-        bench.wait_answer(&all(), &withdrawn, 401).await;
-        for place in all() {
-            assert_eq!(bench.ask(place, &kept).await.status, 200);
-        }
-    })
-    .unwrap();
+    let cut = async |bench: &Bench| bench.cut_a(true, true).await;
+    link::runtime::run(withdraw_while_cut(cut)).unwrap();
 }
 
 /// The others hear failure domain `a`, which hears nobody.
--- a/crates/entry/src/rollout/mod.rs
+++ b/crates/entry/src/rollout/mod.rs
@@ -104,7 +104,8 @@
     }
     let listed = match vm.platform.vms().await {
         Ok(mut listed) => {
-            listed.retain(|other| other.state == "live" || other.id == vm.settings.vm);
+            listed
+                .retain(|other| other.state == platform::State::Live || other.id == vm.settings.vm);
             listed
         }
         Err(_) => known.map(|(_, vms)| vms).unwrap_or_default(),
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -51,7 +51,6 @@
         vm.telemetry.export_to(collector);
     }
     follow_platform(&vm);
-    monoio::spawn(copy::list_vms(vm.clone()));
     monoio::spawn(copy::keep(vm.clone()));
     rollout::start(&vm);
 
--- a/crates/entry/src/usage/copy.rs
+++ b/crates/entry/src/usage/copy.rs
@@ -46,23 +46,6 @@
 /// How long a process may be silent before its copies are passed on.
 const SILENT_TIME: Duration = Duration::from_secs(5);
 
-const LIST_TIME: Duration = Duration::from_secs(30);
-const LIST_RETRY: Duration = Duration::from_secs(1);
-
-/// Keeps the list of VMs up to date, for ever.
-pub(crate) async fn list_vms(vm: Rc<Vm>) {
-    loop {
-        let listed = vm.platform.vms().await;
-        let is_listed = listed.is_ok();
-        if let Ok(vms) = listed {
-            *vm.usage.vms.borrow_mut() = vms;
-            start(&vm);
-        }
-        let pause = if is_listed { LIST_TIME } else { LIST_RETRY };
-        monoio::time::sleep(pause).await;
-    }
-}
-
 /// Sends what could not be sent before, and notices a holder that is lost, for
 /// ever.
 pub(crate) async fn keep(vm: Rc<Vm>) {
@@ -195,22 +178,21 @@
 /// Returns the VMs to ask, the best holder first.
 fn candidates(vm: &Vm) -> Vec<(String, SocketAddr)> {
     let now = vm.now();
-    let vms = vm.usage.vms.borrow();
+    let board = vm.board.borrow();
     let absent = vm.usage.absent.borrow();
-    let live: Vec<_> = vms
-        .iter()
-        .filter(|other| other.state == "live")
-        .filter(|other| absent.get(&other.id).is_none_or(|until| *until <= now))
+    let members = board.members.live().map(|member| &member.record);
+    let live: Vec<_> = members
+        .filter(|other| absent.get(&other.vm).is_none_or(|until| *until <= now))
         .collect();
     let names: Vec<_> = live
         .iter()
-        .map(|other| (other.id.as_str(), other.failure_domain.as_str()))
+        .map(|other| (other.vm.as_str(), other.failure_domain.as_str()))
         .collect();
     let domain = &vm.settings.failure_domain;
     usage::holders(&vm.settings.vm, domain, &names)
         .into_iter()
         .take(HOLDERS_MAX)
-        .map(|place| (live[place].id.clone(), live[place].address))
+        .map(|place| (live[place].vm.clone(), live[place].address))
         .collect()
 }
 
--- a/crates/entry/src/usage/mod.rs
+++ b/crates/entry/src/usage/mod.rs
@@ -18,7 +18,7 @@
     hash::Map,
     usage::{Figures, Origin},
 };
-use link::{peer::Links, platform};
+use link::peer::Links;
 use local_sync::oneshot;
 
 use crate::vm::Vm;
@@ -28,8 +28,6 @@
     /// This process.
     pub(crate) origin: Origin,
     links: Links,
-    /// The VMs that the platform lists.
-    vms: RefCell<Vec<platform::Vm>>,
     /// VMs that did not answer, and until when they are not asked again.
     absent: RefCell<Map<String, Time>>,
     /// Records that are not held by another VM yet.
@@ -51,7 +49,6 @@
         Self {
             origin,
             links: Links::default(),
-            vms: RefCell::default(),
             absent: RefCell::default(),
             queue: RefCell::default(),
             is_sending: Cell::new(false),
--- a/crates/fakes/src/platform/vm.rs
+++ b/crates/fakes/src/platform/vm.rs
@@ -5,6 +5,7 @@
 use link::{
     StatusCode,
     http::{Reply, Request},
+    platform::State,
 };
 use serde::{Deserialize, Serialize};
 
@@ -19,13 +20,9 @@
     pub address: String,
     /// The failure domain.
     pub failure_domain: String,
-    /// `live` or `leaving`.
-    #[serde(default = "live")]
-    pub state: String,
-}
-
-fn live() -> String {
-    "live".to_owned()
+    /// Whether it runs or is about to go.
+    #[serde(default)]
+    pub state: State,
 }
 
 #[derive(Debug, Deserialize, Serialize)]
--- a/crates/fakes/tests/platform.rs
+++ b/crates/fakes/tests/platform.rs
@@ -198,7 +198,7 @@
         id: id.to_owned(),
         address: "127.0.0.1:1".to_owned(),
         failure_domain: "f1".to_owned(),
-        state: "live".to_owned(),
+        state: link::platform::State::Live,
     };
     let platform = start(platform::Config {
         first_vms: vec![vm("v1")],
--- a/crates/link/src/feed.rs
+++ b/crates/link/src/feed.rs
@@ -35,6 +35,8 @@
 const LIST_TIME: Duration = Duration::from_millis(500);
 const VMS_TIME: Duration = Duration::from_secs(10);
 const ALONE_TIME: Duration = Duration::from_secs(1);
+/// How long a VM hears no other before it asks the platform which there are.
+const SILENT_TIME: Duration = Duration::from_secs(10);
 /// How long a VM that starts listens for others before it watches.
 const JOIN_TIME: Duration = Duration::from_millis(500);
 
@@ -50,6 +52,14 @@
 struct Complete {
     kinds: [Cell<Option<Time>>; KINDS.len()],
     endpoints: Cell<bool>,
+    vms: Cell<bool>,
+}
+
+impl Complete {
+    fn is_whole(&self) -> bool {
+        let is_known = |kind: &Cell<Option<Time>>| kind.get().is_some();
+        self.kinds.iter().all(is_known) && self.endpoints.get() && self.vms.get()
+    }
 }
 
 /// Brings what the platform holds to the VMs of a failure domain.
@@ -102,6 +112,13 @@
         }
     }
 
+    /// Returns whether no other VM is heard.
+    fn is_alone(&self) -> bool {
+        let met = self.gossip.board.borrow().members.met;
+        let now = self.gossip.clock.now();
+        met.is_none_or(|met| now - met > SILENT_TIME)
+    }
+
     fn is_behind(&self) -> bool {
         let fresh = self.gossip.board.borrow().members.fresh;
         let now = self.gossip.clock.now();
@@ -119,10 +136,10 @@
 
     fn note_complete(&self, place: usize, since: Time) {
         self.complete.kinds[place].set(Some(since));
-        let kinds = &self.complete.kinds;
-        if kinds.iter().all(|kind| kind.get().is_some()) && self.complete.endpoints.get() {
+        if self.complete.is_whole() {
             self.gossip.note_primed();
         }
+        let kinds = &self.complete.kinds;
         // Weights may lag behind: they open no door to a caller.
         let doors = [kinds[0].get(), kinds[1].get()];
         if let [Some(config), Some(keys)] = doors {
@@ -279,22 +296,27 @@
     }
 }
 
-/// Lists the VMs: often while none is known, then as a grave list.
+/// Lists the VMs: often while none is known or heard, then as a grave list,
+/// which relays alone do. The others learn of VMs from each other.
 async fn list_vms(feed: Feed) {
     loop {
-        let is_alone = feed.gossip.board.borrow().members.met.is_none();
-        if is_alone || feed.is_relay() {
-            list_vms_once(&feed).await;
+        let is_alone = feed.is_alone();
+        let asks = is_alone || feed.is_relay();
+        if asks && list_vms_once(&feed).await.is_ok() {
+            feed.complete.vms.set(true);
         }
-        let time = if is_alone { ALONE_TIME } else { VMS_TIME };
+        let is_missing = asks && !feed.complete.vms.get();
+        let time = if is_alone || is_missing {
+            ALONE_TIME
+        } else {
+            VMS_TIME
+        };
         monoio::time::sleep(time).await;
     }
 }
 
-async fn list_vms_once(feed: &Feed) {
-    let Ok(vms) = feed.platform.vms().await else {
-        return;
-    };
+async fn list_vms_once(feed: &Feed) -> Result<(), Error> {
+    let vms = feed.platform.vms().await?;
     let record = |vm: crate::platform::Vm| Record {
         vm: vm.id,
         failure_domain: vm.failure_domain,
@@ -304,4 +326,5 @@
     let listed: Vec<_> = vms.into_iter().map(record).collect();
     let mut board = feed.gossip.board.borrow_mut();
     membership::list(&mut board, feed.gossip.clock.now(), &listed);
+    Ok(())
 }
--- a/crates/link/src/follow.rs
+++ b/crates/link/src/follow.rs
@@ -32,6 +32,7 @@
     entry: SocketAddr,
     failures: Rc<Cell<u32>>,
     members: Rc<Cell<u64>>,
+    is_primed: Rc<Cell<bool>>,
 }
 
 impl Follower {
@@ -43,9 +44,15 @@
             entry,
             failures: Rc::default(),
             members: Rc::default(),
+            is_primed: Rc::default(),
         }
     }
 
+    /// Returns whether every kind of fact and the VMs have been learned once.
+    pub fn is_primed(&self) -> bool {
+        self.is_primed.get()
+    }
+
     /// Starts the tasks that keep the board up to date for ever.
     pub fn start(&self) {
         monoio::spawn(follow_facts(self.clone()));
@@ -93,11 +100,13 @@
     async fn take(&self, facts: Facts) -> bool {
         self.members.set(facts.digest);
         let now = self.clock.now();
-        for opinion in facts.members {
-            membership::note(&mut self.board.borrow_mut(), now, opinion);
+        if !facts.members.is_empty() {
+            membership::follow(&mut self.board.borrow_mut(), now, facts.members);
         }
         let taken = dissemination::take(&mut self.board.borrow_mut(), facts.items.clone());
         if taken.missing.is_empty() {
+            let is_whole = facts.is_primed && !facts.has_more;
+            self.is_primed.set(self.is_primed.get() || is_whole);
             return facts.has_more;
         }
         if let Some(Answer::Parts(texts)) = self.ask(&Ask::Parts(taken.missing)).await {
--- a/crates/link/src/platform/mod.rs
+++ b/crates/link/src/platform/mod.rs
@@ -69,6 +69,19 @@
     }
 }
 
+board::record! {
+    /// The state of a VM as the platform lists it.
+    #[derive(Default)]
+    #[serde(rename_all = "lowercase")]
+    copy pub enum State {
+        /// It runs.
+        #[default]
+        Live,
+        /// It is about to go.
+        Leaving,
+    }
+}
+
 board::record! {
     /// A VM as the platform lists it.
     pub struct Vm {
@@ -78,8 +91,8 @@
         pub address: SocketAddr,
         /// Its failure domain.
         pub failure_domain: String,
-        /// `live` or `leaving`.
-        pub state: String,
+        /// Whether it runs or is about to go.
+        pub state: State,
     }
 }
 
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -18,9 +18,15 @@
 /// How many VMs of a rendezvous look at a lease often.
 const CANDIDATES: usize = 3;
 
-/// How often the other VMs look at it.
+/// How many VMs look at a lease at all often, with those.
+const SUBSTITUTES: usize = 8;
+
+/// How often these look at it.
 const FAR_PERIOD: Duration = Duration::from_secs(15);
 
+/// How much less often each VM of a deployment makes the rest look at it.
+const REST_PERIOD: Duration = Duration::from_secs(2);
+
 /// What to do about a lease now.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
@@ -84,20 +90,25 @@
     if !is_mine && !may_take {
         return Step::Read;
     }
-    lease.serial += 1;
     let epoch = if is_mine {
         record.epoch
     } else {
         record.epoch + 1
     };
-    let record = Record {
+    let record = next_record(lease, holder, epoch, terms.ttl);
+    Step::Write { version, record }
+}
+
+/// Returns a record that differs from all others, for `term`.
+fn next_record(lease: &mut Lease, holder: &str, epoch: u64, term: Duration) -> Record {
+    lease.serial += 1;
+    Record {
         holder: holder.to_string(),
         epoch,
-        ttl_ms: terms.ttl.as_millis() as u64,
+        ttl_ms: term.as_millis() as u64,
         nonce: lease.nonce,
         serial: lease.serial,
-    };
-    Step::Write { version, record }
+    }
 }
 
 /// Notes what a read returned: the version and value, or `None` when the
@@ -162,20 +173,14 @@
 pub fn release(lease: &mut Lease, terms: Terms, holder: &str) -> Option<Step> {
     let (epoch, _) = lease.held.take()?;
     let (version, ..) = lease.seen.clone()?;
-    lease.serial += 1;
-    let record = Record {
-        holder: holder.to_string(),
-        epoch,
-        ttl_ms: terms.margin.as_millis() as u64,
-        nonce: lease.nonce,
-        serial: lease.serial,
-    };
+    let record = next_record(lease, holder, epoch, terms.margin);
     Some(Step::Write { version, record })
 }
 
 /// Returns how often `vm` looks at the lease on `job`: the first few VMs by
 /// rendezvous hash often, so that calls do not grow with the number of VMs;
-/// the others seldom, for when all of those are lost together.
+/// a few more seldom, for when all of those are lost together and thought to
+/// live; the rest the more seldom the more there are.
 ///
 /// # Examples
 ///
@@ -194,8 +199,10 @@
     let above = vms.iter().filter(|other| weight(other) > own).count();
     if vms.is_empty() || (vms.contains(&vm) && above < CANDIDATES) {
         terms.period
-    } else {
+    } else if above < SUBSTITUTES {
         FAR_PERIOD
+    } else {
+        FAR_PERIOD + REST_PERIOD * vms.len() as u32
     }
 }
 
--- a/crates/policy/src/membership/mod.rs
+++ b/crates/policy/src/membership/mod.rs
@@ -21,7 +21,7 @@
 };
 
 use opinion::{contradict, expire, spread};
-pub use opinion::{list, note, opinions};
+pub use opinion::{follow, list, note, opinions};
 use probe::{answer, conclude_probe, relay_probe, revisit, start_probe};
 
 use crate::{dissemination, relay};
--- a/crates/policy/src/membership/opinion.rs
+++ b/crates/policy/src/membership/opinion.rs
@@ -54,6 +54,16 @@
     others.chain([me]).collect()
 }
 
+/// Takes every opinion of another process of this VM in, and forgets members
+/// of which it has none: it has forgotten them.
+pub fn follow(board: &mut Board, now: Time, opinions: Vec<Update>) {
+    let is_known = |vm: &String| opinions.iter().any(|opinion| opinion.record.vm == *vm);
+    board.members.others.retain(|vm, _| is_known(vm));
+    for opinion in opinions {
+        note(board, now, opinion);
+    }
+}
+
 /// Takes an opinion in: that on a higher incarnation stands, and of one
 /// incarnation the graver one.
 pub fn note(board: &mut Board, now: Time, update: Update) {
--- a/crates/policy/tests/lease.rs
+++ b/crates/policy/tests/lease.rs
@@ -7,6 +7,7 @@
 use board::lease::{SEND_MAX, Terms};
 use lease_model::{Event, Fault, World};
 use proptest::prelude::*;
+use tarragonseam_policy::lease::period;
 
 fn event() -> impl Strategy<Value = Event> {
     let fault = prop_oneof![
@@ -85,3 +86,20 @@
     world.check().unwrap();
     assert_eq!(world.last_epoch(), 1, "a lost reply cost the lease");
 }
+
+/// Returns the looks a minute of all of `count` VMs at one lease.
+fn looks(count: usize) -> f64 {
+    let names: Vec<_> = (0..count).map(|n| format!("vm-{n}")).collect();
+    let names: Vec<_> = names.iter().map(String::as_str).collect();
+    let of = |vm: &&str| 60.0 / period("usage", vm, &names, Terms::default()).as_secs_f64();
+    names.iter().map(of).sum()
+}
+
+#[test]
+fn period_looks_do_not_grow_with_vms() {
+    let eight = looks(8);
+    for count in [16, 64, 390, 2000] {
+        let more = looks(count) - eight;
+        assert!(more < 30.0, "{more} looks a minute more at {count} VMs");
+    }
+}
--- a/crates/steward/src/endpoints.rs
+++ b/crates/steward/src/endpoints.rs
@@ -21,9 +21,10 @@
     loop {
         monoio::time::sleep(PERIOD).await;
         count_spend(&vm);
-        if vm.board.borrow().revision == 0 || vm.vms.borrow().is_empty() {
+        if vm.board.borrow().revision == 0 || !vm.follower.is_primed() {
             continue;
         }
+        note_domains(&vm);
         let Some(epoch) = vm.epoch(&vm.orders) else {
             desk = None;
             continue;
@@ -42,6 +43,14 @@
     }
 }
 
+/// Notes the failure domains that have, or had, a VM.
+fn note_domains(vm: &Vm) {
+    let mut board = vm.board.borrow_mut();
+    let members = board.members.others.values();
+    let domains: Vec<_> = members.map(|m| m.record.failure_domain.clone()).collect();
+    board.capacity.domains.extend(domains);
+}
+
 /// Sends what is due; returns false when the desk must be opened anew.
 async fn carry_out(vm: &Rc<Vm>, desk: &mut Desk) -> bool {
     let now = vm.now();
--- a/crates/steward/src/lease.rs
+++ b/crates/steward/src/lease.rs
@@ -9,8 +9,6 @@
 use crate::vm::{Pick, Vm};
 
 const TICK_TIME: Duration = Duration::from_millis(100);
-const VMS_PERIOD: Duration = Duration::from_secs(30);
-const RETRY_TIME: Duration = Duration::from_secs(1);
 
 /// Keeps trying to hold `job` among the VMs of `domain`, or of all failure
 /// domains, for ever.
@@ -42,29 +40,13 @@
     }
 }
 
-/// Keeps the list of VMs up to date, for ever.
-pub(crate) async fn list_vms(vm: Rc<Vm>) {
-    loop {
-        match vm.platform.vms().await {
-            Ok(vms) => {
-                let domains = vms.iter().map(|vm| vm.failure_domain.clone());
-                vm.board.borrow_mut().capacity.domains.extend(domains);
-                *vm.vms.borrow_mut() = vms;
-                monoio::time::sleep(VMS_PERIOD).await;
-            }
-            Err(_) => monoio::time::sleep(RETRY_TIME).await,
-        }
-    }
-}
-
 fn terms(vm: &Vm, job: &str, domain: Option<&str>) -> Terms {
-    let vms = vm.vms.borrow();
-    let names: Vec<&str> = vms
-        .iter()
-        .filter(|vm| vm.state == "live")
-        .filter(|vm| domain.is_none_or(|domain| vm.failure_domain == domain))
-        .map(|vm| vm.id.as_str())
-        .collect();
+    let board = vm.board.borrow();
+    let members = board.members.live().map(|member| &member.record);
+    let names = members
+        .filter(|other| domain.is_none_or(|domain| other.failure_domain == domain))
+        .map(|other| other.vm.as_str());
+    let names: Vec<&str> = names.chain([vm.settings.vm.as_str()]).collect();
     let terms = Terms::default();
     Terms {
         period: lease::period(job, &vm.settings.vm, &names, terms),
--- a/crates/steward/src/run.rs
+++ b/crates/steward/src/run.rs
@@ -4,7 +4,6 @@
 
 use link::{
     StatusCode, fault,
-    follow::Follower,
     http::{Limits, Reply, Request, server},
     net, runtime,
 };
@@ -55,9 +54,7 @@
     if let Some(collector) = vm.settings.collector {
         vm.telemetry.export_to(collector);
     }
-    Follower::new(vm.board.clone(), vm.clock, vm.settings.entry).start();
-
-    monoio::spawn(lease::list_vms(vm.clone()));
+    vm.follower.start();
     let domain = vm.settings.failure_domain.clone();
     let orders = format!("orders.{domain}");
     let hold = lease::hold(vm.clone(), orders.clone(), Some(domain), |vm| &vm.orders);
--- a/crates/steward/src/vm.rs
+++ b/crates/steward/src/vm.rs
@@ -5,6 +5,7 @@
 use board::{Board, Time, lease::Lease};
 use link::{
     clock::{self, Clock},
+    follow::Follower,
     http::{Limits, Pool, client::Fence},
     platform,
     telemetry::Telemetry,
@@ -28,8 +29,8 @@
     pub(crate) lease_platform: platform::Client,
     pub(crate) telemetry: Telemetry,
     pub(crate) metrics: Metrics,
-    /// The VMs that the platform lists.
-    pub(crate) vms: RefCell<Vec<platform::Vm>>,
+    /// What brings facts and members onto the board.
+    pub(crate) follower: Follower,
     /// The lease on the orders of this failure domain.
     pub(crate) orders: RefCell<Lease>,
     /// The lease on the reports of usage.
@@ -42,15 +43,16 @@
         let board = Board::new(&settings.vm, &settings.failure_domain, seed);
         let telemetry = Telemetry::new("tarragonseam-steward");
         let nonce = rand::rngs::SmallRng::from_os_rng().random();
+        let (board, clock) = (Rc::new(RefCell::new(board)), Clock::default());
         Rc::new(Self {
-            board: Rc::new(RefCell::new(board)),
-            clock: Clock::default(),
+            follower: Follower::new(board.clone(), clock, settings.entry),
+            board,
+            clock,
             pool: Pool::new(Limits::new()),
             platform: platform::Client::new(settings.platform, &settings.vm),
             lease_platform: platform::Client::new(settings.platform, &settings.vm),
             metrics: Metrics::new(&telemetry),
             telemetry,
-            vms: RefCell::default(),
             orders: RefCell::new(Lease::new(nonce)),
             reports: RefCell::new(Lease::new(nonce)),
             settings,
