usage: bound the records of a VM that no other VM holds copies for

Cause: records that no VM took stayed in the queue for ever, also after their window was reported: nothing took them out (9 to 209 MiB seen, 134,870 answers). Beside that, a VM alone kept one record for each request until its window was reported, however long that took.

Change: records that were sent to no other process are added up by account, window and lateness (`Ledger::merge`): nobody can count these one by one, so their ids are not needed. What was sent without an answer stays as it is, since a holder may have it, and goes first in the next try, so that no more than one message of it (4,096 records) is ever in doubt. Each close drops from the queue what is counted or has moved. `late` counts requests, no longer records, so that adding up does not change it. `tarragonseam_usage_open_records` shows what is in memory.

Not bounded by this: records that a second VM holds while no window is reported, as in a long outage of the platform.

--- a/crates/board/src/usage.rs
+++ b/crates/board/src/usage.rs
@@ -1,6 +1,6 @@
 //! Usage of each client account by window of time.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, btree_map};
 
 use crate::hash::Map;
 
@@ -58,9 +58,9 @@
 }
 
 crate::record! {
-    /// The usage of one request.
+    /// The usage of one request, or of several that were added up.
     pub struct Record {
-        /// The request.
+        /// The request, or the first of several.
         pub id: String,
         /// The client account.
         pub account: String,
@@ -73,6 +73,13 @@
     }
 }
 
+impl Record {
+    /// Returns how many requests it adds to those that came late.
+    pub fn late_requests(&self) -> u64 {
+        if self.late { self.figures.requests } else { 0 }
+    }
+}
+
 crate::record! {
     /// What one process says of a window that takes no more records there.
     pub struct Closed {
@@ -80,7 +87,7 @@
         pub origin: Origin,
         /// Its own figures.
         pub sheet: Sheet,
-        /// How many of its records came late.
+        /// How many of its requests came late.
         pub late: u64,
         /// Processes for which it holds copies of records of the window.
         pub copies: Vec<Origin>,
@@ -120,7 +127,7 @@
         pub epoch: u64,
         /// The figures by account.
         pub figures: Vec<Line>,
-        /// How many records of an earlier, closed window are among them.
+        /// How many requests of an earlier, closed window are among them.
         pub late: u64,
         /// The processes that answered for themselves.
         pub origins: Vec<Origin>,
@@ -201,7 +208,7 @@
         Closed {
             origin: origin.clone(),
             sheet: self.sheet(window),
-            late: self.of(window).filter(|record| record.late).count() as u64,
+            late: self.of(window).map(Record::late_requests).sum(),
             copies: copies
                 .filter(|(_, records)| holds(records))
                 .map(|(origin, _)| origin.clone())
@@ -223,6 +230,44 @@
         all.cloned().collect()
     }
 
+    /// Returns how many records measured here are not known to be counted.
+    pub fn open_len(&self) -> usize {
+        self.own.values().map(Map::len).sum()
+    }
+
+    /// Returns whether `record` is still to be counted in its window.
+    pub fn is_open(&self, record: &Record) -> bool {
+        let records = self.own.get(&record.window);
+        records.is_some_and(|records| records.contains_key(&record.id))
+    }
+
+    /// Adds up those of `records` that are open, by account and window, and
+    /// returns what stands for them from now on.
+    ///
+    /// Only for records that were sent to no other process: nobody can count
+    /// these one by one, so their ids are not needed. A request whose record
+    /// was added up must not be added again.
+    pub fn merge(&mut self, records: Vec<Record>) -> Vec<Record> {
+        let mut sums = BTreeMap::new();
+        for record in records {
+            let Some(open) = self.remove(&record.id, record.window) else {
+                continue;
+            };
+            match sums.entry((open.window, open.late, open.account.clone())) {
+                btree_map::Entry::Vacant(vacant) => {
+                    vacant.insert(open);
+                }
+                btree_map::Entry::Occupied(mut sum) => sum.get_mut().figures.add(open.figures),
+            }
+        }
+        let sums: Vec<Record> = sums.into_values().collect();
+        for sum in &sums {
+            let records = self.own.entry(sum.window).or_default();
+            records.insert(sum.id.clone(), sum.clone());
+        }
+        sums
+    }
+
     /// Returns the windows up to `last` that hold records measured here.
     pub fn windows_through(&self, last: Window) -> Vec<Window> {
         self.own.range(..=last).map(|(window, _)| *window).collect()
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,7 +1,10 @@
 //! The counters of the daemon.
 
 use link::telemetry::Telemetry;
-use opentelemetry::{KeyValue, metrics::Counter};
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge},
+};
 
 /// Counters, named as they show at `/metrics`.
 #[derive(Debug)]
@@ -16,6 +19,8 @@
     samples: Counter<u64>,
     /// Records of usage by what became of them.
     usage: Counter<u64>,
+    /// Records of usage in memory.
+    usage_open: Gauge<u64>,
     /// Lots by what happened to them.
     lots: Counter<u64>,
     /// Tokens generated in vain, by reason.
@@ -32,6 +37,10 @@
             probes: telemetry.counter("tarragonseam_probes"),
             samples: telemetry.counter("tarragonseam_samples"),
             usage: telemetry.counter("tarragonseam_usage_records"),
+            usage_open: telemetry
+                .meter()
+                .u64_gauge("tarragonseam_usage_open_records")
+                .build(),
             lots: telemetry.counter("tarragonseam_lots"),
             wasted_tokens: telemetry.counter("tarragonseam_wasted_tokens"),
             bulk: telemetry.counter("tarragonseam_bulk_copies"),
@@ -60,6 +69,10 @@
         self.usage.add(1, &[KeyValue::new("result", result)]);
     }
 
+    pub(crate) fn usage_open(&self, count: usize) {
+        self.usage_open.record(count as u64, &[]);
+    }
+
     pub(crate) fn lot(&self, result: &'static str) {
         self.lots.add(1, &[KeyValue::new("result", result)]);
     }
--- a/crates/entry/src/usage/copy.rs
+++ b/crates/entry/src/usage/copy.rs
@@ -2,7 +2,10 @@
 
 use std::{mem, net::SocketAddr, rc::Rc, time::Duration};
 
-use board::usage::{Origin, Record};
+use board::{
+    hash::Set,
+    usage::{Origin, Record},
+};
 use local_sync::oneshot;
 use policy::usage;
 use wire::{Answer, Ask, message::Held};
@@ -14,10 +17,21 @@
     record: Record,
     /// Whether a VM has held it before.
     was_held: bool,
+    /// Whether another VM may have it, even if that gave no answer.
+    was_sent: bool,
     done: Option<oneshot::Sender<bool>>,
 }
 
 impl Waiting {
+    fn new(record: Record) -> Self {
+        Self {
+            record,
+            was_held: false,
+            was_sent: false,
+            done: None,
+        }
+    }
+
     /// Lets the caller go on without a holder.
     fn release(&mut self) {
         if let Some(done) = self.done.take() {
@@ -68,6 +82,7 @@
 pub(crate) async fn keep(vm: Rc<Vm>) {
     loop {
         monoio::time::sleep(PROBE_TIME).await;
+        vm.metrics.usage_open(open_len(&vm));
         pass_on(&vm).await;
         if vm.usage.is_sending.get() {
             continue;
@@ -128,9 +143,8 @@
 /// the more the longer this VM is alone.
 pub(crate) fn push(vm: &Rc<Vm>, record: Record, done: Option<oneshot::Sender<bool>>) {
     let mut waiting = Waiting {
-        record,
-        was_held: false,
         done,
+        ..Waiting::new(record)
     };
     if vm.usage.is_alone.get() {
         waiting.release();
@@ -160,12 +174,15 @@
 }
 
 /// Sends a batch to the best holder that answers; returns whether one did.
-async fn send(vm: &Rc<Vm>, batch: Vec<Waiting>) -> bool {
+async fn send(vm: &Rc<Vm>, mut batch: Vec<Waiting>) -> bool {
     let candidates = candidates(vm);
     if candidates.is_empty() {
         put_back(vm, batch);
         return false;
     }
+    for waiting in &mut batch {
+        waiting.was_sent = true;
+    }
     let records = batch.iter().map(|waiting| waiting.record.clone()).collect();
     let ask = Ask::Hold(vm.usage.origin.clone(), records);
     for (name, address) in candidates {
@@ -185,11 +202,39 @@
 
 /// Lets every caller go on, also those behind `batch` in the queue; the
 /// records are sent again later.
+///
+/// What was sent to nobody is added up, so that a VM that stays alone holds
+/// one record for each account and window. The batch goes first again, so that
+/// no more than one is ever in doubt.
 fn put_back(vm: &Vm, batch: Vec<Waiting>) {
     vm.usage.is_alone.set(true);
     let mut queue = vm.usage.queue.borrow_mut();
-    queue.extend(batch);
-    queue.iter_mut().for_each(Waiting::release);
+    let mut all = batch;
+    all.append(&mut queue);
+    all.iter_mut().for_each(Waiting::release);
+    let (mut kept, unsent): (Vec<_>, Vec<_>) =
+        all.into_iter().partition(|waiting| waiting.was_sent);
+    let sent: Set<&str> = kept.iter().map(|waiting| &*waiting.record.id).collect();
+    let unsent = unsent.into_iter().map(|waiting| waiting.record);
+    let unsent = unsent
+        .filter(|record| !sent.contains(&*record.id))
+        .collect();
+    let sums = vm.board.borrow_mut().usage.merge(unsent);
+    kept.extend(sums.into_iter().map(Waiting::new));
+    *queue = kept;
+}
+
+/// Drops what waits to be sent of records that are counted or have moved.
+pub(crate) fn prune(vm: &Vm) {
+    let board = vm.board.borrow();
+    let mut queue = vm.usage.queue.borrow_mut();
+    queue.retain(|waiting| board.usage.is_open(&waiting.record));
+}
+
+/// Returns how many records measured here are in memory, those that wait to be
+/// sent twice.
+fn open_len(vm: &Vm) -> usize {
+    vm.board.borrow().usage.open_len() + vm.usage.queue.borrow().len()
 }
 
 /// Returns the VMs to ask, the best holder first.
@@ -224,9 +269,9 @@
     let count = records.len();
     spdlog::info!("usage held by another process", kv: { holder, records = count });
     let again = records.into_iter().map(|record| Waiting {
-        record,
         was_held: true,
-        done: None,
+        was_sent: true,
+        ..Waiting::new(record)
     });
     vm.usage.queue.borrow_mut().extend(again);
 }
--- a/crates/entry/src/usage/mod.rs
+++ b/crates/entry/src/usage/mod.rs
@@ -76,7 +76,8 @@
     let is_held = monoio::time::timeout(HOLD_WAIT, held).await;
     let result = match is_held {
         Ok(Ok(true)) => "held",
-        _ => "not-held",
+        Ok(_) => "not-held",
+        Err(_) => "not-held-in-time",
     };
     vm.metrics.usage(result);
 }
--- a/crates/entry/src/usage/settle.rs
+++ b/crates/entry/src/usage/settle.rs
@@ -25,6 +25,7 @@
     let left = board.usage.windows_through(close.frozen);
     let answer = board.usage.answer(origin, close.window);
     drop(board);
+    copy::prune(vm);
     if !left.is_empty() && !vm.usage.is_settling.replace(true) {
         let vm = vm.clone();
         monoio::spawn(async move {
@@ -77,6 +78,7 @@
         })
     };
     let moved = vm.board.borrow_mut().usage.settle(window, is_counted);
+    copy::prune(vm);
     let (window, count) = (window.0, moved.len());
     spdlog::info!("usage of a reported window moved", kv: { window, records = count });
     for record in moved {
--- a/crates/policy/src/usage.rs
+++ b/crates/policy/src/usage.rs
@@ -98,7 +98,7 @@
         for record in records.values() {
             let figures = sheet.entry(record.account.clone()).or_default();
             figures.add(record.figures);
-            late += u64::from(record.late);
+            late += record.late_requests();
         }
         copied.push(Copied {
             origin: origin.clone(),
--- a/crates/policy/tests/usage.rs
+++ b/crates/policy/tests/usage.rs
@@ -102,6 +102,52 @@
     }
 }
 
+proptest! {
+    /// Records as account, window, and whether another process was sent them.
+    #[test]
+    fn merge_leaves_nothing_out_or_doubled(
+        rows in prop::collection::vec((0_u64..3, 6_u64..9, any::<bool>()), 0..40),
+        late in any::<bool>(),
+    ) {
+        let mut plain = Ledger::default();
+        if late {
+            plain.close(Window(7));
+        }
+        let mut unsent = Vec::new();
+        for (n, (account, window, was_sent)) in rows.iter().enumerate() {
+            let account = format!("account-{account}");
+            let record = plain.add(&format!("r{n}"), &account, Window(*window), one(n as u64));
+            if !was_sent {
+                unsent.push(record);
+            }
+        }
+        let mut merged = plain.clone();
+        let sums = merged.merge(unsent.clone());
+        // What is merged already stays as it is.
+        prop_assert_eq!(&merged.merge(sums.clone()), &sums);
+        prop_assert!(merged.merge(Vec::new()).is_empty());
+        let kinds: std::collections::BTreeSet<_> = unsent
+            .iter()
+            .map(|r| (r.window, r.late, r.account.clone()))
+            .collect();
+        prop_assert_eq!(sums.len(), kinds.len());
+        prop_assert_eq!(merged.open_len(), rows.len() - unsent.len() + sums.len());
+        let here = origin("vm-a");
+        for window in (6..10).map(Window) {
+            prop_assert_eq!(merged.answer(&here, window), plain.answer(&here, window));
+        }
+        // Frozen without this process: what was sent is counted, the rest moves.
+        let is_sent = |id: &str| id[1..].parse::<usize>().is_ok_and(|n| rows[n].2);
+        for ledger in [&mut plain, &mut merged] {
+            ledger.close(Window(9));
+            for window in (6..10).map(Window) {
+                ledger.settle(window, is_sent);
+            }
+        }
+        prop_assert_eq!(merged.answer(&here, Window(10)), plain.answer(&here, Window(10)));
+    }
+}
+
 #[test]
 fn total_is_not_recounted_from_stale_copy() {
     let lost = origin("vm-a");
