entry: bill calls of plain services whose caller left

Cause: the future of a call was dropped with its caller, so a service that had run it was used for nothing, and its place was given back while it still worked.

Ruled out: a bill at the moment of leaving (bills calls that the service refuses or never got), no bill (an account leaves early and pays nothing).

Change: `Exchange` goes on without its caller until the service has answered; the call is then billed by its request id, once. A failure is not billed, as before. A shutdown waits for such calls up to `drain_ms`.

Test: `leave_while_service_runs` (processes): one call left, one answered, both run, 2 requests billed of which 1 abandoned. With `usage::abandon` made to do nothing it fails ("both billed").

The stand-in of the platform takes `abandoned` and leaves it out at 0, as `usage_different_figures` compares what it sent.

Tests of wire, policy, board and fakes passed.

--- a/crates/board/src/usage.rs
+++ b/crates/board/src/usage.rs
@@ -31,6 +31,8 @@
         pub tokens_in: u64,
         /// Tokens generated.
         pub tokens_out: u64,
+        /// Those of the requests whose caller left before the answer was whole.
+        pub abandoned: u64,
     }
 }
 
@@ -40,6 +42,7 @@
         self.requests += other.requests;
         self.tokens_in += other.tokens_in;
         self.tokens_out += other.tokens_out;
+        self.abandoned += other.abandoned;
     }
 }
 
--- a/crates/cli/tests/callers/gone.rs
+++ b/crates/cli/tests/callers/gone.rs
@@ -6,7 +6,7 @@
 
 use super::{
     raw::Raw,
-    world::{self, World, plan, plan_with, prompt, within},
+    world::{self, ACCOUNT, World, plan, plan_with, prompt, within},
 };
 
 const IDLE: usize = 1000;
@@ -64,6 +64,35 @@
     world.fault(true, &json!({"reset": true}));
 }
 
+/// Adds up one figure of the reported windows.
+fn reported(world: &World, name: &str) -> u64 {
+    let lines = world.usage();
+    let of_account = lines.iter().filter(|line| line["account"] == ACCOUNT);
+    of_account
+        .map(|line| line[name].as_u64().unwrap_or_default())
+        .sum()
+}
+
+#[test]
+fn leave_while_service_runs() {
+    let mut plan = plan(1, 1);
+    for back in plan.backs.iter_mut().filter(|back| !back.is_model) {
+        back.arguments.push("--service-ms=1000".into());
+    }
+    let world = World::start(&plan);
+    let submit = world::request("POST", "/submissions/1", &world.key, "{}");
+    let mut left = Raw::open(world.entry());
+    left.send(submit.as_bytes());
+    within("running", || world.log(false).len() == 1);
+    drop(left);
+    let mut stays = Raw::open(world.entry());
+    stays.send(submit.as_bytes());
+    assert_eq!(stays.answer().unwrap().status, 200);
+    within("both billed", || reported(&world, "requests") == 2);
+    assert_eq!(reported(&world, "abandoned"), 1);
+    assert_eq!(world.log(false).len(), 2);
+}
+
 #[test]
 fn leave_while_queued() {
     // One slot and no second one: the second caller waits in the daemon or in
--- a/crates/entry/src/generate.rs
+++ b/crates/entry/src/generate.rs
@@ -255,6 +255,7 @@
         requests: 1,
         tokens_in: words(&task.prompt),
         tokens_out: output.tokens.len() as u64,
+        abandoned: 0,
     }
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,6 +4,7 @@
 pub(crate) mod auth;
 pub mod bulk;
 pub(crate) mod engine;
+pub(crate) mod exchange;
 pub(crate) mod explain;
 pub(crate) mod generate;
 pub(crate) mod generation;
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -9,7 +9,7 @@
     task::Poll,
 };
 
-use board::{config::Route, ticket::Ticket, usage::Figures};
+use board::{config::Route, ticket::Ticket};
 use link::{
     HeaderMap, Method, StatusCode,
     http::{
@@ -23,6 +23,7 @@
 
 use crate::{
     auth::{self, Caller},
+    exchange::{self, Bill, Exchange},
     generate,
     patience::Patience,
     refusal::{Failure, Ran},
@@ -128,17 +129,12 @@
         let call = call(vm, request, &request_id, &ticket, may_repeat, is_last);
         // Until the attempt proves otherwise, whatever ends this future.
         let before = ran.replace(Ran::Unknown);
-        let result = match may_repeat {
-            true => hedged(vm, slot, call, &ticket, span).await,
-            false => attempt(vm, slot, call, span).await,
-        };
+        let exchange = exchange(vm.clone(), slot, call, ticket.clone(), span.clone());
+        let bill = Bill::new(vm, &request_id, &account);
+        let result = Exchange::new(bill, exchange).await;
         match result {
             Ok(answer) => {
-                let figures = Figures {
-                    requests: 1,
-                    ..Figures::default()
-                };
-                usage::bill(vm, &request_id, &account, figures).await;
+                usage::bill(vm, &request_id, &account, exchange::FIGURES).await;
                 return Ok(reply(request, answer));
             }
             Err(e) => {
@@ -209,6 +205,20 @@
     out
 }
 
+/// Runs an attempt, and beside it a second one if the call may be repeated.
+async fn exchange(
+    vm: Rc<Vm>,
+    slot: Slot,
+    call: Call,
+    ticket: Ticket,
+    span: telemetry::Span,
+) -> Result<Fetched, Error> {
+    match call.may_repeat() {
+        true => hedged(&vm, slot, call, &ticket, &span).await,
+        false => attempt(&vm, slot, call, &span).await,
+    }
+}
+
 /// Runs an attempt, and a second one beside it once it takes longer than most.
 /// The first answer wins and the other attempt is dropped, which closes its
 /// connection and gives its place back.
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -10,7 +10,13 @@
 };
 use monoio::net::TcpListener;
 
-use crate::{admin, handler, peers, rollout, settings::Settings, slot, usage::copy, vm::Vm};
+use crate::{
+    admin, handler, peers, rollout,
+    settings::Settings,
+    slot,
+    usage::{self, copy},
+    vm::Vm,
+};
 
 /// Why the daemon could not run.
 #[derive(Debug, thiserror::Error)]
@@ -132,6 +138,8 @@
     // The port first: until it is closed, connections come in.
     server.await;
     let whole = drain.wait(vm.settings.drain).await;
+    usage::wait_abandoned(vm, vm.settings.drain).await;
     copy::flush(vm, FLUSH_TIME).await;
+    usage::end(vm);
     spdlog::info!("stopped", kv: { all_answered = whole });
 }
--- a/crates/entry/src/usage/mod.rs
+++ b/crates/entry/src/usage/mod.rs
@@ -40,6 +40,9 @@
     /// The process that holds the copies.
     holder: RefCell<Option<Origin>>,
     is_settling: Cell<bool>,
+    /// Calls under way whose caller has left.
+    abandoned: Cell<usize>,
+    is_over: Cell<bool>,
     /// When processes last asked this one to hold copies. One that is passed
     /// on is taken out.
     heard: RefCell<Map<Origin, Time>>,
@@ -58,6 +61,8 @@
             is_alone: Cell::new(false),
             holder: RefCell::default(),
             is_settling: Cell::new(false),
+            abandoned: Cell::new(0),
+            is_over: Cell::new(false),
             heard: RefCell::default(),
         }
     }
@@ -84,9 +89,46 @@
 
 /// Counts what a request used whose caller left: nobody waits for its copy.
 pub(crate) fn note(vm: &Rc<Vm>, id: &str, account: &str, figures: Figures) {
+    let figures = Figures {
+        abandoned: figures.requests,
+        ..figures
+    };
+    vm.metrics.usage("abandoned");
     add(vm, id, account, figures, None);
 }
 
+/// Runs `work` that a caller has left to its end.
+pub(crate) fn abandon(vm: &Rc<Vm>, work: impl Future<Output = ()> + 'static) {
+    if vm.usage.is_over.get() {
+        return;
+    }
+    let under_way = &vm.usage.abandoned;
+    under_way.set(under_way.get() + 1);
+    let vm = vm.clone();
+    monoio::spawn(async move {
+        work.await;
+        let under_way = &vm.usage.abandoned;
+        under_way.set(under_way.get() - 1);
+    });
+}
+
+/// Waits up to `limit` for the calls that their callers have left.
+pub(crate) async fn wait_abandoned(vm: &Vm, limit: Duration) {
+    let wait = async {
+        while vm.usage.abandoned.get() > 0 {
+            monoio::time::sleep(ABANDONED_POLL).await;
+        }
+    };
+    let _ = monoio::time::timeout(limit, wait).await;
+}
+
+const ABANDONED_POLL: Duration = Duration::from_millis(20);
+
+/// Takes no more work: the runtime is about to end.
+pub(crate) fn end(vm: &Vm) {
+    vm.usage.is_over.set(true);
+}
+
 fn add(
     vm: &Rc<Vm>,
     id: &str,
--- a/crates/fakes/src/platform/usage.rs
+++ b/crates/fakes/src/platform/usage.rs
@@ -18,6 +18,12 @@
     requests: u64,
     tokens_in: u64,
     tokens_out: u64,
+    #[serde(default, skip_serializing_if = "is_zero")]
+    abandoned: u64,
+}
+
+fn is_zero(count: &u64) -> bool {
+    *count == 0
 }
 
 #[derive(Debug, Deserialize)]
--- a/crates/link/src/http/call.rs
+++ b/crates/link/src/http/call.rs
@@ -131,6 +131,11 @@
         self
     }
 
+    /// Returns whether the call may be sent twice.
+    pub fn may_repeat(&self) -> bool {
+        self.is_idempotent
+    }
+
     /// Returns the path and query.
     pub fn path(&self) -> &str {
         &self.path
--- a/crates/policy/tests/usage.rs
+++ b/crates/policy/tests/usage.rs
@@ -18,6 +18,7 @@
         requests: 1,
         tokens_in: 0,
         tokens_out: tokens,
+        abandoned: 0,
     }
 }
 
