callers' tests: heads and bodies that trickle in, chunk extensions

Cause: `request_head_slow` sends a part and stops. A caller that goes on with a byte each 50 ms was not tested, nor was a chunk extension, which HTTP.md names as an error of the library.

Change: `request_trickled` sends bytes without end into a head, a body of fixed length and a chunk; each is answered with 408 and its connection ends. One row more in `request_malformed`. The daemon needed no change.

Variant: with the time limit of `link::http::guard` started anew by each read, `request_trickled` fails (no answer in 30 s). The row of chunk extensions has no variant.

--- a/crates/cli/tests/callers/framing.rs
+++ b/crates/cli/tests/callers/framing.rs
@@ -8,6 +8,8 @@
 };
 
 const OVER_BODY: usize = 3 * 1024 * 1024;
+/// Far below the time allowed for a head.
+const TRICKLE_PAUSE: Duration = Duration::from_millis(50);
 const ENDLESS: usize = 64 * 1024 * 1024;
 /// What one hostile connection may add to the daemon's memory, in KiB.
 const GROWTH_KIB: u64 = 8 * 1024;
@@ -51,6 +53,11 @@
             post(&format!("{chunk}2\r\n{{}}\r\n0\r\nx: 1\r\n\r\n")),
             400,
         ),
+        (
+            "chunk extension",
+            post(&format!("{chunk}2;x=1\r\n{{}}\r\n0\r\n\r\n")),
+            400,
+        ),
         (
             "chunk size overflow",
             post(&format!("{chunk}fffffffffffffffff\r\n")),
@@ -172,6 +179,44 @@
     world.assert_well();
 }
 
+/// Bytes that keep coming do not extend the time for a head or a body.
+#[test]
+fn request_trickled() {
+    let mut world = World::start(&plan(1, 1));
+    let post = format!(
+        "POST /submissions HTTP/1.1\r\nhost: e\r\nauthorization: Bearer {}\r\n",
+        world.key
+    );
+    let starts = [
+        ("head", format!("{post}x: "), "head-too-slow"),
+        (
+            "body",
+            format!("{post}content-length: 100000\r\n\r\n"),
+            "body-too-slow",
+        ),
+        (
+            "chunk",
+            format!("{post}transfer-encoding: chunked\r\n\r\nfffff\r\n"),
+            "body-too-slow",
+        ),
+    ];
+    let callers = starts.map(|(what, start, code)| {
+        let mut raw = Raw::open(world.entry());
+        raw.send(start.as_bytes());
+        let sending = raw.trickle(TRICKLE_PAUSE);
+        (what, raw, sending, code)
+    });
+    for (what, mut raw, sending, code) in callers {
+        let answer = raw.answer().unwrap_or_else(|| panic!("{what}: no answer"));
+        assert_eq!(answer.status, 408, "{what}: {}", answer.text());
+        assert_eq!(answer.json()["error"], code, "{what}");
+        // The connection ends although bytes still come.
+        sending.join().unwrap();
+    }
+    assert!(world.log(false).is_empty());
+    world.assert_well();
+}
+
 #[test]
 fn request_pipelined() {
     let world = World::start(&plan(1, 1));
--- a/crates/cli/tests/callers/raw.rs
+++ b/crates/cli/tests/callers/raw.rs
@@ -82,6 +82,17 @@
         })
     }
 
+    /// Sends one byte after another, with a pause before each, from a thread of
+    /// its own that ends with the connection.
+    pub(crate) fn trickle(&self, pause: Duration) -> thread::JoinHandle<()> {
+        let mut stream = self.stream.try_clone().unwrap();
+        thread::spawn(move || {
+            while stream.write_all(b"x").is_ok() {
+                thread::sleep(pause);
+            }
+        })
+    }
+
     /// Reads one answer; `None` when the connection closes before its head.
     pub(crate) fn answer(&mut self) -> Option<Answer> {
         let end = loop {
