entry: take live VMs for rollouts from the members

Cause: the rollouts read /v1/vms every 5 s on each VM, a cost that grows with the VMs, and stood still on the old list in an outage, while the board holds the members.

Change: `rollout::live` reads the board. A VM thought dead is silent like any other: its lots are taken over after the patience of the guard, not at once. Copies on disks are asked for also at VMs thought dead.

--- a/crates/entry/src/bulk/mod.rs
+++ b/crates/entry/src/bulk/mod.rs
@@ -8,8 +8,8 @@
 
 use std::{cmp::Reverse, net::SocketAddr, rc::Rc, time::Duration};
 
-use board::{hash, key::Digest};
-use link::{Bytes, peer, platform};
+use board::{hash, key::Digest, member};
+use link::{Bytes, peer};
 use wire::{
     Answer, Ask,
     message::{Chunk, File, Piece},
@@ -57,9 +57,10 @@
 /// Puts `content` on disks in different failure domains and returns their VMs,
 /// or `None` when there are not enough that take it.
 pub(crate) async fn spread(vm: &Rc<Vm>, file: &File, content: &[u8]) -> Option<Vec<String>> {
-    let mut places: Vec<platform::Vm> = Vec::new();
+    let mut places: Vec<member::Record> = Vec::new();
     for candidate in candidates(vm, file).await {
-        let is_new_domain = |known: &platform::Vm| known.failure_domain != candidate.failure_domain;
+        let is_new_domain =
+            |known: &member::Record| known.failure_domain != candidate.failure_domain;
         if !places.iter().all(is_new_domain) {
             continue;
         }
@@ -67,27 +68,27 @@
             places.push(candidate);
         }
         if places.len() == COPIES {
-            return Some(places.into_iter().map(|vm| vm.id).collect());
+            return Some(places.into_iter().map(|vm| vm.vm).collect());
         }
     }
     None
 }
 
 /// Returns the VMs with a disk in the order in which `file` prefers them.
-async fn candidates(vm: &Rc<Vm>, file: &File) -> Vec<platform::Vm> {
+async fn candidates(vm: &Rc<Vm>, file: &File) -> Vec<member::Record> {
     let mut found = Vec::new();
-    for other in rollout::vms(vm).await {
+    for other in rollout::live(vm) {
         if has_disk(vm, &other).await {
             found.push(other);
         }
     }
     let key = hash::of(&file.digest);
-    found.sort_by_key(|other| Reverse(hash::rendezvous(key, &other.id)));
+    found.sort_by_key(|other| Reverse(hash::rendezvous(key, &other.vm)));
     found
 }
 
-async fn has_disk(vm: &Rc<Vm>, other: &platform::Vm) -> bool {
-    if let Some(known) = vm.rollouts.disks.borrow().get(&other.id) {
+async fn has_disk(vm: &Rc<Vm>, other: &member::Record) -> bool {
+    if let Some(known) = vm.rollouts.disks.borrow().get(&other.vm) {
         return *known;
     }
     let answer = peer::ask(other.address, &Ask::Disk, DISK_ASK_TIME).await;
@@ -96,7 +97,7 @@
         return false;
     };
     let mut disks = vm.rollouts.disks.borrow_mut();
-    disks.insert(other.id.clone(), has_disk);
+    disks.insert(other.vm.clone(), has_disk);
     has_disk
 }
 
@@ -129,12 +130,11 @@
     bytes: u64,
     places: &[String],
 ) -> Option<Bytes> {
-    let vms = rollout::vms(vm).await;
     for place in places {
-        let Some(other) = vms.iter().find(|other| other.id == *place) else {
+        let Some(address) = address(vm, place) else {
             continue;
         };
-        let Some(content) = receive(other.address, file, bytes).await else {
+        let Some(content) = receive(address, file, bytes).await else {
             continue;
         };
         if Digest::of_bytes(&content) == file.digest {
@@ -147,6 +147,15 @@
     None
 }
 
+/// Returns where a VM is reached, also one that is thought dead: it may have
+/// come back, or be silent on one path only.
+fn address(vm: &Vm, id: &str) -> Option<SocketAddr> {
+    let members = &vm.board.borrow().members;
+    let me = Some(&members.me).filter(|me| me.vm == id);
+    let other = members.others.get(id).map(|member| &member.record);
+    me.or(other).map(|record| record.address)
+}
+
 async fn receive(from: SocketAddr, file: &File, total: u64) -> Option<Vec<u8>> {
     let mut content = Vec::new();
     while (content.len() as u64) < total {
--- a/crates/entry/src/rollout/mod.rs
+++ b/crates/entry/src/rollout/mod.rs
@@ -18,16 +18,15 @@
     cell::{Cell, RefCell},
     collections::BTreeMap,
     rc::Rc,
-    time::Duration,
 };
 
 use board::{
-    Time,
     hash::Map,
     lot::{Cursor, Manifest, Step},
+    member,
     retention::{self, Retention},
 };
-use link::platform::{self, Error};
+use link::platform::Error;
 use policy::{
     claim::Guard,
     staleness::Pace,
@@ -46,8 +45,6 @@
     producing: RefCell<Map<String, Rc<Cell<bool>>>>,
     /// Lots known as sealed.
     sealed: RefCell<read::Cache>,
-    /// The live VMs, with when they were read.
-    vms: RefCell<Option<(Time, Vec<platform::Vm>)>>,
     /// Whether a VM has a disk, by name.
     pub(crate) disks: RefCell<Map<String, bool>>,
     /// How often versions come, by model.
@@ -84,26 +81,11 @@
     }
 }
 
-const VMS_AGE_MAX: Duration = Duration::from_secs(5);
-
-/// Returns the live VMs as the platform lists them, this one included; in an
-/// outage, as it last listed them.
-pub(crate) async fn vms(vm: &Rc<Vm>) -> Vec<platform::Vm> {
-    let known = vm.rollouts.vms.borrow().clone();
-    if let Some((read, vms)) = &known
-        && vm.now() - *read < VMS_AGE_MAX
-    {
-        return vms.clone();
-    }
-    let listed = match vm.platform.vms().await {
-        Ok(mut listed) => {
-            listed.retain(|other| other.state == "live" || other.id == vm.settings.vm);
-            listed
-        }
-        Err(_) => known.map(|(_, vms)| vms).unwrap_or_default(),
-    };
-    *vm.rollouts.vms.borrow_mut() = Some((vm.now(), listed.clone()));
-    listed
+/// Returns the VMs that are thought to live, this one included.
+pub(crate) fn live(vm: &Vm) -> Vec<member::Record> {
+    let members = &vm.board.borrow().members;
+    let others = members.live().map(|member| member.record.clone());
+    others.chain([members.me.clone()]).collect()
 }
 
 /// Returns the number of the next lot that `trainer` has to acknowledge, or
--- a/crates/entry/src/rollout/owner.rs
+++ b/crates/entry/src/rollout/owner.rs
@@ -10,11 +10,12 @@
 use board::{
     config::Trainer,
     lot::{Claim, Manifest},
+    member,
     retention::CLAIM,
 };
 use link::{
     peer,
-    platform::{self, Error, When},
+    platform::{Error, When},
 };
 use policy::claim::{self, Duty, Guard, SILENCE_MAX};
 use wire::{Answer, Ask, message::Progress};
@@ -71,7 +72,7 @@
         if vm.rollouts.steps.borrow().is_empty() || vm.leaving.get() {
             continue;
         }
-        let vms = super::vms(&vm).await;
+        let vms = super::live(&vm);
         for lot in open_lots(&vm) {
             tend(&vm, &vms, lot, &busy);
         }
@@ -134,12 +135,17 @@
 }
 
 /// Starts whatever this VM has to do for `lot` now.
-fn tend(vm: &Rc<Vm>, vms: &[platform::Vm], lot: Lot, busy: &Rc<RefCell<board::hash::Set<String>>>) {
+fn tend(
+    vm: &Rc<Vm>,
+    vms: &[member::Record],
+    lot: Lot,
+    busy: &Rc<RefCell<board::hash::Set<String>>>,
+) {
     let name = lot.name();
     if vm.rollouts.producing.borrow().contains_key(&name) {
         return;
     }
-    let order = claim::candidates(vms.iter().map(|vm| vm.id.as_str()), &name);
+    let order = claim::candidates(vms.iter().map(|vm| vm.vm.as_str()), &name);
     let rank = order.iter().position(|id| *id == vm.settings.vm);
     let Some(guard) = lot.guard() else {
         return;
@@ -160,8 +166,8 @@
     });
 }
 
-fn address(vms: &[platform::Vm], id: &str) -> Option<SocketAddr> {
-    vms.iter().find(|vm| vm.id == id).map(|vm| vm.address)
+fn address(vms: &[member::Record], id: &str) -> Option<SocketAddr> {
+    vms.iter().find(|vm| vm.vm == id).map(|vm| vm.address)
 }
 
 async fn ask_all(vm: &Rc<Vm>, lot: &Lot, others: &[SocketAddr]) {
@@ -214,14 +220,14 @@
 }
 
 /// Claims `lot` unless another VM produces it, and produces it.
-async fn take(vm: &Rc<Vm>, vms: &[platform::Vm], lot: &Lot) {
+async fn take(vm: &Rc<Vm>, vms: &[member::Record], lot: &Lot) {
     // A failed call is repeated at the next tick.
     if let Ok(true) = claim_lot(vm, vms, lot).await {
         start(vm, lot);
     }
 }
 
-async fn claim_lot(vm: &Rc<Vm>, vms: &[platform::Vm], lot: &Lot) -> Result<bool, Error> {
+async fn claim_lot(vm: &Rc<Vm>, vms: &[member::Record], lot: &Lot) -> Result<bool, Error> {
     let name = lot.name();
     let me = vm.settings.vm.as_str();
     let found = match vm.platform.read::<Claim>(CLAIM, &name).await {
@@ -269,11 +275,11 @@
 
 /// Returns whether the owner of a claim still works on the lot, or has not
 /// been silent for long enough.
-async fn is_owner_alive(vm: &Rc<Vm>, vms: &[platform::Vm], lot: &Lot, claim: &Claim) -> bool {
+async fn is_owner_alive(vm: &Rc<Vm>, vms: &[member::Record], lot: &Lot, claim: &Claim) -> bool {
     let answer = match address(vms, &claim.owner) {
         Some(owner) => ask(owner, &lot.name()).await,
-        // It is listed no more, so it is gone or about to go.
-        None => return false,
+        // To be thought dead is one more way to be silent.
+        None => None,
     };
     match answer {
         Some(Progress::Producing) => {
--- a/crates/entry/src/rollout/read.rs
+++ b/crates/entry/src/rollout/read.rs
@@ -145,10 +145,10 @@
 }
 
 async fn ask_peers(vm: &Rc<Vm>, name: &str) -> Option<Rc<Manifest>> {
-    let vms = super::vms(vm).await;
-    let order = claim::candidates(vms.iter().map(|vm| vm.id.as_str()), name);
+    let vms = super::live(vm);
+    let order = claim::candidates(vms.iter().map(|vm| vm.vm.as_str()), name);
     for id in order.into_iter().filter(|id| *id != vm.settings.vm) {
-        let other = vms.iter().find(|vm| vm.id == id)?;
+        let other = vms.iter().find(|vm| vm.vm == id)?;
         match owner::ask(other.address, name).await {
             Some(Progress::Sealed(manifest)) => {
                 owner::note_sealed(vm, name, manifest);
