entry: produce lots through an outage of the platform

Cause: a lot was produced under a claim only, and a claim needs the platform. When the owner of a lot was lost in an outage, nobody went on with it; what it had produced was lost with its memory.

Change: after 2 s of failed looks at claims a VM whose turn it is produces the lot unclaimed, unless another candidate does, four lots at most. Every candidate reads a step's prompts when it hears of the step. A whole lot that cannot be sealed is put on two disks; who takes a lot over asks the disks first and seals what is there. Nothing is given out before it is sealed: the create-if-absent alone tells which content is the lot.

Ruled out: to deliver what the holder of a claim has produced (it may be taken over before it seals, and the lot would change); claims made ahead for successors (nobody knows which VM will be lost).

Not done: a bound on lots claimed ahead when a trainer declares several steps, and an outage of 10 minutes was not run.

--- /dev/null
+++ b/crates/cli/tests/rollouts_outage.rs
@@ -0,0 +1,173 @@
+//! Lots through an outage of the platform, by real processes.
+
+mod control_setup;
+mod rollouts_support;
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    path::Path,
+};
+
+use board::{lot::Claim, retention::CLAIM};
+use control_setup::until;
+use link::{http::client::Call, platform::Client};
+use rand::{SeedableRng, rngs::StdRng};
+use rollouts_support::run::{self, Bench, EXPECTED};
+use serde_json::json;
+
+/// Lots of the step.
+const LOTS: u64 = 4;
+
+/// VMs with a disk, in two failure domains.
+const DISKS: usize = 2;
+
+/// Returns the owner of each lot, once all are claimed.
+async fn owners(client: &Client) -> Option<Vec<String>> {
+    let mut owners = Vec::new();
+    for lot in 0..LOTS {
+        let claim = client.read::<Claim>(CLAIM, &format!("notes.{lot}")).await;
+        owners.push(claim.ok()?.1.owner);
+    }
+    Some(owners)
+}
+
+/// Adds up a counter over the VMs other than `but`.
+async fn count(bench: &Bench, counter: &str, result: &str, but: usize) -> Option<u64> {
+    let mut sum = 0;
+    for (place, vm) in bench.deployment.vms.iter().enumerate() {
+        if place == but {
+            continue;
+        }
+        let call = Call::get("/metrics").fresh();
+        let answer = bench.deployment.pool.fetch(vm.entry_admin, call).await;
+        let text = String::from_utf8(answer.ok()?.body.to_vec()).unwrap();
+        let label = format!("result=\"{result}\"");
+        let mut lines = text.lines();
+        let line = lines.find(|line| line.starts_with(counter) && line.contains(&label));
+        let value = line.and_then(|line| line.rsplit_once(' '));
+        sum += value.map_or(0, |(_, value)| value.parse::<u64>().unwrap());
+    }
+    Some(sum)
+}
+
+/// The owner of a lot dies in an outage of the platform. The others produce its
+/// lots meanwhile, and the trainer gets each sample once when it is over.
+#[test]
+fn owner_lost_in_an_outage() {
+    link::runtime::run(async {
+        let bench = Bench::start(&run::plan(3), 2).await;
+        let rng = RefCell::new(StdRng::seed_from_u64(1));
+        let deployment = &bench.deployment;
+        let client = Client::new(deployment.platform, "test");
+        // Nothing is whole before the outage.
+        bench
+            .fault(deployment.scorer, json!({ "outage": true }))
+            .await;
+        bench.declare(&rng, 0, 0).await;
+        let owners = until("claims", async || owners(&client).await).await;
+        bench
+            .fault(deployment.platform, json!({ "outage": true }))
+            .await;
+        let is_first = |vm: &&fakes::deployment::VmProcesses| vm.vm.id == owners[0];
+        let lost = deployment.vms.iter().find(is_first).unwrap();
+        lost.entry.signal("KILL").unwrap();
+        let lost = deployment.vms.iter().position(|vm| vm.vm.id == owners[0]);
+        let lost = lost.unwrap();
+        bench
+            .fault(deployment.scorer, json!({ "outage": false }))
+            .await;
+        // Every sample is generated and scored while the platform is out.
+        let samples = u64::from(EXPECTED.groups * EXPECTED.group);
+        until("samples", async || {
+            let kept = count(&bench, "tarragonseam_samples", "kept", lost).await?;
+            (kept >= samples).then_some(())
+        })
+        .await;
+        let unclaimed = count(&bench, "tarragonseam_lots", "unclaimed", lost).await;
+        assert!(unclaimed.unwrap() >= 1);
+        // None is given out before it is sealed.
+        let other = (lost + 1) % deployment.vms.len();
+        for lot in 0..LOTS {
+            let path = format!("/v1/trainers/notes/lots/{lot}?wait_ms=100");
+            let answer = bench.try_at(other, Call::get(path)).await.unwrap();
+            assert!(!answer.status.is_success(), "{answer:?}");
+        }
+        bench
+            .fault(deployment.platform, json!({ "outage": false }))
+            .await;
+        let mut ids = BTreeSet::new();
+        for lot in 0..LOTS {
+            let draw = bench.draw(&rng, lot).await;
+            let again = bench.draw(&rng, lot).await;
+            assert_eq!(draw.digest, again.digest);
+            ids.extend(draw.lot.samples.iter().map(|sample| sample.id.to_string()));
+            bench.acknowledge(&rng, 0, lot).await;
+        }
+        assert_eq!(ids.len() as u64, samples);
+    })
+    .unwrap();
+}
+
+/// Returns the digest of the file of each lot on the disks below `data`.
+fn files(data: &Path) -> BTreeMap<u64, String> {
+    let folders = std::fs::read_dir(data).unwrap();
+    let files = folders.flat_map(|folder| std::fs::read_dir(folder.unwrap().path()).unwrap());
+    let names = files.map(|file| file.unwrap().file_name().into_string().unwrap());
+    let parse = |name: String| {
+        let mut parts = name.split('.').skip(1);
+        let lot = parts.next()?.parse().ok()?;
+        let digest = parts.next()?.to_string();
+        parts.next().is_none().then_some((lot, digest))
+    };
+    names.filter_map(parse).collect()
+}
+
+/// Every VM but those with a disk dies once the lots are whole in an outage.
+/// What they had produced is sealed as it was.
+#[test]
+fn whole_lots_kept_in_an_outage() {
+    link::runtime::run(async {
+        let name = format!("tarragonseam-outage-{}", std::process::id());
+        let data = std::env::temp_dir().join(name);
+        let mut plan = run::plan(6);
+        for vm in plan.vms.iter_mut().take(DISKS) {
+            vm.entry_settings = format!("data = \"{}\"\n", data.join(&vm.id).display());
+        }
+        let bench = Bench::start(&plan, 2).await;
+        let rng = RefCell::new(StdRng::seed_from_u64(1));
+        let deployment = &bench.deployment;
+        let client = Client::new(deployment.platform, "test");
+        bench
+            .fault(deployment.scorer, json!({ "outage": true }))
+            .await;
+        bench.declare(&rng, 0, 0).await;
+        let owners = until("claims", async || owners(&client).await).await;
+        bench
+            .fault(deployment.platform, json!({ "outage": true }))
+            .await;
+        bench
+            .fault(deployment.scorer, json!({ "outage": false }))
+            .await;
+        let kept = until("files", async || {
+            let files = files(&data);
+            (files.len() as u64 == LOTS).then_some(files)
+        })
+        .await;
+        for vm in deployment.vms.iter().skip(DISKS) {
+            vm.entry.signal("KILL").unwrap();
+        }
+        bench
+            .fault(deployment.platform, json!({ "outage": false }))
+            .await;
+        for (lot, owner) in (0..LOTS).zip(&owners) {
+            let draw = bench.draw(&rng, lot).await;
+            assert_eq!(draw.digest, kept[&lot], "lot {lot} of {owner}");
+            bench.acknowledge(&rng, 0, lot).await;
+        }
+        drop(bench);
+        // What is left behind costs only disk space.
+        let _ = std::fs::remove_dir_all(data);
+    })
+    .unwrap();
+}
--- a/crates/entry/src/bulk/disk.rs
+++ b/crates/entry/src/bulk/disk.rs
@@ -112,6 +112,19 @@
         self.run(list).await
     }
 
+    /// Returns the files of one lot, with their lengths in bytes.
+    ///
+    /// # Errors
+    ///
+    /// An [`Error`] when the folder cannot be read.
+    pub async fn find(
+        &self,
+        trainer: String,
+        lot: u64,
+    ) -> Result<Vec<(message::File, u64)>, Error> {
+        self.run(move |folder| find(folder, &trainer, lot)).await
+    }
+
     /// Removes a file; one that is not there is no error.
     ///
     /// # Errors
@@ -188,6 +201,17 @@
     Ok(files)
 }
 
+fn find(folder: &Path, trainer: &str, lot: u64) -> Result<Vec<(message::File, u64)>, Error> {
+    let mut found = Vec::new();
+    for file in list(folder)? {
+        if file.trainer == trainer && file.lot == lot {
+            let bytes = fs::metadata(path(folder, &file)?)?.len();
+            found.push((file, bytes));
+        }
+    }
+    Ok(found)
+}
+
 fn store(folder: &Path, chunk: &Chunk) -> Result<(), Error> {
     let target = path(folder, &chunk.file)?;
     if target.exists() {
--- a/crates/entry/src/bulk/mod.rs
+++ b/crates/entry/src/bulk/mod.rs
@@ -54,6 +54,38 @@
     }
 }
 
+/// Tells a peer which files of a lot are on this disk.
+pub(crate) async fn list(vm: &Rc<Vm>, trainer: String, lot: u64) -> Answer {
+    let Some(disk) = &vm.disk else {
+        return Answer::Refused("no disk here".to_string());
+    };
+    match disk.find(trainer, lot).await {
+        Ok(found) => Answer::Found(found),
+        Err(e) => Answer::Refused(e.to_string()),
+    }
+}
+
+/// Reads a whole file of a lot whose manifest is not known, from whichever
+/// disk has one.
+pub(crate) async fn find(vm: &Rc<Vm>, trainer: &str, lot: u64) -> Option<Bytes> {
+    for other in disks(vm).await {
+        let ask = Ask::Find(trainer.to_string(), lot);
+        let answer = peer::ask(other.address, &ask, DISK_ASK_TIME).await;
+        let Ok(Answer::Found(files)) = answer else {
+            continue;
+        };
+        for (file, bytes) in files {
+            let content = receive(other.address, &file, bytes).await;
+            if let Some(content) = content
+                && Digest::of_bytes(&content) == file.digest
+            {
+                return Some(content.into());
+            }
+        }
+    }
+    None
+}
+
 /// Puts `content` on disks in different failure domains and returns their VMs,
 /// or `None` when there are not enough that take it.
 pub(crate) async fn spread(vm: &Rc<Vm>, file: &File, content: &[u8]) -> Option<Vec<String>> {
@@ -76,14 +108,19 @@
 
 /// Returns the VMs with a disk in the order in which `file` prefers them.
 async fn candidates(vm: &Rc<Vm>, file: &File) -> Vec<member::Record> {
+    let mut found = disks(vm).await;
+    let key = hash::of(&file.digest);
+    found.sort_by_key(|other| Reverse(hash::rendezvous(key, &other.vm)));
+    found
+}
+
+async fn disks(vm: &Rc<Vm>) -> Vec<member::Record> {
     let mut found = Vec::new();
     for other in rollout::live(vm) {
         if has_disk(vm, &other).await {
             found.push(other);
         }
     }
-    let key = hash::of(&file.digest);
-    found.sort_by_key(|other| Reverse(hash::rendezvous(key, &other.vm)));
     found
 }
 
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -20,6 +20,7 @@
         Ask::Disk => Answer::Disk(vm.disk.is_some()),
         Ask::Store(chunk) => bulk::store(&vm, chunk).await,
         Ask::Load(piece) => bulk::load(&vm, piece).await,
+        Ask::Find(trainer, lot) => bulk::list(&vm, trainer, lot).await,
         Ask::Close(window) => settle::close(&vm, &window),
         Ask::Copies(origin, window) => {
             Answer::Copies(vm.board.borrow().usage.copies(&origin, window))
--- /dev/null
+++ b/crates/entry/src/rollout/keep.rs
@@ -0,0 +1,43 @@
+//! Lots that are whole while the platform is out: their content is put on two
+//! disks, so that a VM that takes over can seal it as it is.
+
+use std::rc::Rc;
+
+use board::{
+    key::Digest,
+    lot::{Id, Lot, Sample},
+};
+use wire::message::File;
+
+use super::produce::Job;
+use crate::{bulk, vm::Vm};
+
+/// Puts the content of a whole lot on disks; without two disks it stays in this
+/// process only.
+pub(crate) async fn store(vm: &Rc<Vm>, lot: &Lot) {
+    let Ok(content) = serde_json::to_vec(lot) else {
+        return;
+    };
+    let file = File {
+        trainer: lot.trainer.clone(),
+        lot: lot.number,
+        digest: Digest::of_bytes(&content),
+    };
+    let places = bulk::spread(vm, &file, &content).await;
+    vm.metrics
+        .lot(if places.is_some() { "kept" } else { "not-kept" });
+}
+
+/// Returns the samples of a lot that its last owner put on disks, in the order
+/// of `ids`.
+pub(crate) async fn adopt(vm: &Rc<Vm>, job: &Job, ids: &[Id]) -> Option<Vec<Sample>> {
+    let content = bulk::find(vm, &job.step.trainer, job.number).await?;
+    let lot: Lot = serde_json::from_slice(&content).ok()?;
+    let is_lot = lot.trainer == job.step.trainer && lot.number == job.number;
+    let is_whole = lot.samples.iter().map(|sample| &sample.id).eq(ids);
+    if !is_lot || !is_whole {
+        return None;
+    }
+    vm.metrics.lot("adopted");
+    Some(lot.samples)
+}
--- a/crates/entry/src/rollout/mod.rs
+++ b/crates/entry/src/rollout/mod.rs
@@ -6,6 +6,7 @@
 //! ([`sample`]), scoring it ([`score`]) and sealing the whole ([`seal`]).
 
 pub(crate) mod attempt;
+pub(crate) mod keep;
 pub(crate) mod owner;
 pub(crate) mod produce;
 pub(crate) mod read;
@@ -21,6 +22,7 @@
 };
 
 use board::{
+    Time,
     hash::Map,
     lot::{Cursor, Manifest, Step},
     member,
@@ -43,6 +45,10 @@
     steps: RefCell<BTreeMap<step::Name, Rc<RefCell<Open>>>>,
     /// Lots that this VM produces, with the flag that ends the work.
     producing: RefCell<Map<String, Rc<Cell<bool>>>>,
+    /// Since when no claim could be read or written.
+    failing: Cell<Option<Time>>,
+    /// How many lots are produced without a claim.
+    unclaimed: Cell<usize>,
     /// Lots known as sealed.
     sealed: RefCell<read::Cache>,
     /// Whether a VM has a disk, by name.
--- a/crates/entry/src/rollout/owner.rs
+++ b/crates/entry/src/rollout/owner.rs
@@ -17,7 +17,7 @@
     peer,
     platform::{Error, When},
 };
-use policy::claim::{self, Duty, Guard, SILENCE_MAX};
+use policy::claim::{self, Duty, Guard, Outage, SILENCE_MAX};
 use wire::{Answer, Ask, message::Progress};
 
 use super::{
@@ -159,8 +159,10 @@
     let (vm, vms, busy) = (vm.clone(), vms.to_vec(), busy.clone());
     monoio::spawn(async move {
         match duty {
-            Duty::Produce => take(&vm, &vms, &lot).await,
-            _ => ask_all(&vm, &lot, &others).await,
+            Duty::Produce => take(&vm, &vms, &lot, &others).await,
+            _ => {
+                ask_all(&vm, &lot, &others).await;
+            }
         }
         busy.borrow_mut().remove(&name);
     });
@@ -170,14 +172,18 @@
     vms.iter().find(|vm| vm.vm == id).map(|vm| vm.address)
 }
 
-async fn ask_all(vm: &Rc<Vm>, lot: &Lot, others: &[SocketAddr]) {
+/// Asks the other candidates, and returns whether one of them produces the lot
+/// or knows it as sealed.
+async fn ask_all(vm: &Rc<Vm>, lot: &Lot, others: &[SocketAddr]) -> bool {
     for other in others {
         match ask(*other, &lot.name()).await {
-            Some(Progress::Producing) => return lot.hear(vm),
-            Some(Progress::Sealed(manifest)) => return note_sealed(vm, &lot.name(), manifest),
-            Some(Progress::Idle) | None => {}
+            Some(Progress::Producing) => lot.hear(vm),
+            Some(Progress::Sealed(manifest)) => note_sealed(vm, &lot.name(), manifest),
+            Some(Progress::Idle) | None => continue,
         }
+        return true;
     }
+    false
 }
 
 /// Asks one VM where a lot stands; `None` when it does not answer.
@@ -220,14 +226,43 @@
 }
 
 /// Claims `lot` unless another VM produces it, and produces it.
-async fn take(vm: &Rc<Vm>, vms: &[member::Record], lot: &Lot) {
-    // A failed call is repeated at the next tick.
-    if let Ok(true) = claim_lot(vm, vms, lot).await {
-        start(vm, lot);
+async fn take(vm: &Rc<Vm>, vms: &[member::Record], lot: &Lot, others: &[SocketAddr]) {
+    let claimed = claim_lot(vm, vms, lot).await;
+    let state = &vm.rollouts;
+    if claimed.is_ok() {
+        state.failing.set(None);
+    }
+    match claimed {
+        Ok(Some(hold)) => start(vm, lot, hold),
+        Ok(None) => {}
+        Err(_) => {
+            let since = state.failing.get().unwrap_or(vm.now());
+            state.failing.set(Some(since));
+            let outage = Outage {
+                lasts: vm.now() - since,
+                is_cared_for: ask_all(vm, lot, others).await,
+                unclaimed: state.unclaimed.get(),
+            };
+            // Otherwise the call is repeated at the next tick.
+            if claim::may_produce_unclaimed(outage) {
+                start(vm, lot, Hold::Unclaimed);
+            }
+        }
     }
 }
 
-async fn claim_lot(vm: &Rc<Vm>, vms: &[member::Record], lot: &Lot) -> Result<bool, Error> {
+/// By what right a lot is produced.
+#[derive(Clone, Copy, PartialEq)]
+enum Hold {
+    /// It is the first to claim it.
+    First,
+    /// It claimed it after another one.
+    TakenOver,
+    /// The platform is out, and no other candidate is known to produce it.
+    Unclaimed,
+}
+
+async fn claim_lot(vm: &Rc<Vm>, vms: &[member::Record], lot: &Lot) -> Result<Option<Hold>, Error> {
     let name = lot.name();
     let me = vm.settings.vm.as_str();
     let found = match vm.platform.read::<Claim>(CLAIM, &name).await {
@@ -238,14 +273,14 @@
     // The claim of a deleted lot is deleted too.
     if found.is_none() && super::is_deleted(vm, &lot.step.trainer, lot.number).await? {
         note_deleted(vm, &name);
-        return Ok(false);
+        return Ok(None);
     }
     if let Some((_, claim)) = &found {
         if is_sealed(vm, &name).await? {
-            return Ok(false);
+            return Ok(None);
         }
         if claim.owner != me && is_owner_alive(vm, vms, lot, claim).await {
-            return Ok(false);
+            return Ok(None);
         }
     }
     let when = match &found {
@@ -259,12 +294,13 @@
             if epoch > 1 {
                 vm.metrics.lot("taken-over");
                 spdlog::info!("lot taken over", kv: { lot, epoch });
+                return Ok(Some(Hold::TakenOver));
             }
-            Ok(true)
+            Ok(Some(Hold::First))
         }
         // Someone else was faster, or a reply was lost; the next tick reads
         // who it was.
-        Err(Error::Conflict(_) | Error::Unknown(_)) => Ok(false),
+        Err(Error::Conflict(_) | Error::Unknown(_)) => Ok(None),
         Err(e) => Err(e),
     }
 }
@@ -295,7 +331,7 @@
     }
 }
 
-fn start(vm: &Rc<Vm>, lot: &Lot) {
+fn start(vm: &Rc<Vm>, lot: &Lot, hold: Hold) {
     let name = lot.name();
     let is_over = Rc::new(Cell::new(false));
     let mut producing = vm.rollouts.producing.borrow_mut();
@@ -303,15 +339,22 @@
         return;
     }
     drop(producing);
+    let unclaimed = usize::from(hold == Hold::Unclaimed);
+    vm.rollouts.unclaimed.update(|count| count + unclaimed);
+    if hold == Hold::Unclaimed {
+        vm.metrics.lot("unclaimed");
+    }
     let (vm, lot) = (vm.clone(), lot.clone());
     monoio::spawn(async move {
         let job = produce::Job {
             step: lot.step.clone(),
             number: lot.number,
             trainer: lot.trainer.clone(),
+            is_first: hold == Hold::First,
             is_over: is_over.clone(),
         };
         produce::run(&vm, job, &lot.open).await;
+        vm.rollouts.unclaimed.update(|count| count - unclaimed);
         let mut producing = vm.rollouts.producing.borrow_mut();
         if producing
             .get(&name)
--- a/crates/entry/src/rollout/produce.rs
+++ b/crates/entry/src/rollout/produce.rs
@@ -9,7 +9,7 @@
 use local_sync::mpsc::unbounded;
 use policy::lot::Production;
 
-use super::{Open, owner, sample, seal, step};
+use super::{Open, keep, owner, sample, seal, step};
 use crate::vm::Vm;
 
 /// One lot in production.
@@ -18,6 +18,8 @@
     pub(crate) step: step::Name,
     pub(crate) number: u64,
     pub(crate) trainer: Trainer,
+    /// Whether no other VM can have produced a part of it.
+    pub(crate) is_first: bool,
     /// Set once the lot is sealed, by whoever.
     pub(crate) is_over: Rc<Cell<bool>>,
 }
@@ -67,6 +69,14 @@
     let mut samples: Vec<Option<Sample>> = vec![None; ids.len()];
     let (sender, mut receiver) = unbounded::channel::<Result>();
     let job = Rc::new(job);
+    if !job.is_first
+        && let Some(adopted) = keep::adopt(vm, &job, &ids).await
+    {
+        for (place, sample) in adopted.into_iter().enumerate() {
+            put(&mut production, &mut samples, place, sample);
+        }
+    }
+    let mut is_kept = false;
     while !job.is_over.get() {
         for place in production.start_missing(RUNNING_MAX) {
             start(
@@ -80,8 +90,16 @@
             );
         }
         if production.is_whole() {
-            if try_seal(vm, &job, &mut production, &samples, &span).await {
-                return;
+            match try_seal(vm, &job, &mut production, &samples, &span).await {
+                Sealing::Over => return,
+                Sealing::Stale => is_kept = false,
+                Sealing::Failed => {
+                    if !is_kept {
+                        keep::store(vm, &assemble(&job, &samples)).await;
+                        is_kept = true;
+                    }
+                    monoio::time::sleep(RETRY_TIME).await;
+                }
             }
             continue;
         }
@@ -105,11 +123,43 @@
         production.fail(place);
         return;
     };
-    let oldest = lot::oldest(&sample.spans).unwrap_or_default();
-    if production.score(place, oldest) {
+    if put(production, samples, place, sample) {
         vm.metrics.sample("kept");
+    }
+}
+
+/// Puts a sample in its place, and returns whether it is the first one there.
+fn put(
+    production: &mut Production,
+    samples: &mut [Option<Sample>],
+    place: usize,
+    sample: Sample,
+) -> bool {
+    let oldest = lot::oldest(&sample.spans).unwrap_or_default();
+    let is_first = production.score(place, oldest);
+    if is_first {
         samples[place] = Some(sample);
     }
+    is_first
+}
+
+fn assemble(job: &Job, samples: &[Option<Sample>]) -> Lot {
+    Lot {
+        trainer: job.step.trainer.clone(),
+        number: job.number,
+        step: job.step.number,
+        samples: samples.iter().flatten().cloned().collect(),
+    }
+}
+
+/// How a try to seal a lot ended.
+enum Sealing {
+    /// The lot is sealed or deleted: there is nothing left to do.
+    Over,
+    /// Samples were too old and are missing again.
+    Stale,
+    /// The platform could not be asked, or did not answer.
+    Failed,
 }
 
 fn start(
@@ -137,18 +187,17 @@
     });
 }
 
-/// Seals the lot and returns whether its production is over.
+/// Seals the lot, unless samples are too old.
 async fn try_seal(
     vm: &Rc<Vm>,
     job: &Job,
     production: &mut Production,
     samples: &[Option<Sample>],
     span: &link::telemetry::Span,
-) -> bool {
+) -> Sealing {
     let _sealing = span.child("sealing");
     let Ok(newest) = seal::newest_version(vm, &job.trainer.model).await else {
-        monoio::time::sleep(RETRY_TIME).await;
-        return false;
+        return Sealing::Failed;
     };
     let allowed = policy::staleness::oldest_at_sealing(newest, job.trainer.max_staleness);
     let discarded = production.discard_older(allowed);
@@ -156,26 +205,18 @@
         let tokens = |place: &usize| samples[*place].as_ref().map_or(0, |s| s.tokens.len());
         let wasted: usize = discarded.iter().map(tokens).sum();
         vm.metrics.wasted("stale", wasted as u64);
-        return false;
+        return Sealing::Stale;
     }
-    let lot = Lot {
-        trainer: job.step.trainer.clone(),
-        number: job.number,
-        step: job.step.number,
-        samples: samples.iter().flatten().cloned().collect(),
-    };
+    let lot = assemble(job, samples);
     match seal::write(vm, &job.name(), &lot, newest).await {
         Ok(Some(manifest)) => {
             owner::note_sealed(vm, &job.name(), manifest);
-            true
+            Sealing::Over
         }
         Ok(None) => {
             owner::note_deleted(vm, &job.name());
-            true
-        }
-        Err(_) => {
-            monoio::time::sleep(RETRY_TIME).await;
-            false
+            Sealing::Over
         }
+        Err(_) => Sealing::Failed,
     }
 }
--- a/crates/entry/src/rollout/step.rs
+++ b/crates/entry/src/rollout/step.rs
@@ -4,7 +4,7 @@
 
 use board::{config::Trainer, lot::Step, retention::STEP};
 use link::platform::{Change, Error};
-use policy::claim::Guard;
+use policy::claim::{self, Guard};
 
 use super::Open;
 use crate::vm::Vm;
@@ -78,7 +78,31 @@
             }
             first_open = cursors[&name.trainer];
         }
-        open(vm, name, None, first_open);
+        open(vm, name.clone(), None, first_open);
+        fetch_ahead(vm, &name).await;
+    }
+}
+
+/// Reads the content of a step for which this VM may have to care, so that it
+/// can do so in an outage of the platform.
+async fn fetch_ahead(vm: &Rc<Vm>, name: &Name) {
+    let open = vm.rollouts.steps.borrow().get(name).cloned();
+    let Some(open) = open else {
+        return;
+    };
+    let is_candidate = {
+        let vms = super::live(vm);
+        let open = open.borrow();
+        let mut lots = open.lots.keys();
+        lots.any(|lot| {
+            let lot = format!("{}.{lot}", name.trainer);
+            let order = claim::candidates(vms.iter().map(|vm| vm.vm.as_str()), &lot);
+            order.contains(&vm.settings.vm.as_str())
+        })
+    };
+    if is_candidate {
+        // What fails here is read when it is needed.
+        let _ = content(vm, name, &open).await;
     }
 }
 
--- a/crates/policy/src/claim.rs
+++ b/crates/policy/src/claim.rs
@@ -96,6 +96,43 @@
     }
 }
 
+/// How long the platform has to fail before lots are produced unclaimed.
+pub const OUTAGE_MIN: Duration = Duration::from_secs(2);
+
+/// How many lots one VM produces unclaimed at once: their samples stay in its
+/// memory until the platform is back.
+pub const UNCLAIMED_MAX: usize = 4;
+
+/// What a VM knows when a claim can be neither read nor written.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Outage {
+    /// For how long every look at a claim has failed here.
+    pub lasts: Duration,
+    /// Whether another candidate says that it produces the lot or knows it as
+    /// sealed.
+    pub is_cared_for: bool,
+    /// How many lots this VM produces unclaimed.
+    pub unclaimed: usize,
+}
+
+/// Returns whether a VM whose duty is [`Duty::Produce`] produces the lot
+/// without a claim. Two VMs may do so at once when they do not reach each
+/// other; which of the two is the lot is decided when it is sealed.
+///
+/// # Examples
+///
+/// ```
+/// use tarragonseam_policy::claim::{OUTAGE_MIN, Outage, may_produce_unclaimed};
+///
+/// let outage = Outage { lasts: OUTAGE_MIN, is_cared_for: false, unclaimed: 0 };
+/// assert!(may_produce_unclaimed(outage));
+/// assert!(!may_produce_unclaimed(Outage { is_cared_for: true, ..outage }));
+/// ```
+pub fn may_produce_unclaimed(outage: Outage) -> bool {
+    let is_out = outage.lasts >= OUTAGE_MIN;
+    is_out && !outage.is_cared_for && outage.unclaimed < UNCLAIMED_MAX
+}
+
 /// Returns the claim to write over `found` for `owner`.
 pub fn next(found: Option<&Claim>, owner: &str) -> Claim {
     Claim {
--- a/crates/policy/tests/rollouts.rs
+++ b/crates/policy/tests/rollouts.rs
@@ -6,7 +6,7 @@
 use proptest::prelude::*;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use tarragonseam_policy::{
-    claim::{self, Duty, Guard, SILENCE_MAX},
+    claim::{self, Duty, Guard, OUTAGE_MIN, Outage, SILENCE_MAX, UNCLAIMED_MAX},
     lot::{Place, Production},
     staleness::{Pace, oldest_at_dispatch, oldest_at_sealing},
     straggler::{Budget, Progress, Usual, is_straggler},
@@ -252,3 +252,40 @@
     none.earn(1_000_000, 100);
     assert!(!none.spend(100));
 }
+
+proptest! {
+    /// VMs that reach each other, each with its own patience, look at lots in
+    /// an outage in any order: no lot is produced twice, no VM takes more than
+    /// it may, and what they may take is taken in the end.
+    #[test]
+    fn may_produce_unclaimed_any_order(
+        lots in 1_usize..10,
+        looks in prop::collection::vec((0_usize..3, 0_usize..10, 0_u64..4_000), 0..200),
+    ) {
+        let mut owners: Vec<Option<usize>> = vec![None; lots];
+        let mut look = |vm: usize, lot: usize, lasts: Duration| {
+            let unclaimed = owners.iter().filter(|owner| **owner == Some(vm)).count();
+            let is_cared_for = owners[lot].is_some();
+            let outage = Outage { lasts, is_cared_for, unclaimed };
+            if claim::may_produce_unclaimed(outage) {
+                prop_assert!(!is_cared_for && lasts >= OUTAGE_MIN);
+                owners[lot] = Some(vm);
+            }
+            Ok(())
+        };
+        for (vm, lot, lasts) in looks {
+            look(vm, lot % lots, Duration::from_millis(lasts))?;
+        }
+        for vm in 0..3 {
+            for lot in 0..lots {
+                look(vm, lot, OUTAGE_MIN)?;
+            }
+        }
+        let taken = owners.iter().flatten().count();
+        prop_assert_eq!(taken, lots.min(3 * UNCLAIMED_MAX));
+        for vm in 0..3 {
+            let unclaimed = owners.iter().filter(|owner| **owner == Some(vm)).count();
+            prop_assert!(unclaimed <= UNCLAIMED_MAX);
+        }
+    }
+}
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -46,6 +46,9 @@
         Store(Chunk),
         /// A piece of a file that the VM's disk holds.
         Load(Piece),
+        /// Which files the VM's disk holds of the lot of this trainer and
+        /// number.
+        Find(String, u64),
     }
 }
 
@@ -153,6 +156,8 @@
         Stored,
         /// A piece of a file.
         Piece(Vec<u8>),
+        /// Files of a lot, with their lengths in bytes.
+        Found(Vec<(File, u64)>),
         /// The question was not understood or cannot be answered now.
         Refused(String),
     }
