--- a/crates/entry/src/bulk/mod.rs
+++ b/crates/entry/src/bulk/mod.rs
@@ -8,8 +8,8 @@
 
 use std::{cmp::Reverse, net::SocketAddr, rc::Rc, time::Duration};
 
-use board::{hash, key::Digest};
-use link::{Bytes, peer, platform};
+use board::{hash, key::Digest, member};
+use link::{Bytes, peer};
 use wire::{
     Answer, Ask,
     message::{Chunk, File, Piece},
@@ -54,12 +54,45 @@
     }
 }
 
+/// Tells a peer which files of a lot are on this disk.
+pub(crate) async fn list(vm: &Rc<Vm>, trainer: String, lot: u64) -> Answer {
+    let Some(disk) = &vm.disk else {
+        return Answer::Refused("no disk here".to_string());
+    };
+    match disk.find(trainer, lot).await {
+        Ok(found) => Answer::Found(found),
+        Err(e) => Answer::Refused(e.to_string()),
+    }
+}
+
+/// Reads a whole file of a lot whose manifest is not known, from whichever
+/// disk has one.
+pub(crate) async fn find(vm: &Rc<Vm>, trainer: &str, lot: u64) -> Option<Bytes> {
+    for other in disks(vm).await {
+        let ask = Ask::Find(trainer.to_string(), lot);
+        let answer = peer::ask(other.address, &ask, DISK_ASK_TIME).await;
+        let Ok(Answer::Found(files)) = answer else {
+            continue;
+        };
+        for (file, bytes) in files {
+            let content = receive(other.address, &file, bytes).await;
+            if let Some(content) = content
+                && Digest::of_bytes(&content) == file.digest
+            {
+                return Some(content.into());
+            }
+        }
+    }
+    None
+}
+
 /// Puts `content` on disks in different failure domains and returns their VMs,
 /// or `None` when there are not enough that take it.
 pub(crate) async fn spread(vm: &Rc<Vm>, file: &File, content: &[u8]) -> Option<Vec<String>> {
-    let mut places: Vec<platform::Vm> = Vec::new();
+    let mut places: Vec<member::Record> = Vec::new();
     for candidate in candidates(vm, file).await {
-        let is_new_domain = |known: &platform::Vm| known.failure_domain != candidate.failure_domain;
+        let is_new_domain =
+            |known: &member::Record| known.failure_domain != candidate.failure_domain;
         if !places.iter().all(is_new_domain) {
             continue;
         }
@@ -67,27 +100,32 @@
             places.push(candidate);
         }
         if places.len() == COPIES {
-            return Some(places.into_iter().map(|vm| vm.id).collect());
+            return Some(places.into_iter().map(|vm| vm.vm).collect());
         }
     }
     None
 }
 
 /// Returns the VMs with a disk in the order in which `file` prefers them.
-async fn candidates(vm: &Rc<Vm>, file: &File) -> Vec<platform::Vm> {
+async fn candidates(vm: &Rc<Vm>, file: &File) -> Vec<member::Record> {
+    let mut found = disks(vm).await;
+    let key = hash::of(&file.digest);
+    found.sort_by_key(|other| Reverse(hash::rendezvous(key, &other.vm)));
+    found
+}
+
+async fn disks(vm: &Rc<Vm>) -> Vec<member::Record> {
     let mut found = Vec::new();
-    for other in rollout::vms(vm).await {
+    for other in rollout::live(vm) {
         if has_disk(vm, &other).await {
             found.push(other);
         }
     }
-    let key = hash::of(&file.digest);
-    found.sort_by_key(|other| Reverse(hash::rendezvous(key, &other.id)));
     found
 }
 
-async fn has_disk(vm: &Rc<Vm>, other: &platform::Vm) -> bool {
-    if let Some(known) = vm.rollouts.disks.borrow().get(&other.id) {
+async fn has_disk(vm: &Rc<Vm>, other: &member::Record) -> bool {
+    if let Some(known) = vm.rollouts.disks.borrow().get(&other.vm) {
         return *known;
     }
     let answer = peer::ask(other.address, &Ask::Disk, DISK_ASK_TIME).await;
@@ -96,7 +134,7 @@
         return false;
     };
     let mut disks = vm.rollouts.disks.borrow_mut();
-    disks.insert(other.id.clone(), has_disk);
+    disks.insert(other.vm.clone(), has_disk);
     has_disk
 }
 
@@ -129,12 +167,11 @@
     bytes: u64,
     places: &[String],
 ) -> Option<Bytes> {
-    let vms = rollout::vms(vm).await;
     for place in places {
-        let Some(other) = vms.iter().find(|other| other.id == *place) else {
+        let Some(address) = address(vm, place) else {
             continue;
         };
-        let Some(content) = receive(other.address, file, bytes).await else {
+        let Some(content) = receive(address, file, bytes).await else {
             continue;
         };
         if Digest::of_bytes(&content) == file.digest {
@@ -147,6 +184,15 @@
     None
 }
 
+/// Returns where a VM is reached, also one that is thought dead: it may have
+/// come back, or be silent on one path only.
+fn address(vm: &Vm, id: &str) -> Option<SocketAddr> {
+    let members = &vm.board.borrow().members;
+    let me = Some(&members.me).filter(|me| me.vm == id);
+    let other = members.others.get(id).map(|member| &member.record);
+    me.or(other).map(|record| record.address)
+}
+
 async fn receive(from: SocketAddr, file: &File, total: u64) -> Option<Vec<u8>> {
     let mut content = Vec::new();
     while (content.len() as u64) < total {
--- a/crates/entry/src/rollout/owner.rs
+++ b/crates/entry/src/rollout/owner.rs
@@ -10,13 +10,14 @@
 use board::{
     config::Trainer,
     lot::{Claim, Manifest},
+    member,
     retention::CLAIM,
 };
 use link::{
     peer,
-    platform::{self, Error, When},
+    platform::{Error, When},
 };
-use policy::claim::{self, Duty, Guard, SILENCE_MAX};
+use policy::claim::{self, Duty, Guard, Outage, SILENCE_MAX};
 use wire::{Answer, Ask, message::Progress};
 
 use super::{
@@ -71,7 +72,7 @@
         if vm.rollouts.steps.borrow().is_empty() || vm.leaving.get() {
             continue;
         }
-        let vms = super::vms(&vm).await;
+        let vms = super::live(&vm);
         for lot in open_lots(&vm) {
             tend(&vm, &vms, lot, &busy);
         }
@@ -134,12 +135,17 @@
 }
 
 /// Starts whatever this VM has to do for `lot` now.
-fn tend(vm: &Rc<Vm>, vms: &[platform::Vm], lot: Lot, busy: &Rc<RefCell<board::hash::Set<String>>>) {
+fn tend(
+    vm: &Rc<Vm>,
+    vms: &[member::Record],
+    lot: Lot,
+    busy: &Rc<RefCell<board::hash::Set<String>>>,
+) {
     let name = lot.name();
     if vm.rollouts.producing.borrow().contains_key(&name) {
         return;
     }
-    let order = claim::candidates(vms.iter().map(|vm| vm.id.as_str()), &name);
+    let order = claim::candidates(vms.iter().map(|vm| vm.vm.as_str()), &name);
     let rank = order.iter().position(|id| *id == vm.settings.vm);
     let Some(guard) = lot.guard() else {
         return;
@@ -153,25 +159,31 @@
     let (vm, vms, busy) = (vm.clone(), vms.to_vec(), busy.clone());
     monoio::spawn(async move {
         match duty {
-            Duty::Produce => take(&vm, &vms, &lot).await,
-            _ => ask_all(&vm, &lot, &others).await,
+            Duty::Produce => take(&vm, &vms, &lot, &others).await,
+            _ => {
+                ask_all(&vm, &lot, &others).await;
+            }
         }
         busy.borrow_mut().remove(&name);
     });
 }
 
-fn address(vms: &[platform::Vm], id: &str) -> Option<SocketAddr> {
-    vms.iter().find(|vm| vm.id == id).map(|vm| vm.address)
+fn address(vms: &[member::Record], id: &str) -> Option<SocketAddr> {
+    vms.iter().find(|vm| vm.vm == id).map(|vm| vm.address)
 }
 
-async fn ask_all(vm: &Rc<Vm>, lot: &Lot, others: &[SocketAddr]) {
+/// Asks the other candidates, and returns whether one of them produces the lot
+/// or knows it as sealed.
+async fn ask_all(vm: &Rc<Vm>, lot: &Lot, others: &[SocketAddr]) -> bool {
     for other in others {
         match ask(*other, &lot.name()).await {
-            Some(Progress::Producing) => return lot.hear(vm),
-            Some(Progress::Sealed(manifest)) => return note_sealed(vm, &lot.name(), manifest),
-            Some(Progress::Idle) | None => {}
+            Some(Progress::Producing) => lot.hear(vm),
+            Some(Progress::Sealed(manifest)) => note_sealed(vm, &lot.name(), manifest),
+            Some(Progress::Idle) | None => continue,
         }
+        return true;
     }
+    false
 }
 
 /// Asks one VM where a lot stands; `None` when it does not answer.
@@ -214,14 +226,43 @@
 }
 
 /// Claims `lot` unless another VM produces it, and produces it.
-async fn take(vm: &Rc<Vm>, vms: &[platform::Vm], lot: &Lot) {
-    // A failed call is repeated at the next tick.
-    if let Ok(true) = claim_lot(vm, vms, lot).await {
-        start(vm, lot);
+async fn take(vm: &Rc<Vm>, vms: &[member::Record], lot: &Lot, others: &[SocketAddr]) {
+    let claimed = claim_lot(vm, vms, lot).await;
+    let state = &vm.rollouts;
+    if claimed.is_ok() {
+        state.failing.set(None);
+    }
+    match claimed {
+        Ok(Some(hold)) => start(vm, lot, hold),
+        Ok(None) => {}
+        Err(_) => {
+            let since = state.failing.get().unwrap_or(vm.now());
+            state.failing.set(Some(since));
+            let outage = Outage {
+                lasts: vm.now() - since,
+                is_cared_for: ask_all(vm, lot, others).await,
+                unclaimed: state.unclaimed.get(),
+            };
+            // Otherwise the call is repeated at the next tick.
+            if claim::may_produce_unclaimed(outage) {
+                start(vm, lot, Hold::Unclaimed);
+            }
+        }
     }
 }
 
-async fn claim_lot(vm: &Rc<Vm>, vms: &[platform::Vm], lot: &Lot) -> Result<bool, Error> {
+/// By what right a lot is produced.
+#[derive(Clone, Copy, PartialEq)]
+enum Hold {
+    /// It is the first to claim it.
+    First,
+    /// It claimed it after another one.
+    TakenOver,
+    /// The platform is out, and no other candidate is known to produce it.
+    Unclaimed,
+}
+
+async fn claim_lot(vm: &Rc<Vm>, vms: &[member::Record], lot: &Lot) -> Result<Option<Hold>, Error> {
     let name = lot.name();
     let me = vm.settings.vm.as_str();
     let found = match vm.platform.read::<Claim>(CLAIM, &name).await {
@@ -232,14 +273,14 @@
     // The claim of a deleted lot is deleted too.
     if found.is_none() && super::is_deleted(vm, &lot.step.trainer, lot.number).await? {
         note_deleted(vm, &name);
-        return Ok(false);
+        return Ok(None);
     }
     if let Some((_, claim)) = &found {
         if is_sealed(vm, &name).await? {
-            return Ok(false);
+            return Ok(None);
         }
         if claim.owner != me && is_owner_alive(vm, vms, lot, claim).await {
-            return Ok(false);
+            return Ok(None);
         }
     }
     let when = match &found {
@@ -253,12 +294,13 @@
             if epoch > 1 {
                 vm.metrics.lot("taken-over");
                 spdlog::info!("lot taken over", kv: { lot, epoch });
+                return Ok(Some(Hold::TakenOver));
             }
-            Ok(true)
+            Ok(Some(Hold::First))
         }
         // Someone else was faster, or a reply was lost; the next tick reads
         // who it was.
-        Err(Error::Conflict(_) | Error::Unknown(_)) => Ok(false),
+        Err(Error::Conflict(_) | Error::Unknown(_)) => Ok(None),
         Err(e) => Err(e),
     }
 }
@@ -269,11 +311,11 @@
 
 /// Returns whether the owner of a claim still works on the lot, or has not
 /// been silent for long enough.
-async fn is_owner_alive(vm: &Rc<Vm>, vms: &[platform::Vm], lot: &Lot, claim: &Claim) -> bool {
+async fn is_owner_alive(vm: &Rc<Vm>, vms: &[member::Record], lot: &Lot, claim: &Claim) -> bool {
     let answer = match address(vms, &claim.owner) {
         Some(owner) => ask(owner, &lot.name()).await,
-        // It is listed no more, so it is gone or about to go.
-        None => return false,
+        // To be thought dead is one more way to be silent.
+        None => None,
     };
     match answer {
         Some(Progress::Producing) => {
@@ -289,7 +331,7 @@
     }
 }
 
-fn start(vm: &Rc<Vm>, lot: &Lot) {
+fn start(vm: &Rc<Vm>, lot: &Lot, hold: Hold) {
     let name = lot.name();
     let is_over = Rc::new(Cell::new(false));
     let mut producing = vm.rollouts.producing.borrow_mut();
@@ -297,15 +339,22 @@
         return;
     }
     drop(producing);
+    let unclaimed = usize::from(hold == Hold::Unclaimed);
+    vm.rollouts.unclaimed.update(|count| count + unclaimed);
+    if hold == Hold::Unclaimed {
+        vm.metrics.lot("unclaimed");
+    }
     let (vm, lot) = (vm.clone(), lot.clone());
     monoio::spawn(async move {
         let job = produce::Job {
             step: lot.step.clone(),
             number: lot.number,
             trainer: lot.trainer.clone(),
+            is_first: hold == Hold::First,
             is_over: is_over.clone(),
         };
         produce::run(&vm, job, &lot.open).await;
+        vm.rollouts.unclaimed.update(|count| count - unclaimed);
         let mut producing = vm.rollouts.producing.borrow_mut();
         if producing
             .get(&name)
