admission: start limits with a VM's part, follow reports faster, predict latency by cost

Change: - a VM starts at an endpoint with slots over live VMs, and after each report takes its part of the spare room (three quarters of it, all VMs together); - reports with too much work lower the limit by a weaker power (0.15, was 0.25); - what may wait at an endpoint is a quarter of its slots and 15 ms of its work, not half of its slots: short answers need more, long ones less; - latency is a line over the cost with a histogram of the ratios, where it was a histogram for each unit of cost: a wait there made long requests look hopeless; - a request that waited must have time for the 99th percentile, was the 95th; - among the first few that wait, one whose prefix an endpoint with room has goes first, for 0.3 of the first one's patience.

--- /dev/null
+++ b/crates/board/src/latency.rs
@@ -0,0 +1,117 @@
+//! How long answers of a service take, by the cost of the request.
+//!
+//! A request waits at its endpoint for a time that does not depend on its
+//! cost, and then runs for a time that does. Latency for each unit of cost
+//! would mix the two: short requests make every unit look slow, and long ones
+//! would seem hopeless. So a line is fitted to the latest answers, and a
+//! histogram holds how far answers were from that line.
+
+use std::time::Duration;
+
+use crate::histogram::Histogram;
+
+/// The part of its weight that an answer keeps when the next one comes.
+const DECAY: f64 = 1.0 - 1.0 / 256.0;
+
+/// With less weight than this the line goes through the origin.
+const WEIGHT_MIN: f64 = 32.0;
+
+/// Ratios are kept as durations: an answer as predicted counts as this long.
+const RATIO_ONE: Duration = Duration::from_secs(1);
+
+/// Observed times from sending to answer.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use tarragonseam_board::latency::Latency;
+///
+/// let mut latency = Latency::default();
+/// for cost in (1..=100).cycle().take(1000) {
+///     latency.add(cost, Duration::from_millis(500 + 10 * u64::from(cost)));
+/// }
+/// let median = latency.quantile(100, 0.5).unwrap();
+/// assert!(median > Duration::from_millis(1400) && median < Duration::from_millis(1700));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Latency {
+    line: Line,
+    ratios: Histogram,
+}
+
+/// Decayed sums of a least-squares fit; latency in seconds.
+#[derive(Clone, Copy, Debug, Default)]
+struct Line {
+    weight: f64,
+    cost: f64,
+    latency: f64,
+    cost_squared: f64,
+    cost_latency: f64,
+}
+
+impl Latency {
+    /// Adds the latency of an answer to a request of `cost` units.
+    pub fn add(&mut self, cost: u32, latency: Duration) {
+        let predicted = self.line.at(cost);
+        let ratio = predicted.map_or(1.0, |predicted| latency.as_secs_f64() / predicted);
+        self.ratios.add(RATIO_ONE.mul_f64(ratio.min(RATIO_MAX)));
+        self.line.add(f64::from(cost), latency.as_secs_f64());
+    }
+
+    /// Returns how many answers it holds, after fading.
+    pub const fn count(&self) -> u32 {
+        self.ratios.count()
+    }
+
+    /// Returns a bound that the share `quantile` of the answers to requests of
+    /// `cost` units does not exceed, or `None` before any answer.
+    pub fn quantile(&self, cost: u32, quantile: f64) -> Option<Duration> {
+        let ratio = self.ratios.quantile(quantile)?.as_secs_f64();
+        let predicted = self.line.at(cost)?;
+        Some(Duration::from_secs_f64(predicted * ratio))
+    }
+}
+
+/// Answers later than this many times the prediction count as so late.
+const RATIO_MAX: f64 = 100.0;
+
+/// Predictions are not below this, so that ratios stay finite.
+const PREDICTED_MIN_S: f64 = 1e-6;
+
+impl Line {
+    fn add(&mut self, cost: f64, latency: f64) {
+        self.weight = self.weight * DECAY + 1.0;
+        self.cost = self.cost * DECAY + cost;
+        self.latency = self.latency * DECAY + latency;
+        self.cost_squared = self.cost_squared * DECAY + cost * cost;
+        self.cost_latency = self.cost_latency * DECAY + cost * latency;
+    }
+
+    /// Returns the predicted latency in seconds.
+    fn at(&self, cost: u32) -> Option<f64> {
+        if self.weight == 0.0 {
+            return None;
+        }
+        let mean_cost = self.cost / self.weight;
+        let mean_latency = self.latency / self.weight;
+        let slope = self.slope(mean_cost, mean_latency);
+        let predicted = mean_latency + slope * (f64::from(cost) - mean_cost);
+        Some(predicted.max(PREDICTED_MIN_S))
+    }
+
+    /// Returns the seconds for each unit of cost. Neither they nor the part
+    /// that does not depend on the cost can be negative.
+    fn slope(&self, mean_cost: f64, mean_latency: f64) -> f64 {
+        let proportional = mean_latency / mean_cost.max(1.0);
+        let spread = self.cost_squared / self.weight - mean_cost * mean_cost;
+        if self.weight < WEIGHT_MIN || spread < SPREAD_MIN {
+            return proportional;
+        }
+        let common = self.cost_latency / self.weight - mean_cost * mean_latency;
+        (common / spread).clamp(0.0, proportional)
+    }
+}
+
+/// The least variance of cost that tells a slope.
+const SPREAD_MIN: f64 = 1e-3;
--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod hash;
 pub mod histogram;
 pub mod key;
+pub mod latency;
 pub mod lease;
 pub mod limit;
 pub mod lot;
--- a/crates/board/src/limit.rs
+++ b/crates/board/src/limit.rs
@@ -13,6 +13,9 @@
     pub latency_us: f64,
     /// Latency when the endpoint was least loaded, in microseconds.
     pub base_us: f64,
+    /// Moving average of the latency of whole answers, in seconds; 0 before
+    /// the first one.
+    pub answer_s: f64,
     /// When it was last lowered for latency.
     pub lowered: Time,
     /// Whether work has waited for want of a higher limit since the last
--- a/crates/board/src/member.rs
+++ b/crates/board/src/member.rs
@@ -190,6 +190,11 @@
         self.others.values().filter(lives)
     }
 
+    /// Returns how many VMs are thought to live, this one included.
+    pub fn live_count(&self) -> u32 {
+        1 + self.live().count() as u32
+    }
+
     /// Returns a digest of the live members, this VM included.
     pub fn digest(&self) -> u64 {
         let mark = |record: &Record| mix(record.vm.as_bytes(), record.incarnation);
--- a/crates/board/src/service.rs
+++ b/crates/board/src/service.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::{budget::Budget, hash::Map, histogram::Histogram};
+use crate::{budget::Budget, hash::Map, latency::Latency};
 
 const RETRY_TOKENS: u32 = 10;
 const HEDGE_TOKENS: u32 = 5;
@@ -14,8 +14,8 @@
     pub retry: Budget,
     /// Pays for second attempts beside a slow one.
     pub hedge: Budget,
-    /// Times from sending to answer, for each unit of cost.
-    pub latency: Histogram,
+    /// Times from sending to answer.
+    pub latency: Latency,
 }
 
 impl Default for Service {
@@ -23,7 +23,7 @@
         Self {
             retry: Budget::new(RETRY_TOKENS),
             hedge: Budget::new(HEDGE_TOKENS),
-            latency: Histogram::default(),
+            latency: Latency::default(),
         }
     }
 }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -49,7 +49,7 @@
             revision: board.revision,
             keys: board.keys.len() as u64,
             endpoints: board.endpoints.iter().count() as u64,
-            live: 1 + board.members.live().count() as u64,
+            live: board.members.live_count().into(),
             is_relay: relay::is_relay(&board),
             fresh_ms: vm.gossip.fresh_ms(),
             is_isolated: isolation::view(&board, vm.now()) == View::Isolated,
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -219,7 +219,7 @@
     ticket: &Ticket,
     span: &telemetry::Span,
 ) -> Result<Fetched, Error> {
-    let delay = policy::hedge::delay(&vm.board.borrow(), &ticket.service);
+    let delay = policy::hedge::delay(&vm.board.borrow(), &ticket.service, ticket.cost);
     let Some(delay) = delay else {
         return attempt(vm, slot, call, span).await;
     };
--- a/crates/link/src/follow.rs
+++ b/crates/link/src/follow.rs
@@ -127,10 +127,11 @@
         };
         let now = follower.clock.now();
         let mut board = follower.board.borrow_mut();
+        let vms = board.members.live_count();
         for (id, load) in loads {
             let key = board.endpoints.find(&id);
             if let Some(endpoint) = key.and_then(|key| board.endpoints.get_mut(key)) {
-                policy::limit::report(endpoint, now, load);
+                policy::limit::report(endpoint, now, load, vms);
             }
         }
     }
--- a/crates/link/src/load.rs
+++ b/crates/link/src/load.rs
@@ -59,8 +59,10 @@
             return;
         };
         let now = self.gossip.clock.now();
-        if let Some(endpoint) = self.gossip.board.borrow_mut().endpoints.get_mut(key) {
-            limit::report(endpoint, now, load);
+        let mut board = self.gossip.board.borrow_mut();
+        let vms = board.members.live_count();
+        if let Some(endpoint) = board.endpoints.get_mut(key) {
+            limit::report(endpoint, now, load, vms);
         }
     }
 }
@@ -161,6 +163,7 @@
         .iter()
         .filter_map(|(key, endpoint)| Some((key, *by_mark.get(&mark(&endpoint.record.id))?)))
         .collect();
+    let vms = board.members.live_count();
     for (key, report) in known {
         let Some(endpoint) = board.endpoints.get_mut(key) else {
             continue;
@@ -174,6 +177,6 @@
             versions: BTreeMap::from_iter(version),
             age_ms: u64::from(report.age_ms),
         };
-        limit::report(endpoint, now, load);
+        limit::report(endpoint, now, load, vms);
     }
 }
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -35,7 +35,7 @@
 /// One that has waited needs time for this quantile, as long as that is not
 /// more than its part of the caller's patience below: late answers cost as
 /// much as timely ones.
-const LATENCY_SAFE: f64 = 0.95;
+const LATENCY_SAFE: f64 = 0.99;
 const PATIENCE_PART: u32 = 2;
 
 /// Checks that `ticket` can be served in time, and makes room for it.
@@ -60,8 +60,8 @@
 pub fn service_time(board: &Board, ticket: &Ticket) -> Duration {
     let service = board.services.get(&ticket.service);
     let quantile = |quantile| {
-        let unit = service.and_then(|service| service.latency.quantile(quantile));
-        unit.unwrap_or_default() * ticket.cost
+        let latency = service.and_then(|service| service.latency.quantile(ticket.cost, quantile));
+        latency.unwrap_or_default()
     };
     let patience = ticket.deadline - ticket.arrived;
     let safe = quantile(LATENCY_SAFE).min(patience / PATIENCE_PART);
--- a/crates/policy/src/call.rs
+++ b/crates/policy/src/call.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use board::{Board, Time, endpoint, ticket};
+use board::{Board, Time, config::Class, endpoint, ticket};
 
 use crate::{admission, fairness, health, hedge, limit, retry, routing};
 
@@ -119,8 +119,9 @@
         forget_pace(board, now, &ticket.service);
     }
     if outcome == Outcome::Answered {
-        let latency = (now - ticket.started) / ticket.cost;
-        board.service(&ticket.service).latency.add(latency);
+        let latency = now - ticket.started;
+        let service = board.service(&ticket.service);
+        service.latency.add(ticket.cost, latency);
         retry::earn(board, &ticket.service);
         hedge::earn(board, &ticket.service);
     }
@@ -161,6 +162,11 @@
         return false;
     };
     for class in fairness::classes(lanes) {
+        if let Some((ticket, endpoint)) = cached(board, now, service, class) {
+            send(board, now, ticket, endpoint);
+            orders.push(Order::Send { ticket, endpoint });
+            return true;
+        }
         for tried in [fairness::heads, fairness::followers] {
             let Some(lanes) = board.queue.lanes(service) else {
                 return false;
@@ -181,6 +187,31 @@
     false
 }
 
+/// The first request of a lane is passed over only until this part of its
+/// caller's patience is gone.
+const SKIP_PART: f64 = 0.3;
+
+/// Returns a request near the head of a lane that an endpoint with room has
+/// the prefix of. Where all endpoints are busy, one with room is seldom the one
+/// that the first request would need; a little disorder saves much work there.
+fn cached(
+    board: &Board,
+    now: Time,
+    service: &str,
+    class: Class,
+) -> Option<(ticket::Key, endpoint::Key)> {
+    let lane = &board.queue.lanes(service)?[class as usize];
+    let near = fairness::near_head(lane);
+    let first = board.tickets.get(*near.first()?)?;
+    let patience = first.deadline - first.arrived;
+    if now - first.arrived > patience.mul_f64(SKIP_PART) {
+        return None;
+    }
+    let fits = |key: ticket::Key| Some((key, routing::cached(board, now, key)?));
+    let timely = near.into_iter().filter(|key| !is_in_vain(board, now, *key));
+    timely.filter_map(fits).next()
+}
+
 fn send(board: &mut Board, now: Time, key: ticket::Key, endpoint: endpoint::Key) {
     let Some(ticket) = board.tickets.get(key) else {
         return;
--- a/crates/policy/src/fairness.rs
+++ b/crates/policy/src/fairness.rs
@@ -32,6 +32,9 @@
 /// How many accounts are tried for one that fits an endpoint.
 const FLOWS_TRIED: usize = 16;
 
+/// How many accounts are searched for a request whose prefix is cached.
+const NEAR_FLOWS: usize = 4;
+
 /// How many requests of one account are tried.
 const TICKETS_TRIED: usize = 4;
 
@@ -64,6 +67,16 @@
         .collect()
 }
 
+/// Returns the requests that may go first of `lane` though they are not the
+/// next in fair order: a few of each account, in fair order.
+pub fn near_head(lane: &Lane) -> Vec<ticket::Key> {
+    let flows = lane.waiting().take(NEAR_FLOWS);
+    flows
+        .flat_map(|(_, flow)| flow.tickets().take(TICKETS_TRIED))
+        .map(|(key, _)| key)
+        .collect()
+}
+
 /// Moves credit between the classes after one of `class` was sent.
 pub fn charge(lanes: &mut Lanes, class: Class, cost: u32) {
     let cost = u64::from(cost);
--- a/crates/policy/src/hedge.rs
+++ b/crates/policy/src/hedge.rs
@@ -22,14 +22,15 @@
 /// Thousandths of a token that an answer earns: one hedge for fifty answers.
 const EARNED_MILLI: u32 = 20;
 
-/// Returns how long after the first attempt a second one should follow, or
-/// `None` when too little is known of `service` or its budget is spent.
-pub fn delay(board: &Board, service: &str) -> Option<Duration> {
+/// Returns how long after the first attempt of a request of `cost` units a
+/// second one should follow, or `None` when too little is known of `service`
+/// or its budget is spent.
+pub fn delay(board: &Board, service: &str, cost: u32) -> Option<Duration> {
     let service = board.services.get(service)?;
     if !service.hedge.is_open() || service.latency.count() < COUNT_MIN {
         return None;
     }
-    let slow = service.latency.quantile(QUANTILE)?;
+    let slow = service.latency.quantile(cost, QUANTILE)?;
     Some(slow.max(DELAY_MIN))
 }
 
--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -3,9 +3,9 @@
 //! A VM sees only its own part of an endpoint's work, so it cannot tell from
 //! its own count whether the endpoint is full. The endpoint's reports tell,
 //! late but exactly: a report lowers the limit by a factor when too much is
-//! there, and raises it by a constant if work waited here for want of a higher
-//! limit. Additive growth and multiplicative decrease bring VMs that share an
-//! endpoint to equal limits.
+//! there, and raises it by this VM's part of the spare room if work waited here
+//! for want of a higher limit. Each VM adds the same, and a factor takes more
+//! from a higher limit, so VMs that share an endpoint come to equal limits.
 //!
 //! Where reports are missing, the latency of answers against the least seen
 //! takes their place (additive increase, multiplicative decrease). With
@@ -46,16 +46,24 @@
 
 /// Power of the factor. A report is older than the last change made after it,
 /// so following it in full would overshoot.
-const REPORT_DAMPING: f64 = 0.25;
+const REPORT_DAMPING: f64 = 0.15;
 
-/// What is added when a report lets the limit grow, and half of it once the
-/// endpoint is full but for the work that may wait there. Growth by a factor
-/// would keep unequal limits of VMs unequal.
-const REPORT_STEP: f64 = 0.1;
+/// The part of an endpoint's spare room that all VMs together take after one
+/// report, and what they take at least. Growth by a factor would keep unequal
+/// limits of VMs unequal.
+const SPARE_GAIN: f64 = 0.75;
+const SPARE_MIN: f64 = 0.3;
 
-/// Work that may wait at the endpoint, as a part of its slots: enough that a
-/// free slot finds work there, and little enough that order is decided here.
-const QUEUED_SHARE: f64 = 0.5;
+/// Work that may wait at the endpoint, as a part of its slots, and the time
+/// that it should last beyond that part: enough that a free slot finds work
+/// there, and little enough that order is decided here. Short answers free
+/// slots faster than requests arrive to fill them.
+const QUEUED_SHARE: f64 = 0.25;
+const QUEUED_TIME_S: f64 = 0.015;
+const QUEUED_SHARE_MAX: f64 = 1.0;
+
+/// The same before any answer.
+const QUEUED_SHARE_UNKNOWN: f64 = 0.5;
 
 /// How long reports of other VMs' work stay meaningful.
 const REPORT_LIFE: Duration = Duration::from_millis(1000);
@@ -120,8 +128,9 @@
     weight * reported.last + (1.0 - weight) * reported.mean
 }
 
-/// Notes a load report that came in at `now`.
-pub fn report(endpoint: &mut Endpoint, now: Time, load: Load) {
+/// Notes a load report that came in at `now`. `vms` is the number of VMs that
+/// live, this one included: each of them sees the same spare room.
+pub fn report(endpoint: &mut Endpoint, now: Time, load: Load, vms: u32) {
     let total = f64::from(load.in_flight + load.queued);
     let own = f64::from(endpoint.in_flight);
     let others = (total - own).max(0.0);
@@ -139,29 +148,39 @@
     } else {
         DEFAULT_SLOTS
     });
-    adjust(endpoint, total, slots);
+    let vms = f64::from(vms.max(1));
+    if endpoint.load.is_none() {
+        // All VMs meet a new endpoint at once. Latency until now tells of what
+        // they sent together, so each starts again with its part.
+        endpoint.limit.value = Some(slots / vms);
+    }
+    adjust(endpoint, total, slots, vms);
     endpoint.load = Some((now, load));
 }
 
-fn adjust(endpoint: &mut Endpoint, total: f64, slots: f64) {
+fn adjust(endpoint: &mut Endpoint, total: f64, slots: f64, vms: f64) {
     let limit = endpoint.limit.value.unwrap_or(slots).min(slots);
-    let wanted = slots * (1.0 + QUEUED_SHARE);
+    let wanted = slots * (1.0 + queued_share(&endpoint.limit));
     let is_short = std::mem::take(&mut endpoint.limit.is_short);
     let changed = if total > wanted {
         limit * (wanted / total).powf(REPORT_DAMPING).max(REPORT_DECREASE)
     } else if is_short {
-        limit
-            + if total < slots {
-                REPORT_STEP
-            } else {
-                REPORT_STEP / 2.0
-            }
+        limit + (SPARE_GAIN * (wanted - total)).max(SPARE_MIN) / vms
     } else {
         limit
     };
     endpoint.limit.value = Some(changed.clamp(LIMIT_MIN, slots));
 }
 
+/// Returns the work that may wait at the endpoint, as a part of its slots.
+fn queued_share(limit: &Limit) -> f64 {
+    if limit.answer_s == 0.0 {
+        return QUEUED_SHARE_UNKNOWN;
+    }
+    let lasting = QUEUED_TIME_S / limit.answer_s;
+    (QUEUED_SHARE + lasting).min(QUEUED_SHARE_MAX)
+}
+
 /// Notes that work waits because [`room`] allows no more at `endpoint`.
 pub fn short(endpoint: &mut Endpoint, now: Time) {
     let is_bound = f64::from(endpoint.in_flight) + 1.0 > allowed(endpoint, now);
@@ -174,6 +193,7 @@
     let unit_us = latency.as_secs_f64() * 1e6 / f64::from(cost);
     let slots = f64::from(slots(endpoint));
     let own = f64::from(endpoint.in_flight);
+    average(&mut endpoint.limit.answer_s, latency.as_secs_f64());
     let is_reported = endpoint
         .elsewhere
         .at
@@ -195,6 +215,14 @@
     }
 }
 
+/// Brings a moving average up to date; the first value stands by itself.
+fn average(mean: &mut f64, value: f64) {
+    if *mean == 0.0 {
+        *mean = value;
+    }
+    *mean += LATENCY_GAIN * (value - *mean);
+}
+
 fn observe(limit: &mut Limit, unit_us: f64) {
     if limit.latency_us == 0.0 {
         limit.latency_us = unit_us;
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -65,6 +65,14 @@
         .min_by(|a, b| time(a).total_cmp(&time(b)))
 }
 
+/// Returns the endpoint with room that should hold the ticket's prefix, if
+/// there is one.
+pub fn cached(board: &Board, now: Time, key: ticket::Key) -> Option<endpoint::Key> {
+    let ticket = board.tickets.get(key)?;
+    let fit = fit(board, now, ticket);
+    affine(board, now, ticket, &fit)
+}
+
 /// Returns whether the endpoints of `service` have room for one more request.
 pub fn has_room(board: &Board, now: Time, service: &str) -> bool {
     let keys = board.endpoints.of_service(service).iter();
@@ -219,8 +227,8 @@
 
 fn latency(board: &Board, ticket: &Ticket) -> Duration {
     let service = board.services.get(&ticket.service);
-    let unit = service.and_then(|service| service.latency.quantile(0.5));
-    unit.map_or(LATENCY_DEFAULT, |unit| unit * ticket.cost)
+    let median = service.and_then(|service| service.latency.quantile(ticket.cost, 0.5));
+    median.unwrap_or(LATENCY_DEFAULT * ticket.cost)
 }
 
 /// Work that can be resumed or waits for nobody suits endpoints that may be
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -74,9 +74,9 @@
 #[test]
 fn hedge_before_observations() {
     let mut board = board();
-    assert_eq!(hedge::delay(&board, SERVICE), None);
+    assert_eq!(hedge::delay(&board, SERVICE, 1), None);
     answer(&mut board, Time::ZERO, Duration::from_millis(5));
-    assert_eq!(hedge::delay(&board, SERVICE), None);
+    assert_eq!(hedge::delay(&board, SERVICE, 1), None);
 }
 
 #[test]
@@ -86,7 +86,7 @@
         let latency = if call % 50 == 0 { 500 } else { 10 };
         answer(&mut board, Time::ZERO, Duration::from_millis(latency));
     }
-    let delay = hedge::delay(&board, SERVICE).expect("enough answers");
+    let delay = hedge::delay(&board, SERVICE, 1).expect("enough answers");
     assert!(delay >= Duration::from_millis(10), "{delay:?}");
     assert!(delay < Duration::from_millis(13), "{delay:?}");
 }
@@ -98,7 +98,7 @@
         answer(&mut board, Time::ZERO, Duration::from_millis(10));
     }
     while hedge::take(&mut board, SERVICE) {}
-    assert_eq!(hedge::delay(&board, SERVICE), None);
+    assert_eq!(hedge::delay(&board, SERVICE, 1), None);
 }
 
 #[test]
--- a/crates/policy/tests/routing.rs
+++ b/crates/policy/tests/routing.rs
@@ -9,6 +9,7 @@
     config::Class,
     endpoint::{self, Load, State, Tenure},
     limit::Credit,
+    ticket::Ticket,
 };
 use common::{SERVICE, add, empty, record, single, ticket};
 use proptest::prelude::*;
@@ -43,7 +44,7 @@
         queued,
         ..Load::default()
     };
-    limit::report(board.endpoints.get_mut(key).unwrap(), NOW, load);
+    limit::report(board.endpoints.get_mut(key).unwrap(), NOW, load, 1);
 }
 
 /// Starts a request and returns the endpoint's name.
@@ -304,3 +305,68 @@
         }
     }
 }
+
+/// Every VM meets a new endpoint at once: what they may send together is what
+/// the endpoint runs, whatever latency told before its first report.
+#[test]
+fn limit_starts_with_part_of_vms() {
+    let vms = 4;
+    for value in [None, Some(8.0)] {
+        let mut board = empty();
+        let record = record("new", "a", Tenure::Stable, State::Ready);
+        let key = board.endpoints.put(record);
+        let endpoint = board.endpoints.get_mut(key).unwrap();
+        endpoint.limit.value = value;
+        let load = Load {
+            slots: 8,
+            ..Load::default()
+        };
+        limit::report(endpoint, NOW, load, vms);
+        assert_eq!(limit_of(&board, key), 2.0, "{value:?}");
+    }
+}
+
+/// All VMs see the same spare room, and together take no more than that.
+#[test]
+fn limit_growth_divided_among_vms() {
+    let grown = |vms| {
+        let mut board = single(8);
+        let key = board.endpoints.of_service(SERVICE)[0];
+        note(&mut board, key, 8, 0, 0);
+        let endpoint = board.endpoints.get_mut(key).unwrap();
+        endpoint.limit.value = Some(1.0);
+        endpoint.limit.is_short = true;
+        let load = Load {
+            slots: 8,
+            ..Load::default()
+        };
+        limit::report(endpoint, NOW, load, vms);
+        limit_of(&board, key) - 1.0
+    };
+    assert!(grown(1) > 3.0 * grown(4), "{} {}", grown(1), grown(4));
+    assert!(grown(6) * 6.0 <= 12.0, "{}", grown(6));
+}
+
+/// With one free place, the request goes first whose prefix is cached there,
+/// but not before a first one that has waited for long.
+#[test]
+fn dispatch_cached_prefix_first() {
+    for (waited_ms, expected) in [(0, "second"), (4_000, "first")] {
+        let mut board = single(1);
+        let cached = 7;
+        let other = [("first", 0), ("second", cached)];
+        let start = NOW;
+        let keys = other.map(|(account, prefix)| {
+            let ticket = Ticket::new(account, SERVICE, start, start + Duration::from_secs(10));
+            call::arrive(&mut board, start, ticket.prefix(prefix)).expect("admitted")
+        });
+        let now = start + Duration::from_millis(waited_ms);
+        let orders = call::dispatch(&mut board, now);
+        let sent = orders.iter().find_map(|order| match order {
+            call::Order::Send { ticket, .. } => Some(*ticket),
+            call::Order::Refuse { .. } => None,
+        });
+        let place = keys.iter().position(|key| Some(*key) == sent).unwrap();
+        assert_eq!(other[place].0, expected, "after {waited_ms} ms");
+    }
+}
