callers' tests: hedge of idempotent calls, and of those only

hedge_idempotent_within_budget makes the service slow that most requests go to and counts second attempts: at least one, and no more than the budget pays for. hedge_never_other_methods does the same with POST: none, and each ran once.

--- a/crates/cli/tests/callers/main.rs
+++ b/crates/cli/tests/callers/main.rs
@@ -5,6 +5,7 @@
 mod fault;
 mod framing;
 mod gone;
+mod hedge;
 mod raw;
 mod reclaim;
 mod service;
