tests: start deployments and run commands in one place

Four setup modules of crates/cli/tests (callers, control, rollouts, spread) and api.rs each started a deployment, ran the operators' program, issued keys and set faults by code of their own. That is `common` now; what belongs to one subject stays in its module, under the same names, so the tests read as before. No check is gone; issuing a key now checks its length in all of them, as control did, where four took whatever was printed.

Left as they are: usage_alone.rs, start.rs and whole_path.rs, and the ways of waiting, which differ on purpose (threads, tasks, their limits).

--- a/crates/cli/tests/api.rs
+++ b/crates/cli/tests/api.rs
@@ -1,5 +1,7 @@
 //! The examples of `docs/API.md`, run as they stand.
 
+mod common;
+
 use std::{
     path::Path,
     process::{Command, Output},
@@ -8,7 +10,6 @@
 use fakes::deployment::{Deployment, Plan};
 use link::http::client::Call;
 
-const PROGRAM: &str = env!("CARGO_BIN_EXE_tarragonseam");
 const ROOT: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../..");
 const DOMAINS: [&str; 2] = ["a", "b"];
 
@@ -21,16 +22,6 @@
         .collect()
 }
 
-fn operate(deployment: &Deployment, arguments: &[&str]) -> String {
-    let output = Command::new(PROGRAM)
-        .args(arguments)
-        .arg(format!("--platform={}", deployment.platform))
-        .output()
-        .unwrap();
-    assert!(output.status.success(), "{arguments:?}: {output:?}");
-    String::from_utf8(output.stdout).unwrap().trim().to_string()
-}
-
 /// Waits until the VM knows `key`.
 async fn wait_key(deployment: &Deployment, key: &str) {
     loop {
@@ -59,16 +50,15 @@
 
 #[test]
 fn api_examples_run() {
-    let plan = Plan::new(format!("{ROOT}/examples/cider-festival"))
+    let plan = Plan::new(common::FESTIVAL)
         .vms(2, &DOMAINS)
         .engines("tasting-notes", 2, &DOMAINS)
         .services("entry-registry", 2, &DOMAINS);
     link::runtime::run(async {
-        let deployment = Deployment::start(Path::new(PROGRAM), &plan).await.unwrap();
-        let tree = deployment.tree.display().to_string();
-        operate(&deployment, &["publish", &tree]);
-        let keys = ["maison-verte", "festival"]
-            .map(|account| operate(&deployment, &["key", "issue", account]));
+        let deployment = common::bare(&plan).await;
+        common::publish(&deployment);
+        let keys =
+            ["maison-verte", "festival"].map(|account| common::issue_key(&deployment, account));
         deployment.wait_ready().await.unwrap();
         for key in &keys {
             wait_key(&deployment, key).await;
--- a/crates/cli/tests/callers/fault.rs
+++ b/crates/cli/tests/callers/fault.rs
@@ -146,7 +146,7 @@
         format!("--listen={address}"),
     ];
     let log = world.deployment.folder.join("again.log");
-    let program = std::path::Path::new(world::PROGRAM);
+    let program = std::path::Path::new(super::common::PROGRAM);
     let again = fakes::deployment::Child::start(program, &arguments, &log).unwrap();
     world.deployment.endpoints[place].process = again;
     world::within("a new process", || {
--- a/crates/cli/tests/callers/main.rs
+++ b/crates/cli/tests/callers/main.rs
@@ -2,6 +2,8 @@
 
 mod account;
 mod answer;
+#[path = "../common/mod.rs"]
+mod common;
 mod fault;
 mod framing;
 mod gone;
--- a/crates/cli/tests/callers/world.rs
+++ b/crates/cli/tests/callers/world.rs
@@ -2,8 +2,6 @@
 
 use std::{
     net::SocketAddr,
-    path::Path,
-    process::Command,
     time::{Duration, Instant},
 };
 
@@ -14,10 +12,11 @@
 use link::http::{Limits, Pool};
 use serde_json::{Value, json};
 
-use super::raw::{self, Answer};
+use super::{
+    common,
+    raw::{self, Answer},
+};
 
-pub(crate) const PROGRAM: &str = env!("CARGO_BIN_EXE_tarragonseam");
-const EXAMPLE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/cider-festival");
 pub(crate) const MODEL: &str = "tasting-notes";
 pub(crate) const ACCOUNT: &str = "maison-verte";
 
@@ -28,7 +27,7 @@
 
 /// Returns a plan of one VM with `engines` and `services`.
 pub(crate) fn plan(engines: usize, services: usize) -> Plan {
-    Plan::new(EXAMPLE)
+    Plan::new(common::FESTIVAL)
         .vms(1, &["a"])
         .engines(MODEL, engines, &["a"])
         .services("entry-registry", services, &["a"])
@@ -47,9 +46,8 @@
 impl World {
     pub(crate) fn start(plan: &Plan) -> Self {
         let deployment = link::runtime::run(async {
-            let mut deployment = Deployment::start(Path::new(PROGRAM), plan).await.unwrap();
-            let tree = deployment.tree.display().to_string();
-            command(&deployment, &["publish", &tree]);
+            let mut deployment = common::bare(plan).await;
+            common::publish(&deployment);
             deployment.wait_ready().await.unwrap();
             // Connections of this runtime end with it.
             deployment.pool = Pool::new(Limits::new());
@@ -66,8 +64,7 @@
 
     /// Issues a key and waits until it is good.
     pub(crate) fn issue(&self, account: &str) -> String {
-        let key = command(&self.deployment, &["key", "issue", account]);
-        let key = key.trim().to_string();
+        let key = common::issue_key(&self.deployment, account);
         let probe = request("POST", "/submissions/probe", &key, "");
         within("key in force", || {
             let path = probe.replace("/submissions/probe", "/v1/trainers/none/x");
@@ -77,7 +74,7 @@
     }
 
     pub(crate) fn withdraw(&self, key: &str) {
-        command(&self.deployment, &["key", "withdraw", key]);
+        common::good(&self.deployment, &["key", "withdraw", key]);
     }
 
     pub(crate) fn entry(&self) -> SocketAddr {
@@ -173,13 +170,3 @@
         std::thread::sleep(Duration::from_millis(20));
     }
 }
-
-fn command(deployment: &Deployment, arguments: &[&str]) -> String {
-    let output = Command::new(PROGRAM)
-        .args(arguments)
-        .arg(format!("--platform={}", deployment.platform))
-        .output()
-        .unwrap();
-    assert!(output.status.success(), "{output:?}");
-    String::from_utf8(output.stdout).unwrap()
-}
--- /dev/null
+++ b/crates/cli/tests/common/mod.rs
@@ -0,0 +1,73 @@
+//! What every test of a deployment does: start it, run the operators' program
+//! against it, set faults and read its state.
+
+#![allow(dead_code)]
+
+use std::{
+    net::SocketAddr,
+    path::Path,
+    process::{Command, Output},
+};
+
+use fakes::deployment::{Deployment, Plan};
+use link::http::client::Call;
+use serde_json::Value;
+
+pub(crate) const PROGRAM: &str = env!("CARGO_BIN_EXE_tarragonseam");
+/// The operators' files of the cider festival.
+pub(crate) const FESTIVAL: &str =
+    concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/cider-festival");
+
+/// Starts the processes of `plan`, before any configuration.
+pub(crate) async fn bare(plan: &Plan) -> Deployment {
+    Deployment::start(Path::new(PROGRAM), plan).await.unwrap()
+}
+
+/// Returns a command of the operators' program against the platform.
+pub(crate) fn command(deployment: &Deployment, arguments: &[&str]) -> Command {
+    let mut command = Command::new(PROGRAM);
+    command
+        .args(arguments)
+        .arg(format!("--platform={}", deployment.platform));
+    command
+}
+
+/// Runs a command of the operators' program.
+pub(crate) fn run(deployment: &Deployment, arguments: &[&str]) -> Output {
+    command(deployment, arguments).output().unwrap()
+}
+
+/// Runs a command that must succeed and returns what it prints.
+pub(crate) fn good(deployment: &Deployment, arguments: &[&str]) -> String {
+    let output = run(deployment, arguments);
+    assert!(output.status.success(), "{arguments:?}: {output:?}");
+    String::from_utf8(output.stdout).unwrap()
+}
+
+/// Puts the deployment's files in force.
+pub(crate) fn publish(deployment: &Deployment) {
+    let tree = deployment.tree.display().to_string();
+    good(deployment, &["publish", &tree]);
+}
+
+/// Issues a key for `account`.
+pub(crate) fn issue_key(deployment: &Deployment, account: &str) -> String {
+    let key = good(deployment, &["key", "issue", account]);
+    let key = key.trim();
+    assert!(key.len() > 20 && !key.contains(' '), "no key in {key:?}");
+    key.to_string()
+}
+
+/// Reads JSON from a stand-in or daemon.
+pub(crate) async fn get(deployment: &Deployment, address: SocketAddr, path: &str) -> Value {
+    let answer = deployment.pool.fetch(address, Call::get(path)).await;
+    let answer = answer.unwrap_or_else(|e| panic!("{path}: {e}"));
+    serde_json::from_slice(&answer.body).unwrap()
+}
+
+/// Sets fault switches of a stand-in or daemon.
+pub(crate) async fn fault(deployment: &Deployment, address: SocketAddr, switches: &Value) {
+    let call = Call::post("/fault", switches.to_string());
+    let answer = deployment.pool.fetch(address, call).await.unwrap();
+    assert!(answer.status.is_success(), "{answer:?}");
+}
--- a/crates/cli/tests/control_setup/mod.rs
+++ b/crates/cli/tests/control_setup/mod.rs
@@ -2,19 +2,22 @@
 
 #![allow(dead_code)]
 
+#[path = "../common/mod.rs"]
+mod common;
+
 use std::{
     fs,
     net::SocketAddr,
-    path::{Path, PathBuf},
-    process::Command,
+    path::PathBuf,
     time::{Duration, Instant},
 };
 
 use fakes::deployment::{Back, Deployment, Plan};
-use link::http::client::Call;
 use serde_json::Value;
 
-pub(crate) const PROGRAM: &str = env!("CARGO_BIN_EXE_tarragonseam");
+// Each test file uses some of them.
+#[allow(unused_imports)]
+pub(crate) use common::{PROGRAM, get, issue_key, publish};
 
 /// How long anything may take to come about on a busy machine.
 pub(crate) const PATIENCE: Duration = Duration::from_secs(60);
@@ -60,46 +63,15 @@
 
 /// Starts `plan` and puts its files in force.
 pub(crate) async fn start(plan: &Plan) -> Deployment {
-    let deployment = Deployment::start(Path::new(PROGRAM), plan).await.unwrap();
+    let deployment = common::bare(plan).await;
     publish(&deployment);
     deployment.wait_ready().await.unwrap();
     deployment
 }
 
-/// Puts the deployment's files in force.
-pub(crate) fn publish(deployment: &Deployment) {
-    let tree = deployment.tree.display().to_string();
-    let platform = deployment.platform.to_string();
-    run(&["publish", &tree, "--platform", &platform]);
-}
-
-/// Issues a key for `account`.
-pub(crate) fn issue_key(deployment: &Deployment, account: &str) -> String {
-    let platform = deployment.platform.to_string();
-    let out = run(&["key", "issue", account, "--platform", &platform]);
-    let word = out.split_whitespace().rev().find(|word| word.len() > 20);
-    word.unwrap_or_else(|| panic!("no key in {out:?}"))
-        .to_string()
-}
-
-fn run(arguments: &[&str]) -> String {
-    let output = Command::new(PROGRAM).args(arguments).output().unwrap();
-    assert!(output.status.success(), "{output:?}");
-    String::from_utf8(output.stdout).unwrap()
-}
-
-/// Reads JSON from a stand-in or daemon.
-pub(crate) async fn get(deployment: &Deployment, address: SocketAddr, path: &str) -> Value {
-    let answer = deployment.pool.fetch(address, Call::get(path)).await;
-    let answer = answer.unwrap_or_else(|e| panic!("{path}: {e}"));
-    serde_json::from_slice(&answer.body).unwrap()
-}
-
 /// Sets fault switches.
 pub(crate) async fn fault(deployment: &Deployment, address: SocketAddr, switches: Value) {
-    let call = Call::post("/fault", switches.to_string());
-    let answer = deployment.pool.fetch(address, call).await.unwrap();
-    assert!(answer.status.is_success(), "{answer:?}");
+    common::fault(deployment, address, &switches).await;
 }
 
 /// Polls until `found` finds something.
--- a/crates/cli/tests/rollouts_support/run.rs
+++ b/crates/cli/tests/rollouts_support/run.rs
@@ -1,9 +1,10 @@
 //! A deployment with trainers that draw from it.
 
+#[path = "../common/mod.rs"]
+mod common;
+
 use std::{
     cell::RefCell,
-    path::Path,
-    process::Command,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -19,10 +20,10 @@
 use serde_json::{Value, json};
 use todc_utils::Action;
 
+pub(crate) use common::PROGRAM;
+
 use super::history::{Draw, Expected, Operation, Record, Stream};
 
-pub(crate) const PROGRAM: &str = env!("CARGO_BIN_EXE_tarragonseam");
-const TREE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/cider-festival");
 pub(crate) const DOMAINS: [&str; 3] = ["a", "b", "c"];
 
 /// What the example's trainer declares, with smaller lots.
@@ -44,7 +45,7 @@
 
 /// Returns the plan of the fault runs.
 pub(crate) fn plan(vms: usize) -> Plan {
-    Plan::new(TREE)
+    Plan::new(common::FESTIVAL)
         .vms(vms, &DOMAINS)
         .engines("tasting-notes", 3, &DOMAINS)
 }
@@ -61,20 +62,18 @@
         groups_per_lot: u32,
         edit: impl FnOnce(String) -> String,
     ) -> Rc<Self> {
-        let deployment = Deployment::start(Path::new(PROGRAM), plan).await.unwrap();
+        let deployment = common::bare(plan).await;
         let file = deployment.tree.join("tasting-notes/tarragonseam.toml");
         let text = std::fs::read_to_string(&file).unwrap();
         let lots = format!("groups_per_lot = {groups_per_lot}");
         let text = text.replace("groups_per_lot = 4", &lots);
         std::fs::write(&file, edit(text)).unwrap();
-        let platform = format!("--platform={}", deployment.platform);
-        let tree = deployment.tree.display().to_string();
-        command(&["publish", &tree, &platform]);
-        let key = command(&["key", "issue", "festival", &platform]);
+        common::publish(&deployment);
+        let key = common::issue_key(&deployment, "festival");
         deployment.wait_ready().await.unwrap();
         Rc::new(Self {
             deployment,
-            key: key.trim().to_string(),
+            key,
             record: RefCell::default(),
         })
     }
@@ -110,9 +109,7 @@
 
     /// Sets fault switches of a stand-in.
     pub(crate) async fn fault(&self, address: std::net::SocketAddr, switches: Value) {
-        let call = Call::post("/fault", switches.to_string());
-        let set = self.deployment.pool.fetch(address, call).await.unwrap();
-        assert!(set.status.is_success(), "{set:?}");
+        common::fault(&self.deployment, address, &switches).await;
     }
 
     /// Declares a step with prompts of the given number of words.
@@ -235,10 +232,3 @@
 /// A run that is not over by then hangs.
 pub(crate) const RUN_TIME: Duration = Duration::from_secs(120);
 pub(crate) const RETRY_TIME: Duration = Duration::from_millis(100);
-
-/// Runs the command line and returns what it prints.
-pub(crate) fn command(arguments: &[&str]) -> String {
-    let output = Command::new(PROGRAM).args(arguments).output().unwrap();
-    assert!(output.status.success(), "{arguments:?}: {output:?}");
-    String::from_utf8(output.stdout).unwrap()
-}
--- a/crates/cli/tests/snapshot.rs
+++ b/crates/cli/tests/snapshot.rs
@@ -1,11 +1,14 @@
 //! Snapshots hold what stood together, and restore only by publishing.
 
+mod common;
+
 use std::{
     fs,
     path::{Path, PathBuf},
     process::{Command, Output},
 };
 
+use common::PROGRAM;
 use fakes::deployment::{Deployment, Plan};
 use link::{
     http::{Limits, Pool, client::Call},
@@ -13,8 +16,6 @@
 };
 use serde_json::{Value, json};
 
-const PROGRAM: &str = env!("CARGO_BIN_EXE_tarragonseam");
-const EXAMPLE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/cider-festival");
 const ACCOUNT: &str = "maison-verte";
 
 /// The platform alone, with a configuration in force.
@@ -25,29 +26,20 @@
 
 impl World {
     fn start() -> Self {
-        let mut plan = Plan::new(EXAMPLE);
+        let mut plan = Plan::new(common::FESTIVAL);
         plan.platform.push("--writes-per-s=10000".to_string());
-        let start = Deployment::start(Path::new(PROGRAM), &plan);
-        let deployment = link::runtime::run(start).unwrap().unwrap();
+        let deployment = link::runtime::run(common::bare(&plan)).unwrap();
         let file = deployment.folder.join("kept.json");
-        let world = Self { deployment, file };
-        let tree = world.deployment.tree.display().to_string();
-        world.good(&["publish", &tree]);
-        world
+        common::publish(&deployment);
+        Self { deployment, file }
     }
 
     fn run(&self, arguments: &[&str]) -> Output {
-        Command::new(PROGRAM)
-            .args(arguments)
-            .arg(format!("--platform={}", self.deployment.platform))
-            .output()
-            .unwrap()
+        common::run(&self.deployment, arguments)
     }
 
     fn good(&self, arguments: &[&str]) -> String {
-        let output = self.run(arguments);
-        assert!(output.status.success(), "{arguments:?}: {output:?}");
-        String::from_utf8(output.stdout).unwrap()
+        common::good(&self.deployment, arguments)
     }
 
     fn snapshot(&self, command: &str) -> String {
--- a/crates/cli/tests/spread/mod.rs
+++ b/crates/cli/tests/spread/mod.rs
@@ -3,6 +3,9 @@
 
 #![allow(dead_code)]
 
+#[path = "../common/mod.rs"]
+mod common;
+
 use std::{
     fs,
     net::SocketAddr,
@@ -18,8 +21,6 @@
 pub(crate) const DOMAINS: [&str; 3] = ["a", "b", "c"];
 pub(crate) const VMS: usize = 6;
 
-const PROGRAM: &str = env!("CARGO_BIN_EXE_tarragonseam");
-const EXAMPLE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/cider-festival");
 const POLL: Duration = Duration::from_millis(50);
 /// Long enough for a busy machine.
 const WAIT: Duration = Duration::from_secs(40);
@@ -31,18 +32,18 @@
 impl Bench {
     /// Starts a deployment whose configuration is in force on every VM.
     pub(crate) async fn start() -> Self {
-        let mut plan = Plan::new(EXAMPLE)
+        let mut plan = Plan::new(common::FESTIVAL)
             .vms(VMS, &DOMAINS)
             .engines("tasting-notes", 3, &DOMAINS)
             .services("entry-registry", 3, &DOMAINS);
         for vm in &mut plan.vms {
             vm.entry_settings = "test_faults = true\ndrain_ms = 2000\n".to_string();
         }
-        let deployment = Deployment::start(Path::new(PROGRAM), &plan).await.unwrap();
+        let deployment = common::bare(&plan).await;
         let bench = Self { deployment };
         let text = "\n[accounts.steady]\nwhen_isolated = \"serve\"\n";
         bench.append("accounts/tarragonseam.toml", text);
-        bench.good(&["publish", &bench.tree()]);
+        common::publish(&bench.deployment);
         bench.deployment.wait_ready().await.unwrap();
         bench
             .wait("the VMs to know each other", |status| {
@@ -69,25 +70,19 @@
 
     /// Runs a command of the operators' program against the platform.
     pub(crate) fn run(&self, arguments: &[&str]) -> Output {
-        self.command(arguments).output().unwrap()
+        common::run(&self.deployment, arguments)
     }
 
     pub(crate) fn command(&self, arguments: &[&str]) -> Command {
-        let platform = format!("--platform={}", self.deployment.platform);
-        let mut command = Command::new(PROGRAM);
-        command.args(arguments).arg(platform);
-        command
+        common::command(&self.deployment, arguments)
     }
 
     pub(crate) fn good(&self, arguments: &[&str]) -> String {
-        let output = self.run(arguments);
-        assert!(output.status.success(), "{arguments:?}: {output:?}");
-        String::from_utf8(output.stdout).unwrap()
+        common::good(&self.deployment, arguments)
     }
 
     pub(crate) fn key(&self, account: &str) -> String {
-        let text = self.good(&["key", "issue", account]);
-        text.trim().to_string()
+        common::issue_key(&self.deployment, account)
     }
 
     pub(crate) async fn fault(&self, switches: Value) {
@@ -95,9 +90,7 @@
     }
 
     async fn post(&self, to: SocketAddr, switches: &Value) {
-        let call = Call::post("/fault", switches.to_string());
-        let answer = self.deployment.pool.fetch(to, call).await.unwrap();
-        assert!(answer.status.is_success(), "{answer:?}");
+        common::fault(&self.deployment, to, switches).await;
     }
 
     pub(crate) fn places(&self, domain: &str) -> Vec<usize> {
