entry: refuse step numbers whose lots have no number

`POST /v1/trainers/NAME/steps/` ended the entry daemon where overflow is checked: the range of a step's lots is its number times the lots of a step. The step's object stays on the platform and every VM follows steps, so one call of a trainer ended them all, also after a restart. Without the check the product wraps, and the lots of a low step are taken for those of the high one. Found by fuzzing the handlers: reading showed the product, the target `handler` the end of the daemon (step.rs:41, attempt to add with overflow).

A name of a step has a number of 32 bits now, whoever makes it: a request is refused with `bad-number`, an object of such a step is passed over. Ruled out: saturating, as two steps would share their last lots.

--- a/crates/cli/tests/callers/main.rs
+++ b/crates/cli/tests/callers/main.rs
@@ -12,4 +12,5 @@
 mod service;
 mod shutdown;
 mod tls;
+mod trainer;
 mod world;
--- a/crates/entry/src/rollout/step.rs
+++ b/crates/entry/src/rollout/step.rs
@@ -21,7 +21,16 @@
     pub(crate) number: u64,
 }
 
+/// The highest number of a step, so that the numbers of its lots fit.
+const NUMBER_MAX: u64 = u32::MAX as u64;
+
 impl Name {
+    /// Returns the name of a step; `None` for a number above the highest.
+    pub(crate) fn new(trainer: &str, number: u64) -> Option<Self> {
+        let trainer = trainer.to_string();
+        (number <= NUMBER_MAX).then_some(Self { trainer, number })
+    }
+
     /// Returns the name of the step's object.
     pub(crate) fn object(&self) -> String {
         format!("{}.{}", self.trainer, self.number)
@@ -29,10 +38,7 @@
 
     fn parse(object: &str) -> Option<Self> {
         let (trainer, number) = object.rsplit_once('.')?;
-        Some(Self {
-            trainer: trainer.to_string(),
-            number: number.parse().ok()?,
-        })
+        Self::new(trainer, number.parse().ok()?)
     }
 
     /// Returns the numbers of its lots.
--- a/crates/entry/src/trainer.rs
+++ b/crates/entry/src/trainer.rs
@@ -89,8 +89,12 @@
 }
 
 fn number(text: &str) -> Result<u64, Failure> {
-    text.parse()
-        .map_err(|_| Failure::rejected(StatusCode::BAD_REQUEST, "bad-number", "not a number"))
+    text.parse().map_err(|_| bad_number())
+}
+
+fn bad_number() -> Failure {
+    let detail = "not a number, or above the highest";
+    Failure::rejected(StatusCode::BAD_REQUEST, "bad-number", detail)
 }
 
 fn body<T: for<'a> Deserialize<'a>>(request: &Request) -> Result<T, Failure> {
@@ -119,6 +123,7 @@
     trainer: &Trainer,
     number: u64,
 ) -> Result<Reply, Failure> {
+    let step_name = step::Name::new(name, number).ok_or_else(bad_number)?;
     let step: Step = body(request)?;
     if step.prompts.len() != trainer.groups_per_step as usize {
         let detail = format!("a step has {} prompts", trainer.groups_per_step);
@@ -142,10 +147,6 @@
             "the step was declared with other prompts",
         ));
     }
-    let step_name = step::Name {
-        trainer: name.to_string(),
-        number,
-    };
     step::open(vm, step_name, Some(Rc::new(step)), 0);
     let lots = trainer.lots_per_step();
     let declared = Declared {
