--- a/crates/cli/tests/callers/tls.rs
+++ b/crates/cli/tests/callers/tls.rs
@@ -131,3 +131,28 @@
         world.deployment.vms[0].entry.exit_code() == Some(0)
     });
 }
+
+const IDLE: usize = 400;
+/// A caller's session, its connection and what the allocator keeps of both.
+const IDLE_BYTES: u64 = 128 * 1024;
+
+#[test]
+fn memory_idle_over_tls() {
+    let (mut world, config) = start();
+    let look_up = |world: &World| {
+        let mut caller = connect(world, &config);
+        caller.write_all(b"GET /nowhere HTTP/1.1\r\n\r\n").unwrap();
+        let mut begin = [0; 12];
+        caller.read_exact(&mut begin).unwrap();
+        assert_eq!(&begin, b"HTTP/1.1 404");
+        caller
+    };
+    drop((0..50).map(|_| look_up(&world)).collect::<Vec<_>>());
+    let before = world.resident();
+    let idle: Vec<_> = (0..IDLE).map(|_| look_up(&world)).collect();
+    let each = (world.resident() - before) * 1024 / IDLE as u64;
+    println!("{each} bytes for each of {IDLE} idle connections over TLS");
+    assert!(each < IDLE_BYTES, "{each} bytes each");
+    drop(idle);
+    world.assert_well();
+}
