--- a/crates/lab/src/measurement/kind.rs
+++ b/crates/lab/src/measurement/kind.rs
@@ -8,13 +8,13 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Kind {
     /// Decisions of many VMs in simulated time, by the experiment's name.
-    Simulation(String),
+    Decisions(String),
     /// What an entry daemon adds to a call.
     Entry,
     /// Gossip between VMs without sockets.
-    GossipModel,
+    SwarmDecisions,
     /// Gossip between processes.
-    GossipProcesses,
+    SwarmProcesses,
     /// Calls of the daemons to the platform.
     ControlCalls,
     /// Takeover of a lease.
@@ -30,8 +30,8 @@
 /// Words of a command line, all of which tell one experiment.
 const COMMANDS: [(&[&str], Kind); 8] = [
     (&["tarragonseam-experiment", "entry"], Kind::Entry),
-    (&["tarragonseam-swarm", "decisions"], Kind::GossipModel),
-    (&["tarragonseam-swarm", "processes"], Kind::GossipProcesses),
+    (&["tarragonseam-swarm", "decisions"], Kind::SwarmDecisions),
+    (&["tarragonseam-swarm", "processes"], Kind::SwarmProcesses),
     (&["control_calls", "calls"], Kind::ControlCalls),
     (&["control_calls", "takeover"], Kind::Takeover),
     (&["measure_calls"], Kind::LotCalls),
@@ -43,7 +43,7 @@
     /// Returns what `value` is of, if it says so.
     pub(crate) fn of(value: &Value) -> Option<Self> {
         if let Some(name) = value["experiment"].as_str() {
-            return Some(Self::Simulation(name.to_string()));
+            return Some(Self::Decisions(name.to_string()));
         }
         let command = value["command"].as_str()?;
         let words: Vec<_> = command.split_whitespace().map(program).collect();
@@ -61,10 +61,10 @@
 impl fmt::Display for Kind {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Self::Simulation(name) => name,
+            Self::Decisions(name) => name,
             Self::Entry => "entry",
-            Self::GossipModel => "swarm decisions",
-            Self::GossipProcesses => "swarm processes",
+            Self::SwarmDecisions => "swarm decisions",
+            Self::SwarmProcesses => "swarm processes",
             Self::ControlCalls => "control calls",
             Self::Takeover => "control takeover",
             Self::LotCalls => "rollouts calls",
--- a/crates/lab/src/measurement/mod.rs
+++ b/crates/lab/src/measurement/mod.rs
@@ -80,7 +80,7 @@
         });
     }
     match a.kind {
-        Kind::Simulation(_) => Ok(report::compare(&a.typed()?, &b.typed()?)),
+        Kind::Decisions(_) => Ok(report::compare(&a.typed()?, &b.typed()?)),
         _ => Ok(table(a, b)),
     }
 }
--- a/crates/lab/src/plot/mod.rs
+++ b/crates/lab/src/plot/mod.rs
@@ -46,9 +46,9 @@
 
 fn charts(measurement: &Measurement) -> Result<Vec<Chart>, Error> {
     match &measurement.kind {
-        Kind::Simulation(_) => Ok(callers::charts(&measurement.typed::<File>()?)),
+        Kind::Decisions(_) => Ok(callers::charts(&measurement.typed::<File>()?)),
         Kind::Entry => Ok(entry::charts(&measurement.typed()?)),
-        Kind::GossipModel | Kind::GossipProcesses => {
+        Kind::SwarmDecisions | Kind::SwarmProcesses => {
             Ok(vec![control::swarm(&measurement.typed()?)])
         }
         Kind::ControlCalls => Ok(vec![control::calls(&measurement.typed()?)]),
