--- /dev/null
+++ b/fuzz/fuzz_targets/gossip.rs
@@ -0,0 +1,52 @@
+//! Datagrams and texts of a configuration, taken in by one VM's board.
+
+#![no_main]
+
+use std::{net::SocketAddr, time::Duration};
+
+use board::{Board, Time};
+use libfuzzer_sys::fuzz_target;
+use policy::{dissemination, membership};
+use wire::{Gram, decode};
+
+/// The largest length of one message, told by one byte in units of 8.
+const UNIT: usize = 8;
+
+fn take(board: &mut Board, now: Time, from: SocketAddr, bytes: &[u8]) {
+    match decode::<Gram>(bytes) {
+        Ok(Gram::Member(packet)) => drop(membership::receive(board, now, from, &packet)),
+        Ok(Gram::News(items)) => {
+            let known: Vec<_> = items
+                .iter()
+                .map(|item| board.shared.version(item.fact.kind(), &item.fact.name()))
+                .collect();
+            dissemination::take(board, items.clone());
+            for (item, before) in items.iter().zip(known) {
+                let after = board.shared.version(item.fact.kind(), &item.fact.name());
+                assert!(after >= before, "a fact went back");
+            }
+        }
+        Ok(Gram::Loads(_)) => {}
+        Err(_) => dissemination::take_part(board, String::from_utf8_lossy(bytes).into_owned()),
+    }
+}
+
+fuzz_target!(|bytes: &[u8]| {
+    let from: SocketAddr = "127.0.0.1:9002".parse().expect("an address");
+    let config = membership::Config::new();
+    let mut board = Board::new("vm-1", "a", 7);
+    let mut now = Time::default();
+    let mut rest = bytes;
+    while let [length, step, tail @ ..] = rest {
+        let (message, next) = tail.split_at(tail.len().min(usize::from(*length) * UNIT));
+        now = now + Duration::from_millis(u64::from(*step) * 20);
+        take(&mut board, now, from, message);
+        let revision = board.revision;
+        for order in membership::step(&mut board, now, &config) {
+            let packet = wire::encode(&Gram::Member(order.packet));
+            packet.expect("a packet of our own encodes");
+        }
+        assert!(board.revision >= revision, "the configuration went back");
+        rest = next;
+    }
+});
--- /dev/null
+++ b/fuzz/fuzz_targets/handler.rs
@@ -0,0 +1,161 @@
+//! Requests with a good key through the handlers of an entry daemon, before a
+//! stand-in of the platform and without endpoints.
+
+#![no_main]
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::OnceLock,
+    thread,
+    time::Duration,
+};
+
+use board::{
+    config::{Manifest, Part, manifest},
+    key::{Digest, Grant},
+};
+use fakes::{Config, Running, platform};
+use libfuzzer_sys::fuzz_target;
+use link::platform::{Client, When};
+
+/// The key of the only account.
+const KEY: &str = "fuzz-key";
+const FILE: &str = r#"
+[accounts.a]
+[models.m]
+max_tokens = 8
+deadline_ms = 20
+[services.s]
+[routes.r]
+path = "/r"
+service = "s"
+deadline_ms = 20
+[trainers.t]
+account = "a"
+model = "m"
+scorer = "127.0.0.1:1"
+group = 1
+groups_per_step = 1
+groups_per_lot = 1
+max_tokens = 8
+max_staleness = 1
+"#;
+
+/// What is called; `#` stands for the number in the input.
+const CALLS: [&str; 9] = [
+    "POST /v1/models/m/generate",
+    "POST /v1/trainers/t/steps/#",
+    "GET /v1/trainers/t/lots/#",
+    "POST /v1/trainers/t/lots/#/ack",
+    "GET /v1/trainers/t/cursor",
+    "POST /v1/trainers/t/weights",
+    "POST /r",
+    "GET /r/#?a=#",
+    "GET /v1/trainers/t/lots/0?wait_ms=#",
+];
+const ANSWER_TIME: Duration = Duration::from_secs(20);
+const POLL: Duration = Duration::from_millis(20);
+
+struct Daemon {
+    address: SocketAddr,
+    _platform: Running,
+}
+
+async fn fill(platform: SocketAddr) {
+    let client = Client::new(platform, "fuzz");
+    let part = Part {
+        file: "tarragonseam.toml".to_string(),
+        text: FILE.to_string(),
+    };
+    let manifest: Manifest = manifest::of_parts(1, std::slice::from_ref(&part));
+    let name = manifest.parts[0].digest.to_string();
+    let grant = Grant {
+        account: "a".to_string(),
+        withdrawn: false,
+    };
+    let text = client.put(manifest::PART_KIND, &name, When::Absent, part.text);
+    text.await.expect("the text");
+    let pointer = client.write(manifest::KIND, manifest::CURRENT, When::Absent, &manifest);
+    pointer.await.expect("the manifest");
+    let name = Digest::of(KEY).to_string();
+    let key = client.write("key", &name, When::Absent, &grant);
+    key.await.expect("the key");
+}
+
+/// Returns an address that was free a moment ago.
+fn free() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("its address")
+}
+
+fn start() -> Daemon {
+    let config = platform::Config {
+        writes_per_s: 1_000_000,
+        reads_per_s: 1_000_000,
+        ..platform::Config::default()
+    };
+    let platform = fakes::spawn(Config::Platform(config)).expect("a platform");
+    link::runtime::run(fill(platform.address())).expect("a runtime");
+    let (address, peers, admin) = (free(), free(), free());
+    let settings = format!(
+        "vm = \"v\"\nfailure_domain = \"a\"\ncallers = \"{address}\"\npeers = \"{peers}\"\n\
+         admin = \"{admin}\"\nplatform = \"{}\"\n",
+        platform.address()
+    );
+    let settings = toml::from_str(&settings).expect("settings");
+    thread::spawn(|| entry::run(settings).expect("an entry daemon"));
+    while !ask(address, CALLS[4], "0", b"").starts_with(b"HTTP/1.1 200") {
+        thread::sleep(POLL);
+    }
+    Daemon {
+        address,
+        _platform: platform,
+    }
+}
+
+fn ask(address: SocketAddr, call: &str, number: &str, body: &[u8]) -> Vec<u8> {
+    let Ok(mut stream) = TcpStream::connect(address) else {
+        return Vec::new();
+    };
+    let limit = stream.set_read_timeout(Some(ANSWER_TIME));
+    limit.expect("a time limit");
+    let call = call.replace('#', number);
+    let head = format!(
+        "{call} HTTP/1.1\r\nauthorization: Bearer {KEY}\r\nx-deadline-ms: 20\r\n\
+         connection: close\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    let _ = stream.write_all(&[head.as_bytes(), body].concat());
+    let mut back = Vec::new();
+    if let Err(e) = stream.read_to_end(&mut back) {
+        assert_ne!(e.kind(), std::io::ErrorKind::WouldBlock, "no end in time");
+    }
+    back
+}
+
+fuzz_target!(|bytes: &[u8]| {
+    static DAEMON: OnceLock<Daemon> = OnceLock::new();
+    let daemon = DAEMON.get_or_init(start);
+    let [choice, rest @ ..] = bytes else {
+        return;
+    };
+    let (number, body) = match rest.iter().position(|byte| *byte == b'\n') {
+        Some(end) => (&rest[..end], &rest[end + 1..]),
+        None => (&b"0"[..], rest),
+    };
+    let is_plain = |byte: &u8| byte.is_ascii_alphanumeric() || b"-._~%/".contains(byte);
+    let number: String = number
+        .iter()
+        .filter(|b| is_plain(b))
+        .map(|b| *b as char)
+        .collect();
+    let call = CALLS[usize::from(*choice) % CALLS.len()];
+    // A long wait for a lot is no fault.
+    let number = match call.contains("wait_ms") {
+        true => "5",
+        false => &number,
+    };
+    let back = ask(daemon.address, call, number, body);
+    assert!(back.starts_with(b"HTTP/1.1 "), "no answer to {call}");
+});
--- /dev/null
+++ b/fuzz/fuzz_targets/platform.rs
@@ -0,0 +1,66 @@
+//! What the platform holds and answers, read by the client and the records
+//! that the daemons read it into.
+
+#![no_main]
+
+mod stand;
+
+use std::time::Duration;
+
+use board::{config::Manifest, key::Grant, lease, lot, usage};
+use libfuzzer_sys::fuzz_target;
+use link::platform::{Client, Error, When};
+use serde::{Serialize, de::DeserializeOwned};
+
+/// A record that reads must be written so that it reads the same.
+fn round<T: Serialize + DeserializeOwned>(bytes: &[u8]) {
+    let Ok(record) = serde_json::from_slice::<T>(bytes) else {
+        return;
+    };
+    let text = serde_json::to_vec(&record).expect("a record of our own");
+    let again: T = serde_json::from_slice(&text).expect("what we wrote");
+    assert_eq!(serde_json::to_vec(&again).expect("the same"), text);
+}
+
+fn framed(status: &str, body: &[u8]) -> Vec<u8> {
+    let head = format!(
+        "HTTP/1.1 {status}\r\netag: \"3\"\r\ncontent-length: {}\r\nconnection: close\r\n\r\n",
+        body.len()
+    );
+    [head.as_bytes(), body].concat()
+}
+
+async fn call(client: &Client, choice: u8) -> Result<(), Error> {
+    match choice {
+        0 => client.get("lease", "x").await.map(drop),
+        1 => client.list("key", "").await.map(drop),
+        2 => client.watch("key", 1, Duration::ZERO).await.map(drop),
+        3 => client.vms().await.map(drop),
+        4 => client.endpoints(None).await.map(drop),
+        _ => client.put("lease", "x", When::Absent, "{}").await.map(drop),
+    }
+}
+
+fuzz_target!(|bytes: &[u8]| {
+    let [choice, status, body @ ..] = bytes else {
+        return;
+    };
+    round::<Manifest>(body);
+    round::<Grant>(body);
+    round::<lease::Record>(body);
+    round::<lot::Manifest>(body);
+    round::<usage::Record>(body);
+    let status = match status % 5 {
+        0 | 1 => "200 OK",
+        2 => "412 Precondition Failed",
+        3 => "503 Service Unavailable",
+        _ => "429 Too Many Requests",
+    };
+    let address = stand::answer(framed(status, body));
+    let done = link::runtime::run(async move {
+        let client = Client::new(address, "vm-1");
+        call(&client, choice % 6).await
+    });
+    // Any error is one of the client's own.
+    let _ = done.expect("a runtime");
+});
--- /dev/null
+++ b/fuzz/fuzz_targets/request.rs
@@ -0,0 +1,64 @@
+//! Bytes of a caller, as they come from a socket, through the server and the
+//! readers that handlers use.
+
+#![no_main]
+
+use std::{
+    io::{Read, Write},
+    net::{Shutdown, SocketAddr, TcpStream},
+    sync::OnceLock,
+    time::Duration,
+};
+
+use libfuzzer_sys::fuzz_target;
+use link::http::{
+    Limits, Reply, Request,
+    server::{self, Drain},
+};
+use serde_json::Value;
+
+/// The patience with an answer; the server's own limits are far shorter.
+const ANSWER_TIME: Duration = Duration::from_secs(20);
+
+async fn answer(request: Request) -> Reply {
+    let _ = (request.query("wait_ms"), request.header("authorization"));
+    let count = request.segments().len();
+    match request.json::<Value>() {
+        Ok(value) => Reply::json(link::StatusCode::OK, &value),
+        Err(reply) if count == 0 => reply,
+        Err(_) => Reply::new(link::StatusCode::OK, request.body),
+    }
+}
+
+fn start() -> SocketAddr {
+    let (sender, receiver) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        link::runtime::run(async move {
+            let any = "127.0.0.1:0".parse().expect("an address");
+            let listener = link::net::listen(any).expect("a port");
+            let address = listener.local_addr().expect("its address");
+            sender.send(address).expect("someone who waits");
+            let short = Duration::from_millis(200);
+            let limits = Limits::new().head_time(short).body_time(short);
+            server::serve(listener, limits, Drain::default(), answer).await;
+        })
+    });
+    receiver.recv().expect("a server")
+}
+
+fuzz_target!(|bytes: &[u8]| {
+    static SERVER: OnceLock<SocketAddr> = OnceLock::new();
+    let address = SERVER.get_or_init(start);
+    let mut stream = TcpStream::connect(address).expect("the server answers");
+    stream
+        .set_read_timeout(Some(ANSWER_TIME))
+        .expect("a time limit");
+    // The server may close before it has read all.
+    let _ = stream.write_all(bytes);
+    let _ = stream.shutdown(Shutdown::Write);
+    let mut back = Vec::new();
+    if let Err(e) = stream.read_to_end(&mut back) {
+        assert_ne!(e.kind(), std::io::ErrorKind::WouldBlock, "no end in time");
+    }
+    assert!(back.is_empty() || back.starts_with(b"HTTP/1."), "no answer");
+});
