--- a/crates/cli/tests/callers/main.rs
+++ b/crates/cli/tests/callers/main.rs
@@ -2,6 +2,8 @@
 
 mod account;
 mod answer;
+#[path = "../common/mod.rs"]
+mod common;
 mod fault;
 mod framing;
 mod gone;
@@ -11,4 +13,5 @@
 mod service;
 mod shutdown;
 mod tls;
+mod trainer;
 mod world;
--- a/crates/cli/tests/control_demand.rs
+++ b/crates/cli/tests/control_demand.rs
@@ -1,5 +1,6 @@
 //! Endpoints follow the load of real processes.
 
+mod common;
 mod control_setup;
 
 use std::{net::SocketAddr, time::Duration};
--- a/crates/cli/tests/control_lists.rs
+++ b/crates/cli/tests/control_lists.rs
@@ -1,5 +1,6 @@
 //! Who reads the platform's list of VMs.
 
+mod common;
 mod control_setup;
 
 use control_setup::{Tree, fault, get, start, until};
--- a/crates/cli/tests/control_orders.rs
+++ b/crates/cli/tests/control_orders.rs
@@ -1,5 +1,6 @@
 //! One voice to the platform: orders for endpoints by real processes.
 
+mod common;
 mod control_setup;
 
 use std::time::Duration;
--- a/crates/cli/tests/control_usage.rs
+++ b/crates/cli/tests/control_usage.rs
@@ -1,5 +1,6 @@
 //! Exact bills: usage under kills, outages and lost replies, by real processes.
 
+mod common;
 mod control_setup;
 
 use std::{
--- a/crates/cli/tests/rollouts.rs
+++ b/crates/cli/tests/rollouts.rs
@@ -1,5 +1,6 @@
 //! Trainers against whole deployments under faults.
 
+mod common;
 mod rollouts_support;
 
 use std::{cell::RefCell, time::Duration};
--- a/crates/cli/tests/rollouts_history.rs
+++ b/crates/cli/tests/rollouts_history.rs
@@ -1,5 +1,6 @@
 //! The checker of histories, tested on good and bad ones.
 
+mod common;
 mod rollouts_support;
 
 use board::lot::{Id, Lot, Sample, Span};
--- a/crates/cli/tests/rollouts_measure.rs
+++ b/crates/cli/tests/rollouts_measure.rs
@@ -2,6 +2,7 @@
 //! with `cargo test --release -p tarragonseam-cli --test rollouts_measure NAME
 //! -- --ignored --nocapture`.
 
+mod common;
 mod rollouts_support;
 
 use std::{
--- a/crates/cli/tests/rollouts_outage.rs
+++ b/crates/cli/tests/rollouts_outage.rs
@@ -1,5 +1,6 @@
 //! Lots through an outage of the platform, by real processes.
 
+mod common;
 mod control_setup;
 mod rollouts_support;
 
--- a/crates/cli/tests/rollouts_retention.rs
+++ b/crates/cli/tests/rollouts_retention.rs
@@ -1,5 +1,6 @@
 //! Deletion of what is no longer needed, by real processes under faults.
 
+mod common;
 mod control_setup;
 mod rollouts_support;
 
--- a/crates/cli/tests/spread_cut.rs
+++ b/crates/cli/tests/spread_cut.rs
@@ -1,5 +1,6 @@
 //! Outages of the platform, and failure domains that are cut off.
 
+mod common;
 mod spread;
 
 use std::time::Duration;
--- a/crates/cli/tests/spread_publish.rs
+++ b/crates/cli/tests/spread_publish.rs
@@ -1,5 +1,6 @@
 //! Publications: whole, in order, and never taken back.
 
+mod common;
 mod spread;
 
 use std::{process::Stdio, time::Duration};
