fakes: look whether a port is free without listening on it

Cause of the deployments that did not come up, "Address already in use": a block listened on each port for a moment to see whether it was free. A process that another test's thread started in that moment held the listener until its own program ran, and the stand-in that was meant to listen there could not.

Change: a block tries to connect, and takes the port if nobody answers.

`next_port_while_processes_start` starts processes on four threads beside 2,000 ports.

--- a/crates/fakes/src/deployment/block.rs
+++ b/crates/fakes/src/deployment/block.rs
@@ -1,7 +1,7 @@
 //! A block of ports that no other deployment on this machine uses.
 
 use std::{
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     path::PathBuf,
 };
 
@@ -19,8 +19,8 @@
 /// lives.
 ///
 /// Each block has an address of its own rather than ports of `127.0.0.1`: the
-/// system gives the ports of that address to outgoing connections, from a
-/// range that differs between machines, and then nothing can listen on them.
+/// system may give the ports of that address to outgoing connections, and then
+/// nothing can listen on them.
 #[derive(Debug)]
 pub struct Block {
     /// Holds the first port, which marks the block as taken.
@@ -63,7 +63,10 @@
             assert!(self.used < LAST_PORT, "the block of ports is used up");
             self.used += 1;
             let address = SocketAddr::from((self.address, self.used));
-            if TcpListener::bind(address).is_ok() {
+            // Listening there to see whether it is free would take the port for
+            // a moment: a process that another thread starts meanwhile holds
+            // the listener until its own program runs.
+            if TcpStream::connect(address).is_err() {
                 return address;
             }
         }
--- a/crates/fakes/tests/block.rs
+++ b/crates/fakes/tests/block.rs
@@ -3,6 +3,9 @@
 use std::{
     collections::BTreeSet,
     net::{Ipv4Addr, SocketAddr, TcpListener},
+    process::Command,
+    sync::atomic::{AtomicBool, Ordering},
+    thread,
 };
 
 use socket2::{Domain, Socket, Type};
@@ -38,3 +41,27 @@
     outgoing.connect(&target.into()).unwrap();
     TcpListener::bind(place).unwrap();
 }
+
+/// A process that is being started holds every descriptor of its parent for a
+/// moment: a port must be free then too.
+#[test]
+fn next_port_while_processes_start() {
+    const STARTERS: usize = 4;
+    const PORTS: usize = 2000;
+    let is_over = AtomicBool::new(false);
+    thread::scope(|scope| {
+        for _ in 0..STARTERS {
+            scope.spawn(|| {
+                while !is_over.load(Ordering::Relaxed) {
+                    Command::new("true").status().unwrap();
+                }
+            });
+        }
+        let mut block = Block::take().unwrap();
+        let taken = (0..PORTS)
+            .filter(|_| TcpListener::bind(block.next()).is_err())
+            .count();
+        is_over.store(true, Ordering::Relaxed);
+        assert_eq!(taken, 0, "of {PORTS} ports");
+    });
+}
