policy: a holder renews also when others rank before it

A VM that took a lease before it knew the others was no candidate once it did, then looked every 15 s as the others that are none, and so lost the lease after 6 s: another took it some 8 s later, without any fault. Ruled out: a VM that reads the list without being a relay; the status of all stewards showed the lease of reports moved, from epoch 1 to 2.

A holder renews four times a term at least (step_holder_that_looks_seldom_renews, which fails without the change). The test also waits for the first holder now: it took a VM to be no reporter when nobody was.

--- a/crates/cli/tests/control_lists.rs
+++ b/crates/cli/tests/control_lists.rs
@@ -2,7 +2,7 @@
 
 mod control_setup;
 
-use control_setup::{Tree, fault, get, start, until};
+use control_setup::{Tree, fault, get, holder, start, until};
 use fakes::deployment::{Deployment, Plan};
 use serde_json::json;
 
@@ -42,15 +42,14 @@
     link::runtime::run(async {
         let deployment = start(&plan).await;
         let relays = relays(&deployment).await;
-        let mut others = Vec::new();
-        for (place, vm) in deployment.vms.iter().enumerate() {
-            let status = get(&deployment, vm.steward_admin, "/status").await;
-            // Whoever reports usage reads the list once a window.
-            if !relays.contains(&place) && status["reports_epoch"].is_null() {
-                others.push(place);
-            }
-        }
-        let one = others[0];
+        // Whoever reports usage reads the list once it closes a window.
+        let (reporter, _) = until("holder", async || {
+            holder(&deployment, "reports_epoch", "a", None).await
+        })
+        .await;
+        let others = 0..deployment.vms.len();
+        let mut others = others.filter(|vm| !relays.contains(vm) && *vm != reporter);
+        let one = others.next().unwrap();
         let (before, of_relay) = (
             lists(&deployment, one).await,
             lists(&deployment, relays[0]).await,
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -15,6 +15,9 @@
 /// seldom do not write against a version that is long gone.
 const LOOK_FRESH: Duration = Duration::from_secs(1);
 
+/// How often a holder renews in the time of one term, at least.
+const RENEWALS: u32 = 4;
+
 /// How many VMs of a rendezvous look at a lease often.
 const CANDIDATES: usize = 3;
 
@@ -76,7 +79,12 @@
     if now < lease.next {
         return Step::Wait;
     }
-    lease.next = now + terms.period;
+    // A holder that is no longer among those that look often still renews.
+    let period = match lease.held {
+        Some(_) => renewal(terms),
+        None => terms.period,
+    };
+    lease.next = now + period;
     let Some((version, record, since)) = lease.seen.clone() else {
         return Step::Read;
     };
@@ -155,6 +163,7 @@
             let until = sent + (terms.ttl - terms.margin);
             lease.held = Some((record.epoch, until));
             lease.seen = Some((version, record, sent));
+            lease.next = lease.next.min(sent + renewal(terms));
         }
         Outcome::Unsettled => lease.unsettled = Some((record, sent)),
     }
@@ -206,6 +215,11 @@
     }
 }
 
+/// Returns how long after a write a holder renews.
+fn renewal(terms: Terms) -> Duration {
+    terms.period.min(terms.ttl / RENEWALS)
+}
+
 /// Returns how long a version must have been seen before it can be replaced.
 fn wait(record: &Record, terms: Terms) -> Duration {
     Duration::from_millis(record.ttl_ms) + terms.margin
--- a/crates/policy/tests/lease.rs
+++ b/crates/policy/tests/lease.rs
@@ -4,10 +4,13 @@
 
 use std::time::Duration;
 
-use board::lease::{SEND_MAX, Terms};
+use board::{
+    Time,
+    lease::{Lease, SEND_MAX, Terms},
+};
 use lease_model::{Event, Fault, World};
 use proptest::prelude::*;
-use tarragonseam_policy::lease::period;
+use tarragonseam_policy::lease::{Outcome, Step, epoch, period, read, step, wrote};
 
 fn event() -> impl Strategy<Value = Event> {
     let fault = prop_oneof![
@@ -103,3 +106,26 @@
         assert!(more < 30.0, "{more} looks a minute more at {count} VMs");
     }
 }
+
+#[test]
+fn step_holder_that_looks_seldom_renews() {
+    let terms = Terms {
+        period: Terms::default().ttl * 3,
+        ..Terms::default()
+    };
+    let (mut lease, mut now) = (Lease::new(1), Time::from_millis(10_000));
+    let mut version = 0;
+    for _ in 0..2000 {
+        now = now + Duration::from_millis(10);
+        match step(&mut lease, now, terms, "vm-1") {
+            Step::Wait => {}
+            Step::Read => read(&mut lease, now, None, terms),
+            Step::Write { record, .. } => {
+                version += 1;
+                wrote(&mut lease, now, record, Outcome::Written(version), terms);
+            }
+        }
+        assert!(version == 0 || epoch(&lease, now) == Some(1), "{now:?}");
+    }
+    assert!(version > 1);
+}
