--- a/crates/fakes/src/bin/tarragonseam-swarm/main.rs
+++ b/crates/fakes/src/bin/tarragonseam-swarm/main.rs
@@ -7,7 +7,7 @@
 mod row;
 mod traffic;
 
-use std::path::PathBuf;
+use std::{path::PathBuf, time::Duration};
 
 use clap::Parser;
 
@@ -49,6 +49,9 @@
         /// Seconds of the quiet part.
         #[arg(long, default_value_t = 15)]
         seconds: u64,
+        /// Seconds between the start and the quiet part.
+        #[arg(long, default_value_t = 5)]
+        settle: u64,
     },
 }
 
@@ -63,8 +66,15 @@
             tree,
             vms,
             seconds,
+            settle,
         } => {
-            let run = |count| link::runtime::run(processes::run(&program, &tree, count, seconds));
+            let setup = processes::Setup {
+                program,
+                tree,
+                settle: Duration::from_secs(settle),
+                quiet: Duration::from_secs(seconds),
+            };
+            let run = |count| link::runtime::run(processes::run(&setup, count));
             vms.into_iter()
                 .map(|count| run(count).expect("a runtime"))
                 .collect()
--- a/crates/fakes/src/bin/tarragonseam-swarm/processes.rs
+++ b/crates/fakes/src/bin/tarragonseam-swarm/processes.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs,
-    path::Path,
+    path::{Path, PathBuf},
     time::{Duration, Instant},
 };
 
@@ -20,8 +20,17 @@
     traffic,
 };
 
-/// How long a deployment settles before it is measured.
-const SETTLE_TIME: Duration = Duration::from_secs(5);
+/// What is measured, and for how long.
+pub(crate) struct Setup {
+    /// The program with the daemons.
+    pub(crate) program: PathBuf,
+    /// The operators' files.
+    pub(crate) tree: PathBuf,
+    /// From the start to the quiet part.
+    pub(crate) settle: Duration,
+    /// The length of the quiet part.
+    pub(crate) quiet: Duration,
+}
 
 /// A running deployment, and the program that operators use.
 struct Site<'a> {
@@ -29,9 +38,10 @@
     deployment: Deployment,
 }
 
-/// Measures a deployment of `vms` VMs with the files in `tree`.
-pub(crate) async fn run(program: &Path, tree: &Path, vms: usize, seconds: u64) -> Row {
-    let site = Site::start(program, tree, vms).await;
+/// Measures a deployment of `vms` VMs.
+pub(crate) async fn run(setup: &Setup, vms: usize) -> Row {
+    let site = Site::start(&setup.program, &setup.tree, vms).await;
+    monoio::time::sleep(setup.settle).await;
     let mut row = Row {
         mode: "an entry and a steward process for each VM, on loopback",
         vms,
@@ -40,8 +50,7 @@
         load_average: row::load_average(),
         ..Row::default()
     };
-    site.measure_quiet(&mut row, Duration::from_secs(seconds))
-        .await;
+    site.measure_quiet(&mut row, setup.quiet).await;
     site.measure_changes(&mut row).await;
     row
 }
@@ -60,7 +69,6 @@
         };
         site.publish();
         site.deployment.wait_ready().await.expect("ready VMs");
-        monoio::time::sleep(SETTLE_TIME).await;
         site
     }
 
@@ -82,19 +90,26 @@
     /// Measures what VMs cost while nothing changes.
     async fn measure_quiet(&self, row: &mut Row, time: Duration) {
         let deployment = &self.deployment;
-        let vms = deployment.vms.iter();
-        let ids = vms.flat_map(|vm| [vm.entry.id(), vm.steward.id()]);
-        let ids: Vec<u32> = ids.flatten().collect();
-        let cpu = || ids.iter().map(|id| process::cpu_of(*id)).sum::<f64>();
+        let entries: Vec<_> = deployment.vms.iter().map(|vm| vm.entry.id()).collect();
+        let stewards: Vec<_> = deployment.vms.iter().map(|vm| vm.steward.id()).collect();
+        let cpu = |ids: &[Option<u32>]| -> f64 {
+            let ids = ids.iter().flatten();
+            ids.map(|id| process::cpu_of(*id)).sum()
+        };
         let bytes = traffic::bytes(deployment).await;
         let calls = traffic::calls(deployment).await;
-        let (used, start) = (cpu(), Instant::now());
+        let (of_entries, of_stewards, start) = (cpu(&entries), cpu(&stewards), Instant::now());
         monoio::time::sleep(time).await;
         let took = start.elapsed().as_secs_f64();
-        let used = cpu() - used;
-        let memory = ids.iter().map(|id| process::memory_of(&id.to_string()));
+        let of_entries = cpu(&entries) - of_entries;
+        let of_stewards = cpu(&stewards) - of_stewards;
+        let ids = entries.iter().chain(&stewards).flatten();
+        let memory = ids.map(|id| process::memory_of(&id.to_string()));
         let per_vm = |total: f64| total / deployment.vms.len() as f64;
-        row.quiet_core = per_vm(used) / took;
+        row.quiet_core = per_vm(of_entries + of_stewards) / took;
+        let core = json!(per_vm(of_entries) / took);
+        let name = "part of a core, entry daemon".to_string();
+        row.detail.insert(name, core);
         row.memory_bytes = per_vm(memory.sum());
         for (kind, after) in traffic::bytes(deployment).await {
             let rate = per_vm(after - bytes.get(&kind).unwrap_or(&0.0)) / took;
