rollouts: measure a trainer that declares a step ahead

A trainer that declares a step when the last is done waits for the whole of its generation: 2,048 tokens at 3,240 tokens/s are 0.63 s beside 1 s of training, so 0.39 is the least (worked out), and the slowest sample decides.

Change: measure_stragglers runs with and without second attempts, each with and without declaring the next step ahead.

Not run: a FIFO queue, samples of ten times the length, the loss of an engine's process each minute.

--- a/crates/cli/tests/rollouts_measure.rs
+++ b/crates/cli/tests/rollouts_measure.rs
@@ -153,8 +153,9 @@
 const ENGINES: usize = 9;
 
 /// Draws steps one after the other while one engine is slow and another is
-/// cut off now and then.
-async fn stragglers(rerun_percent: u32) -> Value {
+/// cut off now and then. Each step is declared `ahead` steps before the trainer
+/// comes to it.
+async fn stragglers(rerun_percent: u32, ahead: u64) -> Value {
     let mut plan = run::plan(3);
     plan.backs.clear();
     let mut plan = plan.engines("tasting-notes", ENGINES, &DOMAINS);
@@ -175,11 +176,17 @@
     let mut waited = Duration::ZERO;
     let mut lot_ms = Vec::new();
     let mut ages: BTreeMap<u64, u64> = BTreeMap::new();
+    let mut next = 0;
+    let mut declared_at = Vec::new();
     for step in 0..STEPS {
-        let declared = Instant::now();
         let version = step + 2;
         bench.raise_weights(&rng, version).await;
-        bench.declare(&rng, step, 0).await;
+        while next < STEPS && next <= step + ahead {
+            declared_at.push(Instant::now());
+            bench.declare(&rng, next, 0).await;
+            next += 1;
+        }
+        let declared = declared_at[step as usize];
         for lot in step * 4..step * 4 + 4 {
             let asked = Instant::now();
             let draw = bench.draw(&rng, lot).await;
@@ -197,6 +204,7 @@
     lot_ms.sort_unstable();
     json!({
         "rerun_percent": rerun_percent,
+        "steps_ahead": ahead,
         "steps": STEPS,
         "idle_share": waited.as_secs_f64() / total.as_secs_f64(),
         "lot_ms": {"p50": lot_ms[lot_ms.len() / 2], "p99": lot_ms[lot_ms.len() * 99 / 100]},
@@ -248,9 +256,9 @@
 #[test]
 #[ignore = "an experiment"]
 fn measure_stragglers() {
-    let rows: Vec<_> = [0, 10, 0, 10]
+    let rows: Vec<_> = [(0, 0), (10, 0), (0, 1), (10, 1)]
         .into_iter()
-        .map(|percent| link::runtime::run(stragglers(percent)).unwrap())
+        .map(|(percent, ahead)| link::runtime::run(stragglers(percent, ahead)).unwrap())
         .collect();
     let settings = json!({"engines": ENGINES, "slow_engines": SLOW_ENGINES, "slow_factor": 10, "train_ms_a_lot": TRAIN_MS});
     println!(
