--- a/crates/entry/src/rollout/mod.rs
+++ b/crates/entry/src/rollout/mod.rs
@@ -43,8 +43,6 @@
 pub(crate) struct State {
     /// Steps with lots that are not known as sealed.
     steps: RefCell<BTreeMap<step::Name, Rc<RefCell<Open>>>>,
-    /// Whether a step was noted that the owner's task has not seen.
-    is_news: Cell<bool>,
     /// Lots that this VM produces, with the flag that ends the work.
     producing: RefCell<Map<String, Rc<Cell<bool>>>>,
     /// Since when no claim could be read or written.
--- a/crates/entry/src/rollout/owner.rs
+++ b/crates/entry/src/rollout/owner.rs
@@ -8,7 +8,6 @@
 };
 
 use board::{
-    Time,
     config::Trainer,
     lot::{Claim, Manifest},
     member,
@@ -29,8 +28,6 @@
 use crate::vm::Vm;
 
 const TICK_TIME: Duration = Duration::from_millis(500);
-/// How often a new step is looked for between two ticks.
-const NEWS_TIME: Duration = Duration::from_millis(50);
 const PRUNE_TIME: Duration = Duration::from_secs(300);
 const ASK_TIME: Duration = Duration::from_millis(500);
 
@@ -64,7 +61,7 @@
     let busy = Rc::new(RefCell::new(board::hash::Set::default()));
     let mut last = vm.now();
     loop {
-        await_tick(&vm, last + TICK_TIME).await;
+        monoio::time::sleep(TICK_TIME).await;
         let now = vm.now();
         if now - last > SILENCE_MAX {
             // This process stood still: its lots may be in other hands.
@@ -82,16 +79,6 @@
     }
 }
 
-/// Waits until `tick`, or until a new step is noted.
-async fn await_tick(vm: &Vm, tick: Time) {
-    while vm.now() < tick {
-        monoio::time::sleep(NEWS_TIME).await;
-        if vm.rollouts.is_news.take() {
-            return;
-        }
-    }
-}
-
 fn open_lots(vm: &Vm) -> Vec<Lot> {
     let steps = vm.rollouts.steps.borrow();
     let board = vm.board.borrow();
--- a/crates/entry/src/rollout/step.rs
+++ b/crates/entry/src/rollout/step.rs
@@ -134,7 +134,6 @@
         return;
     }
     steps.insert(name, Rc::new(RefCell::new(Open { content, lots })));
-    vm.rollouts.is_news.set(true);
 }
 
 /// Returns the content of a step, read from the platform at most once.
