--- a/crates/cli/tests/callers/answer.rs
+++ b/crates/cli/tests/callers/answer.rs
@@ -6,7 +6,7 @@
 
 use super::{
     raw::{self, Answer},
-    world::{self, World, plan, prompt, tokens},
+    world::{self, World, plan, prompt, tokens, tokens_of},
 };
 
 const REQUESTS: usize = 24;
@@ -31,12 +31,16 @@
         .collect()
 }
 
-fn generate(world: &World) -> Vec<Answer> {
+/// Sends requests that overlap, each with a seed of its own: the answer to
+/// another one has other tokens.
+fn generate(world: &World) -> Vec<(u64, Answer)> {
     let entry = world.entry();
-    let running: Vec<_> = (0..REQUESTS)
-        .map(|number| {
-            let request = world.generate(&prompt(TOKENS, number % 2 == 0));
-            std::thread::spawn(move || raw::ask(entry, &request).expect("an answer"))
+    let running: Vec<_> = (0..REQUESTS as u64)
+        .map(|seed| {
+            let mut body = prompt(TOKENS, seed % 2 == 0);
+            body["seed"] = seed.into();
+            let request = world.generate(&body);
+            std::thread::spawn(move || (seed, raw::ask(entry, &request).expect("an answer")))
         })
         .collect();
     running
@@ -46,15 +50,16 @@
 }
 
 /// Checks that an answer is whole and its own, or a refusal.
-fn is_whole(answer: &Answer) -> bool {
-    let whole = tokens(TOKENS).join(" ");
+fn is_whole((seed, answer): &(u64, Answer)) -> bool {
+    let own = tokens_of(*seed, TOKENS);
+    let whole = own.join(" ");
     let last = match answer.header("content-type") {
         Some("text/event-stream") => {
             let events = answer.events();
             let indices: Vec<_> = events.iter().filter_map(|e| e["index"].as_u64()).collect();
             let expected: Vec<_> = (0..indices.len() as u64).collect();
             assert_eq!(indices, expected, "lost or doubled: {events:?}");
-            for (event, token) in events.iter().zip(tokens(TOKENS)) {
+            for (event, token) in events.iter().zip(own) {
                 assert!(event["token"].is_null() || event["token"] == token);
             }
             events.last().cloned().expect("a last event")
@@ -142,7 +147,8 @@
     assert!(whole > 0);
     come_back(|| {
         let answers = generate(&world).into_iter();
-        answers.filter(|answer| !is_whole(answer)).collect()
+        let others = answers.filter(|answer| !is_whole(answer));
+        others.map(|(_, answer)| answer).collect()
     });
 }
 
--- a/crates/cli/tests/callers/world.rs
+++ b/crates/cli/tests/callers/world.rs
@@ -19,6 +19,7 @@
 pub(crate) const PROGRAM: &str = env!("CARGO_BIN_EXE_tarragonseam");
 const EXAMPLE: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/cider-festival");
 pub(crate) const MODEL: &str = "tasting-notes";
+const SEED: u64 = 7;
 pub(crate) const ACCOUNT: &str = "maison-verte";
 
 pub(crate) struct World {
@@ -156,12 +157,17 @@
 
 /// Returns a body that asks for `tokens` tokens.
 pub(crate) fn prompt(tokens: u32, stream: bool) -> Value {
-    json!({"prompt": "a still cider", "max_tokens": tokens, "stream": stream, "seed": 7})
+    json!({"prompt": "a still cider", "max_tokens": tokens, "stream": stream, "seed": SEED})
 }
 
 /// Returns the tokens that the model gives to [`prompt`].
 pub(crate) fn tokens(count: u32) -> Vec<&'static str> {
-    let token = |index| fakes::text::token(MODEL, "a still cider", 7, u64::from(index));
+    tokens_of(SEED, count)
+}
+
+/// Returns the tokens that the model gives to [`prompt`] with another seed.
+pub(crate) fn tokens_of(seed: u64, count: u32) -> Vec<&'static str> {
+    let token = |index| fakes::text::token(MODEL, "a still cider", seed, u64::from(index));
     (0..count).map(token).collect()
 }
 
