health: the first report after a silence ends the rest of an endpoint

Cause: an endpoint that failed rests up to 8 s, and nothing ended the rest when it was back. Ruled out: ending it with any good report. An endpoint that reports while its calls fail would get a failing request with each report; for calls that may not be repeated each is an answer lost. Change: a report made 3 s or more after the one before it ends the rest; failures still count, so another one brings the long rest again. Old reports told again by other VMs end nothing.

--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -23,6 +23,8 @@
     limit::Limit,
 };
 
+use crate::health;
+
 /// Slots of an endpoint that has not reported any.
 pub const DEFAULT_SLOTS: u32 = 4;
 
@@ -134,6 +136,8 @@
     let total = f64::from(load.in_flight + load.queued);
     let own = f64::from(endpoint.in_flight);
     let others = (total - own).max(0.0);
+    let made = now - Duration::from_millis(load.age_ms);
+    health::reported(endpoint, now, made);
     let known = &mut endpoint.elsewhere;
     let is_first = known.at.is_none();
     known.mean += if is_first {
@@ -142,7 +146,7 @@
         REPORT_GAIN * (others - known.mean)
     };
     known.last = others;
-    known.at = Some(now - Duration::from_millis(load.age_ms));
+    known.at = Some(made);
     let slots = f64::from(if load.slots > 0 {
         load.slots
     } else {
--- a/crates/policy/tests/recovery.rs
+++ b/crates/policy/tests/recovery.rs
@@ -7,11 +7,14 @@
 use board::{
     Board, Time,
     config::Class,
-    endpoint::{self, Tenure},
+    endpoint::{self, Load, Tenure},
     ticket::{self, Ticket},
 };
 use common::{SERVICE, add, empty, sent, ticket as request};
-use tarragonseam_policy::call::{self, Order, Outcome, Reason, Refusal};
+use tarragonseam_policy::{
+    call::{self, Order, Outcome, Reason, Refusal},
+    limit,
+};
 
 const SLOTS: u32 = 2;
 const PATIENCE: Duration = Duration::from_secs(2);
@@ -204,3 +207,38 @@
         }
     }
 }
+
+/// A fresh report after a silence ends the rest of an endpoint that was out of
+/// reach. Reports that went on while it failed do not, nor does an old one that
+/// another VM tells again.
+#[test]
+fn rest_ended_by_report() {
+    // Seconds since the last report before the failures, age of the new one,
+    // and whether the endpoint rests on.
+    let cases = [(10, 0, false), (1, 0, true), (10, 10, true)];
+    for (silence_s, age_s, is_resting) in cases {
+        let mut board = empty();
+        let key = add(&mut board, "e1", "a", Tenure::Stable, SLOTS);
+        let now = Time::from_millis(60_000);
+        let report = |board: &mut Board, at: Time, age_s: u64| {
+            let load = Load {
+                slots: SLOTS,
+                age_ms: age_s * 1000,
+                ..Load::default()
+            };
+            limit::report(board.endpoints.get_mut(key).unwrap(), at, load, 1);
+        };
+        report(&mut board, now - Duration::from_secs(silence_s), 0);
+        for _ in 0..6 {
+            board.endpoints.get_mut(key).unwrap().rest_until = Time::ZERO;
+            let (ticket, _) = call::start_now(&mut board, now, request("a", Class::Caller, now))
+                .expect("a free place");
+            call::finish(&mut board, now, ticket, Outcome::Failed);
+        }
+        let rest = board.endpoints.get(key).unwrap().rest_until - now;
+        assert_eq!(rest, Duration::from_secs(8));
+        report(&mut board, now, age_s);
+        let sent = call::start_now(&mut board, now, request("a", Class::Caller, now));
+        assert_eq!(sent.is_none(), is_resting, "{silence_s} s, {age_s} s old");
+    }
+}
