lab: measure the entry with a given number of VMs and at a given rate

Two programs were compared each at half of its own highest rate, which the load of the machine moves by a third from run to run. `--rate` gives both the same rate, `--vms` runs one deployment in place of two.

--- a/crates/lab/src/bin/tarragonseam-experiment.rs
+++ b/crates/lab/src/bin/tarragonseam-experiment.rs
@@ -34,6 +34,13 @@
         /// For `entry`: the seconds of each phase.
         #[arg(long, default_value_t = 5)]
         seconds: u64,
+        /// For `entry`: the number of VMs, both 1 and 2 when not given.
+        #[arg(long)]
+        vms: Option<usize>,
+        /// For `entry`: calls a second of the open loops, each way, half of
+        /// the highest rate when not given.
+        #[arg(long)]
+        rate: Option<f64>,
     },
     /// Prints two results side by side.
     Compare {
@@ -55,10 +62,13 @@
             out,
             program,
             seconds,
+            vms,
+            rate,
             ..
         } if name == ENTRY => {
             let config = entry::Config::new(program.ok_or(Error::Program)?);
-            let report = entry::run(&config.seconds(seconds).seed(seed))?;
+            let config = config.seconds(seconds).seed(seed).vms(vms).rate(rate);
+            let report = entry::run(&config)?;
             print!("{}", report.table());
             out.map_or(Ok(()), |path| report.write(&path))
         }
--- a/crates/lab/src/entry/mod.rs
+++ b/crates/lab/src/entry/mod.rs
@@ -36,6 +36,11 @@
     pub seconds: u64,
     /// The seed of the arrival times.
     pub seed: u64,
+    /// The number of VMs; one run alone and one with two VMs when not set.
+    pub vms: Option<usize>,
+    /// Calls a second of the open loops, each way; half of the highest rate
+    /// when not set. Two programs are compared at the same rate.
+    pub rate: Option<f64>,
 }
 
 const SECONDS: u64 = 5;
@@ -48,6 +53,8 @@
             program: program.into(),
             seconds: SECONDS,
             seed: 1,
+            vms: None,
+            rate: None,
         }
     }
 
@@ -57,6 +64,18 @@
         self
     }
 
+    /// Sets the number of VMs.
+    pub fn vms(mut self, vms: Option<usize>) -> Self {
+        self.vms = vms;
+        self
+    }
+
+    /// Sets the calls a second of the open loops, each way.
+    pub fn rate(mut self, rate: Option<f64>) -> Self {
+        self.rate = rate;
+        self
+    }
+
     /// Sets the seed of the arrival times.
     pub fn seed(mut self, seed: u64) -> Self {
         self.seed = seed;
@@ -109,7 +128,8 @@
 /// When a process does not come up or a call of the set-up fails.
 pub fn run(config: &Config) -> Result<Report, Error> {
     let measure = |vms| link::runtime::run(site::measure(config, vms)).map_err(Error::Runtime)?;
-    let runs: Result<Vec<_>, Error> = SIZES.into_iter().map(measure).collect();
+    let sizes = config.vms.map_or(SIZES.to_vec(), |vms| vec![vms]);
+    let runs: Result<Vec<_>, Error> = sizes.into_iter().map(measure).collect();
     Ok(Report {
         command: std::env::args().collect::<Vec<_>>().join(" "),
         seed: config.seed,
--- a/crates/lab/src/entry/site.rs
+++ b/crates/lab/src/entry/site.rs
@@ -87,6 +87,7 @@
     process: u32,
     time: Duration,
     seed: u64,
+    rate: Option<f64>,
 }
 
 impl Site {
@@ -108,6 +109,7 @@
             process: deployment.vms[0].entry.id().unwrap_or_default(),
             time: Duration::from_secs(config.seconds),
             seed: config.seed,
+            rate: config.rate,
             deployment,
         };
         site.wait_answers().await?;
@@ -140,11 +142,11 @@
         let paced = self.stream(PACED, PACED_TOKENS);
         load::closed(&lookup.entry, WARM_TIME);
         let lookup_closed = lookup.closed("route");
-        let lookup_open = lookup.open("route", lookup_closed.entry.rate / 2.0);
+        let lookup_open = lookup.open("route", self.rate(&lookup_closed));
         let lookup_low = lookup.open("route", LOW_RATE);
         load::closed(&fast.entry, WARM_TIME);
         let fast_closed = fast.closed("stream of 1 token");
-        let fast_open = fast.open("stream of 1 token", fast_closed.entry.rate / 2.0);
+        let fast_open = fast.open("stream of 1 token", self.rate(&fast_closed));
         let fast_low = fast.open("stream of 1 token", LOW_RATE);
         let paced_closed = paced.closed(&format!(
             "streams of {PACED_TOKENS} tokens, {PACED_RATE} tokens a second"
@@ -160,6 +162,10 @@
         ]
     }
 
+    fn rate(&self, closed: &Phase) -> f64 {
+        self.rate.unwrap_or(closed.entry.rate / 2.0)
+    }
+
     /// Calls of a public route.
     fn lookup(&self) -> Stage {
         let call: Arc<dyn Fn(u64) -> Call + Send + Sync> = Arc::new(|_| Call::get("/entries/4711"));
