--- a/crates/entry/src/usage/mod.rs
+++ b/crates/entry/src/usage/mod.rs
@@ -34,7 +34,8 @@
     absent: RefCell<Map<String, Time>>,
     /// Records that are not held by another VM yet.
     queue: RefCell<Vec<copy::Waiting>>,
-    is_sending: Cell<bool>,
+    /// Tasks that send the queue.
+    senders: Cell<usize>,
     /// Whether the last turn found no VM that takes records.
     is_alone: Cell<bool>,
     /// The process that holds the copies.
@@ -57,7 +58,7 @@
             vms: RefCell::default(),
             absent: RefCell::default(),
             queue: RefCell::default(),
-            is_sending: Cell::new(false),
+            senders: Cell::new(0),
             is_alone: Cell::new(false),
             holder: RefCell::default(),
             is_settling: Cell::new(false),
