--- a/crates/entry/src/usage/copy.rs
+++ b/crates/entry/src/usage/copy.rs
@@ -84,7 +84,7 @@
         monoio::time::sleep(PROBE_TIME).await;
         vm.metrics.usage_open(open_len(&vm));
         pass_on(&vm).await;
-        if vm.usage.senders.get() > 0 {
+        if vm.usage.is_sending.get() {
             continue;
         }
         if vm.usage.queue.borrow().is_empty() {
@@ -129,7 +129,7 @@
 pub(crate) async fn flush(vm: &Rc<Vm>, limit: Duration) {
     start(vm);
     let wait = async {
-        while vm.usage.senders.get() > 0 {
+        while vm.usage.is_sending.get() {
             monoio::time::sleep(HOLD_TIME / 10).await;
         }
     };
@@ -155,17 +155,11 @@
     }
 }
 
-/// Messages to holders that are under way at once. With one, a record waits
-/// for the answer to the message before its own.
-const SENDERS_MAX: usize = 4;
-
-/// Starts a task that empties the queue, unless enough of them run.
+/// Starts the task that empties the queue, unless it runs.
 fn start(vm: &Rc<Vm>) {
-    let senders = vm.usage.senders.get();
-    if vm.usage.queue.borrow().is_empty() || senders >= SENDERS_MAX {
+    if vm.usage.queue.borrow().is_empty() || vm.usage.is_sending.replace(true) {
         return;
     }
-    vm.usage.senders.set(senders + 1);
     let vm = vm.clone();
     monoio::spawn(async move {
         let mut is_going = true;
@@ -175,7 +169,7 @@
             *vm.usage.queue.borrow_mut() = rest;
             is_going = send(&vm, batch).await;
         }
-        vm.usage.senders.set(vm.usage.senders.get() - 1);
+        vm.usage.is_sending.set(false);
     });
 }
 
@@ -211,7 +205,7 @@
 ///
 /// What was sent to nobody is added up, so that a VM that stays alone holds
 /// one record for each account and window. The batch goes first again, so that
-/// no more than [`SENDERS_MAX`] of them are ever in doubt.
+/// no more than one is ever in doubt.
 fn put_back(vm: &Vm, batch: Vec<Waiting>) {
     vm.usage.is_alone.set(true);
     let mut queue = vm.usage.queue.borrow_mut();
--- a/crates/entry/src/usage/mod.rs
+++ b/crates/entry/src/usage/mod.rs
@@ -34,8 +34,7 @@
     absent: RefCell<Map<String, Time>>,
     /// Records that are not held by another VM yet.
     queue: RefCell<Vec<copy::Waiting>>,
-    /// Tasks that send the queue.
-    senders: Cell<usize>,
+    is_sending: Cell<bool>,
     /// Whether the last turn found no VM that takes records.
     is_alone: Cell<bool>,
     /// The process that holds the copies.
@@ -58,7 +57,7 @@
             vms: RefCell::default(),
             absent: RefCell::default(),
             queue: RefCell::default(),
-            senders: Cell::new(0),
+            is_sending: Cell::new(false),
             is_alone: Cell::new(false),
             holder: RefCell::default(),
             is_settling: Cell::new(false),
