--- a/crates/link/src/http/client.rs
+++ b/crates/link/src/http/client.rs
@@ -86,7 +86,7 @@
     limits: Limits,
 }
 
-const IDLE_EACH: usize = 256;
+const IDLE_EACH: usize = 64;
 const IDLE_MAX: Duration = Duration::from_secs(20);
 
 impl Pool {
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -12,8 +12,7 @@
 
 use board::hash::Map;
 use monoio::{
-    buf::IoBufMut,
-    io::{AsyncReadRent, AsyncReadRentExt, AsyncWriteRentExt},
+    io::{AsyncReadRentExt, AsyncWriteRentExt},
     net::{TcpListener, TcpStream},
 };
 use wire::{Answer, Ask, frame::FRAME_MAX};
@@ -155,37 +154,16 @@
     }
 }
 
-/// Reads one frame, which for most takes one call of the system: neither side
-/// sends a second frame before it has the answer to the first.
 async fn read_frame(stream: &mut TcpStream) -> Result<Vec<u8>, Error> {
-    let mut bytes = Vec::with_capacity(FIRST_READ_BYTES);
-    while bytes.len() < LENGTH_BYTES {
-        let start = bytes.len();
-        let (result, read) = stream.read(bytes.slice_mut(start..)).await;
-        bytes = read.into_inner();
-        if result? == 0 {
-            return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
-        }
-    }
-    let mut frame = bytes.split_off(LENGTH_BYTES);
-    let length = bytes
-        .iter()
-        .fold(0, |sum, byte| sum << 8 | usize::from(*byte));
-    if length > FRAME_MAX || frame.len() > length {
+    let length = stream.read_u32().await? as usize;
+    if length > FRAME_MAX {
         return Err(wire::Error::Size(length).into());
     }
-    let missing = length - frame.len();
-    if missing > 0 {
-        let (result, rest) = stream.read_exact(vec![0; missing]).await;
-        result?;
-        frame.extend_from_slice(&rest);
-    }
+    let (result, frame) = stream.read_exact(vec![0; length]).await;
+    result?;
     Ok(frame)
 }
 
-const LENGTH_BYTES: usize = 4;
-const FIRST_READ_BYTES: usize = 2048;
-
 async fn write_frame(stream: &mut TcpStream, frame: Vec<u8>) -> Result<(), Error> {
     let mut out = Vec::with_capacity(frame.len() + 4);
     out.extend_from_slice(&(frame.len() as u32).to_be_bytes());
