lab: read and draw the control measurements as they are kept now

Ruled out: reading both shapes, since `compare` takes two files.

Change: one file for each run, in the tool's shape; control-faults.json is a kind of its own; the test fails if a kept file has no row in its table.

--- a/crates/lab/src/measurement/kind.rs
+++ b/crates/lab/src/measurement/kind.rs
@@ -19,6 +19,8 @@
     SwarmProcesses,
     /// Calls of the daemons to the platform.
     ControlCalls,
+    /// An outage of the platform, and a slow one.
+    ControlFaults,
     /// Takeover of a lease.
     Takeover,
     /// Calls to the platform for the lots of a step.
@@ -30,12 +32,13 @@
 }
 
 /// Words of a command line, all of which tell one experiment.
-const COMMANDS: [(&[&str], Kind); 8] = [
+const COMMANDS: [(&[&str], Kind); 9] = [
     (&["tarragonseam-experiment", "entry"], Kind::Entry),
     (&["tarragonseam-swarm", "decisions"], Kind::SwarmDecisions),
     (&["tarragonseam-swarm", "processes"], Kind::SwarmProcesses),
     (&["control_calls", "calls"], Kind::ControlCalls),
     (&["control_calls", "takeover"], Kind::Takeover),
+    (&["control_faults"], Kind::ControlFaults),
     (&["measure_calls"], Kind::LotCalls),
     (&["measure_stragglers"], Kind::Stragglers),
     (&["measure_weights"], Kind::Weights),
@@ -71,6 +74,7 @@
             Self::SwarmDecisions => "swarm decisions",
             Self::SwarmProcesses => "swarm processes",
             Self::ControlCalls => "control calls",
+            Self::ControlFaults => "control faults",
             Self::Takeover => "control takeover",
             Self::LotCalls => "rollouts calls",
             Self::Stragglers => "rollouts stragglers",
--- a/crates/lab/src/plot/mod.rs
+++ b/crates/lab/src/plot/mod.rs
@@ -53,10 +53,12 @@
         }
         Kind::ControlCalls => Ok(vec![control::calls(&measurement.typed()?)]),
         Kind::Weights => Ok(vec![weights::chart(&measurement.typed()?)]),
-        Kind::Spend | Kind::Takeover | Kind::LotCalls | Kind::Stragglers => Err(Error::Chart {
-            path: measurement.path.clone(),
-            kind: measurement.kind.to_string(),
-            known: KNOWN.to_string(),
-        }),
+        Kind::Spend | Kind::ControlFaults | Kind::Takeover | Kind::LotCalls | Kind::Stragglers => {
+            Err(Error::Chart {
+                path: measurement.path.clone(),
+                kind: measurement.kind.to_string(),
+                known: KNOWN.to_string(),
+            })
+        }
     }
 }
--- a/crates/lab/tests/measurement.rs
+++ b/crates/lab/tests/measurement.rs
@@ -36,7 +36,7 @@
 }
 
 /// Every file of docs/measurements, its kind, and how many charts it has.
-const FILES: [(&str, &str, Option<usize>); 12] = [
+const FILES: [(&str, &str, Option<usize>); 14] = [
     ("callers", "callers", Some(8)),
     ("ways", "ways", Some(4)),
     ("spend", "spend", None),
@@ -45,6 +45,8 @@
     ("control-decisions", "swarm decisions", Some(1)),
     ("control-processes", "swarm processes", Some(1)),
     ("control-calls", "control calls", Some(1)),
+    ("control-calls-before", "control calls", Some(1)),
+    ("control-faults", "control faults", None),
     ("control-takeover", "control takeover", None),
     ("rollouts-calls", "rollouts calls", None),
     ("rollouts-stragglers", "rollouts stragglers", None),
@@ -53,6 +55,9 @@
 
 #[test]
 fn read_every_kept_file() {
+    let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/measurements");
+    let kept_files = fs::read_dir(folder).unwrap().count();
+    assert_eq!(kept_files, FILES.len(), "a file without a row here");
     for (name, kind, _) in FILES {
         assert_eq!(kept(name).kind.to_string(), kind, "{name}");
     }
