lab, rollouts' tests: what stood twice stands once

The experiment tool took its arguments apart three times; `Run` is a struct now, with the way of each experiment in a method, and an unknown name is answered with all that there are. The two tests of an outage share how it begins.

--- a/crates/cli/tests/rollouts_outage.rs
+++ b/crates/cli/tests/rollouts_outage.rs
@@ -7,6 +7,7 @@
 use std::{
     cell::RefCell,
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     path::Path,
 };
 
@@ -52,6 +53,23 @@
     Some(sum)
 }
 
+async fn set_outage(bench: &Bench, address: SocketAddr, is_out: bool) {
+    bench.fault(address, json!({ "outage": is_out })).await;
+}
+
+/// Declares a step and begins an outage of the platform once all of its lots
+/// are claimed, and returns their owners. Nothing is whole by then: the scorer
+/// is out too.
+async fn claim_before_outage(bench: &Bench, rng: &RefCell<StdRng>) -> Vec<String> {
+    let deployment = &bench.deployment;
+    let client = Client::new(deployment.platform, "test");
+    set_outage(bench, deployment.scorer, true).await;
+    bench.declare(rng, 0, 0).await;
+    let owners = until("claims", async || owners(&client).await).await;
+    set_outage(bench, deployment.platform, true).await;
+    owners
+}
+
 /// The owner of a lot dies in an outage of the platform. The others produce its
 /// lots meanwhile, and the trainer gets each sample once when it is over.
 #[test]
@@ -60,24 +78,13 @@
         let bench = Bench::start(&run::plan(3), 2).await;
         let rng = RefCell::new(StdRng::seed_from_u64(1));
         let deployment = &bench.deployment;
-        let client = Client::new(deployment.platform, "test");
-        // Nothing is whole before the outage.
-        bench
-            .fault(deployment.scorer, json!({ "outage": true }))
-            .await;
-        bench.declare(&rng, 0, 0).await;
-        let owners = until("claims", async || owners(&client).await).await;
-        bench
-            .fault(deployment.platform, json!({ "outage": true }))
-            .await;
+        let owners = claim_before_outage(&bench, &rng).await;
         let is_first = |vm: &&fakes::deployment::VmProcesses| vm.vm.id == owners[0];
         let lost = deployment.vms.iter().find(is_first).unwrap();
         lost.entry.signal("KILL").unwrap();
         let lost = deployment.vms.iter().position(|vm| vm.vm.id == owners[0]);
         let lost = lost.unwrap();
-        bench
-            .fault(deployment.scorer, json!({ "outage": false }))
-            .await;
+        set_outage(&bench, deployment.scorer, false).await;
         // Every sample is generated and scored while the platform is out.
         let samples = u64::from(EXPECTED.groups * EXPECTED.group);
         until("samples", async || {
@@ -97,9 +104,7 @@
             .await;
             assert!(!answer.status.is_success(), "{answer:?}");
         }
-        bench
-            .fault(deployment.platform, json!({ "outage": false }))
-            .await;
+        set_outage(&bench, deployment.platform, false).await;
         let mut ids = BTreeSet::new();
         for lot in 0..LOTS {
             let draw = bench.draw(&rng, lot).await;
@@ -145,18 +150,8 @@
         let bench = Bench::start(&plan, 2).await;
         let rng = RefCell::new(StdRng::seed_from_u64(1));
         let deployment = &bench.deployment;
-        let client = Client::new(deployment.platform, "test");
-        bench
-            .fault(deployment.scorer, json!({ "outage": true }))
-            .await;
-        bench.declare(&rng, 0, 0).await;
-        let owners = until("claims", async || owners(&client).await).await;
-        bench
-            .fault(deployment.platform, json!({ "outage": true }))
-            .await;
-        bench
-            .fault(deployment.scorer, json!({ "outage": false }))
-            .await;
+        let owners = claim_before_outage(&bench, &rng).await;
+        set_outage(&bench, deployment.scorer, false).await;
         until("files", async || {
             (files(&data).len() as u64 == LOTS).then_some(())
         })
@@ -164,9 +159,7 @@
         for vm in deployment.vms.iter().skip(DISKS) {
             vm.entry.signal("KILL").unwrap();
         }
-        bench
-            .fault(deployment.platform, json!({ "outage": false }))
-            .await;
+        set_outage(&bench, deployment.platform, false).await;
         for (lot, owner) in (0..LOTS).zip(&owners) {
             let draw = bench.draw(&rng, lot).await;
             assert!(
--- a/crates/lab/src/bin/tarragonseam-experiment.rs
+++ b/crates/lab/src/bin/tarragonseam-experiment.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 
-use clap::{Parser, Subcommand};
+use clap::{Args, Parser, Subcommand};
 use tarragonseam_lab::{Error, Measurement, entry, experiment, measurement, plot, report, spend};
 
 /// Experiments with decisions: state machines of many VMs in one process.
@@ -16,32 +16,7 @@
 #[derive(Debug, Subcommand)]
 enum Job {
     /// Runs an experiment and prints its table.
-    Run {
-        /// The name of the experiment.
-        name: String,
-        /// The first seed.
-        #[arg(long, default_value_t = 1)]
-        seed: u64,
-        /// How many seeds, one after another.
-        #[arg(long, default_value_t = 5)]
-        seeds: u64,
-        /// Where to write the results as JSON.
-        #[arg(long)]
-        out: Option<String>,
-        /// For `entry`: the program with the daemons.
-        #[arg(long)]
-        program: Option<PathBuf>,
-        /// For `entry`: the seconds of each phase.
-        #[arg(long, default_value_t = 5)]
-        seconds: u64,
-        /// For `entry`: the number of VMs, both 1 and 2 when not given.
-        #[arg(long)]
-        vms: Option<usize>,
-        /// For `entry`: calls a second of the open loops, each way, half of
-        /// the highest rate when not given.
-        #[arg(long)]
-        rate: Option<f64>,
-    },
+    Run(Run),
     /// Prints two results of one experiment side by side.
     Compare {
         /// The file of results before.
@@ -59,54 +34,75 @@
     },
 }
 
+/// What an experiment is run with.
+#[derive(Debug, Args)]
+struct Run {
+    /// The name of the experiment.
+    name: String,
+    /// The first seed.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// How many seeds, one after another.
+    #[arg(long, default_value_t = 5)]
+    seeds: u64,
+    /// Where to write the results as JSON.
+    #[arg(long)]
+    out: Option<String>,
+    /// For `entry`: the program with the daemons.
+    #[arg(long)]
+    program: Option<PathBuf>,
+    /// For `entry`: the seconds of each phase.
+    #[arg(long, default_value_t = 5)]
+    seconds: u64,
+    /// For `entry`: the number of VMs, both 1 and 2 when not given.
+    #[arg(long)]
+    vms: Option<usize>,
+    /// For `entry`: calls a second of the open loops, each way, half of
+    /// the highest rate when not given.
+    #[arg(long)]
+    rate: Option<f64>,
+}
+
 /// The experiment with real processes.
 const ENTRY: &str = "entry";
 /// The experiment with the cost of endpoints.
 const SPEND: &str = "spend";
 
+impl Run {
+    fn run(self) -> Result<(), Error> {
+        match self.name.as_str() {
+            ENTRY => self.run_entry(),
+            SPEND => {
+                let report = spend::Report::new(&self.seeds());
+                print!("{}", report.table());
+                self.out.map_or(Ok(()), |path| report.write(&path))
+            }
+            name => {
+                let setups = experiment::setups(name)?;
+                let cells = experiment::run(&setups, &self.seeds());
+                let file = report::File::new(name, cells);
+                print!("{}", file.table());
+                self.out.map_or(Ok(()), |path| file.write(&path))
+            }
+        }
+    }
+
+    fn run_entry(self) -> Result<(), Error> {
+        let config = entry::Config::new(self.program.ok_or(Error::Program)?);
+        let config = config.seconds(self.seconds).seed(self.seed);
+        let report = entry::run(&config.vms(self.vms).rate(self.rate))?;
+        print!("{}", report.table());
+        self.out.map_or(Ok(()), |path| report.write(&path))
+    }
+
+    fn seeds(&self) -> Vec<u64> {
+        (self.seed..self.seed + self.seeds).collect()
+    }
+}
+
 fn run(job: Job) -> Result<(), Error> {
     match job {
-        Job::Run {
-            name,
-            seed,
-            out,
-            program,
-            seconds,
-            vms,
-            rate,
-            ..
-        } if name == ENTRY => {
-            let config = entry::Config::new(program.ok_or(Error::Program)?);
-            let config = config.seconds(seconds).seed(seed).vms(vms).rate(rate);
-            let report = entry::run(&config)?;
-            print!("{}", report.table());
-            out.map_or(Ok(()), |path| report.write(&path))
-        }
-        Job::Run {
-            name,
-            seed,
-            seeds,
-            out,
-            ..
-        } if name == SPEND => {
-            let seeds: Vec<_> = (seed..seed + seeds).collect();
-            let report = spend::Report::new(&seeds);
-            print!("{}", report.table());
-            out.map_or(Ok(()), |path| report.write(&path))
-        }
-        Job::Run {
-            name,
-            seed,
-            seeds,
-            out,
-            ..
-        } => {
-            let setups = experiment::setups(&name)?;
-            let seeds: Vec<_> = (seed..seed + seeds).collect();
-            let file = report::File::new(&name, experiment::run(&setups, &seeds));
-            print!("{}", file.table());
-            out.map_or(Ok(()), |path| file.write(&path))
-        }
+        Job::Run(run) => run.run(),
         Job::Compare { a, b } => {
             let (a, b) = (Measurement::read(&a)?, Measurement::read(&b)?);
             print!("{}", measurement::compare(&a, &b)?);
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -11,7 +11,7 @@
     world,
 };
 
-/// The names of all experiments.
+/// The names of the experiments with setups.
 pub const NAMES: [&str; 2] = ["callers", "ways"];
 
 const LOADS: [f64; 3] = [0.7, 1.0, 1.5];
@@ -27,7 +27,10 @@
     match name {
         "callers" => Ok(callers()),
         "ways" => Ok(ways()),
-        _ => Err(Error::Name(name.to_string(), NAMES.join(", "))),
+        _ => {
+            let known = format!("{}, spend, entry", NAMES.join(", "));
+            Err(Error::Name(name.to_string(), known))
+        }
     }
 }
 
