What the project already had is called, not written again

Found on reading the whole change once more; behaviour stays as it is.

- The kinds "key" and "weights" stood as text in four places of two to five lines: they are board::key::KIND and board::weights::KIND.
Feed and sealing share the record of weights.
The trainer's interface keeps its own, which refuses unknown fields, also in the stored object.
- Both daemons served the operators' pages and made the page of metrics alike: server::serve_pages and Telemetry::page.
- Which states count as present stood three times in capacity, the making of a line three times: State::is_present and Line::new.
- The results of `run spend` and `run entry` were written, and medians taken, beside report's own functions, which serve all now.
- The page of metrics was parsed in four tests and the swarm tool: fakes::metrics.
Assertions are the same; a value that is not whole still ends a test that counts (rollouts_outage, usage_alone, tls).
- One test's record and one look for a VM stood twice.

Looked at and left: constants and imports of one shape, setters of configs, tables of test cases, and tests of one shape whose faults differ.

--- a/crates/board/src/capacity.rs
+++ b/crates/board/src/capacity.rs
@@ -76,6 +76,16 @@
     pub tenure: Tenure,
 }
 
+impl Line {
+    /// Returns the line of `tenure` for `service`.
+    pub fn new(service: &str, tenure: Tenure) -> Self {
+        Self {
+            service: service.to_string(),
+            tenure,
+        }
+    }
+}
+
 /// When a refused kind of order may be sent again.
 #[derive(Clone, Copy, Debug)]
 pub struct Backoff {
--- a/crates/board/src/endpoint.rs
+++ b/crates/board/src/endpoint.rs
@@ -41,6 +41,13 @@
     }
 }
 
+impl State {
+    /// Returns whether an endpoint starts or takes work.
+    pub const fn is_present(self) -> bool {
+        matches!(self, Self::Starting | Self::Ready)
+    }
+}
+
 crate::record! {
     /// An endpoint as the platform describes it.
     pub struct Record {
--- a/crates/board/src/key.rs
+++ b/crates/board/src/key.rs
@@ -9,6 +9,9 @@
 use sha2::{Digest as _, Sha256};
 use subtle::ConstantTimeEq;
 
+/// The kind of the objects that hold grants, one for each digest.
+pub const KIND: &str = "key";
+
 const DIGEST_BYTES: usize = 32;
 
 /// The SHA-256 digest of a caller's key.
--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod ticket;
 pub mod time;
 pub mod usage;
+pub mod weights;
 
 pub use blackboard::Board;
 pub use time::Time;
--- a/crates/cli/src/keys.rs
+++ b/crates/cli/src/keys.rs
@@ -2,7 +2,7 @@
 
 use board::{
     config::{Manifest, manifest},
-    key::{Digest, Grant},
+    key::{self, Digest, Grant},
     shared::{Fact, Item},
 };
 use link::platform::{Client, Error, When};
@@ -10,9 +10,6 @@
 
 use crate::{announce, command::Platform, fault::Failed, publish::failed};
 
-/// The kind of the objects that hold keys.
-const KIND: &str = "key";
-
 const SECRET_BYTES: usize = 24;
 
 /// Issues a key for `account` and prints it.
@@ -37,7 +34,7 @@
     };
     let name = Digest::of(&secret).to_string();
     let value = serde_json::to_vec(&grant).unwrap_or_default();
-    let created = client.create(KIND, &name, value);
+    let created = client.create(key::KIND, &name, value);
     let object = created.await.map_err(|e| failed(&e))?;
     let fact = Fact::Key(Digest::of(&secret), grant);
     let version = object.version;
@@ -71,7 +68,7 @@
     let vms = client.vms().await.unwrap_or_default();
     loop {
         let (version, grant) = client
-            .read::<Grant>(KIND, &name)
+            .read::<Grant>(key::KIND, &name)
             .await
             .map_err(|e| failed(&e))?;
         if grant.withdrawn {
@@ -82,7 +79,7 @@
             withdrawn: true,
             ..grant
         };
-        let written = client.write(KIND, &name, When::At(version), &next);
+        let written = client.write(key::KIND, &name, When::At(version), &next);
         match written.await {
             Ok(version) => {
                 let fact = Fact::Key(digest, next);
--- a/crates/cli/src/snapshot/collect.rs
+++ b/crates/cli/src/snapshot/collect.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeMap;
 
-use board::{capacity, config::manifest, lease, usage};
+use board::{capacity, config::manifest, key, lease, usage, weights};
 use link::{
     clock,
     platform::{Changes, Client, Error},
@@ -17,7 +17,7 @@
 use crate::{fault::Failed, publish::failed};
 
 /// Kinds that stand together.
-const SETTLED: [&str; 4] = [manifest::KIND, "key", "weights", usage::KIND];
+const SETTLED: [&str; 4] = [manifest::KIND, key::KIND, weights::KIND, usage::KIND];
 /// Kinds that are read one by one, as processes renew them all the time.
 const MOVING: [&str; 2] = [lease::KIND, capacity::KIND];
 /// How often a changing platform is read before giving up.
--- a/crates/cli/src/snapshot/table.rs
+++ b/crates/cli/src/snapshot/table.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::BTreeMap, fmt::Write as _};
 
-use board::{key::Grant, lease, usage};
+use board::{
+    key::{self, Grant},
+    lease, usage, weights,
+};
 
 use super::Body;
 
@@ -21,7 +24,7 @@
     for (account, (good, withdrawn)) in accounts(body) {
         let _ = writeln!(out, "keys of {account}: {good} good, {withdrawn} withdrawn");
     }
-    for object in body.group("weights") {
+    for object in body.group(weights::KIND) {
         let _ = writeln!(out, "weights of {}: {}", object.name, object.value);
     }
     for object in body.group(lease::KIND) {
@@ -38,7 +41,7 @@
 /// Returns how many keys of each account are good and withdrawn.
 fn accounts(body: &Body) -> BTreeMap<String, (usize, usize)> {
     let mut accounts: BTreeMap<String, (usize, usize)> = BTreeMap::new();
-    for object in body.group("key") {
+    for object in body.group(key::KIND) {
         let Ok(grant) = serde_json::from_str::<Grant>(&object.value) else {
             continue;
         };
--- a/crates/cli/tests/callers/tls.rs
+++ b/crates/cli/tests/callers/tls.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use fakes::drive;
+use fakes::{drive, metrics};
 use link::http::client::Call;
 use rustls::{Certificate, ClientConfig, ClientConnection, RootCertStore, ServerName, StreamOwned};
 
@@ -90,14 +90,14 @@
     plain.send(b"GET /entries/2 HTTP/1.1\r\n\r\n");
     assert!(plain.answer().is_none(), "plain text was answered");
     let admin = world.deployment.vms[0].entry_admin;
-    let metrics = drive::fetch(admin, Call::get("/metrics")).unwrap();
-    let metrics = String::from_utf8_lossy(&metrics.body).into_owned();
+    let page = drive::fetch(admin, Call::get("/metrics")).unwrap();
+    let page = String::from_utf8_lossy(&page.body).into_owned();
     let count = |result: &str| {
-        let lines = metrics.lines();
-        let mut lines = lines.filter(|line| line.starts_with("tarragonseam_tls"));
-        lines.any(|line| line.contains(&format!("result=\"{result}\"")) && line.ends_with(" 1"))
+        let samples = metrics::samples(&page);
+        let mut samples = samples.filter(|sample| sample.series.starts_with("tarragonseam_tls"));
+        samples.any(|sample| sample.label("result") == Some(result) && sample.count() == Some(1))
     };
-    assert!(count("accepted") && count("failed"), "{metrics}");
+    assert!(count("accepted") && count("failed"), "{page}");
 
     let id = world.deployment.vms[0].entry.id().unwrap();
     for entry in fs::read_dir(format!("/proc/{id}/fd")).unwrap() {
--- a/crates/cli/tests/rollouts_measure.rs
+++ b/crates/cli/tests/rollouts_measure.rs
@@ -11,7 +11,7 @@
     time::{Duration, Instant},
 };
 
-use fakes::deployment::Plan;
+use fakes::{deployment::Plan, metrics};
 use link::http::client::Call;
 use rand::{SeedableRng, rngs::StdRng};
 use rollouts_support::run::{self, Bench, DOMAINS};
@@ -239,16 +239,11 @@
             "tarragonseam_samples_total",
             "tarragonseam_wasted_tokens_total",
         ];
-        for line in text
-            .lines()
-            .filter(|line| wanted.iter().any(|name| line.starts_with(name)))
-        {
-            let Some((name, count)) = line.rsplit_once(' ') else {
-                continue;
-            };
-            let label = name.split('"').nth(1).unwrap_or_default();
-            let kind = name.split('{').next().unwrap_or_default();
-            *sums.entry(format!("{kind} {label}")).or_default() += count.parse().unwrap_or(0);
+        for sample in metrics::samples(&text).filter(|sample| wanted.contains(&sample.name())) {
+            let label = sample.series.split('"').nth(1).unwrap_or_default();
+            *sums
+                .entry(format!("{} {label}", sample.name()))
+                .or_default() += sample.count().unwrap_or(0);
         }
     }
     sums
--- a/crates/cli/tests/rollouts_outage.rs
+++ b/crates/cli/tests/rollouts_outage.rs
@@ -13,6 +13,7 @@
 
 use board::{lot::Claim, retention::CLAIM};
 use control_setup::until;
+use fakes::metrics;
 use link::{http::client::Call, platform::Client};
 use rand::{SeedableRng, rngs::StdRng};
 use rollouts_support::run::{self, Bench, EXPECTED};
@@ -44,11 +45,11 @@
         let call = Call::get("/metrics").fresh();
         let answer = bench.deployment.pool.fetch(vm.entry_admin, call).await;
         let text = String::from_utf8(answer.ok()?.body.to_vec()).unwrap();
-        let label = format!("result=\"{result}\"");
-        let mut lines = text.lines();
-        let line = lines.find(|line| line.starts_with(counter) && line.contains(&label));
-        let value = line.and_then(|line| line.rsplit_once(' '));
-        sum += value.map_or(0, |(_, value)| value.parse::<u64>().unwrap());
+        let mut samples = metrics::samples(&text);
+        let sample = samples.find(|sample| {
+            sample.series.starts_with(counter) && sample.label("result") == Some(result)
+        });
+        sum += sample.map_or(0, |sample| sample.count().unwrap());
     }
     Some(sum)
 }
@@ -79,11 +80,9 @@
         let rng = RefCell::new(StdRng::seed_from_u64(1));
         let deployment = &bench.deployment;
         let owners = claim_before_outage(&bench, &rng).await;
-        let is_first = |vm: &&fakes::deployment::VmProcesses| vm.vm.id == owners[0];
-        let lost = deployment.vms.iter().find(is_first).unwrap();
-        lost.entry.signal("KILL").unwrap();
         let lost = deployment.vms.iter().position(|vm| vm.vm.id == owners[0]);
         let lost = lost.unwrap();
+        deployment.vms[lost].entry.signal("KILL").unwrap();
         set_outage(&bench, deployment.scorer, false).await;
         // Every sample is generated and scored while the platform is out.
         let samples = u64::from(EXPECTED.groups * EXPECTED.group);
--- a/crates/cli/tests/usage_alone.rs
+++ b/crates/cli/tests/usage_alone.rs
@@ -7,7 +7,10 @@
     time::{Duration, Instant},
 };
 
-use fakes::deployment::{Deployment, Plan};
+use fakes::{
+    deployment::{Deployment, Plan},
+    metrics,
+};
 use link::http::client::Call;
 use serde_json::Value;
 
@@ -83,11 +86,10 @@
     let admin = deployment.vms[0].entry_admin;
     let text = deployment.pool.fetch(admin, Call::get("/metrics")).await;
     let text = String::from_utf8(text.unwrap().body.to_vec()).unwrap();
-    let lines = text
-        .lines()
-        .filter(|line| line.starts_with(name) && line.contains(part));
-    lines
-        .map(|line| line.rsplit(' ').next().unwrap().parse::<u64>().unwrap())
+    let samples = metrics::samples(&text);
+    samples
+        .filter(|sample| sample.series.starts_with(name) && sample.series.contains(part))
+        .map(|sample| sample.count().unwrap())
         .reduce(|sum, value| sum + value)
 }
 
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -13,8 +13,7 @@
 /// Answers one request.
 pub(crate) fn handle(vm: &Rc<Vm>, request: &Request) -> Reply {
     match request.uri.path() {
-        "/metrics" => Reply::new(StatusCode::OK, vm.telemetry.render())
-            .header("content-type", "text/plain; version=0.0.4"),
+        "/metrics" => vm.telemetry.page(),
         "/ready" => ready(vm),
         "/status" => match peers::answer(vm, &Ask::Status) {
             Answer::Status(status) => Reply::json(StatusCode::OK, &status),
--- a/crates/entry/src/rollout/seal.rs
+++ b/crates/entry/src/rollout/seal.rs
@@ -7,9 +7,9 @@
     key::Digest,
     lot::{Content, Entry, Lot, Manifest},
     retention::{LOT, PART},
+    weights::{self, Weights},
 };
 use link::platform::Error;
-use serde::Deserialize;
 use wire::message::File;
 
 use crate::{bulk, vm::Vm};
@@ -17,18 +17,13 @@
 /// The largest object, in bytes, with room for the platform's own overhead.
 const OBJECT_BYTES: usize = 900 * 1024;
 
-#[derive(Deserialize)]
-struct Weights {
-    version: u64,
-}
-
 /// Returns the newest version of `model` as the platform holds it now.
 ///
 /// # Errors
 ///
 /// An [`Error`] when it cannot be learned.
 pub(crate) async fn newest_version(vm: &Vm, model: &str) -> Result<u64, Error> {
-    match vm.platform.read::<Weights>("weights", model).await {
+    match vm.platform.read::<Weights>(weights::KIND, model).await {
         Ok((_, weights)) => {
             vm.board.borrow_mut().note_weights(model, weights.version);
             Ok(weights.version)
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -76,16 +76,8 @@
         peers::serve(for_peers.clone(), ask)
     }));
     let for_admin = vm.clone();
-    let admin_drain = server::Drain::default();
-    monoio::spawn(server::serve(
-        admin_listener,
-        Limits::new(),
-        admin_drain,
-        move |request| {
-            let reply = admin::handle(&for_admin, &request);
-            async move { reply }
-        },
-    ));
+    let page = move |request: &server::Request| admin::handle(&for_admin, request);
+    monoio::spawn(server::serve_pages(admin_listener, page));
     let drain = server::Drain::default();
     let for_callers = vm.clone();
     let server = monoio::spawn(server::serve_with(
--- a/crates/entry/src/trainer.rs
+++ b/crates/entry/src/trainer.rs
@@ -9,6 +9,7 @@
     config::Trainer,
     lot::{Cursor, Manifest, Step},
     retention::STEP,
+    weights,
 };
 use link::{
     Bytes, Method, StatusCode,
@@ -316,13 +317,15 @@
 
 /// Returns the version in force, which is `version` or a higher one.
 async fn raise_version(vm: &Rc<Vm>, model: &str, version: u64) -> Result<u64, Error> {
-    let when = match vm.platform.read::<Version>("weights", model).await {
+    let when = match vm.platform.read::<Version>(weights::KIND, model).await {
         Ok((_, known)) if known.version >= version => return Ok(known.version),
         Ok((at, _)) => When::At(at),
         Err(Error::Absent) => When::Absent,
         Err(e) => return Err(e),
     };
     let wanted = Version { version };
-    vm.platform.write("weights", model, when, &wanted).await?;
+    vm.platform
+        .write(weights::KIND, model, when, &wanted)
+        .await?;
     Ok(version)
 }
--- a/crates/fakes/src/bin/tarragonseam-swarm/traffic.rs
+++ b/crates/fakes/src/bin/tarragonseam-swarm/traffic.rs
@@ -4,7 +4,13 @@
 
 use link::http::client::Call;
 use serde_json::Value;
-use tarragonseam_fakes::deployment::Deployment;
+use tarragonseam_fakes::{
+    deployment::Deployment,
+    metrics::{self, Sample},
+};
+
+/// The metric of bytes between VMs.
+const CONTROL_BYTES: &str = "tarragonseam_control_bytes";
 
 /// Returns the bytes that all VMs sent and received, by kind.
 pub(crate) async fn bytes(deployment: &Deployment) -> BTreeMap<String, f64> {
@@ -16,21 +22,12 @@
             .await;
         let page = page.map(|answer| answer.body).unwrap_or_default();
         let page = String::from_utf8_lossy(&page).into_owned();
-        let lines = page
-            .lines()
-            .filter(|line| line.starts_with("tarragonseam_control_bytes"));
-        for line in lines {
-            let label = |name: &str| line.split(&format!("{name}=\"")).nth(1)?.split('"').next();
-            let value = line
-                .rsplit(' ')
-                .next()
-                .and_then(|value| value.parse::<f64>().ok());
-            let (Some(direction), Some(kind), Some(value)) =
-                (label("direction"), label("kind"), value)
-            else {
-                continue;
-            };
-            *bytes.entry(format!("{direction} {kind}")).or_default() += value;
+        let is_control = |sample: &Sample<'_>| sample.series.starts_with(CONTROL_BYTES);
+        for sample in metrics::samples(&page).filter(is_control) {
+            if let (Some(direction), Some(kind)) = (sample.label("direction"), sample.label("kind"))
+            {
+                *bytes.entry(format!("{direction} {kind}")).or_default() += sample.value;
+            }
         }
     }
     bytes
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod error;
 pub mod fault;
 pub(crate) mod host;
+pub mod metrics;
 pub mod platform;
 pub mod run;
 pub mod scorer;
--- a/crates/lab/src/entry/mod.rs
+++ b/crates/lab/src/entry/mod.rs
@@ -14,7 +14,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::Error;
+use crate::{Error, report};
 
 pub use phase::{Phase, Side};
 
@@ -146,14 +146,7 @@
     ///
     /// When the file cannot be written.
     pub fn write(&self, path: &str) -> Result<(), Error> {
-        let text = serde_json::to_string_pretty(self).map_err(|source| Error::Json {
-            path: path.to_string(),
-            source,
-        })?;
-        std::fs::write(path, text + "\n").map_err(|source| Error::File {
-            path: path.to_string(),
-            source,
-        })
+        report::write(path, self)
     }
 
     /// Returns the figures as a table.
--- a/crates/lab/src/measurement/mod.rs
+++ b/crates/lab/src/measurement/mod.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     Error,
-    report::{self, file_error},
+    report::{self, file_error, json_error},
 };
 
 pub use kind::Kind;
@@ -34,10 +34,8 @@
     /// experiment.
     pub fn read(path: &str) -> Result<Self, Error> {
         let text = fs::read(path).map_err(|source| file_error(path, source))?;
-        let value: Value = serde_json::from_slice(&text).map_err(|source| Error::Json {
-            path: path.to_string(),
-            source,
-        })?;
+        let value: Value =
+            serde_json::from_slice(&text).map_err(|source| json_error(path, source))?;
         let kind = Kind::of(&value).ok_or_else(|| Error::Unknown {
             path: path.to_string(),
         })?;
@@ -54,10 +52,7 @@
     ///
     /// [`Error::Json`] when the file holds something else.
     pub(crate) fn typed<T: DeserializeOwned>(&self) -> Result<T, Error> {
-        serde_json::from_value(self.value.clone()).map_err(|source| Error::Json {
-            path: self.path.clone(),
-            source,
-        })
+        serde_json::from_value(self.value.clone()).map_err(|source| json_error(&self.path, source))
     }
 
     fn text(&self, name: &str) -> &str {
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -37,10 +37,7 @@
     /// When the file cannot be read or holds something else.
     pub fn read(path: &str) -> Result<Self, Error> {
         let text = fs::read(path).map_err(|source| file_error(path, source))?;
-        serde_json::from_slice(&text).map_err(|source| Error::Json {
-            path: path.to_string(),
-            source,
-        })
+        serde_json::from_slice(&text).map_err(|source| json_error(path, source))
     }
 
     /// Writes results, one run a line.
@@ -49,12 +46,10 @@
     ///
     /// When the file cannot be written.
     pub fn write(&self, path: &str) -> Result<(), Error> {
-        let json_error = |source| Error::Json {
-            path: path.to_string(),
-            source,
-        };
         let cells: Result<Vec<_>, _> = self.cells.iter().map(serde_json::to_string).collect();
-        let cells = cells.map_err(json_error)?.join(",\n");
+        let cells = cells
+            .map_err(|source| json_error(path, source))?
+            .join(",\n");
         let text = format!(
             "{{\"experiment\":\"{}\",\"kind\":\"{}\",\"cells\":[\n{cells}\n]}}\n",
             self.experiment, self.kind
@@ -156,6 +151,23 @@
     values.get(values.len() / 2).copied().unwrap_or_default()
 }
 
+/// Writes `results` as JSON for people to read.
+///
+/// # Errors
+///
+/// When the file cannot be written.
+pub(crate) fn write(path: &str, results: &impl Serialize) -> Result<(), Error> {
+    let text = serde_json::to_string_pretty(results).map_err(|source| json_error(path, source))?;
+    fs::write(path, text + "\n").map_err(|source| file_error(path, source))
+}
+
+pub(crate) fn json_error(path: &str, source: serde_json::Error) -> Error {
+    Error::Json {
+        path: path.to_string(),
+        source,
+    }
+}
+
 pub(crate) fn file_error(path: &str, source: std::io::Error) -> Error {
     Error::File {
         path: path.to_string(),
--- a/crates/lab/src/spend/report.rs
+++ b/crates/lab/src/spend/report.rs
@@ -1,11 +1,11 @@
 //! Tables and files of the figures.
 
-use std::{fmt::Write as _, fs};
+use std::fmt::Write as _;
 
 use serde::{Deserialize, Serialize};
 
 use super::{DAY, Figures, Way, run};
-use crate::Error;
+use crate::{Error, report};
 
 /// One run.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
@@ -50,7 +50,7 @@
         });
         Self {
             experiment: "spend".into(),
-            kind: crate::report::KIND.into(),
+            kind: report::KIND.into(),
             rows,
         }
     }
@@ -67,17 +67,12 @@
     }
 
     fn line(&self, way: Way) -> String {
-        let sorted = |figure: fn(&Figures) -> f64| {
+        let values = |figure: fn(&Figures) -> f64| -> Vec<f64> {
             let rows = self.rows.iter().filter(|row| row.way == way);
-            let mut values: Vec<_> = rows.map(|row| figure(&row.figures)).collect();
-            values.sort_by(f64::total_cmp);
-            values
+            rows.map(|row| figure(&row.figures)).collect()
         };
-        let middle = |figure| {
-            let values = sorted(figure);
-            values.get(values.len() / 2).copied().unwrap_or_default()
-        };
-        let unserved = sorted(|f| 100.0 * f.unserved);
+        let middle = |figure| report::median(values(figure));
+        let unserved = values(|f| 100.0 * f.unserved);
         let name = serde_json::to_value(way).unwrap_or_default();
         format!(
             "{:<12} {:>11.1} {:>13.3} {:>10.2} ({:.2}..{:.2}) {:>7.1} {:>7.0}",
@@ -85,8 +80,8 @@
             middle(|f| f.price_hours),
             middle(Figures::price_of_work),
             middle(|f| 100.0 * f.unserved),
-            unserved.first().copied().unwrap_or_default(),
-            unserved.last().copied().unwrap_or_default(),
+            unserved.iter().copied().fold(f64::INFINITY, f64::min),
+            unserved.iter().copied().fold(0.0, f64::max),
             middle(|f| 100.0 * f.cheap),
             middle(|f| f.orders as f64),
         )
@@ -98,14 +93,7 @@
     ///
     /// When the file cannot be written.
     pub fn write(&self, path: &str) -> Result<(), Error> {
-        let text = serde_json::to_string_pretty(self).map_err(|source| Error::Json {
-            path: path.to_string(),
-            source,
-        })?;
-        fs::write(path, text + "\n").map_err(|source| Error::File {
-            path: path.to_string(),
-            source,
-        })
+        report::write(path, self)
     }
 }
 
--- a/crates/link/src/feed.rs
+++ b/crates/link/src/feed.rs
@@ -11,12 +11,12 @@
     config::{Manifest, manifest},
     endpoint,
     hash::Set,
-    key::{Digest, Grant},
+    key::{self, Digest, Grant},
     member::Record,
     shared::{Fact, Item},
+    weights::{self, Weights},
 };
 use policy::{dissemination, membership, relay};
-use serde::Deserialize;
 
 use crate::{
     clock,
@@ -40,12 +40,7 @@
 /// How long a VM that starts listens for others before it watches.
 const JOIN_TIME: Duration = Duration::from_millis(500);
 
-const KINDS: [&str; 3] = [manifest::KIND, "key", "weights"];
-
-#[derive(Debug, Deserialize)]
-struct Weights {
-    version: u64,
-}
+const KINDS: [&str; 3] = [manifest::KIND, key::KIND, weights::KIND];
 
 /// Until when each kind is known to be complete.
 #[derive(Default)]
@@ -152,7 +147,7 @@
 async fn follow(feed: Feed, place: usize) {
     monoio::time::sleep(JOIN_TIME).await;
     let kind = KINDS[place];
-    let wait = if kind == "weights" {
+    let wait = if kind == weights::KIND {
         LONG_WATCH
     } else {
         SHORT_WATCH
@@ -208,7 +203,7 @@
     use board::shared::Kind;
     let (kind, name) = match kind {
         manifest::KIND => (Kind::Config, ""),
-        "key" => (Kind::Key, change.name.as_str()),
+        key::KIND => (Kind::Key, change.name.as_str()),
         _ => (Kind::Weights, change.name.as_str()),
     };
     let board = feed.gossip.board.borrow();
@@ -221,14 +216,14 @@
             let (version, manifest) = feed.platform.read::<Manifest>(kind, name).await?;
             (version, Fact::Config(manifest))
         }
-        "key" => {
+        key::KIND => {
             let Ok(digest) = name.parse::<Digest>() else {
                 return Ok(None);
             };
             let (version, grant) = feed.platform.read::<Grant>(kind, name).await?;
             (version, Fact::Key(digest, grant))
         }
-        "weights" => {
+        weights::KIND => {
             let (version, weights) = feed.platform.read::<Weights>(kind, name).await?;
             (version, Fact::Weights(name.to_string(), weights.version))
         }
--- a/crates/link/src/http/server.rs
+++ b/crates/link/src/http/server.rs
@@ -89,6 +89,16 @@
     serve_with(listener, None, limits, drain, handler).await;
 }
 
+/// Serves pages that are made without waiting, as operators read them, for
+/// ever.
+pub async fn serve_pages(listener: TcpListener, page: impl Fn(&Request) -> Reply + 'static) {
+    let handler = move |request| {
+        let reply = page(&request);
+        async move { reply }
+    };
+    serve(listener, Limits::new(), Drain::default(), handler).await;
+}
+
 /// As [`serve`], over TLS if `tls` is given.
 pub async fn serve_with<H, F>(
     listener: TcpListener,
--- a/crates/link/src/telemetry/mod.rs
+++ b/crates/link/src/telemetry/mod.rs
@@ -11,7 +11,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use ::http::HeaderMap;
+use ::http::{HeaderMap, StatusCode};
 use opentelemetry::{
     Context,
     metrics::{Counter, Meter, MeterProvider},
@@ -25,6 +25,8 @@
 };
 use prometheus::{Encoder, Registry, TextEncoder};
 
+use crate::http::Reply;
+
 use recent::Recent;
 use span::Carrier;
 
@@ -105,6 +107,12 @@
         String::from_utf8(out).unwrap_or_default()
     }
 
+    /// Returns the page with all metrics.
+    pub fn page(&self) -> Reply {
+        Reply::new(StatusCode::OK, self.render())
+            .header("content-type", "text/plain; version=0.0.4")
+    }
+
     /// Starts the span of a request that came with `headers`.
     pub fn accept(&self, name: &'static str, headers: &HeaderMap) -> Span {
         let parent = TraceContextPropagator::new().extract(&Carrier(headers));
--- a/crates/policy/src/capacity.rs
+++ b/crates/policy/src/capacity.rs
@@ -19,7 +19,7 @@
     Board, Time,
     capacity::{Accepted, Backoff, Line, Pending},
     config::Capacity,
-    endpoint::{State, Tenure},
+    endpoint::Tenure,
 };
 use rand::Rng;
 
@@ -115,7 +115,7 @@
     // One that was gone before may still be listed as it was then.
     let is_listed = |name: &str| {
         let endpoint = endpoints.find(name).and_then(|key| endpoints.get(key));
-        endpoint.is_some_and(|e| matches!(e.record.state, State::Starting | State::Ready))
+        endpoint.is_some_and(|endpoint| endpoint.record.state.is_present())
     };
     capacity
         .pending
@@ -134,10 +134,7 @@
         (Tenure::Cheap, needed.cheap, present.cheap),
     ];
     let change = |(tenure, needed, present)| {
-        let line = Line {
-            service: service.to_string(),
-            tenure,
-        };
+        let line = Line::new(service, tenure);
         of_line(board, now, line, needed, present)
     };
     lines.into_iter().filter_map(change).collect()
@@ -167,7 +164,7 @@
     let endpoints = keys.filter_map(|key| board.endpoints.get(*key));
     for endpoint in endpoints {
         let record = &endpoint.record;
-        if matches!(record.state, State::Starting | State::Ready) {
+        if record.state.is_present() {
             let count = counts.entry(record.failure_domain.clone()).or_default();
             count.add(record.tenure);
         }
@@ -192,10 +189,7 @@
     let (mut missing, mut stable, mut cheap) = (0, 0, Vec::new());
     for (domain, count) in counts {
         let mut lasting = |tenure, declared, present| {
-            let line = Line {
-                service: service.to_string(),
-                tenure,
-            };
+            let line = Line::new(service, tenure);
             lasting_shortage(board, now, (domain.clone(), line), declared, present)
         };
         let cheap_short = lasting(Tenure::Cheap, capacity.cheap, count.cheap);
@@ -221,10 +215,7 @@
 fn with_load(board: &Board, service: &str, needed: Count, asked: u32, present: Count) -> Count {
     let extra = asked.saturating_sub(needed.stable + needed.cheap);
     let cheap = needed.cheap + extra;
-    let line = Line {
-        service: service.to_string(),
-        tenure: Tenure::Cheap,
-    };
+    let line = Line::new(service, Tenure::Cheap);
     let refused = board.capacity.refused.get(&line);
     let is_out = refused.is_some_and(|backoff| backoff.refusals >= REFUSALS_MAX);
     let missing = cheap.saturating_sub(present.cheap);
@@ -292,7 +283,7 @@
     keys.filter_map(|key| board.endpoints.get(*key))
         .map(|endpoint| &endpoint.record)
         .filter(|r| r.failure_domain == board.failure_domain && r.tenure == line.tenure)
-        .filter(|r| matches!(r.state, State::Starting | State::Ready))
+        .filter(|r| r.state.is_present())
         .map(|r| r.id.clone())
         .max()
 }
--- a/crates/policy/tests/usage.rs
+++ b/crates/policy/tests/usage.rs
@@ -103,17 +103,21 @@
     }
 }
 
-#[test]
-fn hold_moved_record() {
-    let mut ledger = Ledger::default();
-    let from = origin("vm-a");
-    let record = |window| Record {
+/// Returns the same request as it stands in `window`.
+fn record(window: Window) -> Record {
+    Record {
         id: "r1".into(),
         account: "a".into(),
         window,
         late: false,
         figures: one(3),
-    };
+    }
+}
+
+#[test]
+fn hold_moved_record() {
+    let mut ledger = Ledger::default();
+    let from = origin("vm-a");
     ledger.hold(&from, vec![record(WINDOW)]);
     ledger.hold(&from, vec![record(WINDOW.next())]);
     assert!(ledger.copies(&from, WINDOW).is_empty());
@@ -178,13 +182,6 @@
 #[test]
 fn total_is_not_recounted_from_stale_copy() {
     let lost = origin("vm-a");
-    let record = |window| Record {
-        id: "r1".into(),
-        account: "a".into(),
-        window,
-        late: false,
-        figures: one(3),
-    };
     let first = usage::total(
         WINDOW,
         1,
--- a/crates/steward/src/run.rs
+++ b/crates/steward/src/run.rs
@@ -4,7 +4,7 @@
 
 use link::{
     StatusCode, fault,
-    http::{Limits, Reply, Request, server},
+    http::{Reply, Request, server},
     net, runtime,
 };
 use serde::Serialize;
@@ -67,16 +67,8 @@
     monoio::spawn(retention::run(vm.clone()));
 
     let for_admin = vm.clone();
-    let drain = server::Drain::default();
-    monoio::spawn(server::serve(
-        listener,
-        Limits::new(),
-        drain,
-        move |request| {
-            let reply = admin(&for_admin, &request);
-            async move { reply }
-        },
-    ));
+    let page = move |request: &Request| admin(&for_admin, request);
+    monoio::spawn(server::serve_pages(listener, page));
     spdlog::info!("started", kv: { vm = vm.settings.vm.as_str() });
     runtime::stop_signal().await?;
     lease::release(&vm, &orders, |vm| &vm.orders).await;
@@ -87,8 +79,7 @@
 
 fn admin(vm: &Rc<Vm>, request: &Request) -> Reply {
     match request.uri.path() {
-        "/metrics" => Reply::new(StatusCode::OK, vm.telemetry.render())
-            .header("content-type", "text/plain; version=0.0.4"),
+        "/metrics" => vm.telemetry.page(),
         "/status" => Reply::json(
             StatusCode::OK,
             &Status {
