--- a/crates/link/src/http/call.rs
+++ b/crates/link/src/http/call.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Method};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, header::IntoHeaderName};
 
 use super::fence::Fence;
 
-pub(crate) const REQUEST_ID: &str = "x-request-id";
+pub(crate) const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 
 /// A request to a peer.
 ///
@@ -27,7 +27,8 @@
     pub(crate) body: Bytes,
     pub(crate) fresh: bool,
     pub(crate) is_idempotent: bool,
-    pub(crate) echo: Option<HeaderValue>,
+    pub(crate) echo: Option<(HeaderName, HeaderValue)>,
+    pub(crate) host: Option<HeaderValue>,
     pub(crate) connect_time: Duration,
     pub(crate) deadline: Duration,
     pub(crate) fence: Option<Fence>,
@@ -46,6 +47,7 @@
             fresh: false,
             is_idempotent: method.is_safe(),
             echo: None,
+            host: None,
             connect_time: CONNECT_TIME,
             deadline: CALL_TIME,
             fence: None,
@@ -70,7 +72,7 @@
     }
 
     /// Sets one header; a value that HTTP cannot carry is left out.
-    pub fn header(mut self, name: &'static str, value: impl AsRef<str>) -> Self {
+    pub fn header(mut self, name: impl IntoHeaderName, value: impl AsRef<str>) -> Self {
         if let Ok(value) = HeaderValue::from_str(value.as_ref()) {
             self.headers.insert(name, value);
         }
@@ -111,14 +113,25 @@
     }
 
     /// Sends `id` as `x-request-id` and accepts only an answer that has it.
-    pub fn identified(mut self, id: &str) -> Self {
+    pub fn identified(self, id: &str) -> Self {
+        self.identified_as(REQUEST_ID, id)
+    }
+
+    /// Sends `id` as the header `name` and accepts only an answer that has it.
+    pub fn identified_as(mut self, name: HeaderName, id: &str) -> Self {
         if let Ok(value) = HeaderValue::from_str(id) {
-            self.headers.insert(REQUEST_ID, value.clone());
-            self.echo = Some(value);
+            self.headers.insert(name.clone(), value.clone());
+            self.echo = Some((name, value));
         }
         self
     }
 
+    /// Sends `name` as the host instead of the address of the peer.
+    pub fn host(mut self, name: &str) -> Self {
+        self.host = HeaderValue::from_str(name).ok();
+        self
+    }
+
     /// Sets the time allowed until a connection is open.
     pub fn connect_time(mut self, time: Duration) -> Self {
         self.connect_time = time;
--- a/crates/link/src/http/client.rs
+++ b/crates/link/src/http/client.rs
@@ -29,7 +29,6 @@
     response::{Fetched, Response},
 };
 use super::{
-    call::REQUEST_ID,
     error::{Error, Kind},
     fence,
     framing::{self, Framing},
@@ -84,6 +83,7 @@
 pub struct Pool {
     idle: Rc<RefCell<Map<SocketAddr, VecDeque<Connection>>>>,
     limits: Limits,
+    silence: Option<Duration>,
 }
 
 const IDLE_EACH: usize = 64;
@@ -95,9 +95,17 @@
         Self {
             idle: Rc::default(),
             limits,
+            silence: None,
         }
     }
 
+    /// Sets how long a peer may acknowledge nothing before its connections
+    /// are reset; calls that wait long notice a lost peer by it.
+    pub fn silence(mut self, limit: Duration) -> Self {
+        self.silence = Some(limit);
+        self
+    }
+
     /// Sends `call` to `peer` and waits for the head of the answer.
     ///
     /// # Errors
@@ -131,6 +139,9 @@
         let limit = left(deadline).min(call.connect_time);
         let stream = net::connect(peer, limit).await;
         let stream = stream.map_err(|e| Error::new(Kind::Connect, e))?;
+        if let Some(limit) = self.silence {
+            net::set_silence(&stream, limit).map_err(|e| Error::new(Kind::Connect, e))?;
+        }
         if call.fence.is_some() {
             net::set_user_timeout(&stream, fence::UNACKNOWLEDGED_TIME)
                 .map_err(|e| Error::new(Kind::Connect, e))?;
@@ -176,10 +187,12 @@
                 break (parts.status, parts.headers, framing, decoder);
             }
         };
-        if call.echo.is_some() && headers.get(REQUEST_ID) != call.echo.as_ref() {
+        if let Some((name, id)) = &call.echo
+            && headers.get(name) != Some(id)
+        {
             // Others to this peer may be out of step too.
             self.forget(peer);
-            return Err(Error::new(Kind::Foreign, "x-request-id differs"));
+            return Err(Error::new(Kind::Foreign, format!("{name} differs")));
         }
         if framing == Framing::UntilClose {
             return Err(Error::new(Kind::Incomplete, "answer without a length"));
@@ -263,7 +276,8 @@
         .version(Version::HTTP_11);
     if let Some(headers) = builder.headers_mut() {
         *headers = call.headers.clone();
-        if let Ok(host) = HeaderValue::from_str(&peer.to_string()) {
+        let own = || HeaderValue::from_str(&peer.to_string()).ok();
+        if let Some(host) = call.host.clone().or_else(own) {
             headers.insert(header::HOST, host);
         }
     }
--- a/crates/link/src/http/reply.rs
+++ b/crates/link/src/http/reply.rs
@@ -3,7 +3,7 @@
 use std::{future::Future, pin::Pin};
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, StatusCode};
+use http::{HeaderMap, HeaderValue, StatusCode, header::IntoHeaderName};
 use serde::Serialize;
 
 use super::pipe;
@@ -117,7 +117,7 @@
     }
 
     /// Sets one header; a value that HTTP cannot carry is left out.
-    pub fn header(mut self, name: &'static str, value: impl AsRef<str>) -> Self {
+    pub fn header(mut self, name: impl IntoHeaderName, value: impl AsRef<str>) -> Self {
         if let Ok(value) = HeaderValue::from_str(value.as_ref()) {
             self.headers.insert(name, value);
         }
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -20,7 +20,7 @@
 pub mod telemetry;
 pub(crate) mod traffic;
 
-pub use ::http::{HeaderMap, Method, StatusCode};
+pub use ::http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 pub use bytes::Bytes;
 
 /// Returns `text` as a header value, empty where HTTP cannot carry it.
--- a/crates/link/src/net.rs
+++ b/crates/link/src/net.rs
@@ -12,6 +12,8 @@
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
 const KEEPALIVE_EVERY: Duration = Duration::from_secs(2);
 const USER_TIMEOUT: Duration = Duration::from_secs(10);
+/// The kernel counts keepalive in whole seconds.
+const KEEPALIVE_LEAST: Duration = Duration::from_secs(1);
 
 /// Connects to `peer` within `limit`, with silent-peer detection set.
 ///
@@ -55,6 +57,23 @@
     socket2::SockRef::from(&fd).set_tcp_user_timeout(Some(limit))
 }
 
+/// Makes the kernel drop `stream` once its peer acknowledged nothing for about
+/// `limit`, also while nothing is sent.
+///
+/// # Errors
+///
+/// The error of the socket.
+pub fn set_silence(stream: &TcpStream, limit: Duration) -> io::Result<()> {
+    // SAFETY: The descriptor stays open for as long as `stream` is borrowed.
+    let fd = unsafe { BorrowedFd::borrow_raw(stream.as_raw_fd()) };
+    let socket = socket2::SockRef::from(&fd);
+    let probes = socket2::TcpKeepalive::new()
+        .with_time(KEEPALIVE_LEAST)
+        .with_interval(KEEPALIVE_LEAST);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(limit))
+}
+
 /// Listens on `address`.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/site/src/duty/lease.rs
@@ -0,0 +1,119 @@
+//! The lease under which a VM has the duties.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use board::lease::{Lease, Record, Terms};
+use link::clock::Clock;
+use platform::{
+    order::Authority,
+    store::{Store, Written},
+};
+use policy::lease::{self as decision, Outcome, Step};
+
+/// The kind of the object that holds the lease.
+const KIND: &str = "duty-leases";
+/// Its name.
+const NAME: &str = "steward";
+/// How often the lease is looked at, at least.
+const TICK: Duration = Duration::from_millis(100);
+/// A term long enough to outlive a slow store, short enough that a successor
+/// is in time for a usage report (10 s after its window). Receivers check the
+/// epoch, so an order under a term that has ended is refused.
+const TERMS: Terms = Terms {
+    ttl: Duration::from_millis(4000),
+    margin: Duration::from_millis(1000),
+    period: Duration::from_millis(1000),
+};
+
+/// The lease as this VM sees it.
+#[derive(Clone)]
+pub struct Office(Rc<Inner>);
+
+struct Inner {
+    lease: RefCell<Lease>,
+    clock: Clock,
+    store: Store,
+    vm: String,
+}
+
+impl Office {
+    /// Returns the lease as a process of `vm` that was just started sees it.
+    pub fn new(store: Store, vm: &str) -> Self {
+        Self(Rc::new(Inner {
+            lease: RefCell::new(Lease::new(rand::random())),
+            clock: Clock::default(),
+            store,
+            vm: vm.to_string(),
+        }))
+    }
+
+    /// Returns under whose authority orders may be sent now; `None` where
+    /// another VM may hold the lease.
+    pub fn authority(&self) -> Option<Authority> {
+        let epoch = decision::epoch(&self.0.lease.borrow(), self.0.clock.now())?;
+        let holder = self.0.vm.clone();
+        Some(Authority { holder, epoch })
+    }
+
+    /// Keeps trying to hold the lease, for ever.
+    pub async fn hold(&self) {
+        let mut before = None;
+        loop {
+            self.turn().await;
+            let epoch = self.authority().map(|authority| authority.epoch);
+            if epoch != before {
+                let change = if epoch.is_some() { "taken" } else { "lost" };
+                let number = epoch.or(before).unwrap_or_default();
+                spdlog::info!("duties changed", kv: { change, epoch = number });
+                before = epoch;
+            }
+            monoio::time::sleep(TICK).await;
+        }
+    }
+
+    /// Gives the lease up, so that a successor need not wait its whole term.
+    pub async fn release(&self) {
+        let step = decision::release(&mut self.0.lease.borrow_mut(), TERMS, &self.0.vm);
+        if let Some(Step::Write { version, record }) = step {
+            let written = self.write(version, &record).await;
+            let is_told = matches!(written, Outcome::Written(_));
+            spdlog::info!("duties given up", kv: { is_told });
+        }
+    }
+
+    async fn turn(&self) {
+        let inner = &*self.0;
+        let now = inner.clock.now();
+        let step = decision::step(&mut inner.lease.borrow_mut(), now, TERMS, &inner.vm);
+        match step {
+            Step::Wait => {}
+            Step::Read => match inner.store.get(KIND, NAME).await {
+                Ok(found) => {
+                    let found = found.and_then(|object| Some((object.revision, object.read()?)));
+                    let now = inner.clock.now();
+                    decision::read(&mut inner.lease.borrow_mut(), now, found, TERMS);
+                }
+                Err(e) => {
+                    let problem = e.to_string();
+                    spdlog::debug!("lease not read", kv: { problem });
+                }
+            },
+            Step::Write { version, record } => {
+                let outcome = self.write(version, &record).await;
+                decision::wrote(&mut inner.lease.borrow_mut(), now, record, outcome, TERMS);
+            }
+        }
+    }
+
+    async fn write(&self, version: u64, record: &Record) -> Outcome {
+        let store = &self.0.store;
+        let written = match version {
+            0 => store.create(KIND, NAME, record).await,
+            version => store.replace(KIND, NAME, version, record).await,
+        };
+        match written {
+            Ok(Written::Done(object)) => Outcome::Written(object.revision),
+            Ok(Written::Conflict(_)) | Err(_) => Outcome::Unsettled,
+        }
+    }
+}
--- /dev/null
+++ b/crates/site/src/duty/mod.rs
@@ -0,0 +1,31 @@
+//! Duties that one VM has at a time: weights, usage reports, retirements.
+
+pub mod lease;
+pub mod report;
+pub mod retire;
+pub mod weights;
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc};
+
+use link::http::Pool;
+use platform::store::Store;
+
+use self::lease::Office;
+use crate::{facts::Facts, usage::Usage};
+
+/// What duties are done with.
+#[derive(Clone)]
+pub struct Duties {
+    /// Whether this VM has them.
+    pub office: Office,
+    /// What it knows.
+    pub facts: Rc<RefCell<Facts>>,
+    /// The platform's store.
+    pub store: Store,
+    /// Connections to endpoints and the provider.
+    pub pool: Pool,
+    /// The part of the platform that takes reports and orders.
+    pub provider: SocketAddr,
+    /// The counts of this VM.
+    pub usage: Usage,
+}
--- /dev/null
+++ b/crates/site/src/duty/report.rs
@@ -0,0 +1,139 @@
+//! Usage: each VM keeps its counts of a window in the store, and the VM that
+//! has the duties reports their sum.
+//!
+//! The sum is created once as an object before it is reported, so that two
+//! holders never report different counts for one window.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use platform::{
+    order::{self, Outcome},
+    store::{Error, Written},
+};
+
+use super::Duties;
+use crate::usage::Counts;
+
+/// The kind of the objects that hold the counts of one VM in one window.
+const COUNTS: &str = "usage-counts";
+/// The kind of the objects that hold what is reported of a window.
+const REPORTS: &str = "usage-reports";
+/// How long after the end of a window a VM hands its counts on, so that
+/// requests that began in it have been counted.
+const HAND_ON: Duration = Duration::from_millis(1200);
+/// How long after the end of a window it is summed up: handing on takes well
+/// under a second, and a report is due 10 s after its window.
+const SUM_UP: Duration = Duration::from_millis(4000);
+/// How long after its end a window is not reported any more.
+const TOO_LATE: Duration = Duration::from_secs(60);
+/// How often both are looked at.
+const PERIOD: Duration = Duration::from_millis(250);
+
+fn name(window: u64, vm: &str) -> String {
+    format!("{window:012}.{vm}")
+}
+
+/// Hands the counts of this VM on after each window, for ever.
+pub async fn hand_on(duties: Duties, vm: String) {
+    // A restart within a window must not meet the counts of the process
+    // before it under the same name.
+    let process: u32 = rand::random();
+    let vm = format!("{vm}.{process:08x}");
+    loop {
+        monoio::time::sleep(PERIOD).await;
+        hand_on_ended(&duties, &vm, HAND_ON).await;
+    }
+}
+
+/// Hands on the counts of windows that ended at least `age` ago.
+async fn hand_on_ended(duties: &Duties, vm: &str, age: Duration) {
+    while let Some((window, counts)) = duties.usage.take_ended(age) {
+        let written = duties.store.create(COUNTS, &name(window, vm), &counts).await;
+        match written {
+            Ok(Written::Done(_)) => {}
+            // An earlier try took effect; counts that came since are lost.
+            Ok(Written::Conflict(_)) => {
+                spdlog::warn!("usage handed on before", kv: { window });
+            }
+            Err(e) => {
+                let problem = e.to_string();
+                spdlog::warn!("usage not handed on yet", kv: { window, problem });
+                duties.usage.put_back(window, counts);
+                return;
+            }
+        }
+    }
+}
+
+/// Reports windows while this VM has the duties, for ever.
+pub async fn run(duties: Duties) {
+    let mut next = duties.usage.window();
+    loop {
+        monoio::time::sleep(PERIOD).await;
+        if duties.office.authority().is_none() {
+            // A successor looks back for windows that were left unreported.
+            next = duties.usage.window().saturating_sub(LOOK_BACK);
+            continue;
+        }
+        let age = duties.usage.since_end(next);
+        if age > TOO_LATE {
+            next += 1;
+        } else if age >= SUM_UP && report(&duties, next).await {
+            next += 1;
+        }
+    }
+}
+
+/// How many windows a successor looks back.
+const LOOK_BACK: u64 = 3;
+
+/// Reports `window`, and returns whether that is settled.
+async fn report(duties: &Duties, window: u64) -> bool {
+    let counts = match decide(duties, window).await {
+        Ok(counts) => counts,
+        Err(e) => {
+            let problem = e.to_string();
+            spdlog::warn!("usage not summed up yet", kv: { window, problem });
+            return false;
+        }
+    };
+    let Some(authority) = duties.office.authority() else {
+        return false;
+    };
+    let sent = order::report(&duties.pool, duties.provider, window, &counts, &authority).await;
+    let epoch = authority.epoch;
+    match sent {
+        Ok(outcome) => {
+            let result = format!("{outcome:?}");
+            let requests: u64 = counts.values().sum();
+            spdlog::info!("usage reported", kv: { window, epoch, requests, result });
+            matches!(outcome, Outcome::Accepted)
+        }
+        Err(e) => {
+            let problem = e.to_string();
+            spdlog::warn!("usage not reported yet", kv: { window, epoch, problem });
+            false
+        }
+    }
+}
+
+/// Returns the counts that stand for `window`, and sets them if none do.
+async fn decide(duties: &Duties, window: u64) -> Result<Counts, Error> {
+    let (objects, _) = duties.store.list_after(COUNTS, &format!("{window:012}")).await?;
+    let prefix = format!("{window:012}.");
+    let mut sum: Counts = BTreeMap::new();
+    for object in objects.iter().filter(|object| object.name.starts_with(&prefix)) {
+        let counts: Counts = object.read().ok_or(Error::Malformed)?;
+        for (account, count) in counts {
+            *sum.entry(account).or_default() += count;
+        }
+    }
+    let name = format!("{window:012}");
+    match duties.store.create(REPORTS, &name, &sum).await? {
+        Written::Done(_) => Ok(sum),
+        Written::Conflict(object) => {
+            let standing = object.and_then(|object| object.read());
+            standing.ok_or(Error::Malformed)
+        }
+    }
+}
--- /dev/null
+++ b/crates/site/src/duty/retire.rs
@@ -0,0 +1,52 @@
+//! VMs with disks that are to be emptied. Nothing is kept on the disks, so
+//! such a VM is empty at once.
+
+use std::time::Duration;
+
+use platform::order::RETIREMENTS;
+use serde::Serialize;
+
+use super::Duties;
+use crate::follow::{self, Change, Contact};
+use platform::store::Event;
+
+#[derive(Serialize)]
+struct Status {
+    state: &'static str,
+}
+
+/// Answers retirements while this VM has the duties, for ever.
+pub async fn run(duties: Duties) {
+    let (store, contact) = (duties.store.clone(), Contact::default());
+    let apply = |change: Change, _| {
+        let objects = match change {
+            Change::All(objects) => objects,
+            Change::One(Event::Put(object)) => vec![object],
+            Change::One(Event::Removed(_)) => Vec::new(),
+        };
+        for object in objects.into_iter().filter(|object| !object.has_status) {
+            monoio::spawn(answer(duties.clone(), object.name));
+        }
+    };
+    follow::follow(store, RETIREMENTS, Duration::ZERO, contact, apply).await;
+}
+
+/// How often an answer is tried.
+const PERIOD: Duration = Duration::from_millis(500);
+/// How many times an answer is tried: longer than a change of holder takes.
+const TRIES: usize = 40;
+
+async fn answer(duties: Duties, vm: String) {
+    for _ in 0..TRIES {
+        if duties.office.authority().is_some() {
+            let state = "done";
+            let written = duties.store.set_status(RETIREMENTS, &vm, &Status { state }).await;
+            let (vm, is_told) = (vm.as_str(), written.is_ok());
+            spdlog::info!("vm emptied", kv: { vm, is_told });
+            if is_told {
+                return;
+            }
+        }
+        monoio::time::sleep(PERIOD).await;
+    }
+}
--- /dev/null
+++ b/crates/site/src/duty/weights.rs
@@ -0,0 +1,116 @@
+//! Bringing endpoints to the versions of weights that trainers name.
+
+use std::time::{Duration, Instant};
+
+use board::hash::Map;
+use platform::order::{self, Outcome, Version};
+
+use super::Duties;
+use crate::facts::{Facts, Key};
+
+/// How often endpoints are looked over.
+const PERIOD: Duration = Duration::from_millis(100);
+/// How many endpoints load at once: more of them load more slowly.
+const AT_ONCE: usize = 2;
+/// After how long an order counts as lost whose version does not show: a load
+/// takes 0.9 s and endpoints are heard of within a second or two.
+const LOST_TIME: Duration = Duration::from_millis(4000);
+/// The pause before an endpoint is asked again that refused an order.
+const AGAIN_TIME: Duration = Duration::from_millis(500);
+
+/// An order that was sent.
+#[derive(Clone, Copy, Debug)]
+struct Sent {
+    version: u64,
+    until: Instant,
+    is_loading: bool,
+}
+
+/// Orders loads while this VM has the duties, for ever.
+pub async fn run(duties: Duties) {
+    let mut sent: Map<(Key, String), Sent> = Map::default();
+    loop {
+        monoio::time::sleep(PERIOD).await;
+        if duties.office.authority().is_none() {
+            sent.clear();
+            continue;
+        }
+        let now = Instant::now();
+        sent.retain(|(key, model), order| {
+            let facts = duties.facts.borrow();
+            let endpoint = facts.endpoints.get(*key);
+            let version = endpoint.and_then(|endpoint| endpoint.version(model));
+            order.until > now && version.is_some_and(|version| version < order.version)
+        });
+        while sent.values().filter(|order| order.is_loading).count() < AT_ONCE {
+            let Some((key, version)) = next(&duties.facts.borrow(), &sent) else {
+                break;
+            };
+            let is_loading = load(&duties, key, &version).await;
+            let time = if is_loading { LOST_TIME } else { AGAIN_TIME };
+            let order = Sent {
+                version: version.version,
+                until: Instant::now() + time,
+                is_loading,
+            };
+            sent.insert((key, version.model), order);
+        }
+    }
+}
+
+/// Returns the endpoint to load next, and what: the least busy first.
+fn next(facts: &Facts, sent: &Map<(Key, String), Sent>) -> Option<(Key, Version)> {
+    let now = Instant::now();
+    let behind = facts.versions.iter().flat_map(|(model, version)| {
+        facts.endpoints.iter().filter_map(move |(key, endpoint)| {
+            let is_behind = endpoint.version(model)? < *version;
+            let is_free = !endpoint.record.is_leaving && !sent.contains_key(&(key, model.clone()));
+            (is_behind && is_free).then_some((key, endpoint, model, *version))
+        })
+    });
+    let least = behind.min_by_key(|(_, endpoint, ..)| {
+        (endpoint.is_resting(now), crate::place::load(endpoint, now))
+    });
+    least.map(|(key, _, model, version)| {
+        let model = model.clone();
+        (key, Version { model, version })
+    })
+}
+
+/// Orders one load, and returns whether it is being carried out, or may be.
+async fn load(duties: &Duties, key: Key, version: &Version) -> bool {
+    let known = duties.facts.borrow().endpoints.get(key).cloned();
+    let Some(endpoint) = known else {
+        return false;
+    };
+    let address = endpoint.record.address;
+    let id = endpoint.id.as_str();
+    let state = match order::state(&duties.pool, address).await {
+        Ok(state) => state,
+        Err(e) => {
+            let problem = e.to_string();
+            spdlog::warn!("endpoint tells no state", kv: { endpoint = id, problem });
+            return false;
+        }
+    };
+    if state.busy {
+        return false;
+    }
+    let Some(authority) = duties.office.authority() else {
+        return false;
+    };
+    let sent = order::load(&duties.pool, address, id, version, &authority, state.orders).await;
+    let (model, number, epoch) = (version.model.as_str(), version.version, authority.epoch);
+    match sent {
+        Ok(outcome) => {
+            let result = format!("{outcome:?}");
+            spdlog::info!("weights ordered", kv: { endpoint = id, model, version = number, epoch, result });
+            matches!(outcome, Outcome::Accepted | Outcome::Holds)
+        }
+        Err(e) => {
+            let problem = e.to_string();
+            spdlog::warn!("weights ordered without answer", kv: { endpoint = id, model, version = number, epoch, problem });
+            !e.is_unsent()
+        }
+    }
+}
--- /dev/null
+++ b/crates/site/src/follow.rs
@@ -0,0 +1,258 @@
+//! Following kinds of objects in the store: listed once, then watched, and
+//! listed again when the history is gone.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeSet,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use link::http::Pool;
+use platform::{
+    config::{self, Config},
+    endpoint,
+    order::{self, Version},
+    store::{Error, Event, Object, Store},
+};
+
+use crate::facts::Facts;
+
+/// The pause after a call that failed; doubles up to [`PAUSE_MAX`].
+const PAUSE: Duration = Duration::from_millis(100);
+/// The longest pause, so that a store that returns is noticed at once.
+const PAUSE_MAX: Duration = Duration::from_millis(500);
+/// How long the records of endpoints may be missing after an outage of the
+/// store: they return within about two seconds if the endpoint lives.
+const RETURN_TIME: Duration = Duration::from_millis(2000);
+
+/// What a kind's follower hears.
+pub enum Change {
+    /// All objects of the kind.
+    All(Vec<Object>),
+    /// One change.
+    One(Event),
+}
+
+/// How a VM stands with the store.
+#[derive(Clone, Debug, Default)]
+pub struct Contact(Rc<Cell<Option<Instant>>>);
+
+impl Contact {
+    /// Returns for how long no call of a follower has failed.
+    pub fn steady(&self, now: Instant) -> Duration {
+        self.0.get().map_or(Duration::ZERO, |since| now - since)
+    }
+
+    fn lost(&self) {
+        self.0.set(None);
+    }
+
+    fn held(&self) {
+        if self.0.get().is_none() {
+            self.0.set(Some(Instant::now()));
+        }
+    }
+}
+
+/// Follows `kind` for ever; waits `gather` after each change so that changes
+/// in quick succession come in one call.
+pub async fn follow(
+    store: Store,
+    kind: &'static str,
+    gather: Duration,
+    contact: Contact,
+    apply: impl Fn(Change, bool),
+) {
+    let mut pause = PAUSE;
+    let mut revision = None;
+    // Whether the store was away since the last change that was applied.
+    let mut was_away = false;
+    loop {
+        let outcome = match revision {
+            None => list(&store, kind, was_away, &apply).await,
+            Some(from) => watch(&store, kind, from, was_away, &apply).await,
+        };
+        match outcome {
+            Ok(at) => {
+                if was_away {
+                    spdlog::info!("store reached again", kv: { kind, revision = at });
+                }
+                contact.held();
+                (revision, pause, was_away) = (Some(at), PAUSE, false);
+                monoio::time::sleep(gather).await;
+            }
+            Err(Error::Gone) => {
+                spdlog::info!("history gone, listing again", kv: { kind });
+                revision = None;
+            }
+            Err(e) => {
+                if !was_away {
+                    let problem = e.to_string();
+                    spdlog::warn!("store not reached", kv: { kind, problem });
+                }
+                contact.lost();
+                was_away = true;
+                monoio::time::sleep(pause).await;
+                pause = PAUSE_MAX.min(pause * 2);
+            }
+        }
+    }
+}
+
+async fn list(
+    store: &Store,
+    kind: &str,
+    was_away: bool,
+    apply: &impl Fn(Change, bool),
+) -> Result<u64, Error> {
+    let (objects, revision) = store.list(kind).await?;
+    apply(Change::All(objects), was_away);
+    Ok(revision)
+}
+
+async fn watch(
+    store: &Store,
+    kind: &str,
+    from: u64,
+    was_away: bool,
+    apply: &impl Fn(Change, bool),
+) -> Result<u64, Error> {
+    let (events, revision) = store.watch(kind, from).await?;
+    for event in events {
+        apply(Change::One(event), was_away);
+    }
+    Ok(revision)
+}
+
+/// Follows the configuration.
+pub async fn config(store: Store, contact: Contact, facts: Rc<RefCell<Facts>>) {
+    let apply = |change: Change, _| {
+        for object in objects(change) {
+            if object.name == config::NAME {
+                take_config(&object, &facts);
+            }
+        }
+    };
+    follow(store, config::KIND, Duration::ZERO, contact, apply).await;
+}
+
+fn take_config(object: &Object, facts: &RefCell<Facts>) {
+    let Some(config) = object.read::<Config>() else {
+        let revision = object.revision;
+        spdlog::error!("configuration cannot be read", kv: { revision });
+        return;
+    };
+    let version = config.version;
+    if facts.borrow_mut().set_config(config) {
+        spdlog::info!("configuration in force", kv: { version });
+    }
+}
+
+/// Follows the versions that trainers name.
+pub async fn versions(store: Store, contact: Contact, facts: Rc<RefCell<Facts>>) {
+    let apply = |change: Change, _| {
+        for object in objects(change) {
+            let Some(named) = object.read::<Version>() else {
+                continue;
+            };
+            let (model, version) = (named.model, named.version);
+            let mut facts = facts.borrow_mut();
+            let known = facts.versions.entry(model.clone()).or_default();
+            if version > *known {
+                *known = version;
+                spdlog::info!("weights named", kv: { model = model.as_str(), version });
+            }
+        }
+    };
+    follow(store, order::VERSIONS, Duration::ZERO, contact, apply).await;
+}
+
+fn objects(change: Change) -> Vec<Object> {
+    match change {
+        Change::All(objects) => objects,
+        Change::One(Event::Put(object)) => vec![object],
+        Change::One(Event::Removed(_)) => Vec::new(),
+    }
+}
+
+/// Follows the endpoints, and gives those up whose records do not return.
+pub async fn endpoints(store: Store, contact: Contact, facts: Rc<RefCell<Facts>>, pool: Pool) {
+    let apply = |change: Change, was_away: bool| match change {
+        Change::All(objects) => {
+            let mut known: BTreeSet<String> = facts.borrow().endpoint_ids().into_iter().collect();
+            for object in &objects {
+                if put_endpoint(object, &facts, &pool) {
+                    known.remove(&object.name);
+                }
+            }
+            for id in known {
+                remove_endpoint(&id, was_away, &facts, &pool);
+            }
+        }
+        Change::One(Event::Put(object)) => {
+            if !put_endpoint(&object, &facts, &pool) {
+                remove_endpoint(&object.name, false, &facts, &pool);
+            }
+        }
+        Change::One(Event::Removed(id)) => remove_endpoint(&id, was_away, &facts, &pool),
+    };
+    let following = follow(store, endpoint::KIND, Duration::ZERO, contact, apply);
+    monoio::select! {
+        () = following => {}
+        () = give_up_missing(&facts, &pool) => {}
+    }
+}
+
+/// How often endpoints are looked over that are missing.
+const MISSING_PERIOD: Duration = Duration::from_millis(250);
+
+async fn give_up_missing(facts: &RefCell<Facts>, pool: &Pool) {
+    loop {
+        monoio::time::sleep(MISSING_PERIOD).await;
+        let overdue = facts.borrow().overdue(Instant::now());
+        for id in overdue {
+            forget(&id, facts, pool);
+        }
+    }
+}
+
+/// Takes a record; returns false where it names no endpoint to use.
+fn put_endpoint(object: &Object, facts: &RefCell<Facts>, pool: &Pool) -> bool {
+    let id = object.name.as_str();
+    let record = object.spec.as_deref().and_then(endpoint::decode);
+    let Some(record) = record else {
+        spdlog::warn!("endpoint record cannot be used", kv: { endpoint = id });
+        return false;
+    };
+    let (address, is_leaving) = (record.address, record.is_leaving);
+    let service = record.service.clone();
+    let is_new = facts.borrow_mut().put_endpoint(id, record);
+    if is_new {
+        pool.forget(address);
+        let address = address.to_string();
+        spdlog::info!("endpoint seen", kv: { endpoint = id, service, address });
+    }
+    if is_leaving {
+        spdlog::info!("endpoint leaves", kv: { endpoint = id });
+        pool.forget(address);
+    }
+    true
+}
+
+fn remove_endpoint(id: &str, was_away: bool, facts: &RefCell<Facts>, pool: &Pool) {
+    if was_away {
+        let until = Instant::now() + RETURN_TIME;
+        facts.borrow_mut().miss_endpoint(id, until);
+        spdlog::info!("endpoint missing after outage", kv: { endpoint = id });
+        return;
+    }
+    forget(id, facts, pool);
+}
+
+fn forget(id: &str, facts: &RefCell<Facts>, pool: &Pool) {
+    if let Some(endpoint) = facts.borrow_mut().remove_endpoint(id) {
+        pool.forget(endpoint.record.address);
+        spdlog::info!("endpoint gone", kv: { endpoint = id });
+    }
+}
--- /dev/null
+++ b/crates/site/src/forward.rs
@@ -0,0 +1,361 @@
+//! Requests of callers: sent to an endpoint, and to another one where the
+//! first cannot have run it or it may run twice.
+
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use link::{
+    Bytes, HeaderMap, Method, StatusCode,
+    http::{
+        self, Pool, Request,
+        client::{Call, Fetched},
+        server::Reply,
+    },
+};
+use platform::{
+    config::{Kind, Route},
+    header,
+};
+
+use crate::{
+    facts::{Facts, Key},
+    place::{self, Need},
+    usage::Usage,
+};
+
+/// How long an endpoint may take to accept a connection. Those that live do
+/// within a few milliseconds.
+const CONNECT_TIME: Duration = Duration::from_millis(250);
+/// How many endpoints may turn one request away without running it.
+const TURNED_AWAY_MAX: usize = 6;
+/// When a caller whose request has not run should come back: most endpoints
+/// are free again within the work of one request.
+const RETRY_AFTER_S: &str = "0.1";
+/// The pause before endpoints are asked again that were all full.
+const FULL_PAUSE: Duration = Duration::from_millis(20);
+/// What is kept of a caller's time for the way back.
+const RETURN_TIME: Duration = Duration::from_millis(5);
+
+/// What requests are forwarded with.
+#[derive(Clone)]
+pub struct Forwarder {
+    facts: Rc<RefCell<Facts>>,
+    pool: Pool,
+    usage: Usage,
+    domain: String,
+}
+
+/// One request at one endpoint, given back on drop.
+pub struct Place {
+    facts: Rc<RefCell<Facts>>,
+    key: Key,
+}
+
+impl Place {
+    /// Takes a place at the endpoint `key`.
+    pub fn take(facts: &Rc<RefCell<Facts>>, key: Key) -> Option<Self> {
+        facts.borrow_mut().endpoints.get_mut(key)?.in_flight += 1;
+        let facts = facts.clone();
+        Some(Self { facts, key })
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if let Some(endpoint) = self.facts.borrow_mut().endpoints.get_mut(self.key) {
+            endpoint.in_flight -= 1;
+        }
+    }
+}
+
+/// A request as it is sent to endpoints.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// Its id, which the endpoint must echo.
+    pub id: String,
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// The host of its route.
+    pub host: String,
+    /// The headers, without those that the system sets.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// The client account that asks.
+    pub account: Option<String>,
+    /// Whether it may run more than once.
+    pub may_repeat: bool,
+    /// When its caller stops waiting.
+    pub deadline: Instant,
+}
+
+impl Order {
+    /// Returns the call for the endpoint `endpoint` that has `limit` left.
+    pub fn call(&self, endpoint: &str, limit: Duration) -> Call {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let mut call = Call::new(self.method.clone(), &self.path)
+            .headers(self.headers.clone())
+            .body(self.body.clone())
+            .host(&self.host)
+            .identified_as(header::REQUEST_ID, &self.id)
+            .header(header::EXPECT_ENDPOINT, endpoint)
+            .header(header::DEADLINE, left.as_millis().to_string())
+            .idempotent(self.may_repeat)
+            .connect_time(CONNECT_TIME)
+            .deadline(limit);
+        if let Some(account) = &self.account {
+            call = call.header(header::ACCOUNT, account);
+        }
+        call
+    }
+}
+
+/// What one endpoint made of a request.
+enum Attempt {
+    /// It ran the request, and this is its answer.
+    Answered(Fetched),
+    /// It did not run the request and never will.
+    NotRun(&'static str),
+    /// It may have run the request.
+    Unknown(http::Error),
+}
+
+/// What became of a request.
+#[derive(Debug, Default)]
+pub struct Outcome {
+    /// How it ended.
+    pub end: End,
+    /// How many endpoints ran it or may have.
+    pub runs: u32,
+    /// How many endpoints ran it and failed.
+    pub failures: u32,
+    /// How many endpoints turned it away without running it.
+    pub turned_away: usize,
+}
+
+/// How a request ended.
+#[derive(Debug, Default)]
+pub enum End {
+    /// With this answer.
+    Answered(Fetched),
+    /// Without an answer of the endpoints that may have run it.
+    Lost,
+    /// No endpoint ran it, and none will.
+    #[default]
+    NotRun,
+}
+
+impl Forwarder {
+    /// Returns a forwarder for the VM in `domain`.
+    pub fn new(facts: Rc<RefCell<Facts>>, pool: Pool, usage: Usage, domain: &str) -> Self {
+        Self {
+            facts,
+            pool,
+            usage,
+            domain: domain.to_string(),
+        }
+    }
+
+    /// Answers a request on `route`.
+    pub async fn answer(&self, route: &Route, account: Option<String>, request: Request) -> Reply {
+        let told = header::number(&request.headers, header::DEADLINE).map(Duration::from_millis);
+        let limits = [told, route.timeout_ms];
+        let limit = limits.into_iter().flatten().min().unwrap_or(DEFAULT_TIME);
+        let id = request.header("request-id").unwrap_or_default().to_string();
+        let order = Order {
+            id,
+            method: request.method.clone(),
+            path: path(&request),
+            host: request.header("host").unwrap_or_default().to_string(),
+            headers: header::passed_on(&request.headers),
+            body: request.body.clone(),
+            account,
+            may_repeat: route.kind == Kind::Safe,
+            deadline: Instant::now() + limit.saturating_sub(RETURN_TIME),
+        };
+        match self.run(route, &order).await.end {
+            End::Answered(found) => pass_back(found),
+            End::Lost => error(StatusCode::GATEWAY_TIMEOUT, "no-answer", "no endpoint answered"),
+            End::NotRun => refusal("no-place", "no endpoint has a place"),
+        }
+    }
+
+    /// Sends `order` until an endpoint answers, its time is up or nothing
+    /// more may be tried.
+    pub async fn run(&self, route: &Route, order: &Order) -> Outcome {
+        let start = Instant::now();
+        let outcome = self.attempts(route, order).await;
+        let status = match &outcome.end {
+            End::Answered(found) => found.status.as_u16(),
+            End::Lost => StatusCode::GATEWAY_TIMEOUT.as_u16(),
+            End::NotRun => StatusCode::SERVICE_UNAVAILABLE.as_u16(),
+        };
+        let (request, name) = (order.id.as_str(), route.name.as_str());
+        let (runs, turned_away) = (outcome.runs, outcome.turned_away);
+        let ms = start.elapsed().as_millis() as u64;
+        spdlog::info!("request ended", kv: { request, route = name, status, runs, turned_away, ms });
+        outcome
+    }
+
+    async fn attempts(&self, route: &Route, order: &Order) -> Outcome {
+        let mut tried = Vec::new();
+        let mut outcome = Outcome::default();
+        loop {
+            let left = order.deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() || outcome.turned_away >= TURNED_AWAY_MAX {
+                return outcome;
+            }
+            let Some(service) = share(route, &order.id) else {
+                return outcome;
+            };
+            let Some(key) = self.choose(service, &tried) else {
+                if tried.is_empty() || outcome.runs > 0 {
+                    return outcome;
+                }
+                // All were asked and none ran it: a place may be free soon.
+                tried.clear();
+                monoio::time::sleep(FULL_PAUSE.min(left)).await;
+                continue;
+            };
+            tried.push(key);
+            let tries_left = route.max_attempts.saturating_sub(outcome.runs);
+            let limit = attempt_limit(left, route, order.may_repeat, tries_left);
+            let is_last = tries_left <= 1 || !order.may_repeat;
+            match self.attempt(key, order, limit).await {
+                Attempt::NotRun(_) => outcome.turned_away += 1,
+                Attempt::Answered(found) => {
+                    outcome.runs += 1;
+                    let is_failure = found.status.is_server_error();
+                    outcome.failures += u32::from(is_failure);
+                    outcome.end = End::Answered(found);
+                    if !is_failure || is_last {
+                        return outcome;
+                    }
+                }
+                Attempt::Unknown(_) => {
+                    outcome.runs += 1;
+                    if !matches!(outcome.end, End::Answered(_)) {
+                        outcome.end = End::Lost;
+                    }
+                    if is_last {
+                        return outcome;
+                    }
+                }
+            }
+        }
+    }
+
+    fn choose(&self, service: &str, tried: &[Key]) -> Option<Key> {
+        let need = Need {
+            service,
+            domain: &self.domain,
+            tried,
+            ..Need::default()
+        };
+        place::choose(&self.facts.borrow(), need, Instant::now())
+    }
+
+    async fn attempt(&self, key: Key, order: &Order, limit: Duration) -> Attempt {
+        let known = self.facts.borrow().endpoints.get(key).cloned();
+        let Some(endpoint) = known else {
+            return Attempt::NotRun("endpoint gone");
+        };
+        let Some(_place) = Place::take(&self.facts, key) else {
+            return Attempt::NotRun("endpoint gone");
+        };
+        let window = self.usage.window();
+        let call = order.call(&endpoint.id, limit);
+        let found = self.pool.fetch(endpoint.record.address, call).await;
+        let attempt = judge(found);
+        let now = Instant::now();
+        if let (Attempt::Answered(_) | Attempt::Unknown(_), Some(account)) = (&attempt, &order.account) {
+            self.usage.count(window, account);
+        }
+        let (request, id) = (order.id.as_str(), endpoint.id.as_str());
+        match &attempt {
+            Attempt::Answered(found) => {
+                let load = header::load(&found.headers);
+                self.facts.borrow_mut().answered(key, load, now);
+            }
+            Attempt::NotRun(reason) => {
+                let reason = *reason;
+                let rest = self.facts.borrow_mut().failed(key, now).as_millis() as u64;
+                spdlog::info!("request turned away", kv: { request, endpoint = id, reason, rest_ms = rest });
+            }
+            Attempt::Unknown(e) => {
+                let rest = self.facts.borrow_mut().failed(key, now).as_millis() as u64;
+                let problem = e.to_string();
+                spdlog::warn!("endpoint failed", kv: { request, endpoint = id, problem, rest_ms = rest });
+            }
+        }
+        attempt
+    }
+}
+
+/// The time of a request whose caller and route set none.
+const DEFAULT_TIME: Duration = Duration::from_secs(10);
+
+/// Returns how long one attempt may take. A request that may be repeated
+/// leaves time for another endpoint, should the first be silent.
+fn attempt_limit(left: Duration, route: &Route, may_repeat: bool, tries_left: u32) -> Duration {
+    if !may_repeat || tries_left <= 1 {
+        return left;
+    }
+    let aim = route.aim_ms.unwrap_or(left);
+    left.min((left / 2).max(aim * 2))
+}
+
+/// Returns the service that the request `id` goes to, by the shares of its
+/// route.
+pub fn share<'a>(route: &'a Route, id: &str) -> Option<&'a str> {
+    let total: u64 = route.shares().map(|(_, weight)| u64::from(weight)).sum();
+    let mut point = board::hash::mix(id.as_bytes(), 0) % total.max(1);
+    for (service, weight) in route.shares() {
+        match point.checked_sub(u64::from(weight)) {
+            None => return Some(service),
+            Some(rest) => point = rest,
+        }
+    }
+    None
+}
+
+fn judge(found: Result<Fetched, http::Error>) -> Attempt {
+    match found {
+        Ok(found) if found.status == StatusCode::MISDIRECTED_REQUEST => {
+            Attempt::NotRun("another endpoint has the address")
+        }
+        Ok(found) if found.headers.contains_key(header::NOT_RUN) => {
+            Attempt::NotRun("turned away")
+        }
+        Ok(found) => Attempt::Answered(found),
+        Err(e) if e.is_unsent() => Attempt::NotRun("not connected"),
+        Err(e) => Attempt::Unknown(e),
+    }
+}
+
+/// Returns an endpoint's answer as the caller gets it.
+fn pass_back(found: Fetched) -> Reply {
+    let mut reply = Reply::new(found.status, found.body);
+    *reply.headers_mut() = header::passed_on(&found.headers);
+    reply
+}
+
+/// Returns a refusal of a request that has not run.
+pub fn refusal(code: &str, detail: &str) -> Reply {
+    error(StatusCode::SERVICE_UNAVAILABLE, code, detail).header("retry-after", RETRY_AFTER_S)
+}
+
+/// Returns an error of this VM's own.
+pub fn error(status: StatusCode, code: &str, detail: &str) -> Reply {
+    Reply::error(status, code, detail)
+}
+
+fn path(request: &Request) -> String {
+    let uri = &request.uri;
+    uri.path_and_query().map_or_else(|| uri.path().to_string(), |path| path.to_string())
+}
--- /dev/null
+++ b/crates/site/src/job/api.rs
@@ -0,0 +1,241 @@
+//! Calls of trainers about jobs.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use link::{
+    StatusCode, clock,
+    http::{Request, server::Reply},
+};
+use platform::{
+    batch::{Call, Read, Sample, Submission},
+    config::Route,
+    header,
+    store::{Error, Written},
+};
+
+use super::{
+    Jobs, Shared,
+    record::{self, Head, Name, Part},
+};
+use crate::forward::{error, refusal};
+
+/// For how long a submission without an answer of the store is repeated.
+const ACCEPT_TIME: Duration = Duration::from_millis(2500);
+/// The pause before it is repeated.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// The longest that a read waits for samples.
+const READ_WAIT_MAX: Duration = Duration::from_millis(1000);
+/// How much text one answer to a read holds; the platform allows 1 MB.
+const READ_BYTES: usize = 700 * 1024;
+/// How long the followers may be out of touch with the store before a read
+/// that finds nothing new is refused: others may have read more by then.
+const SETTLE_TIME: Duration = Duration::from_millis(500);
+
+/// Accepts a job, once.
+pub async fn submit(
+    jobs: &Jobs,
+    route: &Route,
+    account: Option<String>,
+    request: &Request,
+) -> Reply {
+    let id = request.header("request-id").unwrap_or_default();
+    if !record::is_id(id) {
+        return error(StatusCode::BAD_REQUEST, "bad-id", "the job needs an id");
+    }
+    if let Some(known) = jobs.registry.get(id) {
+        return accepted_before(&known, &account);
+    }
+    let submission: Submission = match request.json() {
+        Ok(submission) => submission,
+        Err(reply) => return reply,
+    };
+    let head = Head {
+        account: account.clone(),
+        host: request.header("host").unwrap_or_default().to_string(),
+        path: request.uri.path().to_string(),
+        vm: jobs.vm.clone(),
+        submitted_ms: clock::wall_millis(),
+        submission,
+    };
+    let start = Instant::now();
+    let written = create(jobs, id, &head).await;
+    let (job, items, route) = (id, head.submission.items.len(), route.name.as_str());
+    let ms = start.elapsed().as_millis() as u64;
+    match written {
+        Ok(Written::Done(_)) => {
+            spdlog::info!("job accepted", kv: { job, items, route, ms });
+            let known = jobs.registry.put_head(id, head);
+            jobs.producer.start(&known);
+            accepted()
+        }
+        Ok(Written::Conflict(object)) => {
+            spdlog::info!("job accepted before", kv: { job, ms });
+            match object.and_then(|object| object.read()) {
+                Some(standing) => {
+                    let known = jobs.registry.put_head(id, standing);
+                    if known.borrow().head.vm == jobs.vm {
+                        // An earlier try of this call took effect late.
+                        jobs.producer.start(&known);
+                    }
+                    accepted_before(&known, &account)
+                }
+                None => error(StatusCode::BAD_GATEWAY, "unclear", "the job cannot be read"),
+            }
+        }
+        Err(Error::Unknown) => {
+            spdlog::warn!("job may have been accepted", kv: { job, ms });
+            error(StatusCode::GATEWAY_TIMEOUT, "unclear", "the store does not answer")
+        }
+        Err(e) => {
+            let problem = e.to_string();
+            spdlog::warn!("job refused", kv: { job, problem, ms });
+            refusal("store-away", "jobs cannot be kept now")
+        }
+    }
+}
+
+/// Creates the head of a job. A call that may have taken effect is repeated,
+/// since the job cannot be refused before that is known.
+async fn create(jobs: &Jobs, id: &str, head: &Head) -> Result<Written, Error> {
+    let start = Instant::now();
+    let mut is_unclear = false;
+    loop {
+        let outcome = jobs.store.create(record::KIND, id, head).await;
+        let failed = match outcome {
+            Err(Error::Unknown) => Error::Unknown,
+            Err(_) if is_unclear => Error::Unknown,
+            other => return other,
+        };
+        is_unclear = true;
+        if start.elapsed() > ACCEPT_TIME {
+            return Err(failed);
+        }
+        monoio::time::sleep(ACCEPT_PAUSE).await;
+    }
+}
+
+fn accepted() -> Reply {
+    Reply::json(StatusCode::ACCEPTED, &serde_json::json!({}))
+}
+
+fn accepted_before(job: &Shared, account: &Option<String>) -> Reply {
+    match job.borrow().head.account == *account {
+        true => accepted(),
+        false => error(StatusCode::NOT_FOUND, "no-job", "the job belongs to another account"),
+    }
+}
+
+/// Answers a call about a job.
+pub async fn call(jobs: &Jobs, account: Option<String>, call: Call, request: &Request) -> Reply {
+    let id = match &call {
+        Call::Read { job, .. } | Call::End { job } | Call::Body { job, .. } => job.clone(),
+    };
+    let job = match find(jobs, &id).await {
+        Ok(job) if job.borrow().head.account == account => job,
+        Ok(_) => return error(StatusCode::NOT_FOUND, "no-job", "no such job"),
+        Err(reply) => return reply,
+    };
+    match call {
+        Call::Read { from, .. } => {
+            let wait = header::number(&request.headers, header::WAIT).unwrap_or(0);
+            let wait = Duration::from_millis(wait).min(READ_WAIT_MAX);
+            read(jobs, &job, from, wait).await
+        }
+        Call::End { .. } => end(jobs, &job).await,
+        Call::Body { item, .. } => body(&job, &item),
+    }
+}
+
+/// Returns the job `id`, asking the store if this VM has not heard of it.
+async fn find(jobs: &Jobs, id: &str) -> Result<Shared, Reply> {
+    if let Some(job) = jobs.registry.get(id) {
+        return Ok(job);
+    }
+    let none = || error(StatusCode::NOT_FOUND, "no-job", "no such job");
+    if !record::is_id(id) {
+        return Err(none());
+    }
+    match jobs.store.get(record::KIND, id).await {
+        Ok(Some(object)) => match object.read() {
+            Some(head) => Ok(jobs.registry.put_head(id, head)),
+            None => Err(refusal("unclear", "the job cannot be read")),
+        },
+        Ok(None) => Err(none()),
+        Err(_) => Err(refusal("store-away", "the job is not known here yet")),
+    }
+}
+
+async fn read(jobs: &Jobs, job: &Shared, from: usize, wait: Duration) -> Reply {
+    let until = Instant::now() + wait;
+    loop {
+        let (known, is_whole, notice) = {
+            let job = job.borrow();
+            (job.samples.len(), job.is_whole(), job.notice.clone())
+        };
+        let left = until.saturating_duration_since(Instant::now());
+        if known > from || is_whole || left.is_zero() {
+            break;
+        }
+        let seen = notice.count();
+        // Either way the loop looks again.
+        let _ = monoio::time::timeout(left, notice.past(seen)).await;
+    }
+    let job = job.borrow();
+    let is_news = job.samples.len() > from;
+    let is_sure = job.is_whole() || jobs.contact.steady(Instant::now()) >= SETTLE_TIME;
+    if from > job.samples.len() || (!is_news && !is_sure) {
+        return refusal("not-sure", "there may be samples that are not known here");
+    }
+    let samples = page(&job.samples[from..]);
+    let body = Read {
+        total: job.head.submission.items.len(),
+        next: from + samples.len(),
+        samples: &samples,
+    };
+    Reply::json(StatusCode::OK, &body)
+}
+
+/// Returns as many samples as fit into one answer, one at least.
+fn page(samples: &[Rc<Sample>]) -> Vec<&Sample> {
+    let mut bytes = 0;
+    let fits = |(index, sample): &(usize, &Rc<Sample>)| {
+        bytes += sample.text.len();
+        *index == 0 || bytes <= READ_BYTES
+    };
+    let page = samples.iter().enumerate().take_while(fits);
+    page.map(|(_, sample)| &**sample).collect()
+}
+
+async fn end(jobs: &Jobs, job: &Shared) -> Reply {
+    let id = job.borrow().id.clone();
+    if job.borrow().is_ended {
+        return Reply::json(StatusCode::OK, &serde_json::json!({}));
+    }
+    let name = Name::new(&id, Part::End).encode();
+    let written = jobs.store.create(record::KIND, &name, &serde_json::json!({})).await;
+    let id = id.as_str();
+    match written {
+        Ok(_) => {
+            spdlog::info!("job ended", kv: { job = id });
+            jobs.registry.put_end(id);
+            Reply::json(StatusCode::OK, &serde_json::json!({}))
+        }
+        Err(e) => {
+            let problem = e.to_string();
+            spdlog::warn!("job not ended yet", kv: { job = id, problem });
+            refusal("store-away", "the end cannot be kept now")
+        }
+    }
+}
+
+fn body(job: &Shared, item: &str) -> Reply {
+    let job = job.borrow();
+    let found = job.head.submission.items.iter().find(|known| known.id == item);
+    match found {
+        Some(found) => Reply::new(StatusCode::OK, found.body.0.clone()),
+        None => error(StatusCode::NOT_FOUND, "no-item", "the job has no such item"),
+    }
+}
--- /dev/null
+++ b/crates/site/src/job/attempt.rs
@@ -0,0 +1,232 @@
+//! One run of an item at one endpoint, and the scoring of its text.
+
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use link::{
+    HeaderMap, HeaderName, HeaderValue, Method, StatusCode,
+    http::{Pool, Response},
+};
+use platform::{
+    batch::{Item, Scorer},
+    header,
+    stream::Events,
+};
+
+use super::sample::Text;
+use crate::{
+    facts::{Facts, Key},
+    forward::{End, Forwarder, Order, Place},
+};
+
+/// How long the first event may take: a full queue is worked off in less.
+const FIRST_TIME: Duration = Duration::from_millis(4000);
+/// The longest pause between two events; engines make several in it.
+const PAUSE_TIME: Duration = Duration::from_millis(1500);
+/// The pause before a scoring call that found no place is sent again.
+const SCORE_PAUSE: Duration = Duration::from_millis(100);
+
+/// What items are run with.
+#[derive(Clone)]
+pub struct Runner {
+    /// What the VM knows.
+    pub facts: Rc<RefCell<Facts>>,
+    /// Connections to endpoints.
+    pub pool: Pool,
+    /// Where scoring calls go.
+    pub forwarder: Forwarder,
+}
+
+/// How a run ended.
+#[derive(Debug)]
+pub enum Run {
+    /// The text is whole.
+    Whole,
+    /// It broke off, or did not begin; another endpoint may go on.
+    Broken(String),
+    /// The endpoint did not run it.
+    NotRun,
+    /// The endpoint failed.
+    Failed,
+    /// No endpoint can ever do it.
+    Never,
+}
+
+/// How scoring ended.
+#[derive(Debug)]
+pub enum Score {
+    /// With this signature.
+    Signed(String),
+    /// It cannot be had.
+    GivenUp,
+    /// The text needs none.
+    None,
+}
+
+/// What an item's run needs to know of its job.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    /// The host of the route.
+    pub host: String,
+    /// The client account.
+    pub account: Option<String>,
+    /// The oldest version of the weights that may make an event.
+    pub oldest: u64,
+    /// Whether all events must come from one version.
+    pub is_single_version: bool,
+    /// When the item is given up.
+    pub deadline: Instant,
+}
+
+impl Runner {
+    /// Runs `item` at the endpoint `key`, on from what `text` holds.
+    pub async fn run(&self, key: Key, item: &Item, terms: &Terms, text: &mut Text) -> Run {
+        let known = self.facts.borrow().endpoints.get(key).cloned();
+        let Some(endpoint) = known else {
+            return Run::NotRun;
+        };
+        let order = order(item, terms, text);
+        let call = order.call(&endpoint.id, FIRST_TIME);
+        let run = match self.pool.send(endpoint.record.address, call).await {
+            Err(e) if e.is_unsent() => Run::NotRun,
+            Err(e) => Run::Broken(e.to_string()),
+            Ok(response) => self.read(key, response, terms, text).await,
+        };
+        let now = Instant::now();
+        let (item, id) = (item.id.as_str(), endpoint.id.as_str());
+        let last = text.last().unwrap_or_default();
+        match &run {
+            Run::Whole => spdlog::info!("item run", kv: { item, endpoint = id, last }),
+            Run::Never | Run::Failed => {
+                spdlog::warn!("item failed", kv: { item, endpoint = id, last });
+            }
+            Run::NotRun => {
+                self.facts.borrow_mut().failed(key, now);
+                spdlog::info!("item turned away", kv: { item, endpoint = id, last });
+            }
+            Run::Broken(problem) => {
+                self.facts.borrow_mut().failed(key, now);
+                let problem = problem.as_str();
+                spdlog::warn!("item broke off", kv: { item, endpoint = id, last, problem });
+            }
+        }
+        run
+    }
+
+    async fn read(&self, key: Key, mut response: Response, terms: &Terms, text: &mut Text) -> Run {
+        let headers = &response.headers;
+        if response.status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(header::NOT_RUN) {
+            return Run::NotRun;
+        }
+        if response.status == StatusCode::UNPROCESSABLE_ENTITY {
+            return Run::Never;
+        }
+        if !response.status.is_success() {
+            return Run::Failed;
+        }
+        let now = Instant::now();
+        let load = header::load(headers);
+        self.facts.borrow_mut().answered(key, load, now);
+        let mut version = header::number(headers, header::VERSION);
+        let mut events = Events::default();
+        loop {
+            let part = match response.next(PAUSE_TIME).await {
+                None => return Run::Whole,
+                Some(Err(e)) => return Run::Broken(e.to_string()),
+                Some(Ok(part)) => part,
+            };
+            events.push(&part);
+            while let Some(event) = events.next() {
+                version = event.version.or(version);
+                if let Some(problem) = unfit(version, terms, text) {
+                    return Run::Broken(problem);
+                }
+                if text.push(&event, version).is_err() {
+                    return Run::Broken("an event is missing".to_string());
+                }
+            }
+        }
+    }
+
+    /// Has the text of an item scored.
+    pub async fn score(&self, scorer: &Scorer, deadline: Instant) -> Score {
+        let mut failures = 0;
+        while Instant::now() < deadline {
+            let config = self.facts.borrow().config.clone();
+            let route = config.as_ref().and_then(|c| c.route(&scorer.host, &scorer.path));
+            let Some(route) = route else {
+                monoio::time::sleep(SCORE_PAUSE).await;
+                continue;
+            };
+            let limit = route.timeout_ms.unwrap_or(FIRST_TIME);
+            let order = Order {
+                id: scorer.id.clone(),
+                method: Method::POST,
+                path: scorer.path.clone(),
+                host: scorer.host.clone(),
+                headers: HeaderMap::new(),
+                body: scorer.body.0.clone(),
+                account: None,
+                may_repeat: true,
+                deadline: deadline.min(Instant::now() + limit),
+            };
+            let outcome = self.forwarder.run(route, &order).await;
+            failures += outcome.failures;
+            if let End::Answered(found) = &outcome.end
+                && found.status.is_success()
+                && let Some(signature) = found.headers.get(header::SIGNATURE)
+                && let Ok(signature) = signature.to_str()
+            {
+                return Score::Signed(signature.to_string());
+            }
+            if failures >= route.max_attempts {
+                return Score::GivenUp;
+            }
+            monoio::time::sleep(SCORE_PAUSE).await;
+        }
+        Score::GivenUp
+    }
+}
+
+/// Returns why an event of `version` may not follow `text`.
+fn unfit(version: Option<u64>, terms: &Terms, text: &Text) -> Option<String> {
+    let version = version?;
+    if version < terms.oldest {
+        return Some(format!("weights of version {version} are too old"));
+    }
+    let others = text.versions().iter().any(|other| *other != version);
+    (terms.is_single_version && others).then(|| "the weights changed".to_string())
+}
+
+fn order(item: &Item, terms: &Terms, text: &Text) -> Order {
+    let mut headers = HeaderMap::new();
+    for (name, value) in &item.headers {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
+            headers.insert(name, value);
+        }
+    }
+    let mut headers = header::passed_on(&headers);
+    if let Some(last) = text.last() {
+        headers.insert(header::LAST_EVENT, HeaderValue::from(last));
+    }
+    Order {
+        id: item.id.clone(),
+        method: Method::POST,
+        path: item.path.clone(),
+        host: terms.host.clone(),
+        headers,
+        body: item.body.0.clone(),
+        account: terms.account.clone(),
+        may_repeat: true,
+        deadline: terms.deadline,
+    }
+}
+
+/// Returns a place at the endpoint `key`, held while an item runs there.
+pub fn place(runner: &Runner, key: Key) -> Option<Place> {
+    Place::take(&runner.facts, key)
+}
--- /dev/null
+++ b/crates/site/src/job/keep.rs
@@ -0,0 +1,122 @@
+//! Keeping jobs going: following them in the store, and running those whose
+//! VM has stopped.
+
+use std::time::{Duration, Instant};
+
+use platform::store::Written;
+
+use super::{
+    Job, Jobs, Shared,
+    record::{self, Claim, Name, Part},
+};
+use crate::follow::{self, Change};
+use platform::store::Event;
+
+/// How long changes of jobs are gathered, so that a read is one call for
+/// several pages. A trainer reads about twice a second.
+const GATHER: Duration = Duration::from_millis(100);
+/// How often jobs are looked over.
+const PERIOD: Duration = Duration::from_millis(300);
+/// After how long without a page a job is taken over: twice the time after
+/// which a VM that lives writes an empty one.
+const QUIET: Duration = Duration::from_millis(3000);
+/// How much later each VM than the one before it takes a job over.
+const STAGGER: Duration = Duration::from_millis(500);
+/// How many places there are in that order.
+const PLACES: u64 = 8;
+/// How long after its submission a job is not taken over any more, beyond
+/// the time that its items may take.
+const LATE: Duration = Duration::from_secs(120);
+
+/// Follows the jobs in the store.
+pub async fn follow(jobs: Jobs) {
+    let registry = jobs.registry.clone();
+    let apply = move |change: Change, _| match change {
+        Change::All(objects) => objects.iter().for_each(|object| registry.put(object)),
+        Change::One(Event::Put(object)) => registry.put(&object),
+        Change::One(Event::Removed(name)) => {
+            if let Some(Name { job, part: Part::Head }) = Name::decode(&name) {
+                registry.remove(&job);
+            }
+        }
+    };
+    follow::follow(jobs.store.clone(), record::KIND, GATHER, jobs.contact.clone(), apply).await;
+}
+
+/// Takes over the jobs that nobody runs, for ever.
+pub async fn take_over(jobs: Jobs) {
+    loop {
+        monoio::time::sleep(PERIOD).await;
+        let now = Instant::now();
+        let steady = jobs.contact.steady(now);
+        for job in jobs.registry.all() {
+            if is_due(&job.borrow(), &jobs.vm, steady, now) {
+                claim(&jobs, &job).await;
+            }
+        }
+    }
+}
+
+fn is_due(job: &Job, vm: &str, steady: Duration, now: Instant) -> bool {
+    let is_open = !job.is_ended && !job.is_whole() && !job.is_running;
+    if !is_open || now - job.submitted > LATE {
+        return false;
+    }
+    let rank = board::hash::mix(vm.as_bytes(), board::hash::mix(job.id.as_bytes(), 0)) % PLACES;
+    let turn = STAGGER * rank as u32;
+    let quiet = now - job.progress;
+    match job.holder.as_str() {
+        // A process of this VM that is gone.
+        holder if holder == vm => steady > Duration::ZERO,
+        "" => quiet >= turn,
+        // Silence counts only while this VM would have heard.
+        _ => quiet.min(steady) >= QUIET + turn,
+    }
+}
+
+async fn claim(jobs: &Jobs, job: &Shared) {
+    let (id, number, from) = {
+        let job = job.borrow();
+        (job.id.clone(), job.claims, job.holder.clone())
+    };
+    let name = Name::new(&id, Part::Claim(number)).encode();
+    let vm = jobs.vm.clone();
+    let written = jobs.store.create(record::KIND, &name, &Claim { vm }).await;
+    let (id, from) = (id.as_str(), from.as_str());
+    match written {
+        Ok(Written::Done(_)) => {
+            spdlog::info!("job taken over", kv: { job = id, from });
+            jobs.registry.put_claim(id, number, &jobs.vm);
+            jobs.producer.start(job);
+        }
+        Ok(Written::Conflict(object)) => {
+            let claim: Option<Claim> = object.and_then(|object| object.read());
+            if let Some(claim) = claim {
+                jobs.registry.put_claim(id, number, &claim.vm);
+            }
+        }
+        Err(e) => {
+            let problem = e.to_string();
+            spdlog::warn!("job not taken over yet", kv: { job = id, problem });
+        }
+    }
+}
+
+/// Gives up the jobs that this VM runs, so that others go on at once.
+pub async fn release(jobs: &Jobs) {
+    for job in jobs.registry.all() {
+        let (id, number, is_running) = {
+            let job = job.borrow();
+            (job.id.clone(), job.claims, job.is_running)
+        };
+        if !is_running {
+            continue;
+        }
+        let name = Name::new(&id, Part::Claim(number)).encode();
+        let vm = String::new();
+        let written = jobs.store.create(record::KIND, &name, &Claim { vm }).await;
+        jobs.registry.put_claim(&id, number, "");
+        let (job, is_told) = (id.as_str(), written.is_ok());
+        spdlog::info!("job given up", kv: { job, is_told });
+    }
+}
--- /dev/null
+++ b/crates/site/src/job/notice.rs
@@ -0,0 +1,53 @@
+//! A count of changes that tasks wait on.
+
+use std::{
+    cell::RefCell,
+    future::poll_fn,
+    rc::Rc,
+    task::{Poll, Waker},
+};
+
+/// A count of changes; copies share it.
+#[derive(Clone, Debug, Default)]
+pub struct Notice(Rc<RefCell<State>>);
+
+#[derive(Debug, Default)]
+struct State {
+    count: u64,
+    waiting: Vec<Waker>,
+}
+
+impl Notice {
+    /// Returns the count now.
+    pub fn count(&self) -> u64 {
+        self.0.borrow().count
+    }
+
+    /// Counts a change and wakes those that wait.
+    pub fn raise(&self) {
+        let mut state = self.0.borrow_mut();
+        state.count += 1;
+        let waiting = std::mem::take(&mut state.waiting);
+        // A waker may run code that waits again.
+        drop(state);
+        for waker in waiting {
+            waker.wake();
+        }
+    }
+
+    /// Waits until the count is past `seen`.
+    pub async fn past(&self, seen: u64) {
+        poll_fn(|cx| {
+            let mut state = self.0.borrow_mut();
+            if state.count > seen {
+                return Poll::Ready(());
+            }
+            let is_known = state.waiting.iter().any(|known| known.will_wake(cx.waker()));
+            if !is_known {
+                state.waiting.push(cx.waker().clone());
+            }
+            Poll::Pending
+        })
+        .await;
+    }
+}
--- /dev/null
+++ b/crates/site/src/job/produce.rs
@@ -0,0 +1,377 @@
+//! Running of one job: items placed at endpoints, what they made written in
+//! pages.
+
+use std::{
+    collections::VecDeque,
+    future::Future,
+    pin::Pin,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use board::hash::Map;
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use platform::{
+    batch::{Outcome, Sample},
+    store::{Error, Store, Written},
+};
+
+use super::{
+    Registry, Shared,
+    attempt::{self, Run, Runner, Score, Terms},
+    record::{self, Head, Name, Page, Part},
+    sample::Text,
+};
+use crate::{
+    facts::Key,
+    place::{self, Need},
+};
+
+/// The least time between two pages: each is a call, and wakes every VM.
+const PAGE_PERIOD: Duration = Duration::from_millis(350);
+/// After how long without a page an empty one says that the VM is alive.
+const SILENCE: Duration = Duration::from_millis(1500);
+/// How much text goes into one page; an object is 1 MB at most.
+const PAGE_BYTES: usize = 400 * 1024;
+/// How often places are looked for while none is free.
+const PLACE_PERIOD: Duration = Duration::from_millis(50);
+/// The pause before an item that broke off or was turned away is run again.
+const AGAIN_PAUSE: Duration = Duration::from_millis(50);
+/// The time of an item whose route sets none.
+const ITEM_TIME: Duration = Duration::from_secs(60);
+
+/// What jobs are run with.
+#[derive(Clone)]
+pub struct Producer {
+    /// What runs items.
+    pub runner: Runner,
+    /// The jobs that this VM knows.
+    pub registry: Registry,
+    /// Where pages go.
+    pub store: Store,
+    /// The name of this VM.
+    pub vm: String,
+    /// Its failure domain.
+    pub domain: String,
+}
+
+/// An item that is still to be run.
+struct Work {
+    index: usize,
+    text: Text,
+    failures: u32,
+    not_before: Instant,
+}
+
+/// What a task of a job ended with.
+enum Step {
+    Again(Work),
+    Ended(Sample),
+    Page(Result<Written, Error>, u32),
+    Tick,
+}
+
+type Task = Pin<Box<dyn Future<Output = Step>>>;
+
+/// A job while it is run.
+struct Production {
+    producer: Producer,
+    job: Shared,
+    head: Rc<Head>,
+    terms: Terms,
+    service: String,
+    max_attempts: u32,
+    todo: VecDeque<Work>,
+    tasks: FuturesUnordered<Task>,
+    /// Where the items of a group run, which share a prompt.
+    homes: Map<String, Key>,
+    ready: Vec<Sample>,
+    is_writing: bool,
+    wrote: Instant,
+}
+
+impl Producer {
+    /// Starts running `job`, unless this process does so already.
+    pub fn start(&self, job: &Shared) {
+        if std::mem::replace(&mut job.borrow_mut().is_running, true) {
+            return;
+        }
+        let (producer, job) = (self.clone(), job.clone());
+        monoio::spawn(async move {
+            let id = job.borrow().id.clone();
+            let id = id.as_str();
+            spdlog::info!("job run", kv: { job = id });
+            let reason = producer.produce(&job).await;
+            job.borrow_mut().is_running = false;
+            let samples = job.borrow().samples.len();
+            spdlog::info!("job left", kv: { job = id, reason, samples });
+        });
+    }
+
+    async fn produce(&self, job: &Shared) -> &'static str {
+        let Some(mut production) = Production::new(self.clone(), job.clone()) else {
+            return "no route";
+        };
+        loop {
+            if let Some(reason) = production.is_over() {
+                return reason;
+            }
+            production.fill();
+            production.write();
+            let changed = job.borrow().notice.clone();
+            let seen = changed.count();
+            let next = production.tasks.next();
+            let step = monoio::select! {
+                step = next => step,
+                () = changed.past(seen) => None,
+            };
+            if let Some(step) = step {
+                production.take(step);
+            }
+        }
+    }
+}
+
+impl Production {
+    fn new(producer: Producer, job: Shared) -> Option<Self> {
+        let head = job.borrow().head.clone();
+        let config = producer.runner.facts.borrow().config.clone()?;
+        let route = config.route(&head.host, &head.path)?;
+        let (service, _) = route.shares().next()?;
+        let now = Instant::now();
+        let wait = route.max_wait_s.unwrap_or(ITEM_TIME);
+        let terms = Terms {
+            host: head.host.clone(),
+            account: head.account.clone(),
+            oldest: head.submission.oldest_version.unwrap_or_default(),
+            is_single_version: route.single_version,
+            deadline: job.borrow().submitted + wait,
+        };
+        let todo = (0..head.submission.items.len()).filter_map(|index| {
+            let id = &head.submission.items[index].id;
+            let is_listed = job.borrow().listed.contains(id);
+            (!is_listed).then(|| Work {
+                index,
+                text: Text::default(),
+                failures: 0,
+                not_before: now,
+            })
+        });
+        let todo = todo.collect();
+        let tasks: FuturesUnordered<Task> = FuturesUnordered::new();
+        tasks.push(tick());
+        Some(Self {
+            producer,
+            service: service.to_string(),
+            max_attempts: route.max_attempts,
+            head,
+            job,
+            terms,
+            todo,
+            tasks,
+            homes: Map::default(),
+            ready: Vec::new(),
+            is_writing: false,
+            wrote: now,
+        })
+    }
+
+    /// Returns why the job is to be run here no more.
+    fn is_over(&self) -> Option<&'static str> {
+        let job = self.job.borrow();
+        if job.is_ended {
+            return Some("ended");
+        }
+        if job.is_whole() {
+            return Some("whole");
+        }
+        (job.holder != self.producer.vm).then_some("claimed by another VM")
+    }
+
+    /// Starts the items for which there is a place.
+    fn fill(&mut self) {
+        let now = Instant::now();
+        if now >= self.terms.deadline {
+            self.give_up_rest();
+            return;
+        }
+        let waiting = self.todo.len();
+        for _ in 0..waiting {
+            let Some(work) = self.todo.pop_front() else {
+                return;
+            };
+            let place = (work.not_before <= now).then(|| self.place(&work, now)).flatten();
+            match place {
+                Some(key) => self.begin(work, key),
+                None => self.todo.push_back(work),
+            }
+        }
+    }
+
+    fn give_up_rest(&mut self) {
+        for work in std::mem::take(&mut self.todo) {
+            let sample = self.given_up(&work);
+            self.ready.push(sample);
+        }
+    }
+
+    fn given_up(&self, work: &Work) -> Sample {
+        Sample {
+            id: self.head.submission.items[work.index].id.clone(),
+            outcome: Outcome::GivenUp,
+            text: String::new(),
+            versions: Vec::new(),
+            score: None,
+        }
+    }
+
+    fn place(&mut self, work: &Work, now: Instant) -> Option<Key> {
+        let item = &self.head.submission.items[work.index];
+        let facts = self.producer.runner.facts.borrow();
+        let model = self.head.submission.model.as_deref();
+        let need = Need {
+            service: &self.service,
+            domain: &self.producer.domain,
+            model: model.map(|model| (model, self.terms.oldest)),
+            prefer: item.group.as_ref().and_then(|g| self.homes.get(g)).copied(),
+            is_bounded: true,
+            ..Need::default()
+        };
+        let key = place::choose(&facts, need, now)?;
+        if let Some(group) = &item.group {
+            self.homes.insert(group.clone(), key);
+        }
+        Some(key)
+    }
+
+    fn begin(&mut self, work: Work, key: Key) {
+        let runner = self.producer.runner.clone();
+        let Some(place) = attempt::place(&runner, key) else {
+            self.todo.push_back(work);
+            return;
+        };
+        let (head, terms) = (self.head.clone(), self.terms.clone());
+        let max_attempts = self.max_attempts;
+        self.tasks.push(Box::pin(async move {
+            let item = &head.submission.items[work.index];
+            let mut work = work;
+            let run = runner.run(key, item, &terms, &mut work.text).await;
+            drop(place);
+            let ended = |outcome, text, versions, score| {
+                Step::Ended(Sample {
+                    id: item.id.clone(),
+                    outcome,
+                    text,
+                    versions,
+                    score,
+                })
+            };
+            let given_up = || ended(Outcome::GivenUp, String::new(), Vec::new(), None);
+            match run {
+                Run::Whole => {}
+                Run::Never => return given_up(),
+                Run::Failed => {
+                    work.failures += 1;
+                    if work.failures >= max_attempts {
+                        return given_up();
+                    }
+                    return again(work);
+                }
+                Run::Broken(_) | Run::NotRun => return again(work),
+            }
+            let score = match &item.scorer {
+                Some(scorer) => runner.score(scorer, terms.deadline).await,
+                None => Score::None,
+            };
+            let (text, versions) = work.text.into_parts();
+            match score {
+                Score::Signed(signature) => ended(Outcome::Done, text, versions, Some(signature)),
+                Score::None => ended(Outcome::Done, text, versions, None),
+                Score::GivenUp => given_up(),
+            }
+        }));
+    }
+
+    /// Writes a page if it is time for one.
+    fn write(&mut self) {
+        if self.is_writing {
+            return;
+        }
+        {
+            let job = self.job.borrow();
+            self.ready.retain(|sample| !job.listed.contains(&sample.id));
+        }
+        let waited = self.wrote.elapsed();
+        let is_last = self.todo.is_empty() && self.tasks.len() <= 1;
+        let is_due = match self.ready.is_empty() {
+            true => waited >= SILENCE,
+            false => waited >= PAGE_PERIOD || is_last,
+        };
+        if !is_due {
+            return;
+        }
+        let mut bytes = 0;
+        let fits = |sample: &&Sample| {
+            bytes += sample.text.len();
+            bytes <= PAGE_BYTES
+        };
+        let samples: Vec<Sample> = self.ready.iter().take_while(fits).cloned().collect();
+        let page = Page {
+            vm: self.producer.vm.clone(),
+            samples,
+        };
+        let job = self.job.borrow();
+        let number = job.pages;
+        let name = Name::new(&job.id, Part::Page(number)).encode();
+        let store = self.producer.store.clone();
+        self.is_writing = true;
+        self.tasks.push(Box::pin(async move {
+            let written = store.create(record::KIND, &name, &page).await;
+            Step::Page(written, number)
+        }));
+    }
+
+    fn take(&mut self, step: Step) {
+        match step {
+            Step::Again(work) => self.todo.push_front(work),
+            Step::Ended(sample) => self.ready.push(sample),
+            Step::Tick => self.tasks.push(tick()),
+            Step::Page(written, number) => self.take_page(written, number),
+        }
+    }
+
+    /// Takes the page that stands under `number`, whoever made it.
+    fn take_page(&mut self, written: Result<Written, Error>, number: u32) {
+        self.is_writing = false;
+        self.wrote = Instant::now();
+        let id = self.job.borrow().id.clone();
+        let (job, page) = (id.as_str(), number);
+        let standing = match written {
+            Ok(Written::Done(object)) => Some(object),
+            Ok(Written::Conflict(object)) => {
+                spdlog::info!("page stands already", kv: { job, page });
+                object
+            }
+            Err(e) => {
+                let problem = e.to_string();
+                spdlog::warn!("page not written yet", kv: { job, page, problem });
+                None
+            }
+        };
+        if let Some(page) = standing.and_then(|object| object.read()) {
+            self.producer.registry.put_page(&id, number, page);
+        }
+    }
+}
+
+fn again(mut work: Work) -> Step {
+    work.not_before = Instant::now() + AGAIN_PAUSE;
+    Step::Again(work)
+}
+
+fn tick() -> Task {
+    Box::pin(async {
+        monoio::time::sleep(PLACE_PERIOD).await;
+        Step::Tick
+    })
+}
--- /dev/null
+++ b/crates/site/src/job/sample.rs
@@ -0,0 +1,56 @@
+//! What an item has made so far, event by event.
+
+use platform::stream::Event;
+
+/// The events of an item, kept so that another endpoint can go on.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Text {
+    data: String,
+    last: Option<u64>,
+    versions: Vec<u64>,
+}
+
+/// An event that does not follow the one before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Gap;
+
+impl Text {
+    /// Adds an event that weights of `version` made. An event that is there
+    /// already is passed over.
+    ///
+    /// # Errors
+    ///
+    /// [`Gap`] if an event is missing before it.
+    pub fn push(&mut self, event: &Event, version: Option<u64>) -> Result<(), Gap> {
+        let id = event.id.ok_or(Gap)?;
+        match self.last {
+            Some(last) if id <= last => return Ok(()),
+            Some(last) if id != last + 1 => return Err(Gap),
+            Some(_) => self.data.push('\n'),
+            None => {}
+        }
+        self.data.push_str(&event.data);
+        self.last = Some(id);
+        if let Some(version) = version
+            && !self.versions.contains(&version)
+        {
+            self.versions.push(version);
+        }
+        Ok(())
+    }
+
+    /// Returns the number of the last event, to go on after.
+    pub fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Returns the versions of the weights that made it.
+    pub fn versions(&self) -> &[u64] {
+        &self.versions
+    }
+
+    /// Returns text and versions.
+    pub fn into_parts(self) -> (String, Vec<u64>) {
+        (self.data, self.versions)
+    }
+}
--- /dev/null
+++ b/crates/site/src/lib.rs
@@ -0,0 +1,18 @@
+//! One VM on the users' platform: it answers callers and trainers, runs the
+//! items of jobs, and takes its turn at the duties that one VM has at a time.
+//!
+//! What must last lives in the platform's store; a VM keeps nothing of its
+//! own, so any of them can go on where another one stopped.
+
+pub mod duty;
+pub mod facts;
+pub mod follow;
+pub mod forward;
+pub mod front;
+pub mod job;
+pub mod place;
+pub mod signal;
+pub mod usage;
+pub mod vm;
+
+pub use vm::run;
