site: watches shared through one VM and bounded in time; runs go on under new weights

Change: a watch waits 0.7 to 3 s; a lost history wakes all followers; watches go through the first seed, which asks the store once for all that wait for the same; weights load while runs go on unless a route wants single versions.

--- a/crates/site/src/duty/retire.rs
+++ b/crates/site/src/duty/retire.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 
 use super::Duties;
-use crate::follow::{self, Change, Contact};
+use crate::follow::{self, Change, Contact, Plan};
 use platform::store::Event;
 
 #[derive(Serialize)]
@@ -15,6 +15,13 @@
     state: &'static str,
 }
 
+/// Retirements take seconds, so they need not be heard of at once.
+const PLAN: Plan = Plan {
+    kind: RETIREMENTS,
+    wait: Duration::from_millis(3000),
+    gather: Duration::ZERO,
+};
+
 /// Answers retirements while this VM has the duties, for ever.
 pub async fn run(duties: Duties) {
     let (store, contact) = (duties.store.clone(), Contact::default());
@@ -28,7 +35,7 @@
             monoio::spawn(answer(duties.clone(), object.name));
         }
     };
-    follow::follow(store, RETIREMENTS, Duration::ZERO, contact, apply).await;
+    follow::follow(store, PLAN, contact, apply).await;
 }
 
 /// How often an answer is tried.
--- a/crates/site/src/duty/weights.rs
+++ b/crates/site/src/duty/weights.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use board::hash::Map;
-use platform::order::{self, Outcome, Version};
+use platform::order::{self, Outcome, Runs, Version};
 
 use super::Duties;
 use crate::facts::{Facts, Key};
@@ -77,6 +77,18 @@
     })
 }
 
+/// Returns what becomes of runs: they go on unless a route wants the tokens of
+/// a sample from one version, since waiting for the longest of them keeps an
+/// endpoint from all others.
+fn runs(facts: &Facts) -> Runs {
+    let config = facts.config.iter();
+    let mut routes = config.flat_map(|config| &config.routes);
+    match routes.any(|route| route.single_version) {
+        true => Runs::Finish,
+        false => Runs::GoOn,
+    }
+}
+
 /// Orders one load, and returns whether it is being carried out, or may be.
 async fn load(duties: &Duties, key: Key, version: &Version) -> bool {
     let known = duties.facts.borrow().endpoints.get(key).cloned();
@@ -99,7 +111,9 @@
     let Some(authority) = duties.office.authority() else {
         return false;
     };
-    let sent = order::load(&duties.pool, address, id, version, &authority, state.orders).await;
+    let runs = runs(&duties.facts.borrow());
+    let pool = &duties.pool;
+    let sent = order::load(pool, address, id, version, runs, &authority, state.orders).await;
     let (model, number, epoch) = (version.model.as_str(), version.version, authority.epoch);
     match sent {
         Ok(outcome) => {
--- a/crates/site/src/follow.rs
+++ b/crates/site/src/follow.rs
@@ -16,7 +16,7 @@
     store::{Error, Event, Object, Store},
 };
 
-use crate::facts::Facts;
+use crate::{facts::Facts, notice::Notice};
 
 /// The pause after a call that failed; doubles up to [`PAUSE_MAX`].
 const PAUSE: Duration = Duration::from_millis(100);
@@ -26,6 +26,25 @@
 /// store: they return within about two seconds if the endpoint lives.
 const RETURN_TIME: Duration = Duration::from_millis(2000);
 
+/// The configuration must be in force 2 s after the operator wrote it.
+const CONFIG: Plan = Plan {
+    kind: config::KIND,
+    wait: Duration::from_millis(700),
+    gather: Duration::ZERO,
+};
+/// Endpoints that leave must be left alone 2 s after they said so.
+const ENDPOINTS: Plan = Plan {
+    kind: endpoint::KIND,
+    wait: Duration::from_millis(1000),
+    gather: Duration::from_millis(50),
+};
+/// A version is named every few seconds, and never in a hurry.
+const VERSIONS: Plan = Plan {
+    kind: order::VERSIONS,
+    wait: Duration::from_millis(3000),
+    gather: Duration::ZERO,
+};
+
 /// What a kind's follower hears.
 pub enum Change {
     /// All objects of the kind.
@@ -36,34 +55,53 @@
 
 /// How a VM stands with the store.
 #[derive(Clone, Debug, Default)]
-pub struct Contact(Rc<Cell<Option<Instant>>>);
+pub struct Contact {
+    /// Since when no call has failed.
+    since: Rc<Cell<Option<Instant>>>,
+    /// Raised when the history of a kind is gone.
+    gone: Notice,
+}
 
 impl Contact {
     /// Returns for how long no call of a follower has failed.
     pub fn steady(&self, now: Instant) -> Duration {
-        self.0.get().map_or(Duration::ZERO, |since| now - since)
+        self.since.get().map_or(Duration::ZERO, |since| now - since)
+    }
+
+    /// Returns the contact of other kinds, with failures of their own.
+    pub fn other(&self) -> Self {
+        Self {
+            since: Rc::default(),
+            gone: self.gone.clone(),
+        }
     }
 
     fn lost(&self) {
-        self.0.set(None);
+        self.since.set(None);
     }
 
     fn held(&self) {
-        if self.0.get().is_none() {
-            self.0.set(Some(Instant::now()));
+        if self.since.get().is_none() {
+            self.since.set(Some(Instant::now()));
         }
     }
 }
 
-/// Follows `kind` for ever; waits `gather` after each change so that changes
-/// in quick succession come in one call.
-pub async fn follow(
-    store: Store,
-    kind: &'static str,
-    gather: Duration,
-    contact: Contact,
-    apply: impl Fn(Change, bool),
-) {
+/// How one kind is followed.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// The kind.
+    pub kind: &'static str,
+    /// How long a watch waits. It bounds how late a change is heard of that
+    /// the store does not tell those that wait.
+    pub wait: Duration,
+    /// How long changes are gathered, so that several come in one call.
+    pub gather: Duration,
+}
+
+/// Follows a kind for ever.
+pub async fn follow(store: Store, plan: Plan, contact: Contact, apply: impl Fn(Change, bool)) {
+    let Plan { kind, wait, gather } = plan;
     let mut pause = PAUSE;
     let mut revision = None;
     // Whether the store was away since the last change that was applied.
@@ -71,7 +109,15 @@
     loop {
         let outcome = match revision {
             None => list(&store, kind, was_away, &apply).await,
-            Some(from) => watch(&store, kind, from, was_away, &apply).await,
+            Some(from) => {
+                let seen = contact.gone.count();
+                monoio::select! {
+                    outcome = watch(&store, kind, from, wait, was_away, &apply) => outcome,
+                    // Another kind's history is gone: what this watch waits
+                    // for may have happened already.
+                    () = contact.gone.past(seen) => Err(Error::Gone),
+                }
+            }
         };
         match outcome {
             Ok(at) => {
@@ -84,6 +130,7 @@
             }
             Err(Error::Gone) => {
                 spdlog::info!("history gone, listing again", kv: { kind });
+                contact.gone.raise();
                 revision = None;
             }
             Err(e) => {
@@ -115,10 +162,11 @@
     store: &Store,
     kind: &str,
     from: u64,
+    wait: Duration,
     was_away: bool,
     apply: &impl Fn(Change, bool),
 ) -> Result<u64, Error> {
-    let (events, revision) = store.watch(kind, from).await?;
+    let (events, revision) = store.watch(kind, from, wait).await?;
     for event in events {
         apply(Change::One(event), was_away);
     }
@@ -134,7 +182,7 @@
             }
         }
     };
-    follow(store, config::KIND, Duration::ZERO, contact, apply).await;
+    follow(store, CONFIG, contact, apply).await;
 }
 
 fn take_config(object: &Object, facts: &RefCell<Facts>) {
@@ -165,7 +213,7 @@
             }
         }
     };
-    follow(store, order::VERSIONS, Duration::ZERO, contact, apply).await;
+    follow(store, VERSIONS, contact, apply).await;
 }
 
 fn objects(change: Change) -> Vec<Object> {
@@ -197,7 +245,7 @@
         }
         Change::One(Event::Removed(id)) => remove_endpoint(&id, was_away, &facts, &pool),
     };
-    let following = follow(store, endpoint::KIND, Duration::ZERO, contact, apply);
+    let following = follow(store, ENDPOINTS, contact, apply);
     monoio::select! {
         () = following => {}
         () = give_up_missing(&facts, &pool) => {}
--- a/crates/site/src/job/keep.rs
+++ b/crates/site/src/job/keep.rs
@@ -9,12 +9,16 @@
     Job, Jobs, Shared,
     record::{self, Claim, Name, Part},
 };
-use crate::follow::{self, Change};
+use crate::follow::{self, Change, Plan};
 use platform::store::Event;
 
-/// How long changes of jobs are gathered, so that a read is one call for
-/// several pages. A trainer reads about twice a second.
-const GATHER: Duration = Duration::from_millis(100);
+/// A trainer reads about twice a second, and what it has read once must be
+/// known at every VM within a second.
+const JOBS: Plan = Plan {
+    kind: record::KIND,
+    wait: Duration::from_millis(700),
+    gather: Duration::from_millis(100),
+};
 /// How often jobs are looked over.
 const PERIOD: Duration = Duration::from_millis(300);
 /// After how long without a page a job is taken over: twice the time after
@@ -40,7 +44,7 @@
             }
         }
     };
-    follow::follow(jobs.store.clone(), record::KIND, GATHER, jobs.contact.clone(), apply).await;
+    follow::follow(jobs.store.clone(), JOBS, jobs.contact.clone(), apply).await;
 }
 
 /// Takes over the jobs that nobody runs, for ever.
--- a/crates/site/src/job/mod.rs
+++ b/crates/site/src/job/mod.rs
@@ -9,7 +9,6 @@
 pub mod api;
 pub mod attempt;
 pub mod keep;
-pub mod notice;
 pub mod produce;
 pub mod record;
 pub mod sample;
@@ -24,10 +23,8 @@
 use board::hash::{Map, Set};
 use platform::batch::Sample;
 
-use self::{
-    notice::Notice,
-    record::{Head, Name, Page},
-};
+use self::record::{Head, Name, Page};
+use crate::notice::Notice;
 
 /// A job as this VM knows it.
 pub struct Job {
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod forward;
 pub mod front;
 pub mod job;
+pub mod notice;
+pub mod peer;
 pub mod place;
 pub mod signal;
 pub mod usage;
--- a/crates/site/src/vm.rs
+++ b/crates/site/src/vm.rs
@@ -26,6 +26,7 @@
     forward::Forwarder,
     front::Front,
     job::{Jobs, Registry, attempt::Runner, keep, produce::Producer},
+    peer::Peer,
     signal::Signals,
     usage::Usage,
 };
@@ -106,7 +107,9 @@
         let own = settings.listen.peers;
         let seeds = settings.seeds.iter().copied();
         let relays = seeds.filter(|seed| Some(*seed) != own).collect();
-        let store = Store::new(settings.store.address, relays);
+        // All VMs that are told the same seeds watch through the same VM.
+        let first = settings.seeds.iter().min().copied();
+        let store = Store::new(settings.store.address, relays, first);
         let facts: Rc<RefCell<Facts>> = Rc::default();
         let pool = Pool::new(Limits::new().body_bytes(ANSWER_BYTES));
         let usage = Usage::new(settings.bounds.window);
@@ -156,7 +159,7 @@
     fn spawn(&self, settings: &Settings) {
         let (store, facts) = (self.jobs.store.clone(), self.facts.clone());
         let pool = self.duties.pool.clone();
-        let others = Contact::default();
+        let others = self.jobs.contact.other();
         monoio::spawn(follow::config(store.clone(), others.clone(), facts.clone()));
         monoio::spawn(follow::versions(store.clone(), others.clone(), facts.clone()));
         monoio::spawn(follow::endpoints(store, others, facts, pool));
@@ -177,9 +180,13 @@
     let is_leaving = Rc::new(Cell::new(false));
     if let Some(address) = settings.listen.peers {
         let listener = net::listen(address)?;
-        let store = parts.jobs.store.clone();
-        let relay = move |request| pass_on(store.clone(), request);
-        monoio::spawn(server::serve(listener, Limits::new(), Drain::default(), relay));
+        let peer = Peer::new(parts.jobs.clone());
+        let handler = move |request| {
+            let peer = peer.clone();
+            async move { peer.answer(request).await }
+        };
+        let limits = Limits::new().body_bytes(BODY_BYTES);
+        monoio::spawn(server::serve(listener, limits, Drain::default(), handler));
     }
     if let Some(address) = settings.listen.readiness {
         let listener = net::listen(address)?;
@@ -227,17 +234,3 @@
         false => Reply::new(StatusCode::SERVICE_UNAVAILABLE, ""),
     }
 }
-
-/// Passes a call of another VM on to the store.
-async fn pass_on(store: Store, request: Request) -> Reply {
-    let path = request.uri.path_and_query().map_or("/", |path| path.as_str());
-    if !path.starts_with(platform::store::ROOT) {
-        return Reply::new(StatusCode::NOT_FOUND, "");
-    }
-    match store.relay(request.method.clone(), path, request.body.clone()).await {
-        Ok(found) => Reply::new(found.status, found.body).header("content-type", "application/json"),
-        Err(platform::store::Error::Refused(status)) => Reply::new(status, ""),
-        // Whether the store has done it is not known, so no answer is given.
-        Err(_) => Reply::cut(),
-    }
-}
