link, site: connections that are given up end with a reset

Ruled out: a late producer, by the log of job runs. Change: pools of the site reset connections on close.

--- a/crates/link/src/http/client.rs
+++ b/crates/link/src/http/client.rs
@@ -84,6 +84,7 @@
     idle: Rc<RefCell<Map<SocketAddr, VecDeque<Connection>>>>,
     limits: Limits,
     silence: Option<Duration>,
+    resets: bool,
 }
 
 const IDLE_EACH: usize = 64;
@@ -96,9 +97,17 @@
             idle: Rc::default(),
             limits,
             silence: None,
+            resets: false,
         }
     }
 
+    /// Makes connections that are given up end with a reset, so that a request
+    /// whose bytes still wait in this kernel never reaches its peer.
+    pub fn resets(mut self) -> Self {
+        self.resets = true;
+        self
+    }
+
     /// Sets how long a peer may acknowledge nothing before its connections
     /// are reset; calls that wait long notice a lost peer by it.
     pub fn silence(mut self, limit: Duration) -> Self {
@@ -142,6 +151,9 @@
         if let Some(limit) = self.silence {
             net::set_silence(&stream, limit).map_err(|e| Error::new(Kind::Connect, e))?;
         }
+        if self.resets {
+            net::reset_on_close(&stream).map_err(|e| Error::new(Kind::Connect, e))?;
+        }
         if call.fence.is_some() {
             net::set_user_timeout(&stream, fence::UNACKNOWLEDGED_TIME)
                 .map_err(|e| Error::new(Kind::Connect, e))?;
--- a/crates/link/src/net.rs
+++ b/crates/link/src/net.rs
@@ -74,6 +74,17 @@
     socket.set_tcp_user_timeout(Some(limit))
 }
 
+/// Makes the close of `stream` reset it and discard what was not sent.
+///
+/// # Errors
+///
+/// The error of the socket.
+pub fn reset_on_close(stream: &TcpStream) -> io::Result<()> {
+    // SAFETY: The descriptor stays open for as long as `stream` is borrowed.
+    let fd = unsafe { BorrowedFd::borrow_raw(stream.as_raw_fd()) };
+    socket2::SockRef::from(&fd).set_linger(Some(Duration::ZERO))
+}
+
 /// Listens on `address`.
 ///
 /// # Errors
--- a/crates/site/src/vm.rs
+++ b/crates/site/src/vm.rs
@@ -111,7 +111,7 @@
         let first = settings.seeds.iter().min().copied();
         let store = Store::new(settings.store.address, relays, first);
         let facts: Rc<RefCell<Facts>> = Rc::default();
-        let pool = Pool::new(Limits::new().body_bytes(ANSWER_BYTES));
+        let pool = Pool::new(Limits::new().body_bytes(ANSWER_BYTES)).resets();
         let usage = Usage::new(settings.bounds.window);
         let domain = settings.domain.as_str();
         let forwarder = Forwarder::new(facts.clone(), pool.clone(), usage.clone(), domain);
