site: endpoints that serve no step load first, others when idle

Ruled out: speed of the engines, a quarter used. Change: models by how many endpoints serve their step; an endpoint one version behind is loaded when it has nothing to do; an endpoint that turns a request away rests 150 ms, without growth.

--- a/crates/site/src/duty/weights.rs
+++ b/crates/site/src/duty/weights.rs
@@ -6,7 +6,10 @@
 use platform::order::{self, Outcome, Runs, Version};
 
 use super::Duties;
-use crate::facts::{Facts, Key};
+use crate::{
+    facts::{Endpoint, Facts, Key},
+    place,
+};
 
 /// How often endpoints are looked over.
 const PERIOD: Duration = Duration::from_millis(100);
@@ -43,7 +46,9 @@
             order.until > now && version.is_some_and(|version| version < order.version)
         });
         while sent.values().filter(|order| order.is_loading).count() < AT_ONCE {
-            let Some((key, version)) = next(&duties.facts.borrow(), &sent) else {
+            let is_ordered = |key, model: &str| sent.contains_key(&(key, model.to_string()));
+            let found = next(&duties.facts.borrow(), is_ordered, Instant::now());
+            let Some((key, version)) = found else {
                 break;
             };
             let is_loading = load(&duties, key, &version).await;
@@ -58,23 +63,40 @@
     }
 }
 
-/// Returns the endpoint to load next, and what: the least busy first.
-fn next(facts: &Facts, sent: &Map<(Key, String), Sent>) -> Option<(Key, Version)> {
-    let now = Instant::now();
-    let behind = facts.versions.iter().flat_map(|(model, version)| {
-        facts.endpoints.iter().filter_map(move |(key, endpoint)| {
-            let is_behind = endpoint.version(model)? < *version;
-            let is_free = !endpoint.record.is_leaving && !sent.contains_key(&(key, model.clone()));
-            (is_behind && is_free).then_some((key, endpoint, model, *version))
+/// Returns the endpoint to load next, and what.
+///
+/// A step allows the version before the one that was named for it. So an
+/// endpoint that is one behind still serves, and is loaded when it has nothing
+/// to do; one that is further behind serves no step, and is loaded first. Of
+/// several models the one with the fewest endpoints that serve comes first.
+pub fn next(facts: &Facts, is_ordered: impl Fn(Key, &str) -> bool, now: Instant) -> Option<(Key, Version)> {
+    let mut models: Vec<(&String, u64)> = facts.versions.iter().map(|(m, v)| (m, *v)).collect();
+    models.sort_by_key(|(model, version)| (able(facts, model, *version), *model));
+    let pick = |is_needed: fn(u64, &Endpoint, Instant) -> bool| {
+        models.iter().find_map(|(model, version)| {
+            let behind = facts.endpoints.iter().filter(|(key, endpoint)| {
+                let lag = endpoint.version(model).map_or(0, |known| version.saturating_sub(known));
+                let is_free = !endpoint.record.is_leaving && !is_ordered(*key, model);
+                lag > 0 && is_free && is_needed(lag, endpoint, now)
+            });
+            let least = behind.min_by_key(|(_, endpoint)| {
+                (endpoint.is_resting(now), place::load(endpoint, now))
+            });
+            let (key, _) = least?;
+            let model = model.to_string();
+            Some((key, Version { model, version: *version }))
         })
-    });
-    let least = behind.min_by_key(|(_, endpoint, ..)| {
-        (endpoint.is_resting(now), crate::place::load(endpoint, now))
-    });
-    least.map(|(key, _, model, version)| {
-        let model = model.clone();
-        (key, Version { model, version })
-    })
+    };
+    let is_useless = |lag, _: &Endpoint, _| lag > 1;
+    let is_idle = |_, endpoint: &Endpoint, now| place::load(endpoint, now) == 0;
+    pick(is_useless).or_else(|| pick(is_idle))
+}
+
+/// Returns how many endpoints serve the step for which `version` was named.
+fn able(facts: &Facts, model: &str, version: u64) -> usize {
+    let endpoints = facts.endpoints.values();
+    let versions = endpoints.filter_map(|endpoint| endpoint.version(model));
+    versions.filter(|known| known + 1 >= version).count()
 }
 
 /// Returns what becomes of runs: they go on unless a route wants the tokens of
@@ -105,7 +127,8 @@
             return false;
         }
     };
-    if state.busy {
+    let is_serving = endpoint.version(&version.model).is_some_and(|v| v + 1 >= version.version);
+    if state.busy || (is_serving && state.running > 0) {
         return false;
     }
     let Some(authority) = duties.office.authority() else {
--- a/crates/site/src/facts.rs
+++ b/crates/site/src/facts.rs
@@ -36,6 +36,9 @@
 
 /// The first rest of an endpoint that failed; it doubles with each failure.
 const REST: Duration = Duration::from_millis(250);
+/// The rest of an endpoint that is full or loads weights: a place is free
+/// again within some tens of ms, a load takes 0.9 s.
+const REST_FULL: Duration = Duration::from_millis(150);
 /// The longest rest: a crashed endpoint is back within seconds.
 const REST_MAX: Duration = Duration::from_secs(2);
 
@@ -154,6 +157,15 @@
         }
     }
 
+    /// Notes that the endpoint `key` turned a request away, and returns for
+    /// how long it rests.
+    pub fn turned_away(&mut self, key: Key, now: Instant) -> Duration {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.resting_until = Some(now + REST_FULL);
+        }
+        REST_FULL
+    }
+
     /// Notes that the endpoint `key` failed a request, and returns for how
     /// long it rests.
     pub fn failed(&mut self, key: Key, now: Instant) -> Duration {
--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -121,6 +121,8 @@
     Answered(Fetched),
     /// It did not run the request and never will.
     NotRun(&'static str),
+    /// No connection to it could be opened.
+    Unreached(http::Error),
     /// It may have run the request.
     Unknown(http::Error),
 }
@@ -227,7 +229,7 @@
             let limit = attempt_limit(left, route, order.may_repeat, tries_left);
             let is_last = tries_left <= 1 || !order.may_repeat;
             match self.attempt(key, order, limit).await {
-                Attempt::NotRun(_) => outcome.turned_away += 1,
+                Attempt::NotRun(_) | Attempt::Unreached(_) => outcome.turned_away += 1,
                 Attempt::Answered(found) => {
                     outcome.runs += 1;
                     let is_failure = found.status.is_server_error();
@@ -284,10 +286,10 @@
             }
             Attempt::NotRun(reason) => {
                 let reason = *reason;
-                let rest = self.facts.borrow_mut().failed(key, now).as_millis() as u64;
+                let rest = self.facts.borrow_mut().turned_away(key, now).as_millis() as u64;
                 spdlog::info!("request turned away", kv: { request, endpoint = id, reason, rest_ms = rest });
             }
-            Attempt::Unknown(e) => {
+            Attempt::Unreached(e) | Attempt::Unknown(e) => {
                 let rest = self.facts.borrow_mut().failed(key, now).as_millis() as u64;
                 let problem = e.to_string();
                 spdlog::warn!("endpoint failed", kv: { request, endpoint = id, problem, rest_ms = rest });
@@ -333,7 +335,7 @@
             Attempt::NotRun("turned away")
         }
         Ok(found) => Attempt::Answered(found),
-        Err(e) if e.is_unsent() => Attempt::NotRun("not connected"),
+        Err(e) if e.is_unsent() => Attempt::Unreached(e),
         Err(e) => Attempt::Unknown(e),
     }
 }
--- a/crates/site/src/job/attempt.rs
+++ b/crates/site/src/job/attempt.rs
@@ -49,6 +49,8 @@
     Broken(String),
     /// The endpoint did not run it.
     NotRun,
+    /// No connection to the endpoint could be opened.
+    Unreached(String),
     /// The endpoint failed.
     Failed,
     /// No endpoint can ever do it.
@@ -91,7 +93,7 @@
         let order = order(item, terms, text);
         let call = order.call(&endpoint.id, FIRST_TIME);
         let run = match self.pool.send(endpoint.record.address, call).await {
-            Err(e) if e.is_unsent() => Run::NotRun,
+            Err(e) if e.is_unsent() => Run::Unreached(e.to_string()),
             Err(e) => Run::Broken(e.to_string()),
             Ok(response) => self.read(key, response, terms, text).await,
         };
@@ -104,10 +106,10 @@
                 spdlog::warn!("item failed", kv: { item, endpoint = id, last });
             }
             Run::NotRun => {
-                self.facts.borrow_mut().failed(key, now);
+                self.facts.borrow_mut().turned_away(key, now);
                 spdlog::info!("item turned away", kv: { item, endpoint = id, last });
             }
-            Run::Broken(problem) => {
+            Run::Broken(problem) | Run::Unreached(problem) => {
                 self.facts.borrow_mut().failed(key, now);
                 let problem = problem.as_str();
                 spdlog::warn!("item broke off", kv: { item, endpoint = id, last, problem });
--- a/crates/site/src/job/produce.rs
+++ b/crates/site/src/job/produce.rs
@@ -277,7 +277,7 @@
                     }
                     return again(work);
                 }
-                Run::Broken(_) | Run::NotRun => return again(work),
+                Run::Broken(_) | Run::NotRun | Run::Unreached(_) => return again(work),
             }
             let score = match &item.scorer {
                 Some(scorer) => runner.score(scorer, terms.deadline).await,
