--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -134,7 +134,7 @@
     pub end: End,
     /// How many endpoints ran it or may have.
     pub runs: u32,
-    /// How many endpoints ran it and failed.
+    /// How many endpoints ran it and said that they failed.
     pub failures: u32,
     /// How many endpoints turned it away without running it.
     pub turned_away: usize,
@@ -233,7 +233,8 @@
                 Attempt::Answered(found) => {
                     outcome.runs += 1;
                     let is_failure = found.status.is_server_error();
-                    outcome.failures += u32::from(is_failure);
+                    let is_own = found.status == StatusCode::INTERNAL_SERVER_ERROR;
+                    outcome.failures += u32::from(is_own);
                     outcome.end = End::Answered(found);
                     if !is_failure || is_last {
                         return outcome;
--- a/crates/site/src/job/attempt.rs
+++ b/crates/site/src/job/attempt.rs
@@ -126,9 +126,12 @@
         if response.status == StatusCode::UNPROCESSABLE_ENTITY {
             return Run::Never;
         }
-        if !response.status.is_success() {
+        if response.status == StatusCode::INTERNAL_SERVER_ERROR {
             return Run::Failed;
         }
+        if !response.status.is_success() {
+            return Run::Broken(format!("status {}", response.status));
+        }
         let now = Instant::now();
         let load = header::load(headers);
         self.facts.borrow_mut().answered(key, load, now);
@@ -153,8 +156,9 @@
         }
     }
 
-    /// Has the text of an item scored.
-    pub async fn score(&self, scorer: &Scorer, deadline: Instant) -> Score {
+    /// Has the text of an item scored, until `tries` answers said that the
+    /// scoring failed, or its route allows no more.
+    pub async fn score(&self, scorer: &Scorer, tries: u32, deadline: Instant) -> Score {
         let mut failures = 0;
         while Instant::now() < deadline {
             let config = self.facts.borrow().config.clone();
@@ -184,7 +188,9 @@
             {
                 return Score::Signed(signature.to_string());
             }
-            if failures >= route.max_attempts {
+            if failures >= tries.max(route.max_attempts) {
+                let request = scorer.id.as_str();
+                spdlog::warn!("scoring given up", kv: { request, failures });
                 return Score::GivenUp;
             }
             monoio::time::sleep(SCORE_PAUSE).await;
--- a/crates/site/src/job/produce.rs
+++ b/crates/site/src/job/produce.rs
@@ -280,7 +280,7 @@
                 Run::Broken(_) | Run::NotRun | Run::Unreached(_) => return again(work),
             }
             let score = match &item.scorer {
-                Some(scorer) => runner.score(scorer, terms.deadline).await,
+                Some(scorer) => runner.score(scorer, max_attempts, terms.deadline).await,
                 None => Score::None,
             };
             let (text, versions) = work.text.into_parts();
