site: jobs of a route run at one VM, the lease is heard of by watch, weights follow demand

Change: the VM that a job arrives at hands it to the one that runs those of its route, and accepts it itself if that does not answer; a shorter lease, followed by the shared watch; a process takes the lease of the process before it on the same VM at once; loads weigh endpoints against open tokens.

--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -177,6 +177,37 @@
     }
 }
 
+/// Notes that a record of `holder` which this process did not write is of a
+/// process that has ended, so that its term need not be waited out. Only for
+/// holders of which one process runs at a time, with receivers that refuse
+/// orders of a lower epoch.
+///
+/// # Examples
+///
+/// ```
+/// use board::{Time, lease::{Lease, Record, Terms}};
+/// use tarragonseam_policy::lease::{self, Step};
+///
+/// let (terms, now) = (Terms::default(), Time::from_millis(10_000));
+/// let before = Record { holder: "vm-1".into(), epoch: 3, ttl_ms: 6000, nonce: 1, serial: 9 };
+/// let mut mine = Lease::new(2);
+/// lease::read(&mut mine, now, Some((41, before)), terms);
+/// lease::inherit(&mut mine, now, terms, "vm-1");
+/// let step = lease::step(&mut mine, now, terms, "vm-1");
+/// assert!(matches!(step, Step::Write { version: 41, record } if record.epoch == 4));
+/// ```
+pub fn inherit(lease: &mut Lease, now: Time, terms: Terms, holder: &str) {
+    let is_written_here = lease.held.is_some() || lease.unsettled.is_some();
+    if let Some((_, record, since)) = &mut lease.seen
+        && record.holder == holder
+        && record.nonce != lease.nonce
+        && !is_written_here
+    {
+        *since = now - wait(record, terms);
+        lease.next = now;
+    }
+}
+
 /// Gives the lease up, and returns the write that says so. The record's shorter
 /// term still covers an order that has just been sent.
 pub fn release(lease: &mut Lease, terms: Terms, holder: &str) -> Option<Step> {
--- a/crates/site/src/duty/lease.rs
+++ b/crates/site/src/duty/lease.rs
@@ -1,28 +1,40 @@
 //! The lease under which a VM has the duties.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use board::lease::{Lease, Record, Terms};
 use link::clock::Clock;
 use platform::{
     order::Authority,
-    store::{Store, Written},
+    store::{Error, Event, Object, Store, Written},
 };
 use policy::lease::{self as decision, Outcome, Step};
 
+use crate::follow::{self, Change, Contact, Plan};
+
 /// The kind of the object that holds the lease.
 const KIND: &str = "duty-leases";
 /// Its name.
 const NAME: &str = "steward";
 /// How often the lease is looked at, at least.
 const TICK: Duration = Duration::from_millis(100);
-/// A term long enough to outlive a slow store, short enough that a successor
-/// is in time for a usage report (10 s after its window). Receivers check the
-/// epoch, so an order under a term that has ended is refused.
+/// A term long enough to outlive a slow store, which answers in 0.25 s, and
+/// short enough that weights wait little when its holder is lost. Receivers
+/// check the epoch, so an order under a term that has ended is refused.
 const TERMS: Terms = Terms {
-    ttl: Duration::from_millis(4000),
-    margin: Duration::from_millis(1000),
-    period: Duration::from_millis(1000),
+    ttl: Duration::from_millis(2500),
+    margin: Duration::from_millis(500),
+    period: Duration::from_millis(600),
+};
+/// A renewal is heard of as it happens; one that is not is asked for.
+const PLAN: Plan = Plan {
+    kind: KIND,
+    wait: Duration::from_millis(1000),
+    gather: Duration::ZERO,
 };
 
 /// The lease as this VM sees it.
@@ -34,16 +46,21 @@
     clock: Clock,
     store: Store,
     vm: String,
+    contact: Contact,
+    /// The object as it was heard of last.
+    heard: RefCell<Option<Object>>,
 }
 
 impl Office {
     /// Returns the lease as a process of `vm` that was just started sees it.
-    pub fn new(store: Store, vm: &str) -> Self {
+    pub fn new(store: Store, contact: Contact, vm: &str) -> Self {
         Self(Rc::new(Inner {
             lease: RefCell::new(Lease::new(rand::random())),
             clock: Clock::default(),
             store,
             vm: vm.to_string(),
+            contact,
+            heard: RefCell::default(),
         }))
     }
 
@@ -87,11 +104,13 @@
         let step = decision::step(&mut inner.lease.borrow_mut(), now, TERMS, &inner.vm);
         match step {
             Step::Wait => {}
-            Step::Read => match inner.store.get(KIND, NAME).await {
+            Step::Read => match self.read().await {
                 Ok(found) => {
                     let found = found.and_then(|object| Some((object.revision, object.read()?)));
                     let now = inner.clock.now();
-                    decision::read(&mut inner.lease.borrow_mut(), now, found, TERMS);
+                    let mut lease = inner.lease.borrow_mut();
+                    decision::read(&mut lease, now, found, TERMS);
+                    decision::inherit(&mut lease, now, TERMS, &inner.vm);
                 }
                 Err(e) => {
                     let problem = e.to_string();
@@ -105,6 +124,29 @@
         }
     }
 
+    /// Returns the object as it was heard of, while this VM hears of changes;
+    /// else as the store has it.
+    async fn read(&self) -> Result<Option<Object>, Error> {
+        let inner = &*self.0;
+        let is_unsettled = inner.lease.borrow().unsettled.is_some();
+        let is_heard = inner.contact.steady(Instant::now()) > Duration::ZERO;
+        if is_heard && !is_unsettled {
+            return Ok(inner.heard.borrow().clone());
+        }
+        inner.store.get(KIND, NAME).await
+    }
+
+    /// Follows the lease, for ever.
+    pub async fn follow(&self) {
+        let heard = &self.0.heard;
+        let apply = |change: Change, _| match change {
+            Change::All(mut objects) => *heard.borrow_mut() = objects.pop(),
+            Change::One(Event::Put(object)) => *heard.borrow_mut() = Some(object),
+            Change::One(Event::Removed(_)) => *heard.borrow_mut() = None,
+        };
+        follow::follow(self.0.store.clone(), PLAN, self.0.contact.clone(), apply).await;
+    }
+
     async fn write(&self, version: u64, record: &Record) -> Outcome {
         let store = &self.0.store;
         let written = match version {
--- a/crates/site/src/duty/mod.rs
+++ b/crates/site/src/duty/mod.rs
@@ -11,13 +11,15 @@
 use platform::store::Store;
 
 use self::lease::Office;
-use crate::{facts::Facts, usage::Usage};
+use crate::{facts::Facts, job::Registry, usage::Usage};
 
 /// What duties are done with.
 #[derive(Clone)]
 pub struct Duties {
     /// Whether this VM has them.
     pub office: Office,
+    /// The jobs that are open, which weights are wanted for.
+    pub jobs: Registry,
     /// What it knows.
     pub facts: Rc<RefCell<Facts>>,
     /// The platform's store.
--- a/crates/site/src/duty/weights.rs
+++ b/crates/site/src/duty/weights.rs
@@ -47,7 +47,8 @@
         });
         while sent.values().filter(|order| order.is_loading).count() < AT_ONCE {
             let is_ordered = |key, model: &str| sent.contains_key(&(key, model.to_string()));
-            let found = next(&duties.facts.borrow(), is_ordered, Instant::now());
+            let demand = duties.jobs.demand();
+            let found = next(&duties.facts.borrow(), &demand, is_ordered, Instant::now());
             let Some((key, version)) = found else {
                 break;
             };
@@ -68,10 +69,22 @@
 /// A step allows the version before the one that was named for it. So an
 /// endpoint that is one behind still serves, and is loaded when it has nothing
 /// to do; one that is further behind serves no step, and is loaded first. Of
-/// several models the one with the fewest endpoints that serve comes first.
-pub fn next(facts: &Facts, is_ordered: impl Fn(Key, &str) -> bool, now: Instant) -> Option<(Key, Version)> {
+/// several models the one with the fewest endpoints that serve comes first,
+/// measured against the tokens that its open jobs still ask for.
+pub fn next(
+    facts: &Facts,
+    demand: &Map<String, u64>,
+    is_ordered: impl Fn(Key, &str) -> bool,
+    now: Instant,
+) -> Option<(Key, Version)> {
     let mut models: Vec<(&String, u64)> = facts.versions.iter().map(|(m, v)| (m, *v)).collect();
-    models.sort_by_key(|(model, version)| (able(facts, model, *version), *model));
+    models.sort_by(|(a, version_a), (b, version_b)| {
+        let wanted = |model| demand.get(model).copied().unwrap_or(0).max(1);
+        // able(a) / wanted(a) against able(b) / wanted(b).
+        let left = able(facts, a, *version_a) * wanted(*b);
+        let right = able(facts, b, *version_b) * wanted(*a);
+        left.cmp(&right).then_with(|| a.cmp(b))
+    });
     let pick = |is_needed: fn(u64, &Endpoint, Instant) -> bool| {
         models.iter().find_map(|(model, version)| {
             let behind = facts.endpoints.iter().filter(|(key, endpoint)| {
@@ -93,10 +106,10 @@
 }
 
 /// Returns how many endpoints serve the step for which `version` was named.
-fn able(facts: &Facts, model: &str, version: u64) -> usize {
+fn able(facts: &Facts, model: &str, version: u64) -> u64 {
     let endpoints = facts.endpoints.values();
     let versions = endpoints.filter_map(|endpoint| endpoint.version(model));
-    versions.filter(|known| known + 1 >= version).count()
+    versions.filter(|known| known + 1 >= version).count() as u64
 }
 
 /// Returns what becomes of runs: they go on unless a route wants the tokens of
--- a/crates/site/src/job/api.rs
+++ b/crates/site/src/job/api.rs
@@ -34,7 +34,8 @@
 /// that finds nothing new is refused: others may have read more by then.
 const SETTLE_TIME: Duration = Duration::from_millis(500);
 
-/// Accepts a job, once.
+/// Accepts a job of `route`, at the VM that runs those of this route if it
+/// answers, else here.
 pub async fn submit(
     jobs: &Jobs,
     route: &Route,
@@ -48,6 +49,15 @@
     if let Some(known) = jobs.registry.get(id) {
         return accepted_before(&known, &account);
     }
+    if let Some(reply) = jobs.runners.hand(route, &account, request).await {
+        return reply;
+    }
+    accept(jobs, account, request).await
+}
+
+/// Accepts a job here, once.
+pub async fn accept(jobs: &Jobs, account: Option<String>, request: &Request) -> Reply {
+    let id = request.header("request-id").unwrap_or_default();
     let submission: Submission = match request.json() {
         Ok(submission) => submission,
         Err(reply) => return reply,
@@ -62,11 +72,11 @@
     };
     let start = Instant::now();
     let written = create(jobs, id, &head).await;
-    let (job, items, route) = (id, head.submission.items.len(), route.name.as_str());
+    let (job, items) = (id, head.submission.items.len());
     let ms = start.elapsed().as_millis() as u64;
     match written {
         Ok(Written::Done(_)) => {
-            spdlog::info!("job accepted", kv: { job, items, route, ms });
+            spdlog::info!("job accepted", kv: { job, items, ms });
             let known = jobs.registry.put_head(id, head);
             jobs.producer.start(&known);
             accepted()
--- a/crates/site/src/job/mod.rs
+++ b/crates/site/src/job/mod.rs
@@ -11,6 +11,7 @@
 pub mod keep;
 pub mod produce;
 pub mod record;
+pub mod runner;
 pub mod sample;
 
 use std::{
@@ -81,6 +82,21 @@
         self.0.borrow().values().cloned().collect()
     }
 
+    /// Returns the tokens that the open jobs of each model still ask for.
+    pub fn demand(&self) -> Map<String, u64> {
+        let mut demand: Map<String, u64> = Map::default();
+        for job in self.0.borrow().values() {
+            let job = job.borrow();
+            let submission = &job.head.submission;
+            let (Some(model), false) = (&submission.model, job.is_ended) else {
+                continue;
+            };
+            let open = submission.items.iter().filter(|item| !job.listed.contains(&item.id));
+            *demand.entry(model.clone()).or_default() += open.map(|item| item.tokens).sum::<u64>();
+        }
+        demand
+    }
+
     /// Takes the head of a job, and returns the job.
     pub fn put_head(&self, id: &str, head: Head) -> Shared {
         let mut jobs = self.0.borrow_mut();
@@ -201,4 +217,6 @@
     pub producer: produce::Producer,
     /// The name of this VM.
     pub vm: String,
+    /// The VMs that jobs are handed to.
+    pub runners: runner::Runners,
 }
--- a/crates/site/src/peer.rs
+++ b/crates/site/src/peer.rs
@@ -1,4 +1,4 @@
-//! What VMs ask of each other: to pass calls on to the store.
+//! What VMs ask of each other: to pass calls on to the store, and to run jobs.
 //!
 //! Watches that wait for the same are asked of the store once.
 
@@ -11,12 +11,16 @@
 };
 use platform::store::{self, Error, Store};
 
-use crate::{job::Jobs, notice::Notice};
+use crate::{
+    job::{Jobs, runner},
+    notice::Notice,
+};
 
 /// What answers other VMs.
 #[derive(Clone)]
 pub struct Peer {
     store: Store,
+    jobs: Jobs,
     watches: Rc<RefCell<Map<String, Rc<Watch>>>>,
 }
 
@@ -31,13 +35,17 @@
     /// Returns what answers other VMs with the store of `jobs`.
     pub fn new(jobs: Jobs) -> Self {
         Self {
-            store: jobs.store,
+            store: jobs.store.clone(),
+            jobs,
             watches: Rc::default(),
         }
     }
 
     /// Answers a call of another VM.
     pub async fn answer(&self, request: Request) -> Reply {
+        if request.uri.path().starts_with(runner::PATH) {
+            return runner::take(&self.jobs, request).await;
+        }
         let uri = &request.uri;
         let path = uri.path_and_query().map_or("/", |path| path.as_str());
         if !path.starts_with(store::ROOT) {
--- a/crates/site/src/vm.rs
+++ b/crates/site/src/vm.rs
@@ -25,7 +25,7 @@
     follow::{self, Contact},
     forward::Forwarder,
     front::Front,
-    job::{Jobs, Registry, attempt::Runner, keep, produce::Producer},
+    job::{Jobs, Registry, attempt::Runner, keep, produce::Producer, runner::Runners},
     peer::Peer,
     signal::Signals,
     usage::Usage,
@@ -105,11 +105,12 @@
 impl Parts {
     fn new(settings: &Settings) -> Self {
         let own = settings.listen.peers;
-        let seeds = settings.seeds.iter().copied();
-        let relays = seeds.filter(|seed| Some(*seed) != own).collect();
-        // All VMs that are told the same seeds watch through the same VM.
-        let first = settings.seeds.iter().min().copied();
-        let store = Store::new(settings.store.address, relays, first);
+        let mut seeds = settings.seeds.clone();
+        // All VMs that are told the same seeds see them in the same order.
+        seeds.sort();
+        let others = seeds.iter().copied();
+        let relays = others.filter(|seed| Some(*seed) != own).collect();
+        let store = Store::new(settings.store.address, relays, seeds.first().copied());
         let facts: Rc<RefCell<Facts>> = Rc::default();
         let pool = Pool::new(Limits::new().body_bytes(ANSWER_BYTES)).resets();
         let usage = Usage::new(settings.bounds.window);
@@ -133,9 +134,11 @@
             contact: Contact::default(),
             producer,
             vm: settings.vm.clone(),
+            runners: Runners::new(seeds, own, pool.clone()),
         };
         let duties = Duties {
-            office: Office::new(store.clone(), &settings.vm),
+            office: Office::new(store.clone(), jobs.contact.other(), &settings.vm),
+            jobs: jobs.registry.clone(),
             facts: facts.clone(),
             store,
             pool,
@@ -166,7 +169,9 @@
         monoio::spawn(keep::follow(self.jobs.clone()));
         monoio::spawn(keep::take_over(self.jobs.clone()));
         let office = self.duties.office.clone();
+        let other = office.clone();
         monoio::spawn(async move { office.hold().await });
+        monoio::spawn(async move { other.follow().await });
         monoio::spawn(duty::weights::run(self.duties.clone()));
         monoio::spawn(duty::report::run(self.duties.clone()));
         monoio::spawn(duty::report::hand_on(self.duties.clone(), settings.vm.clone()));
