--- a/crates/fakes/src/deployment/child.rs
+++ b/crates/fakes/src/deployment/child.rs
@@ -24,10 +24,19 @@
     ///
     /// When it cannot be started.
     pub fn start(program: &Path, arguments: &[String], log: &Path) -> Result<Self, Error> {
+        let mut command = Command::new(program);
+        command.arg("part").args(arguments);
+        Self::launch(command, log)
+    }
+
+    /// Starts `command`, with its output added to `log`.
+    ///
+    /// # Errors
+    ///
+    /// When it cannot be started.
+    pub fn launch(mut command: Command, log: &Path) -> Result<Self, Error> {
         let log: File = OpenOptions::new().create(true).append(true).open(log)?;
-        let child = Command::new(program)
-            .arg("part")
-            .args(arguments)
+        let child = command
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod scorer;
 pub mod service;
 pub(crate) mod signal;
+pub mod site;
 pub(crate) mod stats;
 pub mod swarm;
 pub mod text;
--- /dev/null
+++ b/crates/fakes/src/site/mod.rs
@@ -0,0 +1,363 @@
+//! Stand-ins for the users' platform: its object store, the endpoints that
+//! announce themselves there, and the part that takes usage reports.
+//!
+//! All of them run in one thread over one [`World`], which a test reads and
+//! changes from its own thread. They speak the platform's words, as it does.
+//!
+//! # Examples
+//!
+//! ```
+//! use link::http::client::Call;
+//! use tarragonseam_fakes::{drive, site};
+//!
+//! let site = site::spawn(site::Plan::default())?;
+//! site.world().put("config", "main", serde_json::json!({"version": 1}));
+//! let list = drive::fetch(site.store, Call::get("/objects/config"))?;
+//! assert_eq!(list.status, 200);
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod engine;
+mod plain;
+mod provider;
+mod store;
+
+use std::{
+    collections::BTreeMap,
+    future::Future,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError, mpsc},
+    thread,
+    time::Duration,
+};
+
+use link::{
+    http::{
+        Limits, Reply, Request,
+        server::{self, Drain},
+    },
+    net, runtime,
+};
+use serde_json::{Value, json};
+
+pub use engine::event_text;
+pub use provider::Report;
+
+/// What is stood in for.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// How many model engines there are.
+    pub engines: usize,
+    /// How many endpoints of a plain service there are.
+    pub plain: usize,
+    /// The pause between two events of an engine.
+    pub event_time: Duration,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            engines: 2,
+            plain: 2,
+            event_time: Duration::from_millis(5),
+        }
+    }
+}
+
+/// How the store behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mood {
+    /// It serves.
+    #[default]
+    Well,
+    /// It answers 503 and does nothing.
+    Busy,
+    /// It does what it is asked to and does not answer.
+    Mute,
+    /// Watches hear nothing; other calls are served.
+    Deaf,
+}
+
+/// A request that reached an endpoint.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Its id.
+    pub id: String,
+    /// The endpoint.
+    pub endpoint: String,
+    /// The path.
+    pub path: String,
+    /// The account that it was sent for.
+    pub account: Option<String>,
+    /// The event that it goes on after.
+    pub after: Option<u64>,
+    /// The milliseconds that its caller still waits.
+    pub deadline_ms: Option<u64>,
+}
+
+/// How an endpoint behaves.
+#[derive(Clone, Debug, Default)]
+pub struct Conduct {
+    /// Requests that it still turns away without running them.
+    pub turns_away: u32,
+    /// Requests that it still answers with 500.
+    pub fails: u32,
+    /// Requests that it still runs without an answer.
+    pub mute: u32,
+    /// The event after which it still cuts the next stream.
+    pub cuts_after: Option<u64>,
+}
+
+/// An endpoint.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    /// Its id.
+    pub id: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The version of its weights, by model; empty for a plain service.
+    pub versions: BTreeMap<String, u64>,
+    /// The orders that it accepted.
+    pub orders: u64,
+    /// The highest epoch that it saw.
+    pub epoch: u64,
+    /// How it behaves.
+    pub conduct: Conduct,
+}
+
+/// What the stand-ins hold.
+#[derive(Debug, Default)]
+pub struct World {
+    /// How the store behaves.
+    pub mood: Mood,
+    /// Calls that the store took.
+    pub calls: u64,
+    pub(crate) revision: u64,
+    pub(crate) floor: u64,
+    pub(crate) objects: BTreeMap<(String, String), Value>,
+    pub(crate) log: Vec<store::Change>,
+    /// The endpoints by id.
+    pub endpoints: BTreeMap<String, Endpoint>,
+    /// The requests that reached them, in order.
+    pub arrivals: Vec<Arrival>,
+    /// The usage reports that were taken.
+    pub reports: Vec<Report>,
+}
+
+/// The model that the engines serve.
+pub const MODEL: &str = "m0";
+/// The service of the engines.
+pub const ENGINES: &str = "writer";
+/// The plain service.
+pub const PLAIN: &str = "registry";
+
+/// Stand-ins that run until the process ends.
+#[derive(Debug)]
+pub struct Site {
+    /// Where the store listens.
+    pub store: SocketAddr,
+    /// Where reports of usage are taken.
+    pub provider: SocketAddr,
+    world: Arc<Mutex<World>>,
+}
+
+pub(crate) type Shared = Arc<Mutex<World>>;
+
+/// Locks the world; a test that failed meanwhile does not matter.
+pub(crate) fn lock(world: &Shared) -> MutexGuard<'_, World> {
+    world.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Site {
+    /// Returns what the stand-ins hold, locked until it is dropped.
+    pub fn world(&self) -> MutexGuard<'_, World> {
+        lock(&self.world)
+    }
+}
+
+/// Starts the stand-ins of `plan`, with every endpoint announced.
+///
+/// # Errors
+///
+/// The error of a socket.
+pub fn spawn(plan: Plan) -> io::Result<Site> {
+    let world = Shared::default();
+    let (sender, receiver) = mpsc::channel();
+    let held = world.clone();
+    thread::spawn(move || {
+        let run = async move {
+            let addresses = start(&held, &plan);
+            let is_up = addresses.is_ok();
+            // The other side waits for this one message.
+            let _ = sender.send(addresses);
+            if is_up {
+                std::future::pending::<()>().await;
+            }
+        };
+        runtime::run(run)
+    });
+    let addresses = receiver.recv().map_err(io::Error::other)?;
+    let (store, provider) = addresses?;
+    Ok(Site {
+        store,
+        provider,
+        world,
+    })
+}
+
+fn start(world: &Shared, plan: &Plan) -> io::Result<(SocketAddr, SocketAddr)> {
+    let store = listen(world, store::answer)?;
+    let provider = listen(world, provider::answer)?;
+    for number in 0..plan.engines {
+        let id = format!("engine-{number}");
+        let (name, time) = (id.clone(), plan.event_time);
+        let address = listen(world, move |world, request| {
+            engine::answer(world, request, name.clone(), time)
+        })?;
+        let mut world = lock(world);
+        let versions = BTreeMap::from([(MODEL.to_string(), 1)]);
+        world
+            .endpoints
+            .insert(id.clone(), endpoint(&id, address, versions));
+        world.announce(&id, "ready");
+    }
+    for number in 0..plan.plain {
+        let id = format!("plain-{number}");
+        let name = id.clone();
+        let address = listen(world, move |world, request| {
+            plain::answer(world, request, name.clone())
+        })?;
+        let mut world = lock(world);
+        world
+            .endpoints
+            .insert(id.clone(), endpoint(&id, address, BTreeMap::new()));
+        world.announce(&id, "ready");
+    }
+    Ok((store, provider))
+}
+
+fn endpoint(id: &str, address: SocketAddr, versions: BTreeMap<String, u64>) -> Endpoint {
+    Endpoint {
+        id: id.to_string(),
+        address,
+        versions,
+        orders: 0,
+        epoch: 0,
+        conduct: Conduct::default(),
+    }
+}
+
+fn listen<F>(
+    world: &Shared,
+    answer: impl Fn(Shared, Request) -> F + 'static,
+) -> io::Result<SocketAddr>
+where
+    F: Future<Output = Reply> + 'static,
+{
+    let listener = net::listen(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+    let address = listener.local_addr()?;
+    let world = world.clone();
+    let handler = move |request| answer(world.clone(), request);
+    monoio::spawn(server::serve(
+        listener,
+        Limits::new(),
+        Drain::default(),
+        handler,
+    ));
+    Ok(address)
+}
+
+impl World {
+    /// Announces the endpoint `id` in the store with `state`.
+    pub fn announce(&mut self, id: &str, state: &str) {
+        let Some(endpoint) = self.endpoints.get(id) else {
+            return;
+        };
+        let service = match endpoint.versions.is_empty() {
+            true => PLAIN,
+            false => ENGINES,
+        };
+        let models = endpoint.versions.iter();
+        let models = models.map(|(name, version)| json!({"name": name, "version": version}));
+        let record = json!({
+            "service": service,
+            "address": endpoint.address.to_string(),
+            "zone": "zone-a",
+            "version": "v1",
+            "slots": 4,
+            "state": state,
+            "models": models.collect::<Vec<Value>>(),
+            "born": 1,
+        });
+        self.put("servers", id, record);
+    }
+
+    /// Returns the arrivals of the request `id`.
+    pub fn arrivals_of(&self, id: &str) -> Vec<Arrival> {
+        let arrivals = self.arrivals.iter().filter(|arrival| arrival.id == id);
+        arrivals.cloned().collect()
+    }
+}
+
+/// Returns the header `name` of `request` as text.
+pub(crate) fn text(request: &Request, name: &str) -> Option<String> {
+    request.header(name).map(str::to_string)
+}
+
+/// Notes that `request` reached the endpoint `id`, and returns how it behaves.
+pub(crate) fn arrive(world: &Shared, request: &Request, id: &str) -> Conduct {
+    let mut world = lock(world);
+    let number = |name| request.header(name).and_then(|text| text.parse().ok());
+    let arrival = Arrival {
+        id: text(request, "request-id").unwrap_or_default(),
+        endpoint: id.to_string(),
+        path: request.uri.path().to_string(),
+        account: text(request, "tenant"),
+        after: number("last-event-id"),
+        deadline_ms: number("deadline-ms"),
+    };
+    world.arrivals.push(arrival);
+    let Some(endpoint) = world.endpoints.get_mut(id) else {
+        return Conduct::default();
+    };
+    let conduct = &mut endpoint.conduct;
+    let now = conduct.clone();
+    conduct.turns_away = conduct.turns_away.saturating_sub(1);
+    if now.turns_away > 0 {
+        return now;
+    }
+    conduct.fails = conduct.fails.saturating_sub(1);
+    if now.fails > 0 {
+        return now;
+    }
+    conduct.mute = conduct.mute.saturating_sub(1);
+    conduct.cuts_after = None;
+    now
+}
+
+/// Returns the answer of an endpoint that does not run the request, if it
+/// does not: it is another one than expected, or turns it away.
+pub(crate) fn refusal(request: &Request, id: &str, conduct: &Conduct) -> Option<Reply> {
+    let is_other = request
+        .header("expect-instance")
+        .is_some_and(|expected| expected != id);
+    let reply = match (is_other, conduct.turns_away > 0, conduct.fails > 0) {
+        (true, ..) => Reply::new(link::StatusCode::MISDIRECTED_REQUEST, ""),
+        (_, true, _) => {
+            Reply::new(link::StatusCode::SERVICE_UNAVAILABLE, "").header("not-run", "1")
+        }
+        (.., true) => Reply::new(link::StatusCode::INTERNAL_SERVER_ERROR, "failed")
+            .header("server-stamp", "failed"),
+        _ => return None,
+    };
+    Some(echo(request, reply))
+}
+
+/// Adds the id of the request, as every endpoint does.
+pub(crate) fn echo(request: &Request, reply: Reply) -> Reply {
+    reply.header(
+        "request-id",
+        text(request, "request-id").unwrap_or_default(),
+    )
+}
--- a/crates/site/src/duty/report.rs
+++ b/crates/site/src/duty/report.rs
@@ -48,7 +48,10 @@
 /// Hands on the counts of windows that ended at least `age` ago.
 async fn hand_on_ended(duties: &Duties, vm: &str, age: Duration) {
     while let Some((window, counts)) = duties.usage.take_ended(age) {
-        let written = duties.store.create(COUNTS, &name(window, vm), &counts).await;
+        let written = duties
+            .store
+            .create(COUNTS, &name(window, vm), &counts)
+            .await;
         match written {
             Ok(Written::Done(_)) => {}
             // An earlier try took effect; counts that came since are lost.
@@ -119,10 +122,16 @@
 
 /// Returns the counts that stand for `window`, and sets them if none do.
 async fn decide(duties: &Duties, window: u64) -> Result<Counts, Error> {
-    let (objects, _) = duties.store.list_after(COUNTS, &format!("{window:012}")).await?;
+    let (objects, _) = duties
+        .store
+        .list_after(COUNTS, &format!("{window:012}"))
+        .await?;
     let prefix = format!("{window:012}.");
     let mut sum: Counts = BTreeMap::new();
-    for object in objects.iter().filter(|object| object.name.starts_with(&prefix)) {
+    for object in objects
+        .iter()
+        .filter(|object| object.name.starts_with(&prefix))
+    {
         let counts: Counts = object.read().ok_or(Error::Malformed)?;
         for (account, count) in counts {
             *sum.entry(account).or_default() += count;
--- a/crates/site/src/duty/retire.rs
+++ b/crates/site/src/duty/retire.rs
@@ -47,7 +47,10 @@
     for _ in 0..TRIES {
         if duties.office.authority().is_some() {
             let state = "done";
-            let written = duties.store.set_status(RETIREMENTS, &vm, &Status { state }).await;
+            let written = duties
+                .store
+                .set_status(RETIREMENTS, &vm, &Status { state })
+                .await;
             let (vm, is_told) = (vm.as_str(), written.is_ok());
             spdlog::info!("vm emptied", kv: { vm, is_told });
             if is_told {
--- a/crates/site/src/duty/weights.rs
+++ b/crates/site/src/duty/weights.rs
@@ -88,16 +88,23 @@
     let pick = |is_needed: fn(u64, &Endpoint, Instant) -> bool| {
         models.iter().find_map(|(model, version)| {
             let behind = facts.endpoints.iter().filter(|(key, endpoint)| {
-                let lag = endpoint.version(model).map_or(0, |known| version.saturating_sub(known));
+                let lag = endpoint
+                    .version(model)
+                    .map_or(0, |known| version.saturating_sub(known));
                 let is_free = !endpoint.record.is_leaving && !is_ordered(*key, model);
                 lag > 0 && is_free && is_needed(lag, endpoint, now)
             });
-            let least = behind.min_by_key(|(_, endpoint)| {
-                (endpoint.is_resting(now), place::load(endpoint, now))
-            });
+            let least = behind
+                .min_by_key(|(_, endpoint)| (endpoint.is_resting(now), place::load(endpoint, now)));
             let (key, _) = least?;
             let model = model.to_string();
-            Some((key, Version { model, version: *version }))
+            Some((
+                key,
+                Version {
+                    model,
+                    version: *version,
+                },
+            ))
         })
     };
     let is_useless = |lag, _: &Endpoint, _| lag > 1;
@@ -140,7 +147,9 @@
             return false;
         }
     };
-    let is_serving = endpoint.version(&version.model).is_some_and(|v| v + 1 >= version.version);
+    let is_serving = endpoint
+        .version(&version.model)
+        .is_some_and(|v| v + 1 >= version.version);
     if state.busy || (is_serving && state.running > 0) {
         return false;
     }
--- a/crates/site/src/facts.rs
+++ b/crates/site/src/facts.rs
@@ -101,7 +101,8 @@
             && let Some(known) = self.endpoints.get_mut(*key)
         {
             known.missing_until = None;
-            let is_same = known.record.born == record.born && known.record.address == record.address;
+            let is_same =
+                known.record.born == record.born && known.record.address == record.address;
             if is_same {
                 known.record = record;
                 return false;
@@ -143,7 +144,10 @@
 
     /// Returns when the next absent endpoint is given up.
     pub fn next_overdue(&self) -> Option<Instant> {
-        self.endpoints.values().filter_map(|e| e.missing_until).min()
+        self.endpoints
+            .values()
+            .filter_map(|e| e.missing_until)
+            .min()
     }
 
     /// Notes that the endpoint `key` answered.
--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -182,7 +182,11 @@
         };
         match self.run(route, &order).await.end {
             End::Answered(found) => pass_back(found),
-            End::Lost => error(StatusCode::GATEWAY_TIMEOUT, "no-answer", "no endpoint answered"),
+            End::Lost => error(
+                StatusCode::GATEWAY_TIMEOUT,
+                "no-answer",
+                "no endpoint answered",
+            ),
             End::NotRun => refusal("no-place", "no endpoint has a place"),
         }
     }
@@ -276,7 +280,9 @@
         let found = self.pool.fetch(endpoint.record.address, call).await;
         let attempt = judge(found);
         let now = Instant::now();
-        if let (Attempt::Answered(_) | Attempt::Unknown(_), Some(account)) = (&attempt, &order.account) {
+        if let (Attempt::Answered(_) | Attempt::Unknown(_), Some(account)) =
+            (&attempt, &order.account)
+        {
             self.usage.count(window, account);
         }
         let (request, id) = (order.id.as_str(), endpoint.id.as_str());
@@ -332,9 +338,7 @@
         Ok(found) if found.status == StatusCode::MISDIRECTED_REQUEST => {
             Attempt::NotRun("another endpoint has the address")
         }
-        Ok(found) if found.headers.contains_key(header::NOT_RUN) => {
-            Attempt::NotRun("turned away")
-        }
+        Ok(found) if found.headers.contains_key(header::NOT_RUN) => Attempt::NotRun("turned away"),
         Ok(found) => Attempt::Answered(found),
         Err(e) if e.is_unsent() => Attempt::Unreached(e),
         Err(e) => Attempt::Unknown(e),
@@ -360,5 +364,6 @@
 
 fn path(request: &Request) -> String {
     let uri = &request.uri;
-    uri.path_and_query().map_or_else(|| uri.path().to_string(), |path| path.to_string())
+    uri.path_and_query()
+        .map_or_else(|| uri.path().to_string(), |path| path.to_string())
 }
--- a/crates/site/src/front.rs
+++ b/crates/site/src/front.rs
@@ -45,7 +45,11 @@
                     Ok(account) => api::call(&self.jobs, account, call, &request).await,
                     Err(reply) => reply,
                 },
-                None => error(StatusCode::NOT_FOUND, "no-route", "no route has this host and path"),
+                None => error(
+                    StatusCode::NOT_FOUND,
+                    "no-route",
+                    "no route has this host and path",
+                ),
             };
         };
         let account = match (account, route.public) {
@@ -71,17 +75,27 @@
     /// The refusal of a request without one valid key.
     fn account(&self, request: &Request) -> Result<Option<String>, Reply> {
         let facts = self.facts.borrow();
-        if facts.config.as_ref().is_none_or(|config| config.accounts.is_none()) {
+        if facts
+            .config
+            .as_ref()
+            .is_none_or(|config| config.accounts.is_none())
+        {
             return Ok(None);
         }
         let mut keys = request.headers.get_all(header::KEY).iter();
         let key = keys.next().and_then(|key| key.to_str().ok());
         // Two keys may stand for two accounts: neither is taken.
         let is_single = keys.next().is_none();
-        let account = key.filter(|_| is_single).and_then(|key| facts.keys.get(key));
+        let account = key
+            .filter(|_| is_single)
+            .and_then(|key| facts.keys.get(key));
         match account {
             Some(account) => Ok(Some(account.clone())),
-            None => Err(error(StatusCode::UNAUTHORIZED, "unknown-key", "the key is not known")),
+            None => Err(error(
+                StatusCode::UNAUTHORIZED,
+                "unknown-key",
+                "the key is not known",
+            )),
         }
     }
 }
--- a/crates/site/src/job/api.rs
+++ b/crates/site/src/job/api.rs
@@ -97,7 +97,11 @@
         }
         Err(Error::Unknown) => {
             spdlog::warn!("job may have been accepted", kv: { job, ms });
-            error(StatusCode::GATEWAY_TIMEOUT, "unclear", "the store does not answer")
+            error(
+                StatusCode::GATEWAY_TIMEOUT,
+                "unclear",
+                "the store does not answer",
+            )
         }
         Err(e) => {
             let problem = e.to_string();
@@ -134,7 +138,11 @@
 fn accepted_before(job: &Shared, account: &Option<String>) -> Reply {
     match job.borrow().head.account == *account {
         true => accepted(),
-        false => error(StatusCode::NOT_FOUND, "no-job", "the job belongs to another account"),
+        false => error(
+            StatusCode::NOT_FOUND,
+            "no-job",
+            "the job belongs to another account",
+        ),
     }
 }
 
@@ -225,7 +233,10 @@
         return Reply::json(StatusCode::OK, &serde_json::json!({}));
     }
     let name = Name::new(&id, Part::End).encode();
-    let written = jobs.store.create(record::KIND, &name, &serde_json::json!({})).await;
+    let written = jobs
+        .store
+        .create(record::KIND, &name, &serde_json::json!({}))
+        .await;
     let id = id.as_str();
     match written {
         Ok(_) => {
@@ -243,7 +254,12 @@
 
 fn body(job: &Shared, item: &str) -> Reply {
     let job = job.borrow();
-    let found = job.head.submission.items.iter().find(|known| known.id == item);
+    let found = job
+        .head
+        .submission
+        .items
+        .iter()
+        .find(|known| known.id == item);
     match found {
         Some(found) => Reply::new(StatusCode::OK, found.body.0.clone()),
         None => error(StatusCode::NOT_FOUND, "no-item", "the job has no such item"),
--- a/crates/site/src/job/attempt.rs
+++ b/crates/site/src/job/attempt.rs
@@ -120,7 +120,9 @@
 
     async fn read(&self, key: Key, mut response: Response, terms: &Terms, text: &mut Text) -> Run {
         let headers = &response.headers;
-        if response.status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(header::NOT_RUN) {
+        if response.status == StatusCode::MISDIRECTED_REQUEST
+            || headers.contains_key(header::NOT_RUN)
+        {
             return Run::NotRun;
         }
         if response.status == StatusCode::UNPROCESSABLE_ENTITY {
@@ -162,7 +164,9 @@
         let mut failures = 0;
         while Instant::now() < deadline {
             let config = self.facts.borrow().config.clone();
-            let route = config.as_ref().and_then(|c| c.route(&scorer.host, &scorer.path));
+            let route = config
+                .as_ref()
+                .and_then(|c| c.route(&scorer.host, &scorer.path));
             let Some(route) = route else {
                 monoio::time::sleep(SCORE_PAUSE).await;
                 continue;
--- a/crates/site/src/job/keep.rs
+++ b/crates/site/src/job/keep.rs
@@ -39,7 +39,11 @@
         Change::All(objects) => objects.iter().for_each(|object| registry.put(object)),
         Change::One(Event::Put(object)) => registry.put(&object),
         Change::One(Event::Removed(name)) => {
-            if let Some(Name { job, part: Part::Head }) = Name::decode(&name) {
+            if let Some(Name {
+                job,
+                part: Part::Head,
+            }) = Name::decode(&name)
+            {
                 registry.remove(&job);
             }
         }
--- a/crates/site/src/job/mod.rs
+++ b/crates/site/src/job/mod.rs
@@ -91,7 +91,10 @@
             let (Some(model), false) = (&submission.model, job.is_ended) else {
                 continue;
             };
-            let open = submission.items.iter().filter(|item| !job.listed.contains(&item.id));
+            let open = submission
+                .items
+                .iter()
+                .filter(|item| !job.listed.contains(&item.id));
             *demand.entry(model.clone()).or_default() += open.map(|item| item.tokens).sum::<u64>();
         }
         demand
--- a/crates/site/src/job/produce.rs
+++ b/crates/site/src/job/produce.rs
@@ -200,7 +200,9 @@
             let Some(work) = self.todo.pop_front() else {
                 return;
             };
-            let place = (work.not_before <= now).then(|| self.place(&work, now)).flatten();
+            let place = (work.not_before <= now)
+                .then(|| self.place(&work, now))
+                .flatten();
             match place {
                 Some(key) => self.begin(work, key),
                 None => self.todo.push_back(work),
--- a/crates/site/src/job/runner.rs
+++ b/crates/site/src/job/runner.rs
@@ -48,24 +48,30 @@
         request: &Request,
     ) -> Option<Reply> {
         let seed = hash::mix(route.path_prefix.as_bytes(), 0);
-        let to = self.vms.iter().max_by_key(|vm| hash::rendezvous(seed, &vm.to_string()))?;
+        let to = self
+            .vms
+            .iter()
+            .max_by_key(|vm| hash::rendezvous(seed, &vm.to_string()))?;
         if Some(*to) == self.own {
             return None;
         }
         let id = request.header("request-id").unwrap_or_default();
-        let mut call = Call::post(format!("{PATH}{}", request.uri.path()), request.body.clone())
-            .identified_as(header::REQUEST_ID, id)
-            .header(HOST, request.header("host").unwrap_or_default())
-            .connect_time(CONNECT_TIME)
-            .deadline(HAND_TIME);
+        let mut call = Call::post(
+            format!("{PATH}{}", request.uri.path()),
+            request.body.clone(),
+        )
+        .identified_as(header::REQUEST_ID, id)
+        .header(HOST, request.header("host").unwrap_or_default())
+        .connect_time(CONNECT_TIME)
+        .deadline(HAND_TIME);
         if let Some(account) = account {
             call = call.header(header::ACCOUNT, account);
         }
         let found = self.pool.fetch(*to, call).await;
         match found {
-            Ok(found) if found.status == StatusCode::ACCEPTED => {
-                Some(Reply::new(found.status, found.body).header("content-type", "application/json"))
-            }
+            Ok(found) if found.status == StatusCode::ACCEPTED => Some(
+                Reply::new(found.status, found.body).header("content-type", "application/json"),
+            ),
             Ok(found) => {
                 let (status, vm) = (found.status.as_u16(), to.to_string());
                 spdlog::info!("job not taken by its VM", kv: { job = id, vm, status });
@@ -86,7 +92,12 @@
     if let Some(host) = request.headers.remove(HOST) {
         request.headers.insert("host", host);
     }
-    let path = request.uri.path().strip_prefix(PATH).unwrap_or("/").to_string();
+    let path = request
+        .uri
+        .path()
+        .strip_prefix(PATH)
+        .unwrap_or("/")
+        .to_string();
     let Ok(uri) = path.parse() else {
         return Reply::new(StatusCode::BAD_REQUEST, "");
     };
--- a/crates/site/src/notice.rs
+++ b/crates/site/src/notice.rs
@@ -42,7 +42,10 @@
             if state.count > seen {
                 return Poll::Ready(());
             }
-            let is_known = state.waiting.iter().any(|known| known.will_wake(cx.waker()));
+            let is_known = state
+                .waiting
+                .iter()
+                .any(|known| known.will_wake(cx.waker()));
             if !is_known {
                 state.waiting.push(cx.waker().clone());
             }
--- a/crates/site/src/peer.rs
+++ b/crates/site/src/peer.rs
@@ -54,7 +54,11 @@
         let is_watch = request.method == Method::GET && path.contains("watch=");
         let outcome = match is_watch {
             true => self.watch(path).await,
-            false => self.store.relay(request.method.clone(), path, request.body.clone()).await,
+            false => {
+                self.store
+                    .relay(request.method.clone(), path, request.body.clone())
+                    .await
+            }
         };
         match outcome {
             Ok(found) => {
@@ -77,10 +81,15 @@
     /// Starts a watch that goes on for all that wait, whoever leaves.
     fn begin(&self, path: &str) -> Rc<Watch> {
         let watch: Rc<Watch> = Rc::default();
-        self.watches.borrow_mut().insert(path.to_string(), watch.clone());
+        self.watches
+            .borrow_mut()
+            .insert(path.to_string(), watch.clone());
         let (peer, path, begun) = (self.clone(), path.to_string(), watch.clone());
         monoio::spawn(async move {
-            let outcome = peer.store.relay(Method::GET, &path, Default::default()).await;
+            let outcome = peer
+                .store
+                .relay(Method::GET, &path, Default::default())
+                .await;
             peer.watches.borrow_mut().remove(&path);
             *begun.outcome.borrow_mut() = Some(outcome);
             begun.is_over.raise();
--- a/crates/site/src/place.rs
+++ b/crates/site/src/place.rs
@@ -32,16 +32,19 @@
 /// Endpoints that rest after failures are asked only when all do. Among the
 /// others the least loaded one is taken, of those the nearest.
 pub fn choose(facts: &Facts, need: Need<'_>, now: Instant) -> Option<Key> {
-    let preferred = need.prefer.and_then(|key| Some((key, facts.endpoints.get(key)?)));
+    let preferred = need
+        .prefer
+        .and_then(|key| Some((key, facts.endpoints.get(key)?)));
     if let Some((key, endpoint)) = preferred
         && is_usable(endpoint, need)
         && !endpoint.is_resting(now)
     {
         return Some(key);
     }
-    let usable = facts.endpoints.iter().filter(|(key, endpoint)| {
-        !need.tried.contains(key) && is_usable(endpoint, need)
-    });
+    let usable = facts
+        .endpoints
+        .iter()
+        .filter(|(key, endpoint)| !need.tried.contains(key) && is_usable(endpoint, need));
     let best = usable.min_by_key(|(key, endpoint)| {
         let is_far = endpoint.record.domain != need.domain;
         let order = (endpoint.is_resting(now), load(endpoint, now), is_far);
--- a/crates/site/src/usage.rs
+++ b/crates/site/src/usage.rs
@@ -47,7 +47,8 @@
     pub fn take_ended(&self, age: Duration) -> Option<(u64, Counts)> {
         let mut counts = self.0.counts.borrow_mut();
         let oldest = *counts.keys().next()?;
-        (self.since_end(oldest) >= age).then(|| (oldest, counts.remove(&oldest).unwrap_or_default()))
+        (self.since_end(oldest) >= age)
+            .then(|| (oldest, counts.remove(&oldest).unwrap_or_default()))
     }
 
     /// Puts counts back that could not be handed on.
--- a/crates/site/src/vm.rs
+++ b/crates/site/src/vm.rs
@@ -164,7 +164,11 @@
         let pool = self.duties.pool.clone();
         let others = self.jobs.contact.other();
         monoio::spawn(follow::config(store.clone(), others.clone(), facts.clone()));
-        monoio::spawn(follow::versions(store.clone(), others.clone(), facts.clone()));
+        monoio::spawn(follow::versions(
+            store.clone(),
+            others.clone(),
+            facts.clone(),
+        ));
         monoio::spawn(follow::endpoints(store, others, facts, pool));
         monoio::spawn(keep::follow(self.jobs.clone()));
         monoio::spawn(keep::take_over(self.jobs.clone()));
@@ -174,7 +178,10 @@
         monoio::spawn(async move { other.follow().await });
         monoio::spawn(duty::weights::run(self.duties.clone()));
         monoio::spawn(duty::report::run(self.duties.clone()));
-        monoio::spawn(duty::report::hand_on(self.duties.clone(), settings.vm.clone()));
+        monoio::spawn(duty::report::hand_on(
+            self.duties.clone(),
+            settings.vm.clone(),
+        ));
         monoio::spawn(duty::retire::run(self.duties.clone()));
     }
 }
--- /dev/null
+++ b/crates/site/tests/common/mod.rs
@@ -0,0 +1,289 @@
+//! VMs as processes, before stand-ins of the platform.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::{
+    net::SocketAddr,
+    path::PathBuf,
+    process::Command,
+    time::{Duration, Instant},
+};
+
+use base64::{Engine as _, engine::general_purpose::STANDARD as BASE64};
+use fakes::{
+    deployment::{Block, Child},
+    drive,
+    site::{self, Plan, Site},
+};
+use link::{
+    HeaderName, Method,
+    http::client::{Call, Fetched},
+};
+use serde_json::{Value, json};
+
+/// The host of all routes.
+pub(crate) const HOST: &str = "site.example";
+/// A key of the account `acme`.
+pub(crate) const KEY: &str = "key-of-acme";
+
+/// One VM.
+pub(crate) struct Vm {
+    /// Its name.
+    pub(crate) name: String,
+    /// Where callers reach it.
+    pub(crate) callers: SocketAddr,
+    /// Where it says whether it is ready.
+    pub(crate) ready: SocketAddr,
+    process: Child,
+    settings: PathBuf,
+    log: PathBuf,
+}
+
+/// A deployment.
+pub(crate) struct Deployment {
+    /// The stand-ins.
+    pub(crate) site: Site,
+    /// The VMs.
+    pub(crate) vms: Vec<Vm>,
+    _block: Block,
+}
+
+/// Returns the configuration that all tests use.
+pub(crate) fn config(version: u64) -> Value {
+    json!({
+        "version": version,
+        "routes": [
+            {"name": "safe", "host": HOST, "path-prefix": "/safe/", "kind": "safe",
+             "timeout-ms": 2000, "aim-ms": 150, "service": site::PLAIN, "max-attempts": 2,
+             "public": false},
+            {"name": "unsafe", "host": HOST, "path-prefix": "/unsafe/", "kind": "unsafe",
+             "timeout-ms": 1000, "aim-ms": 150, "service": site::PLAIN, "max-attempts": 2,
+             "public": false},
+            {"name": "score", "host": HOST, "path-prefix": "/score/", "kind": "safe",
+             "timeout-ms": 1000, "aim-ms": 150, "service": site::PLAIN, "max-attempts": 3,
+             "public": true},
+            {"name": "jobs", "host": HOST, "path-prefix": "/jobs-here/", "kind": "rollout",
+             "timeout-ms": 10000, "aim-ms": 400, "service": site::ENGINES, "max-attempts": 3,
+             "run-target-ms": 7500, "max-wait-s": 20, "public": false},
+        ],
+        "services": [
+            {"name": site::ENGINES, "max-conns": 100,
+             "engine": {"slots": 4, "kv-capacity-tokens": 10000, "models": [{"name": site::MODEL}]}},
+            {"name": site::PLAIN, "max-conns": 100},
+        ],
+        "tenants": [
+            {"name": "acme", "api-keys": [KEY]},
+            {"name": "other", "api-keys": ["key-of-other"]},
+        ],
+    })
+}
+
+impl Deployment {
+    /// Starts `count` VMs that are ready, before the stand-ins of `plan`.
+    pub(crate) fn start(count: usize, plan: Plan) -> Self {
+        let site = site::spawn(plan).unwrap();
+        site.world().put("config", "main", config(1));
+        let mut block = Block::take().unwrap();
+        let addresses: Vec<[SocketAddr; 3]> = (0..count)
+            .map(|_| std::array::from_fn(|_| block.next()))
+            .collect();
+        let seeds: Vec<SocketAddr> = addresses.iter().map(|vm| vm[2]).collect();
+        let folder = block.folder();
+        std::fs::create_dir_all(&folder).unwrap();
+        let vms = addresses.iter().enumerate().map(|(number, vm)| {
+            let name = format!("vm-{number}");
+            let settings = folder.join(format!("{name}.toml"));
+            std::fs::write(&settings, settings_of(&name, vm, &seeds, &site)).unwrap();
+            let log = folder.join(format!("{name}.log"));
+            let [callers, ready, _] = *vm;
+            let process = launch(&settings, &log);
+            Vm {
+                name,
+                callers,
+                ready,
+                process,
+                settings,
+                log,
+            }
+        });
+        let vms = vms.collect();
+        let deployment = Self {
+            site,
+            vms,
+            _block: block,
+        };
+        for vm in &deployment.vms {
+            vm.wait_until_ready();
+        }
+        deployment
+    }
+}
+
+fn settings_of(name: &str, vm: &[SocketAddr; 3], seeds: &[SocketAddr], site: &Site) -> String {
+    let [callers, ready, peers] = vm;
+    let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+    format!(
+        r#"
+node = "{name}"
+zone = "zone-a"
+seeds = [{}]
+unknown-field = "ignored"
+[listen]
+front = "{callers}"
+ready = "{ready}"
+control = "{peers}"
+[platform]
+address = "{}"
+[cloud]
+address = "{}"
+[bounds]
+grace-s = 4
+report-window-s = 1
+status-s = 120
+lease-ms = 3000
+[limits]
+memory-mb = 260
+"#,
+        seeds.join(", "),
+        site.store,
+        site.provider,
+    )
+}
+
+fn launch(settings: &PathBuf, log: &PathBuf) -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_tarragonseam-vm"));
+    command.env("TARRAGONSEAM_NODE_FILE", settings);
+    Child::launch(command, log).unwrap()
+}
+
+impl Vm {
+    /// Waits until the VM says that it is ready.
+    pub(crate) fn wait_until_ready(&self) {
+        wait("a ready VM", || {
+            let ready = drive::fetch(self.ready, Call::get("/ready"));
+            ready.is_ok_and(|answer| answer.status == 200)
+        });
+    }
+
+    /// Kills the process.
+    pub(crate) fn kill(&mut self) {
+        self.process.kill();
+    }
+
+    /// Starts the process again.
+    pub(crate) fn restart(&mut self) {
+        self.process = launch(&self.settings, &self.log);
+        self.wait_until_ready();
+    }
+
+    /// Sends `signal` to the process.
+    pub(crate) fn signal(&self, signal: &str) {
+        self.process.signal(signal).unwrap();
+    }
+
+    /// Returns the exit code once the process has ended.
+    pub(crate) fn exit_code(&mut self) -> Option<i32> {
+        self.process.exit_code()
+    }
+
+    /// Returns what the process logged so far.
+    pub(crate) fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap()
+    }
+
+    /// Sends a request as a caller of `acme` does.
+    pub(crate) fn ask(&self, method: Method, path: &str, id: &str) -> Fetched {
+        self.ask_with(caller(method, path, id))
+    }
+
+    /// Sends `call` and waits for the whole answer.
+    pub(crate) fn ask_with(&self, call: Call) -> Fetched {
+        drive::fetch(self.callers, call).unwrap()
+    }
+
+    /// Submits `job` with `id`.
+    pub(crate) fn submit(&self, id: &str, job: &Value) -> u16 {
+        let call = caller(Method::POST, "/jobs-here/step", id).body(job.to_string());
+        self.ask_with(call).status.as_u16()
+    }
+
+    /// Reads the samples of `job` from position `from` on.
+    pub(crate) fn read(&self, job: &str, from: usize) -> (u16, Value) {
+        let path = format!("/lots/{job}?after={from}");
+        let answer = self.ask(Method::GET, &path, "read");
+        let body = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
+        (answer.status.as_u16(), body)
+    }
+
+    /// Reads all samples of `job`, once there are `count`.
+    pub(crate) fn read_all(&self, job: &str, count: usize) -> Vec<Value> {
+        let mut samples = Vec::new();
+        wait("all samples", || {
+            let (status, body) = self.read(job, 0);
+            samples = body["results"].as_array().cloned().unwrap_or_default();
+            status == 200 && samples.len() >= count
+        });
+        samples
+    }
+}
+
+/// Returns a call as a caller of `acme` sends it.
+pub(crate) fn caller(method: Method, path: &str, id: &str) -> Call {
+    Call::new(method, path)
+        .host(HOST)
+        .header("request-id", id)
+        .header("deadline-ms", "2000")
+        .header("x-api-key", KEY)
+}
+
+/// Returns a job of `count` items with ids that begin with `prefix`.
+pub(crate) fn job(prefix: &str, count: usize, events: u64) -> Value {
+    let items = (0..count).map(|number| {
+        let id = format!("{prefix}-{number}");
+        json!({
+            "id": id,
+            "path": format!("/jobs-here/{id}"),
+            "headers": {"X-Events": events.to_string(), "Model": site::MODEL},
+            "body": BASE64.encode(&id),
+            "tokens": 100,
+            "group": format!("g{}", number / 2),
+            "scorer": {
+                "id": format!("score-{id}"), "host": HOST, "path": "/score/here",
+                "body": BASE64.encode("score"),
+            },
+        })
+    });
+    json!({
+        "step": 1, "model": site::MODEL, "min-version": 1, "desired": count / 2,
+        "items": items.collect::<Vec<Value>>(),
+    })
+}
+
+/// Returns the text of an item of `events` events.
+pub(crate) fn text(item: &str, events: u64) -> String {
+    let data: Vec<String> = (0..events).map(|n| site::event_text(item, n)).collect();
+    data.join("\n")
+}
+
+/// Returns the header `name` of `answer`.
+pub(crate) fn header(answer: &Fetched, name: &'static str) -> String {
+    let value = answer.headers.get(HeaderName::from_static(name));
+    value
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+        .to_string()
+}
+
+/// The longest that any wait of a test takes. Waits end as soon as what they
+/// wait for holds.
+const WAIT_MAX: Duration = Duration::from_secs(30);
+const WAIT_POLL: Duration = Duration::from_millis(10);
+
+/// Waits until `holds`.
+pub(crate) fn wait(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < WAIT_MAX, "waited too long for {what}");
+        std::thread::sleep(WAIT_POLL);
+    }
+}
--- /dev/null
+++ b/crates/site/tests/duty.rs
@@ -0,0 +1,112 @@
+//! Duties that one VM has at a time.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use common::{Deployment, wait};
+use fakes::site::{MODEL, Mood, Plan, Report};
+use link::Method;
+use serde_json::json;
+
+#[test]
+fn named_version_is_loaded_everywhere() {
+    let mut deployment = Deployment::start(
+        2,
+        Plan {
+            engines: 3,
+            ..Plan::default()
+        },
+    );
+    for version in [2, 3] {
+        let named = json!({"model": MODEL, "version": version});
+        deployment.site.world().put("versions", MODEL, named);
+        wait("the version everywhere", || {
+            let world = deployment.site.world();
+            let engines = world.endpoints.values().filter(|e| !e.versions.is_empty());
+            engines
+                .into_iter()
+                .all(|engine| engine.versions[MODEL] == version)
+        });
+    }
+    // Whoever holds the duties next has a higher epoch.
+    let epoch = |world: &fakes::site::World| {
+        world
+            .endpoints
+            .values()
+            .map(|endpoint| endpoint.epoch)
+            .max()
+    };
+    let before = epoch(&deployment.site.world());
+    let holder = deployment
+        .vms
+        .iter()
+        .position(|vm| vm.log().contains("weights ordered"));
+    deployment.vms[holder.unwrap()].kill();
+    deployment
+        .site
+        .world()
+        .put("versions", MODEL, json!({"model": MODEL, "version": 4}));
+    wait("a load by the successor", || {
+        epoch(&deployment.site.world()) > before
+    });
+}
+
+#[test]
+fn window_is_reported_once_with_the_sum() {
+    let deployment = Deployment::start(3, Plan::default());
+    for number in 0..30 {
+        let vm = &deployment.vms[number % 3];
+        assert_eq!(
+            vm.ask(Method::GET, "/safe/a", &format!("r{number}")).status,
+            200
+        );
+    }
+    let total = |reports: &[Report]| {
+        let counts = reports
+            .iter()
+            .filter_map(|report| report.counts.get("acme"));
+        counts.sum::<u64>()
+    };
+    wait("reports of all requests", || {
+        total(&deployment.site.world().reports) >= 30
+    });
+    let world = deployment.site.world();
+    assert_eq!(total(&world.reports), 30);
+    let mut by_window: BTreeMap<u64, &Report> = BTreeMap::new();
+    for report in &world.reports {
+        let other = by_window.insert(report.window, report);
+        assert!(other.is_none_or(|other| other.counts == report.counts));
+    }
+}
+
+#[test]
+fn vm_with_a_disk_is_emptied() {
+    let deployment = Deployment::start(2, Plan::default());
+    deployment
+        .site
+        .world()
+        .put("retirements", "store-1", json!({"duration-s": 8}));
+    wait("the answer", || {
+        let status = deployment.site.world().status("retirements", "store-1");
+        status.is_some_and(|status| status["state"] == "done")
+    });
+}
+
+#[test]
+fn lost_history_is_listed_again() {
+    let deployment = Deployment::start(2, Plan::default());
+    deployment.site.world().mood = Mood::Deaf;
+    deployment
+        .site
+        .world()
+        .put("config", "main", common::config(7));
+    deployment.site.world().forget_history();
+    let start = std::time::Instant::now();
+    let knows = |vm: &common::Vm| vm.log().contains("\"version\":7");
+    wait("the configuration at both VMs", || {
+        deployment.vms.iter().all(knows)
+    });
+    // The stated bound for a configuration.
+    assert!(start.elapsed() < std::time::Duration::from_secs(2));
+}
--- /dev/null
+++ b/crates/site/tests/job.rs
@@ -0,0 +1,295 @@
+//! Jobs, from their acceptance to their end.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Deployment, job, text, wait};
+use fakes::site::{Mood, Plan};
+use link::Method;
+use serde_json::Value;
+
+fn ids(samples: &[Value]) -> Vec<String> {
+    let ids = samples
+        .iter()
+        .map(|sample| sample["id"].as_str().unwrap_or_default().to_string());
+    ids.collect()
+}
+
+fn assert_done(samples: &[Value], events: u64) {
+    for sample in samples {
+        let id = sample["id"].as_str().unwrap();
+        assert_eq!(sample["state"], "done", "{id}");
+        assert_eq!(sample["text"].as_str().unwrap(), text(id, events));
+        assert!(
+            sample["score"]
+                .as_str()
+                .unwrap()
+                .ends_with(&format!("score-{id}"))
+        );
+    }
+    let mut ids = ids(samples);
+    ids.sort();
+    ids.dedup();
+    assert_eq!(ids.len(), samples.len(), "an item has two positions");
+}
+
+#[test]
+fn job_runs_to_its_end() {
+    let deployment = Deployment::start(3, Plan::default());
+    let job = job("a", 12, 5);
+    assert_eq!(deployment.vms[0].submit("job-a", &job), 202);
+    // The same again, at another VM.
+    assert_eq!(deployment.vms[1].submit("job-a", &job), 202);
+    let samples = deployment.vms[0].read_all("job-a", 12);
+    assert_eq!(samples.len(), 12);
+    assert_done(&samples, 5);
+    // Positions are the same at all VMs.
+    for vm in &deployment.vms {
+        assert_eq!(ids(&vm.read_all("job-a", 12)), ids(&samples));
+    }
+    let (status, rest) = deployment.vms[2].read("job-a", 5);
+    assert_eq!((status, rest["next-token"].as_u64()), (200, Some(12)));
+    assert_eq!(
+        deployment.vms[1]
+            .ask(Method::DELETE, "/lots/job-a", "e1")
+            .status,
+        200
+    );
+    assert_eq!(
+        deployment.vms[2]
+            .ask(Method::DELETE, "/lots/job-a", "e2")
+            .status,
+        200
+    );
+    assert_eq!(
+        deployment.vms[0]
+            .ask(Method::GET, "/lots/job-b", "r")
+            .status,
+        404
+    );
+}
+
+#[test]
+fn job_of_another_account_is_not_shown() {
+    let deployment = Deployment::start(1, Plan::default());
+    assert_eq!(deployment.vms[0].submit("job-a", &job("a", 2, 2)), 202);
+    let other = common::caller(Method::GET, "/lots/job-a", "r").header("x-api-key", "key-of-other");
+    assert_eq!(deployment.vms[0].ask_with(other).status, 404);
+}
+
+#[test]
+fn body_of_an_item_comes_back() {
+    let deployment = Deployment::start(
+        2,
+        Plan {
+            engines: 0,
+            ..Plan::default()
+        },
+    );
+    assert_eq!(deployment.vms[0].submit("job-a", &job("a", 2, 2)), 202);
+    for vm in &deployment.vms {
+        let answer = vm.ask(Method::GET, "/items/job-a?id=a-1", "b1");
+        assert_eq!(
+            (answer.status.as_u16(), &answer.body[..]),
+            (200, &b"a-1"[..])
+        );
+        assert_eq!(
+            vm.ask(Method::GET, "/items/job-a?id=none", "b2").status,
+            404
+        );
+    }
+}
+
+#[test]
+fn stream_cut_is_resumed() {
+    let deployment = Deployment::start(1, Plan::default());
+    for endpoint in deployment.site.world().endpoints.values_mut() {
+        endpoint.conduct.cuts_after = Some(2);
+    }
+    assert_eq!(deployment.vms[0].submit("job-a", &job("a", 6, 6)), 202);
+    assert_done(&deployment.vms[0].read_all("job-a", 6), 6);
+    let world = deployment.site.world();
+    let resumed: Vec<u64> = world
+        .arrivals
+        .iter()
+        .filter_map(|arrival| arrival.after)
+        .collect();
+    assert_eq!(resumed, [2, 2]);
+}
+
+#[test]
+fn item_is_given_up_only_after_its_failures() {
+    let deployment = Deployment::start(
+        1,
+        Plan {
+            engines: 1,
+            ..Plan::default()
+        },
+    );
+    {
+        let mut world = deployment.site.world();
+        let conduct = &mut world.endpoints.get_mut("engine-0").unwrap().conduct;
+        // Being turned away, and cut, are no failures of the item.
+        conduct.turns_away = 3;
+        conduct.fails = 2;
+        conduct.cuts_after = Some(0);
+    }
+    assert_eq!(deployment.vms[0].submit("job-a", &job("a", 1, 4)), 202);
+    assert_done(&deployment.vms[0].read_all("job-a", 1), 4);
+    deployment
+        .site
+        .world()
+        .endpoints
+        .get_mut("engine-0")
+        .unwrap()
+        .conduct
+        .fails = 3;
+    assert_eq!(deployment.vms[0].submit("job-b", &job("b", 1, 4)), 202);
+    let samples = deployment.vms[0].read_all("job-b", 1);
+    assert_eq!(samples[0]["state"], "dead");
+}
+
+#[test]
+fn scoring_failures_are_counted_by_answers_that_say_so() {
+    let deployment = Deployment::start(
+        1,
+        Plan {
+            plain: 1,
+            ..Plan::default()
+        },
+    );
+    {
+        let mut world = deployment.site.world();
+        let conduct = &mut world.endpoints.get_mut("plain-0").unwrap().conduct;
+        conduct.turns_away = 4;
+        conduct.fails = 2;
+        conduct.mute = 1;
+    }
+    assert_eq!(deployment.vms[0].submit("job-a", &job("a", 1, 2)), 202);
+    assert_done(&deployment.vms[0].read_all("job-a", 1), 2);
+}
+
+#[test]
+fn job_survives_the_vm_that_runs_it() {
+    let plan = Plan {
+        event_time: Duration::from_millis(60),
+        ..Plan::default()
+    };
+    let mut deployment = Deployment::start(3, plan);
+    assert_eq!(deployment.vms[0].submit("job-a", &job("a", 16, 10)), 202);
+    let runner = || {
+        let logs = deployment.vms.iter().map(|vm| vm.log());
+        logs.enumerate()
+            .find(|(_, log)| log.contains("job run"))
+            .map(|(number, _)| number)
+    };
+    wait("a VM that runs the job", || runner().is_some());
+    let runner = runner().unwrap();
+    wait("first samples", || {
+        !deployment.site.world().names("rollout-jobs").is_empty()
+    });
+    let reader = (runner + 1) % 3;
+    let mut before = Vec::new();
+    wait("the first samples", || {
+        let (_, body) = deployment.vms[reader].read("job-a", 0);
+        before = body["results"].as_array().cloned().unwrap_or_default();
+        !before.is_empty()
+    });
+    deployment.vms[runner].kill();
+    let samples = deployment.vms[reader].read_all("job-a", 16);
+    assert_done(&samples, 10);
+    assert_eq!(ids(&samples)[..before.len()], ids(&before)[..]);
+}
+
+#[test]
+fn jobs_survive_all_processes() {
+    let plan = Plan {
+        event_time: Duration::from_millis(40),
+        ..Plan::default()
+    };
+    let mut deployment = Deployment::start(2, plan);
+    assert_eq!(deployment.vms[0].submit("job-a", &job("a", 12, 8)), 202);
+    for vm in &mut deployment.vms {
+        vm.kill();
+    }
+    for vm in &mut deployment.vms {
+        vm.restart();
+    }
+    assert_done(&deployment.vms[1].read_all("job-a", 12), 8);
+}
+
+#[test]
+fn ended_job_is_run_no_more() {
+    let plan = Plan {
+        event_time: Duration::from_millis(100),
+        ..Plan::default()
+    };
+    let mut deployment = Deployment::start(2, plan);
+    assert_eq!(deployment.vms[0].submit("job-a", &job("a", 20, 20)), 202);
+    wait("a run", || !deployment.site.world().arrivals.is_empty());
+    assert_eq!(
+        deployment.vms[1]
+            .ask(Method::DELETE, "/lots/job-a", "e1")
+            .status,
+        200
+    );
+    wait("its end", || {
+        deployment
+            .vms
+            .iter()
+            .any(|vm| vm.log().contains("\"reason\":\"ended\""))
+    });
+    let ran = deployment.site.world().arrivals.len();
+    // Processes that start later do not run it either.
+    deployment.vms[0].kill();
+    deployment.vms[0].restart();
+    std::thread::sleep(Duration::from_millis(800));
+    assert_eq!(deployment.site.world().arrivals.len(), ran);
+}
+
+#[test]
+fn job_is_refused_while_it_cannot_be_kept() {
+    let deployment = Deployment::start(1, Plan::default());
+    deployment.site.world().mood = Mood::Busy;
+    assert_eq!(deployment.vms[0].submit("job-a", &job("a", 2, 2)), 503);
+    deployment.site.world().mood = Mood::Well;
+    assert!(deployment.site.world().names("rollout-jobs").is_empty());
+    assert_eq!(deployment.vms[0].submit("job-a", &job("a", 2, 2)), 202);
+    assert_done(&deployment.vms[0].read_all("job-a", 2), 2);
+}
+
+#[test]
+fn job_is_not_refused_while_it_may_be_kept() {
+    let deployment = Deployment::start(1, Plan::default());
+    deployment.site.world().mood = Mood::Mute;
+    // The store does what it is asked and answers nothing: no promise.
+    assert_eq!(deployment.vms[0].submit("job-a", &job("a", 2, 2)), 504);
+    deployment.site.world().mood = Mood::Well;
+    assert_eq!(deployment.vms[0].submit("job-a", &job("a", 2, 2)), 202);
+    assert_done(&deployment.vms[0].read_all("job-a", 2), 2);
+}
+
+#[test]
+fn stopping_vm_hands_its_jobs_on() {
+    let plan = Plan {
+        event_time: Duration::from_millis(50),
+        ..Plan::default()
+    };
+    let mut deployment = Deployment::start(2, plan);
+    assert_eq!(deployment.vms[0].submit("job-a", &job("a", 12, 12)), 202);
+    let runner = || {
+        deployment
+            .vms
+            .iter()
+            .position(|vm| vm.log().contains("job run"))
+    };
+    wait("a VM that runs the job", || runner().is_some());
+    let runner = runner().unwrap();
+    deployment.vms[runner].signal("TERM");
+    let other = 1 - runner;
+    assert_done(&deployment.vms[other].read_all("job-a", 12), 12);
+    let vm = &mut deployment.vms[runner];
+    wait("its exit", || vm.exit_code().is_some());
+    assert_eq!(vm.exit_code(), Some(0));
+}
--- /dev/null
+++ b/crates/site/tests/request.rs
@@ -0,0 +1,207 @@
+//! Requests of callers, from end to end.
+
+mod common;
+
+use common::{Deployment, KEY, caller, header};
+use fakes::site::{Mood, Plan};
+use link::{Method, http::client::Call};
+
+#[test]
+fn request_answered_whole() {
+    let deployment = Deployment::start(1, Plan::default());
+    let answer = deployment.vms[0].ask(Method::POST, "/safe/a?b=c", "r1");
+    assert_eq!(answer.status, 200);
+    assert_eq!(&answer.body[..], b"answer to r1");
+    assert_eq!(header(&answer, "request-id"), "r1");
+    assert!(header(&answer, "server-stamp").ends_with(".r1"));
+    let arrivals = deployment.site.world().arrivals_of("r1");
+    assert_eq!(arrivals.len(), 1);
+    assert_eq!(arrivals[0].path, "/safe/a");
+    assert_eq!(arrivals[0].account.as_deref(), Some("acme"));
+    assert!(
+        arrivals[0]
+            .deadline_ms
+            .is_some_and(|ms| ms > 1000 && ms <= 2000)
+    );
+}
+
+#[test]
+fn request_without_route_or_key() {
+    let deployment = Deployment::start(1, Plan::default());
+    let vm = &deployment.vms[0];
+    assert_eq!(vm.ask(Method::GET, "/nowhere/a", "r1").status, 404);
+    let keyless = Call::get("/safe/a")
+        .host(common::HOST)
+        .header("request-id", "r2");
+    assert_eq!(vm.ask_with(keyless).status, 401);
+    let unknown = caller(Method::GET, "/safe/a", "r3").header("x-api-key", "nobody's");
+    assert_eq!(vm.ask_with(unknown).status, 401);
+    let public = Call::get("/score/a")
+        .host(common::HOST)
+        .header("request-id", "r4");
+    assert_eq!(vm.ask_with(public).status, 200);
+    let world = deployment.site.world();
+    let ran: Vec<&str> = world
+        .arrivals
+        .iter()
+        .map(|arrival| arrival.id.as_str())
+        .collect();
+    assert_eq!(ran, ["r4"]);
+}
+
+#[test]
+fn request_with_two_keys_is_refused() {
+    let deployment = Deployment::start(1, Plan::default());
+    let mut headers = link::HeaderMap::new();
+    headers.append("x-api-key", KEY.parse().unwrap());
+    headers.append("x-api-key", "key-of-other".parse().unwrap());
+    headers.append("request-id", "r1".parse().unwrap());
+    let call = Call::get("/safe/a").headers(headers).host(common::HOST);
+    assert_eq!(deployment.vms[0].ask_with(call).status, 401);
+    assert!(deployment.site.world().arrivals.is_empty());
+}
+
+#[test]
+fn safe_request_goes_on_elsewhere() {
+    let deployment = Deployment::start(1, Plan::default());
+    for (id, change) in [("turned-away", 0), ("failed", 1), ("mute", 2)] {
+        {
+            let mut world = deployment.site.world();
+            for endpoint in world.endpoints.values_mut() {
+                endpoint.conduct = Default::default();
+            }
+            let first = world.endpoints.get_mut("plain-0").unwrap();
+            match change {
+                0 => first.conduct.turns_away = 1000,
+                1 => first.conduct.fails = 1000,
+                _ => first.conduct.mute = 1000,
+            }
+        }
+        for number in 0..4 {
+            let id = format!("{id}-{number}");
+            let answer = deployment.vms[0].ask(Method::POST, "/safe/a", &id);
+            assert_eq!(answer.status, 200, "{id}");
+        }
+    }
+}
+
+#[test]
+fn unsafe_request_is_not_repeated() {
+    let deployment = Deployment::start(1, Plan::default());
+    for endpoint in deployment.site.world().endpoints.values_mut() {
+        endpoint.conduct.mute = 1;
+    }
+    let answer = deployment.vms[0].ask(Method::POST, "/unsafe/a", "r1");
+    assert_eq!(answer.status, 504);
+    assert_eq!(deployment.site.world().arrivals_of("r1").len(), 1);
+}
+
+#[test]
+fn unsafe_request_turned_away_goes_on_elsewhere() {
+    let deployment = Deployment::start(1, Plan::default());
+    let mut world = deployment.site.world();
+    world
+        .endpoints
+        .get_mut("plain-0")
+        .unwrap()
+        .conduct
+        .turns_away = 1000;
+    drop(world);
+    for number in 0..4 {
+        let answer = deployment.vms[0].ask(Method::POST, "/unsafe/a", &format!("r{number}"));
+        assert_eq!(answer.status, 200);
+    }
+}
+
+#[test]
+fn request_refused_by_all_may_come_back() {
+    let deployment = Deployment::start(1, Plan::default());
+    for endpoint in deployment.site.world().endpoints.values_mut() {
+        endpoint.conduct.turns_away = 1000;
+    }
+    let answer = deployment.vms[0].ask(Method::POST, "/unsafe/a", "r1");
+    assert_eq!(answer.status, 503);
+    assert!(header(&answer, "retry-after").parse::<f64>().is_ok());
+    assert!(header(&answer, "server-stamp").is_empty());
+}
+
+#[test]
+fn requests_are_served_while_the_store_is_away() {
+    let deployment = Deployment::start(1, Plan::default());
+    deployment.site.world().mood = Mood::Busy;
+    for number in 0..3 {
+        let answer = deployment.vms[0].ask(Method::POST, "/safe/a", &format!("r{number}"));
+        assert_eq!(answer.status, 200);
+    }
+}
+
+#[test]
+fn key_withdrawn_is_refused() {
+    let deployment = Deployment::start(2, Plan::default());
+    let mut config = common::config(4);
+    config["tenants"][0]["api-keys"] = serde_json::json!([]);
+    deployment.site.world().put("config", "main", config);
+    for vm in &deployment.vms {
+        let mut number = 0;
+        common::wait("a refusal", || {
+            number += 1;
+            vm.ask(Method::GET, "/safe/a", &format!("r{number}")).status == 401
+        });
+    }
+    // An older configuration does not come back.
+    deployment
+        .site
+        .world()
+        .put("config", "main", common::config(2));
+    std::thread::sleep(std::time::Duration::from_millis(300));
+    assert_eq!(
+        deployment.vms[0]
+            .ask(Method::GET, "/safe/a", "again")
+            .status,
+        401
+    );
+}
+
+#[test]
+fn odd_records_name_no_endpoint() {
+    let deployment = Deployment::start(1, Plan::default());
+    {
+        let mut world = deployment.site.world();
+        for (name, record) in [
+            ("odd-1", serde_json::json!({"service": fakes::site::PLAIN})),
+            ("odd-2", serde_json::json!("text")),
+            (
+                "odd-3",
+                serde_json::json!({"service": 7, "address": "nowhere", "state": "lost"}),
+            ),
+        ] {
+            world.put("servers", name, record);
+        }
+    }
+    for number in 0..4 {
+        let answer = deployment.vms[0].ask(Method::POST, "/safe/a", &format!("r{number}"));
+        assert_eq!(answer.status, 200);
+    }
+}
+
+#[test]
+fn leaving_endpoint_is_left_alone() {
+    let deployment = Deployment::start(1, Plan::default());
+    deployment.site.world().announce("plain-0", "draining");
+    deployment.site.world().remove("servers", "engine-0");
+    common::wait("the news", || {
+        let log = deployment.vms[0].log();
+        log.contains("endpoint leaves") && log.contains("endpoint gone")
+    });
+    for number in 0..6 {
+        let answer = deployment.vms[0].ask(Method::POST, "/safe/a", &format!("r{number}"));
+        assert_eq!(answer.status, 200);
+    }
+    let world = deployment.site.world();
+    assert!(
+        world
+            .arrivals
+            .iter()
+            .all(|arrival| arrival.endpoint == "plain-1")
+    );
+}
