--- a/crates/site/src/duty/report.rs
+++ b/crates/site/src/duty/report.rs
@@ -79,9 +79,8 @@
             continue;
         }
         let age = duties.usage.since_end(next);
-        if age > TOO_LATE {
-            next += 1;
-        } else if age >= SUM_UP && report(&duties, next).await {
+        let is_due = age >= SUM_UP;
+        if age > TOO_LATE || (is_due && report(&duties, next).await) {
             next += 1;
         }
     }
--- a/crates/site/src/job/mod.rs
+++ b/crates/site/src/job/mod.rs
@@ -198,7 +198,10 @@
                 let claim: Option<record::Claim> = object.read();
                 claim.map(|claim| self.put_claim(id, n, &claim.vm))
             }
-            record::Part::End => Some(self.put_end(id)),
+            record::Part::End => {
+                self.put_end(id);
+                Some(())
+            }
         };
         if is_read.is_none() {
             let name = object.name.as_str();
--- a/crates/site/tests/common/mod.rs
+++ b/crates/site/tests/common/mod.rs
@@ -4,7 +4,7 @@
 
 use std::{
     net::SocketAddr,
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::Command,
     time::{Duration, Instant},
 };
@@ -150,7 +150,7 @@
     )
 }
 
-fn launch(settings: &PathBuf, log: &PathBuf) -> Child {
+fn launch(settings: &Path, log: &Path) -> Child {
     let mut command = Command::new(env!("CARGO_BIN_EXE_tarragonseam-vm"));
     command.env("TARRAGONSEAM_NODE_FILE", settings);
     Child::launch(command, log).unwrap()
