site: each model gets endpoints by its share of the demand

Change: loading::next gives each model as many endpoints as its share of the tokens asked lately, then idle ones; items pass over endpoints that rest.

--- a/crates/site/src/duty/mod.rs
+++ b/crates/site/src/duty/mod.rs
@@ -1,6 +1,7 @@
 //! Duties that one VM has at a time: weights, usage reports, retirements.
 
 pub mod lease;
+pub mod loading;
 pub mod report;
 pub mod retire;
 pub mod weights;
--- a/crates/site/src/duty/weights.rs
+++ b/crates/site/src/duty/weights.rs
@@ -5,16 +5,15 @@
 use board::hash::Map;
 use platform::order::{self, Outcome, Runs, Version};
 
-use super::Duties;
-use crate::{
-    facts::{Endpoint, Facts, Key},
-    place,
-};
+use super::{Duties, loading};
+use crate::facts::{Facts, Key};
 
 /// How often endpoints are looked over.
 const PERIOD: Duration = Duration::from_millis(100);
 /// How many endpoints load at once: more of them load more slowly.
 const AT_ONCE: usize = 2;
+/// The time over which the demand for models is added up: a few steps.
+const DEMAND_AGE: Duration = Duration::from_secs(15);
 /// After how long an order counts as lost whose version does not show: a load
 /// takes 0.9 s and endpoints are heard of within a second or two.
 const LOST_TIME: Duration = Duration::from_millis(4000);
@@ -47,8 +46,9 @@
         });
         while sent.values().filter(|order| order.is_loading).count() < AT_ONCE {
             let is_ordered = |key, model: &str| sent.contains_key(&(key, model.to_string()));
-            let demand = duties.jobs.demand();
-            let found = next(&duties.facts.borrow(), &demand, is_ordered, Instant::now());
+            let now = Instant::now();
+            let demand = duties.jobs.demand(DEMAND_AGE, now);
+            let found = loading::next(&duties.facts.borrow(), &demand, is_ordered, now);
             let Some((key, version)) = found else {
                 break;
             };
@@ -64,61 +64,6 @@
     }
 }
 
-/// Returns the endpoint to load next, and what.
-///
-/// A step allows the version before the one that was named for it. So an
-/// endpoint that is one behind still serves, and is loaded when it has nothing
-/// to do; one that is further behind serves no step, and is loaded first. Of
-/// several models the one with the fewest endpoints that serve comes first,
-/// measured against the tokens that its open jobs still ask for.
-pub fn next(
-    facts: &Facts,
-    demand: &Map<String, u64>,
-    is_ordered: impl Fn(Key, &str) -> bool,
-    now: Instant,
-) -> Option<(Key, Version)> {
-    let mut models: Vec<(&String, u64)> = facts.versions.iter().map(|(m, v)| (m, *v)).collect();
-    models.sort_by(|(a, version_a), (b, version_b)| {
-        let wanted = |model| demand.get(model).copied().unwrap_or(0).max(1);
-        // able(a) / wanted(a) against able(b) / wanted(b).
-        let left = able(facts, a, *version_a) * wanted(*b);
-        let right = able(facts, b, *version_b) * wanted(*a);
-        left.cmp(&right).then_with(|| a.cmp(b))
-    });
-    let pick = |is_needed: fn(u64, &Endpoint, Instant) -> bool| {
-        models.iter().find_map(|(model, version)| {
-            let behind = facts.endpoints.iter().filter(|(key, endpoint)| {
-                let lag = endpoint
-                    .version(model)
-                    .map_or(0, |known| version.saturating_sub(known));
-                let is_free = !endpoint.record.is_leaving && !is_ordered(*key, model);
-                lag > 0 && is_free && is_needed(lag, endpoint, now)
-            });
-            let least = behind
-                .min_by_key(|(_, endpoint)| (endpoint.is_resting(now), place::load(endpoint, now)));
-            let (key, _) = least?;
-            let model = model.to_string();
-            Some((
-                key,
-                Version {
-                    model,
-                    version: *version,
-                },
-            ))
-        })
-    };
-    let is_useless = |lag, _: &Endpoint, _| lag > 1;
-    let is_idle = |_, endpoint: &Endpoint, now| place::load(endpoint, now) == 0;
-    pick(is_useless).or_else(|| pick(is_idle))
-}
-
-/// Returns how many endpoints serve the step for which `version` was named.
-fn able(facts: &Facts, model: &str, version: u64) -> u64 {
-    let endpoints = facts.endpoints.values();
-    let versions = endpoints.filter_map(|endpoint| endpoint.version(model));
-    versions.filter(|known| known + 1 >= version).count() as u64
-}
-
 /// Returns what becomes of runs: they go on unless a route wants the tokens of
 /// a sample from one version, since waiting for the longest of them keeps an
 /// endpoint from all others.
--- a/crates/site/src/job/mod.rs
+++ b/crates/site/src/job/mod.rs
@@ -22,7 +22,7 @@
 };
 
 use board::hash::{Map, Set};
-use platform::batch::Sample;
+use platform::batch::{Item, Sample};
 
 use self::record::{Head, Name, Page};
 use crate::notice::Notice;
@@ -33,6 +33,8 @@
     pub id: String,
     /// What was submitted.
     pub head: Rc<Head>,
+    /// The tokens that it may make.
+    pub tokens: u64,
     /// When it was first submitted, on this VM's clock.
     pub submitted: Instant,
     /// The samples by position.
@@ -82,20 +84,16 @@
         self.0.borrow().values().cloned().collect()
     }
 
-    /// Returns the tokens that the open jobs of each model still ask for.
-    pub fn demand(&self) -> Map<String, u64> {
+    /// Returns the tokens that the jobs of each model asked for that were
+    /// submitted within `age`.
+    pub fn demand(&self, age: Duration, now: Instant) -> Map<String, u64> {
         let mut demand: Map<String, u64> = Map::default();
         for job in self.0.borrow().values() {
             let job = job.borrow();
-            let submission = &job.head.submission;
-            let (Some(model), false) = (&submission.model, job.is_ended) else {
-                continue;
-            };
-            let open = submission
-                .items
-                .iter()
-                .filter(|item| !job.listed.contains(&item.id));
-            *demand.entry(model.clone()).or_default() += open.map(|item| item.tokens).sum::<u64>();
+            let is_recent = now.saturating_duration_since(job.submitted) < age;
+            if let Some(model) = job.head.submission.model.as_ref().filter(|_| is_recent) {
+                *demand.entry(model.clone()).or_default() += job.tokens;
+            }
         }
         demand
     }
@@ -112,6 +110,7 @@
         let job = Job {
             id: id.to_string(),
             holder: head.vm.clone(),
+            tokens: head.submission.items.iter().map(Item::output_tokens).sum(),
             head: Rc::new(head),
             submitted,
             samples: Vec::new(),
--- a/crates/site/src/place.rs
+++ b/crates/site/src/place.rs
@@ -18,8 +18,8 @@
     pub domain: &'a str,
     /// The model, with the oldest version that will do.
     pub model: Option<(&'a str, u64)>,
-    /// Whether this VM may have no more requests at an endpoint than that has
-    /// slots.
+    /// Whether the request can wait: then this VM has no more of them at an
+    /// endpoint than that has slots, and none at one that rests.
     pub is_bounded: bool,
     /// The endpoint that is taken if it is usable.
     pub prefer: Option<Key>,
@@ -36,7 +36,7 @@
         .prefer
         .and_then(|key| Some((key, facts.endpoints.get(key)?)));
     if let Some((key, endpoint)) = preferred
-        && is_usable(endpoint, need)
+        && is_usable(endpoint, need, now)
         && !endpoint.is_resting(now)
     {
         return Some(key);
@@ -44,7 +44,7 @@
     let usable = facts
         .endpoints
         .iter()
-        .filter(|(key, endpoint)| !need.tried.contains(key) && is_usable(endpoint, need));
+        .filter(|(key, endpoint)| !need.tried.contains(key) && is_usable(endpoint, need, now));
     let best = usable.min_by_key(|(key, endpoint)| {
         let is_far = endpoint.record.domain != need.domain;
         let order = (endpoint.is_resting(now), load(endpoint, now), is_far);
@@ -53,12 +53,13 @@
     best.map(|(key, _)| key)
 }
 
-fn is_usable(endpoint: &Endpoint, need: Need<'_>) -> bool {
+fn is_usable(endpoint: &Endpoint, need: Need<'_>, now: Instant) -> bool {
     let record = &endpoint.record;
     if record.service != need.service || record.is_leaving {
         return false;
     }
-    if need.is_bounded && endpoint.in_flight >= record.slots {
+    let is_held_back = endpoint.in_flight >= record.slots || endpoint.is_resting(now);
+    if need.is_bounded && is_held_back {
         return false;
     }
     match need.model {
--- /dev/null
+++ b/crates/site/tests/loading.rs
@@ -0,0 +1,123 @@
+//! Which endpoint loads which weights next, on a load of two models whose
+//! versions are named faster than all endpoints can load them.
+
+use std::time::{Duration, Instant};
+
+use board::hash::Map;
+use platform::endpoint::Record;
+use tarragonseam_site::{
+    duty::loading,
+    facts::{Facts, Key},
+};
+
+const LARGE: &str = "large";
+const SMALL: &str = "small";
+
+fn record(number: u8, versions: &[(&str, u64)]) -> Record {
+    Record {
+        service: "writer".to_string(),
+        address: ([127, 0, 0, number], 80).into(),
+        domain: "a".to_string(),
+        slots: 8,
+        is_leaving: false,
+        is_spot: false,
+        versions: versions.iter().map(|(m, v)| (m.to_string(), *v)).collect(),
+        born: 1,
+    }
+}
+
+/// Returns `count` endpoints with version 1 of both models.
+fn facts(count: u8) -> Facts {
+    let mut facts = Facts::default();
+    for number in 0..count {
+        facts.put_endpoint(
+            &format!("e{number}"),
+            record(number, &[(LARGE, 1), (SMALL, 1)]),
+        );
+    }
+    facts
+}
+
+fn demand() -> Map<String, u64> {
+    [(LARGE.to_string(), 6000), (SMALL.to_string(), 3000)]
+        .into_iter()
+        .collect()
+}
+
+fn set_version(facts: &mut Facts, key: Key, model: &str, version: u64) {
+    let endpoint = facts.endpoints.get_mut(key).unwrap();
+    for (name, known) in &mut endpoint.record.versions {
+        if name == model {
+            *known = version;
+        }
+    }
+}
+
+fn able(facts: &Facts, model: &str, version: u64) -> usize {
+    let versions = facts.endpoints.values().filter_map(|e| e.version(model));
+    versions.filter(|v| v + 1 >= version).count()
+}
+
+#[test]
+fn next_when_nothing_is_named() {
+    assert!(loading::next(&facts(3), &demand(), |_, _| false, Instant::now()).is_none());
+}
+
+#[test]
+fn next_serves_both_models_in_proportion() {
+    let mut facts = facts(9);
+    facts.versions.insert(LARGE.to_string(), 3);
+    facts.versions.insert(SMALL.to_string(), 3);
+    let now = Instant::now();
+    for _ in 0..3 {
+        let (key, version) = loading::next(&facts, &demand(), |_, _| false, now).unwrap();
+        assert_eq!(version.version, 3);
+        set_version(&mut facts, key, &version.model, 3);
+    }
+    // Neither model waits for all loads of the other one.
+    assert!(able(&facts, LARGE, 3) >= 1 && able(&facts, SMALL, 3) >= 1);
+    for _ in 0..6 {
+        let (key, version) = loading::next(&facts, &demand(), |_, _| false, now).unwrap();
+        set_version(&mut facts, key, &version.model, 3);
+    }
+    assert_eq!((able(&facts, LARGE, 3), able(&facts, SMALL, 3)), (6, 3));
+}
+
+#[test]
+fn next_leaves_a_busy_endpoint_that_serves() {
+    let mut facts = facts(4);
+    facts.versions.insert(LARGE.to_string(), 2);
+    for endpoint in facts.endpoints.values_mut() {
+        endpoint.in_flight = 3;
+    }
+    let now = Instant::now();
+    assert!(loading::next(&facts, &demand(), |_, _| false, now).is_none());
+    let idle = facts.endpoints.keys().nth(2).unwrap();
+    facts.endpoints.get_mut(idle).unwrap().in_flight = 0;
+    let (key, _) = loading::next(&facts, &demand(), |_, _| false, now).unwrap();
+    assert_eq!(key, idle);
+}
+
+#[test]
+fn next_takes_a_busy_endpoint_that_serves_no_step() {
+    let mut facts = facts(2);
+    facts.versions.insert(LARGE.to_string(), 5);
+    for endpoint in facts.endpoints.values_mut() {
+        endpoint.in_flight = 3;
+    }
+    let now = Instant::now();
+    let (_, version) = loading::next(&facts, &demand(), |_, _| false, now).unwrap();
+    assert_eq!((version.model.as_str(), version.version), (LARGE, 5));
+}
+
+#[test]
+fn next_passes_over_open_orders_and_leaving_endpoints() {
+    let mut facts = facts(3);
+    facts.versions.insert(LARGE.to_string(), 5);
+    let keys: Vec<Key> = facts.endpoints.keys().collect();
+    facts.endpoints.get_mut(keys[0]).unwrap().record.is_leaving = true;
+    let is_ordered = |key, _: &str| key == keys[1];
+    let now = Instant::now() + Duration::from_millis(1);
+    let (key, _) = loading::next(&facts, &demand(), is_ordered, now).unwrap();
+    assert_eq!(key, keys[2]);
+}
