--- a/crates/site/src/job/produce.rs
+++ b/crates/site/src/job/produce.rs
@@ -157,7 +157,11 @@
                 not_before: now,
             })
         });
-        let todo = todo.collect();
+        let mut todo: Vec<Work> = todo.collect();
+        // Long items first: the last of them decides when a step ends.
+        todo.sort_by_key(|work| {
+            std::cmp::Reverse(head.submission.items[work.index].expected_tokens())
+        });
         let tasks: FuturesUnordered<Task> = FuturesUnordered::new();
         tasks.push(tick());
         Some(Self {
@@ -167,7 +171,7 @@
             head,
             job,
             terms,
-            todo,
+            todo: todo.into(),
             tasks,
             homes: Map::default(),
             ready: Vec::new(),
