--- a/crates/link/src/http/drain.rs
+++ b/crates/link/src/http/drain.rs
@@ -22,6 +22,8 @@
     pub(crate) busy: Cell<usize>,
     pub(crate) open: Cell<usize>,
     pub(crate) panics: Cell<u64>,
+    /// Bytes of bodies that are being read or answered.
+    pub(crate) held: Cell<usize>,
     /// Those that wait for the close.
     waiting: RefCell<SlotMap<slotmap::DefaultKey, Waker>>,
 }
@@ -152,3 +154,34 @@
         self.0.set(self.0.get() - 1);
     }
 }
+
+/// The part of a server's memory for bodies that one request holds, given back
+/// on drop.
+pub(crate) struct Room<'a> {
+    held: &'a Cell<usize>,
+    most: usize,
+    own: usize,
+}
+
+impl<'a> Room<'a> {
+    /// Returns no room yet, of `most` bytes in all.
+    pub(crate) fn new(held: &'a Cell<usize>, most: usize) -> Self {
+        Self { held, most, own: 0 }
+    }
+
+    /// Takes room for `bytes` more, if there is.
+    pub(crate) fn take(&mut self, bytes: usize) -> bool {
+        if self.held.get().saturating_add(bytes) > self.most {
+            return false;
+        }
+        self.held.set(self.held.get() + bytes);
+        self.own += bytes;
+        true
+    }
+}
+
+impl Drop for Room<'_> {
+    fn drop(&mut self) {
+        self.held.set(self.held.get() - self.own);
+    }
+}
--- a/crates/link/src/http/intake.rs
+++ b/crates/link/src/http/intake.rs
@@ -1,6 +1,11 @@
 //! Reading of a request after its head.
 
-use std::net::SocketAddr;
+use std::{
+    future::{Future, poll_fn},
+    net::SocketAddr,
+    pin::pin,
+    task::Poll,
+};
 
 use bytes::{Bytes, BytesMut};
 use http::{StatusCode, header};
@@ -12,6 +17,7 @@
 
 use super::{
     channel::Writer,
+    drain::Room,
     framing::{self, Framing},
     guard::{Budget, Trip},
     limits::Limits,
@@ -24,7 +30,7 @@
 /// What the framing of a chunked body may add to it.
 const BODY_SLACK: usize = 64 * 1024;
 
-/// Reads the request that `head` starts.
+/// Reads the request that `head` starts, and holds `room` for its body.
 ///
 /// # Errors
 ///
@@ -36,13 +42,19 @@
     peer: SocketAddr,
     budget: &Budget,
     limits: &Limits,
+    room: &mut Room<'_>,
     writer: &mut Writer,
 ) -> Result<Request, Reply> {
     let (parts, payload) = head.into_parts();
     let framing = framing::of_headers(&parts.headers)
         .map_err(|e| Reply::error(StatusCode::BAD_REQUEST, "ambiguous-length", e.0))?;
-    if matches!(framing, Framing::Length(length) if length > limits.body_bytes) {
-        return Err(too_large());
+    if let Framing::Length(length) = framing {
+        if length > limits.body_bytes {
+            return Err(too_large());
+        }
+        if !room.take(length) {
+            return Err(no_room());
+        }
     }
     let has_body = matches!(framing, Framing::Length(_) | Framing::Chunked);
     if has_body && parts.headers.contains_key(header::EXPECT) {
@@ -52,7 +64,9 @@
         }
     }
     budget.allow(limits.body_bytes + BODY_SLACK, limits.body_time);
-    let body = read_body(decoder, payload, budget, limits).await?;
+    let is_reserved = matches!(framing, Framing::Length(_));
+    let room = (!is_reserved).then_some(room);
+    let body = read_body(decoder, payload, budget, limits, room).await?;
     Ok(Request {
         method: parts.method,
         uri: parts.uri,
@@ -62,32 +76,73 @@
     })
 }
 
+/// Reads a body; takes `room` for it part by part, unless it has it already.
 async fn read_body(
     decoder: &mut Decoder,
     mut payload: Payload,
     budget: &Budget,
     limits: &Limits,
+    mut room: Option<&mut Room<'_>>,
 ) -> Result<Bytes, Reply> {
-    if decoder.fill_payload().await.is_err() {
-        return Err(match budget.trip() {
-            Some(Trip::Bytes) => too_large(),
-            Some(Trip::Time) => Reply::error(
-                StatusCode::REQUEST_TIMEOUT,
-                "body-too-slow",
-                "the request body did not arrive in time",
-            ),
-            None => bad_body(),
-        });
-    }
     let mut body = BytesMut::new();
-    while let Some(part) = payload.next_data().await {
+    let mut filling = pin!(decoder.fill_payload());
+    let mut is_filled = false;
+    loop {
+        // The part that is there comes first, so that no more of the body is
+        // in memory than is counted.
+        let part = poll_fn(|cx| {
+            let part = pin!(payload.next_data()).poll(cx);
+            if part.is_ready() || is_filled {
+                return part.map(Ok);
+            }
+            match filling.as_mut().poll(cx) {
+                Poll::Ready(Ok(())) => {
+                    is_filled = true;
+                    cx.waker().wake_by_ref();
+                    Poll::Pending
+                }
+                Poll::Ready(Err(_)) => Poll::Ready(Err(cut_short(budget))),
+                Poll::Pending => Poll::Pending,
+            }
+        });
+        let Some(part) = part.await? else {
+            return Ok(body.freeze());
+        };
         let part = part.map_err(|_| bad_body())?;
         if body.len() + part.len() > limits.body_bytes {
             return Err(too_large());
         }
+        if room.as_mut().is_some_and(|room| !room.take(part.len())) {
+            return Err(no_room());
+        }
         body.extend_from_slice(&part);
     }
-    Ok(body.freeze())
+}
+
+/// Returns the refusal of a body that did not come in whole.
+fn cut_short(budget: &Budget) -> Reply {
+    match budget.trip() {
+        Some(Trip::Bytes) => too_large(),
+        Some(Trip::Time) => Reply::error(
+            StatusCode::REQUEST_TIMEOUT,
+            "body-too-slow",
+            "the request body did not arrive in time",
+        ),
+        None => bad_body(),
+    }
+}
+
+/// When a caller should come back whose body found no room: a body is read in
+/// well under a second.
+const ROOM_RETRY_S: &str = "1";
+
+fn no_room() -> Reply {
+    Reply::error(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "no-room",
+        "too many large bodies are being read",
+    )
+    .header(header::RETRY_AFTER, ROOM_RETRY_S)
 }
 
 fn too_large() -> Reply {
--- a/crates/link/src/http/limits.rs
+++ b/crates/link/src/http/limits.rs
@@ -17,6 +17,7 @@
 pub struct Limits {
     pub(crate) head_bytes: usize,
     pub(crate) body_bytes: usize,
+    pub(crate) room_bytes: usize,
     pub(crate) head_time: Duration,
     pub(crate) body_time: Duration,
     pub(crate) idle_time: Duration,
@@ -35,6 +36,7 @@
         Self {
             head_bytes: HEAD_BYTES,
             body_bytes: BODY_BYTES,
+            room_bytes: usize::MAX,
             head_time: HEAD_TIME,
             body_time: BODY_TIME,
             idle_time: IDLE_TIME,
@@ -61,6 +63,13 @@
         self
     }
 
+    /// Sets how many bytes of bodies a server holds at once; callers beyond
+    /// that are told to come back.
+    pub fn room_bytes(mut self, bytes: usize) -> Self {
+        self.room_bytes = bytes;
+        self
+    }
+
     /// Sets how long a head may take from its first byte.
     pub fn head_time(mut self, time: Duration) -> Self {
         self.head_time = time;
--- a/crates/link/src/http/session.rs
+++ b/crates/link/src/http/session.rs
@@ -23,7 +23,7 @@
 use super::{
     channel::{Channel, Reader, Writer},
     chunk::{self, Extent},
-    drain::{Count, Drain},
+    drain::{Count, Drain, Room},
     guard::{Budget, Guard, Trip},
     intake,
     limits::Limits,
@@ -146,8 +146,9 @@
             let busy = Count::up(&self.drain.0.busy);
             let is_head = head.method() == Method::HEAD;
             let keep = keeps_alive(head.version(), head.headers());
-            let request =
-                intake::read(decoder, head, self.peer, &self.budget, &self.limits, writer);
+            let mut room = Room::new(&self.drain.0.held, self.limits.room_bytes);
+            let (budget, limits) = (&self.budget, &self.limits);
+            let request = intake::read(decoder, head, self.peer, budget, limits, &mut room, writer);
             let request = match request.await {
                 Ok(request) => request,
                 Err(reply) => return self.refuse(writer, reply, is_head).await,
@@ -167,6 +168,7 @@
                 _ => return End::Close,
             }
             drop(busy);
+            drop(room);
             next = match ahead.into_parts() {
                 (_, Some(early)) => early,
                 (reading, None) => self.next(reading, false).await,
--- a/crates/link/src/log.rs
+++ b/crates/link/src/log.rs
@@ -1,9 +1,28 @@
 //! Structured logs through spdlog-rs: one JSON object a line.
 
-use std::sync::Arc;
+use std::{
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Instant,
+};
 
 pub use spdlog::sink::StdStream;
-use spdlog::{Logger, formatter::JsonFormatter, sink::StdStreamSink};
+use spdlog::{
+    ErrorHandler, LevelFilter, Logger, Record,
+    formatter::{Formatter, JsonFormatter},
+    sink::{AsyncPoolSink, OverflowPolicy, Sink, SinkPropAccess, StdStreamSink},
+};
+
+/// Lines a second that a bounded log takes over time: a request and an item
+/// leave one or two lines each, and a VM serves some tens of them a second.
+const RATE: f64 = 200.0;
+/// Lines that it takes at once, such as those of a job that is taken over.
+const BURST: f64 = 1000.0;
+
+/// Lines that were dropped and not yet told of.
+static DROPPED: AtomicU64 = AtomicU64::new(0);
 
 /// Sends the logs of this process to standard error under `name`.
 ///
@@ -11,20 +30,133 @@
 ///
 /// The error of the logger, such as a name that it does not take.
 pub fn start(name: &str) -> Result<(), spdlog::Error> {
-    start_on(StdStream::Stderr, name)
+    set_default(name, stream(StdStream::Stderr)?)
 }
 
-/// Sends the logs of this process to `stream` under `name`.
+/// Sends the logs of this process to standard output under `name`. No line
+/// waits for whoever reads them: lines beyond a rate, or beyond what is read,
+/// are dropped, and [`take_dropped`] counts them.
 ///
 /// # Errors
 ///
 /// As [`start`].
-pub fn start_on(stream: StdStream, name: &str) -> Result<(), spdlog::Error> {
+pub fn start_bounded(name: &str) -> Result<(), spdlog::Error> {
+    let writer = AsyncPoolSink::builder()
+        .sink(stream(StdStream::Stdout)?)
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .build_arc()?;
+    let bucket = Bucket::new(RATE, BURST, Instant::now());
+    let bounded = Bounded {
+        writer,
+        bucket: Mutex::new(bucket),
+    };
+    set_default(name, Arc::new(bounded))
+}
+
+/// Returns how many lines were dropped since the last call.
+pub fn take_dropped() -> u64 {
+    DROPPED.swap(0, Ordering::Relaxed)
+}
+
+fn stream(stream: StdStream) -> Result<Arc<dyn Sink>, spdlog::Error> {
     let sink = StdStreamSink::builder()
         .std_stream(stream)
         .formatter(JsonFormatter::new())
         .build_arc()?;
+    Ok(sink)
+}
+
+fn set_default(name: &str, sink: Arc<dyn Sink>) -> Result<(), spdlog::Error> {
     let logger = Logger::builder().name(name).sink(sink).build()?;
     spdlog::set_default_logger(Arc::new(logger));
     Ok(())
 }
+
+/// A token bucket of lines.
+#[derive(Debug)]
+pub struct Bucket {
+    rate: f64,
+    burst: f64,
+    tokens: f64,
+    at: Instant,
+}
+
+impl Bucket {
+    /// Returns a full bucket that takes `burst` lines, and `rate` a second.
+    pub fn new(rate: f64, burst: f64, at: Instant) -> Self {
+        Self {
+            rate,
+            burst,
+            tokens: burst,
+            at,
+        }
+    }
+
+    /// Takes one line at `now`, if there is room.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use tarragonseam_link::log::Bucket;
+    ///
+    /// let start = Instant::now();
+    /// let mut bucket = Bucket::new(1.0, 2.0, start);
+    /// assert!(bucket.take(start) && bucket.take(start) && !bucket.take(start));
+    /// assert!(bucket.take(start + Duration::from_secs(1)));
+    /// ```
+    pub fn take(&mut self, now: Instant) -> bool {
+        let passed = now.saturating_duration_since(self.at).as_secs_f64();
+        self.at = now;
+        self.tokens = self.burst.min(self.tokens + passed * self.rate);
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
+
+/// A sink that drops what goes beyond a rate.
+struct Bounded {
+    writer: Arc<AsyncPoolSink>,
+    bucket: Mutex<Bucket>,
+}
+
+impl SinkPropAccess for Bounded {
+    fn level_filter(&self) -> LevelFilter {
+        self.writer.level_filter()
+    }
+
+    fn set_level_filter(&self, level_filter: LevelFilter) {
+        self.writer.set_level_filter(level_filter);
+    }
+
+    fn set_formatter(&self, formatter: Box<dyn Formatter>) {
+        self.writer.set_formatter(formatter);
+    }
+
+    fn set_error_handler(&self, handler: ErrorHandler) {
+        self.writer.set_error_handler(handler);
+    }
+}
+
+impl Sink for Bounded {
+    fn log(&self, record: &Record) -> spdlog::Result<()> {
+        let mut bucket = self.bucket.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_taken = bucket.take(Instant::now());
+        drop(bucket);
+        if !is_taken || self.writer.log(record).is_err() {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> spdlog::Result<()> {
+        self.writer.flush()
+    }
+
+    fn flush_on_exit(&self) -> spdlog::Result<()> {
+        self.writer.flush_on_exit()
+    }
+}
--- a/crates/site/src/duty/report.rs
+++ b/crates/site/src/duty/report.rs
@@ -145,3 +145,36 @@
         }
     }
 }
+
+/// For how many windows counts and reports are kept: longer than a successor
+/// looks back, with the time after which nothing is reported.
+const KEPT: Duration = Duration::from_secs(120);
+
+/// Removes counts and reports of windows of `length` long before `window`,
+/// `most` objects at the most, and returns how many.
+pub(crate) async fn remove_before(
+    duties: &Duties,
+    window: u64,
+    length: Duration,
+    most: usize,
+) -> Result<usize, Error> {
+    let kept = KEPT.as_millis() / length.as_millis().max(1);
+    let oldest = name(window.saturating_sub(kept as u64), "");
+    let mut removed = 0;
+    for kind in [COUNTS, REPORTS] {
+        // Windows pass slowly, so their objects are looked for seldom.
+        if !window.is_multiple_of(LOOK_EVERY) {
+            continue;
+        }
+        let (objects, _) = duties.store.list(kind).await?;
+        let old = objects.iter().filter(|object| object.name < oldest);
+        for object in old.take(most) {
+            duties.store.remove(kind, &object.name).await?;
+            removed += 1;
+        }
+    }
+    Ok(removed)
+}
+
+/// In which windows old objects are looked for.
+const LOOK_EVERY: u64 = 16;
--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -22,7 +22,9 @@
 
 use crate::{
     facts::{Facts, Key},
+    metrics::Metrics,
     place::{self, Need},
+    relay::Opened,
     usage::Usage,
 };
 
@@ -45,6 +47,7 @@
     facts: Rc<RefCell<Facts>>,
     pool: Pool,
     usage: Usage,
+    metrics: Metrics,
     domain: String,
 }
 
@@ -127,6 +130,18 @@
     Unknown(http::Error),
 }
 
+impl Attempt {
+    /// Returns the name under which it is counted.
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::NotRun(_) => "not-run",
+            Self::Unreached(_) => "unreached",
+            Self::Unknown(_) => "unknown",
+        }
+    }
+}
+
 /// What became of a request.
 #[derive(Debug, Default)]
 pub struct Outcome {
@@ -154,11 +169,18 @@
 
 impl Forwarder {
     /// Returns a forwarder for the VM in `domain`.
-    pub fn new(facts: Rc<RefCell<Facts>>, pool: Pool, usage: Usage, domain: &str) -> Self {
+    pub fn new(
+        facts: Rc<RefCell<Facts>>,
+        pool: Pool,
+        usage: Usage,
+        metrics: Metrics,
+        domain: &str,
+    ) -> Self {
         Self {
             facts,
             pool,
             usage,
+            metrics,
             domain: domain.to_string(),
         }
     }
@@ -180,14 +202,70 @@
             may_repeat: route.kind == Kind::Safe,
             deadline: Instant::now() + limit.saturating_sub(RETURN_TIME),
         };
-        match self.run(route, &order).await.end {
-            End::Answered(found) => pass_back(found),
-            End::Lost => error(
-                StatusCode::GATEWAY_TIMEOUT,
-                "no-answer",
-                "no endpoint answered",
-            ),
-            End::NotRun => refusal("no-place", "no endpoint has a place"),
+        if route.streaming {
+            return self.stream(route.clone(), order).await;
+        }
+        answer_of(self.run(route, &order).await)
+    }
+
+    /// Opens a series of events at the next endpoint that was not tried:
+    /// `Some(None)` if that one did not run it, `None` if no other may be
+    /// asked.
+    pub(crate) async fn open_next(
+        &self,
+        route: &Route,
+        order: &Order,
+        tried: &mut Vec<Key>,
+        outcome: &mut Outcome,
+    ) -> Option<Option<Opened>> {
+        let left = order.deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() || outcome.turned_away >= TURNED_AWAY_MAX {
+            return None;
+        }
+        let key = self.choose(share(route, &order.id)?, tried)?;
+        tried.push(key);
+        let endpoint = self.facts.borrow().endpoints.get(key).cloned()?;
+        let place = Place::take(&self.facts, key)?;
+        let window = self.usage.window();
+        let call = order.call(&endpoint.id, left);
+        let sent = self.pool.send(endpoint.record.address, call).await;
+        let is_run = match &sent {
+            Ok(response) => !is_turned_away(response.status, &response.headers),
+            Err(e) => !e.is_unsent(),
+        };
+        if let (true, Some(account)) = (is_run, &order.account) {
+            self.usage.count(window, account);
+        }
+        let now = Instant::now();
+        match sent {
+            Ok(response) if is_run => {
+                let load = header::load(&response.headers);
+                self.facts.borrow_mut().answered(key, load, now);
+                Some(Some(Opened {
+                    key,
+                    place,
+                    response,
+                }))
+            }
+            Ok(_) => {
+                self.facts.borrow_mut().turned_away(key, now);
+                outcome.turned_away += 1;
+                Some(None)
+            }
+            Err(e) => {
+                self.facts.borrow_mut().failed(key, now);
+                let (request, endpoint, problem) = (&*order.id, &*endpoint.id, e.to_string());
+                spdlog::warn!("endpoint failed", kv: { request, endpoint, problem });
+                if !is_run {
+                    outcome.turned_away += 1;
+                    return Some(None);
+                }
+                outcome.runs += 1;
+                outcome.end = End::Lost;
+                // It may have run, so only a series that may be gone on with
+                // is asked for again.
+                route.resumable.then_some(None)
+            }
         }
     }
 
@@ -204,6 +282,7 @@
         let (request, name) = (order.id.as_str(), route.name.as_str());
         let (runs, turned_away) = (outcome.runs, outcome.turned_away);
         let ms = start.elapsed().as_millis() as u64;
+        self.metrics.request(name, status, start.elapsed());
         spdlog::info!("request ended", kv: { request, route = name, status, runs, turned_away, ms });
         outcome
     }
@@ -279,6 +358,8 @@
         let call = order.call(&endpoint.id, limit);
         let found = self.pool.fetch(endpoint.record.address, call).await;
         let attempt = judge(found);
+        self.metrics
+            .attempt(&endpoint.record.service, attempt.name());
         let now = Instant::now();
         if let (Attempt::Answered(_) | Attempt::Unknown(_), Some(account)) =
             (&attempt, &order.account)
@@ -333,12 +414,32 @@
     None
 }
 
+/// Returns the answer for a request that ended so.
+pub(crate) fn answer_of(outcome: Outcome) -> Reply {
+    match outcome.end {
+        End::Answered(found) => pass_back(found),
+        End::Lost => error(
+            StatusCode::GATEWAY_TIMEOUT,
+            "no-answer",
+            "no endpoint answered",
+        ),
+        End::NotRun => refusal("no-place", "no endpoint has a place"),
+    }
+}
+
+/// Returns whether an endpoint that answers so did not run the request.
+fn is_turned_away(status: StatusCode, headers: &HeaderMap) -> bool {
+    status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(header::NOT_RUN)
+}
+
 fn judge(found: Result<Fetched, http::Error>) -> Attempt {
     match found {
-        Ok(found) if found.status == StatusCode::MISDIRECTED_REQUEST => {
-            Attempt::NotRun("another endpoint has the address")
+        Ok(found) if is_turned_away(found.status, &found.headers) => {
+            Attempt::NotRun(match found.status {
+                StatusCode::MISDIRECTED_REQUEST => "another endpoint has the address",
+                _ => "turned away",
+            })
         }
-        Ok(found) if found.headers.contains_key(header::NOT_RUN) => Attempt::NotRun("turned away"),
         Ok(found) => Attempt::Answered(found),
         Err(e) if e.is_unsent() => Attempt::Unreached(e),
         Err(e) => Attempt::Unknown(e),
--- a/crates/site/src/job/api.rs
+++ b/crates/site/src/job/api.rs
@@ -77,6 +77,7 @@
     match written {
         Ok(Written::Done(_)) => {
             spdlog::info!("job accepted", kv: { job, items, ms });
+            jobs.metrics.job("accepted");
             let known = jobs.registry.put_head(id, head);
             jobs.producer.start(&known);
             accepted()
@@ -97,6 +98,7 @@
         }
         Err(Error::Unknown) => {
             spdlog::warn!("job may have been accepted", kv: { job, ms });
+            jobs.metrics.job("unclear");
             error(
                 StatusCode::GATEWAY_TIMEOUT,
                 "unclear",
@@ -106,6 +108,7 @@
         Err(e) => {
             let problem = e.to_string();
             spdlog::warn!("job refused", kv: { job, problem, ms });
+            jobs.metrics.job("refused");
             refusal("store-away", "jobs cannot be kept now")
         }
     }
@@ -241,6 +244,7 @@
     match written {
         Ok(_) => {
             spdlog::info!("job ended", kv: { job = id });
+            jobs.metrics.job("ended");
             jobs.registry.put_end(id);
             Reply::json(StatusCode::OK, &serde_json::json!({}))
         }
--- a/crates/site/src/job/attempt.rs
+++ b/crates/site/src/job/attempt.rs
@@ -20,6 +20,7 @@
 use crate::{
     facts::{Facts, Key},
     forward::{End, Forwarder, Order, Place},
+    metrics::Metrics,
 };
 
 /// How long the first event may take: a full queue is worked off in less.
@@ -38,6 +39,8 @@
     pub pool: Pool,
     /// Where scoring calls go.
     pub forwarder: Forwarder,
+    /// What is counted.
+    pub metrics: Metrics,
 }
 
 /// How a run ended.
@@ -57,6 +60,20 @@
     Never,
 }
 
+impl Run {
+    /// Returns the name under which it is counted.
+    fn name(&self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::Broken(_) => "broken",
+            Self::NotRun => "not-run",
+            Self::Unreached(_) => "unreached",
+            Self::Failed => "failed",
+            Self::Never => "never",
+        }
+    }
+}
+
 /// How scoring ended.
 #[derive(Debug)]
 pub enum Score {
@@ -90,6 +107,7 @@
         let Some(endpoint) = known else {
             return Run::NotRun;
         };
+        let start = Instant::now();
         let order = order(item, terms, text);
         let call = order.call(&endpoint.id, FIRST_TIME);
         let run = match self.pool.send(endpoint.record.address, call).await {
@@ -98,6 +116,7 @@
             Ok(response) => self.read(key, response, terms, text).await,
         };
         let now = Instant::now();
+        self.metrics.item(run.name(), now - start);
         let (item, id) = (item.id.as_str(), endpoint.id.as_str());
         let last = text.last().unwrap_or_default();
         match &run {
--- a/crates/site/src/job/keep.rs
+++ b/crates/site/src/job/keep.rs
@@ -94,6 +94,7 @@
     match written {
         Ok(Written::Done(_)) => {
             spdlog::info!("job taken over", kv: { job = id, from });
+            jobs.metrics.job("taken-over");
             jobs.registry.put_claim(id, number, &jobs.vm);
             jobs.producer.start(job);
         }
--- a/crates/site/src/job/mod.rs
+++ b/crates/site/src/job/mod.rs
@@ -224,4 +224,6 @@
     pub vm: String,
     /// The VMs that jobs are handed to.
     pub runners: runner::Runners,
+    /// What is counted.
+    pub metrics: crate::metrics::Metrics,
 }
--- a/crates/site/src/job/runner.rs
+++ b/crates/site/src/job/runner.rs
@@ -1,7 +1,7 @@
 //! Which VM runs a job: the same one for all jobs of a route, so that its
 //! connections to endpoints are used again from step to step.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 use board::hash;
 use link::{
@@ -26,7 +26,7 @@
 /// The VMs that jobs are handed to.
 #[derive(Clone)]
 pub struct Runners {
-    vms: Vec<SocketAddr>,
+    vms: Rc<RefCell<Vec<SocketAddr>>>,
     own: Option<SocketAddr>,
     pool: Pool,
 }
@@ -35,9 +35,15 @@
     /// Returns the runners at the peer addresses `vms`, of which `own` is this
     /// VM's.
     pub fn new(vms: Vec<SocketAddr>, own: Option<SocketAddr>, pool: Pool) -> Self {
+        let vms = Rc::new(RefCell::new(vms));
         Self { vms, own, pool }
     }
 
+    /// Replaces the VMs that jobs are handed to.
+    pub fn set(&self, vms: Vec<SocketAddr>) {
+        *self.vms.borrow_mut() = vms;
+    }
+
     /// Hands a job of `route` to the VM that runs them, and returns its
     /// answer; `None` if this VM is to accept the job. A job that the other
     /// one has accepted without an answer is met again in the store.
@@ -48,11 +54,9 @@
         request: &Request,
     ) -> Option<Reply> {
         let seed = hash::mix(route.path_prefix.as_bytes(), 0);
-        let to = self
-            .vms
-            .iter()
-            .max_by_key(|vm| hash::rendezvous(seed, &vm.to_string()))?;
-        if Some(*to) == self.own {
+        let rank = |vm: &SocketAddr| hash::rendezvous(seed, &vm.to_string());
+        let to = self.vms.borrow().iter().copied().max_by_key(rank)?;
+        if Some(to) == self.own {
             return None;
         }
         let id = request.header("request-id").unwrap_or_default();
@@ -67,7 +71,7 @@
         if let Some(account) = account {
             call = call.header(header::ACCOUNT, account);
         }
-        let found = self.pool.fetch(*to, call).await;
+        let found = self.pool.fetch(to, call).await;
         match found {
             Ok(found) if found.status == StatusCode::ACCEPTED => Some(
                 Reply::new(found.status, found.body).header("content-type", "application/json"),
--- a/crates/site/src/main.rs
+++ b/crates/site/src/main.rs
@@ -1,8 +1,9 @@
 //! The process of one VM on the users' platform.
 
-use miette::IntoDiagnostic;
+use clap::Parser;
 
 fn main() -> miette::Result<()> {
-    link::log::start_on(link::log::StdStream::Stdout, "tarragonseam-vm").into_diagnostic()?;
-    tarragonseam_site::run().into_diagnostic()
+    Ok(tarragonseam_site::run(
+        &tarragonseam_site::Arguments::parse(),
+    )?)
 }
--- /dev/null
+++ b/crates/site/src/metrics.rs
@@ -0,0 +1,97 @@
+//! Counters and latency histograms, in the text format of Prometheus.
+
+use std::{rc::Rc, time::Duration};
+
+use link::{http::server::Reply, telemetry::Telemetry};
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram},
+};
+
+/// Bounds of the buckets of latencies, in seconds: from a local answer to the
+/// longest that an item may take.
+const SECONDS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0,
+];
+
+/// The metrics of a VM.
+#[derive(Clone)]
+pub struct Metrics(Rc<Inner>);
+
+struct Inner {
+    telemetry: Telemetry,
+    requests: Counter<u64>,
+    request_seconds: Histogram<f64>,
+    attempts: Counter<u64>,
+    items: Counter<u64>,
+    item_seconds: Histogram<f64>,
+    jobs: Counter<u64>,
+    store_calls: Gauge<u64>,
+    endpoints: Gauge<u64>,
+    log_lines_dropped: Counter<u64>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let telemetry = Telemetry::new("tarragonseam-vm");
+        let meter = telemetry.meter();
+        let seconds = |name| {
+            let histogram = meter.f64_histogram(name).with_unit("s");
+            histogram.with_boundaries(SECONDS.to_vec()).build()
+        };
+        Self(Rc::new(Inner {
+            requests: telemetry.counter("tarragonseam_requests"),
+            request_seconds: seconds("tarragonseam_request_duration"),
+            attempts: telemetry.counter("tarragonseam_attempts"),
+            items: telemetry.counter("tarragonseam_items"),
+            item_seconds: seconds("tarragonseam_item_run_duration"),
+            jobs: telemetry.counter("tarragonseam_jobs"),
+            store_calls: meter.u64_gauge("tarragonseam_store_calls").build(),
+            endpoints: meter.u64_gauge("tarragonseam_endpoints").build(),
+            log_lines_dropped: telemetry.counter("tarragonseam_log_lines_dropped"),
+            telemetry,
+        }))
+    }
+}
+
+impl Metrics {
+    /// Counts a request on `route` that ended with `status`.
+    pub fn request(&self, route: &str, status: u16, time: Duration) {
+        let route = KeyValue::new("route", route.to_string());
+        let status = KeyValue::new("status", i64::from(status));
+        self.0.requests.add(1, &[route.clone(), status]);
+        self.0.request_seconds.record(time.as_secs_f64(), &[route]);
+    }
+
+    /// Counts what one endpoint made of a request.
+    pub fn attempt(&self, service: &str, result: &'static str) {
+        let service = KeyValue::new("service", service.to_string());
+        self.0
+            .attempts
+            .add(1, &[service, KeyValue::new("result", result)]);
+    }
+
+    /// Counts a run of an item.
+    pub fn item(&self, result: &'static str, time: Duration) {
+        let result = [KeyValue::new("result", result)];
+        self.0.items.add(1, &result);
+        self.0.item_seconds.record(time.as_secs_f64(), &result);
+    }
+
+    /// Counts what happened to a job.
+    pub fn job(&self, event: &'static str) {
+        self.0.jobs.add(1, &[KeyValue::new("event", event)]);
+    }
+
+    /// Counts lines that the log dropped.
+    pub fn lines_dropped(&self, count: u64) {
+        self.0.log_lines_dropped.add(count, &[]);
+    }
+
+    /// Returns the page with all metrics.
+    pub fn page(&self, store_calls: u64, endpoints: usize) -> Reply {
+        self.0.store_calls.record(store_calls, &[]);
+        self.0.endpoints.record(endpoints as u64, &[]);
+        self.0.telemetry.page()
+    }
+}
--- /dev/null
+++ b/crates/site/src/parts.rs
@@ -0,0 +1,158 @@
+//! The parts of a VM, and who is given what.
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc};
+
+use link::http::{Limits, Pool};
+use platform::{Settings, store::Store};
+
+use crate::{
+    clean,
+    duty::{self, Duties, lease::Office},
+    facts::Facts,
+    follow::{self, Contact},
+    forward::Forwarder,
+    front::Front,
+    job::{Jobs, Registry, attempt::Runner, keep, produce::Producer, runner::Runners},
+    metrics::Metrics,
+    peer::Peer,
+    usage::Usage,
+};
+
+/// The largest answer of an endpoint that is kept in memory.
+const ANSWER_BYTES: usize = 4 * 1024 * 1024;
+
+/// The parts of a VM.
+pub(crate) struct Parts {
+    /// What it knows.
+    pub(crate) facts: Rc<RefCell<Facts>>,
+    /// The jobs.
+    pub(crate) jobs: Jobs,
+    /// The duties that it takes its turn at.
+    pub(crate) duties: Duties,
+    /// What answers callers.
+    pub(crate) front: Front,
+    /// What is counted.
+    pub(crate) metrics: Metrics,
+    own: Option<SocketAddr>,
+}
+
+/// Returns the seeds in the order in which all VMs see them that are told the
+/// same.
+fn sorted(settings: &Settings) -> Vec<SocketAddr> {
+    let mut seeds = settings.seeds.clone();
+    seeds.sort();
+    seeds
+}
+
+fn others(seeds: &[SocketAddr], own: Option<SocketAddr>) -> Vec<SocketAddr> {
+    let others = seeds.iter().copied().filter(|seed| Some(*seed) != own);
+    others.collect()
+}
+
+impl Parts {
+    /// Returns the parts of the VM of `settings`, none of them running.
+    pub(crate) fn new(settings: &Settings) -> Self {
+        let own = settings.listen.peers;
+        let seeds = sorted(settings);
+        let first = seeds.first().copied();
+        let store = Store::new(settings.store.address, others(&seeds, own), first);
+        let facts: Rc<RefCell<Facts>> = Rc::default();
+        let metrics = Metrics::default();
+        let pool = Pool::new(Limits::new().body_bytes(ANSWER_BYTES)).resets();
+        let usage = Usage::new(settings.bounds.window);
+        let domain = settings.domain.as_str();
+        let forwarder = Forwarder::new(
+            facts.clone(),
+            pool.clone(),
+            usage.clone(),
+            metrics.clone(),
+            domain,
+        );
+        let registry = Registry::default();
+        let contact = Contact::default();
+        let producer = Producer {
+            runner: Runner {
+                facts: facts.clone(),
+                pool: pool.clone(),
+                forwarder: forwarder.clone(),
+                metrics: metrics.clone(),
+            },
+            registry: registry.clone(),
+            store: store.clone(),
+            vm: settings.vm.clone(),
+            domain: settings.domain.clone(),
+        };
+        let jobs = Jobs {
+            registry: registry.clone(),
+            store: store.clone(),
+            contact: contact.clone(),
+            producer,
+            vm: settings.vm.clone(),
+            runners: Runners::new(seeds, own, pool.clone()),
+            metrics: metrics.clone(),
+        };
+        let duties = Duties {
+            office: Office::new(store.clone(), contact.other(), &settings.vm),
+            jobs: registry,
+            facts: facts.clone(),
+            store,
+            pool,
+            provider: settings.provider.address,
+            usage,
+        };
+        let front = Front {
+            facts: facts.clone(),
+            forwarder,
+            jobs: jobs.clone(),
+        };
+        Self {
+            facts,
+            jobs,
+            duties,
+            front,
+            metrics,
+            own,
+        }
+    }
+
+    /// Returns what answers other VMs.
+    pub(crate) fn peer(&self) -> Peer {
+        Peer::new(self.jobs.clone())
+    }
+
+    /// Takes over what may change while the process runs.
+    pub(crate) fn set(&self, settings: &Settings) {
+        let seeds = sorted(settings);
+        let first = seeds.first().copied();
+        self.jobs.store.set_relays(others(&seeds, self.own), first);
+        self.jobs.runners.set(seeds);
+    }
+
+    /// Starts what runs as long as the process.
+    pub(crate) fn spawn(&self, settings: &Settings) {
+        let (store, facts) = (self.jobs.store.clone(), self.facts.clone());
+        let pool = self.duties.pool.clone();
+        let others = self.jobs.contact.other();
+        monoio::spawn(follow::config(store.clone(), others.clone(), facts.clone()));
+        monoio::spawn(follow::versions(
+            store.clone(),
+            others.clone(),
+            facts.clone(),
+        ));
+        monoio::spawn(follow::endpoints(store, others, facts, pool));
+        monoio::spawn(keep::follow(self.jobs.clone()));
+        monoio::spawn(keep::take_over(self.jobs.clone()));
+        let office = self.duties.office.clone();
+        let other = office.clone();
+        monoio::spawn(async move { office.hold().await });
+        monoio::spawn(async move { other.follow().await });
+        monoio::spawn(duty::weights::run(self.duties.clone()));
+        monoio::spawn(duty::report::run(self.duties.clone()));
+        monoio::spawn(duty::report::hand_on(
+            self.duties.clone(),
+            settings.vm.clone(),
+        ));
+        monoio::spawn(duty::retire::run(self.duties.clone()));
+        monoio::spawn(clean::run(self.duties.clone(), settings.bounds));
+    }
+}
--- a/crates/site/src/vm.rs
+++ b/crates/site/src/vm.rs
@@ -1,62 +1,66 @@
-//! The process: its start, its parts and its end.
+//! The process: its start and its end.
 
-use std::{
-    cell::{Cell, RefCell},
-    io,
-    net::SocketAddr,
-    path::PathBuf,
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::Cell, io, net::SocketAddr, path::PathBuf, rc::Rc, time::Duration};
 
+use clap::Parser;
 use link::{
     StatusCode,
     http::{
-        Limits, Pool, Request,
+        Limits, Request,
         server::{self, Drain, Reply},
     },
     net,
 };
-use platform::{Settings, settings, store::Store};
+use platform::{Settings, settings};
 
-use crate::{
-    duty::{self, Duties, lease::Office},
-    facts::Facts,
-    follow::{self, Contact},
-    forward::Forwarder,
-    front::Front,
-    job::{Jobs, Registry, attempt::Runner, keep, produce::Producer, runner::Runners},
-    peer::Peer,
-    signal::Signals,
-    usage::Usage,
-};
+use crate::{facts::Facts, job::keep, parts::Parts, reload::File, signal::Signals};
+
+/// One VM of a site on the users' platform.
+#[derive(Debug, Parser)]
+#[command(name = "tarragonseam-vm", version)]
+pub struct Arguments {
+    /// The settings file.
+    #[arg(long, env = settings::VARIABLE)]
+    settings: PathBuf,
+    /// The port on which metrics are served.
+    #[arg(long)]
+    metrics_port: Option<u16>,
+    /// Reads the settings, says whether they can be used, and ends.
+    #[arg(long)]
+    check: bool,
+}
 
 /// Why a process cannot start.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug, thiserror::Error, miette::Diagnostic)]
 pub enum Error {
-    /// The variable that names the settings file is not set.
-    #[error("the variable {} does not name a settings file", settings::VARIABLE)]
-    Unnamed,
     /// The settings cannot be used.
     #[error(transparent)]
+    #[diagnostic(transparent)]
     Settings(#[from] link::settings::Error),
     /// The system refused something.
     #[error("cannot start: {0}")]
     System(#[from] io::Error),
+    /// The log cannot be written.
+    #[error("cannot log: {0}")]
+    Log(#[from] spdlog::Error),
 }
 
 /// How often signals are looked at.
 const SIGNAL_PERIOD: Duration = Duration::from_millis(50);
+/// How often the settings file and the log are looked at, in looks at
+/// signals: once a second.
+const FILE_LOOKS: u32 = 20;
 /// How long after SIGTERM a VM still takes connections: readiness is asked
 /// once a second, and two misses take it out of rotation.
 const LEAVE_TIME: Duration = Duration::from_millis(3000);
 /// What is kept of the time until SIGKILL for giving up jobs and the lease.
 const END_TIME: Duration = Duration::from_millis(1500);
-/// The largest answer of an endpoint that is kept in memory.
-const ANSWER_BYTES: usize = 4 * 1024 * 1024;
 /// The largest body of a request that is read: the limit that the platform
 /// documents. The configuration's own limit is not known at the start.
 const BODY_BYTES: usize = 32 * 1024 * 1024;
+/// The part of a VM's memory that bodies of requests may take at once, of
+/// which a copy may wait to be sent on.
+const BODY_SHARE: u64 = 4;
 /// How long a caller's connection may stay idle: a little over the limit that
 /// callers are told, so that they close first.
 const IDLE_TIME: Duration = Duration::from_secs(20);
@@ -66,138 +70,100 @@
 /// # Errors
 ///
 /// An [`Error`] that says why it could not start.
-pub fn run() -> Result<(), Error> {
-    let path = std::env::var_os(settings::VARIABLE).ok_or(Error::Unnamed)?;
-    let settings: Settings = link::settings::load(&PathBuf::from(path))?;
+pub fn run(arguments: &Arguments) -> Result<(), Error> {
+    let file = File::open(&arguments.settings)?;
+    if arguments.check {
+        let settings = file.settings();
+        println!(
+            "the settings of {} in {} can be used",
+            settings.vm, settings.domain
+        );
+        return Ok(());
+    }
+    link::log::start_bounded("tarragonseam-vm")?;
     let signals = Signals::catch()?;
-    link::runtime::run(start(settings, signals))?
+    link::runtime::run(start(file, signals, arguments.metrics_port))?
 }
 
-async fn start(settings: Settings, signals: Signals) -> Result<(), Error> {
+async fn start(mut file: File, signals: Signals, metrics_port: Option<u16>) -> Result<(), Error> {
+    let settings = file.settings().clone();
     let (vm, domain) = (settings.vm.as_str(), settings.domain.as_str());
-    spdlog::info!("started", kv: { vm, domain });
+    let version = env!("CARGO_PKG_VERSION");
+    spdlog::info!("started", kv: { vm, domain, version });
+    let parts = Parts::new(&settings);
+    if let Some(port) = metrics_port {
+        serve_metrics(&parts, SocketAddr::new(settings.ip, port))?;
+    }
     match settings.listen.callers {
-        Some(address) => serve(&settings, address, &signals).await?,
-        None => rest(&signals).await,
+        Some(address) => {
+            let drain = Drain::default();
+            let is_leaving = Rc::new(Cell::new(false));
+            serve(&settings, &parts, address, &drain, &is_leaving)?;
+            wait(&mut file, &parts, &signals).await;
+            stop(&settings, &parts, &drain, &is_leaving).await;
+        }
+        // What lasts is kept on the platform, so a VM with a disk has nothing
+        // to do.
+        None => wait(&mut file, &parts, &signals).await,
     }
     spdlog::info!("stopped", kv: { vm });
     Ok(())
 }
 
-/// Does nothing: what lasts is kept on the platform, not on this VM.
-async fn rest(signals: &Signals) {
+/// Waits until the process is told to stop, and takes over changed settings.
+async fn wait(file: &mut File, parts: &Parts, signals: &Signals) {
+    let mut looks = 0;
     while !signals.is_stop() {
         monoio::time::sleep(SIGNAL_PERIOD).await;
-        if signals.take_reload() {
-            spdlog::info!("reload asked for, nothing to take over");
+        looks = (looks + 1) % FILE_LOOKS;
+        let is_due = looks == 0;
+        let is_asked = signals.take_reload();
+        if (is_asked || (is_due && file.has_changed()))
+            && let Some(settings) = file.reload()
+        {
+            parts.set(settings);
+        }
+        if is_due {
+            tell_dropped(parts);
         }
     }
 }
 
-/// The parts of a VM that serves callers.
-struct Parts {
-    facts: Rc<RefCell<Facts>>,
-    jobs: Jobs,
-    duties: Duties,
-    front: Front,
-}
-
-impl Parts {
-    fn new(settings: &Settings) -> Self {
-        let own = settings.listen.peers;
-        let mut seeds = settings.seeds.clone();
-        // All VMs that are told the same seeds see them in the same order.
-        seeds.sort();
-        let others = seeds.iter().copied();
-        let relays = others.filter(|seed| Some(*seed) != own).collect();
-        let store = Store::new(settings.store.address, relays, seeds.first().copied());
-        let facts: Rc<RefCell<Facts>> = Rc::default();
-        let pool = Pool::new(Limits::new().body_bytes(ANSWER_BYTES)).resets();
-        let usage = Usage::new(settings.bounds.window);
-        let domain = settings.domain.as_str();
-        let forwarder = Forwarder::new(facts.clone(), pool.clone(), usage.clone(), domain);
-        let registry = Registry::default();
-        let producer = Producer {
-            runner: Runner {
-                facts: facts.clone(),
-                pool: pool.clone(),
-                forwarder: forwarder.clone(),
-            },
-            registry: registry.clone(),
-            store: store.clone(),
-            vm: settings.vm.clone(),
-            domain: settings.domain.clone(),
-        };
-        let jobs = Jobs {
-            registry,
-            store: store.clone(),
-            contact: Contact::default(),
-            producer,
-            vm: settings.vm.clone(),
-            runners: Runners::new(seeds, own, pool.clone()),
-        };
-        let duties = Duties {
-            office: Office::new(store.clone(), jobs.contact.other(), &settings.vm),
-            jobs: jobs.registry.clone(),
-            facts: facts.clone(),
-            store,
-            pool,
-            provider: settings.provider.address,
-            usage,
-        };
-        let front = Front {
-            facts: facts.clone(),
-            forwarder,
-            jobs: jobs.clone(),
-        };
-        Self {
-            facts,
-            jobs,
-            duties,
-            front,
-        }
+fn tell_dropped(parts: &Parts) {
+    let lines = link::log::take_dropped();
+    if lines > 0 {
+        parts.metrics.lines_dropped(lines);
+        spdlog::warn!("log lines dropped", kv: { lines });
     }
+}
 
-    /// Starts what runs as long as the process.
-    fn spawn(&self, settings: &Settings) {
-        let (store, facts) = (self.jobs.store.clone(), self.facts.clone());
-        let pool = self.duties.pool.clone();
-        let others = self.jobs.contact.other();
-        monoio::spawn(follow::config(store.clone(), others.clone(), facts.clone()));
-        monoio::spawn(follow::versions(
-            store.clone(),
-            others.clone(),
-            facts.clone(),
-        ));
-        monoio::spawn(follow::endpoints(store, others, facts, pool));
-        monoio::spawn(keep::follow(self.jobs.clone()));
-        monoio::spawn(keep::take_over(self.jobs.clone()));
-        let office = self.duties.office.clone();
-        let other = office.clone();
-        monoio::spawn(async move { office.hold().await });
-        monoio::spawn(async move { other.follow().await });
-        monoio::spawn(duty::weights::run(self.duties.clone()));
-        monoio::spawn(duty::report::run(self.duties.clone()));
-        monoio::spawn(duty::report::hand_on(
-            self.duties.clone(),
-            settings.vm.clone(),
-        ));
-        monoio::spawn(duty::retire::run(self.duties.clone()));
-    }
+fn serve_metrics(parts: &Parts, address: SocketAddr) -> Result<(), Error> {
+    let listener = net::listen(address)?;
+    let (metrics, facts) = (parts.metrics.clone(), parts.facts.clone());
+    let store = parts.jobs.store.clone();
+    let page = move |_: &Request| metrics.page(store.calls(), facts.borrow().endpoints.len());
+    monoio::spawn(server::serve_pages(listener, page));
+    Ok(())
 }
 
-async fn serve(settings: &Settings, callers: SocketAddr, signals: &Signals) -> Result<(), Error> {
-    let parts = Parts::new(settings);
-    let drain = Drain::default();
-    let is_leaving = Rc::new(Cell::new(false));
+fn serve(
+    settings: &Settings,
+    parts: &Parts,
+    callers: SocketAddr,
+    drain: &Drain,
+    is_leaving: &Rc<Cell<bool>>,
+) -> Result<(), Error> {
+    let room = settings.limits.memory_mb * 1024 * 1024 / BODY_SHARE;
+    let limits = Limits::new()
+        .body_bytes(BODY_BYTES)
+        .room_bytes(room as usize);
     if let Some(address) = settings.listen.peers {
         let listener = net::listen(address)?;
-        let peer = Peer::new(parts.jobs.clone());
+        let peer = parts.peer();
         let handler = move |request| {
             let peer = peer.clone();
             async move { peer.answer(request).await }
         };
-        let limits = Limits::new().body_bytes(BODY_BYTES);
         monoio::spawn(server::serve(listener, limits, Drain::default(), handler));
     }
     if let Some(address) = settings.listen.readiness {
@@ -207,7 +173,7 @@
         monoio::spawn(server::serve_pages(listener, page));
     }
     let listener = net::listen(callers)?;
-    let limits = Limits::new().body_bytes(BODY_BYTES).idle_time(IDLE_TIME);
+    let limits = limits.idle_time(IDLE_TIME);
     let front = parts.front.clone();
     let handler = move |request| {
         let front = front.clone();
@@ -215,13 +181,6 @@
     };
     monoio::spawn(server::serve(listener, limits, drain.clone(), handler));
     parts.spawn(settings);
-    while !signals.is_stop() {
-        monoio::time::sleep(SIGNAL_PERIOD).await;
-        if signals.take_reload() {
-            spdlog::info!("reload asked for");
-        }
-    }
-    stop(settings, &parts, &drain, &is_leaving).await;
     Ok(())
 }
 
--- a/crates/site/tests/common/mod.rs
+++ b/crates/site/tests/common/mod.rs
@@ -34,6 +34,8 @@
     pub(crate) callers: SocketAddr,
     /// Where it says whether it is ready.
     pub(crate) ready: SocketAddr,
+    /// Where its metrics are read.
+    pub(crate) metrics: SocketAddr,
     process: Child,
     settings: PathBuf,
     log: PathBuf,
@@ -84,23 +86,26 @@
         let site = site::spawn(plan).unwrap();
         site.world().put("config", "main", config(1));
         let mut block = Block::take().unwrap();
-        let addresses: Vec<[SocketAddr; 3]> = (0..count)
+        let addresses: Vec<[SocketAddr; 4]> = (0..count)
             .map(|_| std::array::from_fn(|_| block.next()))
             .collect();
         let seeds: Vec<SocketAddr> = addresses.iter().map(|vm| vm[2]).collect();
         let folder = block.folder();
+        // What a deployment before this one left there is not of this one.
+        let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).unwrap();
         let vms = addresses.iter().enumerate().map(|(number, vm)| {
             let name = format!("vm-{number}");
             let settings = folder.join(format!("{name}.toml"));
             std::fs::write(&settings, settings_of(&name, vm, &seeds, &site)).unwrap();
             let log = folder.join(format!("{name}.log"));
-            let [callers, ready, _] = *vm;
-            let process = launch(&settings, &log);
+            let [callers, ready, _, metrics] = *vm;
+            let process = launch(&settings, metrics.port(), &log);
             Vm {
                 name,
                 callers,
                 ready,
+                metrics,
                 process,
                 settings,
                 log,
@@ -119,13 +124,14 @@
     }
 }
 
-fn settings_of(name: &str, vm: &[SocketAddr; 3], seeds: &[SocketAddr], site: &Site) -> String {
-    let [callers, ready, peers] = vm;
+fn settings_of(name: &str, vm: &[SocketAddr; 4], seeds: &[SocketAddr], site: &Site) -> String {
+    let [callers, ready, peers, _] = vm;
     let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
     format!(
         r#"
 node = "{name}"
 zone = "zone-a"
+ip = "{}"
 seeds = [{}]
 unknown-field = "ignored"
 [listen]
@@ -144,15 +150,17 @@
 [limits]
 memory-mb = 260
 "#,
+        callers.ip(),
         seeds.join(", "),
         site.store,
         site.provider,
     )
 }
 
-fn launch(settings: &Path, log: &Path) -> Child {
+fn launch(settings: &Path, metrics_port: u16, log: &Path) -> Child {
     let mut command = Command::new(env!("CARGO_BIN_EXE_tarragonseam-vm"));
     command.env("TARRAGONSEAM_NODE_FILE", settings);
+    command.arg("--metrics-port").arg(metrics_port.to_string());
     Child::launch(command, log).unwrap()
 }
 
@@ -172,10 +180,16 @@
 
     /// Starts the process again.
     pub(crate) fn restart(&mut self) {
-        self.process = launch(&self.settings, &self.log);
+        self.process = launch(&self.settings, self.metrics.port(), &self.log);
         self.wait_until_ready();
     }
 
+    /// Replaces the settings file by what `change` makes of it.
+    pub(crate) fn change_settings(&self, change: impl Fn(&str) -> String) {
+        let text = std::fs::read_to_string(&self.settings).unwrap();
+        std::fs::write(&self.settings, change(&text)).unwrap();
+    }
+
     /// Sends `signal` to the process.
     pub(crate) fn signal(&self, signal: &str) {
         self.process.signal(signal).unwrap();
--- a/crates/site/tests/request.rs
+++ b/crates/site/tests/request.rs
@@ -205,3 +205,62 @@
             .all(|arrival| arrival.endpoint == "plain-1")
     );
 }
+
+/// Adds a route of streams, which may be gone on with if `is_resumable`.
+fn add_streams(deployment: &Deployment, is_resumable: bool) {
+    let mut config = common::config(3);
+    let route = serde_json::json!({
+        "name": "stream", "host": common::HOST, "path-prefix": "/stream/", "kind": "unsafe",
+        "timeout-ms": 5000, "aim-ms": 400, "service": fakes::site::ENGINES, "max-attempts": 2,
+        "public": false, "streaming": true, "resumable": is_resumable,
+    });
+    config["routes"].as_array_mut().unwrap().push(route);
+    deployment.site.world().put("config", "main", config);
+    common::wait("the configuration", || {
+        deployment.vms[0].log().contains("\"version\":3")
+    });
+}
+
+/// Returns the body of a stream of six events of the request `id`.
+fn stream(id: &str) -> String {
+    let events = (0..6).map(|n| format!("id: {n}\ndata: {}\n\n", fakes::site::event_text(id, n)));
+    events.collect()
+}
+
+#[test]
+fn stream_passed_event_by_event() {
+    let deployment = Deployment::start(1, Plan::default());
+    add_streams(&deployment, false);
+    let call = caller(Method::POST, "/stream/a", "s1").header("x-events", "6");
+    let answer = deployment.vms[0].ask_with(call);
+    assert_eq!(answer.status, 200);
+    assert_eq!(String::from_utf8_lossy(&answer.body), stream("s1"));
+    assert!(header(&answer, "server-stamp").ends_with(".stamp"));
+}
+
+#[test]
+fn stream_cut_goes_on_elsewhere_where_it_may() {
+    for is_resumable in [true, false] {
+        let deployment = Deployment::start(1, Plan::default());
+        add_streams(&deployment, is_resumable);
+        for endpoint in deployment.site.world().endpoints.values_mut() {
+            endpoint.conduct.cuts_after = Some(2);
+        }
+        let call = caller(Method::POST, "/stream/a", "s1").header("x-events", "6");
+        let answer = fakes::drive::fetch(deployment.vms[0].callers, call);
+        let arrivals = deployment.site.world().arrivals_of("s1");
+        match is_resumable {
+            true => {
+                // The second endpoint cuts after event 2 too, which it has
+                // not made, so it ends whole.
+                assert_eq!(String::from_utf8_lossy(&answer.unwrap().body), stream("s1"));
+                assert_eq!(arrivals[1].after, Some(2));
+            }
+            // A body that is not whole does not look whole.
+            false => {
+                assert!(answer.is_err(), "{answer:?}");
+                assert_eq!(arrivals.len(), 1);
+            }
+        }
+    }
+}
