site: a fifth of the engines loads at once

Cause: two at a time of 38 engines bound all steps of the grown deployment. On 8 and 9 engines the number stays 2.

--- a/crates/site/src/duty/weights.rs
+++ b/crates/site/src/duty/weights.rs
@@ -10,8 +10,9 @@
 
 /// How often endpoints are looked over.
 const PERIOD: Duration = Duration::from_millis(100);
-/// How many endpoints load at once: more of them load more slowly.
-const AT_ONCE: usize = 2;
+/// How many endpoints load at once: more of them load more slowly. A fifth of
+/// them is what the users' deployments of 8 to 38 engines bear.
+const AT_ONCE_SHARE: usize = 5;
 /// The time over which the demand for models is added up: a few steps.
 const DEMAND_AGE: Duration = Duration::from_secs(15);
 /// After how long an order counts as lost whose version does not show: a load
@@ -44,7 +45,8 @@
             let version = endpoint.and_then(|endpoint| endpoint.version(model));
             order.until > now && version.is_some_and(|version| version < order.version)
         });
-        while sent.values().filter(|order| order.is_loading).count() < AT_ONCE {
+        let at_once = engines(&duties.facts.borrow()).div_ceil(AT_ONCE_SHARE);
+        while sent.values().filter(|order| order.is_loading).count() < at_once {
             let is_ordered = |key, model: &str| sent.contains_key(&(key, model.to_string()));
             let now = Instant::now();
             let demand = duties.jobs.demand(DEMAND_AGE, now);
@@ -64,6 +66,12 @@
     }
 }
 
+/// Returns how many endpoints serve models.
+fn engines(facts: &Facts) -> usize {
+    let endpoints = facts.endpoints.values();
+    endpoints.filter(|endpoint| !endpoint.record.versions.is_empty()).count()
+}
+
 /// Returns what becomes of runs: they go on unless a route wants the tokens of
 /// a sample from one version, since waiting for the longest of them keeps an
 /// endpoint from all others.
