site: whole kinds are asked of a mirror, a VM that has heard of them

Change: seeds keep what they hear and answer others from memory; the first seed follows the store; a mirror that hears nothing says so and the store is asked. While the store is away one kind tries whether it is back.

--- a/crates/site/src/duty/lease.rs
+++ b/crates/site/src/duty/lease.rs
@@ -26,15 +26,17 @@
 /// short enough that weights wait little when its holder is lost. Receivers
 /// check the epoch, so an order under a term that has ended is refused.
 const TERMS: Terms = Terms {
-    ttl: Duration::from_millis(2500),
+    ttl: Duration::from_millis(3000),
     margin: Duration::from_millis(500),
-    period: Duration::from_millis(600),
+    period: Duration::from_millis(800),
 };
 /// A renewal is heard of as it happens; one that is not is asked for.
 const PLAN: Plan = Plan {
     kind: KIND,
     wait: Duration::from_millis(1000),
     gather: Duration::ZERO,
+    is_probe: false,
+    is_urgent: false,
 };
 
 /// The lease as this VM sees it.
--- a/crates/site/src/duty/mod.rs
+++ b/crates/site/src/duty/mod.rs
@@ -12,7 +12,7 @@
 use platform::store::Store;
 
 use self::lease::Office;
-use crate::{facts::Facts, job::Registry, usage::Usage};
+use crate::{facts::Facts, follow::Contact, job::Registry, usage::Usage};
 
 /// What duties are done with.
 #[derive(Clone)]
@@ -25,6 +25,8 @@
     pub facts: Rc<RefCell<Facts>>,
     /// The platform's store.
     pub store: Store,
+    /// How this VM stands with it.
+    pub contact: Contact,
     /// Connections to endpoints and the provider.
     pub pool: Pool,
     /// The part of the platform that takes reports and orders.
--- a/crates/site/src/duty/retire.rs
+++ b/crates/site/src/duty/retire.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 
 use super::Duties;
-use crate::follow::{self, Change, Contact, Plan};
+use crate::follow::{self, Change, Plan};
 use platform::store::Event;
 
 #[derive(Serialize)]
@@ -20,11 +20,13 @@
     kind: RETIREMENTS,
     wait: Duration::from_millis(3000),
     gather: Duration::ZERO,
+    is_probe: false,
+    is_urgent: false,
 };
 
 /// Answers retirements while this VM has the duties, for ever.
 pub async fn run(duties: Duties) {
-    let (store, contact) = (duties.store.clone(), Contact::default());
+    let (store, contact) = (duties.store.clone(), duties.contact.other());
     let apply = |change: Change, _| {
         let objects = match change {
             Change::All(objects) => objects,
--- a/crates/site/src/duty/weights.rs
+++ b/crates/site/src/duty/weights.rs
@@ -69,7 +69,9 @@
 /// Returns how many endpoints serve models.
 fn engines(facts: &Facts) -> usize {
     let endpoints = facts.endpoints.values();
-    endpoints.filter(|endpoint| !endpoint.record.versions.is_empty()).count()
+    endpoints
+        .filter(|endpoint| !endpoint.record.versions.is_empty())
+        .count()
 }
 
 /// Returns what becomes of runs: they go on unless a route wants the tokens of
--- a/crates/site/src/follow.rs
+++ b/crates/site/src/follow.rs
@@ -16,12 +16,14 @@
     store::{Error, Event, Object, Store},
 };
 
-use crate::{facts::Facts, notice::Notice};
+use crate::{facts::Facts, mirror::Mirror, notice::Notice};
 
 /// The pause after a call that failed; doubles up to [`PAUSE_MAX`].
 const PAUSE: Duration = Duration::from_millis(100);
 /// The longest pause, so that a store that returns is noticed at once.
 const PAUSE_MAX: Duration = Duration::from_millis(500);
+/// The pause of the kinds that wait for another one's success.
+const AWAY_PAUSE: Duration = Duration::from_millis(1500);
 /// How long the records of endpoints may be missing after an outage of the
 /// store: they return within about two seconds if the endpoint lives.
 const RETURN_TIME: Duration = Duration::from_millis(2000);
@@ -29,20 +31,26 @@
 /// The configuration must be in force 2 s after the operator wrote it.
 const CONFIG: Plan = Plan {
     kind: config::KIND,
-    wait: Duration::from_millis(700),
+    wait: Duration::from_millis(900),
     gather: Duration::ZERO,
+    is_probe: true,
+    is_urgent: true,
 };
 /// Endpoints that leave must be left alone 2 s after they said so.
 const ENDPOINTS: Plan = Plan {
     kind: endpoint::KIND,
     wait: Duration::from_millis(1000),
     gather: Duration::from_millis(50),
+    is_probe: false,
+    is_urgent: true,
 };
 /// A version is named every few seconds, and never in a hurry.
 const VERSIONS: Plan = Plan {
     kind: order::VERSIONS,
     wait: Duration::from_millis(3000),
     gather: Duration::ZERO,
+    is_probe: false,
+    is_urgent: false,
 };
 
 /// What a kind's follower hears.
@@ -60,6 +68,10 @@
     since: Rc<Cell<Option<Instant>>>,
     /// Raised when the history of a kind is gone.
     gone: Notice,
+    /// Raised when the store answers.
+    back: Notice,
+    /// What is heard is kept here for other VMs.
+    mirror: Mirror,
 }
 
 impl Contact {
@@ -68,11 +80,21 @@
         self.since.get().map_or(Duration::ZERO, |since| now - since)
     }
 
+    /// Returns a contact that keeps what is heard in `mirror`.
+    pub fn new(mirror: Mirror) -> Self {
+        Self {
+            mirror,
+            ..Self::default()
+        }
+    }
+
     /// Returns the contact of other kinds, with failures of their own.
     pub fn other(&self) -> Self {
         Self {
             since: Rc::default(),
             gone: self.gone.clone(),
+            back: self.back.clone(),
+            mirror: self.mirror.clone(),
         }
     }
 
@@ -97,22 +119,27 @@
     pub wait: Duration,
     /// How long changes are gathered, so that several come in one call.
     pub gather: Duration,
+    /// Whether a VM serves nobody before it has this kind: then it is listed
+    /// from the store itself, whoever else may know it.
+    pub is_urgent: bool,
+    /// Whether it is this kind that tries whether the store is back.
+    pub is_probe: bool,
 }
 
 /// Follows a kind for ever.
 pub async fn follow(store: Store, plan: Plan, contact: Contact, apply: impl Fn(Change, bool)) {
-    let Plan { kind, wait, gather } = plan;
+    let Plan { kind, gather, .. } = plan;
     let mut pause = PAUSE;
     let mut revision = None;
     // Whether the store was away since the last change that was applied.
     let mut was_away = false;
     loop {
         let outcome = match revision {
-            None => list(&store, kind, was_away, &apply).await,
+            None => list(&store, plan, was_away, &contact.mirror, &apply).await,
             Some(from) => {
                 let seen = contact.gone.count();
                 monoio::select! {
-                    outcome = watch(&store, kind, from, wait, was_away, &apply) => outcome,
+                    outcome = watch(&store, plan, from, was_away, &contact.mirror, &apply) => outcome,
                     // Another kind's history is gone: what this watch waits
                     // for may have happened already.
                     () = contact.gone.past(seen) => Err(Error::Gone),
@@ -125,6 +152,7 @@
                     spdlog::info!("store reached again", kv: { kind, revision = at });
                 }
                 contact.held();
+                contact.back.raise();
                 (revision, pause, was_away) = (Some(at), PAUSE, false);
                 monoio::time::sleep(gather).await;
             }
@@ -140,7 +168,11 @@
                 }
                 contact.lost();
                 was_away = true;
-                monoio::time::sleep(pause).await;
+                // One kind tries often; the others wait for its success.
+                let back = contact.back.count();
+                let wait = if plan.is_probe { pause } else { AWAY_PAUSE };
+                // Either way the store is tried again.
+                let _ = monoio::time::timeout(wait, contact.back.past(back)).await;
                 pause = PAUSE_MAX.min(pause * 2);
             }
         }
@@ -149,24 +181,30 @@
 
 async fn list(
     store: &Store,
-    kind: &str,
+    plan: Plan,
     was_away: bool,
+    mirror: &Mirror,
     apply: &impl Fn(Change, bool),
 ) -> Result<u64, Error> {
-    let (objects, revision) = store.list(kind).await?;
+    let (objects, revision) = match plan.is_urgent {
+        true => store.list_after(plan.kind, "").await?,
+        false => store.list(plan.kind).await?,
+    };
+    mirror.reset(plan.kind, plan.wait, &objects, revision);
     apply(Change::All(objects), was_away);
     Ok(revision)
 }
 
 async fn watch(
     store: &Store,
-    kind: &str,
+    plan: Plan,
     from: u64,
-    wait: Duration,
     was_away: bool,
+    mirror: &Mirror,
     apply: &impl Fn(Change, bool),
 ) -> Result<u64, Error> {
-    let (events, revision) = store.watch(kind, from, wait).await?;
+    let (events, revision) = store.watch(plan.kind, from, plan.wait).await?;
+    mirror.extend(plan.kind, &events, revision);
     for event in events {
         apply(Change::One(event), was_away);
     }
--- a/crates/site/src/job/keep.rs
+++ b/crates/site/src/job/keep.rs
@@ -16,8 +16,10 @@
 /// known at every VM within a second.
 const JOBS: Plan = Plan {
     kind: record::KIND,
-    wait: Duration::from_millis(700),
-    gather: Duration::from_millis(100),
+    wait: Duration::from_millis(500),
+    gather: Duration::from_millis(50),
+    is_probe: false,
+    is_urgent: false,
 };
 /// How often jobs are looked over.
 const PERIOD: Duration = Duration::from_millis(300);
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod front;
 pub mod job;
 pub mod metrics;
+pub mod mirror;
 pub mod notice;
 pub(crate) mod parts;
 pub mod peer;
--- /dev/null
+++ b/crates/site/src/mirror.rs
@@ -0,0 +1,178 @@
+//! What a VM has heard of the store, for other VMs to hear of it without a
+//! call to the store.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, VecDeque},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use board::hash::Map;
+use link::{StatusCode, http::server::Reply};
+use platform::store::{self, Event, Object, Watch};
+
+use crate::notice::Notice;
+
+/// How much longer than a watch waits a mirror answers after the last word from
+/// the store. It covers the gathering of changes and a slow store.
+const FRESH_SLACK: Duration = Duration::from_millis(700);
+/// How many changes of a kind are kept: several seconds of the busiest kind.
+const LOG_MAX: usize = 4000;
+/// How long a VM that has just started waits for its mirror's first list.
+const FIRST_WAIT: Duration = Duration::from_millis(600);
+
+/// The kinds that were heard of; copies share them.
+#[derive(Clone, Debug, Default)]
+pub struct Mirror(Rc<Inner>);
+
+#[derive(Debug, Default)]
+struct Inner {
+    /// Whether other VMs may ask; nothing is kept otherwise.
+    is_asked: Cell<bool>,
+    kinds: RefCell<Map<String, Kind>>,
+    notice: Notice,
+}
+
+/// One kind as it was heard of.
+#[derive(Debug)]
+struct Kind {
+    objects: BTreeMap<String, Object>,
+    /// Changes with the revision up to which they were heard together.
+    log: VecDeque<(u64, Event)>,
+    /// The revision after which the log is whole.
+    floor: u64,
+    revision: u64,
+    heard: Instant,
+    /// How long a watch of it waits.
+    wait: Duration,
+}
+
+impl Mirror {
+    /// Returns an empty mirror that keeps what is heard if `is_asked`.
+    pub fn new(is_asked: bool) -> Self {
+        let mirror = Self::default();
+        mirror.set_asked(is_asked);
+        mirror
+    }
+
+    /// Sets whether other VMs may ask.
+    pub fn set_asked(&self, is_asked: bool) {
+        self.0.is_asked.set(is_asked);
+        if !is_asked {
+            self.0.kinds.borrow_mut().clear();
+        }
+    }
+
+    /// Takes all objects of `kind` as of `revision`; its watches wait for
+    /// `wait` each.
+    pub fn reset(&self, kind: &str, wait: Duration, objects: &[Object], revision: u64) {
+        if !self.0.is_asked.get() {
+            return;
+        }
+        let objects = objects
+            .iter()
+            .map(|object| (object.name.clone(), object.clone()));
+        let heard = Kind {
+            objects: objects.collect(),
+            log: VecDeque::new(),
+            floor: revision,
+            revision,
+            heard: Instant::now(),
+            wait,
+        };
+        self.0.kinds.borrow_mut().insert(kind.to_string(), heard);
+        self.0.notice.raise();
+    }
+
+    /// Takes the changes of `kind` up to `revision`.
+    pub fn extend(&self, kind: &str, events: &[Event], revision: u64) {
+        let mut kinds = self.0.kinds.borrow_mut();
+        let Some(known) = kinds.get_mut(kind) else {
+            return;
+        };
+        known.heard = Instant::now();
+        known.revision = known.revision.max(revision);
+        for event in events {
+            known.apply(event, revision);
+        }
+        drop(kinds);
+        if !events.is_empty() {
+            self.0.notice.raise();
+        }
+    }
+
+    /// Answers another VM that asks for the whole kind or for changes.
+    pub async fn answer(&self, kind: &str, watch: Option<Watch>) -> Reply {
+        let wait = watch.map_or(FIRST_WAIT, |watch| watch.wait);
+        let until = Instant::now() + wait;
+        loop {
+            let seen = self.0.notice.count();
+            let now = Instant::now();
+            let is_over = now >= until;
+            if let Some(reply) = self.look(kind, watch, is_over, now) {
+                return reply;
+            }
+            let left = until.saturating_duration_since(now);
+            // Either way the kind is looked at again.
+            let _ = monoio::time::timeout(left, self.0.notice.past(seen)).await;
+        }
+    }
+
+    /// Returns the answer, if it is not to be waited for.
+    fn look(&self, kind: &str, watch: Option<Watch>, is_over: bool, now: Instant) -> Option<Reply> {
+        let kinds = self.0.kinds.borrow();
+        let known = kinds
+            .get(kind)
+            .filter(|known| now - known.heard < known.wait + FRESH_SLACK);
+        match (known, watch) {
+            (None, _) if is_over || watch.is_some() => Some(unsure()),
+            (None, _) => None,
+            (Some(known), None) => Some(json(known.list())),
+            (Some(known), Some(watch)) if watch.from < known.floor => {
+                Some(Reply::new(StatusCode::GONE, ""))
+            }
+            (Some(known), Some(watch)) => {
+                let is_news = known.log.back().is_some_and(|(at, _)| *at > watch.from);
+                (is_news || is_over).then(|| json(known.events(watch.from)))
+            }
+        }
+    }
+}
+
+impl Kind {
+    fn apply(&mut self, event: &Event, revision: u64) {
+        match event {
+            Event::Put(object) => {
+                self.objects.insert(object.name.clone(), object.clone());
+            }
+            Event::Removed(name) => {
+                self.objects.remove(name);
+            }
+        }
+        self.log.push_back((revision, event.clone()));
+        while self.log.len() > LOG_MAX {
+            if let Some((revision, _)) = self.log.pop_front() {
+                self.floor = self.floor.max(revision);
+            }
+        }
+    }
+
+    fn list(&self) -> Vec<u8> {
+        store::encode_list(self.objects.values(), self.revision)
+    }
+
+    fn events(&self, from: u64) -> Vec<u8> {
+        let news = self.log.iter().filter(|(at, _)| *at > from);
+        let revision = self.revision.max(from);
+        store::encode_events(news.map(|(_, event)| event), revision)
+    }
+}
+
+fn unsure() -> Reply {
+    Reply::new(StatusCode::SERVICE_UNAVAILABLE, "")
+}
+
+fn json(body: Vec<u8>) -> Reply {
+    Reply::new(StatusCode::OK, body).header("content-type", "application/json")
+}
--- a/crates/site/src/parts.rs
+++ b/crates/site/src/parts.rs
@@ -2,6 +2,7 @@
 
 use std::{cell::RefCell, net::SocketAddr, rc::Rc};
 
+use board::hash;
 use link::http::{Limits, Pool};
 use platform::{Settings, store::Store};
 
@@ -14,6 +15,7 @@
     front::Front,
     job::{Jobs, Registry, attempt::Runner, keep, produce::Producer, runner::Runners},
     metrics::Metrics,
+    mirror::Mirror,
     peer::Peer,
     usage::Usage,
 };
@@ -33,9 +35,25 @@
     pub(crate) front: Front,
     /// What is counted.
     pub(crate) metrics: Metrics,
+    mirror: Mirror,
     own: Option<SocketAddr>,
 }
 
+/// Returns the VM that `vm` asks for whole kinds: the first seed asks the store
+/// itself, the other seeds ask that one, and all others a seed each.
+fn upstream(seeds: &[SocketAddr], own: Option<SocketAddr>, vm: &str) -> Option<SocketAddr> {
+    let first = seeds.first()?;
+    let own = own.filter(|own| seeds.contains(own));
+    match own {
+        Some(own) if own == *first => None,
+        Some(_) => Some(*first),
+        None => {
+            let place = hash::mix(vm.as_bytes(), 0) % seeds.len() as u64;
+            seeds.get(place as usize).copied()
+        }
+    }
+}
+
 /// Returns the seeds in the order in which all VMs see them that are told the
 /// same.
 fn sorted(settings: &Settings) -> Vec<SocketAddr> {
@@ -54,8 +72,10 @@
     pub(crate) fn new(settings: &Settings) -> Self {
         let own = settings.listen.peers;
         let seeds = sorted(settings);
-        let first = seeds.first().copied();
-        let store = Store::new(settings.store.address, others(&seeds, own), first);
+        let upstream = upstream(&seeds, own, &settings.vm);
+        let store = Store::new(settings.store.address, others(&seeds, own), upstream);
+        let is_asked = own.is_some_and(|own| seeds.contains(&own));
+        let mirror = Mirror::new(is_asked);
         let facts: Rc<RefCell<Facts>> = Rc::default();
         let metrics = Metrics::default();
         let pool = Pool::new(Limits::new().body_bytes(ANSWER_BYTES)).resets();
@@ -69,7 +89,7 @@
             domain,
         );
         let registry = Registry::default();
-        let contact = Contact::default();
+        let contact = Contact::new(mirror.clone());
         let producer = Producer {
             runner: Runner {
                 facts: facts.clone(),
@@ -96,6 +116,7 @@
             jobs: registry,
             facts: facts.clone(),
             store,
+            contact,
             pool,
             provider: settings.provider.address,
             usage,
@@ -111,20 +132,25 @@
             duties,
             front,
             metrics,
+            mirror,
             own,
         }
     }
 
     /// Returns what answers other VMs.
     pub(crate) fn peer(&self) -> Peer {
-        Peer::new(self.jobs.clone())
+        Peer::new(self.jobs.clone(), self.mirror.clone())
     }
 
     /// Takes over what may change while the process runs.
     pub(crate) fn set(&self, settings: &Settings) {
         let seeds = sorted(settings);
-        let first = seeds.first().copied();
-        self.jobs.store.set_relays(others(&seeds, self.own), first);
+        let upstream = upstream(&seeds, self.own, &settings.vm);
+        self.jobs
+            .store
+            .set_relays(others(&seeds, self.own), upstream);
+        self.mirror
+            .set_asked(self.own.is_some_and(|own| seeds.contains(&own)));
         self.jobs.runners.set(seeds);
     }
 
