site: records of endpoints that lapse together are waited for

Ruled out: the wait after a noticed outage, which worked at the other VMs. Change: a third or more of a service's records that are removed without a word within 1.5 s, or the last of them, are kept for 1.4 s.

--- a/crates/site/src/duty/lease.rs
+++ b/crates/site/src/duty/lease.rs
@@ -143,8 +143,14 @@
         let heard = &self.0.heard;
         let apply = |change: Change, _| match change {
             Change::All(mut objects) => *heard.borrow_mut() = objects.pop(),
-            Change::One(Event::Put(object)) => *heard.borrow_mut() = Some(object),
-            Change::One(Event::Removed(_)) => *heard.borrow_mut() = None,
+            Change::Some(events) => {
+                if let Some(event) = events.into_iter().next_back() {
+                    *heard.borrow_mut() = match event {
+                        Event::Put(object) => Some(object),
+                        Event::Removed(_) => None,
+                    };
+                }
+            }
         };
         follow::follow(self.0.store.clone(), PLAN, self.0.contact.clone(), apply).await;
     }
--- a/crates/site/src/duty/retire.rs
+++ b/crates/site/src/duty/retire.rs
@@ -8,7 +8,6 @@
 
 use super::Duties;
 use crate::follow::{self, Change, Plan};
-use platform::store::Event;
 
 #[derive(Serialize)]
 struct Status {
@@ -28,11 +27,7 @@
 pub async fn run(duties: Duties) {
     let (store, contact) = (duties.store.clone(), duties.contact.other());
     let apply = |change: Change, _| {
-        let objects = match change {
-            Change::All(objects) => objects,
-            Change::One(Event::Put(object)) => vec![object],
-            Change::One(Event::Removed(_)) => Vec::new(),
-        };
+        let objects = change.into_objects();
         for object in objects.into_iter().filter(|object| !object.has_status) {
             monoio::spawn(answer(duties.clone(), object.name));
         }
--- a/crates/site/src/facts.rs
+++ b/crates/site/src/facts.rs
@@ -130,6 +130,21 @@
         }
     }
 
+    /// Returns the service of the endpoint `id` if it did not say that it
+    /// leaves.
+    pub fn silent_service(&self, id: &str) -> Option<String> {
+        let known = self.endpoints.get(*self.by_id.get(id)?)?;
+        (!known.record.is_leaving).then(|| known.record.service.clone())
+    }
+
+    /// Returns how many endpoints of `service` are known that do not leave.
+    pub fn count(&self, service: &str) -> usize {
+        let records = self.endpoints.values().map(|endpoint| &endpoint.record);
+        records
+            .filter(|record| record.service == service && !record.is_leaving)
+            .count()
+    }
+
     /// Returns the ids of all endpoints.
     pub fn endpoint_ids(&self) -> Vec<String> {
         self.by_id.keys().cloned().collect()
--- a/crates/site/src/follow.rs
+++ b/crates/site/src/follow.rs
@@ -8,6 +8,7 @@
     time::{Duration, Instant},
 };
 
+use board::hash::Map;
 use link::http::Pool;
 use platform::{
     config::{self, Config},
@@ -16,7 +17,7 @@
     store::{Error, Event, Object, Store},
 };
 
-use crate::{facts::Facts, mirror::Mirror, notice::Notice};
+use crate::{facts::Facts, lapse::Lapses, mirror::Mirror, notice::Notice};
 
 /// The pause after a call that failed; doubles up to [`PAUSE_MAX`].
 const PAUSE: Duration = Duration::from_millis(100);
@@ -27,6 +28,10 @@
 /// How long the records of endpoints may be missing after an outage of the
 /// store: they return within about two seconds if the endpoint lives.
 const RETURN_TIME: Duration = Duration::from_millis(2000);
+/// How long they may be missing after an outage that was not noticed here: an
+/// endpoint that did leave must be left alone after 2 s, and its removal is
+/// heard of within some tenths of a second.
+const LAPSE_TIME: Duration = Duration::from_millis(1400);
 
 /// The configuration must be in force 2 s after the operator wrote it.
 const CONFIG: Plan = Plan {
@@ -57,8 +62,24 @@
 pub enum Change {
     /// All objects of the kind.
     All(Vec<Object>),
-    /// One change.
-    One(Event),
+    /// Changes that were heard of together.
+    Some(Vec<Event>),
+}
+
+impl Change {
+    /// Returns the objects that stand now, of those that are told.
+    pub fn into_objects(self) -> Vec<Object> {
+        match self {
+            Self::All(objects) => objects,
+            Self::Some(events) => {
+                let put = events.into_iter().filter_map(|event| match event {
+                    Event::Put(object) => Some(object),
+                    Event::Removed(_) => None,
+                });
+                put.collect()
+            }
+        }
+    }
 }
 
 /// How a VM stands with the store.
@@ -205,8 +226,8 @@
 ) -> Result<u64, Error> {
     let (events, revision) = store.watch(plan.kind, from, plan.wait).await?;
     mirror.extend(plan.kind, &events, revision);
-    for event in events {
-        apply(Change::One(event), was_away);
+    if !events.is_empty() {
+        apply(Change::Some(events), was_away);
     }
     Ok(revision)
 }
@@ -214,7 +235,7 @@
 /// Follows the configuration.
 pub async fn config(store: Store, contact: Contact, facts: Rc<RefCell<Facts>>) {
     let apply = |change: Change, _| {
-        for object in objects(change) {
+        for object in change.into_objects() {
             if object.name == config::NAME {
                 take_config(&object, &facts);
             }
@@ -238,7 +259,7 @@
 /// Follows the versions that trainers name.
 pub async fn versions(store: Store, contact: Contact, facts: Rc<RefCell<Facts>>) {
     let apply = |change: Change, _| {
-        for object in objects(change) {
+        for object in change.into_objects() {
             let Some(named) = object.read::<Version>() else {
                 continue;
             };
@@ -254,34 +275,35 @@
     follow(store, VERSIONS, contact, apply).await;
 }
 
-fn objects(change: Change) -> Vec<Object> {
-    match change {
-        Change::All(objects) => objects,
-        Change::One(Event::Put(object)) => vec![object],
-        Change::One(Event::Removed(_)) => Vec::new(),
-    }
-}
-
 /// Follows the endpoints, and gives those up whose records do not return.
 pub async fn endpoints(store: Store, contact: Contact, facts: Rc<RefCell<Facts>>, pool: Pool) {
-    let apply = |change: Change, was_away: bool| match change {
-        Change::All(objects) => {
-            let mut known: BTreeSet<String> = facts.borrow().endpoint_ids().into_iter().collect();
-            for object in &objects {
-                if put_endpoint(object, &facts, &pool) {
-                    known.remove(&object.name);
+    let lapses = RefCell::default();
+    let apply = |change: Change, was_away: bool| {
+        let mut gone = Vec::new();
+        match change {
+            Change::All(objects) => {
+                let known = facts.borrow().endpoint_ids();
+                let mut known: BTreeSet<String> = known.into_iter().collect();
+                for object in &objects {
+                    if put_endpoint(object, &facts, &pool) {
+                        known.remove(&object.name);
+                    }
                 }
+                gone.extend(known);
             }
-            for id in known {
-                remove_endpoint(&id, was_away, &facts, &pool);
-            }
-        }
-        Change::One(Event::Put(object)) => {
-            if !put_endpoint(&object, &facts, &pool) {
-                remove_endpoint(&object.name, false, &facts, &pool);
+            Change::Some(events) => {
+                for event in events {
+                    match event {
+                        Event::Put(object) if put_endpoint(&object, &facts, &pool) => {
+                            gone.retain(|id| *id != object.name);
+                        }
+                        Event::Put(object) => gone.push(object.name),
+                        Event::Removed(id) => gone.push(id),
+                    }
+                }
             }
         }
-        Change::One(Event::Removed(id)) => remove_endpoint(&id, was_away, &facts, &pool),
+        remove_endpoints(gone, was_away, &facts, &pool, &lapses);
     };
     let following = follow(store, ENDPOINTS, contact, apply);
     monoio::select! {
@@ -326,14 +348,38 @@
     true
 }
 
-fn remove_endpoint(id: &str, was_away: bool, facts: &RefCell<Facts>, pool: &Pool) {
-    if was_away {
-        let until = Instant::now() + RETURN_TIME;
-        facts.borrow_mut().miss_endpoint(id, until);
-        spdlog::info!("endpoint missing after outage", kv: { endpoint = id });
-        return;
+/// Removes the endpoints `gone`, but for a while those whose records lapsed
+/// while the store was away, whether that was noticed here or not.
+fn remove_endpoints(
+    gone: Vec<String>,
+    was_away: bool,
+    facts: &RefCell<Facts>,
+    pool: &Pool,
+    lapses: &RefCell<Lapses>,
+) {
+    let now = Instant::now();
+    let mut silent: Map<String, Vec<String>> = Map::default();
+    for id in gone {
+        let service = facts.borrow().silent_service(&id);
+        match service {
+            Some(service) => silent.entry(service).or_default().push(id),
+            None => forget(&id, facts, pool),
+        }
+    }
+    for (service, ids) in silent {
+        let left = facts.borrow().count(&service).saturating_sub(ids.len());
+        let is_lapse = lapses.borrow_mut().note(&service, ids.len(), left, now);
+        for id in ids {
+            if !was_away && !is_lapse {
+                forget(&id, facts, pool);
+                continue;
+            }
+            let time = if was_away { RETURN_TIME } else { LAPSE_TIME };
+            facts.borrow_mut().miss_endpoint(&id, now + time);
+            let id = id.as_str();
+            spdlog::info!("endpoint missing", kv: { endpoint = id, was_away });
+        }
     }
-    forget(id, facts, pool);
 }
 
 fn forget(id: &str, facts: &RefCell<Facts>, pool: &Pool) {
--- a/crates/site/src/job/keep.rs
+++ b/crates/site/src/job/keep.rs
@@ -6,7 +6,7 @@
 use platform::store::Written;
 
 use super::{
-    Job, Jobs, Shared,
+    Job, Jobs, Registry, Shared,
     record::{self, Claim, Name, Part},
 };
 use crate::follow::{self, Change, Plan};
@@ -39,20 +39,29 @@
     let registry = jobs.registry.clone();
     let apply = move |change: Change, _| match change {
         Change::All(objects) => objects.iter().for_each(|object| registry.put(object)),
-        Change::One(Event::Put(object)) => registry.put(&object),
-        Change::One(Event::Removed(name)) => {
-            if let Some(Name {
-                job,
-                part: Part::Head,
-            }) = Name::decode(&name)
-            {
-                registry.remove(&job);
+        Change::Some(events) => {
+            for event in events {
+                match event {
+                    Event::Put(object) => registry.put(&object),
+                    Event::Removed(name) => remove(&registry, &name),
+                }
             }
         }
     };
     follow::follow(jobs.store.clone(), JOBS, jobs.contact.clone(), apply).await;
 }
 
+/// Forgets a job whose head was removed.
+fn remove(registry: &Registry, name: &str) {
+    if let Some(Name {
+        job,
+        part: Part::Head,
+    }) = Name::decode(name)
+    {
+        registry.remove(&job);
+    }
+}
+
 /// Takes over the jobs that nobody runs, for ever.
 pub async fn take_over(jobs: Jobs) {
     loop {
--- a/crates/site/tests/request.rs
+++ b/crates/site/tests/request.rs
@@ -264,3 +264,40 @@
         }
     }
 }
+
+#[test]
+fn records_that_lapse_together_are_waited_for() {
+    let deployment = Deployment::start(
+        1,
+        Plan {
+            plain: 3,
+            ..Plan::default()
+        },
+    );
+    {
+        let mut world = deployment.site.world();
+        for id in ["plain-0", "plain-1", "plain-2"] {
+            world.remove("servers", id);
+        }
+    }
+    common::wait("the news", || {
+        deployment.vms[0].log().contains("endpoint missing")
+    });
+    assert_eq!(
+        deployment.vms[0].ask(Method::POST, "/safe/a", "r1").status,
+        200
+    );
+    deployment.site.world().announce("plain-1", "ready");
+    common::wait("the end of the others", || {
+        deployment.vms[0].log().matches("endpoint gone").count() == 2
+    });
+    for number in 0..3 {
+        let id = format!("s{number}");
+        assert_eq!(
+            deployment.vms[0].ask(Method::POST, "/safe/a", &id).status,
+            200
+        );
+        let world = deployment.site.world();
+        assert_eq!(world.arrivals_of(&id)[0].endpoint, "plain-1");
+    }
+}
