--- a/crates/site/src/clean.rs
+++ b/crates/site/src/clean.rs
@@ -67,7 +67,7 @@
 /// Removes the objects of a job, its head last, so that a job that is found
 /// again after a failure here is one that can be removed again.
 async fn remove_job(duties: &Duties, id: &str) -> Result<usize, Error> {
-    let (objects, _) = duties.store.list_after(record::KIND, id).await?;
+    let objects = duties.store.list_after(record::KIND, id).await?.what;
     let prefix = format!("{id}.");
     let parts = objects
         .iter()
--- a/crates/site/src/duty/report.rs
+++ b/crates/site/src/duty/report.rs
@@ -121,10 +121,8 @@
 
 /// Returns the counts that stand for `window`, and sets them if none do.
 async fn decide(duties: &Duties, window: u64) -> Result<Counts, Error> {
-    let (objects, _) = duties
-        .store
-        .list_after(COUNTS, &format!("{window:012}"))
-        .await?;
+    let after = format!("{window:012}");
+    let objects = duties.store.list_after(COUNTS, &after).await?.what;
     let prefix = format!("{window:012}.");
     let mut sum: Counts = BTreeMap::new();
     for object in objects
@@ -166,7 +164,7 @@
         if !window.is_multiple_of(LOOK_EVERY) {
             continue;
         }
-        let (objects, _) = duties.store.list(kind).await?;
+        let objects = duties.store.list_after(kind, "").await?.what;
         let old = objects.iter().filter(|object| object.name < oldest);
         for object in old.take(most) {
             duties.store.remove(kind, &object.name).await?;
--- a/crates/site/src/follow.rs
+++ b/crates/site/src/follow.rs
@@ -87,6 +87,8 @@
 pub struct Contact {
     /// Since when no call has failed.
     since: Rc<Cell<Option<Instant>>>,
+    /// What was in the store then is known.
+    as_of: Rc<Cell<Option<Instant>>>,
     /// Raised when the history of a kind is gone.
     gone: Notice,
     /// Raised when the store answers.
@@ -113,12 +115,27 @@
     pub fn other(&self) -> Self {
         Self {
             since: Rc::default(),
+            as_of: Rc::default(),
             gone: self.gone.clone(),
             back: self.back.clone(),
             mirror: self.mirror.clone(),
         }
     }
 
+    /// Returns how old what is known is; `None` before anything is.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        let as_of = self.as_of.get()?;
+        Some(now.saturating_duration_since(as_of))
+    }
+
+    /// Notes that what is known now is `age` old.
+    fn hear(&self, age: Duration) {
+        let now = Instant::now();
+        let as_of = now.checked_sub(age).unwrap_or(now);
+        // One answer may be older than the one before it, from another way.
+        self.as_of.set(self.as_of.get().max(Some(as_of)));
+    }
+
     fn lost(&self) {
         self.since.set(None);
     }
@@ -156,11 +173,11 @@
     let mut was_away = false;
     loop {
         let outcome = match revision {
-            None => list(&store, plan, was_away, &contact.mirror, &apply).await,
+            None => list(&store, plan, was_away, &contact, &apply).await,
             Some(from) => {
                 let seen = contact.gone.count();
                 monoio::select! {
-                    outcome = watch(&store, plan, from, was_away, &contact.mirror, &apply) => outcome,
+                    outcome = watch(&store, plan, from, was_away, &contact, &apply) => outcome,
                     // Another kind's history is gone: what this watch waits
                     // for may have happened already.
                     () = contact.gone.past(seen) => Err(Error::Gone),
@@ -204,16 +221,17 @@
     store: &Store,
     plan: Plan,
     was_away: bool,
-    mirror: &Mirror,
+    contact: &Contact,
     apply: &impl Fn(Change, bool),
 ) -> Result<u64, Error> {
-    let (objects, revision) = match plan.is_urgent {
+    let heard = match plan.is_urgent {
         true => store.list_after(plan.kind, "").await?,
         false => store.list(plan.kind).await?,
     };
-    mirror.reset(plan.kind, plan.wait, &objects, revision);
-    apply(Change::All(objects), was_away);
-    Ok(revision)
+    contact.hear(heard.age);
+    contact.mirror.reset(&plan, &heard);
+    apply(Change::All(heard.what), was_away);
+    Ok(heard.revision)
 }
 
 async fn watch(
@@ -221,15 +239,16 @@
     plan: Plan,
     from: u64,
     was_away: bool,
-    mirror: &Mirror,
+    contact: &Contact,
     apply: &impl Fn(Change, bool),
 ) -> Result<u64, Error> {
-    let (events, revision) = store.watch(plan.kind, from, plan.wait).await?;
-    mirror.extend(plan.kind, &events, revision);
-    if !events.is_empty() {
-        apply(Change::Some(events), was_away);
+    let heard = store.watch(plan.kind, from, plan.wait).await?;
+    contact.hear(heard.age);
+    contact.mirror.extend(plan.kind, &heard);
+    if !heard.what.is_empty() {
+        apply(Change::Some(heard.what), was_away);
     }
-    Ok(revision)
+    Ok(heard.revision)
 }
 
 /// Follows the configuration.
--- a/crates/site/src/job/api.rs
+++ b/crates/site/src/job/api.rs
@@ -30,9 +30,14 @@
 const READ_WAIT_MAX: Duration = Duration::from_millis(1000);
 /// How much text one answer to a read holds; the platform allows 1 MB.
 const READ_BYTES: usize = 700 * 1024;
-/// How long the followers may be out of touch with the store before a read
-/// that finds nothing new is refused: others may have read more by then.
-const SETTLE_TIME: Duration = Duration::from_millis(500);
+/// How old what is known may be when a read is told that there is no more: what
+/// another VM has told of must be known within a second.
+const SETTLE_TIME: Duration = Duration::from_millis(850);
+/// How much longer than it asked for a read is kept until what is known is
+/// fresh: trainers wait 1.5 s longer than they say.
+const SURE_TIME: Duration = Duration::from_millis(900);
+/// How often a read looks whether it is.
+const LOOK_TIME: Duration = Duration::from_millis(50);
 
 /// Accepts a job of `route`, at the VM that runs those of this route if it
 /// answers, else here.
@@ -189,28 +194,35 @@
     }
 }
 
+/// Returns the samples from position `from` on, once there is one or `wait` is
+/// over. What is not there is told only if the store had none lately either:
+/// another VM may have told of it.
 async fn read(jobs: &Jobs, job: &Shared, from: usize, wait: Duration) -> Reply {
-    let until = Instant::now() + wait;
+    let start = Instant::now();
     loop {
         let (known, is_whole, notice) = {
             let job = job.borrow();
             (job.samples.len(), job.is_whole(), job.notice.clone())
         };
-        let left = until.saturating_duration_since(Instant::now());
-        if known > from || is_whole || left.is_zero() {
+        let now = Instant::now();
+        let waited = now - start;
+        let is_fresh = jobs.contact.age(now).is_some_and(|age| age < SETTLE_TIME);
+        if known > from || is_whole || (waited >= wait && is_fresh && known == from) {
             break;
         }
+        if waited >= wait + SURE_TIME {
+            let (id, age) = (job.borrow().id.clone(), jobs.contact.age(now));
+            let age_ms = age.map(|age| age.as_millis() as u64);
+            spdlog::warn!("read refused, not sure", kv: { job = id, from, known, age_ms:? });
+            return refusal("not-sure", "there may be samples that are not known here");
+        }
         let seen = notice.count();
+        let left = wait.saturating_sub(waited).clamp(LOOK_TIME, READ_WAIT_MAX);
         // Either way the loop looks again.
         let _ = monoio::time::timeout(left, notice.past(seen)).await;
     }
     let job = job.borrow();
-    let is_news = job.samples.len() > from;
-    let is_sure = job.is_whole() || jobs.contact.steady(Instant::now()) >= SETTLE_TIME;
-    if from > job.samples.len() || (!is_news && !is_sure) {
-        return refusal("not-sure", "there may be samples that are not known here");
-    }
-    let samples = page(&job.samples[from..]);
+    let samples = page(job.samples.get(from..).unwrap_or_default());
     let body = Read {
         total: job.head.submission.items.len(),
         next: from + samples.len(),
--- a/crates/site/src/job/produce.rs
+++ b/crates/site/src/job/produce.rs
@@ -24,6 +24,7 @@
 };
 use crate::{
     facts::Key,
+    follow::Contact,
     place::{self, Need},
 };
 
@@ -37,6 +38,9 @@
 const PLACE_PERIOD: Duration = Duration::from_millis(50);
 /// The pause before an item that broke off or was turned away is run again.
 const AGAIN_PAUSE: Duration = Duration::from_millis(50);
+/// How old what is known of a job may be when its items are started: they must
+/// not run 3 s after its end.
+const UNSURE_TIME: Duration = Duration::from_millis(2000);
 /// The time of an item whose route sets none.
 const ITEM_TIME: Duration = Duration::from_secs(60);
 
@@ -49,6 +53,8 @@
     pub registry: Registry,
     /// Where pages go.
     pub store: Store,
+    /// How old what is known of the jobs is.
+    pub contact: Contact,
     /// The name of this VM.
     pub vm: String,
     /// Its failure domain.
@@ -199,6 +205,11 @@
             self.give_up_rest();
             return;
         }
+        // A job that may have been ended starts nothing.
+        let age = self.producer.contact.age(now);
+        if age.is_none_or(|age| age > UNSURE_TIME) {
+            return;
+        }
         let waiting = self.todo.len();
         for _ in 0..waiting {
             let Some(work) = self.todo.pop_front() else {
--- a/crates/site/src/mirror.rs
+++ b/crates/site/src/mirror.rs
@@ -10,12 +10,15 @@
 
 use board::hash::Map;
 use link::{StatusCode, http::server::Reply};
-use platform::store::{self, Event, Object, Watch};
+use platform::store::{self, Event, Heard, Object, Watch};
 
-use crate::notice::Notice;
+use crate::{follow::Plan, notice::Notice};
 
-/// How much longer than a watch waits a mirror answers after the last word from
-/// the store. It covers the gathering of changes and a slow store.
+/// How old what a mirror knows may be, in waits of a watch: one of its own
+/// mirror's, and a half of its own.
+const FRESH_WAITS: f64 = 1.5;
+/// How much older it may be. It covers the gathering of changes and a slow
+/// store.
 const FRESH_SLACK: Duration = Duration::from_millis(700);
 /// How many changes of a kind are kept: several seconds of the busiest kind.
 const LOG_MAX: usize = 4000;
@@ -43,7 +46,8 @@
     /// The revision after which the log is whole.
     floor: u64,
     revision: u64,
-    heard: Instant,
+    /// What was in the store then is known.
+    as_of: Instant,
     /// How long a watch of it waits.
     wait: Duration,
 }
@@ -64,40 +68,40 @@
         }
     }
 
-    /// Takes all objects of `kind` as of `revision`; its watches wait for
-    /// `wait` each.
-    pub fn reset(&self, kind: &str, wait: Duration, objects: &[Object], revision: u64) {
+    /// Takes all objects of the kind that is followed by `plan`.
+    pub fn reset(&self, plan: &Plan, heard: &Heard<Vec<Object>>) {
         if !self.0.is_asked.get() {
             return;
         }
-        let objects = objects
-            .iter()
-            .map(|object| (object.name.clone(), object.clone()));
-        let heard = Kind {
+        let objects = heard.what.iter();
+        let objects = objects.map(|object| (object.name.clone(), object.clone()));
+        let kind = Kind {
             objects: objects.collect(),
             log: VecDeque::new(),
-            floor: revision,
-            revision,
-            heard: Instant::now(),
-            wait,
+            floor: heard.revision,
+            revision: heard.revision,
+            as_of: before(heard.age),
+            wait: plan.wait,
         };
-        self.0.kinds.borrow_mut().insert(kind.to_string(), heard);
+        let mut kinds = self.0.kinds.borrow_mut();
+        kinds.insert(plan.kind.to_string(), kind);
+        drop(kinds);
         self.0.notice.raise();
     }
 
-    /// Takes the changes of `kind` up to `revision`.
-    pub fn extend(&self, kind: &str, events: &[Event], revision: u64) {
+    /// Takes changes of `kind`.
+    pub fn extend(&self, kind: &str, heard: &Heard<Vec<Event>>) {
         let mut kinds = self.0.kinds.borrow_mut();
         let Some(known) = kinds.get_mut(kind) else {
             return;
         };
-        known.heard = Instant::now();
-        known.revision = known.revision.max(revision);
-        for event in events {
-            known.apply(event, revision);
+        known.as_of = known.as_of.max(before(heard.age));
+        known.revision = known.revision.max(heard.revision);
+        for event in &heard.what {
+            known.apply(event, heard.revision);
         }
         drop(kinds);
-        if !events.is_empty() {
+        if !heard.what.is_empty() {
             self.0.notice.raise();
         }
     }
@@ -122,25 +126,41 @@
     /// Returns the answer, if it is not to be waited for.
     fn look(&self, kind: &str, watch: Option<Watch>, is_over: bool, now: Instant) -> Option<Reply> {
         let kinds = self.0.kinds.borrow();
-        let known = kinds
-            .get(kind)
-            .filter(|known| now - known.heard < known.wait + FRESH_SLACK);
+        let known = kinds.get(kind).filter(|known| known.is_fresh(now));
         match (known, watch) {
             (None, _) if is_over || watch.is_some() => Some(unsure()),
             (None, _) => None,
-            (Some(known), None) => Some(json(known.list())),
+            (Some(known), None) => Some(known.reply(known.list(), now)),
             (Some(known), Some(watch)) if watch.from < known.floor => {
                 Some(Reply::new(StatusCode::GONE, ""))
             }
             (Some(known), Some(watch)) => {
                 let is_news = known.log.back().is_some_and(|(at, _)| *at > watch.from);
-                (is_news || is_over).then(|| json(known.events(watch.from)))
+                (is_news || is_over).then(|| known.reply(known.events(watch.from), now))
             }
         }
     }
 }
 
+/// Returns the moment `age` ago.
+fn before(age: Duration) -> Instant {
+    let now = Instant::now();
+    now.checked_sub(age).unwrap_or(now)
+}
+
 impl Kind {
+    fn is_fresh(&self, now: Instant) -> bool {
+        let most = self.wait.mul_f64(FRESH_WAITS) + FRESH_SLACK;
+        now.saturating_duration_since(self.as_of) < most
+    }
+
+    fn reply(&self, body: Vec<u8>, now: Instant) -> Reply {
+        let age = now.saturating_duration_since(self.as_of).as_millis();
+        Reply::new(StatusCode::OK, body)
+            .header("content-type", "application/json")
+            .header(store::AGE, age.to_string())
+    }
+
     fn apply(&mut self, event: &Event, revision: u64) {
         match event {
             Event::Put(object) => {
@@ -172,7 +192,3 @@
 fn unsure() -> Reply {
     Reply::new(StatusCode::SERVICE_UNAVAILABLE, "")
 }
-
-fn json(body: Vec<u8>) -> Reply {
-    Reply::new(StatusCode::OK, body).header("content-type", "application/json")
-}
--- a/crates/site/src/parts.rs
+++ b/crates/site/src/parts.rs
@@ -99,6 +99,7 @@
             },
             registry: registry.clone(),
             store: store.clone(),
+            contact: contact.clone(),
             vm: settings.vm.clone(),
             domain: settings.domain.clone(),
         };
