site: a job that changes its VM goes on from what its items have made

Change: texts of long items are kept in one object of the job every 1.2 s; a stopping VM finishes its jobs within its grace time, keeps their progress and then gives them up; an item that comes again with a later job goes on from its text, or is only scored again.

--- a/crates/site/src/job/attempt.rs
+++ b/crates/site/src/job/attempt.rs
@@ -102,13 +102,13 @@
 
 impl Runner {
     /// Runs `item` at the endpoint `key`, on from what `text` holds.
-    pub async fn run(&self, key: Key, item: &Item, terms: &Terms, text: &mut Text) -> Run {
+    pub async fn run(&self, key: Key, item: &Item, terms: &Terms, text: &RefCell<Text>) -> Run {
         let known = self.facts.borrow().endpoints.get(key).cloned();
         let Some(endpoint) = known else {
             return Run::NotRun;
         };
         let start = Instant::now();
-        let order = order(item, terms, text);
+        let order = order(item, terms, &text.borrow());
         let call = order.call(&endpoint.id, FIRST_TIME);
         let run = match self.pool.send(endpoint.record.address, call).await {
             Err(e) if e.is_unsent() => Run::Unreached(e.to_string()),
@@ -118,7 +118,7 @@
         let now = Instant::now();
         self.metrics.item(run.name(), now - start);
         let (item, id) = (item.id.as_str(), endpoint.id.as_str());
-        let last = text.last().unwrap_or_default();
+        let last = text.borrow().last().unwrap_or_default();
         match &run {
             Run::Whole => spdlog::info!("item run", kv: { item, endpoint = id, last }),
             Run::Never | Run::Failed => {
@@ -137,7 +137,13 @@
         run
     }
 
-    async fn read(&self, key: Key, mut response: Response, terms: &Terms, text: &mut Text) -> Run {
+    async fn read(
+        &self,
+        key: Key,
+        mut response: Response,
+        terms: &Terms,
+        text: &RefCell<Text>,
+    ) -> Run {
         let headers = &response.headers;
         if response.status == StatusCode::MISDIRECTED_REQUEST
             || headers.contains_key(header::NOT_RUN)
@@ -160,17 +166,20 @@
         let mut events = Events::default();
         loop {
             let part = match response.next(PAUSE_TIME).await {
-                None => return Run::Whole,
+                None => {
+                    text.borrow_mut().finish();
+                    return Run::Whole;
+                }
                 Some(Err(e)) => return Run::Broken(e.to_string()),
                 Some(Ok(part)) => part,
             };
             events.push(&part);
             while let Some(event) = events.next() {
                 version = event.version.or(version);
-                if let Some(problem) = unfit(version, terms, text) {
+                if let Some(problem) = unfit(version, terms, &text.borrow()) {
                     return Run::Broken(problem);
                 }
-                if text.push(&event, version).is_err() {
+                if text.borrow_mut().push(&event, version).is_err() {
                     return Run::Broken("an event is missing".to_string());
                 }
             }
--- a/crates/site/src/job/keep.rs
+++ b/crates/site/src/job/keep.rs
@@ -68,6 +68,7 @@
         monoio::time::sleep(PERIOD).await;
         let now = Instant::now();
         let steady = jobs.contact.steady(now);
+        jobs.registry.forget_texts(now);
         for job in jobs.registry.all() {
             if is_due(&job.borrow(), &jobs.vm, steady, now) {
                 claim(&jobs, &job).await;
@@ -122,7 +123,23 @@
     }
 }
 
-/// Gives up the jobs that this VM runs, so that others go on at once.
+/// Waits until this VM runs no job, for `limit` at most.
+pub async fn finish(jobs: &Jobs, limit: Duration) {
+    let start = Instant::now();
+    while start.elapsed() < limit {
+        let jobs = jobs.registry.all();
+        if !jobs.iter().any(|job| job.borrow().is_running) {
+            return;
+        }
+        monoio::time::sleep(FINISH_POLL).await;
+    }
+}
+
+/// How often it is looked whether the last job is done.
+const FINISH_POLL: Duration = Duration::from_millis(100);
+
+/// Gives up the jobs that this VM runs, so that others go on at once from what
+/// they have made.
 pub async fn release(jobs: &Jobs) {
     for job in jobs.registry.all() {
         let (id, number, is_running) = {
@@ -132,6 +149,7 @@
         if !is_running {
             continue;
         }
+        jobs.producer.save(&job).await;
         let name = Name::new(&id, Part::Claim(number)).encode();
         let vm = String::new();
         let written = jobs.store.create(record::KIND, &name, &Claim { vm }).await;
--- a/crates/site/src/job/mod.rs
+++ b/crates/site/src/job/mod.rs
@@ -24,7 +24,10 @@
 use board::hash::{Map, Set};
 use platform::batch::{Item, Sample};
 
-use self::record::{Head, Name, Page};
+use self::{
+    record::{Head, Name, Page},
+    sample::Text,
+};
 use crate::notice::Notice;
 
 /// A job as this VM knows it.
@@ -55,6 +58,9 @@
     pub progress: Instant,
     /// Whether this process runs it.
     pub is_running: bool,
+    /// What the items have made, by their place, that this process runs and
+    /// that have no sample yet.
+    pub open: Map<usize, Rc<RefCell<Text>>>,
     /// Raised at each change.
     pub notice: Notice,
 }
@@ -71,7 +77,15 @@
 
 /// The jobs that this VM knows.
 #[derive(Clone, Default)]
-pub struct Registry(Rc<RefCell<Map<String, Shared>>>);
+pub struct Registry(Rc<RefCell<Map<String, Shared>>>, Texts);
+
+/// What items have made, by their ids: a job that is taken over goes on from
+/// it, and so does a later job with the same items.
+type Texts = Rc<RefCell<Map<String, (Text, Instant)>>>;
+
+/// For how long the text of an item is kept: groups that were not whole come
+/// again with one of the next steps.
+const TEXT_TIME: Duration = Duration::from_secs(40);
 
 impl Registry {
     /// Returns the job `id`.
@@ -121,6 +135,7 @@
             is_ended: false,
             progress: now,
             is_running: false,
+            open: Map::default(),
             notice: Notice::default(),
         };
         let job = Rc::new(RefCell::new(job));
@@ -128,6 +143,29 @@
         job
     }
 
+    /// Returns what the item `id` has made, wherever that was.
+    pub fn text(&self, id: &str) -> Option<Text> {
+        let texts = self.1.borrow();
+        texts.get(id).map(|(text, _)| text.clone())
+    }
+
+    /// Keeps what the item `id` has made, unless more of it is known.
+    pub fn put_text(&self, id: &str, text: Text) {
+        let mut texts = self.1.borrow_mut();
+        let is_more = texts
+            .get(id)
+            .is_none_or(|(known, _)| known.last() < text.last());
+        if is_more || text.is_whole() {
+            texts.insert(id.to_string(), (text, Instant::now()));
+        }
+    }
+
+    /// Forgets texts that no job can ask for any more.
+    pub fn forget_texts(&self, now: Instant) {
+        let is_young = |at: Instant| now.saturating_duration_since(at) < TEXT_TIME;
+        self.1.borrow_mut().retain(|_, (_, at)| is_young(*at));
+    }
+
     /// Takes one page of samples.
     pub fn put_page(&self, id: &str, number: u32, page: Page) {
         let Some(job) = self.get(id) else {
@@ -197,6 +235,11 @@
                 let claim: Option<record::Claim> = object.read();
                 claim.map(|claim| self.put_claim(id, n, &claim.vm))
             }
+            record::Part::Progress => object.read().map(|progress: record::Progress| {
+                for (id, text) in progress.texts {
+                    self.put_text(&id, text);
+                }
+            }),
             record::Part::End => {
                 self.put_end(id);
                 Some(())
--- a/crates/site/src/job/produce.rs
+++ b/crates/site/src/job/produce.rs
@@ -2,6 +2,7 @@
 //! pages.
 
 use std::{
+    cell::RefCell,
     collections::VecDeque,
     future::Future,
     pin::Pin,
@@ -17,9 +18,9 @@
 };
 
 use super::{
-    Registry, Shared,
+    Job, Registry, Shared,
     attempt::{self, Run, Runner, Score, Terms},
-    record::{self, Head, Name, Page, Part},
+    record::{self, Head, Name, Page, Part, Progress},
     sample::Text,
 };
 use crate::{
@@ -34,6 +35,11 @@
 const SILENCE: Duration = Duration::from_millis(1500);
 /// How much text goes into one page; an object is 1 MB at most.
 const PAGE_BYTES: usize = 400 * 1024;
+/// How often what long items have made is written, so that another VM goes on
+/// from it: a kill costs a second of work then, and not all of it.
+const SAVE_PERIOD: Duration = Duration::from_millis(1200);
+/// How much an item must have made: about a second's work of an engine.
+const SAVE_LEAST: usize = 4 * 1024;
 /// How often places are looked for while none is free.
 const PLACE_PERIOD: Duration = Duration::from_millis(50);
 /// The pause before an item that broke off or was turned away is run again.
@@ -64,7 +70,7 @@
 /// An item that is still to be run.
 struct Work {
     index: usize,
-    text: Text,
+    text: Rc<RefCell<Text>>,
     failures: u32,
     not_before: Instant,
 }
@@ -72,7 +78,8 @@
 /// What a task of a job ended with.
 enum Step {
     Again(Work),
-    Ended(Sample),
+    Ended(usize, Sample),
+    Saved(Result<(), Error>),
     Page(Result<Written, Error>, u32),
     Tick,
 }
@@ -88,6 +95,9 @@
     service: String,
     max_attempts: u32,
     todo: VecDeque<Work>,
+    /// When that was written last, and whether it is being written.
+    saved: Instant,
+    is_saving: bool,
     tasks: FuturesUnordered<Task>,
     /// Where the items of a group run, which share a prompt.
     homes: Map<String, Key>,
@@ -109,11 +119,24 @@
             spdlog::info!("job run", kv: { job = id });
             let reason = producer.produce(&job).await;
             job.borrow_mut().is_running = false;
+            job.borrow_mut().open.clear();
             let samples = job.borrow().samples.len();
             spdlog::info!("job left", kv: { job = id, reason, samples });
         });
     }
 
+    /// Writes what the items of `job` have made, which this process is about to
+    /// give up.
+    pub async fn save(&self, job: &Shared) {
+        let Some((name, progress)) = progress(&job.borrow()) else {
+            return;
+        };
+        let saved = self.store.put(record::KIND, &name, &progress).await;
+        let (job, items) = (job.borrow().id.clone(), progress.texts.len());
+        let is_kept = saved.is_ok();
+        spdlog::info!("progress kept", kv: { job, items, is_kept });
+    }
+
     async fn produce(&self, job: &Shared) -> &'static str {
         let Some(mut production) = Production::new(self.clone(), job.clone()) else {
             return "no route";
@@ -124,6 +147,7 @@
             }
             production.fill();
             production.write();
+            production.save();
             let changed = job.borrow().notice.clone();
             let seen = changed.count();
             let next = production.tasks.next();
@@ -153,12 +177,17 @@
             is_single_version: route.single_version,
             deadline: job.borrow().submitted + wait,
         };
+        let known = |id: &str| {
+            let text = producer.registry.text(id);
+            let fits = |text: &Text| text.fits(terms.oldest, terms.is_single_version);
+            text.filter(fits).unwrap_or_default()
+        };
         let todo = (0..head.submission.items.len()).filter_map(|index| {
             let id = &head.submission.items[index].id;
             let is_listed = job.borrow().listed.contains(id);
             (!is_listed).then(|| Work {
                 index,
-                text: Text::default(),
+                text: Rc::new(RefCell::new(known(id))),
                 failures: 0,
                 not_before: now,
             })
@@ -168,6 +197,8 @@
         todo.sort_by_key(|work| {
             std::cmp::Reverse(head.submission.items[work.index].expected_tokens())
         });
+        let open = todo.iter().map(|work| (work.index, work.text.clone()));
+        job.borrow_mut().open = open.collect();
         let tasks: FuturesUnordered<Task> = FuturesUnordered::new();
         tasks.push(tick());
         Some(Self {
@@ -178,6 +209,8 @@
             job,
             terms,
             todo: todo.into(),
+            saved: now,
+            is_saving: false,
             tasks,
             homes: Map::default(),
             ready: Vec::new(),
@@ -271,17 +304,22 @@
         let max_attempts = self.max_attempts;
         self.tasks.push(Box::pin(async move {
             let item = &head.submission.items[work.index];
-            let mut work = work;
-            let run = runner.run(key, item, &terms, &mut work.text).await;
+            let is_whole = work.text.borrow().is_whole();
+            let run = match is_whole {
+                true => Run::Whole,
+                false => runner.run(key, item, &terms, &work.text).await,
+            };
             drop(place);
+            let mut work = work;
             let ended = |outcome, text, versions, score| {
-                Step::Ended(Sample {
+                let sample = Sample {
                     id: item.id.clone(),
                     outcome,
                     text,
                     versions,
                     score,
-                })
+                };
+                Step::Ended(work.index, sample)
             };
             let given_up = || ended(Outcome::GivenUp, String::new(), Vec::new(), None);
             match run {
@@ -300,7 +338,8 @@
                 Some(scorer) => runner.score(scorer, max_attempts, terms.deadline).await,
                 None => Score::None,
             };
-            let (text, versions) = work.text.into_parts();
+            let text = work.text.borrow().clone();
+            let (text, versions) = text.into_parts();
             match score {
                 Score::Signed(signature) => ended(Outcome::Done, text, versions, Some(signature)),
                 Score::None => ended(Outcome::Done, text, versions, None),
@@ -309,6 +348,22 @@
         }));
     }
 
+    /// Writes what the items under way have made if it is time to.
+    fn save(&mut self) {
+        if self.is_saving || self.saved.elapsed() < SAVE_PERIOD {
+            return;
+        }
+        self.saved = Instant::now();
+        let Some((name, progress)) = progress(&self.job.borrow()) else {
+            return;
+        };
+        self.is_saving = true;
+        let store = self.producer.store.clone();
+        self.tasks.push(Box::pin(async move {
+            Step::Saved(store.put(record::KIND, &name, &progress).await)
+        }));
+    }
+
     /// Writes a page if it is time for one.
     fn write(&mut self) {
         if self.is_writing {
@@ -351,7 +406,22 @@
     fn take(&mut self, step: Step) {
         match step {
             Step::Again(work) => self.todo.push_front(work),
-            Step::Ended(sample) => self.ready.push(sample),
+            Step::Ended(index, sample) => {
+                // Kept for a later job with the same item.
+                let text = self.job.borrow_mut().open.remove(&index);
+                if let Some(text) = text {
+                    let text = text.borrow().clone();
+                    self.producer.registry.put_text(&sample.id, text);
+                }
+                self.ready.push(sample);
+            }
+            Step::Saved(saved) => {
+                self.is_saving = false;
+                if let Err(e) = saved {
+                    let (job, problem) = (self.job.borrow().id.clone(), e.to_string());
+                    spdlog::warn!("progress not kept", kv: { job, problem });
+                }
+            }
             Step::Tick => self.tasks.push(tick()),
             Step::Page(written, number) => self.take_page(written, number),
         }
@@ -381,6 +451,25 @@
     }
 }
 
+/// Returns the object that keeps what the items under way have made, if they
+/// have made enough.
+fn progress(job: &Job) -> Option<(String, Progress)> {
+    let mut bytes = 0;
+    let items = &job.head.submission.items;
+    let texts = job.open.iter().filter_map(|(index, text)| {
+        let text = text.borrow();
+        let is_long = text.bytes() >= SAVE_LEAST;
+        let is_room = is_long && bytes + text.bytes() <= PAGE_BYTES;
+        is_room.then(|| {
+            bytes += text.bytes();
+            (items[*index].id.clone(), text.clone())
+        })
+    });
+    let texts: Vec<(String, Text)> = texts.collect();
+    let name = Name::new(&job.id, Part::Progress).encode();
+    (!texts.is_empty()).then_some((name, Progress { texts }))
+}
+
 fn again(mut work: Work) -> Step {
     work.not_before = Instant::now() + AGAIN_PAUSE;
     Step::Again(work)
--- a/crates/site/src/job/record.rs
+++ b/crates/site/src/job/record.rs
@@ -2,6 +2,8 @@
 
 use platform::batch::{Sample, Submission};
 
+use super::sample::Text;
+
 /// The kind of the objects.
 pub const KIND: &str = "rollout-jobs";
 
@@ -42,6 +44,14 @@
     }
 }
 
+board::record! {
+    /// What the items under way have made so far.
+    pub struct Progress {
+        /// The items with their texts.
+        pub texts: Vec<(String, Text)>,
+    }
+}
+
 /// The name of an object of a job.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Name {
@@ -62,6 +72,8 @@
     Claim(u32),
     /// Nothing: that it exists ends the job.
     End,
+    /// The [`Progress`], which is replaced as it grows.
+    Progress,
 }
 
 impl Name {
@@ -90,6 +102,7 @@
             Part::Page(number) => format!("{job}.p{number:05}"),
             Part::Claim(number) => format!("{job}.c{number:05}"),
             Part::End => format!("{job}.e"),
+            Part::Progress => format!("{job}.w"),
         }
     }
 
@@ -103,6 +116,7 @@
             b'p' => Part::Page(number()?),
             b'c' => Part::Claim(number()?),
             b'e' if part.len() == 1 => Part::End,
+            b'w' if part.len() == 1 => Part::Progress,
             _ => return None,
         };
         Some(Self::new(job, part))
--- a/crates/site/src/job/runner.rs
+++ b/crates/site/src/job/runner.rs
@@ -1,7 +1,12 @@
 //! Which VM runs a job: the same one for all jobs of a route, so that its
 //! connections to endpoints are used again from step to step.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use board::hash;
 use link::{
@@ -29,6 +34,8 @@
     vms: Rc<RefCell<Vec<SocketAddr>>>,
     own: Option<SocketAddr>,
     pool: Pool,
+    /// Whether this VM takes no jobs from others.
+    is_leaving: Rc<Cell<bool>>,
 }
 
 impl Runners {
@@ -36,7 +43,18 @@
     /// VM's.
     pub fn new(vms: Vec<SocketAddr>, own: Option<SocketAddr>, pool: Pool) -> Self {
         let vms = Rc::new(RefCell::new(vms));
-        Self { vms, own, pool }
+        let is_leaving = Rc::default();
+        Self {
+            vms,
+            own,
+            pool,
+            is_leaving,
+        }
+    }
+
+    /// Takes no more jobs from other VMs.
+    pub fn leave(&self) {
+        self.is_leaving.set(true);
     }
 
     /// Replaces the VMs that jobs are handed to.
@@ -92,6 +110,11 @@
 
 /// Accepts a job that another VM hands over.
 pub async fn take(jobs: &Jobs, mut request: Request) -> Reply {
+    let id = request.header("request-id").unwrap_or_default().to_string();
+    if jobs.runners.is_leaving.get() {
+        let reply = Reply::new(StatusCode::SERVICE_UNAVAILABLE, "");
+        return reply.header(header::REQUEST_ID, id);
+    }
     let account = request.header(header::ACCOUNT.as_str()).map(str::to_string);
     if let Some(host) = request.headers.remove(HOST) {
         request.headers.insert("host", host);
@@ -106,7 +129,6 @@
         return Reply::new(StatusCode::BAD_REQUEST, "");
     };
     request.uri = uri;
-    let id = request.header("request-id").unwrap_or_default().to_string();
     let reply = api::accept(jobs, account, &request).await;
     // The caller takes only an answer to its own request.
     reply.header(header::REQUEST_ID, id)
--- a/crates/site/src/job/sample.rs
+++ b/crates/site/src/job/sample.rs
@@ -2,12 +2,16 @@
 
 use platform::stream::Event;
 
-/// The events of an item, kept so that another endpoint can go on.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Text {
-    data: String,
-    last: Option<u64>,
-    versions: Vec<u64>,
+board::record! {
+    /// The events of an item, kept so that another endpoint can go on.
+    #[derive(Default)]
+    pub struct Text {
+        data: String,
+        last: Option<u64>,
+        versions: Vec<u64>,
+        /// Whether the last event is the last of all.
+        is_whole: bool,
+    }
 }
 
 /// An event that does not follow the one before.
@@ -49,6 +53,28 @@
         &self.versions
     }
 
+    /// Notes that no event follows.
+    pub fn finish(&mut self) {
+        self.is_whole = true;
+    }
+
+    /// Returns whether no event follows.
+    pub fn is_whole(&self) -> bool {
+        self.is_whole
+    }
+
+    /// Returns how many bytes it has.
+    pub fn bytes(&self) -> usize {
+        self.data.len()
+    }
+
+    /// Returns whether a job may use it that takes no version before `oldest`,
+    /// and one only if `is_single`.
+    pub fn fits(&self, oldest: u64, is_single: bool) -> bool {
+        let is_young = self.versions.iter().all(|version| *version >= oldest);
+        is_young && (!is_single || self.versions.len() <= 1)
+    }
+
     /// Returns text and versions.
     pub fn into_parts(self) -> (String, Vec<u64>) {
         (self.data, self.versions)
--- a/crates/site/src/vm.rs
+++ b/crates/site/src/vm.rs
@@ -1,6 +1,13 @@
 //! The process: its start and its end.
 
-use std::{cell::Cell, io, net::SocketAddr, path::PathBuf, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    io,
+    net::SocketAddr,
+    path::PathBuf,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use clap::Parser;
 use link::{
@@ -188,14 +195,18 @@
 async fn stop(settings: &Settings, parts: &Parts, drain: &Drain, is_leaving: &Cell<bool>) {
     let busy = drain.busy();
     spdlog::info!("stopping", kv: { busy });
+    let start = Instant::now();
     is_leaving.set(true);
     drain.leave();
+    parts.jobs.runners.leave();
     parts.duties.office.release().await;
-    keep::release(&parts.jobs).await;
     monoio::time::sleep(LEAVE_TIME).await;
     drain.close();
-    let left = settings.bounds.stop.saturating_sub(LEAVE_TIME + END_TIME);
-    let is_done = drain.wait(left).await;
+    let end = settings.bounds.stop.saturating_sub(END_TIME);
+    let left = || end.saturating_sub(start.elapsed());
+    keep::finish(&parts.jobs, left()).await;
+    keep::release(&parts.jobs).await;
+    let is_done = drain.wait(left()).await;
     spdlog::info!("drained", kv: { is_done });
 }
 
--- a/crates/site/tests/job.rs
+++ b/crates/site/tests/job.rs
@@ -293,3 +293,81 @@
     wait("its exit", || vm.exit_code().is_some());
     assert_eq!(vm.exit_code(), Some(0));
 }
+
+#[test]
+fn job_taken_over_goes_on_from_what_was_made() {
+    let plan = Plan {
+        event_time: Duration::from_millis(25),
+        ..Plan::default()
+    };
+    let mut deployment = Deployment::start(2, plan);
+    // Long items: each event carries the id, so that they have made enough.
+    let long = "x".repeat(200);
+    assert_eq!(deployment.vms[0].submit("job-a", &job(&long, 4, 120)), 202);
+    wait("progress that is kept", || {
+        let kept = deployment.site.world().get("rollout-jobs", "job-a.w");
+        kept.is_some_and(|kept| {
+            kept["texts"]
+                .as_array()
+                .is_some_and(|texts| texts.len() == 4)
+        })
+    });
+    for vm in &mut deployment.vms {
+        vm.kill();
+    }
+    let before = deployment.site.world().arrivals.len();
+    for vm in &mut deployment.vms {
+        vm.restart();
+    }
+    assert_done(&deployment.vms[0].read_all("job-a", 4), 120);
+    let world = deployment.site.world();
+    let runs = world.arrivals[before..]
+        .iter()
+        .filter(|a| a.endpoint.starts_with("engine"));
+    let after: Vec<Option<u64>> = runs.map(|arrival| arrival.after).collect();
+    assert!(
+        !after.is_empty() && after.iter().all(|after| after.is_some()),
+        "{after:?}"
+    );
+}
+
+#[test]
+fn item_that_comes_again_is_not_made_again() {
+    let deployment = Deployment::start(1, Plan::default());
+    assert_eq!(deployment.vms[0].submit("job-a", &job("a", 4, 5)), 202);
+    assert_done(&deployment.vms[0].read_all("job-a", 4), 5);
+    assert_eq!(
+        deployment.vms[0]
+            .ask(Method::DELETE, "/lots/job-a", "e1")
+            .status,
+        200
+    );
+    let runs = |deployment: &Deployment| {
+        let world = deployment.site.world();
+        world
+            .arrivals
+            .iter()
+            .filter(|a| a.endpoint.starts_with("engine"))
+            .count()
+    };
+    let before = runs(&deployment);
+    assert_eq!(deployment.vms[0].submit("job-b", &job("a", 4, 5)), 202);
+    assert_done(&deployment.vms[0].read_all("job-b", 4), 5);
+    assert_eq!(runs(&deployment), before);
+    // Not so where its weights are too old by then.
+    let mut newer = job("a", 4, 5);
+    newer["min-version"] = serde_json::json!(2);
+    deployment.site.world().put(
+        "versions",
+        fakes::site::MODEL,
+        serde_json::json!({"model": fakes::site::MODEL, "version": 2}),
+    );
+    assert_eq!(deployment.vms[0].submit("job-c", &newer), 202);
+    let samples = deployment.vms[0].read_all("job-c", 4);
+    assert_done(&samples, 5);
+    assert!(
+        samples
+            .iter()
+            .all(|sample| sample["versions"] == serde_json::json!([2]))
+    );
+}
