--- a/crates/board/src/config/part.rs
+++ b/crates/board/src/config/part.rs
@@ -33,7 +33,7 @@
         file: part.file.clone(),
         span: e.span(),
         problem: e.message().to_string(),
-        cure: "see docs/OPERATING.md for the tables and keys of a file".to_string(),
+        cure: "see docs/OPERATIONS.md for the tables and keys of a file".to_string(),
     })
 }
 
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -5,7 +5,7 @@
 use clap::{Parser, Subcommand};
 use miette::IntoDiagnostic;
 
-use crate::{collect, demo, diff, explain, keys, publish, snapshot, status};
+use crate::{collect, demo, diff, explain, keys, publish, snapshot, status, story};
 
 /// Operates a deployment of tarragonseam.
 #[derive(Debug, Parser)]
@@ -39,12 +39,18 @@
         #[command(flatten)]
         platform: Platform,
     },
-    /// Tells why a VM would refuse a request, or where it would send it.
-    #[command(group = clap::ArgGroup::new("subject").required(true).args(["key", "path"]))]
+    /// Tells what became of an id, from logs; or why a VM would refuse a
+    /// request, or where it would send it.
+    #[command(group = clap::ArgGroup::new("subject").required(true).args(["id", "key", "path"]))]
     Explain {
+        /// The id of a request, an item, a job or an endpoint.
+        id: Option<String>,
+        /// Files with logs of VMs; standard input if there are none.
+        #[arg(requires = "id")]
+        logs: Vec<PathBuf>,
         /// The VM's address for peers.
-        #[arg(long)]
-        vm: SocketAddr,
+        #[arg(long, required_unless_present = "id")]
+        vm: Option<SocketAddr>,
         /// A key, or its digest.
         #[arg(long)]
         key: Option<String>,
@@ -185,7 +191,14 @@
             let set = collect::checked(&tree)?;
             block(diff::run(&platform, set))
         }
-        Command::Explain { vm, key, path } => block(explain::run(vm, key, path)),
+        Command::Explain {
+            id: Some(id), logs, ..
+        } => story::run(&id, &logs),
+        Command::Explain { vm, key, path, .. } => match vm {
+            Some(vm) => block(explain::run(vm, key, path)),
+            // The arguments ask for one or the other.
+            None => Ok(()),
+        },
         Command::Status { vm, platform } => block(status::run(&platform, vm)),
         Command::Snapshot(command) => run_snapshot(command),
         Command::Demo { tree } => block(demo::run(&tree)),
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -11,5 +11,6 @@
 pub(crate) mod publish;
 pub(crate) mod snapshot;
 pub(crate) mod status;
+pub(crate) mod story;
 
 pub use command::{Arguments, run};
--- a/crates/cli/tests/docs.rs
+++ b/crates/cli/tests/docs.rs
@@ -63,7 +63,7 @@
 
 #[test]
 fn operating_lists_settings() {
-    let text = page("OPERATING.md");
+    let text = page("OPERATIONS.md");
     let entry: entry::Settings = toml::from_str(
         "vm = \"v\"\nfailure_domain = \"a\"\ncallers = \"127.0.0.1:1\"\npeers = \"127.0.0.1:1\"\n\
          admin = \"127.0.0.1:1\"\nplatform = \"127.0.0.1:1\"\ndata = \"/d\"\ntls_certificate = \"/c\"\ntls_key = \"/k\"\ncollector = \"127.0.0.1:1\"\n",
@@ -85,7 +85,7 @@
 
 #[test]
 fn operating_lists_metrics() {
-    let text = page("OPERATING.md");
+    let text = page("OPERATIONS.md");
     for path in files("src") {
         let code = fs::read_to_string(&path).unwrap();
         let names = code.split('"').skip(1).step_by(2);
--- a/crates/cli/tests/start.rs
+++ b/crates/cli/tests/start.rs
@@ -77,7 +77,7 @@
         let errors = String::from_utf8_lossy(&output.stderr);
         assert!(!output.status.success(), "{case}");
         assert!(!errors.contains("panicked"), "{case}: {errors}");
-        for part in [named, "settings.toml", "OPERATING.md"] {
+        for part in [named, "settings.toml", "OPERATIONS.md"] {
             assert!(errors.contains(part), "{case}: no {part:?} in {errors}");
         }
     }
--- a/crates/cli/tests/whole_path.rs
+++ b/crates/cli/tests/whole_path.rs
@@ -58,7 +58,7 @@
     fs::remove_dir_all(&folder).unwrap();
     let errors = String::from_utf8_lossy(&output.stderr);
     assert!(!output.status.success());
-    for part in ["tarragonseam.toml", "wieght", "OPERATING.md"] {
+    for part in ["tarragonseam.toml", "wieght", "OPERATIONS.md"] {
         assert!(errors.contains(part), "no {part:?} in {errors}");
     }
 }
--- a/crates/link/src/settings.rs
+++ b/crates/link/src/settings.rs
@@ -20,7 +20,7 @@
     },
     /// The file is not TOML of the right shape.
     #[error("bad settings in {}: {problem}", text.name())]
-    #[diagnostic(help("see docs/OPERATING.md for every setting"))]
+    #[diagnostic(help("see docs/OPERATIONS.md for every setting"))]
     Parse {
         /// What is wrong.
         problem: String,
--- a/crates/site/src/front.rs
+++ b/crates/site/src/front.rs
@@ -19,6 +19,9 @@
     job::{Jobs, api},
 };
 
+/// The first status that says that a request was not served.
+const FIRST_REFUSAL: u16 = 400;
+
 /// What answers requests.
 #[derive(Clone)]
 pub struct Front {
@@ -33,6 +36,24 @@
 impl Front {
     /// Answers one request.
     pub async fn answer(&self, request: Request) -> Reply {
+        let id = request.header("request-id").unwrap_or_default().to_string();
+        let path = request.uri.path().to_string();
+        let reply = self.route(request).await;
+        let status = reply.status().as_u16();
+        if status >= FIRST_REFUSAL {
+            let version = self
+                .facts
+                .borrow()
+                .config
+                .as_ref()
+                .map_or(0, |config| config.version);
+            let (request, path) = (id.as_str(), path.as_str());
+            spdlog::info!("request not served", kv: { request, path, status, config = version });
+        }
+        reply
+    }
+
+    async fn route(&self, request: Request) -> Reply {
         let Some(config) = self.facts.borrow().config.clone() else {
             return refusal("starting", "no configuration is known yet");
         };
--- a/crates/site/src/job/api.rs
+++ b/crates/site/src/job/api.rs
@@ -212,8 +212,9 @@
         }
         if waited >= wait + SURE_TIME {
             let (id, age) = (job.borrow().id.clone(), jobs.contact.age(now));
-            let age_ms = age.map(|age| age.as_millis() as u64);
-            spdlog::warn!("read refused, not sure", kv: { job = id, from, known, age_ms:? });
+            // Before anything was heard there is no age.
+            let age_ms = age.map_or(-1, |age| age.as_millis() as i64);
+            spdlog::warn!("read refused, not sure", kv: { job = id, from, known, age_ms });
             return refusal("not-sure", "there may be samples that are not known here");
         }
         let seen = notice.count();
--- a/crates/site/src/job/attempt.rs
+++ b/crates/site/src/job/attempt.rs
@@ -88,6 +88,8 @@
 /// What an item's run needs to know of its job.
 #[derive(Clone, Debug)]
 pub struct Terms {
+    /// The job.
+    pub job: String,
     /// The host of the route.
     pub host: String,
     /// The client account.
@@ -118,20 +120,21 @@
         let now = Instant::now();
         self.metrics.item(run.name(), now - start);
         let (item, id) = (item.id.as_str(), endpoint.id.as_str());
+        let job = terms.job.as_str();
         let last = text.borrow().last().unwrap_or_default();
         match &run {
-            Run::Whole => spdlog::info!("item run", kv: { item, endpoint = id, last }),
+            Run::Whole => spdlog::info!("item run", kv: { item, job, endpoint = id, last }),
             Run::Never | Run::Failed => {
-                spdlog::warn!("item failed", kv: { item, endpoint = id, last });
+                spdlog::warn!("item failed", kv: { item, job, endpoint = id, last });
             }
             Run::NotRun => {
                 self.facts.borrow_mut().turned_away(key, now);
-                spdlog::info!("item turned away", kv: { item, endpoint = id, last });
+                spdlog::info!("item turned away", kv: { item, job, endpoint = id, last });
             }
             Run::Broken(problem) | Run::Unreached(problem) => {
                 self.facts.borrow_mut().failed(key, now);
                 let problem = problem.as_str();
-                spdlog::warn!("item broke off", kv: { item, endpoint = id, last, problem });
+                spdlog::warn!("item broke off", kv: { item, job, endpoint = id, last, problem });
             }
         }
         run
@@ -188,7 +191,8 @@
 
     /// Has the text of an item scored, until `tries` answers said that the
     /// scoring failed, or its route allows no more.
-    pub async fn score(&self, scorer: &Scorer, tries: u32, deadline: Instant) -> Score {
+    pub async fn score(&self, item: &Item, scorer: &Scorer, tries: u32, terms: &Terms) -> Score {
+        let deadline = terms.deadline;
         let mut failures = 0;
         while Instant::now() < deadline {
             let config = self.facts.borrow().config.clone();
@@ -221,8 +225,9 @@
                 return Score::Signed(signature.to_string());
             }
             if failures >= tries.max(route.max_attempts) {
+                let (item, job) = (item.id.as_str(), terms.job.as_str());
                 let request = scorer.id.as_str();
-                spdlog::warn!("scoring given up", kv: { request, failures });
+                spdlog::warn!("scoring given up", kv: { item, job, request, failures });
                 return Score::GivenUp;
             }
             monoio::time::sleep(SCORE_PAUSE).await;
--- a/crates/site/src/job/produce.rs
+++ b/crates/site/src/job/produce.rs
@@ -171,6 +171,7 @@
         let now = Instant::now();
         let wait = route.max_wait_s.unwrap_or(ITEM_TIME);
         let terms = Terms {
+            job: job.borrow().id.clone(),
             host: head.host.clone(),
             account: head.account.clone(),
             oldest: head.submission.oldest_version.unwrap_or_default(),
@@ -260,6 +261,9 @@
 
     fn give_up_rest(&mut self) {
         for work in std::mem::take(&mut self.todo) {
+            let item = self.head.submission.items[work.index].id.as_str();
+            let (job, failures) = (self.terms.job.as_str(), work.failures);
+            spdlog::warn!("item given up, its time is over", kv: { item, job, failures });
             let sample = self.given_up(&work);
             self.ready.push(sample);
         }
@@ -335,7 +339,7 @@
                 Run::Broken(_) | Run::NotRun | Run::Unreached(_) => return again(work),
             }
             let score = match &item.scorer {
-                Some(scorer) => runner.score(scorer, max_attempts, terms.deadline).await,
+                Some(scorer) => runner.score(item, scorer, max_attempts, &terms).await,
                 None => Score::None,
             };
             let text = work.text.borrow().clone();
--- a/crates/site/src/vm.rs
+++ b/crates/site/src/vm.rs
@@ -87,7 +87,8 @@
         );
         return Ok(());
     }
-    link::log::start_bounded("tarragonseam-vm")?;
+    // Lines name the VM, so that those of several can be read together.
+    link::log::start_bounded(&file.settings().vm)?;
     let signals = Signals::catch()?;
     link::runtime::run(start(file, signals, arguments.metrics_port))?
 }
