--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -11,11 +11,12 @@
 
 use board::{config::Route, ticket::Ticket};
 use link::{
-    HeaderMap, Method, StatusCode,
+    Method, StatusCode,
     http::{
         Error, Reply, Request,
         client::{Call, Fetched},
         error::Kind,
+        passed_on,
     },
     telemetry,
 };
@@ -35,23 +36,7 @@
 const ATTEMPTS_MAX: usize = 3;
 
 /// Headers that concern one connection, or that no endpoint may see.
-const STRIPPED: [&str; 15] = [
-    "authorization",
-    "connection",
-    "content-length",
-    "cookie",
-    "expect",
-    "host",
-    "keep-alive",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "x-api-key",
-    "x-request-ran",
-];
+const STRIPPED: [&str; 4] = ["authorization", "cookie", "x-api-key", "x-request-ran"];
 
 /// Returns the route that takes `path`: the one with the longest prefix.
 pub(crate) fn find(vm: &Vm, path: &str) -> Option<(String, Route)> {
@@ -178,7 +163,7 @@
         request.method.clone(),
         path.map_or("/", |path| path.as_str()),
     )
-    .headers(passed_on(&request.headers))
+    .headers(passed_on(&request.headers, &STRIPPED))
     .identified(id)
     .idempotent(may_repeat)
     .body(request.body.clone())
@@ -187,24 +172,6 @@
     if may_repeat { call } else { call.fresh() }
 }
 
-/// Returns the headers that the other side may see: neither those of this
-/// connection, which it may name itself, nor the key.
-fn passed_on(headers: &HeaderMap) -> HeaderMap {
-    let connection = headers.get_all("connection").iter();
-    let named: Vec<String> = connection
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .map(|name| name.trim().to_ascii_lowercase())
-        .collect();
-    let mut out = HeaderMap::with_capacity(headers.len());
-    for (name, value) in headers {
-        if !STRIPPED.contains(&name.as_str()) && !named.iter().any(|n| n == name.as_str()) {
-            out.append(name.clone(), value.clone());
-        }
-    }
-    out
-}
-
 /// Runs an attempt, and beside it a second one if the call may be repeated.
 async fn exchange(
     vm: Rc<Vm>,
@@ -299,7 +266,7 @@
 
 fn reply(request: &Request, answer: Fetched) -> Reply {
     let mut reply = Reply::new(answer.status, answer.body);
-    *reply.headers_mut() = passed_on(&answer.headers);
+    *reply.headers_mut() = passed_on(&answer.headers, &STRIPPED);
     if request.method == Method::HEAD
         && let Some(length) = answer.headers.get("content-length")
     {
--- a/crates/link/src/http/mod.rs
+++ b/crates/link/src/http/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod fence;
 pub(crate) mod framing;
 pub(crate) mod guard;
+pub(crate) mod hop;
 pub(crate) mod intake;
 pub mod limits;
 pub mod pipe;
@@ -25,6 +26,7 @@
 
 pub use client::{Pool, Response};
 pub use error::Error;
+pub use hop::passed_on;
 pub use limits::Limits;
 pub use server::{Reply, Request};
 pub use tls::Tls;
--- a/crates/site/src/duty/loading.rs
+++ b/crates/site/src/duty/loading.rs
@@ -81,7 +81,7 @@
 fn is_able(endpoint: &Endpoint, model: &Model<'_>) -> bool {
     endpoint
         .version(model.name)
-        .is_some_and(|v| v + 1 >= model.version)
+        .is_some_and(|v| v.saturating_add(1) >= model.version)
 }
 
 fn models<'a>(facts: &'a Facts, demand: &Map<String, u64>) -> Vec<Model<'a>> {
@@ -95,7 +95,10 @@
         Model {
             name,
             version,
-            able: versions.iter().filter(|v| **v + 1 >= version).count() as u64,
+            able: versions
+                .iter()
+                .filter(|v| v.saturating_add(1) >= version)
+                .count() as u64,
             fresh: versions.iter().filter(|v| **v >= version).count() as u64,
             target: share.max(TARGET_MIN),
         }
--- a/crates/site/src/duty/weights.rs
+++ b/crates/site/src/duty/weights.rs
@@ -104,7 +104,7 @@
     };
     let is_serving = endpoint
         .version(&version.model)
-        .is_some_and(|v| v + 1 >= version.version);
+        .is_some_and(|v| v.saturating_add(1) >= version.version);
     if state.busy || (is_serving && state.running > 0) {
         return false;
     }
--- a/crates/site/src/job/mod.rs
+++ b/crates/site/src/job/mod.rs
@@ -202,7 +202,7 @@
         if number < job.claims {
             return;
         }
-        job.claims = number + 1;
+        job.claims = number.saturating_add(1);
         job.holder = vm.to_string();
         job.progress = Instant::now();
         job.notice.raise();
--- a/crates/site/src/job/sample.rs
+++ b/crates/site/src/job/sample.rs
@@ -29,7 +29,7 @@
         let id = event.id.ok_or(Gap)?;
         match self.last {
             Some(last) if id <= last => return Ok(()),
-            Some(last) if id != last + 1 => return Err(Gap),
+            Some(last) if id - 1 != last => return Err(Gap),
             Some(_) => self.data.push('\n'),
             None => {}
         }
--- /dev/null
+++ b/fuzz/fuzz_targets/site.rs
@@ -0,0 +1,58 @@
+//! What the users' platform, its endpoints and trainers send: records, series
+//! of events, job bodies and paths.
+
+#![no_main]
+
+use libfuzzer_sys::fuzz_target;
+use site_platform::{batch, config::Config, endpoint, order, settings::Settings, store, stream};
+use tarragonseam_site::job::record;
+
+fn read_records(bytes: &[u8]) {
+    // Any of them may be refused; none may end the process.
+    let _ = serde_json::from_slice::<Config>(bytes).map(|config| {
+        config.route("h", "/a/b").map(|route| route.shares().count());
+        config.keys().len()
+    });
+    let _ = serde_json::from_slice::<batch::Submission>(bytes).map(|job| {
+        let tokens = job.items.iter().map(batch::Item::expected_tokens);
+        tokens.fold(0_u64, u64::saturating_add)
+    });
+    let _ = serde_json::from_slice::<order::State>(bytes);
+    let _ = serde_json::from_slice::<order::Version>(bytes);
+    let _ = serde_json::from_slice::<record::Page>(bytes);
+    let _ = serde_json::from_slice::<record::Progress>(bytes);
+    if let Ok(raw) = serde_json::from_slice(bytes) {
+        let _ = endpoint::decode(raw);
+    }
+}
+
+/// A series must yield the same events whatever the parts it comes in.
+fn read_events(bytes: &[u8]) {
+    let read = |size: usize| {
+        let mut events = stream::Events::default();
+        let mut found = Vec::new();
+        for part in bytes.chunks(size) {
+            events.push(part);
+            while let Some(event) = events.next() {
+                found.push(event);
+            }
+        }
+        found
+    };
+    if !bytes.is_empty() {
+        assert_eq!(read(1), read(bytes.len()));
+    }
+}
+
+fuzz_target!(|bytes: &[u8]| {
+    read_records(bytes);
+    read_events(bytes);
+    if let Ok(text) = std::str::from_utf8(bytes) {
+        let _ = toml::from_str::<Settings>(text);
+        let _ = store::of_kind(text);
+        if let Some(name) = record::Name::decode(text) {
+            let again = record::Name::decode(&name.encode()).expect("a name of our own");
+            assert_eq!(again, name);
+        }
+    }
+});
