site: a lost history wakes each kind once

Cause, by reading: a kind that was woken for the loss of another one's history woke all others in turn, which could go round. Change: only a kind that heard of the loss first wakes the others.

--- a/crates/site/src/follow.rs
+++ b/crates/site/src/follow.rs
@@ -172,15 +172,20 @@
     // Whether the store was away since the last change that was applied.
     let mut was_away = false;
     loop {
+        // Losses of history that this kind has not been listed after.
+        let gone = contact.gone.count();
         let outcome = match revision {
             None => list(&store, plan, was_away, &contact, &apply).await,
             Some(from) => {
-                let seen = contact.gone.count();
+                let woken = async {
+                    contact.gone.past(gone).await;
+                    Err(Error::Gone)
+                };
                 monoio::select! {
                     outcome = watch(&store, plan, from, was_away, &contact, &apply) => outcome,
                     // Another kind's history is gone: what this watch waits
                     // for may have happened already.
-                    () = contact.gone.past(seen) => Err(Error::Gone),
+                    outcome = woken => outcome,
                 }
             }
         };
@@ -196,7 +201,10 @@
             }
             Err(Error::Gone) => {
                 spdlog::info!("history gone, listing again", kv: { kind });
-                contact.gone.raise();
+                // Those that were woken do not wake the others again.
+                if contact.gone.count() == gone {
+                    contact.gone.raise();
+                }
                 revision = None;
             }
             Err(e) => {
--- a/crates/site/tests/duty.rs
+++ b/crates/site/tests/duty.rs
@@ -109,4 +109,12 @@
     });
     // The stated bound for a configuration.
     assert!(start.elapsed() < std::time::Duration::from_secs(2));
+    // Each kind is listed once more, and that is the end of it.
+    deployment.site.world().mood = Mood::Well;
+    std::thread::sleep(std::time::Duration::from_millis(500));
+    let count = |vm: &common::Vm| vm.log().matches("history gone").count();
+    let before: Vec<usize> = deployment.vms.iter().map(count).collect();
+    std::thread::sleep(std::time::Duration::from_millis(1500));
+    let after: Vec<usize> = deployment.vms.iter().map(count).collect();
+    assert_eq!(before, after);
 }
