--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -5,7 +5,7 @@
 use clap::{Parser, Subcommand};
 use miette::IntoDiagnostic;
 
-use crate::{collect, demo, diff, explain, keys, publish, snapshot, status, story};
+use crate::{collect, demo, diff, explain, keys, publish, snapshot, status, trace};
 
 /// Operates a deployment of tarragonseam.
 #[derive(Debug, Parser)]
@@ -193,7 +193,7 @@
         }
         Command::Explain {
             id: Some(id), logs, ..
-        } => story::run(&id, &logs),
+        } => trace::run(&id, &logs),
         Command::Explain { vm, key, path, .. } => match vm {
             Some(vm) => block(explain::run(vm, key, path)),
             // The arguments ask for one or the other.
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -11,6 +11,6 @@
 pub(crate) mod publish;
 pub(crate) mod snapshot;
 pub(crate) mod status;
-pub(crate) mod story;
+pub(crate) mod trace;
 
 pub use command::{Arguments, run};
--- a/crates/cli/src/story.rs
+++ b/crates/cli/src/trace.rs
@@ -1,4 +1,4 @@
-//! The story of one id, from the logs of VMs.
+//! The trace of one id, from the logs of VMs.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -30,12 +30,12 @@
     logger: String,
 }
 
-/// How long before the first line of a story what befell its endpoints is told.
+/// How long before the first line of a trace what befell its endpoints is told.
 const BEFORE_MS: u64 = 2000;
 /// How long after its last line.
 const AFTER_MS: u64 = 500;
 
-/// Prints the story of `id` from logs in `files`, or from standard input if
+/// Prints the trace of `id` from logs in `files`, or from standard input if
 /// there are none.
 ///
 /// # Errors
@@ -50,15 +50,15 @@
     if files.is_empty() {
         lines = read(io::stdin().lock()).into_diagnostic()?;
     }
-    let story = tell(id, &lines);
-    if story.is_empty() {
+    let told = tell(id, &lines);
+    if told.is_empty() {
         return Err(Failed::new(
             format!("no line tells of {id}"),
             "give the logs of all VMs; ids are those of requests, items, jobs and endpoints",
         )
         .into());
     }
-    for line in story {
+    for line in told {
         println!("{line}");
     }
     Ok(())
--- a/crates/cli/tests/story.rs
+++ b/crates/cli/tests/trace.rs
@@ -35,7 +35,7 @@
 }
 
 #[test]
-fn story_of_an_item() {
+fn trace_of_an_item() {
     let output = explain("i1");
     assert!(output.status.success());
     let text = String::from_utf8_lossy(&output.stdout).to_string();
@@ -63,7 +63,7 @@
 }
 
 #[test]
-fn story_of_an_id_that_no_line_names() {
+fn trace_of_an_id_that_no_line_names() {
     let output = explain("nobody");
     assert!(!output.status.success());
     let problem = String::from_utf8_lossy(&output.stderr).to_string();
--- a/crates/fakes/src/site/engine.rs
+++ b/crates/fakes/src/site/engine.rs
@@ -78,11 +78,11 @@
 }
 
 fn generate(world: &Shared, request: &Request, id: &str, time: Duration) -> Reply {
-    let conduct = arrive(world, request, id);
-    if let Some(reply) = refusal(request, id, &conduct) {
+    let faults = arrive(world, request, id);
+    if let Some(reply) = refusal(request, id, &faults) {
         return reply;
     }
-    if conduct.mute > 0 {
+    if faults.dropped_replies > 0 {
         return Reply::cut();
     }
     let version = {
@@ -96,7 +96,7 @@
     let number = |name| request.header(name).and_then(|text| text.parse().ok());
     let first = number("last-event-id").map_or(0, |last: u64| last + 1);
     let last = number("x-events").unwrap_or(EVENTS);
-    let cut = conduct.cuts_after;
+    let cut = faults.cut_after;
     let reply = Reply::produced(StatusCode::OK, move |sender| async move {
         write(sender, &item, first..last, cut, time).await;
     });
--- a/crates/fakes/src/site/mod.rs
+++ b/crates/fakes/src/site/mod.rs
@@ -65,18 +65,18 @@
     }
 }
 
-/// How the store behaves.
+/// The fault of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Mood {
+pub enum Fault {
     /// It serves.
     #[default]
-    Well,
+    None,
     /// It answers 503 and does nothing.
-    Busy,
+    Unavailable,
     /// It does what it is asked to and does not answer.
-    Mute,
+    DroppedReplies,
     /// Watches hear nothing; other calls are served.
-    Deaf,
+    SilentWatches,
 }
 
 /// A request that reached an endpoint.
@@ -96,17 +96,17 @@
     pub deadline_ms: Option<u64>,
 }
 
-/// How an endpoint behaves.
+/// The faults of an endpoint.
 #[derive(Clone, Debug, Default)]
-pub struct Conduct {
+pub struct Faults {
     /// Requests that it still turns away without running them.
-    pub turns_away: u32,
+    pub rejects: u32,
     /// Requests that it still answers with 500.
-    pub fails: u32,
+    pub errors: u32,
     /// Requests that it still runs without an answer.
-    pub mute: u32,
+    pub dropped_replies: u32,
     /// The event after which it still cuts the next stream.
-    pub cuts_after: Option<u64>,
+    pub cut_after: Option<u64>,
 }
 
 /// An endpoint.
@@ -122,15 +122,15 @@
     pub orders: u64,
     /// The highest epoch that it saw.
     pub epoch: u64,
-    /// How it behaves.
-    pub conduct: Conduct,
+    /// Its faults.
+    pub faults: Faults,
 }
 
 /// What the stand-ins hold.
 #[derive(Debug, Default)]
 pub struct World {
-    /// How the store behaves.
-    pub mood: Mood,
+    /// The fault of the store.
+    pub fault: Fault,
     /// Calls that the store took.
     pub calls: u64,
     pub(crate) revision: u64,
@@ -244,7 +244,7 @@
         versions,
         orders: 0,
         epoch: 0,
-        conduct: Conduct::default(),
+        faults: Faults::default(),
     }
 }
 
@@ -305,8 +305,8 @@
     request.header(name).map(str::to_string)
 }
 
-/// Notes that `request` reached the endpoint `id`, and returns how it behaves.
-pub(crate) fn arrive(world: &Shared, request: &Request, id: &str) -> Conduct {
+/// Notes that `request` reached the endpoint `id`, and returns its faults.
+pub(crate) fn arrive(world: &Shared, request: &Request, id: &str) -> Faults {
     let mut world = lock(world);
     let number = |name| request.header(name).and_then(|text| text.parse().ok());
     let arrival = Arrival {
@@ -319,30 +319,30 @@
     };
     world.arrivals.push(arrival);
     let Some(endpoint) = world.endpoints.get_mut(id) else {
-        return Conduct::default();
+        return Faults::default();
     };
-    let conduct = &mut endpoint.conduct;
-    let now = conduct.clone();
-    conduct.turns_away = conduct.turns_away.saturating_sub(1);
-    if now.turns_away > 0 {
+    let faults = &mut endpoint.faults;
+    let now = faults.clone();
+    faults.rejects = faults.rejects.saturating_sub(1);
+    if now.rejects > 0 {
         return now;
     }
-    conduct.fails = conduct.fails.saturating_sub(1);
-    if now.fails > 0 {
+    faults.errors = faults.errors.saturating_sub(1);
+    if now.errors > 0 {
         return now;
     }
-    conduct.mute = conduct.mute.saturating_sub(1);
-    conduct.cuts_after = None;
+    faults.dropped_replies = faults.dropped_replies.saturating_sub(1);
+    faults.cut_after = None;
     now
 }
 
 /// Returns the answer of an endpoint that does not run the request, if it
 /// does not: it is another one than expected, or turns it away.
-pub(crate) fn refusal(request: &Request, id: &str, conduct: &Conduct) -> Option<Reply> {
+pub(crate) fn refusal(request: &Request, id: &str, faults: &Faults) -> Option<Reply> {
     let is_other = request
         .header("expect-instance")
         .is_some_and(|expected| expected != id);
-    let reply = match (is_other, conduct.turns_away > 0, conduct.fails > 0) {
+    let reply = match (is_other, faults.rejects > 0, faults.errors > 0) {
         (true, ..) => Reply::new(link::StatusCode::MISDIRECTED_REQUEST, ""),
         (_, true, _) => {
             Reply::new(link::StatusCode::SERVICE_UNAVAILABLE, "").header("not-run", "1")
--- a/crates/fakes/src/site/plain.rs
+++ b/crates/fakes/src/site/plain.rs
@@ -10,15 +10,15 @@
 use super::{Shared, arrive, echo, refusal, text};
 
 /// How long an answer is withheld that never comes.
-const MUTE_TIME: Duration = Duration::from_secs(30);
+const WITHHELD_TIME: Duration = Duration::from_secs(30);
 
 pub(super) async fn answer(world: Shared, request: Request, id: String) -> Reply {
-    let conduct = arrive(&world, &request, &id);
-    if let Some(reply) = refusal(&request, &id, &conduct) {
+    let faults = arrive(&world, &request, &id);
+    if let Some(reply) = refusal(&request, &id, &faults) {
         return reply;
     }
-    if conduct.mute > 0 {
-        monoio::time::sleep(MUTE_TIME).await;
+    if faults.dropped_replies > 0 {
+        monoio::time::sleep(WITHHELD_TIME).await;
         return Reply::cut();
     }
     let request_id = text(&request, "request-id").unwrap_or_default();
--- a/crates/fakes/src/site/store.rs
+++ b/crates/fakes/src/site/store.rs
@@ -8,7 +8,7 @@
 };
 use serde_json::{Value, json};
 
-use super::{Mood, Shared, World, lock};
+use super::{Fault, Shared, World, lock};
 
 /// A change, as a watch tells it.
 #[derive(Clone, Debug)]
@@ -23,12 +23,12 @@
 const WATCH_POLL: Duration = Duration::from_millis(5);
 
 pub(super) async fn answer(world: Shared, request: Request) -> Reply {
-    let mood = {
+    let fault = {
         let mut world = lock(&world);
         world.calls += 1;
-        world.mood
+        world.fault
     };
-    if mood == Mood::Busy {
+    if fault == Fault::Unavailable {
         return Reply::new(StatusCode::SERVICE_UNAVAILABLE, "");
     }
     let watch = request.query("watch").and_then(|text| text.parse().ok());
@@ -36,8 +36,8 @@
         Some(from) => watch_from(&world, &request, from).await,
         None => lock(&world).call(&request),
     };
-    match mood {
-        Mood::Mute => Reply::cut(),
+    match fault {
+        Fault::DroppedReplies => Reply::cut(),
         _ => reply,
     }
 }
@@ -66,7 +66,7 @@
             let events: Vec<Value> = news
                 .map(|c| json!({"object": c.object, "removed": c.is_removal}))
                 .collect();
-            let is_heard = !events.is_empty() && world.mood != Mood::Deaf;
+            let is_heard = !events.is_empty() && world.fault != Fault::SilentWatches;
             if is_heard {
                 return Reply::json(
                     StatusCode::OK,
--- a/crates/site/src/clean.rs
+++ b/crates/site/src/clean.rs
@@ -22,7 +22,7 @@
 pub(crate) async fn run(duties: Duties, bounds: Bounds) {
     loop {
         monoio::time::sleep(PERIOD).await;
-        if duties.office.authority().is_none() {
+        if duties.steward.authority().is_none() {
             continue;
         }
         let removed = match remove(&duties, bounds).await {
--- a/crates/site/src/duty/lease.rs
+++ b/crates/site/src/duty/lease.rs
@@ -41,7 +41,7 @@
 
 /// The lease as this VM sees it.
 #[derive(Clone)]
-pub struct Office(Rc<Inner>);
+pub struct Steward(Rc<Inner>);
 
 struct Inner {
     lease: RefCell<Lease>,
@@ -53,7 +53,7 @@
     heard: RefCell<Option<Object>>,
 }
 
-impl Office {
+impl Steward {
     /// Returns the lease as a process of `vm` that was just started sees it.
     pub fn new(store: Store, contact: Contact, vm: &str) -> Self {
         Self(Rc::new(Inner {
--- a/crates/site/src/duty/mod.rs
+++ b/crates/site/src/duty/mod.rs
@@ -11,14 +11,14 @@
 use link::http::Pool;
 use platform::store::Store;
 
-use self::lease::Office;
+use self::lease::Steward;
 use crate::{facts::Facts, follow::Contact, job::Registry, usage::Usage};
 
 /// What duties are done with.
 #[derive(Clone)]
 pub struct Duties {
     /// Whether this VM has them.
-    pub office: Office,
+    pub steward: Steward,
     /// The jobs that are open, which weights are wanted for.
     pub jobs: Registry,
     /// What it knows.
--- a/crates/site/src/duty/report.rs
+++ b/crates/site/src/duty/report.rs
@@ -73,7 +73,7 @@
     let mut next = duties.usage.window();
     loop {
         monoio::time::sleep(PERIOD).await;
-        if duties.office.authority().is_none() {
+        if duties.steward.authority().is_none() {
             // A successor looks back for windows that were left unreported.
             next = duties.usage.window().saturating_sub(LOOK_BACK);
             continue;
@@ -99,7 +99,7 @@
             return false;
         }
     };
-    let Some(authority) = duties.office.authority() else {
+    let Some(authority) = duties.steward.authority() else {
         return false;
     };
     let sent = order::report(&duties.pool, duties.provider, window, &counts, &authority).await;
--- a/crates/site/src/duty/retire.rs
+++ b/crates/site/src/duty/retire.rs
@@ -42,7 +42,7 @@
 
 async fn answer(duties: Duties, vm: String) {
     for _ in 0..TRIES {
-        if duties.office.authority().is_some() {
+        if duties.steward.authority().is_some() {
             let state = "done";
             let written = duties
                 .store
--- a/crates/site/src/duty/weights.rs
+++ b/crates/site/src/duty/weights.rs
@@ -34,7 +34,7 @@
     let mut sent: Map<(Key, String), Sent> = Map::default();
     loop {
         monoio::time::sleep(PERIOD).await;
-        if duties.office.authority().is_none() {
+        if duties.steward.authority().is_none() {
             sent.clear();
             continue;
         }
@@ -108,7 +108,7 @@
     if state.busy || (is_serving && state.running > 0) {
         return false;
     }
-    let Some(authority) = duties.office.authority() else {
+    let Some(authority) = duties.steward.authority() else {
         return false;
     };
     let runs = runs(&duties.facts.borrow());
--- a/crates/site/src/follow.rs
+++ b/crates/site/src/follow.rs
@@ -24,7 +24,7 @@
 /// The longest pause, so that a store that returns is noticed at once.
 const PAUSE_MAX: Duration = Duration::from_millis(500);
 /// The pause of the kinds that wait for another one's success.
-const AWAY_PAUSE: Duration = Duration::from_millis(1500);
+const UNREACHABLE_PAUSE: Duration = Duration::from_millis(1500);
 /// How long the records of endpoints may be missing after an outage of the
 /// store: they return within about two seconds if the endpoint lives.
 const RETURN_TIME: Duration = Duration::from_millis(2000);
@@ -129,7 +129,7 @@
     }
 
     /// Notes that what is known now is `age` old.
-    fn hear(&self, age: Duration) {
+    fn note_age(&self, age: Duration) {
         let now = Instant::now();
         let as_of = now.checked_sub(age).unwrap_or(now);
         // One answer may be older than the one before it, from another way.
@@ -169,20 +169,20 @@
     let Plan { kind, gather, .. } = plan;
     let mut pause = PAUSE;
     let mut revision = None;
-    // Whether the store was away since the last change that was applied.
-    let mut was_away = false;
+    // Whether the store could not be reached since the last change that was applied.
+    let mut was_unreachable = false;
     loop {
         // Losses of history that this kind has not been listed after.
         let gone = contact.gone.count();
         let outcome = match revision {
-            None => list(&store, plan, was_away, &contact, &apply).await,
+            None => list(&store, plan, was_unreachable, &contact, &apply).await,
             Some(from) => {
                 let woken = async {
                     contact.gone.past(gone).await;
                     Err(Error::Gone)
                 };
                 monoio::select! {
-                    outcome = watch(&store, plan, from, was_away, &contact, &apply) => outcome,
+                    outcome = watch(&store, plan, from, was_unreachable, &contact, &apply) => outcome,
                     // Another kind's history is gone: what this watch waits
                     // for may have happened already.
                     outcome = woken => outcome,
@@ -191,12 +191,12 @@
         };
         match outcome {
             Ok(at) => {
-                if was_away {
+                if was_unreachable {
                     spdlog::info!("store reached again", kv: { kind, revision = at });
                 }
                 contact.held();
                 contact.back.raise();
-                (revision, pause, was_away) = (Some(at), PAUSE, false);
+                (revision, pause, was_unreachable) = (Some(at), PAUSE, false);
                 monoio::time::sleep(gather).await;
             }
             Err(Error::Gone) => {
@@ -208,15 +208,19 @@
                 revision = None;
             }
             Err(e) => {
-                if !was_away {
+                if !was_unreachable {
                     let problem = e.to_string();
                     spdlog::warn!("store not reached", kv: { kind, problem });
                 }
                 contact.lost();
-                was_away = true;
+                was_unreachable = true;
                 // One kind tries often; the others wait for its success.
                 let back = contact.back.count();
-                let wait = if plan.is_probe { pause } else { AWAY_PAUSE };
+                let wait = if plan.is_probe {
+                    pause
+                } else {
+                    UNREACHABLE_PAUSE
+                };
                 // Either way the store is tried again.
                 let _ = monoio::time::timeout(wait, contact.back.past(back)).await;
                 pause = PAUSE_MAX.min(pause * 2);
@@ -228,7 +232,7 @@
 async fn list(
     store: &Store,
     plan: Plan,
-    was_away: bool,
+    was_unreachable: bool,
     contact: &Contact,
     apply: &impl Fn(Change, bool),
 ) -> Result<u64, Error> {
@@ -236,9 +240,9 @@
         true => store.list_after(plan.kind, "").await?,
         false => store.list(plan.kind).await?,
     };
-    contact.hear(heard.age);
+    contact.note_age(heard.age);
     contact.mirror.reset(&plan, &heard);
-    apply(Change::All(heard.what), was_away);
+    apply(Change::All(heard.what), was_unreachable);
     Ok(heard.revision)
 }
 
@@ -246,15 +250,15 @@
     store: &Store,
     plan: Plan,
     from: u64,
-    was_away: bool,
+    was_unreachable: bool,
     contact: &Contact,
     apply: &impl Fn(Change, bool),
 ) -> Result<u64, Error> {
     let heard = store.watch(plan.kind, from, plan.wait).await?;
-    contact.hear(heard.age);
+    contact.note_age(heard.age);
     contact.mirror.extend(plan.kind, &heard);
     if !heard.what.is_empty() {
-        apply(Change::Some(heard.what), was_away);
+        apply(Change::Some(heard.what), was_unreachable);
     }
     Ok(heard.revision)
 }
@@ -305,7 +309,7 @@
 /// Follows the endpoints, and gives those up whose records do not return.
 pub async fn endpoints(store: Store, contact: Contact, facts: Rc<RefCell<Facts>>, pool: Pool) {
     let lapses = RefCell::default();
-    let apply = |change: Change, was_away: bool| {
+    let apply = |change: Change, was_unreachable: bool| {
         let mut gone = Vec::new();
         match change {
             Change::All(objects) => {
@@ -330,7 +334,7 @@
                 }
             }
         }
-        remove_endpoints(gone, was_away, &facts, &pool, &lapses);
+        remove_endpoints(gone, was_unreachable, &facts, &pool, &lapses);
     };
     let following = follow(store, ENDPOINTS, contact, apply);
     monoio::select! {
@@ -376,10 +380,10 @@
 }
 
 /// Removes the endpoints `gone`, but for a while those whose records lapsed
-/// while the store was away, whether that was noticed here or not.
+/// while the store could not be reached, whether that was noticed here or not.
 fn remove_endpoints(
     gone: Vec<String>,
-    was_away: bool,
+    was_unreachable: bool,
     facts: &RefCell<Facts>,
     pool: &Pool,
     lapses: &RefCell<Lapses>,
@@ -397,14 +401,18 @@
         let left = facts.borrow().count(&service).saturating_sub(ids.len());
         let is_lapse = lapses.borrow_mut().note(&service, ids.len(), left, now);
         for id in ids {
-            if !was_away && !is_lapse {
+            if !was_unreachable && !is_lapse {
                 forget(&id, facts, pool);
                 continue;
             }
-            let time = if was_away { RETURN_TIME } else { LAPSE_TIME };
+            let time = if was_unreachable {
+                RETURN_TIME
+            } else {
+                LAPSE_TIME
+            };
             facts.borrow_mut().miss_endpoint(&id, now + time);
             let id = id.as_str();
-            spdlog::info!("endpoint missing", kv: { endpoint = id, was_away });
+            spdlog::info!("endpoint missing", kv: { endpoint = id, was_unreachable });
         }
     }
 }
--- a/crates/site/src/job/api.rs
+++ b/crates/site/src/job/api.rs
@@ -114,7 +114,7 @@
             let problem = e.to_string();
             spdlog::warn!("job refused", kv: { job, problem, ms });
             jobs.metrics.job("refused");
-            refusal("store-away", "jobs cannot be kept now")
+            refusal("store-unreachable", "jobs cannot be kept now")
         }
     }
 }
@@ -190,7 +190,10 @@
             None => Err(refusal("unclear", "the job cannot be read")),
         },
         Ok(None) => Err(none()),
-        Err(_) => Err(refusal("store-away", "the job is not known here yet")),
+        Err(_) => Err(refusal(
+            "store-unreachable",
+            "the job is not known here yet",
+        )),
     }
 }
 
@@ -264,7 +267,7 @@
         Err(e) => {
             let problem = e.to_string();
             spdlog::warn!("job not ended yet", kv: { job = id, problem });
-            refusal("store-away", "the end cannot be kept now")
+            refusal("store-unreachable", "the end cannot be kept now")
         }
     }
 }
--- a/crates/site/src/lapse.rs
+++ b/crates/site/src/lapse.rs
@@ -1,5 +1,5 @@
 //! Telling endpoints that left from endpoints whose records lapsed while the
-//! store was away. Pure: answers an outage of the store that nobody here
+//! store could not be reached. Pure: answers an outage of the store that nobody here
 //! noticed, after which all records are gone at once and then return.
 
 use std::{
--- a/crates/site/src/mirror.rs
+++ b/crates/site/src/mirror.rs
@@ -10,7 +10,7 @@
 
 use board::hash::Map;
 use link::{StatusCode, http::server::Reply};
-use platform::store::{self, Event, Heard, Object, Watch};
+use platform::store::{self, Event, Object, Update, Watch};
 
 use crate::{follow::Plan, notice::Notice};
 
@@ -69,7 +69,7 @@
     }
 
     /// Takes all objects of the kind that is followed by `plan`.
-    pub fn reset(&self, plan: &Plan, heard: &Heard<Vec<Object>>) {
+    pub fn reset(&self, plan: &Plan, heard: &Update<Vec<Object>>) {
         if !self.0.is_asked.get() {
             return;
         }
@@ -90,7 +90,7 @@
     }
 
     /// Takes changes of `kind`.
-    pub fn extend(&self, kind: &str, heard: &Heard<Vec<Event>>) {
+    pub fn extend(&self, kind: &str, heard: &Update<Vec<Event>>) {
         let mut kinds = self.0.kinds.borrow_mut();
         let Some(known) = kinds.get_mut(kind) else {
             return;
--- a/crates/site/src/parts.rs
+++ b/crates/site/src/parts.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     clean,
-    duty::{self, Duties, lease::Office},
+    duty::{self, Duties, lease::Steward},
     facts::Facts,
     follow::{self, Contact},
     forward::Forwarder,
@@ -113,7 +113,7 @@
             metrics: metrics.clone(),
         };
         let duties = Duties {
-            office: Office::new(store.clone(), contact.other(), &settings.vm),
+            steward: Steward::new(store.clone(), contact.other(), &settings.vm),
             jobs: registry,
             facts: facts.clone(),
             store,
@@ -169,9 +169,9 @@
         monoio::spawn(follow::endpoints(store, others, facts, pool));
         monoio::spawn(keep::follow(self.jobs.clone()));
         monoio::spawn(keep::take_over(self.jobs.clone()));
-        let office = self.duties.office.clone();
-        let other = office.clone();
-        monoio::spawn(async move { office.hold().await });
+        let steward = self.duties.steward.clone();
+        let other = steward.clone();
+        monoio::spawn(async move { steward.hold().await });
         monoio::spawn(async move { other.follow().await });
         monoio::spawn(duty::weights::run(self.duties.clone()));
         monoio::spawn(duty::report::run(self.duties.clone()));
--- a/crates/site/src/vm.rs
+++ b/crates/site/src/vm.rs
@@ -200,7 +200,7 @@
     is_leaving.set(true);
     drain.leave();
     parts.jobs.runners.leave();
-    parts.duties.office.release().await;
+    parts.duties.steward.release().await;
     monoio::time::sleep(LEAVE_TIME).await;
     drain.close();
     let end = settings.bounds.stop.saturating_sub(END_TIME);
--- a/crates/site/tests/duty.rs
+++ b/crates/site/tests/duty.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use common::{Deployment, wait};
-use fakes::site::{MODEL, Mood, Plan, Report};
+use fakes::site::{Fault, MODEL, Plan, Report};
 use link::Method;
 use serde_json::json;
 
@@ -96,7 +96,7 @@
 #[test]
 fn lost_history_is_listed_again() {
     let deployment = Deployment::start(2, Plan::default());
-    deployment.site.world().mood = Mood::Deaf;
+    deployment.site.world().fault = Fault::SilentWatches;
     deployment
         .site
         .world()
@@ -110,7 +110,7 @@
     // The stated bound for a configuration.
     assert!(start.elapsed() < std::time::Duration::from_secs(2));
     // Each kind is listed once more, and that is the end of it.
-    deployment.site.world().mood = Mood::Well;
+    deployment.site.world().fault = Fault::None;
     std::thread::sleep(std::time::Duration::from_millis(500));
     let count = |vm: &common::Vm| vm.log().matches("history gone").count();
     let before: Vec<usize> = deployment.vms.iter().map(count).collect();
--- a/crates/site/tests/job.rs
+++ b/crates/site/tests/job.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::{Deployment, job, text, wait};
-use fakes::site::{Mood, Plan};
+use fakes::site::{Fault, Plan};
 use link::Method;
 use serde_json::Value;
 
@@ -105,7 +105,7 @@
 fn stream_cut_is_resumed() {
     let deployment = Deployment::start(1, Plan::default());
     for endpoint in deployment.site.world().endpoints.values_mut() {
-        endpoint.conduct.cuts_after = Some(2);
+        endpoint.faults.cut_after = Some(2);
     }
     assert_eq!(deployment.vms[0].submit("job-a", &job("a", 6, 6)), 202);
     assert_done(&deployment.vms[0].read_all("job-a", 6), 6);
@@ -129,11 +129,11 @@
     );
     {
         let mut world = deployment.site.world();
-        let conduct = &mut world.endpoints.get_mut("engine-0").unwrap().conduct;
+        let faults = &mut world.endpoints.get_mut("engine-0").unwrap().faults;
         // Being turned away, and cut, are no failures of the item.
-        conduct.turns_away = 3;
-        conduct.fails = 2;
-        conduct.cuts_after = Some(0);
+        faults.rejects = 3;
+        faults.errors = 2;
+        faults.cut_after = Some(0);
     }
     assert_eq!(deployment.vms[0].submit("job-a", &job("a", 1, 4)), 202);
     assert_done(&deployment.vms[0].read_all("job-a", 1), 4);
@@ -143,8 +143,8 @@
         .endpoints
         .get_mut("engine-0")
         .unwrap()
-        .conduct
-        .fails = 3;
+        .faults
+        .errors = 3;
     assert_eq!(deployment.vms[0].submit("job-b", &job("b", 1, 4)), 202);
     let samples = deployment.vms[0].read_all("job-b", 1);
     assert_eq!(samples[0]["state"], "dead");
@@ -161,10 +161,10 @@
     );
     {
         let mut world = deployment.site.world();
-        let conduct = &mut world.endpoints.get_mut("plain-0").unwrap().conduct;
-        conduct.turns_away = 4;
-        conduct.fails = 2;
-        conduct.mute = 1;
+        let faults = &mut world.endpoints.get_mut("plain-0").unwrap().faults;
+        faults.rejects = 4;
+        faults.errors = 2;
+        faults.dropped_replies = 1;
     }
     assert_eq!(deployment.vms[0].submit("job-a", &job("a", 1, 2)), 202);
     assert_done(&deployment.vms[0].read_all("job-a", 1), 2);
@@ -251,9 +251,9 @@
 #[test]
 fn job_is_refused_while_it_cannot_be_kept() {
     let deployment = Deployment::start(1, Plan::default());
-    deployment.site.world().mood = Mood::Busy;
+    deployment.site.world().fault = Fault::Unavailable;
     assert_eq!(deployment.vms[0].submit("job-a", &job("a", 2, 2)), 503);
-    deployment.site.world().mood = Mood::Well;
+    deployment.site.world().fault = Fault::None;
     assert!(deployment.site.world().names("rollout-jobs").is_empty());
     assert_eq!(deployment.vms[0].submit("job-a", &job("a", 2, 2)), 202);
     assert_done(&deployment.vms[0].read_all("job-a", 2), 2);
@@ -262,10 +262,10 @@
 #[test]
 fn job_is_not_refused_while_it_may_be_kept() {
     let deployment = Deployment::start(1, Plan::default());
-    deployment.site.world().mood = Mood::Mute;
+    deployment.site.world().fault = Fault::DroppedReplies;
     // The store does what it is asked and answers nothing: no promise.
     assert_eq!(deployment.vms[0].submit("job-a", &job("a", 2, 2)), 504);
-    deployment.site.world().mood = Mood::Well;
+    deployment.site.world().fault = Fault::None;
     assert_eq!(deployment.vms[0].submit("job-a", &job("a", 2, 2)), 202);
     assert_done(&deployment.vms[0].read_all("job-a", 2), 2);
 }
--- a/crates/site/tests/request.rs
+++ b/crates/site/tests/request.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{Deployment, KEY, caller, header};
-use fakes::site::{Mood, Plan};
+use fakes::site::{Fault, Plan};
 use link::{Method, http::client::Call};
 
 #[test]
@@ -68,13 +68,13 @@
         {
             let mut world = deployment.site.world();
             for endpoint in world.endpoints.values_mut() {
-                endpoint.conduct = Default::default();
+                endpoint.faults = Default::default();
             }
             let first = world.endpoints.get_mut("plain-0").unwrap();
             match change {
-                0 => first.conduct.turns_away = 1000,
-                1 => first.conduct.fails = 1000,
-                _ => first.conduct.mute = 1000,
+                0 => first.faults.rejects = 1000,
+                1 => first.faults.errors = 1000,
+                _ => first.faults.dropped_replies = 1000,
             }
         }
         for number in 0..4 {
@@ -89,7 +89,7 @@
 fn unsafe_request_is_not_repeated() {
     let deployment = Deployment::start(1, Plan::default());
     for endpoint in deployment.site.world().endpoints.values_mut() {
-        endpoint.conduct.mute = 1;
+        endpoint.faults.dropped_replies = 1;
     }
     let answer = deployment.vms[0].ask(Method::POST, "/unsafe/a", "r1");
     assert_eq!(answer.status, 504);
@@ -100,12 +100,7 @@
 fn unsafe_request_turned_away_goes_on_elsewhere() {
     let deployment = Deployment::start(1, Plan::default());
     let mut world = deployment.site.world();
-    world
-        .endpoints
-        .get_mut("plain-0")
-        .unwrap()
-        .conduct
-        .turns_away = 1000;
+    world.endpoints.get_mut("plain-0").unwrap().faults.rejects = 1000;
     drop(world);
     for number in 0..4 {
         let answer = deployment.vms[0].ask(Method::POST, "/unsafe/a", &format!("r{number}"));
@@ -117,7 +112,7 @@
 fn request_refused_by_all_may_come_back() {
     let deployment = Deployment::start(1, Plan::default());
     for endpoint in deployment.site.world().endpoints.values_mut() {
-        endpoint.conduct.turns_away = 1000;
+        endpoint.faults.rejects = 1000;
     }
     let answer = deployment.vms[0].ask(Method::POST, "/unsafe/a", "r1");
     assert_eq!(answer.status, 503);
@@ -128,7 +123,7 @@
 #[test]
 fn requests_are_served_while_the_store_is_away() {
     let deployment = Deployment::start(1, Plan::default());
-    deployment.site.world().mood = Mood::Busy;
+    deployment.site.world().fault = Fault::Unavailable;
     for number in 0..3 {
         let answer = deployment.vms[0].ask(Method::POST, "/safe/a", &format!("r{number}"));
         assert_eq!(answer.status, 200);
@@ -244,7 +239,7 @@
         let deployment = Deployment::start(1, Plan::default());
         add_streams(&deployment, is_resumable);
         for endpoint in deployment.site.world().endpoints.values_mut() {
-            endpoint.conduct.cuts_after = Some(2);
+            endpoint.faults.cut_after = Some(2);
         }
         let call = caller(Method::POST, "/stream/a", "s1").header("x-events", "6");
         let answer = fakes::drive::fetch(deployment.vms[0].callers, call);
