link, site: a wrapper, an unused reading and a repeated unsafe block less

Change, without another behaviour: net borrows a stream's descriptor in one place, and set_silence calls set_user_timeout; producers take a Place themselves instead of by attempt::place; Facts::next_overdue, which nothing called, is gone.

--- a/crates/link/src/net.rs
+++ b/crates/link/src/net.rs
@@ -29,6 +29,12 @@
     Ok(stream)
 }
 
+/// Returns the descriptor of `stream`, to set options that monoio does not know.
+fn descriptor(stream: &TcpStream) -> BorrowedFd<'_> {
+    // SAFETY: The descriptor stays open for as long as `stream` is borrowed.
+    unsafe { BorrowedFd::borrow_raw(stream.as_raw_fd()) }
+}
+
 /// Sets no-delay, keepalive and the user timeout on `stream`.
 ///
 /// # Errors
@@ -36,8 +42,7 @@
 /// The error of the socket.
 pub fn tune(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    // SAFETY: The descriptor stays open for as long as `stream` is borrowed.
-    let fd = unsafe { BorrowedFd::borrow_raw(stream.as_raw_fd()) };
+    let fd = descriptor(stream);
     let socket = socket2::SockRef::from(&fd);
     let keepalive = socket2::TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE)
@@ -52,8 +57,7 @@
 ///
 /// The error of the socket.
 pub fn set_user_timeout(stream: &TcpStream, limit: Duration) -> io::Result<()> {
-    // SAFETY: The descriptor stays open for as long as `stream` is borrowed.
-    let fd = unsafe { BorrowedFd::borrow_raw(stream.as_raw_fd()) };
+    let fd = descriptor(stream);
     socket2::SockRef::from(&fd).set_tcp_user_timeout(Some(limit))
 }
 
@@ -64,14 +68,13 @@
 ///
 /// The error of the socket.
 pub fn set_silence(stream: &TcpStream, limit: Duration) -> io::Result<()> {
-    // SAFETY: The descriptor stays open for as long as `stream` is borrowed.
-    let fd = unsafe { BorrowedFd::borrow_raw(stream.as_raw_fd()) };
+    let fd = descriptor(stream);
     let socket = socket2::SockRef::from(&fd);
     let probes = socket2::TcpKeepalive::new()
         .with_time(KEEPALIVE_LEAST)
         .with_interval(KEEPALIVE_LEAST);
     socket.set_tcp_keepalive(&probes)?;
-    socket.set_tcp_user_timeout(Some(limit))
+    set_user_timeout(stream, limit)
 }
 
 /// Makes the close of `stream` reset it and discard what was not sent.
@@ -80,8 +83,7 @@
 ///
 /// The error of the socket.
 pub fn reset_on_close(stream: &TcpStream) -> io::Result<()> {
-    // SAFETY: The descriptor stays open for as long as `stream` is borrowed.
-    let fd = unsafe { BorrowedFd::borrow_raw(stream.as_raw_fd()) };
+    let fd = descriptor(stream);
     socket2::SockRef::from(&fd).set_linger(Some(Duration::ZERO))
 }
 
--- a/crates/site/src/facts.rs
+++ b/crates/site/src/facts.rs
@@ -157,14 +157,6 @@
         overdue.map(|endpoint| endpoint.id.clone()).collect()
     }
 
-    /// Returns when the next absent endpoint is given up.
-    pub fn next_overdue(&self) -> Option<Instant> {
-        self.endpoints
-            .values()
-            .filter_map(|e| e.missing_until)
-            .min()
-    }
-
     /// Notes that the endpoint `key` answered.
     pub fn answered(&mut self, key: Key, load: Option<(u32, u32, u32)>, now: Instant) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
--- a/crates/site/src/job/attempt.rs
+++ b/crates/site/src/job/attempt.rs
@@ -19,7 +19,7 @@
 use super::sample::Text;
 use crate::{
     facts::{Facts, Key},
-    forward::{End, Forwarder, Order, Place},
+    forward::{End, Forwarder, Order},
     metrics::Metrics,
 };
 
@@ -270,8 +270,3 @@
         deadline: terms.deadline,
     }
 }
-
-/// Returns a place at the endpoint `key`, held while an item runs there.
-pub fn place(runner: &Runner, key: Key) -> Option<Place> {
-    Place::take(&runner.facts, key)
-}
--- a/crates/site/src/job/produce.rs
+++ b/crates/site/src/job/produce.rs
@@ -19,13 +19,14 @@
 
 use super::{
     Job, Registry, Shared,
-    attempt::{self, Run, Runner, Score, Terms},
+    attempt::{Run, Runner, Score, Terms},
     record::{self, Head, Name, Page, Part, Progress},
     sample::Text,
 };
 use crate::{
     facts::Key,
     follow::Contact,
+    forward::Place,
     place::{self, Need},
 };
 
@@ -300,7 +301,7 @@
 
     fn begin(&mut self, work: Work, key: Key) {
         let runner = self.producer.runner.clone();
-        let Some(place) = attempt::place(&runner, key) else {
+        let Some(place) = Place::take(&runner.facts, key) else {
             self.todo.push_back(work);
             return;
         };
