site: log what becomes of a submission at each VM

Added: the status of each coordinator that a submission is forwarded to, the first write of a head without a confirmed outcome, who sent a submission, and a submission whose handler is dropped since its sender closed the connection, which left no line at all.

No logic changes.

--- a/crates/site/src/job/api.rs
+++ b/crates/site/src/job/api.rs
@@ -69,12 +69,56 @@
     if let Some(reply) = jobs.proxy.submit(&account, request).await {
         return reply;
     }
-    accept(jobs, account, request).await
+    accept(jobs, account, request, Sender::Caller).await
+}
+
+/// Who sent a submission to this VM.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Sender {
+    /// The trainer.
+    Caller,
+    /// A VM that the trainer called.
+    Peer,
+}
+
+impl Sender {
+    /// Returns the sender's name in log lines.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Caller => "caller",
+            Self::Peer => "peer",
+        }
+    }
+}
+
+/// Logs a submission whose sender closes the connection before it is answered:
+/// the job may exist, and no other line on this VM would say so.
+struct Unanswered<'a> {
+    job: &'a str,
+    sender: Sender,
+    start: Instant,
+    is_answered: bool,
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if self.is_answered {
+            return;
+        }
+        let (job, sender) = (self.job, self.sender.name());
+        let ms = self.start.elapsed().as_millis() as u64;
+        spdlog::warn!("sender closed connection before its submission was answered", kv: { job, sender, ms });
+    }
 }
 
 /// Accepts a job on this VM. A job that was accepted before, here or on another
 /// VM, is not accepted again.
-pub async fn accept(jobs: &Jobs, account: Option<String>, request: &Request) -> Reply {
+pub(crate) async fn accept(
+    jobs: &Jobs,
+    account: Option<String>,
+    request: &Request,
+    sender: Sender,
+) -> Reply {
     // A VM that runs a job must see when the job is ended, and only
     // coordinators watch jobs.
     jobs.coordinators
@@ -99,13 +143,20 @@
         work_ms,
     };
     let start = Instant::now();
+    let mut unanswered = Unanswered {
+        job: id,
+        sender,
+        start,
+        is_answered: false,
+    };
     let written = create(jobs, id, &head, &submission.items).await;
-    let (job, items) = (id, head.items);
+    unanswered.is_answered = true;
+    let (job, items, sender) = (id, head.items, sender.name());
     let ms = start.elapsed().as_millis() as u64;
     match written {
         Ok(Written::Done(_)) => {
             let account = account.as_deref().unwrap_or_default();
-            spdlog::info!("job accepted", kv: { job, account, items, ms });
+            spdlog::info!("job accepted", kv: { job, account, items, sender, ms });
             jobs.metrics.record_job("accepted");
             let known = jobs.registry.put_head(id, head);
             {
@@ -118,7 +169,7 @@
             accepted()
         }
         Ok(Written::Conflict(object)) => {
-            spdlog::info!("job was accepted before", kv: { job, ms });
+            spdlog::info!("job was accepted before", kv: { job, sender, ms });
             match object.and_then(|object| object.read()) {
                 Some(existing) => {
                     let known = jobs.registry.put_head(id, existing);
@@ -136,7 +187,7 @@
             }
         }
         Err(Error::Unknown) => {
-            spdlog::warn!("store did not confirm job, it may have been accepted", kv: { job, ms });
+            spdlog::warn!("store did not confirm job, it may have been accepted", kv: { job, sender, ms });
             jobs.metrics.record_job("unclear");
             Reply::error(
                 StatusCode::GATEWAY_TIMEOUT,
@@ -146,7 +197,7 @@
         }
         Err(e) => {
             let problem = e.to_string();
-            spdlog::warn!("job rejected, cannot write it to the store", kv: { job, problem, ms });
+            spdlog::warn!("job rejected, cannot write it to the store", kv: { job, problem, sender, ms });
             jobs.metrics.record_job("refused");
             rejection(
                 "store-unreachable",
@@ -179,6 +230,10 @@
             Err(_) if may_exist => Error::Unknown,
             other => return other,
         };
+        if !may_exist {
+            let problem = error.to_string();
+            spdlog::warn!("cannot confirm head of job, retrying", kv: { job = id, problem });
+        }
         may_exist = true;
         if start.elapsed() > ACCEPT_RETRY_MAX {
             return Err(error);
--- a/crates/site/src/job/proxy.rs
+++ b/crates/site/src/job/proxy.rs
@@ -126,6 +126,13 @@
                     SUBMIT_TIMEOUT,
                 )
                 .await;
+            let job = request.header("request-id").unwrap_or_default();
+            let vm = coordinator.to_string();
+            // 0 stands for no response.
+            let status = response
+                .as_ref()
+                .map_or(0, |response| response.status.as_u16());
+            spdlog::info!("submission forwarded", kv: { job, vm, status });
             if let Some(response) =
                 response.filter(|response| response.status == StatusCode::ACCEPTED)
             {
@@ -293,6 +300,6 @@
     match batch::parse_call(&request) {
         Some(call) => api::answer(jobs, account, call, &request, mode).await,
         None if jobs.proxy.is_draining() => Reply::new(StatusCode::SERVICE_UNAVAILABLE, ""),
-        None => api::accept(jobs, account, &request).await,
+        None => api::accept(jobs, account, &request, api::Sender::Peer).await,
     }
 }
