site: test a submission whose forwarded write took effect without an answer [known red]

A coordinator's write of a head is executed and its answer lost, and the store is unavailable from then on. The trainer submits the job at two VMs that are no coordinators. On this code, in each of three runs:

assertion failed: [503, 503] (the head is in the store)

and with the assertion taken out, 4 arrivals at endpoints after the store is back: two items, two scoring calls.

The fake store gets a fault for this: one write is executed without an answer, then every call is rejected.

--- a/crates/fakes/src/site/mod.rs
+++ b/crates/fakes/src/site/mod.rs
@@ -78,6 +78,9 @@
     DroppedReplies,
     /// Calls about one kind of object are executed and their answers dropped.
     DroppedRepliesOf(&'static str),
+    /// The next write to one kind of object is executed and its answer dropped.
+    /// The store is [`Unavailable`](Self::Unavailable) from then on.
+    LostWriteOf(&'static str),
     /// Watches report no changes; other calls are answered.
     SilentWatches,
 }
--- a/crates/fakes/src/site/store.rs
+++ b/crates/fakes/src/site/store.rs
@@ -43,6 +43,13 @@
     };
     let is_dropped = match fault {
         Fault::DroppedReplies => true,
+        Fault::LostWriteOf(kind) => {
+            let is_lost = request.segments().get(1) == Some(&kind) && request.method != Method::GET;
+            if is_lost {
+                lock(&state).fault = Fault::Unavailable;
+            }
+            is_lost
+        }
         Fault::DroppedRepliesOf(kind) => request.segments().get(1) == Some(&kind),
         _ => false,
     };
--- a/crates/site/tests/job.rs
+++ b/crates/site/tests/job.rs
@@ -291,6 +291,26 @@
     assert_done(&deployment.vms[0].read_all("job-a", 2), 2);
 }
 
+/// Answers with these statuses promise that a submission has not run and never
+/// will.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+
+#[test]
+fn submit_with_lost_forwarded_write_then_store_unavailable() {
+    let deployment = Deployment::start_with_coordinators(4, 2, Plan::default());
+    deployment.site.state().fault = Fault::LostWriteOf("rollout-jobs");
+    let job = job("a", 2, 2);
+    // The trainer tries one VM after the other, neither of which is a coordinator.
+    let statuses = [2, 3].map(|vm: usize| deployment.vms[vm].submit("job-a", &job));
+    assert_eq!(deployment.site.state().names("rollout-jobs"), ["job-a"]);
+    assert!(
+        !statuses.iter().any(|status| PROMISES.contains(status)),
+        "{statuses:?}"
+    );
+    deployment.site.state().fault = Fault::None;
+    assert_done(&deployment.vms[2].read_all("job-a", 2), 2);
+}
+
 #[test]
 fn reject_job_without_stored_items() {
     let deployment = Deployment::start(1, Plan::default());
