site: test a running job that is submitted again while the store is unavailable [known red]

By itself it follows a 202 or an answer without a promise; with the fault of the test before it, it makes every later attempt of the trainer end in a promise too.

--- a/crates/site/tests/job.rs
+++ b/crates/site/tests/job.rs
@@ -311,6 +311,19 @@
     assert_done(&deployment.vms[2].read_all("job-a", 2), 2);
 }
 
+#[test]
+fn submit_running_job_while_store_unavailable() {
+    let plan = Plan {
+        event_time: Duration::from_millis(200),
+        ..Plan::default()
+    };
+    let deployment = Deployment::start_with_coordinators(3, 1, plan);
+    let job = job("a", 2, 10);
+    assert_eq!(deployment.vms[1].submit("job-a", &job), 202);
+    deployment.site.state().fault = Fault::Unavailable;
+    assert_eq!(deployment.vms[2].submit("job-a", &job), 202);
+}
+
 #[test]
 fn reject_job_without_stored_items() {
     let deployment = Deployment::start(1, Plan::default());
