policy: whether an operation may have run, over all attempts at it

Execution moves from the entry daemon to policy, since crates/site needs the same concept, and gets the one way to combine what is known of several attempts. No behaviour changes; the names in replies stay.

--- a/crates/entry/src/auth.rs
+++ b/crates/entry/src/auth.rs
@@ -4,13 +4,13 @@
 
 use board::{Board, key::Digest};
 use link::{StatusCode, http::Request};
-use policy::isolation::{self, View};
-
-use crate::{
-    failure::{Execution, Failure},
-    vm::Vm,
+use policy::{
+    execution::Execution,
+    isolation::{self, View},
 };
 
+use crate::{failure::Failure, vm::Vm};
+
 /// An account and the digest of its key, which was valid when it was checked.
 #[derive(Clone, Debug)]
 pub(crate) struct Caller {
--- a/crates/entry/src/failure.rs
+++ b/crates/entry/src/failure.rs
@@ -3,28 +3,12 @@
 use std::time::Duration;
 
 use link::{StatusCode, http::Reply};
-use policy::call::{Reason, Rejection};
+use policy::{
+    call::{Reason, Rejection},
+    execution::Execution,
+};
 use serde::Serialize;
 
-/// Whether a failed request may have run on an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub(crate) enum Execution {
-    /// It certainly did not run.
-    NotRun,
-    /// It may have run.
-    Unknown,
-}
-
-impl Execution {
-    fn code(self) -> &'static str {
-        match self {
-            Self::NotRun => "not-run",
-            Self::Unknown => "unknown",
-        }
-    }
-}
-
 /// Why a request failed, as reported to its caller.
 #[derive(Clone, Debug)]
 pub(crate) struct Failure {
--- a/crates/entry/src/generation.rs
+++ b/crates/entry/src/generation.rs
@@ -20,12 +20,15 @@
     ticket::Ticket,
 };
 use link::{HeaderMap, telemetry};
-use policy::call::{Outcome, Reason, Rejection};
+use policy::{
+    call::{Outcome, Reason, Rejection},
+    execution::Execution,
+};
 
 use crate::{
     auth,
     engine::{self, Event, Fault, Prompt, Token},
-    failure::{Execution, Failure},
+    failure::Failure,
     slot::{self, Slot},
     timeouts::Timeouts,
     vm::Vm,
--- a/crates/entry/src/proxy.rs
+++ b/crates/entry/src/proxy.rs
@@ -20,12 +20,12 @@
     },
     telemetry,
 };
-use policy::call::Outcome;
+use policy::{call::Outcome, execution::Execution};
 
 use crate::{
     auth::{self, Caller},
     exchange::{self, Billing, Exchange},
-    failure::{Execution, Failure},
+    failure::Failure,
     generate,
     slot::{self, Slot},
     timeouts::Timeouts,
--- a/crates/entry/src/trainer.rs
+++ b/crates/entry/src/trainer.rs
@@ -16,11 +16,12 @@
     http::{Reply, Request},
     platform::{Condition, Error},
 };
+use policy::execution::Execution;
 use serde::{Deserialize, Serialize};
 
 use crate::{
     auth,
-    failure::{Execution, Failure},
+    failure::Failure,
     rollout::{
         self,
         read::{self, Status},
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod credit;
 pub mod demand;
 pub mod dissemination;
+pub mod execution;
 pub mod fairness;
 pub mod health;
 pub mod hedge;
