site: reject a submission only if no attempt at it may have taken effect

Cause: a VM forwards a submission to a coordinator and waits 200 ms. The coordinator's write of the head takes effect without an answer in that time; the VM gives up, the store is unavailable, and the VM answers 503 for its own failed attempt. What was unknown of the first attempt was dropped (Option<Fetched>, and a 504 of the coordinator was passed over). Closing the connection also drops the coordinator's own attempt, so it forgets that its write has no outcome, and rejects the next submission. Once the store is back it finds a head in its name and runs it.

Ruled out: a longer time limit, which only moves the moment; fencing the head with a deadline, which needs clocks that agree; a tombstone for the rejected job, which needs the store that cannot be reached.

Change: each VM remembers attempts without a known outcome (job::unsettled), from before the head is written or the submission is forwarded until the outcome is known, and one function decides between a rejection and an answer without a promise (504). Each attempt that is rejected thereby had no effect, so a job that is rejected at every attempt never runs. A VM whose forwarded attempt is unsettled keeps trying for 2.5 s, as it did for its own unsettled write: when the store is back by then, the trainer gets 202 instead of 504 (test submit_with_lost_forwarded_write_until_store_returns).

Not changed: attempts that a restarted VM has forgotten; it rejects for itself alone, and the earlier attempt got no promise.

--- a/crates/site/src/components.rs
+++ b/crates/site/src/components.rs
@@ -15,7 +15,7 @@
     front::Front,
     job::{
         Jobs, Registry, attempt::Runner, content::Content, executor::Executor, failover,
-        proxy::Proxy,
+        proxy::Proxy, unsettled::Unsettled,
     },
     metrics::Metrics,
     mirror::Mirror,
@@ -111,6 +111,7 @@
         let jobs = Jobs {
             registry: registry.clone(),
             store: store.clone(),
+            unsettled: Unsettled::default(),
             view: view.clone(),
             content: content.clone(),
             executor,
--- a/crates/site/src/job/api.rs
+++ b/crates/site/src/job/api.rs
@@ -15,15 +15,17 @@
     header,
     store::{Error, Written},
 };
+use policy::execution::Execution;
 
 use super::{
-    Handle, Jobs, paging,
+    Handle, Jobs, failover, paging,
     proxy::Proxy,
     record::{self, Head, Name, Part},
 };
 use crate::forward::rejection;
 
-/// How long the write of a job's head is retried while its outcome is unknown.
+/// How long a job is retried to be written to the store while it may have been
+/// accepted already.
 const ACCEPT_RETRY_MAX: Duration = Duration::from_millis(2500);
 /// How long failed writes of a job's items are retried: less than half of the
 /// time in which a trainer expects the response to its submission.
@@ -52,6 +54,10 @@
 /// samples is confirmed.
 const CONFIRM_POLL_PERIOD: Duration = Duration::from_millis(50);
 
+/// How long an attempt to accept a job without a known outcome is remembered:
+/// an older job is not run any more.
+const UNSETTLED_RETENTION: Duration = failover::TAKEOVER_AGE_MAX;
+
 /// Submits a job to the coordinator that runs jobs. If no coordinator accepts
 /// the job, this VM does.
 pub async fn submit(jobs: &Jobs, account: Option<String>, request: &Request) -> Reply {
@@ -66,10 +72,16 @@
     if let Some(known) = jobs.registry.get(id) {
         return already_accepted(&known, &account);
     }
-    if let Some(reply) = jobs.proxy.submit(&account, request).await {
-        return reply;
+    jobs.unsettled
+        .begin(id, UNSETTLED_RETENTION, Instant::now());
+    let forwarded = jobs.proxy.submit(&account, request).await;
+    if !matches!(forwarded, Err(Execution::Unknown)) {
+        jobs.unsettled.settle(id);
+    }
+    match forwarded {
+        Ok(reply) => reply,
+        Err(_) => accept(jobs, account, request, Sender::Caller).await,
     }
-    accept(jobs, account, request, Sender::Caller).await
 }
 
 /// Who sent a submission to this VM.
@@ -149,7 +161,14 @@
         start,
         is_answered: false,
     };
-    let written = create(jobs, id, &head, &submission.items).await;
+    // A job that may have been accepted cannot be rejected, so it is worth
+    // waiting for the store. A VM that forwards a submission does not wait.
+    let is_worth_waiting = matches!(sender, Sender::Caller) && jobs.unsettled.contains(id);
+    let items_retry = match is_worth_waiting {
+        true => ACCEPT_RETRY_MAX,
+        false => ITEMS_RETRY_MAX,
+    };
+    let written = create(jobs, id, &head, &submission.items, items_retry).await;
     unanswered.is_answered = true;
     let (job, items, sender) = (id, head.items, sender.name());
     let ms = start.elapsed().as_millis() as u64;
@@ -186,20 +205,12 @@
                 ),
             }
         }
-        Err(Error::Unknown) => {
-            spdlog::warn!("store did not confirm job, it may have been accepted", kv: { job, sender, ms });
-            jobs.metrics.record_job("unclear");
-            Reply::error(
-                StatusCode::GATEWAY_TIMEOUT,
-                "unclear",
-                "the store did not respond; the job may have been accepted",
-            )
-        }
         Err(e) => {
             let problem = e.to_string();
-            spdlog::warn!("job rejected, cannot write it to the store", kv: { job, problem, sender, ms });
-            jobs.metrics.record_job("refused");
-            rejection(
+            spdlog::warn!("cannot write job to the store", kv: { job, problem, sender, ms });
+            not_accepted(
+                jobs,
+                id,
                 "store-unreachable",
                 "the job cannot be written to the store now",
             )
@@ -207,37 +218,78 @@
     }
 }
 
+/// Returns the reply to a submission that this VM does not accept: a rejection,
+/// unless the job may have been accepted or may yet be.
+pub(crate) fn not_accepted(jobs: &Jobs, id: &str, code: &str, detail: &str) -> Reply {
+    if jobs.unsettled.contains(id) {
+        spdlog::warn!("job not confirmed, it may have been accepted", kv: { job = id, code });
+        jobs.metrics.record_job("unclear");
+        return Reply::error(
+            StatusCode::GATEWAY_TIMEOUT,
+            "unclear",
+            &format!("{detail}; the job may have been accepted"),
+        );
+    }
+    spdlog::warn!("job rejected", kv: { job = id, code });
+    jobs.metrics.record_job("refused");
+    rejection(code, detail)
+}
+
 /// Writes a job to the store: its items first, since the job is accepted once
-/// its head exists. A write of the head with unknown outcome is retried, since
-/// the job must not be rejected if the head may exist.
-async fn create(jobs: &Jobs, id: &str, head: &Head, items: &[Item]) -> Result<Written, Error> {
+/// its head exists. The write of the head remains unsettled unless its outcome
+/// becomes known.
+async fn create(
+    jobs: &Jobs,
+    id: &str,
+    head: &Head,
+    items: &[Item],
+    items_retry: Duration,
+) -> Result<Written, Error> {
     let start = Instant::now();
     loop {
         match jobs.content.write_items(id, items).await {
             Ok(()) => break,
-            // No VM runs items without a head, so a rejection is safe.
-            Err(_) if start.elapsed() > ITEMS_RETRY_MAX => {
-                return Err(Error::Rejected(StatusCode::SERVICE_UNAVAILABLE));
-            }
+            Err(e) if start.elapsed() > items_retry => return Err(e),
             Err(_) => monoio::time::sleep(WRITE_RETRY_DELAY).await,
         }
     }
-    let mut may_exist = false;
+    // Also recorded if this future is dropped while it waits for the store.
+    jobs.unsettled
+        .begin(id, UNSETTLED_RETENTION, Instant::now());
+    let (written, execution) = write_head(jobs, id, head, start).await;
+    if execution == Execution::NotRun {
+        jobs.unsettled.settle(id);
+    }
+    written
+}
+
+/// Writes the head of a job, and retries as long as it is unknown whether the
+/// head was written. Returns also whether the head may exist although this VM
+/// has not seen it.
+async fn write_head(
+    jobs: &Jobs,
+    id: &str,
+    head: &Head,
+    start: Instant,
+) -> (Result<Written, Error>, Execution) {
+    let mut execution = Execution::NotRun;
     loop {
-        let outcome = jobs.store.create(record::KIND, id, head).await;
-        let error = match outcome {
-            Err(Error::Unknown) => Error::Unknown,
-            Err(_) if may_exist => Error::Unknown,
-            other => return other,
+        let error = match jobs.store.create(record::KIND, id, head).await {
+            Ok(written) => return (Ok(written), Execution::NotRun),
+            Err(e) => e,
+        };
+        let attempt = match error {
+            Error::Rejected(_) => Execution::NotRun,
+            Error::Unknown | Error::HistoryExpired | Error::Malformed => Execution::Unknown,
         };
-        if !may_exist {
+        if execution.and(attempt) == Execution::NotRun || start.elapsed() > ACCEPT_RETRY_MAX {
+            return (Err(error), execution.and(attempt));
+        }
+        if execution == Execution::NotRun {
             let problem = error.to_string();
             spdlog::warn!("cannot confirm head of job, retrying", kv: { job = id, problem });
         }
-        may_exist = true;
-        if start.elapsed() > ACCEPT_RETRY_MAX {
-            return Err(error);
-        }
+        execution = Execution::Unknown;
         monoio::time::sleep(WRITE_RETRY_DELAY).await;
     }
 }
--- a/crates/site/src/job/failover.rs
+++ b/crates/site/src/job/failover.rs
@@ -37,7 +37,7 @@
 const TAKEOVER_RANKS: u64 = 8;
 /// The age from which on a job is no longer taken over. It exceeds the time
 /// that the items of a job may take.
-const TAKEOVER_AGE_MAX: Duration = Duration::from_secs(120);
+pub(super) const TAKEOVER_AGE_MAX: Duration = Duration::from_secs(120);
 
 /// Follows the jobs in the store while this VM is a coordinator. Never returns.
 pub async fn follow(jobs: Jobs) {
--- a/crates/site/src/job/mod.rs
+++ b/crates/site/src/job/mod.rs
@@ -21,6 +21,7 @@
 pub mod record;
 pub mod registry;
 pub mod text;
+pub mod unsettled;
 
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Instant};
 
@@ -132,6 +133,8 @@
     pub store: platform::store::Store,
     /// Reads and writes the items, pages and progress of jobs.
     pub content: content::Content,
+    /// The submissions whose outcome this VM does not know.
+    pub unsettled: unsettled::Unsettled,
     /// How recent this VM's view of the jobs in the store is.
     pub view: crate::follow::View,
     /// Runs jobs.
--- a/crates/site/src/job/proxy.rs
+++ b/crates/site/src/job/proxy.rs
@@ -14,12 +14,13 @@
 use link::{
     HeaderName, StatusCode,
     http::{
-        Limits, Pool, Request,
+        self, Limits, Pool, Request,
         client::{Call, Fetched},
         server::Reply,
     },
 };
 use platform::{batch, header};
+use policy::execution::Execution;
 
 use super::{Jobs, api};
 use crate::coordinator::Coordinators;
@@ -103,11 +104,19 @@
         self.is_draining.get()
     }
 
-    /// Submits a job to a coordinator, and returns its response; `None` if this
-    /// VM must accept the job. If a coordinator has accepted the job but its
-    /// response was lost, the conditional write of the head finds the job.
-    pub async fn submit(&self, account: &Option<String>, request: &Request) -> Option<Reply> {
+    /// Submits a job to a coordinator, and returns its response.
+    ///
+    /// # Errors
+    ///
+    /// If this VM must accept the job: whether a coordinator may have accepted
+    /// it, or may yet.
+    pub async fn submit(
+        &self,
+        account: &Option<String>,
+        request: &Request,
+    ) -> Result<Reply, Execution> {
         let start = Instant::now();
+        let mut execution = Execution::NotRun;
         // A coordinator accepts the job itself rather than try a third VM.
         let tries_max = match self.coordinators.is_coordinator(start) {
             true => 1,
@@ -115,9 +124,9 @@
         };
         for coordinator in self.ranked_coordinators().into_iter().take(tries_max) {
             if self.coordinators.is_own(coordinator) {
-                return None;
+                break;
             }
-            let response = self
+            let sent = self
                 .send(
                     coordinator,
                     account,
@@ -129,17 +138,16 @@
             let job = request.header("request-id").unwrap_or_default();
             let vm = coordinator.to_string();
             // 0 stands for no response.
-            let status = response
-                .as_ref()
-                .map_or(0, |response| response.status.as_u16());
+            let status = sent.as_ref().map_or(0, |response| response.status.as_u16());
             spdlog::info!("submission forwarded", kv: { job, vm, status });
-            if let Some(response) =
-                response.filter(|response| response.status == StatusCode::ACCEPTED)
-            {
-                return Some(reply(response));
+            match sent {
+                Ok(response) if response.status == StatusCode::ACCEPTED => {
+                    return Ok(reply(response));
+                }
+                sent => execution = execution.and(execution_of(&sent)),
             }
         }
-        None
+        Err(execution)
     }
 
     /// Forwards a call about a job to a coordinator, and returns its response;
@@ -173,11 +181,11 @@
                 .send(coordinator, account, request, options, limit)
                 .await
             {
-                Some(response) if response.status == StatusCode::SERVICE_UNAVAILABLE => {
+                Ok(response) if response.status == StatusCode::SERVICE_UNAVAILABLE => {
                     unavailable = Some(response);
                 }
-                Some(response) => return Some(reply(response)),
-                None => {}
+                Ok(response) => return Some(reply(response)),
+                Err(_) => {}
             }
             if start.elapsed() > RETRY_TIME_MAX {
                 break;
@@ -211,7 +219,8 @@
             wait,
             is_last_hop: true,
         };
-        let response = self.send(runner, account, request, options, limit).await?;
+        let sent = self.send(runner, account, request, options, limit).await;
+        let response = sent.ok()?;
         let is_answered = response.status != StatusCode::SERVICE_UNAVAILABLE;
         is_answered.then(|| reply(response))
     }
@@ -233,7 +242,7 @@
         request: &Request,
         options: Options,
         limit: Duration,
-    ) -> Option<Fetched> {
+    ) -> Result<Fetched, http::Error> {
         let path = request.target();
         let id = request.header("request-id").unwrap_or_default();
         let mut call = Call::new(request.method.clone(), format!("{PATH}{path}"))
@@ -260,18 +269,32 @@
                     let status = response.status.as_u16();
                     spdlog::info!("VM responded to forwarded call with a server error", kv: { request = id, vm, status });
                 }
-                Some(response)
+                Ok(response)
             }
             Err(e) => {
                 self.coordinators.record_failure(address, Instant::now());
                 let problem = e.to_string();
                 spdlog::warn!("VM did not respond to forwarded call", kv: { request = id, vm, problem });
-                None
+                Err(e)
             }
         }
     }
 }
 
+/// Returns whether another VM may have carried out the call that it answered
+/// with `sent`.
+fn execution_of(sent: &Result<Fetched, http::Error>) -> Execution {
+    let is_rejected = match sent {
+        Ok(response) if response.status == StatusCode::SERVICE_UNAVAILABLE => true,
+        Ok(response) => response.status.is_client_error(),
+        Err(e) => e.is_unsent(),
+    };
+    match is_rejected {
+        true => Execution::NotRun,
+        false => Execution::Unknown,
+    }
+}
+
 fn reply(response: Fetched) -> Reply {
     let mut reply = Reply::new(response.status, response.body);
     for name in FORWARDED_HEADERS {
@@ -299,7 +322,10 @@
     };
     match batch::parse_call(&request) {
         Some(call) => api::answer(jobs, account, call, &request, mode).await,
-        None if jobs.proxy.is_draining() => Reply::new(StatusCode::SERVICE_UNAVAILABLE, ""),
+        None if jobs.proxy.is_draining() => {
+            let id = request.header("request-id").unwrap_or_default();
+            api::not_accepted(jobs, id, "draining", "this VM accepts no more jobs")
+        }
         None => api::accept(jobs, account, &request, api::Sender::Peer).await,
     }
 }
--- a/crates/site/tests/job.rs
+++ b/crates/site/tests/job.rs
@@ -311,6 +311,23 @@
     assert_done(&deployment.vms[2].read_all("job-a", 2), 2);
 }
 
+#[test]
+fn submit_with_lost_forwarded_write_until_store_returns() {
+    let deployment = Deployment::start_with_coordinators(3, 1, Plan::default());
+    deployment.site.state().fault = Fault::LostWriteOf("rollout-jobs");
+    let vm = &deployment.vms[2];
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            wait("the VM to try itself", || {
+                vm.log().contains("submission forwarded")
+            });
+            deployment.site.state().fault = Fault::None;
+        });
+        assert_eq!(vm.submit("job-a", &job("a", 2, 2)), 202);
+    });
+    assert_done(&vm.read_all("job-a", 2), 2);
+}
+
 #[test]
 fn submit_running_job_while_store_unavailable() {
     let plan = Plan {
