site: a VM that knows a job accepts its submission also while the store is out

Cause: a forwarded submission went straight to the writes of its items, which fail while the store is unavailable. Only the VM that the trainer had called looked among the jobs that it knows, and a VM that is no coordinator knows none.

Change: accept looks for the job first, whoever sent it, also while the VM drains.

--- a/crates/site/src/job/api.rs
+++ b/crates/site/src/job/api.rs
@@ -131,11 +131,18 @@
     request: &Request,
     sender: Sender,
 ) -> Reply {
+    let id = request.header("request-id").unwrap_or_default();
+    // Known jobs are accepted also while the store cannot be reached.
+    if let Some(known) = jobs.registry.get(id) {
+        return already_accepted(&known, &account);
+    }
+    if matches!(sender, Sender::Peer) && jobs.proxy.is_draining() {
+        return not_accepted(jobs, id, "draining", "this VM accepts no more jobs");
+    }
     // A VM that runs a job must see when the job is ended, and only
     // coordinators watch jobs.
     jobs.coordinators
         .join_temporarily("a job was submitted to this VM");
-    let id = request.header("request-id").unwrap_or_default();
     let submission: Submission = match request.json() {
         Ok(submission) => submission,
         Err(reply) => return reply,
@@ -220,7 +227,7 @@
 
 /// Returns the reply to a submission that this VM does not accept: a rejection,
 /// unless the job may have been accepted or may yet be.
-pub(crate) fn not_accepted(jobs: &Jobs, id: &str, code: &str, detail: &str) -> Reply {
+fn not_accepted(jobs: &Jobs, id: &str, code: &str, detail: &str) -> Reply {
     if jobs.unsettled.contains(id) {
         spdlog::warn!("job not confirmed, it may have been accepted", kv: { job = id, code });
         jobs.metrics.record_job("unclear");
--- a/crates/site/src/job/proxy.rs
+++ b/crates/site/src/job/proxy.rs
@@ -322,10 +322,6 @@
     };
     match batch::parse_call(&request) {
         Some(call) => api::answer(jobs, account, call, &request, mode).await,
-        None if jobs.proxy.is_draining() => {
-            let id = request.header("request-id").unwrap_or_default();
-            api::not_accepted(jobs, id, "draining", "this VM accepts no more jobs")
-        }
         None => api::accept(jobs, account, &request, api::Sender::Peer).await,
     }
 }
