site: reject the end of a job only if no attempt at it may have taken effect

What callers see: DELETE of a job is answered 503, a promise that it has not been carried out, and the job has ended.

Change: what is known of the attempts at other VMs is passed on to the VM's own attempt, and combined (policy::execution). 504 without a promise if any of them may have succeeded; calls that only read are rejected as before.

Evidence: end_job_with_lost_write_then_store_unavailable fails before (503 with the end marker in the store) and passes now.

--- a/crates/site/src/job/api.rs
+++ b/crates/site/src/job/api.rs
@@ -225,21 +225,38 @@
     }
 }
 
+/// Returns whether a write may have taken effect that failed with `error`.
+fn execution_of(error: &Error) -> Execution {
+    match error {
+        Error::Rejected(_) => Execution::NotRun,
+        Error::Unknown | Error::HistoryExpired | Error::Malformed => Execution::Unknown,
+    }
+}
+
+/// Returns the reply to a call that this VM could not carry out: a rejection,
+/// unless another attempt at it may have succeeded.
+pub(crate) fn not_done(execution: Execution, code: &str, detail: &str) -> Reply {
+    match execution {
+        Execution::NotRun => rejection(code, detail),
+        Execution::Unknown => Reply::error(
+            StatusCode::GATEWAY_TIMEOUT,
+            "unclear",
+            &format!("{detail}; the call may have been carried out"),
+        ),
+    }
+}
+
 /// Returns the reply to a submission that this VM does not accept: a rejection,
 /// unless the job may have been accepted or may yet be.
 fn not_accepted(jobs: &Jobs, id: &str, code: &str, detail: &str) -> Reply {
     if jobs.unsettled.contains(id) {
         spdlog::warn!("job not confirmed, it may have been accepted", kv: { job = id, code });
         jobs.metrics.record_job("unclear");
-        return Reply::error(
-            StatusCode::GATEWAY_TIMEOUT,
-            "unclear",
-            &format!("{detail}; the job may have been accepted"),
-        );
+        return not_done(Execution::Unknown, code, detail);
     }
     spdlog::warn!("job rejected", kv: { job = id, code });
     jobs.metrics.record_job("refused");
-    rejection(code, detail)
+    not_done(Execution::NotRun, code, detail)
 }
 
 /// Writes a job to the store: its items first, since the job is accepted once
@@ -285,18 +302,15 @@
             Ok(written) => return (Ok(written), Execution::NotRun),
             Err(e) => e,
         };
-        let attempt = match error {
-            Error::Rejected(_) => Execution::NotRun,
-            Error::Unknown | Error::HistoryExpired | Error::Malformed => Execution::Unknown,
-        };
-        if execution.and(attempt) == Execution::NotRun || start.elapsed() > ACCEPT_RETRY_MAX {
-            return (Err(error), execution.and(attempt));
+        let is_first = execution == Execution::NotRun;
+        execution = execution.and(execution_of(&error));
+        if execution == Execution::NotRun || start.elapsed() > ACCEPT_RETRY_MAX {
+            return (Err(error), execution);
         }
-        if execution == Execution::NotRun {
+        if is_first {
             let problem = error.to_string();
             spdlog::warn!("cannot confirm head of job, retrying", kv: { job = id, problem });
         }
-        execution = Execution::Unknown;
         monoio::time::sleep(WRITE_RETRY_DELAY).await;
     }
 }
@@ -320,17 +334,19 @@
 /// one, and becomes a temporary coordinator if none responds.
 pub async fn call(jobs: &Jobs, account: Option<String>, call: Call, request: &Request) -> Reply {
     let start = Instant::now();
+    let mut execution = Execution::NotRun;
     if !jobs.coordinators.is_coordinator(start) {
-        if let Some(reply) = jobs.proxy.forward(&account, &call, request).await {
-            return reply;
-        }
+        execution = match jobs.proxy.forward(&account, &call, request).await {
+            Ok(reply) => return reply,
+            Err(execution) => execution,
+        };
         jobs.coordinators
             .join_temporarily("no coordinator responds");
         if !Proxy::has_time_left(start) {
-            return rejection("no-keeper", "no coordinator responded in time");
+            return not_done(execution, "no-keeper", "no coordinator responded in time");
         }
     }
-    answer(jobs, account, call, request, FROM_CALLER).await
+    answer(jobs, account, call, request, FROM_CALLER, execution).await
 }
 
 /// Returns how long a read waits for samples.
@@ -368,12 +384,14 @@
 };
 
 /// Answers a call about a job, or forwards it to the VM that runs the job.
+/// `execution` is whether a VM that did not respond may have carried it out.
 pub(crate) async fn answer(
     jobs: &Jobs,
     account: Option<String>,
     call: Call,
     request: &Request,
     mode: Mode,
+    mut execution: Execution,
 ) -> Reply {
     let id = match &call {
         Call::Read { job, .. } | Call::End { job } | Call::Body { job, .. } => job.clone(),
@@ -386,18 +404,20 @@
     job.borrow_mut().used_at = Instant::now();
     if mode.may_forward
         && let Some(runner) = runner_address(jobs, &job, &call)
-        && let Some(reply) = jobs
-            .proxy
-            .forward_to_runner(runner, &account, &call, request)
-            .await
     {
-        return reply;
+        let forwarded = jobs
+            .proxy
+            .forward_to_runner(runner, &account, &call, request);
+        match forwarded.await {
+            Ok(reply) => return reply,
+            Err(attempt) => execution = execution.and(attempt),
+        }
     }
     match call {
         Call::Read { from, .. } => {
             read_samples(jobs, &job, from, read_wait(request), mode.confirm_time).await
         }
-        Call::End { .. } => end_job(jobs, &job).await,
+        Call::End { .. } => end_job(jobs, &job, execution).await,
         Call::Body { item, .. } => item_body(jobs, &job, &item).await,
     }
 }
@@ -515,7 +535,9 @@
     jobs.view.age(now).is_some_and(|age| age < VIEW_AGE_MAX)
 }
 
-async fn end_job(jobs: &Jobs, job: &Handle) -> Reply {
+/// Ends a job. `execution` is whether another VM may have ended it for the same
+/// call.
+async fn end_job(jobs: &Jobs, job: &Handle, execution: Execution) -> Reply {
     let id = job.borrow().id.clone();
     if job.borrow().is_ended {
         return Reply::json(StatusCode::OK, &serde_json::json!({}));
@@ -536,7 +558,8 @@
         Err(e) => {
             let problem = e.to_string();
             spdlog::warn!("cannot write end of job", kv: { job = id, problem });
-            rejection(
+            not_done(
+                execution.and(execution_of(&e)),
                 "store-unreachable",
                 "the end of the job cannot be written to the store now",
             )
--- a/crates/site/src/job/proxy.rs
+++ b/crates/site/src/job/proxy.rs
@@ -150,16 +150,21 @@
         Err(execution)
     }
 
-    /// Forwards a call about a job to a coordinator, and returns its response;
-    /// `None` if none responds. A response with status 503 is returned only if
-    /// no other coordinator has a better one.
+    /// Forwards a call about a job to a coordinator, and returns its response. A
+    /// response with status 503 is returned only if no other coordinator has a
+    /// better one.
+    ///
+    /// # Errors
+    ///
+    /// If none responds: whether a coordinator may have carried the call out.
     pub async fn forward(
         &self,
         account: &Option<String>,
         call: &batch::Call,
         request: &Request,
-    ) -> Option<Reply> {
+    ) -> Result<Reply, Execution> {
         let start = Instant::now();
+        let mut execution = Execution::NotRun;
         let mut unavailable = None;
         for coordinator in self
             .ranked_coordinators()
@@ -184,29 +189,42 @@
                 Ok(response) if response.status == StatusCode::SERVICE_UNAVAILABLE => {
                     unavailable = Some(response);
                 }
-                Ok(response) => return Some(reply(response)),
-                Err(_) => {}
+                Ok(response) => return Ok(reply(response)),
+                failed => execution = execution.and(execution_of(&failed)),
             }
             if start.elapsed() > RETRY_TIME_MAX {
                 break;
             }
         }
-        unavailable.map(reply)
+        let is_end = matches!(call, batch::Call::End { .. });
+        match unavailable {
+            Some(_) if is_end && execution == Execution::Unknown => {
+                let detail = "no coordinator confirmed the end of the job";
+                Ok(api::not_done(execution, "not-confirmed", detail))
+            }
+            Some(response) => Ok(reply(response)),
+            None => Err(execution),
+        }
     }
 
     /// Forwards a call about a job to the VM `runner`, which runs the job, and
-    /// returns its response; `None` if this VM must answer itself.
+    /// returns its response.
+    ///
+    /// # Errors
+    ///
+    /// If this VM must answer itself: whether `runner` may have carried the call
+    /// out.
     pub async fn forward_to_runner(
         &self,
         runner: SocketAddr,
         account: &Option<String>,
         call: &batch::Call,
         request: &Request,
-    ) -> Option<Reply> {
+    ) -> Result<Reply, Execution> {
         if self.coordinators.is_own(runner)
             || self.coordinators.is_backing_off(runner, Instant::now())
         {
-            return None;
+            return Err(Execution::NotRun);
         }
         let wait = matches!(call, batch::Call::Read { .. }).then(|| api::read_wait(request));
         let limit = match call {
@@ -220,9 +238,12 @@
             is_last_hop: true,
         };
         let sent = self.send(runner, account, request, options, limit).await;
-        let response = sent.ok()?;
-        let is_answered = response.status != StatusCode::SERVICE_UNAVAILABLE;
-        is_answered.then(|| reply(response))
+        match sent {
+            Ok(response) if response.status != StatusCode::SERVICE_UNAVAILABLE => {
+                Ok(reply(response))
+            }
+            failed => Err(execution_of(&failed)),
+        }
     }
 
     /// Returns whether this VM can still answer a call that began at `start` in
@@ -321,7 +342,7 @@
         false => api::FROM_PEER,
     };
     match batch::parse_call(&request) {
-        Some(call) => api::answer(jobs, account, call, &request, mode).await,
+        Some(call) => api::answer(jobs, account, call, &request, mode, Execution::NotRun).await,
         None => api::accept(jobs, account, &request, api::Sender::Peer).await,
     }
 }
--- a/crates/site/tests/job.rs
+++ b/crates/site/tests/job.rs
@@ -341,6 +341,27 @@
     assert_eq!(deployment.vms[2].submit("job-a", &job), 202);
 }
 
+#[test]
+fn end_job_with_lost_write_then_store_unavailable() {
+    // A VM that forwards the call, and the coordinator itself.
+    for vm in [1, 0] {
+        let deployment = Deployment::start_with_coordinators(2, 1, Plan::default());
+        assert_eq!(deployment.vms[0].submit("job-a", &job("a", 2, 2)), 202);
+        wait(
+            "the job to be complete, after which no heartbeat is written",
+            || deployment.vms[0].log().contains("stopped running job"),
+        );
+        deployment.site.state().fault = Fault::LostWriteOf("rollout-jobs");
+        let status = deployment.vms[vm]
+            .request(Method::DELETE, "/lots/job-a", "e1")
+            .status;
+        deployment.site.state().fault = Fault::None;
+        let names = deployment.site.state().names("rollout-jobs");
+        assert!(names.contains(&"job-a.e".to_string()), "{names:?}");
+        assert!(!PROMISES.contains(&status.as_u16()), "{status}");
+    }
+}
+
 #[test]
 fn reject_job_without_stored_items() {
     let deployment = Deployment::start(1, Plan::default());
