--- a/crates/fakes/src/site/mod.rs
+++ b/crates/fakes/src/site/mod.rs
@@ -78,6 +78,8 @@
     DroppedReplies,
     /// Calls about one kind of object are executed and their answers dropped.
     DroppedRepliesOf(&'static str),
+    /// Every call is executed and answered with this status and no body.
+    ExecutedWithStatus(u16),
     /// The next write to one kind of object is executed and its answer dropped.
     /// The store is [`Unavailable`](Self::Unavailable) from then on.
     LostWriteOf(&'static str),
--- a/crates/fakes/src/site/store.rs
+++ b/crates/fakes/src/site/store.rs
@@ -53,7 +53,14 @@
         Fault::DroppedRepliesOf(kind) => request.segments().get(1) == Some(&kind),
         _ => false,
     };
-    if is_dropped { Reply::cut() } else { reply }
+    match fault {
+        _ if is_dropped => Reply::cut(),
+        Fault::ExecutedWithStatus(status) => {
+            let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+            Reply::new(status, "")
+        }
+        _ => reply,
+    }
 }
 
 async fn watch_from(state: &SharedState, request: &Request, from: u64) -> Reply {
