site: a rejection of a call that was sent twice is no rejection of the first one

Found by looking for the cause elsewhere; not reported by anybody.

Cause: the pool sends an idempotent call again when an idle connection closes without a response. If the peer carried out the first one (its process was killed or its connections were reset in between), the 503 to the second one was taken for both. Errors of the second one were already treated as unknown (into_sent).

Change: a response says whether its request was sent before (is_repeated), and a rejection with that mark leaves the outcome unknown.

Ruled out: not sending such calls again: each close of an idle connection would then end a submission without a promise.

Evidence: submit_rejected_when_sent_again fails before (NotRun) and passes now. The fakes get a server that answers by a script, one connection after the other.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod platform;
 pub mod run;
 pub mod scorer;
+pub mod script;
 pub mod service;
 pub(crate) mod signal;
 pub mod site;
--- a/crates/link/src/http/client.rs
+++ b/crates/link/src/http/client.rs
@@ -138,7 +138,11 @@
             // The peer may have received the first attempt, whatever the
             // outcome of the second.
             let retried = self.send_on_new_connection(peer, &call, deadline).await;
-            return retried.map_err(Error::into_sent);
+            let mark = |response| Response {
+                is_repeated: true,
+                ..response
+            };
+            return retried.map(mark).map_err(Error::into_sent);
         }
         self.send_on_new_connection(peer, &call, deadline).await
     }
@@ -232,6 +236,7 @@
         Ok(Response {
             status,
             headers,
+            is_repeated: false,
             body: BodyReader {
                 connection: Some(connection),
                 decoder,
@@ -260,6 +265,7 @@
                 status: response.status,
                 headers: response.headers,
                 body,
+                is_repeated: response.is_repeated,
             })
         };
         match monoio::time::timeout(limit, exchange).await {
--- a/crates/link/src/http/response.rs
+++ b/crates/link/src/http/response.rs
@@ -26,6 +26,10 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
+    /// Whether the request was also sent before, on an idle connection that
+    /// closed without a response, so that the peer may have received it twice.
+    /// A rejection then holds for the second one only.
+    pub is_repeated: bool,
 }
 
 /// A response whose body is read in parts.
@@ -34,6 +38,10 @@
     pub status: StatusCode,
     /// The headers.
     pub headers: HeaderMap,
+    /// Whether the request was also sent before, on an idle connection that
+    /// closed without a response, so that the peer may have received it twice.
+    /// A rejection then holds for the second one only.
+    pub is_repeated: bool,
     pub(crate) body: BodyReader,
 }
 
--- a/crates/site/src/job/proxy.rs
+++ b/crates/site/src/job/proxy.rs
@@ -306,6 +306,7 @@
 /// with `sent`.
 fn execution_of(sent: &Result<Fetched, http::Error>) -> Execution {
     let is_rejected = match sent {
+        Ok(response) if response.is_repeated => false,
         Ok(response) if response.status == StatusCode::SERVICE_UNAVAILABLE => true,
         Ok(response) => response.status.is_client_error(),
         Err(e) => e.is_unsent(),
