site: a request whose repeat was rejected may have run

What callers could see: 503, a promise that the request has not run, for a lookup that an endpoint ran.

Cause: a request that may run more than once is sent again when the idle connection closes without a response; the endpoint's "not run" to the second one was taken for both, so the request was also not counted for its account.

Change: the outcome of such an attempt is unknown: 504, and it is counted as one that may have run. A stream is opened in the same way.

Evidence: request_rejected_when_sent_again fails before (503) and passes now (504).

--- a/crates/fakes/src/script.rs
+++ b/crates/fakes/src/script.rs
@@ -11,6 +11,8 @@
 pub enum Answer {
     /// An empty response with this status.
     Status(u16),
+    /// The response of an endpoint that does not run the request.
+    NotRun,
     /// The connection closes without a response.
     Close,
 }
@@ -48,20 +50,24 @@
 fn serve(mut stream: TcpStream, answers: &[Answer]) -> io::Result<()> {
     let mut reader = BufReader::new(stream.try_clone()?);
     for answer in answers {
-        read_request(&mut reader)?;
-        let Answer::Status(status) = answer else {
-            return Ok(());
+        let id = read_request(&mut reader)?;
+        let (status, header) = match answer {
+            Answer::Status(status) => (*status, ""),
+            Answer::NotRun => (503, "not-run: 1\r\n"),
+            Answer::Close => return Ok(()),
         };
         write!(
             stream,
-            "HTTP/1.1 {status} Scripted\r\ncontent-length: 0\r\n\r\n"
+            "HTTP/1.1 {status} Scripted\r\n{id}{header}content-length: 0\r\n\r\n"
         )?;
     }
     Ok(())
 }
 
-fn read_request(reader: &mut impl BufRead) -> io::Result<()> {
-    let mut body_bytes = 0;
+/// Reads a request, and returns the line of its head with the id, which
+/// responses repeat.
+fn read_request(reader: &mut impl BufRead) -> io::Result<String> {
+    let (mut body_bytes, mut id) = (0, String::new());
     loop {
         let mut line = String::new();
         if reader.read_line(&mut line)? == 0 {
@@ -71,10 +77,13 @@
         if line.is_empty() {
             break;
         }
+        if line.starts_with("request-id:") {
+            id = format!("{line}\r\n");
+        }
         if let Some(length) = line.strip_prefix("content-length:") {
             body_bytes = length.trim().parse().map_err(io::Error::other)?;
         }
     }
     io::copy(&mut reader.take(body_bytes), &mut io::sink())?;
-    Ok(())
+    Ok(id)
 }
--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -14,6 +14,7 @@
     http::{
         self, Pool, Request,
         client::{Call, Fetched},
+        error,
         server::Reply,
     },
 };
@@ -242,7 +243,14 @@
         let slot = Slot::acquire(&self.facts, key)?;
         let window = self.usage.window();
         let call = dispatch.call(&endpoint.id, remaining);
-        let sent = self.pool.send(endpoint.record.address, call).await;
+        let sent = match self.pool.send(endpoint.record.address, call).await {
+            Ok(response)
+                if response.is_repeated && is_rejection(response.status, &response.headers) =>
+            {
+                Err(first_attempt_lost())
+            }
+            sent => sent,
+        };
         let may_have_run = match &sent {
             Ok(response) => !is_rejection(response.status, &response.headers),
             Err(e) => !e.is_unsent(),
@@ -474,8 +482,20 @@
     status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(header::NOT_RUN)
 }
 
+/// Returns the error of a request that the endpoint rejected when it was sent
+/// again. The endpoint may have run the first one.
+fn first_attempt_lost() -> http::Error {
+    let detail = "the connection closed, and the endpoint rejected the repeated request";
+    http::Error::new(error::Kind::Incomplete, detail)
+}
+
 fn classify(response: Result<Fetched, http::Error>) -> Attempt {
     match response {
+        Ok(response)
+            if response.is_repeated && is_rejection(response.status, &response.headers) =>
+        {
+            Attempt::Unknown(first_attempt_lost())
+        }
         Ok(response) if is_rejection(response.status, &response.headers) => {
             Attempt::NotRun(match response.status {
                 StatusCode::MISDIRECTED_REQUEST => "another endpoint has this address",
--- a/crates/site/tests/request.rs
+++ b/crates/site/tests/request.rs
@@ -2,8 +2,11 @@
 
 mod common;
 
-use common::{Deployment, KEY, caller, header};
-use fakes::site::{Fault, Plan};
+use common::{Deployment, KEY, caller, header, wait};
+use fakes::{
+    script::{self, Answer},
+    site::{Fault, PLAIN_SERVICE, Plan},
+};
 use link::{Method, http::client::Call};
 
 #[test]
@@ -25,6 +28,32 @@
     );
 }
 
+#[test]
+fn request_rejected_when_sent_again() {
+    let connections = vec![
+        vec![Answer::Status(200), Answer::Close],
+        vec![Answer::NotRun],
+    ];
+    let address = script::spawn(connections).unwrap();
+    let plan = Plan {
+        plain: 0,
+        ..Plan::default()
+    };
+    let deployment = Deployment::start(1, plan);
+    let record = serde_json::json!({
+        "service": PLAIN_SERVICE, "address": address.to_string(), "zone": "zone-a",
+        "version": "v1", "slots": 4, "state": "ready", "born": 1,
+    });
+    deployment.site.state().put("servers", "scripted", record);
+    let vm = &deployment.vms[0];
+    wait("the endpoint to be known", || {
+        vm.log().contains("endpoint added") && vm.log().contains("scripted")
+    });
+    assert_eq!(vm.request(Method::GET, "/safe/a", "r1").status, 200);
+    // The endpoint may have run the request before the idle connection closed.
+    assert_eq!(vm.request(Method::GET, "/safe/a", "r2").status, 504);
+}
+
 #[test]
 fn request_without_route_or_key() {
     let deployment = Deployment::start(1, Plan::default());
