--- a/crates/link/src/http/call.rs
+++ b/crates/link/src/http/call.rs
@@ -153,6 +153,11 @@
         self.is_idempotent
     }
 
+    /// Returns the method.
+    pub fn method(&self) -> &Method {
+        &self.method
+    }
+
     /// Returns the path and query.
     pub fn path(&self) -> &str {
         &self.path
