site: a read that no coordinator answers is rejected again

Cause: what is unknown of a forwarded call was recorded for all calls, though one that only reads has no effect to be unsure of.

Change: only the end of a job has an execution.

--- a/crates/site/src/job/proxy.rs
+++ b/crates/site/src/job/proxy.rs
@@ -182,23 +182,22 @@
             };
             let is_last_hop = false;
             let options = Options { wait, is_last_hop };
-            match self
+            let sent = self
                 .send(coordinator, account, request, options, limit)
-                .await
-            {
+                .await;
+            match sent {
                 Ok(response) if response.status == StatusCode::SERVICE_UNAVAILABLE => {
                     unavailable = Some(response);
                 }
                 Ok(response) => return Ok(reply(response)),
-                failed => execution = execution.and(execution_of(&failed)),
+                failed => execution = execution.and(execution_of_call(call, &failed)),
             }
             if start.elapsed() > RETRY_TIME_MAX {
                 break;
             }
         }
-        let is_end = matches!(call, batch::Call::End { .. });
         match unavailable {
-            Some(_) if is_end && execution == Execution::Unknown => {
+            Some(_) if execution == Execution::Unknown => {
                 let detail = "no coordinator confirmed the end of the job";
                 Ok(api::not_done(execution, "not-confirmed", detail))
             }
@@ -242,7 +241,7 @@
             Ok(response) if response.status != StatusCode::SERVICE_UNAVAILABLE => {
                 Ok(reply(response))
             }
-            failed => Err(execution_of(&failed)),
+            failed => Err(execution_of_call(call, &failed)),
         }
     }
 
@@ -317,6 +316,15 @@
     }
 }
 
+/// Returns whether another VM may have carried out `call`. Calls that only read
+/// have no effect.
+fn execution_of_call(call: &batch::Call, sent: &Result<Fetched, http::Error>) -> Execution {
+    match call {
+        batch::Call::End { .. } => execution_of(sent),
+        batch::Call::Read { .. } | batch::Call::Body { .. } => Execution::NotRun,
+    }
+}
+
 fn reply(response: Fetched) -> Reply {
     let mut reply = Reply::new(response.status, response.body);
     for name in FORWARDED_HEADERS {
--- a/crates/site/tests/job.rs
+++ b/crates/site/tests/job.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use base64::{Engine as _, engine::general_purpose::STANDARD as BASE64};
-use common::{Deployment, job, text, wait};
+use common::{Deployment, caller, job, text, wait};
 use fakes::site::{Fault, Plan};
 use link::Method;
 use serde_json::Value;
@@ -362,6 +362,22 @@
     }
 }
 
+#[test]
+fn read_rejected_while_coordinators_do_not_respond() {
+    let deployment = Deployment::start_with_coordinators(3, 2, Plan::default());
+    assert_eq!(deployment.vms[2].submit("job-a", &job("a", 2, 2)), 202);
+    deployment.vms[2].read_all("job-a", 2);
+    for vm in &deployment.vms[..2] {
+        vm.signal("STOP");
+    }
+    let call = caller(Method::GET, "/lots/job-a?after=2", "r1").header("wait-ms", "1000");
+    let status = deployment.vms[2].send(call).status;
+    for vm in &deployment.vms[..2] {
+        vm.signal("CONT");
+    }
+    assert_eq!(status, 503);
+}
+
 #[test]
 fn reject_job_without_stored_items() {
     let deployment = Deployment::start(1, Plan::default());
