site: a coordinator's 503 to a repeated end of a job is no rejection

What callers could see: DELETE of a job answered 503, and the job has ended. Found by the review.

Cause: a 503 was set aside before it was asked whether its call had been sent twice.

Change: each response is combined first, then chosen from.

Evidence: end_rejected_when_sent_again fails before (Ok(503)) and passes now.

--- a/crates/site/src/job/proxy.rs
+++ b/crates/site/src/job/proxy.rs
@@ -185,12 +185,13 @@
             let sent = self
                 .send(coordinator, account, request, options, limit)
                 .await;
+            execution = execution.and(execution_of_call(call, &sent));
             match sent {
                 Ok(response) if response.status == StatusCode::SERVICE_UNAVAILABLE => {
                     unavailable = Some(response);
                 }
                 Ok(response) => return Ok(reply(response)),
-                failed => execution = execution.and(execution_of_call(call, &failed)),
+                Err(_) => {}
             }
             if start.elapsed() > RETRY_TIME_MAX {
                 break;
