site: the end of a job is not rejected since its head cannot be read

What callers could see: DELETE of a job answered 503, and the job has ended: a coordinator ended it without an answer in time, and the VM that was called, which is no coordinator and does not know the job, could not read its head.

Cause: api::find rejected for itself alone.

Change: find takes what is known of the attempts at other VMs.

Evidence: end_job_with_lost_forwarded_call_then_store_unavailable fails before (503) and passes now.

--- a/crates/site/src/job/api.rs
+++ b/crates/site/src/job/api.rs
@@ -396,7 +396,7 @@
     let id = match &call {
         Call::Read { job, .. } | Call::End { job } | Call::Body { job, .. } => job.clone(),
     };
-    let job = match find(jobs, &id).await {
+    let job = match find(jobs, &id, execution).await {
         Ok(job) if job.borrow().head.account == account => job,
         Ok(_) => return Reply::error(StatusCode::NOT_FOUND, "no-job", "no such job"),
         Err(reply) => return reply,
@@ -438,8 +438,9 @@
 }
 
 /// Returns the job `id`. Reads its head from the store if this VM does not know
-/// the job.
-async fn find(jobs: &Jobs, id: &str) -> Result<Handle, Reply> {
+/// the job. `execution` is whether another VM may have carried out the call that
+/// is about the job.
+async fn find(jobs: &Jobs, id: &str, execution: Execution) -> Result<Handle, Reply> {
     if let Some(job) = jobs.registry.get(id) {
         return Ok(job);
     }
@@ -450,13 +451,15 @@
     match jobs.store.get(record::KIND, id).await {
         Ok(Some(object)) => match object.read() {
             Some(head) => Ok(jobs.registry.put_head(id, head)),
-            None => Err(rejection(
+            None => Err(not_done(
+                execution,
                 "unclear",
                 "the job's head in the store cannot be parsed",
             )),
         },
         Ok(None) => Err(not_found()),
-        Err(_) => Err(rejection(
+        Err(_) => Err(not_done(
+            execution,
             "store-unreachable",
             "the store, which may have the job, cannot be read",
         )),
--- a/crates/site/tests/job.rs
+++ b/crates/site/tests/job.rs
@@ -6,7 +6,10 @@
 
 use base64::{Engine as _, engine::general_purpose::STANDARD as BASE64};
 use common::{Deployment, caller, job, text, wait};
-use fakes::site::{Fault, Plan};
+use fakes::{
+    script::{self, Answer},
+    site::{Fault, Plan},
+};
 use link::Method;
 use serde_json::Value;
 
@@ -362,6 +365,32 @@
     }
 }
 
+#[test]
+fn end_job_with_lost_forwarded_call_then_store_unavailable() {
+    let mut deployment = Deployment::start(1, Plan::default());
+    assert_eq!(deployment.vms[0].submit("job-a", &job("a", 2, 2)), 202);
+    wait(
+        "the job to be complete, after which no heartbeat is written",
+        || deployment.vms[0].log().contains("stopped running job"),
+    );
+    deployment.vms[0].kill();
+    // A coordinator that closes each connection after it has read the call.
+    let coordinator = script::spawn(vec![vec![Answer::Close]; 1000]).unwrap();
+    deployment.vms[0].change_settings(|text| {
+        let lines = text.lines().map(|line| match line.starts_with("seeds") {
+            true => format!("seeds = [\"{coordinator}\"]"),
+            false => line.to_string(),
+        });
+        lines.collect::<Vec<_>>().join("\n")
+    });
+    deployment.vms[0].restart();
+    let vm = &deployment.vms[0];
+    deployment.site.state().fault = Fault::Unavailable;
+    let status = vm.request(Method::DELETE, "/lots/job-a", "e1").status;
+    assert!(vm.log().contains("VM did not respond to forwarded call"));
+    assert!(!PROMISES.contains(&status.as_u16()), "{status}");
+}
+
 #[test]
 fn read_rejected_while_coordinators_do_not_respond() {
     let deployment = Deployment::start_with_coordinators(3, 2, Plan::default());
