tests: calls that are sent twice are seen to be, and stores that return late

- submit_with_lost_forwarded_write_until_store_returns cleared the fault so soon that the 150 ms of any submission sufficed; it now waits 500 ms before it does.
- request_rejected_when_sent_again, submit_rejected_when_sent_again and end_rejected_when_sent_again also passed if the call was never repeated; the scripted server counts what it reads, and they expect three requests.
- One connection that a peer closed early ended the scripted server.

--- a/crates/fakes/src/script.rs
+++ b/crates/fakes/src/script.rs
@@ -3,6 +3,10 @@
 use std::{
     io::{self, BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread,
 };
 
@@ -17,6 +21,21 @@
     Close,
 }
 
+/// A running server, which ends with the process.
+#[derive(Clone, Debug)]
+pub struct Script {
+    /// The address that it listens on.
+    pub address: SocketAddr,
+    requests: Arc<AtomicUsize>,
+}
+
+impl Script {
+    /// Returns the number of requests that have been read.
+    pub fn requests(&self) -> usize {
+        self.requests.load(Ordering::SeqCst)
+    }
+}
+
 /// Starts a server on loopback. Each element of `connections` has the answers
 /// of one connection, which closes after the last one.
 ///
@@ -30,27 +49,35 @@
 /// use link::http::client::Call;
 /// use tarragonseam_fakes::{blocking, script::{self, Answer}};
 ///
-/// let address = script::spawn(vec![vec![Answer::Status(503)]])?;
-/// assert_eq!(blocking::fetch(address, Call::get("/"))?.status, 503);
+/// let script = script::spawn(vec![vec![Answer::Status(503)]])?;
+/// assert_eq!(blocking::fetch(script.address, Call::get("/"))?.status, 503);
+/// assert_eq!(script.requests(), 1);
 /// # Ok::<(), Box<dyn std::error::Error>>(())
 /// ```
-pub fn spawn(connections: Vec<Vec<Answer>>) -> io::Result<SocketAddr> {
+pub fn spawn(connections: Vec<Vec<Answer>>) -> io::Result<Script> {
     let listener = TcpListener::bind(("127.0.0.1", 0))?;
-    let address = listener.local_addr()?;
-    thread::spawn(move || -> io::Result<()> {
+    let script = Script {
+        address: listener.local_addr()?,
+        requests: Arc::default(),
+    };
+    let requests = script.requests.clone();
+    thread::spawn(move || {
         for answers in connections {
-            let (stream, _) = listener.accept()?;
-            serve(stream, &answers)?;
+            let Ok((stream, _)) = listener.accept() else {
+                return;
+            };
+            // A peer may close a connection early; the next one is served.
+            let _ = serve(stream, &answers, &requests);
         }
-        Ok(())
     });
-    Ok(address)
+    Ok(script)
 }
 
-fn serve(mut stream: TcpStream, answers: &[Answer]) -> io::Result<()> {
+fn serve(mut stream: TcpStream, answers: &[Answer], requests: &AtomicUsize) -> io::Result<()> {
     let mut reader = BufReader::new(stream.try_clone()?);
     for answer in answers {
         let id = read_request(&mut reader)?;
+        requests.fetch_add(1, Ordering::SeqCst);
         let (status, header) = match answer {
             Answer::Status(status) => (*status, ""),
             Answer::NotRun => (503, "not-run: 1\r\n"),
--- a/crates/site/tests/job.rs
+++ b/crates/site/tests/job.rs
@@ -324,6 +324,8 @@
             wait("the VM to try itself", || {
                 vm.log().contains("submission forwarded")
             });
+            // Longer than a submission without an unsettled attempt is retried.
+            std::thread::sleep(Duration::from_millis(500));
             deployment.site.state().fault = Fault::None;
         });
         assert_eq!(vm.submit("job-a", &job("a", 2, 2)), 202);
@@ -378,7 +380,7 @@
     let coordinator = script::spawn(vec![vec![Answer::Close]; 1000]).unwrap();
     deployment.vms[0].change_settings(|text| {
         let lines = text.lines().map(|line| match line.starts_with("seeds") {
-            true => format!("seeds = [\"{coordinator}\"]"),
+            true => format!("seeds = [\"{}\"]", coordinator.address),
             false => line.to_string(),
         });
         lines.collect::<Vec<_>>().join("\n")
--- a/crates/site/tests/proxy.rs
+++ b/crates/site/tests/proxy.rs
@@ -24,13 +24,14 @@
     ];
     let coordinator = script::spawn(connections).unwrap();
     let run = async {
-        let proxy = Proxy::new(Coordinators::new(vec![coordinator], None));
+        let proxy = Proxy::new(Coordinators::new(vec![coordinator.address], None));
         let first = proxy.submit(&None, &submission()).await;
         assert!(first.is_ok(), "{first:?}");
         // The coordinator may have accepted the job before the idle connection
         // closed.
         let second = proxy.submit(&None, &submission()).await;
         assert_eq!(second.err(), Some(Execution::Unknown));
+        assert_eq!(coordinator.requests(), 3);
     };
     runtime::run(run).unwrap();
 }
@@ -49,7 +50,7 @@
         ..submission()
     };
     let run = async {
-        let proxy = Proxy::new(Coordinators::new(vec![coordinator], None));
+        let proxy = Proxy::new(Coordinators::new(vec![coordinator.address], None));
         let call = batch::parse_call(&request).unwrap();
         let first = proxy.forward(&None, &call, &request).await;
         assert!(first.is_ok(), "{first:?}");
@@ -59,6 +60,7 @@
         let status = second.map(|reply| reply.status());
         assert_ne!(status, Ok(StatusCode::SERVICE_UNAVAILABLE));
         assert_ne!(status, Err(Execution::NotRun));
+        assert_eq!(coordinator.requests(), 3);
     };
     runtime::run(run).unwrap();
 }
--- a/crates/site/tests/request.rs
+++ b/crates/site/tests/request.rs
@@ -34,14 +34,14 @@
         vec![Answer::Status(200), Answer::Close],
         vec![Answer::NotRun],
     ];
-    let address = script::spawn(connections).unwrap();
+    let script = script::spawn(connections).unwrap();
     let plan = Plan {
         plain: 0,
         ..Plan::default()
     };
     let deployment = Deployment::start(1, plan);
     let record = serde_json::json!({
-        "service": PLAIN_SERVICE, "address": address.to_string(), "zone": "zone-a",
+        "service": PLAIN_SERVICE, "address": script.address.to_string(), "zone": "zone-a",
         "version": "v1", "slots": 4, "state": "ready", "born": 1,
     });
     deployment.site.state().put("servers", "scripted", record);
@@ -52,6 +52,7 @@
     assert_eq!(vm.request(Method::GET, "/safe/a", "r1").status, 200);
     // The endpoint may have run the request before the idle connection closed.
     assert_eq!(vm.request(Method::GET, "/safe/a", "r2").status, 504);
+    assert_eq!(script.requests(), 3);
 }
 
 #[test]
