site: an attempt at a job is settled by its own token

What could happen: a process is suspended for more than 120 s with an attempt in flight; the attempt is forgotten, another one begins, and the end of the first one settles the second, whose outcome is unknown: its job is then rejected. Found by the review; not seen.

Cause: attempts at a job were counted, not told apart.

Change: begin returns a token, which settle takes by value.

Also from the review: the 2.5 s for which a job is retried that may have been accepted count from the arrival of the submission, not after up to 0.6 s of forwarding; the line about a closed connection covers the time in which a VM forwards a submission; 'submission forwarded' says what is known of the attempt, as status 0 stands for a call that was never sent too.

--- a/crates/site/src/job/api.rs
+++ b/crates/site/src/job/api.rs
@@ -1,6 +1,7 @@
 //! The calls with which trainers submit, read and end jobs.
 
 use std::{
+    future::Future,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -24,8 +25,8 @@
 };
 use crate::forward::rejection;
 
-/// How long a job is retried to be written to the store while it may have been
-/// accepted already.
+/// How long after its arrival a submission is retried while the job may have
+/// been accepted already.
 const ACCEPT_RETRY_MAX: Duration = Duration::from_millis(2500);
 /// How long failed writes of a job's items are retried: less than half of the
 /// time in which a trainer expects the response to its submission.
@@ -72,21 +73,35 @@
     if let Some(known) = jobs.registry.get(id) {
         return already_accepted(&known, &account);
     }
-    jobs.unsettled
-        .begin(id, UNSETTLED_RETENTION, Instant::now());
-    let forwarded = jobs.proxy.submit(&account, request).await;
-    if !matches!(forwarded, Err(Execution::Unknown)) {
-        jobs.unsettled.settle(id);
-    }
-    match forwarded {
-        Ok(reply) => reply,
-        Err(_) => accept(jobs, account, request, Sender::Caller).await,
-    }
+    let arrival = Arrival::now(Sender::Caller);
+    let work = async {
+        let token = jobs.unsettled.begin(id, UNSETTLED_RETENTION, arrival.at);
+        let forwarded = jobs.proxy.submit(&account, request).await;
+        if !matches!(forwarded, Err(Execution::Unknown)) {
+            jobs.unsettled.settle(token);
+        }
+        match forwarded {
+            Ok(reply) => reply,
+            Err(_) => accept(jobs, account.clone(), request, arrival).await,
+        }
+    };
+    log_if_dropped(id, arrival, work).await
+}
+
+/// Accepts a job that another VM forwards.
+pub(crate) async fn submit_from_peer(
+    jobs: &Jobs,
+    account: Option<String>,
+    request: &Request,
+) -> Reply {
+    let id = request.header("request-id").unwrap_or_default();
+    let arrival = Arrival::now(Sender::Peer);
+    log_if_dropped(id, arrival, accept(jobs, account, request, arrival)).await
 }
 
 /// Who sent a submission to this VM.
 #[derive(Clone, Copy, Debug)]
-pub(crate) enum Sender {
+enum Sender {
     /// The trainer.
     Caller,
     /// A VM that the trainer called.
@@ -103,12 +118,42 @@
     }
 }
 
-/// Logs a submission whose sender closes the connection before it is answered:
-/// the job may exist, and no other line on this VM would say so.
+/// The arrival of a submission at this VM.
+#[derive(Clone, Copy, Debug)]
+struct Arrival {
+    sender: Sender,
+    at: Instant,
+}
+
+impl Arrival {
+    fn now(sender: Sender) -> Self {
+        let at = Instant::now();
+        Self { sender, at }
+    }
+
+    fn elapsed_ms(self) -> u64 {
+        self.at.elapsed().as_millis() as u64
+    }
+}
+
+/// Answers a submission with the result of `work`. Logs if the sender closes the
+/// connection before, which drops `work`: the job may exist, and no other line
+/// on this VM would say so.
+async fn log_if_dropped(job: &str, arrival: Arrival, work: impl Future<Output = Reply>) -> Reply {
+    let mut unanswered = Unanswered {
+        job,
+        arrival,
+        is_answered: false,
+    };
+    let reply = work.await;
+    unanswered.is_answered = true;
+    reply
+}
+
+/// A submission that has not been answered yet.
 struct Unanswered<'a> {
     job: &'a str,
-    sender: Sender,
-    start: Instant,
+    arrival: Arrival,
     is_answered: bool,
 }
 
@@ -117,20 +162,21 @@
         if self.is_answered {
             return;
         }
-        let (job, sender) = (self.job, self.sender.name());
-        let ms = self.start.elapsed().as_millis() as u64;
+        let (job, sender) = (self.job, self.arrival.sender.name());
+        let ms = self.arrival.elapsed_ms();
         spdlog::warn!("sender closed connection before its submission was answered", kv: { job, sender, ms });
     }
 }
 
 /// Accepts a job on this VM. A job that was accepted before, here or on another
 /// VM, is not accepted again.
-pub(crate) async fn accept(
+async fn accept(
     jobs: &Jobs,
     account: Option<String>,
     request: &Request,
-    sender: Sender,
+    arrival: Arrival,
 ) -> Reply {
+    let sender = arrival.sender;
     let id = request.header("request-id").unwrap_or_default();
     // Known jobs are accepted also while the store cannot be reached.
     if let Some(known) = jobs.registry.get(id) {
@@ -161,24 +207,16 @@
         items: submission.items.len(),
         work_ms,
     };
-    let start = Instant::now();
-    let mut unanswered = Unanswered {
-        job: id,
-        sender,
-        start,
-        is_answered: false,
-    };
     // A job that may have been accepted cannot be rejected, so it is worth
     // waiting for the store. A VM that forwards a submission does not wait.
     let is_worth_waiting = matches!(sender, Sender::Caller) && jobs.unsettled.contains(id);
-    let items_retry = match is_worth_waiting {
-        true => ACCEPT_RETRY_MAX,
-        false => ITEMS_RETRY_MAX,
+    let items_deadline = match is_worth_waiting {
+        true => arrival.at + ACCEPT_RETRY_MAX,
+        false => Instant::now() + ITEMS_RETRY_MAX,
     };
-    let written = create(jobs, id, &head, &submission.items, items_retry).await;
-    unanswered.is_answered = true;
+    let written = create(jobs, id, &head, &submission.items, items_deadline, arrival).await;
     let (job, items, sender) = (id, head.items, sender.name());
-    let ms = start.elapsed().as_millis() as u64;
+    let ms = arrival.elapsed_ms();
     match written {
         Ok(Written::Done(_)) => {
             let account = account.as_deref().unwrap_or_default();
@@ -226,7 +264,7 @@
 }
 
 /// Returns whether a write may have taken effect that failed with `error`.
-fn execution_of(error: &Error) -> Execution {
+fn execution_of_write(error: &Error) -> Execution {
     match error {
         Error::Rejected(_) => Execution::NotRun,
         Error::Unknown | Error::HistoryExpired | Error::Malformed => Execution::Unknown,
@@ -260,29 +298,30 @@
 }
 
 /// Writes a job to the store: its items first, since the job is accepted once
-/// its head exists. The write of the head remains unsettled unless its outcome
-/// becomes known.
+/// its head exists. Failed writes of items are retried until `items_deadline`.
+/// The write of the head remains unsettled unless its outcome becomes known.
 async fn create(
     jobs: &Jobs,
     id: &str,
     head: &Head,
     items: &[Item],
-    items_retry: Duration,
+    items_deadline: Instant,
+    arrival: Arrival,
 ) -> Result<Written, Error> {
-    let start = Instant::now();
     loop {
         match jobs.content.write_items(id, items).await {
             Ok(()) => break,
-            Err(e) if start.elapsed() > items_retry => return Err(e),
+            Err(e) if Instant::now() > items_deadline => return Err(e),
             Err(_) => monoio::time::sleep(WRITE_RETRY_DELAY).await,
         }
     }
     // Also recorded if this future is dropped while it waits for the store.
-    jobs.unsettled
-        .begin(id, UNSETTLED_RETENTION, Instant::now());
-    let (written, execution) = write_head(jobs, id, head, start).await;
+    let now = Instant::now();
+    let token = jobs.unsettled.begin(id, UNSETTLED_RETENTION, now);
+    let deadline = arrival.at + ACCEPT_RETRY_MAX;
+    let (written, execution) = write_head(jobs, id, head, deadline).await;
     if execution == Execution::NotRun {
-        jobs.unsettled.settle(id);
+        jobs.unsettled.settle(token);
     }
     written
 }
@@ -294,7 +333,7 @@
     jobs: &Jobs,
     id: &str,
     head: &Head,
-    start: Instant,
+    deadline: Instant,
 ) -> (Result<Written, Error>, Execution) {
     let mut execution = Execution::NotRun;
     loop {
@@ -303,8 +342,8 @@
             Err(e) => e,
         };
         let is_first = execution == Execution::NotRun;
-        execution = execution.and(execution_of(&error));
-        if execution == Execution::NotRun || start.elapsed() > ACCEPT_RETRY_MAX {
+        execution = execution.and(execution_of_write(&error));
+        if execution == Execution::NotRun || Instant::now() > deadline {
             return (Err(error), execution);
         }
         if is_first {
@@ -562,7 +601,7 @@
             let problem = e.to_string();
             spdlog::warn!("cannot write end of job", kv: { job = id, problem });
             not_done(
-                execution.and(execution_of(&e)),
+                execution.and(execution_of_write(&e)),
                 "store-unreachable",
                 "the end of the job cannot be written to the store now",
             )
--- a/crates/site/src/job/proxy.rs
+++ b/crates/site/src/job/proxy.rs
@@ -139,12 +139,14 @@
             let vm = coordinator.to_string();
             // 0 stands for no response.
             let status = sent.as_ref().map_or(0, |response| response.status.as_u16());
-            spdlog::info!("submission forwarded", kv: { job, vm, status });
+            let attempt = execution_of(&sent);
+            let ran = attempt.code();
+            spdlog::info!("submission forwarded", kv: { job, vm, status, ran });
             match sent {
                 Ok(response) if response.status == StatusCode::ACCEPTED => {
                     return Ok(reply(response));
                 }
-                sent => execution = execution.and(execution_of(&sent)),
+                _ => execution = execution.and(attempt),
             }
         }
         Err(execution)
@@ -353,6 +355,6 @@
     };
     match batch::parse_call(&request) {
         Some(call) => api::answer(jobs, account, call, &request, mode, Execution::NotRun).await,
-        None => api::accept(jobs, account, &request, api::Sender::Peer).await,
+        None => api::submit_from_peer(jobs, account, &request).await,
     }
 }
--- a/crates/site/src/job/unsettled.rs
+++ b/crates/site/src/job/unsettled.rs
@@ -1,11 +1,11 @@
-//! Submissions whose outcome this VM does not know.
+//! Attempts to accept a job whose outcome this VM does not know.
 //!
 //! A rejection promises that no part of the job runs, which covers everything
 //! that was done for the submission: an earlier attempt that got no answer may
 //! have created the job's head, or may yet.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -14,18 +14,31 @@
 
 /// The attempts to accept jobs that have no known outcome. Clones share them.
 #[derive(Clone, Debug, Default)]
-pub struct Unsettled(Rc<RefCell<Map<String, Attempts>>>);
+pub struct Unsettled(Rc<Inner>);
 
-/// The attempts at one job.
+#[derive(Debug, Default)]
+struct Inner {
+    jobs: RefCell<Map<String, Vec<Attempt>>>,
+    next_number: Cell<u64>,
+}
+
+#[derive(Debug)]
+struct Attempt {
+    number: u64,
+    began_at: Instant,
+}
+
+/// An attempt that has begun. One that is dropped remains unsettled.
 #[derive(Debug)]
-struct Attempts {
-    count: u32,
-    last_began_at: Instant,
+#[must_use]
+pub struct Token {
+    job: String,
+    number: u64,
 }
 
 impl Unsettled {
-    /// Records that an attempt to accept `job` begins. It stays recorded for
-    /// `retention` unless [`settle`](Self::settle) is called for it.
+    /// Records that an attempt to accept `job` begins, and forgets attempts that
+    /// began `retention` ago.
     ///
     /// # Examples
     ///
@@ -34,37 +47,42 @@
     /// use tarragonseam_site::job::unsettled::Unsettled;
     ///
     /// let (unsettled, now) = (Unsettled::default(), Instant::now());
-    /// unsettled.begin("job-a", Duration::from_secs(60), now);
-    /// unsettled.begin("job-a", Duration::from_secs(60), now);
-    /// unsettled.settle("job-a");
+    /// let lost = unsettled.begin("job-a", Duration::from_secs(60), now);
+    /// drop(lost);
+    /// let rejected = unsettled.begin("job-a", Duration::from_secs(60), now);
+    /// unsettled.settle(rejected);
     /// assert!(unsettled.contains("job-a"));
     /// ```
-    pub fn begin(&self, job: &str, retention: Duration, now: Instant) {
-        let mut jobs = self.0.borrow_mut();
+    pub fn begin(&self, job: &str, retention: Duration, now: Instant) -> Token {
+        let number = self.0.next_number.get();
+        self.0.next_number.set(number.wrapping_add(1));
+        let mut jobs = self.0.jobs.borrow_mut();
         jobs.retain(|_, attempts| {
-            now.saturating_duration_since(attempts.last_began_at) < retention
+            attempts.retain(|attempt| now.saturating_duration_since(attempt.began_at) < retention);
+            !attempts.is_empty()
         });
-        let attempts = jobs.entry(job.to_string()).or_insert(Attempts {
-            count: 0,
-            last_began_at: now,
+        let attempts = jobs.entry(job.to_string()).or_default();
+        attempts.push(Attempt {
+            number,
+            began_at: now,
         });
-        attempts.count += 1;
-        attempts.last_began_at = now;
+        let job = job.to_string();
+        Token { job, number }
     }
 
-    /// Records that the outcome of one attempt at `job` is known.
-    pub fn settle(&self, job: &str) {
-        let mut jobs = self.0.borrow_mut();
-        if let Some(attempts) = jobs.get_mut(job) {
-            attempts.count = attempts.count.saturating_sub(1);
-            if attempts.count == 0 {
-                jobs.remove(job);
+    /// Records that the outcome of the attempt `token` is known.
+    pub fn settle(&self, token: Token) {
+        let mut jobs = self.0.jobs.borrow_mut();
+        if let Some(attempts) = jobs.get_mut(&token.job) {
+            attempts.retain(|attempt| attempt.number != token.number);
+            if attempts.is_empty() {
+                jobs.remove(&token.job);
             }
         }
     }
 
     /// Returns whether an attempt at `job` has no known outcome.
     pub fn contains(&self, job: &str) -> bool {
-        self.0.borrow().contains_key(job)
+        self.0.jobs.borrow().contains_key(job)
     }
 }
