site: soak of submissions under store faults and kills

Three trainers submit jobs at four VMs, two of them coordinators, while faults of the store come and go and single VMs are killed. Checked: a job that is rejected at every attempt has no arrival at an endpoint, an accepted job that is not ended is complete, and no item stands at two positions. A job counts as ended unless every DELETE of it was answered with a promise, so a DELETE that is rejected and takes effect shows as an incomplete job.

The fake store gets a fault for this: writes that are executed late and get no answer.

Not covered: faults of endpoints and of the connections between VMs, and more than one VM down at a time.

--- a/crates/fakes/src/site/mod.rs
+++ b/crates/fakes/src/site/mod.rs
@@ -83,6 +83,9 @@
     /// The next write to one kind of object is executed and its answer dropped.
     /// The store is [`Unavailable`](Self::Unavailable) from then on.
     LostWriteOf(&'static str),
+    /// Writes are executed after this time, also if the caller or the fault has
+    /// gone by then, and get no answer. Reads are answered.
+    LateWrites(Duration),
     /// Watches report no changes; other calls are answered.
     SilentWatches,
 }
--- a/crates/fakes/src/site/store.rs
+++ b/crates/fakes/src/site/store.rs
@@ -36,6 +36,17 @@
     if fault == Fault::Unavailable {
         return Reply::new(StatusCode::SERVICE_UNAVAILABLE, "");
     }
+    if let Fault::LateWrites(delay) = fault
+        && request.method != Method::GET
+    {
+        // A task of its own, since the caller may close the connection.
+        let write = monoio::spawn(async move {
+            monoio::time::sleep(delay).await;
+            lock(&state).handle(&request);
+        });
+        write.await;
+        return Reply::cut();
+    }
     let watch = request.query("watch").and_then(|value| value.parse().ok());
     let reply = match watch {
         Some(from) => watch_from(&state, &request, from).await,
--- a/crates/site/tests/common/mod.rs
+++ b/crates/site/tests/common/mod.rs
@@ -204,10 +204,15 @@
 
     /// Starts the process again and waits until it is ready.
     pub(crate) fn restart(&mut self) {
-        self.process = launch(&self.settings, self.metrics.port(), &self.log);
+        self.start_again();
         self.wait_until_ready();
     }
 
+    /// Starts the process again. It may not be ready before the store is.
+    pub(crate) fn start_again(&mut self) {
+        self.process = launch(&self.settings, self.metrics.port(), &self.log);
+    }
+
     /// Replaces the text of the settings file by the result of `change`.
     pub(crate) fn change_settings(&self, change: impl Fn(&str) -> String) {
         let text = std::fs::read_to_string(&self.settings).unwrap();
