site: the submission of jobs is a module of its own

api.rs held the calls of trainers and the acceptance of jobs; the part that decides between accepted, rejected and unknown is now job::submission, and the replies that both share are job::rejection. No behaviour changes.

--- a/crates/site/src/front.rs
+++ b/crates/site/src/front.rs
@@ -16,7 +16,7 @@
 use crate::{
     facts::Facts,
     forward::{Forwarder, rejection},
-    job::{Jobs, api},
+    job::{Jobs, api, submission},
 };
 
 /// Responses with this status or a higher one are logged.
@@ -79,7 +79,7 @@
             (Err(reply), false) => return reply,
         };
         match route.kind {
-            Kind::Rollout => api::submit(&self.jobs, account, &request).await,
+            Kind::Rollout => submission::submit(&self.jobs, account, &request).await,
             Kind::Safe | Kind::Unsafe => self.forward(route, account, request).await,
         }
     }
--- a/crates/site/src/job/mod.rs
+++ b/crates/site/src/job/mod.rs
@@ -20,6 +20,8 @@
 pub mod proxy;
 pub mod record;
 pub mod registry;
+pub(crate) mod rejection;
+pub mod submission;
 pub mod text;
 pub mod unsettled;
 
--- a/crates/site/src/job/proxy.rs
+++ b/crates/site/src/job/proxy.rs
@@ -22,7 +22,7 @@
 use platform::{batch, header};
 use policy::execution::Execution;
 
-use super::{Jobs, api};
+use super::{Jobs, api, rejection::not_done, submission};
 use crate::coordinator::Coordinators;
 
 /// The prefix of the path of a forwarded call, before the original path.
@@ -202,7 +202,7 @@
         match unavailable {
             Some(_) if execution == Execution::Unknown => {
                 let detail = "no coordinator confirmed the end of the job";
-                Ok(api::not_done(execution, "not-confirmed", detail))
+                Ok(not_done(execution, "not-confirmed", detail))
             }
             Some(response) => Ok(reply(response)),
             None => Err(execution),
@@ -355,6 +355,6 @@
     };
     match batch::parse_call(&request) {
         Some(call) => api::answer(jobs, account, call, &request, mode, Execution::NotRun).await,
-        None => api::submit_from_peer(jobs, account, &request).await,
+        None => submission::submit_from_peer(jobs, account, &request).await,
     }
 }
--- /dev/null
+++ b/crates/site/src/job/submission.rs
@@ -0,0 +1,328 @@
+//! The submission of jobs.
+//!
+//! A submission passes several hands: the VM that the trainer called, a
+//! coordinator or two, and the store. It is rejected only if none of them may
+//! have accepted the job, since a rejection promises that no part of it runs.
+
+use std::{
+    future::Future,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use link::{
+    StatusCode, clock,
+    http::{Request, server::Reply},
+};
+use platform::{
+    batch::{Item, Submission},
+    store::{Error, Written},
+};
+use policy::execution::Execution;
+
+use super::{
+    Handle, Jobs, failover,
+    record::{self, Head},
+    rejection::{execution_of_write, not_done},
+};
+
+/// How long after its arrival a submission is retried while the job may have
+/// been accepted already.
+const ACCEPT_RETRY_MAX: Duration = Duration::from_millis(2500);
+/// How long failed writes of a job's items are retried: less than half of the
+/// time in which a trainer expects the response to its submission.
+const ITEMS_RETRY_MAX: Duration = Duration::from_millis(150);
+/// The pause before a write of items or of a head is retried.
+const WRITE_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// How long an attempt to accept a job without a known outcome is remembered:
+/// an older job is not run any more.
+const UNSETTLED_RETENTION: Duration = failover::TAKEOVER_AGE_MAX;
+
+/// Submits a job to the coordinator that runs jobs. If no coordinator accepts
+/// the job, this VM does.
+pub async fn submit(jobs: &Jobs, account: Option<String>, request: &Request) -> Reply {
+    let id = request.header("request-id").unwrap_or_default();
+    if !record::is_valid_id(id) {
+        return Reply::error(
+            StatusCode::BAD_REQUEST,
+            "bad-id",
+            "request-id must have 1 to 100 letters, digits, '-' or '_'",
+        );
+    }
+    if let Some(known) = jobs.registry.get(id) {
+        return already_accepted(&known, &account);
+    }
+    let arrival = Arrival::now(Sender::Caller);
+    let work = async {
+        let token = jobs.unsettled.begin(id, UNSETTLED_RETENTION, arrival.at);
+        let forwarded = jobs.proxy.submit(&account, request).await;
+        if !matches!(forwarded, Err(Execution::Unknown)) {
+            jobs.unsettled.settle(token);
+        }
+        match forwarded {
+            Ok(reply) => reply,
+            Err(_) => accept(jobs, account.clone(), request, arrival).await,
+        }
+    };
+    log_if_dropped(id, arrival, work).await
+}
+
+/// Accepts a job that another VM forwards.
+pub(crate) async fn submit_from_peer(
+    jobs: &Jobs,
+    account: Option<String>,
+    request: &Request,
+) -> Reply {
+    let id = request.header("request-id").unwrap_or_default();
+    let arrival = Arrival::now(Sender::Peer);
+    log_if_dropped(id, arrival, accept(jobs, account, request, arrival)).await
+}
+
+/// Who sent a submission to this VM.
+#[derive(Clone, Copy, Debug)]
+enum Sender {
+    /// The trainer.
+    Caller,
+    /// A VM that the trainer called.
+    Peer,
+}
+
+impl Sender {
+    /// Returns the sender's name in log lines.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Caller => "caller",
+            Self::Peer => "peer",
+        }
+    }
+}
+
+/// The arrival of a submission at this VM.
+#[derive(Clone, Copy, Debug)]
+struct Arrival {
+    sender: Sender,
+    at: Instant,
+}
+
+impl Arrival {
+    fn now(sender: Sender) -> Self {
+        let at = Instant::now();
+        Self { sender, at }
+    }
+
+    fn elapsed_ms(self) -> u64 {
+        self.at.elapsed().as_millis() as u64
+    }
+}
+
+/// Answers a submission with the result of `work`. Logs if the sender closes the
+/// connection before, which drops `work`: the job may exist, and no other line
+/// on this VM would say so.
+async fn log_if_dropped(job: &str, arrival: Arrival, work: impl Future<Output = Reply>) -> Reply {
+    let mut unanswered = Unanswered {
+        job,
+        arrival,
+        is_answered: false,
+    };
+    let reply = work.await;
+    unanswered.is_answered = true;
+    reply
+}
+
+/// A submission that has not been answered yet.
+struct Unanswered<'a> {
+    job: &'a str,
+    arrival: Arrival,
+    is_answered: bool,
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if self.is_answered {
+            return;
+        }
+        let (job, sender) = (self.job, self.arrival.sender.name());
+        let ms = self.arrival.elapsed_ms();
+        spdlog::warn!("sender closed connection before its submission was answered", kv: { job, sender, ms });
+    }
+}
+
+/// Accepts a job on this VM. A job that was accepted before, here or on another
+/// VM, is not accepted again.
+async fn accept(
+    jobs: &Jobs,
+    account: Option<String>,
+    request: &Request,
+    arrival: Arrival,
+) -> Reply {
+    let sender = arrival.sender;
+    let id = request.header("request-id").unwrap_or_default();
+    // Known jobs are accepted also while the store cannot be reached.
+    if let Some(known) = jobs.registry.get(id) {
+        return already_accepted(&known, &account);
+    }
+    if matches!(sender, Sender::Peer) && jobs.proxy.is_draining() {
+        return not_accepted(jobs, id, "draining", "this VM accepts no more jobs");
+    }
+    // A VM that runs a job must see when the job is ended, and only
+    // coordinators watch jobs.
+    jobs.coordinators
+        .join_temporarily("a job was submitted to this VM");
+    let submission: Submission = match request.json() {
+        Ok(submission) => submission,
+        Err(reply) => return reply,
+    };
+    let expected = submission.items.iter().map(Item::expected_tokens).sum();
+    let work_ms = jobs.registry.work_ms(submission.model.as_deref(), expected);
+    let head = Head {
+        account: account.clone(),
+        host: request.header("host").unwrap_or_default().to_string(),
+        path: request.uri.path().to_string(),
+        vm: jobs.vm.clone(),
+        address: jobs.coordinators.own_address(),
+        submitted_ms: clock::wall_millis(),
+        model: submission.model,
+        oldest_version: submission.oldest_version,
+        items: submission.items.len(),
+        work_ms,
+    };
+    // A job that may have been accepted cannot be rejected, so it is worth
+    // waiting for the store. A VM that forwards a submission does not wait.
+    let is_worth_waiting = matches!(sender, Sender::Caller) && jobs.unsettled.contains(id);
+    let items_deadline = match is_worth_waiting {
+        true => arrival.at + ACCEPT_RETRY_MAX,
+        false => Instant::now() + ITEMS_RETRY_MAX,
+    };
+    let written = create(jobs, id, &head, &submission.items, items_deadline, arrival).await;
+    let (job, items, sender) = (id, head.items, sender.name());
+    let ms = arrival.elapsed_ms();
+    match written {
+        Ok(Written::Done(_)) => {
+            let account = account.as_deref().unwrap_or_default();
+            spdlog::info!("job accepted", kv: { job, account, items, sender, ms });
+            jobs.metrics.record_job("accepted");
+            let known = jobs.registry.put_head(id, head);
+            {
+                let mut known = known.borrow_mut();
+                known.items = Some(Rc::new(submission.items));
+                // A new job has no pages that would have to be read.
+                known.is_loaded = true;
+            }
+            jobs.executor.start(&known);
+            accepted()
+        }
+        Ok(Written::Conflict(object)) => {
+            spdlog::info!("job was accepted before", kv: { job, sender, ms });
+            match object.and_then(|object| object.read()) {
+                Some(existing) => {
+                    let known = jobs.registry.put_head(id, existing);
+                    if known.borrow().head.vm == jobs.vm {
+                        // An earlier attempt of this call created the head.
+                        jobs.executor.start(&known);
+                    }
+                    already_accepted(&known, &account)
+                }
+                None => Reply::error(
+                    StatusCode::BAD_GATEWAY,
+                    "unclear",
+                    "the job's head in the store cannot be parsed",
+                ),
+            }
+        }
+        Err(e) => {
+            let problem = e.to_string();
+            spdlog::warn!("cannot write job to the store", kv: { job, problem, sender, ms });
+            not_accepted(
+                jobs,
+                id,
+                "store-unreachable",
+                "the job cannot be written to the store now",
+            )
+        }
+    }
+}
+
+/// Returns the reply to a submission that this VM does not accept: a rejection,
+/// unless the job may have been accepted or may yet be.
+fn not_accepted(jobs: &Jobs, id: &str, code: &str, detail: &str) -> Reply {
+    if jobs.unsettled.contains(id) {
+        spdlog::warn!("job not confirmed, it may have been accepted", kv: { job = id, code });
+        jobs.metrics.record_job("unclear");
+        return not_done(Execution::Unknown, code, detail);
+    }
+    spdlog::warn!("job rejected", kv: { job = id, code });
+    jobs.metrics.record_job("refused");
+    not_done(Execution::NotRun, code, detail)
+}
+
+/// Writes a job to the store: its items first, since the job is accepted once
+/// its head exists. Failed writes of items are retried until `items_deadline`.
+/// The write of the head remains unsettled unless its outcome becomes known.
+async fn create(
+    jobs: &Jobs,
+    id: &str,
+    head: &Head,
+    items: &[Item],
+    items_deadline: Instant,
+    arrival: Arrival,
+) -> Result<Written, Error> {
+    loop {
+        match jobs.content.write_items(id, items).await {
+            Ok(()) => break,
+            Err(e) if Instant::now() > items_deadline => return Err(e),
+            Err(_) => monoio::time::sleep(WRITE_RETRY_DELAY).await,
+        }
+    }
+    // Also recorded if this future is dropped while it waits for the store.
+    let now = Instant::now();
+    let token = jobs.unsettled.begin(id, UNSETTLED_RETENTION, now);
+    let deadline = arrival.at + ACCEPT_RETRY_MAX;
+    let (written, execution) = write_head(jobs, id, head, deadline).await;
+    if execution == Execution::NotRun {
+        jobs.unsettled.settle(token);
+    }
+    written
+}
+
+/// Writes the head of a job, and retries as long as it is unknown whether the
+/// head was written. Returns also whether the head may exist although this VM
+/// has not seen it.
+async fn write_head(
+    jobs: &Jobs,
+    id: &str,
+    head: &Head,
+    deadline: Instant,
+) -> (Result<Written, Error>, Execution) {
+    let mut execution = Execution::NotRun;
+    loop {
+        let error = match jobs.store.create(record::KIND, id, head).await {
+            Ok(written) => return (Ok(written), Execution::NotRun),
+            Err(e) => e,
+        };
+        let is_first = execution == Execution::NotRun;
+        execution = execution.and(execution_of_write(&error));
+        if execution == Execution::NotRun || Instant::now() > deadline {
+            return (Err(error), execution);
+        }
+        if is_first {
+            let problem = error.to_string();
+            spdlog::warn!("cannot confirm head of job, retrying", kv: { job = id, problem });
+        }
+        monoio::time::sleep(WRITE_RETRY_DELAY).await;
+    }
+}
+
+fn accepted() -> Reply {
+    Reply::json(StatusCode::ACCEPTED, &serde_json::json!({}))
+}
+
+fn already_accepted(job: &Handle, account: &Option<String>) -> Reply {
+    match job.borrow().head.account == *account {
+        true => accepted(),
+        false => Reply::error(
+            StatusCode::NOT_FOUND,
+            "no-job",
+            "the job belongs to another account",
+        ),
+    }
+}
