tests: writes with a lost reply that are reported as not carried out

The fakes get the switch outage_after_lost_reply: a call is carried out, its reply is lost, and every later call is answered with 503.

The switch has a test of its own, which passes (outage_after_lost_reply_of_executed_call in crates/fakes/tests/faults.rs).

--- a/crates/cli/tests/control_platform.rs
+++ b/crates/cli/tests/control_platform.rs
@@ -146,6 +146,71 @@
     .unwrap();
 }
 
+#[test]
+fn create_lost_reply_then_outage() {
+    let platform = start();
+    let address = platform.address();
+    link::runtime::run(async {
+        let client = Client::new(address, "vm-1");
+        let switches = json!({"lost_reply": 1.0, "outage_after_lost_reply": true});
+        set_faults(address, &switches).await;
+        let created = client.create(KIND, "new", "1").await;
+        set_faults(address, &json!({"reset": true})).await;
+        assert_eq!(client.get(KIND, "new").await.unwrap().value, "1");
+        assert!(matches!(created, Err(Error::Unknown(_))), "{created:?}");
+    })
+    .unwrap();
+}
+
+/// Answers one call on each connection with a response of `responses`, and
+/// closes the connection without an answer for an empty one.
+fn serve_responses(listener: &TcpListener, responses: &[&str]) {
+    for (response, stream) in responses.iter().zip(listener.incoming()) {
+        let mut stream = stream.unwrap();
+        let mut request = [0; 4096];
+        assert!(stream.read(&mut request).unwrap() > 0);
+        stream.write_all(response.as_bytes()).unwrap();
+    }
+}
+
+/// Starts a platform that gives `responses` on a connection each.
+fn start_raw(responses: &'static [&'static str]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || serve_responses(&listener, responses));
+    address
+}
+
+#[test]
+fn create_in_transit_is_not_absent() {
+    // The read is answered before the write that was sent first.
+    const NOT_FOUND: &str = "HTTP/1.1 404 Not Found\r\ncontent-length: 2\r\n\r\n{}";
+    let address = start_raw(&["", NOT_FOUND]);
+    link::runtime::run(async {
+        let created = Client::new(address, "vm-1").create(KIND, "new", "1").await;
+        assert!(matches!(created, Err(Error::Unknown(_))), "{created:?}");
+    })
+    .unwrap();
+}
+
+#[test]
+fn unreadable_success_of_write_is_not_a_rejection() {
+    const UNREADABLE: &str =
+        "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 4\r\n\r\nbusy";
+    let address = start_raw(&[UNREADABLE; 3]);
+    link::runtime::run(async {
+        let client = Client::new(address, "vm-1");
+        let body = json!({});
+        let outcomes = [
+            outcome(client.put(KIND, "new", Condition::Absent, "1").await),
+            outcome(client.order(&order("a.1.1"), open_fence()).await),
+            outcome(client.post::<_, Value>("/v1/orders", &body).await),
+        ];
+        assert_eq!(outcomes, ["unknown"; 3]);
+    })
+    .unwrap();
+}
+
 #[test]
 fn order_behind_closed_fence_is_not_sent() {
     let platform = start();
--- a/crates/fakes/src/fault.rs
+++ b/crates/fakes/src/fault.rs
@@ -28,6 +28,8 @@
     /// Restricts `lost_reply` to calls with this method and path prefix, such
     /// as `POST /v1/orders`.
     pub lost_reply_of: Option<String>,
+    /// Whether `outage` is switched on as soon as a reply is lost.
+    pub outage_after_lost_reply: bool,
     /// Probability that a call is answered with 500 instead of being handled.
     pub error_rate: f64,
     /// Probability that a stream or body ends early.
--- a/crates/fakes/src/host.rs
+++ b/crates/fakes/src/host.rs
@@ -213,7 +213,12 @@
     async fn apply_reply_faults(&self, reply: Reply, loss: f64) -> Reply {
         clock::sleep_ms(self.read_switch(|s| s.late_ms)).await;
         let is_cut = self.wait_while_mute().await || self.read_switch(|s| s.gone);
-        if is_cut || self.random_bool(loss) {
+        if is_cut {
+            return Reply::cut();
+        }
+        if self.random_bool(loss) {
+            let mut switches = self.switches.borrow_mut();
+            switches.outage |= switches.outage_after_lost_reply;
             return Reply::cut();
         }
         if self.read_switch(|s| s.cross) {
--- a/crates/fakes/tests/faults.rs
+++ b/crates/fakes/tests/faults.rs
@@ -174,6 +174,22 @@
     assert_eq!(runs(service.address()), 1);
 }
 
+#[test]
+fn outage_after_lost_reply_of_executed_call() {
+    let service = start_service();
+    let address = service.address();
+    let switches = json!({
+        "lost_reply": 1.0,
+        "lost_reply_of": "GET /entry",
+        "outage_after_lost_reply": true,
+    });
+    service.set_faults(&switches).unwrap();
+    assert_eq!(status(address, "r1"), Err(Kind::Incomplete));
+    assert_eq!(status(address, "r2"), Ok(503));
+    service.set_faults(&json!({"reset": true})).unwrap();
+    assert_eq!(runs(address), 1);
+}
+
 #[test]
 fn cut_by_vm() {
     let platform = spawn(Config::Platform(platform::Config::default())).unwrap();
