tests: an unknown outcome is lost on engines, orders and usage copies

The fakes get the switches outage_of (an outage of some calls only) and transit_ms (a call whose reply is lost is carried out later).

--- a/crates/cli/tests/callers/main.rs
+++ b/crates/cli/tests/callers/main.rs
@@ -6,6 +6,7 @@
 mod common;
 mod connection;
 mod disconnect;
+mod engine;
 mod fault;
 mod fixture;
 mod framing;
--- a/crates/cli/tests/control_orders.rs
+++ b/crates/cli/tests/control_orders.rs
@@ -333,6 +333,44 @@
     .unwrap();
 }
 
+#[test]
+fn order_in_transit_is_not_replaced_in_the_same_epoch() {
+    let tree = Tree::new("transit", CONFIG_IN_STOCK);
+    let plan = plan(&tree, 1, &["a"]);
+    link::runtime::run(async {
+        let deployment = start(&plan).await;
+        let platform = deployment.platform;
+        wait_active(&deployment, "a", (1, 2)).await;
+        // The first order arrives after its sender has given it up, because the
+        // platform accepts no order meanwhile.
+        let switches = json!({
+            "lost_reply": 1.0,
+            "lost_reply_of": "POST /v1/orders",
+            "transit_ms": 8000,
+            "outage_after_lost_reply": true,
+            "outage_of": "POST /v1/orders",
+            "reclaim": {"failure_domain": "a", "notice_ms": 300},
+        });
+        set_faults(&deployment, platform, switches).await;
+        wait_for("repeated order", async || {
+            let faults = fetch_json(&deployment, platform, "/fault").await;
+            (faults["outage"] == true).then_some(())
+        })
+        .await;
+        monoio::time::sleep(Duration::from_secs(4)).await;
+        set_faults(&deployment, platform, json!({"reset": true})).await;
+        wait_for("order after the outage", async || {
+            (count_started(&fetch_orders(&deployment).await, "cheap") >= 4).then_some(())
+        })
+        .await;
+        monoio::time::sleep(Duration::from_secs(10)).await;
+        let history = fetch_orders(&deployment).await;
+        check_orders(&history, "a");
+        assert_eq!(count_started(&history, "cheap"), 4, "{history:#}");
+    })
+    .unwrap();
+}
+
 #[test]
 fn out_of_stock_backs_off_and_is_replaced_elsewhere() {
     let tree = Tree::new("stock", CONFIG);
--- a/crates/cli/tests/control_usage.rs
+++ b/crates/cli/tests/control_usage.rs
@@ -231,6 +231,56 @@
     .unwrap();
 }
 
+#[test]
+fn record_counted_from_unconfirmed_copy_is_not_billed_twice() {
+    let tree = Tree::new("unconfirmed", CONFIG);
+    let mut plan =
+        Plan::new(&tree.0)
+            .vms(2, &FAILURE_DOMAINS)
+            .engines("notes", 2, &FAILURE_DOMAINS);
+    for vm in &mut plan.vms {
+        vm.entry_settings = "test_faults = true\n".to_string();
+        vm.steward_settings = "test_faults = true\n".to_string();
+    }
+    link::runtime::run(async {
+        let deployment = start(&plan).await;
+        let key = issue_key(&deployment, "steady");
+        let served = RefCell::default();
+        warm_up(&deployment, &key, &served).await;
+        wait_reported(&deployment, &plan).await;
+        let [origin, holder] = &deployment.vms[..] else {
+            unreachable!("the plan has two VMs");
+        };
+        let cut = |peer: &[std::net::SocketAddr]| json!({"to": peer, "from": peer});
+        for vm in [origin, holder] {
+            set_faults(&deployment, vm.steward_admin, cut(&[origin.peers])).await;
+        }
+        // The holder stores the copy, but its answer is too late.
+        holder.entry.signal("STOP").unwrap();
+        assert!(generate(&deployment.pool, origin.callers, &key, 7, &served).await);
+        set_faults(&deployment, origin.entry_admin, cut(&[holder.peers])).await;
+        holder.entry.signal("CONT").unwrap();
+        let expected = sum_usage(&served.borrow());
+        wait_for("report of the copy", async || {
+            let reports = fetch_usage(&deployment).await;
+            (sum_reported(&reports, "steady") == expected).then_some(())
+        })
+        .await;
+        set_faults(&deployment, origin.entry_admin, cut(&[])).await;
+        // The origin sends its open records again within this time.
+        monoio::time::sleep(Duration::from_secs(8)).await;
+        for vm in [origin, holder] {
+            set_faults(&deployment, vm.steward_admin, cut(&[])).await;
+        }
+        wait_reported(&deployment, &plan).await;
+        wait_reported(&deployment, &plan).await;
+        let reports = fetch_usage(&deployment).await;
+        check_reports(&reports);
+        assert_eq!(sum_reported(&reports, "steady"), expected, "{reports:#}");
+    })
+    .unwrap();
+}
+
 /// Sends requests to a VM, one after another, until `end`.
 async fn generate_until(
     pool: Pool,
--- a/crates/fakes/src/fault.rs
+++ b/crates/fakes/src/fault.rs
@@ -16,6 +16,8 @@
     pub late_ms: u64,
     /// Whether every call is answered with 503.
     pub outage: bool,
+    /// Restricts `outage` to calls with this method and path prefix.
+    pub outage_of: Option<String>,
     /// Whether connections are closed as soon as they are accepted.
     pub refuse: bool,
     /// Whether connections are accepted but calls are not answered.
@@ -30,6 +32,9 @@
     pub lost_reply_of: Option<String>,
     /// Whether `outage` is switched on as soon as a reply is lost.
     pub outage_after_lost_reply: bool,
+    /// Time after which a call whose reply is lost is handled, in milliseconds,
+    /// as by a network that delivers it late.
+    pub transit_ms: u64,
     /// Probability that a call is answered with 500 instead of being handled.
     pub error_rate: f64,
     /// Probability that a stream or body ends early.
@@ -104,15 +109,18 @@
 
     /// Returns the probability that the reply to a call is lost.
     pub(crate) fn reply_loss_probability(&self, method: &str, path: &str) -> f64 {
-        let call = format!("{method} {path}");
-        let matches = |prefix: &String| call.starts_with(prefix.as_str());
-        if self.lost_reply_of.as_ref().is_none_or(matches) {
+        if is_call_of(self.lost_reply_of.as_deref(), method, path) {
             self.lost_reply
         } else {
             0.0
         }
     }
 
+    /// Returns whether a call is answered with 503.
+    pub(crate) fn has_outage(&self, method: &str, path: &str) -> bool {
+        self.outage && is_call_of(self.outage_of.as_deref(), method, path)
+    }
+
     /// Returns whether the switch `cut` names the caller.
     pub(crate) fn is_cut(&self, vm: Option<&str>, peer: std::net::SocketAddr) -> bool {
         if self.cut.is_empty() {
@@ -123,3 +131,7 @@
         self.cut.iter().any(matches)
     }
 }
+
+fn is_call_of(prefix: Option<&str>, method: &str, path: &str) -> bool {
+    prefix.is_none_or(|prefix| format!("{method} {path}").starts_with(prefix))
+}
--- a/crates/fakes/src/host.rs
+++ b/crates/fakes/src/host.rs
@@ -114,7 +114,7 @@
 
     /// Answers one call: applies the switches, updates the counters and calls
     /// `callbacks`.
-    async fn answer(&self, callbacks: &Callbacks, request: Request) -> Reply {
+    async fn answer(&self, callbacks: &Rc<Callbacks>, request: Request) -> Reply {
         match request.uri.path() {
             "/fault" => return self.set_switches(callbacks, &request),
             "/stats" => return Reply::json(StatusCode::OK, &*self.stats.borrow()),
@@ -128,9 +128,20 @@
             }
             None => {
                 let (method, path) = (request.method.clone(), request.uri.path().to_owned());
-                let reply = (callbacks.answer)(request).await;
-                let loss = self.read_switch(|s| s.reply_loss_probability(method.as_str(), &path));
-                self.apply_reply_faults(reply, loss).await
+                let loss =
+                    || self.read_switch(|s| s.reply_loss_probability(method.as_str(), &path));
+                let transit_ms = self.read_switch(|s| s.transit_ms);
+                if transit_ms > 0 && self.random_bool(loss()) {
+                    let callbacks = callbacks.clone();
+                    monoio::spawn(async move {
+                        clock::sleep_ms(transit_ms).await;
+                        (callbacks.answer)(request).await
+                    });
+                    self.lose_reply()
+                } else {
+                    let reply = (callbacks.answer)(request).await;
+                    self.apply_reply_faults(reply, loss()).await
+                }
             }
         };
         let status = reply.status().as_u16();
@@ -190,7 +201,8 @@
             return Some(Reply::cut());
         }
         clock::sleep_ms(self.read_switch(|s| s.latency_ms)).await;
-        if self.read_switch(|s| s.outage) {
+        let (method, path) = (request.method.as_str(), request.uri.path());
+        if self.read_switch(|s| s.has_outage(method, path)) {
             let status = StatusCode::SERVICE_UNAVAILABLE;
             return Some(Reply::error(
                 status,
@@ -217,9 +229,7 @@
             return Reply::cut();
         }
         if self.random_bool(loss) {
-            let mut switches = self.switches.borrow_mut();
-            switches.outage |= switches.outage_after_lost_reply;
-            return Reply::cut();
+            return self.lose_reply();
         }
         if self.read_switch(|s| s.cross) {
             return self.swap_reply(reply).await;
@@ -227,6 +237,12 @@
         reply
     }
 
+    fn lose_reply(&self) -> Reply {
+        let mut switches = self.switches.borrow_mut();
+        switches.outage |= switches.outage_after_lost_reply;
+        Reply::cut()
+    }
+
     /// Swaps `reply` with another one that is ready within [`SWAP_TIMEOUT`],
     /// and returns `reply` itself if there is none.
     async fn swap_reply(&self, reply: Reply) -> Reply {
--- a/crates/fakes/src/platform/object.rs
+++ b/crates/fakes/src/platform/object.rs
@@ -199,7 +199,8 @@
         let wait = Duration::from_millis(number("wait_ms").unwrap_or(0).min(WAIT_MAX_MS));
         let deadline = Instant::now() + wait;
         loop {
-            if self.host.read_switch(|s| s.outage) {
+            let path = request.uri.path();
+            if self.host.read_switch(|s| s.has_outage("GET", path)) {
                 return unavailable();
             }
             let seen = self.changed.count();
--- a/crates/fakes/tests/faults.rs
+++ b/crates/fakes/tests/faults.rs
@@ -190,6 +190,27 @@
     assert_eq!(runs(address), 1);
 }
 
+#[test]
+fn transit_call_is_executed_later() {
+    let service = start_service();
+    let switches = json!({"lost_reply": 1.0, "transit_ms": 200});
+    service.set_faults(&switches).unwrap();
+    assert_eq!(status(service.address(), "r1"), Err(Kind::Incomplete));
+    service.set_faults(&json!({"reset": true})).unwrap();
+    assert_eq!(runs(service.address()), 0);
+    thread::sleep(Duration::from_millis(600));
+    assert_eq!(runs(service.address()), 1);
+}
+
+#[test]
+fn outage_of_some_calls() {
+    let service = start_service();
+    let switches = json!({"outage": true, "outage_of": "GET /entry/r1"});
+    service.set_faults(&switches).unwrap();
+    let statuses = ["r1", "r2"].map(|id| status(service.address(), id));
+    assert_eq!(statuses, [Ok(503), Ok(200)]);
+}
+
 #[test]
 fn cut_by_vm() {
     let platform = spawn(Config::Platform(platform::Config::default())).unwrap();
