--- a/crates/site/src/job/api.rs
+++ b/crates/site/src/job/api.rs
@@ -1,37 +1,28 @@
-//! The calls with which trainers submit, read and end jobs.
+//! The calls with which trainers read and end jobs.
 
 use std::{
     net::SocketAddr,
-    rc::Rc,
     time::{Duration, Instant},
 };
 
 use link::{
-    StatusCode, clock,
+    StatusCode,
     http::{Request, server::Reply},
 };
 use platform::{
-    batch::{Call, Item, Page, Sample, Submission},
+    batch::{Call, Page, Sample},
     header,
-    store::{Error, Written},
 };
 use policy::execution::Execution;
 
 use super::{
-    Handle, Jobs, failover, paging,
+    Handle, Jobs, paging,
     proxy::Proxy,
-    record::{self, Head, Name, Part},
+    record::{self, Name, Part},
+    rejection::{execution_of_write, not_done},
 };
 use crate::forward::rejection;
 
-/// How long a job is retried to be written to the store while it may have been
-/// accepted already.
-const ACCEPT_RETRY_MAX: Duration = Duration::from_millis(2500);
-/// How long failed writes of a job's items are retried: less than half of the
-/// time in which a trainer expects the response to its submission.
-const ITEMS_RETRY_MAX: Duration = Duration::from_millis(150);
-/// The pause before a write of items or of a head is retried.
-const WRITE_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// How long a read may wait for samples, even if the trainer requests more.
 const READ_WAIT_MAX: Duration = Duration::from_millis(1000);
 /// How much text a response to a read may contain. The platform allows 1 MB
@@ -54,282 +45,6 @@
 /// samples is confirmed.
 const CONFIRM_POLL_PERIOD: Duration = Duration::from_millis(50);
 
-/// How long an attempt to accept a job without a known outcome is remembered:
-/// an older job is not run any more.
-const UNSETTLED_RETENTION: Duration = failover::TAKEOVER_AGE_MAX;
-
-/// Submits a job to the coordinator that runs jobs. If no coordinator accepts
-/// the job, this VM does.
-pub async fn submit(jobs: &Jobs, account: Option<String>, request: &Request) -> Reply {
-    let id = request.header("request-id").unwrap_or_default();
-    if !record::is_valid_id(id) {
-        return Reply::error(
-            StatusCode::BAD_REQUEST,
-            "bad-id",
-            "request-id must have 1 to 100 letters, digits, '-' or '_'",
-        );
-    }
-    if let Some(known) = jobs.registry.get(id) {
-        return already_accepted(&known, &account);
-    }
-    jobs.unsettled
-        .begin(id, UNSETTLED_RETENTION, Instant::now());
-    let forwarded = jobs.proxy.submit(&account, request).await;
-    if !matches!(forwarded, Err(Execution::Unknown)) {
-        jobs.unsettled.settle(id);
-    }
-    match forwarded {
-        Ok(reply) => reply,
-        Err(_) => accept(jobs, account, request, Sender::Caller).await,
-    }
-}
-
-/// Who sent a submission to this VM.
-#[derive(Clone, Copy, Debug)]
-pub(crate) enum Sender {
-    /// The trainer.
-    Caller,
-    /// A VM that the trainer called.
-    Peer,
-}
-
-impl Sender {
-    /// Returns the sender's name in log lines.
-    fn name(self) -> &'static str {
-        match self {
-            Self::Caller => "caller",
-            Self::Peer => "peer",
-        }
-    }
-}
-
-/// Logs a submission whose sender closes the connection before it is answered:
-/// the job may exist, and no other line on this VM would say so.
-struct Unanswered<'a> {
-    job: &'a str,
-    sender: Sender,
-    start: Instant,
-    is_answered: bool,
-}
-
-impl Drop for Unanswered<'_> {
-    fn drop(&mut self) {
-        if self.is_answered {
-            return;
-        }
-        let (job, sender) = (self.job, self.sender.name());
-        let ms = self.start.elapsed().as_millis() as u64;
-        spdlog::warn!("sender closed connection before its submission was answered", kv: { job, sender, ms });
-    }
-}
-
-/// Accepts a job on this VM. A job that was accepted before, here or on another
-/// VM, is not accepted again.
-pub(crate) async fn accept(
-    jobs: &Jobs,
-    account: Option<String>,
-    request: &Request,
-    sender: Sender,
-) -> Reply {
-    let id = request.header("request-id").unwrap_or_default();
-    // Known jobs are accepted also while the store cannot be reached.
-    if let Some(known) = jobs.registry.get(id) {
-        return already_accepted(&known, &account);
-    }
-    if matches!(sender, Sender::Peer) && jobs.proxy.is_draining() {
-        return not_accepted(jobs, id, "draining", "this VM accepts no more jobs");
-    }
-    // A VM that runs a job must see when the job is ended, and only
-    // coordinators watch jobs.
-    jobs.coordinators
-        .join_temporarily("a job was submitted to this VM");
-    let submission: Submission = match request.json() {
-        Ok(submission) => submission,
-        Err(reply) => return reply,
-    };
-    let expected = submission.items.iter().map(Item::expected_tokens).sum();
-    let work_ms = jobs.registry.work_ms(submission.model.as_deref(), expected);
-    let head = Head {
-        account: account.clone(),
-        host: request.header("host").unwrap_or_default().to_string(),
-        path: request.uri.path().to_string(),
-        vm: jobs.vm.clone(),
-        address: jobs.coordinators.own_address(),
-        submitted_ms: clock::wall_millis(),
-        model: submission.model,
-        oldest_version: submission.oldest_version,
-        items: submission.items.len(),
-        work_ms,
-    };
-    let start = Instant::now();
-    let mut unanswered = Unanswered {
-        job: id,
-        sender,
-        start,
-        is_answered: false,
-    };
-    // A job that may have been accepted cannot be rejected, so it is worth
-    // waiting for the store. A VM that forwards a submission does not wait.
-    let is_worth_waiting = matches!(sender, Sender::Caller) && jobs.unsettled.contains(id);
-    let items_retry = match is_worth_waiting {
-        true => ACCEPT_RETRY_MAX,
-        false => ITEMS_RETRY_MAX,
-    };
-    let written = create(jobs, id, &head, &submission.items, items_retry).await;
-    unanswered.is_answered = true;
-    let (job, items, sender) = (id, head.items, sender.name());
-    let ms = start.elapsed().as_millis() as u64;
-    match written {
-        Ok(Written::Done(_)) => {
-            let account = account.as_deref().unwrap_or_default();
-            spdlog::info!("job accepted", kv: { job, account, items, sender, ms });
-            jobs.metrics.record_job("accepted");
-            let known = jobs.registry.put_head(id, head);
-            {
-                let mut known = known.borrow_mut();
-                known.items = Some(Rc::new(submission.items));
-                // A new job has no pages that would have to be read.
-                known.is_loaded = true;
-            }
-            jobs.executor.start(&known);
-            accepted()
-        }
-        Ok(Written::Conflict(object)) => {
-            spdlog::info!("job was accepted before", kv: { job, sender, ms });
-            match object.and_then(|object| object.read()) {
-                Some(existing) => {
-                    let known = jobs.registry.put_head(id, existing);
-                    if known.borrow().head.vm == jobs.vm {
-                        // An earlier attempt of this call created the head.
-                        jobs.executor.start(&known);
-                    }
-                    already_accepted(&known, &account)
-                }
-                None => Reply::error(
-                    StatusCode::BAD_GATEWAY,
-                    "unclear",
-                    "the job's head in the store cannot be parsed",
-                ),
-            }
-        }
-        Err(e) => {
-            let problem = e.to_string();
-            spdlog::warn!("cannot write job to the store", kv: { job, problem, sender, ms });
-            not_accepted(
-                jobs,
-                id,
-                "store-unreachable",
-                "the job cannot be written to the store now",
-            )
-        }
-    }
-}
-
-/// Returns whether a write may have taken effect that failed with `error`.
-fn execution_of(error: &Error) -> Execution {
-    match error {
-        Error::Rejected(_) => Execution::NotRun,
-        Error::Unknown | Error::HistoryExpired | Error::Malformed => Execution::Unknown,
-    }
-}
-
-/// Returns the reply to a call that this VM could not carry out: a rejection,
-/// unless another attempt at it may have succeeded.
-pub(crate) fn not_done(execution: Execution, code: &str, detail: &str) -> Reply {
-    match execution {
-        Execution::NotRun => rejection(code, detail),
-        Execution::Unknown => Reply::error(
-            StatusCode::GATEWAY_TIMEOUT,
-            "unclear",
-            &format!("{detail}; the call may have been carried out"),
-        ),
-    }
-}
-
-/// Returns the reply to a submission that this VM does not accept: a rejection,
-/// unless the job may have been accepted or may yet be.
-fn not_accepted(jobs: &Jobs, id: &str, code: &str, detail: &str) -> Reply {
-    if jobs.unsettled.contains(id) {
-        spdlog::warn!("job not confirmed, it may have been accepted", kv: { job = id, code });
-        jobs.metrics.record_job("unclear");
-        return not_done(Execution::Unknown, code, detail);
-    }
-    spdlog::warn!("job rejected", kv: { job = id, code });
-    jobs.metrics.record_job("refused");
-    not_done(Execution::NotRun, code, detail)
-}
-
-/// Writes a job to the store: its items first, since the job is accepted once
-/// its head exists. The write of the head remains unsettled unless its outcome
-/// becomes known.
-async fn create(
-    jobs: &Jobs,
-    id: &str,
-    head: &Head,
-    items: &[Item],
-    items_retry: Duration,
-) -> Result<Written, Error> {
-    let start = Instant::now();
-    loop {
-        match jobs.content.write_items(id, items).await {
-            Ok(()) => break,
-            Err(e) if start.elapsed() > items_retry => return Err(e),
-            Err(_) => monoio::time::sleep(WRITE_RETRY_DELAY).await,
-        }
-    }
-    // Also recorded if this future is dropped while it waits for the store.
-    jobs.unsettled
-        .begin(id, UNSETTLED_RETENTION, Instant::now());
-    let (written, execution) = write_head(jobs, id, head, start).await;
-    if execution == Execution::NotRun {
-        jobs.unsettled.settle(id);
-    }
-    written
-}
-
-/// Writes the head of a job, and retries as long as it is unknown whether the
-/// head was written. Returns also whether the head may exist although this VM
-/// has not seen it.
-async fn write_head(
-    jobs: &Jobs,
-    id: &str,
-    head: &Head,
-    start: Instant,
-) -> (Result<Written, Error>, Execution) {
-    let mut execution = Execution::NotRun;
-    loop {
-        let error = match jobs.store.create(record::KIND, id, head).await {
-            Ok(written) => return (Ok(written), Execution::NotRun),
-            Err(e) => e,
-        };
-        let is_first = execution == Execution::NotRun;
-        execution = execution.and(execution_of(&error));
-        if execution == Execution::NotRun || start.elapsed() > ACCEPT_RETRY_MAX {
-            return (Err(error), execution);
-        }
-        if is_first {
-            let problem = error.to_string();
-            spdlog::warn!("cannot confirm head of job, retrying", kv: { job = id, problem });
-        }
-        monoio::time::sleep(WRITE_RETRY_DELAY).await;
-    }
-}
-
-fn accepted() -> Reply {
-    Reply::json(StatusCode::ACCEPTED, &serde_json::json!({}))
-}
-
-fn already_accepted(job: &Handle, account: &Option<String>) -> Reply {
-    match job.borrow().head.account == *account {
-        true => accepted(),
-        false => Reply::error(
-            StatusCode::NOT_FOUND,
-            "no-job",
-            "the job belongs to another account",
-        ),
-    }
-}
-
 /// Answers a call about a job. A VM that is no coordinator forwards the call to
 /// one, and becomes a temporary coordinator if none responds.
 pub async fn call(jobs: &Jobs, account: Option<String>, call: Call, request: &Request) -> Reply {
@@ -396,7 +111,7 @@
     let id = match &call {
         Call::Read { job, .. } | Call::End { job } | Call::Body { job, .. } => job.clone(),
     };
-    let job = match find(jobs, &id).await {
+    let job = match find(jobs, &id, execution).await {
         Ok(job) if job.borrow().head.account == account => job,
         Ok(_) => return Reply::error(StatusCode::NOT_FOUND, "no-job", "no such job"),
         Err(reply) => return reply,
@@ -438,8 +153,9 @@
 }
 
 /// Returns the job `id`. Reads its head from the store if this VM does not know
-/// the job.
-async fn find(jobs: &Jobs, id: &str) -> Result<Handle, Reply> {
+/// the job. `execution` is whether another VM may have carried out the call that
+/// is about the job.
+async fn find(jobs: &Jobs, id: &str, execution: Execution) -> Result<Handle, Reply> {
     if let Some(job) = jobs.registry.get(id) {
         return Ok(job);
     }
@@ -450,13 +166,15 @@
     match jobs.store.get(record::KIND, id).await {
         Ok(Some(object)) => match object.read() {
             Some(head) => Ok(jobs.registry.put_head(id, head)),
-            None => Err(rejection(
+            None => Err(not_done(
+                execution,
                 "unclear",
                 "the job's head in the store cannot be parsed",
             )),
         },
         Ok(None) => Err(not_found()),
-        Err(_) => Err(rejection(
+        Err(_) => Err(not_done(
+            execution,
             "store-unreachable",
             "the store, which may have the job, cannot be read",
         )),
@@ -559,7 +277,7 @@
             let problem = e.to_string();
             spdlog::warn!("cannot write end of job", kv: { job = id, problem });
             not_done(
-                execution.and(execution_of(&e)),
+                execution.and(execution_of_write(&e)),
                 "store-unreachable",
                 "the end of the job cannot be written to the store now",
             )
--- a/crates/site/src/job/proxy.rs
+++ b/crates/site/src/job/proxy.rs
@@ -22,7 +22,7 @@
 use platform::{batch, header};
 use policy::execution::Execution;
 
-use super::{Jobs, api};
+use super::{Jobs, api, rejection::not_done, submission};
 use crate::coordinator::Coordinators;
 
 /// The prefix of the path of a forwarded call, before the original path.
@@ -139,12 +139,14 @@
             let vm = coordinator.to_string();
             // 0 stands for no response.
             let status = sent.as_ref().map_or(0, |response| response.status.as_u16());
-            spdlog::info!("submission forwarded", kv: { job, vm, status });
+            let attempt = execution_of(&sent);
+            let ran = attempt.code();
+            spdlog::info!("submission forwarded", kv: { job, vm, status, ran });
             match sent {
                 Ok(response) if response.status == StatusCode::ACCEPTED => {
                     return Ok(reply(response));
                 }
-                sent => execution = execution.and(execution_of(&sent)),
+                _ => execution = execution.and(attempt),
             }
         }
         Err(execution)
@@ -182,25 +184,25 @@
             };
             let is_last_hop = false;
             let options = Options { wait, is_last_hop };
-            match self
+            let sent = self
                 .send(coordinator, account, request, options, limit)
-                .await
-            {
+                .await;
+            execution = execution.and(execution_of_call(call, &sent));
+            match sent {
                 Ok(response) if response.status == StatusCode::SERVICE_UNAVAILABLE => {
                     unavailable = Some(response);
                 }
                 Ok(response) => return Ok(reply(response)),
-                failed => execution = execution.and(execution_of(&failed)),
+                Err(_) => {}
             }
             if start.elapsed() > RETRY_TIME_MAX {
                 break;
             }
         }
-        let is_end = matches!(call, batch::Call::End { .. });
         match unavailable {
-            Some(_) if is_end && execution == Execution::Unknown => {
+            Some(_) if execution == Execution::Unknown => {
                 let detail = "no coordinator confirmed the end of the job";
-                Ok(api::not_done(execution, "not-confirmed", detail))
+                Ok(not_done(execution, "not-confirmed", detail))
             }
             Some(response) => Ok(reply(response)),
             None => Err(execution),
@@ -242,7 +244,7 @@
             Ok(response) if response.status != StatusCode::SERVICE_UNAVAILABLE => {
                 Ok(reply(response))
             }
-            failed => Err(execution_of(&failed)),
+            failed => Err(execution_of_call(call, &failed)),
         }
     }
 
@@ -317,6 +319,15 @@
     }
 }
 
+/// Returns whether another VM may have carried out `call`. Calls that only read
+/// have no effect.
+fn execution_of_call(call: &batch::Call, sent: &Result<Fetched, http::Error>) -> Execution {
+    match call {
+        batch::Call::End { .. } => execution_of(sent),
+        batch::Call::Read { .. } | batch::Call::Body { .. } => Execution::NotRun,
+    }
+}
+
 fn reply(response: Fetched) -> Reply {
     let mut reply = Reply::new(response.status, response.body);
     for name in FORWARDED_HEADERS {
@@ -344,6 +355,6 @@
     };
     match batch::parse_call(&request) {
         Some(call) => api::answer(jobs, account, call, &request, mode, Execution::NotRun).await,
-        None => api::accept(jobs, account, &request, api::Sender::Peer).await,
+        None => submission::submit_from_peer(jobs, account, &request).await,
     }
 }
--- a/crates/site/tests/job.rs
+++ b/crates/site/tests/job.rs
@@ -5,8 +5,11 @@
 use std::time::Duration;
 
 use base64::{Engine as _, engine::general_purpose::STANDARD as BASE64};
-use common::{Deployment, job, text, wait};
-use fakes::site::{Fault, Plan};
+use common::{Deployment, caller, job, text, wait};
+use fakes::{
+    script::{self, Answer},
+    site::{Fault, Plan},
+};
 use link::Method;
 use serde_json::Value;
 
@@ -321,6 +324,8 @@
             wait("the VM to try itself", || {
                 vm.log().contains("submission forwarded")
             });
+            // Longer than a submission without an unsettled attempt is retried.
+            std::thread::sleep(Duration::from_millis(500));
             deployment.site.state().fault = Fault::None;
         });
         assert_eq!(vm.submit("job-a", &job("a", 2, 2)), 202);
@@ -362,6 +367,48 @@
     }
 }
 
+#[test]
+fn end_job_with_lost_forwarded_call_then_store_unavailable() {
+    let mut deployment = Deployment::start(1, Plan::default());
+    assert_eq!(deployment.vms[0].submit("job-a", &job("a", 2, 2)), 202);
+    wait(
+        "the job to be complete, after which no heartbeat is written",
+        || deployment.vms[0].log().contains("stopped running job"),
+    );
+    deployment.vms[0].kill();
+    // A coordinator that closes each connection after it has read the call.
+    let coordinator = script::spawn(vec![vec![Answer::Close]; 1000]).unwrap();
+    deployment.vms[0].change_settings(|text| {
+        let lines = text.lines().map(|line| match line.starts_with("seeds") {
+            true => format!("seeds = [\"{}\"]", coordinator.address),
+            false => line.to_string(),
+        });
+        lines.collect::<Vec<_>>().join("\n")
+    });
+    deployment.vms[0].restart();
+    let vm = &deployment.vms[0];
+    deployment.site.state().fault = Fault::Unavailable;
+    let status = vm.request(Method::DELETE, "/lots/job-a", "e1").status;
+    assert!(vm.log().contains("VM did not respond to forwarded call"));
+    assert!(!PROMISES.contains(&status.as_u16()), "{status}");
+}
+
+#[test]
+fn read_rejected_while_coordinators_do_not_respond() {
+    let deployment = Deployment::start_with_coordinators(3, 2, Plan::default());
+    assert_eq!(deployment.vms[2].submit("job-a", &job("a", 2, 2)), 202);
+    deployment.vms[2].read_all("job-a", 2);
+    for vm in &deployment.vms[..2] {
+        vm.signal("STOP");
+    }
+    let call = caller(Method::GET, "/lots/job-a?after=2", "r1").header("wait-ms", "1000");
+    let status = deployment.vms[2].send(call).status;
+    for vm in &deployment.vms[..2] {
+        vm.signal("CONT");
+    }
+    assert_eq!(status, 503);
+}
+
 #[test]
 fn reject_job_without_stored_items() {
     let deployment = Deployment::start(1, Plan::default());
