cli: report a withdrawal as not accepted only if no attempt at it may have taken effect

What operators saw: `key withdraw` prints "not accepted: the platform is down or busy and nothing changed", and the key is withdrawn.

Ruled out: to wait for the end of the outage, which only moves the moment, since the platform may be down for longer than an operator waits.

Change: what is known of the attempts is combined (policy::execution). If one of them may have taken effect, the operator reads that the key may or may not be withdrawn, which command shows whether a VM accepts it, and that repeating is safe. Without such an attempt the message is the former one.

--- a/crates/cli/src/keys.rs
+++ b/crates/cli/src/keys.rs
@@ -6,12 +6,23 @@
     shared::{Fact, Item},
 };
 use link::platform::{Client, Condition, Error};
+use policy::execution::Execution;
 use rand::{TryRngCore, rngs::OsRng};
 
-use crate::{announce, command::Platform, error::Failure, publish::platform_failure};
+use crate::{
+    announce,
+    command::Platform,
+    error::Failure,
+    publish::{change_failure, execution_of, platform_failure},
+};
 
 const SECRET_BYTES: usize = 24;
 
+/// The advice if a withdrawal may have taken effect.
+const WITHDRAWAL_UNKNOWN: &str = "the key may or may not be withdrawn: repeat the command until it \
+     succeeds, which is safe; until then `tarragonseam explain --vm PEER --key KEY` shows \
+     whether a VM accepts the key";
+
 /// Issues a key for `account` and prints it.
 pub(crate) async fn issue(platform: &Platform, account: String) -> miette::Result<()> {
     let client = Client::new(platform.address, "cli");
@@ -78,11 +89,13 @@
     // The list is read before the write, because the platform may become
     // unavailable right after it accepts the write.
     let vms = client.vms().await.unwrap_or_default();
+    let mut execution = Execution::NotRun;
+    let failure = |e, execution| change_failure(&e, execution, WITHDRAWAL_UNKNOWN);
     loop {
         let (version, grant) = client
             .read::<Grant>(key::KIND, &name)
             .await
-            .map_err(|e| platform_failure(&e))?;
+            .map_err(|e| failure(e, execution))?;
         if grant.withdrawn {
             let fact = Fact::Key(digest, grant);
             return Ok(announce::send_to(&vms, &Item { version, fact }).await);
@@ -92,14 +105,17 @@
             ..grant
         };
         let written = client.write(key::KIND, &name, Condition::At(version), &updated);
-        match written.await {
+        let error = match written.await {
             Ok(version) => {
                 let fact = Fact::Key(digest, updated);
                 return Ok(announce::send_to(&vms, &Item { version, fact }).await);
             }
-            // The write may or may not have taken effect: read the key again.
-            Err(Error::Conflict(_) | Error::Unknown(_)) => {}
-            Err(e) => return Err(platform_failure(&e).into()),
+            Err(e) => e,
+        };
+        execution = execution.and(execution_of(&error));
+        // The key may have changed: read it again.
+        if !matches!(error, Error::Conflict(_) | Error::Unknown(_)) {
+            return Err(failure(error, execution).into());
         }
     }
 }
--- a/crates/cli/src/publish.rs
+++ b/crates/cli/src/publish.rs
@@ -9,6 +9,7 @@
     shared::{Fact, Item},
 };
 use link::platform::{Client, Condition, Error};
+use policy::execution::Execution;
 
 use crate::{
     announce,
@@ -183,3 +184,23 @@
     };
     Failure::new(e.to_string(), help)
 }
+
+/// Returns whether a write may have taken effect that failed with `e`.
+pub(crate) fn execution_of(e: &Error) -> Execution {
+    match e {
+        Error::Unknown(_) => Execution::Unknown,
+        Error::Conflict(_) | Error::Absent | Error::Rejected { .. } | Error::Unavailable(_) => {
+            Execution::NotRun
+        }
+    }
+}
+
+/// Converts the error that ended the attempts at a change to a failure.
+/// `execution` is what is known of all attempts, and `help` is the advice if one
+/// of them may have taken effect.
+pub(crate) fn change_failure(e: &Error, execution: Execution, help: &str) -> Failure {
+    match execution {
+        Execution::NotRun => platform_failure(e),
+        Execution::Unknown => Failure::new(e.to_string(), help),
+    }
+}
