cli: report a publication as unchanged only if no attempt at it may have taken effect

What operators saw: `publish` prints "not accepted: the platform is down or busy and nothing changed", or "the new revision was not accepted; the configuration is unchanged", and the new revision is in force, or comes into force a second later.

A write of the manifest with an unknown outcome was resolved by one read. If the read failed, its error was reported in place of the unknown outcome. If it showed the former revision, the write was taken for rejected, but it may still be on its way.

Ruled out: to read for longer, since a read that shows the former revision never proves that the write will not arrive.

Change: while the former revision is in force, the write is repeated under the same condition for up to 10 s. If the repetition is accepted, or the manifest has another version, no earlier attempt can take effect any more, and the outcome is known. A read that fails after a conflict no longer hides the conflict.

Evidence: publish_lost_reply_then_outage and snapshot_restore_lost_reply_then_outage (new) fail before with

× platform unavailable: {"error":"unavailable","detail":"the fault switch │ outage is on"} help: not accepted: the platform is down or busy and nothing changed; try again later

publish_in_transit_is_not_reported_as_unchanged fails before with

× the new revision was not accepted; the configuration is unchanged help: publish again

and the new revision in the store.

--- a/crates/cli/src/publish.rs
+++ b/crates/cli/src/publish.rs
@@ -4,6 +4,8 @@
 //! VM reads yet. Then one conditional write replaces the manifest, which refers
 //! to them. So a configuration is never partially in force.
 
+use std::time::{Duration, Instant};
+
 use board::{
     config::{Manifest, manifest},
     shared::{Fact, Item},
@@ -19,6 +21,10 @@
     files::ConfigFiles,
 };
 
+/// How long the write of a manifest with an unknown outcome is repeated.
+const SETTLE_TIME_MAX: Duration = Duration::from_secs(10);
+const SETTLE_PERIOD: Duration = Duration::from_millis(200);
+
 /// The manifest in force, or an empty one before the first publication.
 pub(crate) struct Current {
     /// The condition of the write that replaces the manifest.
@@ -66,7 +72,7 @@
         println!("{line}");
     }
     write_parts(client, before, &next, &files).await?;
-    let version = write_manifest(client, current.condition, &next, &files).await?;
+    let version = write_manifest(client, &current, &next, &files).await?;
     let fact = Fact::Config(next.clone());
     announce::send(client, Item { version, fact }).await;
     let config = &files.config;
@@ -85,6 +91,12 @@
 /// Reads the manifest in force, or returns an empty one before the first
 /// publication.
 pub(crate) async fn read_current(client: &Client) -> miette::Result<Current> {
+    find_current(client)
+        .await
+        .map_err(|e| platform_failure(&e).into())
+}
+
+async fn find_current(client: &Client) -> Result<Current, Error> {
     let read = client
         .read::<Manifest>(manifest::KIND, manifest::CURRENT)
         .await;
@@ -97,7 +109,7 @@
             condition: Condition::Absent,
             manifest: Manifest::default(),
         }),
-        Err(e) => Err(platform_failure(&e).into()),
+        Err(e) => Err(e),
     }
 }
 
@@ -120,54 +132,89 @@
     Ok(())
 }
 
-/// Replaces the manifest and returns the version of its object.
+/// Replaces the manifest `before` and returns the version of its object.
+///
+/// While the outcome is unknown and `before` is still in force, the write is
+/// repeated under the same condition: once the manifest has another version, no
+/// earlier attempt can take effect any more.
+///
+/// # Errors
+///
+/// When the write did not take effect, or may not have. If another operator's
+/// write did, the error contains the difference to `files`.
 async fn write_manifest(
     client: &Client,
-    condition: Condition,
+    before: &Current,
     next: &Manifest,
     files: &ConfigFiles,
 ) -> miette::Result<u64> {
-    let written = client.write(manifest::KIND, manifest::CURRENT, condition, next);
-    match written.await {
-        Ok(version) => Ok(version),
-        // The response may be lost, or a retry of this write may conflict with
-        // its first attempt. Reading the manifest distinguishes these cases
-        // from a write of another operator.
-        Err(Error::Unknown(_) | Error::Conflict(_)) => resolve_outcome(client, next, files).await,
-        Err(e) => Err(platform_failure(&e).into()),
+    let start = Instant::now();
+    let mut execution = Execution::NotRun;
+    let failure = |e: &Error, execution| {
+        let (next, base) = (next.revision, before.manifest.revision);
+        let help = format!(
+            "revision {next} may or may not be in force, and may still be accepted while \
+             revision {base} is: repeat the command with --base={base} until it succeeds, \
+             which is safe; `tarragonseam diff` shows the revision in force"
+        );
+        change_failure(e, execution, &help)
+    };
+    loop {
+        let written = client.write(manifest::KIND, manifest::CURRENT, before.condition, next);
+        let error = match written.await {
+            Ok(version) => return Ok(version),
+            Err(e) => e,
+        };
+        execution = execution.and(execution_of(&error));
+        if !matches!(error, Error::Conflict(_) | Error::Unknown(_)) {
+            return Err(failure(&error, execution).into());
+        }
+        // An earlier attempt may have taken effect, and a repetition conflicts
+        // with it. A failed read says nothing about either.
+        let current = find_current(client)
+            .await
+            .map_err(|_| failure(&error, execution))?;
+        if let Condition::At(version) = current.condition
+            && current.manifest == *next
+        {
+            return Ok(version);
+        }
+        if current.condition != before.condition {
+            return Err(superseded(client, &current.manifest, next, files, execution).await);
+        }
+        if start.elapsed() > SETTLE_TIME_MAX {
+            return Err(failure(&error, execution).into());
+        }
+        monoio::time::sleep(SETTLE_PERIOD).await;
     }
 }
 
-/// Reads the manifest to find out whether the write of `next` took effect.
-///
-/// # Errors
-///
-/// When it did not. If another operator's write did, the error contains the
-/// difference to `files`.
-async fn resolve_outcome(
+/// Returns the error for a publication of `next` after which `current`, of
+/// another operator, is in force. `execution` is whether `next` may have been in
+/// force before.
+async fn superseded(
     client: &Client,
+    current: &Manifest,
     next: &Manifest,
     files: &ConfigFiles,
-) -> miette::Result<u64> {
-    let current = read_current(client).await?;
-    if let Condition::At(version) = current.condition
-        && current.manifest == *next
-    {
-        return Ok(version);
-    }
-    if current.manifest.revision < next.revision {
-        let problem = "the new revision was not accepted; the configuration is unchanged";
-        return Err(Failure::new(problem, "publish again").into());
-    }
+    execution: Execution,
+) -> miette::Report {
+    let may_have_been_in_force =
+        execution == Execution::Unknown && current.revision > next.revision;
+    let earlier = match may_have_been_in_force {
+        true => format!("revision {} may have been yours; ", next.revision),
+        false => String::new(),
+    };
+    let difference = match diff::compare(client, current, &files.parts).await {
+        Ok(lines) => format!("your files differ from it:\n{}", lines.join("\n")),
+        Err(_) => "the difference to your files cannot be read now".to_string(),
+    };
     let problem = format!(
-        "another operator published revision {} at the same time; your files differ from it:\n{}",
-        current.manifest.revision,
-        diff::compare(client, &current.manifest, &files.parts)
-            .await?
-            .join("\n")
+        "another operator published revision {} at the same time; {earlier}{difference}",
+        current.revision,
     );
     let help = "your files are not in force: review the difference, then publish again";
-    Err(Failure::new(problem, help).into())
+    Failure::new(problem, help).into()
 }
 
 /// Converts an error of the platform to a failure with advice for the operator.
--- a/crates/cli/tests/command_outcome.rs
+++ b/crates/cli/tests/command_outcome.rs
@@ -105,6 +105,21 @@
     assert_outcome_unknown(&output);
 }
 
+#[test]
+fn snapshot_restore_lost_reply_then_outage() {
+    let mut fixture = Fixture::start();
+    let snapshot = fixture.0.folder.join("kept.json").display().to_string();
+    common::run_ok(&fixture.0, &["snapshot", "save", &snapshot]);
+    let tree = fixture.changed_tree();
+    common::run_ok(&fixture.0, &["publish", &tree]);
+    let restore = ["snapshot", "restore", &snapshot];
+    let output = fixture.run_with_lost_reply("config", &restore);
+    assert_eq!(fixture.stored_objects("config")[0]["revision"], 3);
+    assert_outcome_unknown(&output);
+    let repeated = common::run_ok(&fixture.0, &[&restore[..], &["--base=2"]].concat());
+    assert_eq!(repeated, "revision 3 is already in force\n");
+}
+
 #[test]
 fn key_issue_lost_reply_then_outage() {
     let mut fixture = Fixture::start();
