cli: name the key that may be stored although it was not printed

What operators see: if the platform does not confirm a new key, `key issue` says that the change may or may not have been accepted and should be repeated until it succeeds. Each repetition makes another key; nothing says that a key whose secret nobody has may be stored, or how to withdraw it.

Change: an unknown outcome is reported with the digest of that key and the command that withdraws it. Issuing another key is safe.

--- a/crates/cli/src/keys.rs
+++ b/crates/cli/src/keys.rs
@@ -13,7 +13,7 @@
     announce,
     command::Platform,
     error::Failure,
-    publish::{change_failure, execution_of, platform_failure},
+    publish::{change_failure, execution_of},
 };
 
 const SECRET_BYTES: usize = 24;
@@ -23,6 +23,17 @@
      succeeds, which is safe; until then `tarragonseam explain --vm PEER --key KEY` shows \
      whether a VM accepts the key";
 
+/// The error of a platform that does not confirm a new key with the digest
+/// `name`.
+fn issue_failure(e: &Error, name: &str) -> Failure {
+    let help = format!(
+        "a key may or may not have been stored, but nobody can use it: it was not printed. Issue \
+         another one, which is safe; `tarragonseam key withdraw {name}` withdraws the first one, \
+         and finds no object if it is not stored"
+    );
+    change_failure(e, execution_of(e), &help)
+}
+
 /// Issues a key for `account` and prints it.
 pub(crate) async fn issue(platform: &Platform, account: String) -> miette::Result<()> {
     let client = Client::new(platform.address, "cli");
@@ -55,7 +66,7 @@
     let name = Digest::of(&secret).to_string();
     let value = serde_json::to_vec(&grant).unwrap_or_default();
     let created = client.create(key::KIND, &name, value);
-    let object = created.await.map_err(|e| platform_failure(&e))?;
+    let object = created.await.map_err(|e| issue_failure(&e, &name))?;
     let fact = Fact::Key(Digest::of(&secret), grant);
     let version = object.version;
     announce::send(client, Item { version, fact }).await;
