--- a/crates/cli/src/keys.rs
+++ b/crates/cli/src/keys.rs
@@ -6,12 +6,34 @@
     shared::{Fact, Item},
 };
 use link::platform::{Client, Condition, Error};
+use policy::execution::Execution;
 use rand::{TryRngCore, rngs::OsRng};
 
-use crate::{announce, command::Platform, error::Failure, publish::platform_failure};
+use crate::{
+    announce,
+    command::Platform,
+    error::Failure,
+    publish::{change_failure, execution_of},
+};
 
 const SECRET_BYTES: usize = 24;
 
+/// The advice if a withdrawal may have taken effect.
+const WITHDRAWAL_UNKNOWN: &str = "the key may or may not be withdrawn: repeat the command until it \
+     succeeds, which is safe; until then `tarragonseam explain --vm PEER --key KEY` shows \
+     whether a VM accepts the key";
+
+/// The error of a platform that does not confirm a new key with the digest
+/// `name`.
+fn issue_failure(e: &Error, name: &str) -> Failure {
+    let help = format!(
+        "a key may or may not have been stored, but nobody can use it: it was not printed. Issue \
+         another one, which is safe; `tarragonseam key withdraw {name}` withdraws the first one, \
+         and finds no object if it is not stored"
+    );
+    change_failure(e, execution_of(e), &help)
+}
+
 /// Issues a key for `account` and prints it.
 pub(crate) async fn issue(platform: &Platform, account: String) -> miette::Result<()> {
     let client = Client::new(platform.address, "cli");
@@ -44,7 +66,7 @@
     let name = Digest::of(&secret).to_string();
     let value = serde_json::to_vec(&grant).unwrap_or_default();
     let created = client.create(key::KIND, &name, value);
-    let object = created.await.map_err(|e| platform_failure(&e))?;
+    let object = created.await.map_err(|e| issue_failure(&e, &name))?;
     let fact = Fact::Key(Digest::of(&secret), grant);
     let version = object.version;
     announce::send(client, Item { version, fact }).await;
@@ -78,11 +100,13 @@
     // The list is read before the write, because the platform may become
     // unavailable right after it accepts the write.
     let vms = client.vms().await.unwrap_or_default();
+    let mut execution = Execution::NotRun;
+    let failure = |e, execution| change_failure(&e, execution, WITHDRAWAL_UNKNOWN);
     loop {
         let (version, grant) = client
             .read::<Grant>(key::KIND, &name)
             .await
-            .map_err(|e| platform_failure(&e))?;
+            .map_err(|e| failure(e, execution))?;
         if grant.withdrawn {
             let fact = Fact::Key(digest, grant);
             return Ok(announce::send_to(&vms, &Item { version, fact }).await);
@@ -92,14 +116,17 @@
             ..grant
         };
         let written = client.write(key::KIND, &name, Condition::At(version), &updated);
-        match written.await {
+        let error = match written.await {
             Ok(version) => {
                 let fact = Fact::Key(digest, updated);
                 return Ok(announce::send_to(&vms, &Item { version, fact }).await);
             }
-            // The write may or may not have taken effect: read the key again.
-            Err(Error::Conflict(_) | Error::Unknown(_)) => {}
-            Err(e) => return Err(platform_failure(&e).into()),
+            Err(e) => e,
+        };
+        execution = execution.and(execution_of(&error));
+        // The key may have changed: read it again.
+        if !matches!(error, Error::Conflict(_) | Error::Unknown(_)) {
+            return Err(failure(error, execution).into());
         }
     }
 }
