link: report whether an unanswered attempt at a peer request may have run

Cause: a request that fails on an idle connection is repeated on a new one. The response to the repetition hides that the first attempt may have been carried out earlier, when the peer was in another state.

Change: Pool::request_with_execution returns, beside the result, whether an attempt without a response may have been carried out (policy::execution). A request that was never sent, because the connection was refused or the peer is cut off by a fault, has certainly not run. Pool::request behaves as before.

Ruled out: no repetition for requests of this kind, since each idle connection that its peer has closed would then cost the holder 5 s without records.

--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -2,7 +2,7 @@
 //! length, then a frame.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     future::Future,
     io,
     net::SocketAddr,
@@ -15,6 +15,7 @@
     io::{AsyncReadRentExt, AsyncWriteRentExt},
     net::{TcpListener, TcpStream},
 };
+use policy::execution::Execution;
 use wire::{Request, Response, frame::FRAME_BYTES_MAX};
 
 use crate::{fault, net};
@@ -78,28 +79,50 @@
         request: &Request,
         limit: Duration,
     ) -> Result<Response, Error> {
+        self.request_with_execution(peer, request, limit).await.0
+    }
+
+    /// Sends `request` as [`Pool::request`] does, and returns also whether
+    /// `peer` may have carried it out, or may yet, in an attempt that it did not
+    /// answer.
+    pub async fn request_with_execution(
+        &self,
+        peer: SocketAddr,
+        request: &Request,
+        limit: Duration,
+    ) -> (Result<Response, Error>, Execution) {
         if fault::is_cut_to(peer) || fault::is_cut_from(peer) {
-            return Err(Error::Timeout);
+            return (Err(Error::Timeout), Execution::NotRun);
         }
-        let frame = wire::encode(request)?;
+        let frame = match wire::encode(request) {
+            Ok(frame) => frame,
+            Err(e) => return (Err(e.into()), Execution::NotRun),
+        };
+        let unanswered = Cell::new(Execution::NotRun);
         let exchange = async {
             if let Some(stream) = self.take_idle(peer) {
+                unanswered.set(Execution::Unknown);
                 let attempt = self.exchange(peer, stream, frame.clone());
                 if let Ok(Ok(response)) = monoio::time::timeout(limit / 2, attempt).await {
+                    unanswered.set(Execution::NotRun);
                     return Ok(response);
                 }
             }
             let stream = net::connect(peer, limit).await?;
-            self.exchange(peer, stream, frame).await
+            let earlier = unanswered.replace(Execution::Unknown);
+            let response = self.exchange(peer, stream, frame).await?;
+            unanswered.set(earlier);
+            Ok(response)
         };
-        match monoio::time::timeout(limit, exchange).await {
+        let result = match monoio::time::timeout(limit, exchange).await {
             Ok(result) => result,
             Err(_) => {
                 // Other idle connections to this peer may be broken too.
                 self.idle.borrow_mut().remove(&peer);
                 Err(Error::Timeout)
             }
-        }
+        };
+        (result, unanswered.get())
     }
 
     async fn exchange(
