entry: move a usage record only if no attempt to store a copy may have succeeded

What operators saw: usage of a VM that the reporter could not reach for 10 s was billed twice.

Cause: a holder stores the copy of a record for window W, and its answer comes too late. The window is counted from that copy, because the VM that measured it does not answer the reporter. The record is sent again, the holder answers that W is closed, and `complete` moves the record to the next window: it looked at was_held, an earlier confirmed copy, and not at was_sent. The last attempt certainly stored nothing; what was unknown of the earlier one was dropped. The reconciliation with the frozen figures does not see the record, as it has left W.

Change: was_held and was_sent become one Execution, combined over all attempts at a record, also those that the connection pool repeats. A record moves at the word of a holder only if it is NotRun. Otherwise it stays in W: it is counted there by the figures of its own VM, or the reconciliation finds in the frozen figures whether it was counted from a copy, and moves it if not. This also covers one holder that stores the copy at the first attempt and closes W before the repetition on a new connection. A record that has moved starts without attempts, so repeats of it that are queued for W are removed at once: they could be stored by a VM that has not closed W, and would keep the moved record from being queued again.

A record for which every connection failed counts as never sent, and is merged like those.

Ruled out: asking the holder for its copies of W, since it drops them once W is frozen and cannot speak for another VM that did not answer; a copy for the next window beside that for W, which can be counted twice; a longer time limit, which only moves the moment.

Cost: such a record is reported as not held, and is held by nobody for certain until W is reconciled (docs/design/usage.md).

Test: record_counted_from_unconfirmed_copy_is_not_billed_twice (crates/cli/tests/control_usage.rs) fails before: left: Usage { requests: 4, tokens: 16 } right: Usage { requests: 3, tokens: 9 } and passes now, four runs of four. The other tests of control_usage and usage_alone pass. That repeats are removed, and the case of one request that the pool repeats, follow from the code; no test of the daemons shows them.

--- a/crates/entry/src/usage/copy.rs
+++ b/crates/entry/src/usage/copy.rs
@@ -7,7 +7,7 @@
     usage::{Origin, Record},
 };
 use local_sync::oneshot;
-use policy::usage;
+use policy::{execution::Execution, usage};
 use wire::{Request, Response, message::Holder};
 
 use crate::vm::Vm;
@@ -15,10 +15,9 @@
 /// A record that is to be sent to a holder.
 pub(crate) struct Pending {
     record: Record,
-    /// Whether an earlier holder confirmed a copy.
-    was_held: bool,
-    /// Whether it was sent to a VM, which may have stored it without answering.
-    was_sent: bool,
+    /// Whether an earlier attempt to store a copy may have succeeded: one that
+    /// was not answered, or one at an earlier holder.
+    stored: Execution,
     /// Reports to the waiting request whether a copy is held.
     done: Option<oneshot::Sender<bool>>,
 }
@@ -27,8 +26,7 @@
     fn new(record: Record) -> Self {
         Self {
             record,
-            was_held: false,
-            was_sent: false,
+            stored: Execution::NotRun,
             done: None,
         }
     }
@@ -174,17 +172,17 @@
         requeue(vm, batch);
         return false;
     }
-    for pending in &mut batch {
-        pending.was_sent = true;
-    }
     let records = batch.iter().map(|pending| pending.record.clone()).collect();
     let request = Request::AddCopies(vm.usage.origin.clone(), records);
     for (name, address) in candidates {
-        let answer = vm
+        let (answer, unanswered) = vm
             .usage
             .peer_pool
-            .request(address, &request, HOLDER_TIMEOUT)
+            .request_with_execution(address, &request, HOLDER_TIMEOUT)
             .await;
+        for pending in &mut batch {
+            pending.stored = pending.stored.and(unanswered);
+        }
         if let Ok(Response::CopiesAdded(holder)) = answer {
             vm.usage.has_no_holder.set(false);
             update_holder(vm, &holder.origin);
@@ -201,23 +199,24 @@
 /// Puts a batch that no VM accepted back at the front of the queue, and reports
 /// to all waiting requests that no copy is held.
 ///
-/// Records that were never sent are merged, so that a VM without a holder keeps
-/// one record for each account and window. The same batch is sent first at the
-/// next try, so that at most one batch has an unknown outcome.
+/// Records that no VM can have stored are merged, so that a VM without a holder
+/// keeps one record for each account and window. The same batch is sent first at
+/// the next try, so that at most one batch has an unknown outcome.
 fn requeue(vm: &Vm, batch: Vec<Pending>) {
     vm.usage.has_no_holder.set(true);
     let mut queue = vm.usage.queue.borrow_mut();
     let mut all = batch;
     all.append(&mut queue);
     all.iter_mut().for_each(Pending::report_not_held);
-    let (mut queued, unsent): (Vec<_>, Vec<_>) =
-        all.into_iter().partition(|pending| pending.was_sent);
-    let sent_ids: Set<&str> = queued.iter().map(|pending| &*pending.record.id).collect();
-    let unsent = unsent.into_iter().map(|pending| pending.record);
-    let unsent = unsent
-        .filter(|record| !sent_ids.contains(&*record.id))
+    let (mut queued, unstored): (Vec<_>, Vec<_>) = all
+        .into_iter()
+        .partition(|pending| pending.stored == Execution::Unknown);
+    let queued_ids: Set<&str> = queued.iter().map(|pending| &*pending.record.id).collect();
+    let unstored = unstored.into_iter().map(|pending| pending.record);
+    let unstored = unstored
+        .filter(|record| !queued_ids.contains(&*record.id))
         .collect();
-    let merged = vm.board.borrow_mut().usage.merge(unsent);
+    let merged = vm.board.borrow_mut().usage.merge(unstored);
     queued.extend(merged.into_iter().map(Pending::new));
     *queue = queued;
 }
@@ -270,8 +269,7 @@
     let count = records.len();
     spdlog::info!("another process holds the copies of usage records now", kv: { holder, records = count });
     let repeated = records.into_iter().map(|record| Pending {
-        was_held: true,
-        was_sent: true,
+        stored: Execution::Unknown,
         ..Pending::new(record)
     });
     vm.usage.queue.borrow_mut().extend(repeated);
@@ -279,28 +277,36 @@
 
 /// Reports the batch as held, and moves records whose window the holder has
 /// closed to a later window.
+///
+/// A record that may have been stored without an answer stays in its window,
+/// because it may be counted there. If it is not, it moves when the window is
+/// reconciled.
 fn complete(vm: &Vm, batch: Vec<Pending>, holder: &Holder) {
+    let mut has_moved = false;
     for mut pending in batch {
         let (id, window) = (&pending.record.id, pending.record.window);
-        if window > holder.closed || pending.was_held {
-            if let Some(done) = pending.done.take() {
-                let _ = done.send(true);
+        let is_held = window > holder.closed;
+        let moved = match pending.stored {
+            Execution::NotRun if !is_held => {
+                let usage = &mut vm.board.borrow_mut().usage;
+                usage.postpone(id, window, holder.closed)
             }
+            _ => None,
+        };
+        if let Some(record) = moved {
+            pending.record = record;
+            vm.usage.queue.borrow_mut().push(pending);
+            has_moved = true;
             continue;
         }
-        let usage = &mut vm.board.borrow_mut().usage;
-        match usage.postpone(id, window, holder.closed) {
-            Some(record) => {
-                pending.record = record;
-                vm.usage.queue.borrow_mut().push(pending);
-            }
-            // The window is closed on this VM too. Whether the record was
-            // counted is found in the frozen figures later.
-            None => {
-                if let Some(done) = pending.done.take() {
-                    let _ = done.send(false);
-                }
-            }
+        // If the window is closed on this VM too, whether the record was counted
+        // is found in the frozen figures later.
+        if let Some(done) = pending.done.take() {
+            let _ = done.send(is_held);
         }
     }
+    if has_moved {
+        // A record must not be sent for its earlier window again.
+        prune(vm);
+    }
 }
