steward: an order that may be in transit is sent again, not replaced

What operators saw: nothing was reported. By a test: two endpoints are missing, four are started and paid for until the surplus is stopped.

Cause: an order's reply is lost while the order is in transit. The repeat under the same key finds the platform unavailable, which was reported for both attempts. The session is opened again in the same epoch, find_order returns 404, and 404 was taken for not sent. The plan still lacks the endpoints and orders them under a new key. The platform accepts this one, and the first one once it arrives: its epoch is current and its key is new.

Ruled out: a time after which an order counts as lost. The 3 s of ORDER_DELIVERY_MAX bound the way to the platform, not the handling there, and the platform promises no bound. Also ruled out: no orders at all until the first one is resolved, since one kind of endpoint that is not available would block the others.

Change: what is known of the attempts at an order is combined (policy::execution), also over sessions of an epoch (Unsettled). Only an accepted key or a higher epoch ends an order that may be in transit. Until then an order for the same pool, or to stop the same endpoint, is that order again, under its key and with its count. An order that certainly had no effect is forgotten as before. The intent names the other orders without a known outcome in a new optional field, so that a successor looks them up, too; an older version ignores the field. No test covers this last part.

Evidence: order_in_transit_is_not_replaced_in_the_same_epoch.

assertion `left == right` failed (endpoints started) left: 6 right: 4

Now, three times: ok. The other five tests of control_orders that existed before pass once.

--- a/crates/board/src/capacity.rs
+++ b/crates/board/src/capacity.rs
@@ -68,6 +68,9 @@
         pub count: u64,
         /// The order, if any.
         pub order: Option<Order>,
+        /// Other orders under this epoch whose outcome is unknown.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        pub unsettled: Vec<Order>,
     }
 }
 
--- a/crates/steward/src/endpoints.rs
+++ b/crates/steward/src/endpoints.rs
@@ -59,6 +59,7 @@
     let plan = capacity::plan(&mut vm.board.borrow_mut(), now);
     for change in plan {
         let (order, pool) = build_order(vm, session, &change);
+        let order = vm.unsettled.borrow().or_repeated(order);
         let count = order.count;
         match session.send(vm, order).await {
             Outcome::Accepted(answer) => record_accepted(vm, pool, count, &answer),
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -8,6 +8,7 @@
 pub(crate) mod retention;
 pub mod run;
 pub mod settings;
+pub(crate) mod unsettled;
 pub(crate) mod usage;
 pub(crate) mod vm;
 pub(crate) mod weights;
--- a/crates/steward/src/order.rs
+++ b/crates/steward/src/order.rs
@@ -5,7 +5,7 @@
 
 use board::capacity::{Accepted, Action, Intent, KIND, Order, Pool};
 use link::platform::{Condition, Error};
-use policy::capacity;
+use policy::{capacity, execution::Execution};
 
 use crate::vm::Vm;
 
@@ -39,9 +39,9 @@
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
 impl Session {
-    /// Opens the session of `epoch`, after resolving the order that the
-    /// previous session may have left open; `None` when the platform cannot be
-    /// read or written, or a later epoch has begun.
+    /// Opens the session of `epoch`, after resolving the orders that previous
+    /// sessions may have left open; `None` when the platform cannot be read or
+    /// written, or a later epoch has begun.
     pub(crate) async fn open(vm: &Rc<Vm>, epoch: u64) -> Option<Self> {
         let domain = vm.settings.failure_domain.clone();
         let read = vm.platform.read::<Intent>(KIND, &domain).await;
@@ -57,13 +57,26 @@
         // outcome, continues the count, so that no key is used twice.
         let same_epoch = previous.as_ref().filter(|intent| intent.epoch == epoch);
         let count = same_epoch.map_or(0, |intent| intent.count);
-        if let Some(order) = previous.and_then(|intent| intent.order) {
-            resolve(vm, &order).await?;
+        let mut open_orders = vm.unsettled.borrow().orders().to_vec();
+        // In the same epoch this process wrote the intent, and knows which of its
+        // orders have an unknown outcome.
+        if let Some(intent) = previous.filter(|intent| intent.epoch < epoch) {
+            let inherited = intent.order.into_iter().chain(intent.unsettled);
+            open_orders.extend(inherited.filter(|o| !vm.unsettled.borrow().contains(&o.key)));
+        }
+        for order in open_orders {
+            let is_accepted = resolve(vm, &order).await?;
+            // An order that does not exist may be in transit. The higher epoch
+            // rejects it; in the same epoch, only its key does.
+            if is_accepted || order.epoch < epoch {
+                vm.unsettled.borrow_mut().settle(&order.key);
+            }
         }
         let intent = Intent {
             epoch,
             count,
             order: None,
+            unsettled: vm.unsettled.borrow().orders().to_vec(),
         };
         let written = vm.platform.write(KIND, &domain, condition, &intent).await;
         let version = written.ok()?;
@@ -95,10 +108,13 @@
     /// Stores `order` as the intent, and sends it until its outcome is known or
     /// the lease is lost.
     pub(crate) async fn send(&mut self, vm: &Rc<Vm>, order: Order) -> Outcome {
+        let mut unsettled = vm.unsettled.borrow().orders().to_vec();
+        unsettled.retain(|other| other.key != order.key);
         let intent = Intent {
             epoch: self.epoch,
             count: self.count,
             order: Some(order),
+            unsettled,
         };
         let domain = &vm.settings.failure_domain;
         let condition = Condition::At(self.version);
@@ -109,7 +125,15 @@
         let Some(order) = intent.order else {
             return Outcome::Unknown;
         };
-        let outcome = self.send_until_known(vm, &order).await;
+        let previous = match vm.unsettled.borrow().contains(&order.key) {
+            true => Execution::Unknown,
+            false => Execution::NotRun,
+        };
+        vm.unsettled.borrow_mut().begin(&order);
+        let (outcome, execution) = self.send_until_known(vm, &order, previous).await;
+        if execution == Execution::NotRun {
+            vm.unsettled.borrow_mut().settle(&order.key);
+        }
         let result = match &outcome {
             Outcome::Accepted(_) => "accepted",
             Outcome::Rejected => "refused",
@@ -121,33 +145,46 @@
         outcome
     }
 
-    async fn send_until_known(&self, vm: &Rc<Vm>, order: &Order) -> Outcome {
+    /// Sends `order` until its outcome is known or the lease is lost.
+    /// `execution` is whether an earlier attempt may have been accepted. Returns
+    /// also whether the order may be accepted although this process has not seen
+    /// it.
+    async fn send_until_known(
+        &self,
+        vm: &Rc<Vm>,
+        order: &Order,
+        mut execution: Execution,
+    ) -> (Outcome, Execution) {
         while vm.epoch(&vm.orders) == Some(self.epoch) {
             let fence = vm.fence(|vm| &vm.orders, self.epoch);
             match vm.platform.order(order, fence).await {
-                Ok(answer) => return Outcome::Accepted(answer),
+                Ok(answer) => return (Outcome::Accepted(answer), Execution::NotRun),
                 // The platform has seen a higher epoch than this one.
-                Err(Error::Rejected { status: 409, .. }) => return Outcome::Unknown,
+                Err(Error::Rejected { status: 409, .. }) => return (Outcome::Unknown, execution),
                 Err(Error::Rejected { .. } | Error::Conflict(_) | Error::Absent) => {
-                    return Outcome::Rejected;
+                    return (Outcome::Rejected, Execution::NotRun);
                 }
-                Err(Error::Unavailable(_)) => return Outcome::Unknown,
+                Err(Error::Unavailable(_)) => return (Outcome::Unknown, execution),
                 // The reply was lost, so the order is looked up by its key. If
                 // it is not found it may still be in transit, so it is sent
                 // again under the same key, which the platform accepts once.
-                Err(Error::Unknown(_)) => match vm.platform.find_order(&order.key).await {
-                    Ok(answer) => return Outcome::Accepted(answer),
-                    Err(_) => monoio::time::sleep(RETRY_DELAY).await,
-                },
+                Err(Error::Unknown(_)) => {
+                    execution = execution.and(Execution::Unknown);
+                    match vm.platform.find_order(&order.key).await {
+                        Ok(answer) => return (Outcome::Accepted(answer), Execution::NotRun),
+                        Err(_) => monoio::time::sleep(RETRY_DELAY).await,
+                    }
+                }
             }
         }
-        Outcome::Unknown
+        (Outcome::Unknown, execution)
     }
 }
 
-/// Resolves an order whose outcome is unknown by reading it from the platform;
-/// `None` when the platform cannot be read.
-async fn resolve(vm: &Vm, order: &Order) -> Option<()> {
+/// Resolves an order whose outcome is unknown by reading it from the platform,
+/// and returns whether the platform has accepted it; `None` when the platform
+/// cannot be read.
+async fn resolve(vm: &Vm, order: &Order) -> Option<bool> {
     match vm.platform.find_order(&order.key).await {
         Ok(answer) => {
             if let (Action::Start, Some(capacity_class)) = (order.action, order.capacity_class) {
@@ -158,9 +195,9 @@
                 let mut board = vm.board.borrow_mut();
                 capacity::record_accepted(&mut board, vm.now(), &pool, order.count, &answer);
             }
-            Some(())
+            Some(true)
         }
-        Err(Error::Absent) => Some(()),
+        Err(Error::Absent) => Some(false),
         Err(_) => None,
     }
 }
--- a/crates/steward/src/vm.rs
+++ b/crates/steward/src/vm.rs
@@ -13,7 +13,7 @@
 use policy::lease;
 use rand::{Rng, SeedableRng};
 
-use crate::{metrics::Metrics, settings::Settings};
+use crate::{metrics::Metrics, settings::Settings, unsettled::Unsettled};
 
 /// The rate limit of calls that delete expired data.
 const CLEANUP_CALLS_PER_S: u32 = 10;
@@ -40,6 +40,8 @@
     pub(crate) follower: Follower,
     /// The lease on the orders of this failure domain.
     pub(crate) orders: RefCell<Lease>,
+    /// The orders sent under that lease whose outcome is unknown.
+    pub(crate) unsettled: RefCell<Unsettled>,
     /// The lease on the reports of usage.
     pub(crate) reports: RefCell<Lease>,
 }
@@ -63,6 +65,7 @@
             metrics: Metrics::new(&telemetry),
             telemetry,
             orders: RefCell::new(Lease::new(nonce)),
+            unsettled: RefCell::default(),
             reports: RefCell::new(Lease::new(nonce)),
             settings,
         })
