steward: a rejected repeat of an order says nothing about the first attempt

What operators saw: nothing was reported. By a test: two endpoints are missing, four are started and paid for until the surplus is stopped; the metric counts the first order as refused, although the platform accepts it.

Cause: the reply to an order is lost while the order is in transit. Its repeat under the same key is rejected, since the class is out of stock, and this was reported for both attempts. After the backoff another order goes out under a new key and is accepted, and so is the first one once it arrives.

Ruled out: to wait for the first attempt, which may never arrive, while other kinds of endpoints need orders; a higher epoch for the holder itself, which is safe only where the platform checks epochs, and which the lease has no step for.

Change: a rejection is combined with what is known of earlier attempts. The pool backs off as before, and its next order is the same one under its key (Unsettled). The metric and the log call such an outcome unsettled instead of refused.

Not changed: rejections of repeats count towards replacing cheap endpoints by stable ones, as the class is out of stock; docs/design/leases.md names this.

--- a/crates/cli/tests/control_orders.rs
+++ b/crates/cli/tests/control_orders.rs
@@ -370,6 +370,55 @@
     .unwrap();
 }
 
+#[test]
+fn order_in_transit_is_not_replaced_after_a_rejected_repeat() {
+    let tree = Tree::new("transit-stock", CONFIG_IN_STOCK);
+    let plan = plan(&tree, 1, &["a"]);
+    link::runtime::run(async {
+        let deployment = start(&plan).await;
+        let platform = deployment.platform;
+        wait_active(&deployment, "a", (1, 2)).await;
+        // The outage keeps the repeats from being handled before the stock is
+        // gone.
+        let switches = json!({
+            "lost_reply": 1.0,
+            "lost_reply_of": "POST /v1/orders",
+            "transit_ms": 15000,
+            "outage_after_lost_reply": true,
+            "outage_of": "POST /v1/orders",
+            "reclaim": {"failure_domain": "a", "notice_ms": 300},
+        });
+        set_faults(&deployment, platform, switches).await;
+        wait_for("order without a reply", async || {
+            let faults = fetch_json(&deployment, platform, "/fault").await;
+            (faults["outage"] == true).then_some(())
+        })
+        .await;
+        let stock = json!({"failure_domain": "a", "class": "cheap"});
+        set_faults(
+            &deployment,
+            platform,
+            json!({"reset": true, "out_of_stock": [stock]}),
+        )
+        .await;
+        let before = count_order_calls(&deployment).await;
+        wait_for("rejected repeat", async || {
+            (count_order_calls(&deployment).await > before).then_some(())
+        })
+        .await;
+        set_faults(&deployment, platform, json!({"reset": true})).await;
+        wait_for("order after the rejection", async || {
+            (count_started(&fetch_orders(&deployment).await, "cheap") >= 4).then_some(())
+        })
+        .await;
+        monoio::time::sleep(Duration::from_secs(15)).await;
+        let history = fetch_orders(&deployment).await;
+        check_orders(&history, "a");
+        assert_eq!(count_started(&history, "cheap"), 4, "{history:#}");
+    })
+    .unwrap();
+}
+
 #[test]
 fn out_of_stock_backs_off_and_is_replaced_elsewhere() {
     let tree = Tree::new("stock", CONFIG);
--- a/crates/steward/src/order.rs
+++ b/crates/steward/src/order.rs
@@ -14,7 +14,8 @@
 pub(crate) enum Outcome {
     /// The platform accepted it.
     Accepted(Accepted),
-    /// The platform rejected it.
+    /// The platform rejected the last attempt. An earlier one may yet be
+    /// accepted if the order is still unsettled.
     Rejected,
     /// The outcome is unknown, or the lease is no longer held. The next holder
     /// of the lease, which may be this process again, resolves it.
@@ -134,10 +135,10 @@
         if execution == Execution::NotRun {
             vm.unsettled.borrow_mut().settle(&order.key);
         }
-        let result = match &outcome {
-            Outcome::Accepted(_) => "accepted",
-            Outcome::Rejected => "refused",
-            Outcome::Unknown => "unsettled",
+        let result = match (&outcome, execution) {
+            (Outcome::Accepted(_), _) => "accepted",
+            (Outcome::Rejected, Execution::NotRun) => "refused",
+            (Outcome::Rejected | Outcome::Unknown, _) => "unsettled",
         };
         vm.metrics.record_order(result);
         let (key, service) = (order.key.as_str(), order.service.as_str());
@@ -162,7 +163,7 @@
                 // The platform has seen a higher epoch than this one.
                 Err(Error::Rejected { status: 409, .. }) => return (Outcome::Unknown, execution),
                 Err(Error::Rejected { .. } | Error::Conflict(_) | Error::Absent) => {
-                    return (Outcome::Rejected, Execution::NotRun);
+                    return (Outcome::Rejected, execution);
                 }
                 Err(Error::Unavailable(_)) => return (Outcome::Unknown, execution),
                 // The reply was lost, so the order is looked up by its key. If
