entry: an update is reported as not run only if no attempt at it may have run

What callers saw: POST lots/{lot}/ack and POST weights answered 503 with "ran": "not-run", and the cursor or the version in force had moved.

Cause: acknowledge and put_weights attempt a conditional write up to five times, and kept only the last error. An attempt with unknown outcome was forgotten when a later one found the platform unavailable, met a conflict, or failed while it waited for the lot to be sealed.

Ruled out: no second attempt after an unknown outcome, which gives up the answers that a read resolves.

Change: one loop (update) for both calls, which combines what is known of all attempts (policy::execution) also for the failures that are not the platform's.

No test makes the last attempt a conflict or a failure of await_sealed; both go through the same combination.

--- a/crates/entry/src/trainer.rs
+++ b/crates/entry/src/trainer.rs
@@ -263,18 +263,40 @@
 /// fails, and the trainer has to retry it.
 const UPDATE_ATTEMPTS_MAX: usize = 5;
 
-async fn acknowledge(vm: &Rc<Vm>, name: &str, lot: u64) -> Result<Reply, Failure> {
-    let mut last_error = Error::Unavailable("no attempt was made".to_string());
-    for _ in 0..UPDATE_ATTEMPTS_MAX {
-        match move_cursor(vm, name, lot).await? {
-            Ok(()) => return Ok(Reply::json(StatusCode::OK, &Cursor { acknowledged: lot })),
+/// Attempts a conditional update until it succeeds, or fails for another reason
+/// than a concurrent update or a lost reply.
+///
+/// # Errors
+///
+/// The [`Failure`] of the last attempt, with what is known of all attempts.
+async fn update<T>(
+    mut attempt: impl AsyncFnMut() -> Result<Result<T, Error>, Failure>,
+) -> Result<T, Failure> {
+    let mut execution = Execution::NotRun;
+    let mut attempts = 0;
+    loop {
+        attempts += 1;
+        let (failure, is_final) = match attempt().await {
+            Ok(Ok(value)) => return Ok(value),
             // Another update came first, or the reply was lost: the next
-            // attempt reads the cursor again.
-            Err(e @ (Error::Conflict(_) | Error::Unknown(_))) => last_error = e,
-            Err(e) => return Err(unavailable(e)),
+            // attempt reads the object again.
+            Ok(Err(e @ (Error::Conflict(_) | Error::Unknown(_)))) => (unavailable(e), false),
+            Ok(Err(e)) => (unavailable(e), true),
+            Err(failure) => (failure, true),
+        };
+        execution = execution.and(failure.execution);
+        if is_final || attempts == UPDATE_ATTEMPTS_MAX {
+            return Err(Failure {
+                execution,
+                ..failure
+            });
         }
     }
-    Err(unavailable(last_error))
+}
+
+async fn acknowledge(vm: &Rc<Vm>, name: &str, lot: u64) -> Result<Reply, Failure> {
+    update(async || move_cursor(vm, name, lot).await).await?;
+    Ok(Reply::json(StatusCode::OK, &Cursor { acknowledged: lot }))
 }
 
 async fn move_cursor(vm: &Rc<Vm>, name: &str, lot: u64) -> Result<Result<(), Error>, Failure> {
@@ -315,20 +337,12 @@
 
 async fn put_weights(vm: &Rc<Vm>, request: &Request, trainer: &Trainer) -> Result<Reply, Failure> {
     let requested: Version = parse_body(request)?;
-    let mut last_error = Error::Unavailable("no attempt was made".to_string());
-    for _ in 0..UPDATE_ATTEMPTS_MAX {
-        match raise_version(vm, &trainer.model, requested.version).await {
-            Ok(version) => {
-                vm.board
-                    .borrow_mut()
-                    .record_weights(&trainer.model, version);
-                return Ok(Reply::json(StatusCode::OK, &version));
-            }
-            Err(e @ (Error::Conflict(_) | Error::Unknown(_))) => last_error = e,
-            Err(e) => return Err(unavailable(e)),
-        }
-    }
-    Err(unavailable(last_error))
+    let raise = async || Ok(raise_version(vm, &trainer.model, requested.version).await);
+    let version = update(raise).await?;
+    vm.board
+        .borrow_mut()
+        .record_weights(&trainer.model, version);
+    Ok(Reply::json(StatusCode::OK, &version))
 }
 
 /// Raises the version in force to `version` unless it is higher already, and
