link: an object that was perhaps created is not reported as absent

What callers saw: the declaration of a step answered 503 with "ran": "not-run", and the step was stored and ran. What operators saw: key issue ended with "nothing changed", and the key existed.

Cause: Client::create reads the object when the outcome of its write is unknown, and returned the read's error in place of the write's: unavailable, absent (the write may still be in transit) or an object that cannot be read.

Ruled out: sending the write again instead of reading. It ends in the same state when the platform stays away.

Change: after a write with unknown outcome, a read that returns no object leaves the outcome unknown. After a conflict the write had no effect, and the error of the read stands. The callers already treat the outcome as unknown: declare, key issue and publish report it; the sealing of lots and the freezing of usage windows try again after any error.

--- a/crates/link/src/platform/mod.rs
+++ b/crates/link/src/platform/mod.rs
@@ -230,7 +230,9 @@
     ///
     /// # Errors
     ///
-    /// An [`Error`] if the stored object cannot be determined.
+    /// [`Error::Unknown`] when the write may have taken effect and the read does
+    /// not return an object, or another [`Error`] if the write had no effect and
+    /// the stored object cannot be determined.
     pub async fn create(
         &self,
         kind: &str,
@@ -240,7 +242,12 @@
         let value = value.into();
         match self.put(kind, name, Condition::Absent, value.clone()).await {
             Ok(version) => Ok(Object { version, value }),
-            Err(Error::Conflict(_) | Error::Unknown(_)) => self.get(kind, name).await,
+            Err(Error::Conflict(_)) => self.get(kind, name).await,
+            // An object that is absent now may still be created by the write.
+            Err(Error::Unknown(lost)) => self
+                .get(kind, name)
+                .await
+                .map_err(|e| Error::Unknown(format!("{lost}; reading the object: {e}"))),
             Err(e) => Err(e),
         }
     }
