link: a write with an unreadable confirmation is not reported as rejected

What callers and operators could see: a write, an order or a posted record that the platform carried out is reported as rejected, which promises that it had no effect; the steward then orders the endpoints again under another key.

Cause: put, order and post read the body of a success as a read does, for which a body that cannot be decoded is Error::Rejected with status 0.

Ruled out: Error::Unknown for reads too. The feed skips an object whose value cannot be decoded, and a read has no effect to be unsure of.

Change: the confirmation of a write is read by a function of its own, whose error is Error::Unknown. Error::Rejected with status 0 is left to reads and to values that were not sent.

--- a/crates/link/src/platform/error.rs
+++ b/crates/link/src/platform/error.rs
@@ -10,11 +10,11 @@
     /// The object does not exist.
     #[error("the object does not exist")]
     Absent,
-    /// The platform rejected the call, which had no effect, or its response
-    /// cannot be read.
+    /// The platform rejected the call, which had no effect, or what it returned
+    /// to a read cannot be decoded.
     #[error("the platform rejected the call with status {status}: {detail}")]
     Rejected {
-        /// The status code, or 0 if the response cannot be read.
+        /// The status code, or 0 if the response to a read cannot be decoded.
         status: u16,
         /// The body of the response, or the problem in reading it.
         detail: String,
@@ -28,7 +28,8 @@
     Unknown(String),
 }
 
-/// Returns the error for a response or value that cannot be read.
+/// Returns the error for a value, or a response to a read, that cannot be
+/// decoded.
 pub(crate) fn unreadable(detail: &str) -> Error {
     Error::Rejected {
         status: 0,
--- a/crates/link/src/platform/mod.rs
+++ b/crates/link/src/platform/mod.rs
@@ -24,7 +24,7 @@
 
 pub use self::error::Error;
 use self::error::unreadable;
-use self::response::{Written, check, parse, retry_after};
+use self::response::{Written, check, parse, parse_confirmation, retry_after};
 
 /// A value with the version of its object.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -205,7 +205,7 @@
             Condition::At(version) => call.header("if-match", format!("\"{version}\"")),
         };
         let response = self.call(call, CALL_TIMEOUT).await?;
-        parse::<Written>(&response.body).map(|written| written.version)
+        parse_confirmation::<Written>(&response.body).map(|written| written.version)
     }
 
     /// Writes `value` as JSON under a condition.
@@ -326,7 +326,8 @@
         body: &T,
     ) -> Result<R, Error> {
         let body = serde_json::to_vec(body).map_err(|e| unreadable(&e.to_string()))?;
-        parse(&self.call(Call::post(path, body), CALL_TIMEOUT).await?.body)
+        let response = self.call(Call::post(path, body), CALL_TIMEOUT).await?;
+        parse_confirmation(&response.body)
     }
 
     /// Reads JSON from a path of the platform.
@@ -349,7 +350,7 @@
     pub async fn order(&self, order: &Order, fence: Fence) -> Result<Accepted, Error> {
         let body = serde_json::to_vec(order).map_err(|e| unreadable(&e.to_string()))?;
         let call = Call::post("/v1/orders", body).fence(fence);
-        parse(&self.call(call, CALL_TIMEOUT).await?.body)
+        parse_confirmation(&self.call(call, CALL_TIMEOUT).await?.body)
     }
 
     /// Returns the platform's response to the order `key`.
--- a/crates/link/src/platform/response.rs
+++ b/crates/link/src/platform/response.rs
@@ -69,7 +69,7 @@
     }
 }
 
-/// Reads a body as JSON.
+/// Reads the body of a response that does not confirm a write as JSON.
 ///
 /// # Errors
 ///
@@ -77,3 +77,14 @@
 pub(crate) fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Error> {
     serde_json::from_slice(body).map_err(|e| unreadable(&e.to_string()))
 }
+
+/// Reads the body of a successful response to a write as JSON.
+///
+/// # Errors
+///
+/// [`Error::Unknown`] if the body is not JSON of that type: the platform may
+/// have carried the write out.
+pub(crate) fn parse_confirmation<T: DeserializeOwned>(body: &[u8]) -> Result<T, Error> {
+    serde_json::from_slice(body)
+        .map_err(|e| Error::Unknown(format!("the confirmation cannot be read: {e}")))
+}
