--- a/crates/site/src/job/proxy.rs
+++ b/crates/site/src/job/proxy.rs
@@ -139,7 +139,7 @@
             let vm = coordinator.to_string();
             // 0 stands for no response.
             let status = sent.as_ref().map_or(0, |response| response.status.as_u16());
-            let attempt = execution_of(&sent);
+            let attempt = execution_at_vm(&sent);
             let ran = attempt.code();
             spdlog::info!("submission forwarded", kv: { job, vm, status, ran });
             match sent {
@@ -306,7 +306,7 @@
 
 /// Returns whether another VM may have carried out the call that it answered
 /// with `sent`.
-fn execution_of(sent: &Result<Fetched, http::Error>) -> Execution {
+fn execution_at_vm(sent: &Result<Fetched, http::Error>) -> Execution {
     let is_rejected = match sent {
         Ok(response) if response.is_repeated => false,
         Ok(response) if response.status == StatusCode::SERVICE_UNAVAILABLE => true,
@@ -323,7 +323,7 @@
 /// have no effect.
 fn execution_of_call(call: &batch::Call, sent: &Result<Fetched, http::Error>) -> Execution {
     match call {
-        batch::Call::End { .. } => execution_of(sent),
+        batch::Call::End { .. } => execution_at_vm(sent),
         batch::Call::Read { .. } | batch::Call::Body { .. } => Execution::NotRun,
     }
 }
--- a/crates/site/src/job/submission.rs
+++ b/crates/site/src/job/submission.rs
@@ -1,8 +1,9 @@
 //! The submission of jobs.
 //!
-//! A submission passes several hands: the VM that the trainer called, a
-//! coordinator or two, and the store. It is rejected only if none of them may
-//! have accepted the job, since a rejection promises that no part of it runs.
+//! Several VMs may attempt to accept a job: the one that the trainer called and
+//! the coordinators that it forwards the submission to. The submission is
+//! rejected only if none of them may have accepted the job, since a rejection
+//! promises that no part of it runs.
 
 use std::{
     future::Future,
