link: the platform's error says itself whether a write may have run

cli::publish::execution_of repeated a match that entry::trainer::unavailable had: both turn the error of the same client into an Execution. It is Error::execution now, with an example, and both call it. No behaviour changes.

--- a/crates/cli/src/keys.rs
+++ b/crates/cli/src/keys.rs
@@ -9,12 +9,7 @@
 use policy::execution::Execution;
 use rand::{TryRngCore, rngs::OsRng};
 
-use crate::{
-    announce,
-    command::Platform,
-    error::Failure,
-    publish::{change_failure, execution_of},
-};
+use crate::{announce, command::Platform, error::Failure, publish::change_failure};
 
 const SECRET_BYTES: usize = 24;
 
@@ -31,7 +26,7 @@
          another one, which is safe; `tarragonseam key withdraw {name}` withdraws the first one, \
          and finds no object if it is not stored"
     );
-    change_failure(e, execution_of(e), &help)
+    change_failure(e, e.execution(), &help)
 }
 
 /// Issues a key for `account` and prints it.
@@ -123,7 +118,7 @@
             }
             Err(e) => e,
         };
-        execution = execution.and(execution_of(&error));
+        execution = execution.and(error.execution());
         // The key may have changed: read it again.
         if !matches!(error, Error::Conflict(_) | Error::Unknown(_)) {
             return Err(failure(error, execution).into());
--- a/crates/cli/src/publish.rs
+++ b/crates/cli/src/publish.rs
@@ -165,7 +165,7 @@
             Ok(version) => return Ok(version),
             Err(e) => e,
         };
-        execution = execution.and(execution_of(&error));
+        execution = execution.and(error.execution());
         if !matches!(error, Error::Conflict(_) | Error::Unknown(_)) {
             return Err(failure(&error, execution).into());
         }
@@ -232,16 +232,6 @@
     Failure::new(e.to_string(), help)
 }
 
-/// Returns whether a write may have taken effect that failed with `e`.
-pub(crate) fn execution_of(e: &Error) -> Execution {
-    match e {
-        Error::Unknown(_) => Execution::Unknown,
-        Error::Conflict(_) | Error::Absent | Error::Rejected { .. } | Error::Unavailable(_) => {
-            Execution::NotRun
-        }
-    }
-}
-
 /// Converts the error that ended the attempts at a change to a failure.
 /// `execution` is what is known of all attempts, and `help` is the advice if one
 /// of them may have taken effect.
--- a/crates/entry/src/trainer.rs
+++ b/crates/entry/src/trainer.rs
@@ -111,15 +111,11 @@
 }
 
 fn unavailable(e: Error) -> Failure {
-    let execution = match e {
-        Error::Unknown(_) => Execution::Unknown,
-        _ => Execution::NotRun,
-    };
     Failure {
         status: StatusCode::SERVICE_UNAVAILABLE,
         code: "platform",
         detail: e.to_string(),
-        execution,
+        execution: e.execution(),
         retry_after: Some(policy::admission::RETRY_AFTER),
     }
 }
--- a/crates/link/src/platform/error.rs
+++ b/crates/link/src/platform/error.rs
@@ -1,5 +1,7 @@
 //! Why a call to the platform failed, and whether it may have taken effect.
 
+use policy::execution::Execution;
+
 /// Why a call to the platform failed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
@@ -28,6 +30,30 @@
     Unknown(String),
 }
 
+impl Error {
+    /// Returns whether a write that failed with this error may have taken
+    /// effect, or may yet.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use policy::execution::Execution;
+    /// use tarragonseam_link::platform::Error;
+    ///
+    /// let lost = Error::Unknown("no reply".to_string());
+    /// assert_eq!(lost.execution(), Execution::Unknown);
+    /// assert_eq!(Error::Conflict(3).execution(), Execution::NotRun);
+    /// ```
+    pub fn execution(&self) -> Execution {
+        match self {
+            Self::Unknown(_) => Execution::Unknown,
+            Self::Conflict(_) | Self::Absent | Self::Rejected { .. } | Self::Unavailable(_) => {
+                Execution::NotRun
+            }
+        }
+    }
+}
+
 /// Returns the error for a value, or a response to a read, that cannot be
 /// decoded.
 pub(crate) fn unreadable(detail: &str) -> Error {
