site: one check for a rejected repeat of a request

open_next and classify had the same condition and made the same error. check_repeated does both, before the rejection is looked at. No behaviour changes; request_rejected_when_sent_again as before.

--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -243,14 +243,11 @@
         let slot = Slot::acquire(&self.facts, key)?;
         let window = self.usage.window();
         let call = dispatch.call(&endpoint.id, remaining);
-        let sent = match self.pool.send(endpoint.record.address, call).await {
+        let sent = self.pool.send(endpoint.record.address, call).await;
+        let sent = sent.and_then(|response| {
+            check_repeated(response.is_repeated, response.status, &response.headers)?;
             Ok(response)
-                if response.is_repeated && is_rejection(response.status, &response.headers) =>
-            {
-                Err(first_attempt_lost())
-            }
-            sent => sent,
-        };
+        });
         let may_have_run = match &sent {
             Ok(response) => !is_rejection(response.status, &response.headers),
             Err(e) => !e.is_unsent(),
@@ -482,20 +479,26 @@
     status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(header::NOT_RUN)
 }
 
-/// Returns the error of a request that the endpoint rejected when it was sent
-/// again. The endpoint may have run the first one.
-fn first_attempt_lost() -> http::Error {
-    let detail = "the connection closed, and the endpoint rejected the repeated request";
-    http::Error::new(error::Kind::Incomplete, detail)
+/// Returns an error if the endpoint rejected a request that was sent again: it
+/// may have run the first one.
+fn check_repeated(
+    is_repeated: bool,
+    status: StatusCode,
+    headers: &HeaderMap,
+) -> Result<(), http::Error> {
+    if is_repeated && is_rejection(status, headers) {
+        let detail = "the connection closed, and the endpoint rejected the repeated request";
+        return Err(http::Error::new(error::Kind::Incomplete, detail));
+    }
+    Ok(())
 }
 
 fn classify(response: Result<Fetched, http::Error>) -> Attempt {
-    match response {
+    let response = response.and_then(|response| {
+        check_repeated(response.is_repeated, response.status, &response.headers)?;
         Ok(response)
-            if response.is_repeated && is_rejection(response.status, &response.headers) =>
-        {
-            Attempt::Unknown(first_attempt_lost())
-        }
+    });
+    match response {
         Ok(response) if is_rejection(response.status, &response.headers) => {
             Attempt::NotRun(match response.status {
                 StatusCode::MISDIRECTED_REQUEST => "another endpoint has this address",
