fakes: one reader of the seeds to run

rejection.rs had a copy of the function of rollouts.rs that reads TARRAGONSEAM_SEEDS. It is fakes::seeds::from_environment; the default seeds stay.

--- a/crates/cli/tests/rollouts.rs
+++ b/crates/cli/tests/rollouts.rs
@@ -14,21 +14,9 @@
 };
 use serde_json::json;
 
-/// Environment variable with the seeds to run, as `FIRST..END`. A few seeds run
-/// by default.
-const SEEDS_VARIABLE: &str = "TARRAGONSEAM_SEEDS";
-
-fn seeds() -> std::ops::Range<u64> {
-    let Ok(text) = std::env::var(SEEDS_VARIABLE) else {
-        return 4..6;
-    };
-    let (first, end) = text.split_once("..").expect("FIRST..END");
-    first.parse().unwrap()..end.parse().unwrap()
-}
-
 #[test]
 fn histories_under_faults() {
-    for seed in seeds() {
+    for seed in fakes::seeds::from_environment(4..6) {
         let record = link::runtime::run(faults::run(seed)).unwrap();
         faults::stop_restarted();
         let violations = history::check(&record, EXPECTED);
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod run;
 pub mod scorer;
 pub mod script;
+pub mod seeds;
 pub mod service;
 pub(crate) mod signal;
 pub mod site;
--- a/crates/site/tests/rejection.rs
+++ b/crates/site/tests/rejection.rs
@@ -7,7 +7,6 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
-    ops::Range,
     sync::{
         Mutex,
         atomic::{AtomicBool, Ordering},
@@ -18,17 +17,13 @@
 
 use common::{Deployment, Vm, caller, job};
 use fakes::{
-    blocking,
+    blocking, seeds,
     site::{Fault, Plan, Site},
 };
 use link::{Method, http::client::Call};
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::SliceRandom};
 use serde_json::Value;
 
-/// Environment variable with the seeds to run, as `FIRST..END`. A few seeds run
-/// by default.
-const SEEDS_VARIABLE: &str = "TARRAGONSEAM_SEEDS";
-
 /// The number of VMs, and of the coordinators among them.
 const VMS: usize = 4;
 const COORDINATORS: usize = 2;
@@ -438,17 +433,9 @@
     }
 }
 
-fn seeds() -> Range<u64> {
-    let Ok(text) = std::env::var(SEEDS_VARIABLE) else {
-        return 13..16;
-    };
-    let (first, end) = text.split_once("..").expect("FIRST..END");
-    first.parse().unwrap()..end.parse().unwrap()
-}
-
 #[test]
 fn submissions_under_faults() {
-    for seed in seeds() {
+    for seed in seeds::from_environment(13..16) {
         let (play, deployment) = run(seed);
         let history = play.history.lock().unwrap();
         let violations = check(&history);
