tests: one scripted server, and one play of an order in transit

control_platform.rs had a scripted server of its own beside fakes::script. The latter gets a body for a success, and announces that a connection closes after its last answer, as the other one did. unreadable_success_of_write_is_not_a_rejection also expects that three requests arrived now. The two tests of orders in transit of control_orders.rs share how the order is delayed and what is checked in the end; times, bounds and assertions are as before.

--- a/crates/cli/tests/control_orders.rs
+++ b/crates/cli/tests/control_orders.rs
@@ -333,6 +333,38 @@
     .unwrap();
 }
 
+/// Reclaims an endpoint, and delays the order that replaces it by `transit_ms`.
+/// Orders are rejected as in an outage from then on.
+async fn delay_order(deployment: &Deployment, transit_ms: u64) {
+    let switches = json!({
+        "lost_reply": 1.0,
+        "lost_reply_of": "POST /v1/orders",
+        "transit_ms": transit_ms,
+        "outage_after_lost_reply": true,
+        "outage_of": "POST /v1/orders",
+        "reclaim": {"failure_domain": "a", "notice_ms": 300},
+    });
+    set_faults(deployment, deployment.platform, switches).await;
+    wait_for("order without a reply", async || {
+        let faults = fetch_json(deployment, deployment.platform, "/fault").await;
+        (faults["outage"] == true).then_some(())
+    })
+    .await;
+}
+
+/// Waits for the endpoint that replaces the reclaimed one, and checks that `time`
+/// later no other one was started for it.
+async fn check_not_replaced(deployment: &Deployment, time: Duration) {
+    wait_for("order that is accepted", async || {
+        (count_started(&fetch_orders(deployment).await, "cheap") >= 4).then_some(())
+    })
+    .await;
+    monoio::time::sleep(time).await;
+    let history = fetch_orders(deployment).await;
+    check_orders(&history, "a");
+    assert_eq!(count_started(&history, "cheap"), 4, "{history:#}");
+}
+
 #[test]
 fn order_in_transit_is_not_replaced_in_the_same_epoch() {
     let tree = Tree::new("transit", CONFIG_IN_STOCK);
@@ -342,30 +374,10 @@
         let platform = deployment.platform;
         wait_active(&deployment, "a", (1, 2)).await;
         // The first order arrives when its sender has given it up.
-        let switches = json!({
-            "lost_reply": 1.0,
-            "lost_reply_of": "POST /v1/orders",
-            "transit_ms": 8000,
-            "outage_after_lost_reply": true,
-            "outage_of": "POST /v1/orders",
-            "reclaim": {"failure_domain": "a", "notice_ms": 300},
-        });
-        set_faults(&deployment, platform, switches).await;
-        wait_for("repeated order", async || {
-            let faults = fetch_json(&deployment, platform, "/fault").await;
-            (faults["outage"] == true).then_some(())
-        })
-        .await;
+        delay_order(&deployment, 8000).await;
         monoio::time::sleep(Duration::from_secs(4)).await;
         set_faults(&deployment, platform, json!({"reset": true})).await;
-        wait_for("order after the outage", async || {
-            (count_started(&fetch_orders(&deployment).await, "cheap") >= 4).then_some(())
-        })
-        .await;
-        monoio::time::sleep(Duration::from_secs(10)).await;
-        let history = fetch_orders(&deployment).await;
-        check_orders(&history, "a");
-        assert_eq!(count_started(&history, "cheap"), 4, "{history:#}");
+        check_not_replaced(&deployment, Duration::from_secs(10)).await;
     })
     .unwrap();
 }
@@ -380,20 +392,7 @@
         wait_active(&deployment, "a", (1, 2)).await;
         // The outage keeps the repeats from being handled before the stock is
         // gone.
-        let switches = json!({
-            "lost_reply": 1.0,
-            "lost_reply_of": "POST /v1/orders",
-            "transit_ms": 15000,
-            "outage_after_lost_reply": true,
-            "outage_of": "POST /v1/orders",
-            "reclaim": {"failure_domain": "a", "notice_ms": 300},
-        });
-        set_faults(&deployment, platform, switches).await;
-        wait_for("order without a reply", async || {
-            let faults = fetch_json(&deployment, platform, "/fault").await;
-            (faults["outage"] == true).then_some(())
-        })
-        .await;
+        delay_order(&deployment, 15000).await;
         let stock = json!({"failure_domain": "a", "class": "cheap"});
         set_faults(
             &deployment,
@@ -407,14 +406,7 @@
         })
         .await;
         set_faults(&deployment, platform, json!({"reset": true})).await;
-        wait_for("order after the rejection", async || {
-            (count_started(&fetch_orders(&deployment).await, "cheap") >= 4).then_some(())
-        })
-        .await;
-        monoio::time::sleep(Duration::from_secs(15)).await;
-        let history = fetch_orders(&deployment).await;
-        check_orders(&history, "a");
-        assert_eq!(count_started(&history, "cheap"), 4, "{history:#}");
+        check_not_replaced(&deployment, Duration::from_secs(15)).await;
     })
     .unwrap();
 }
--- a/crates/cli/tests/control_platform.rs
+++ b/crates/cli/tests/control_platform.rs
@@ -6,7 +6,11 @@
     time::{Duration, Instant},
 };
 
-use fakes::{Config, Handle, blocking, platform, spawn};
+use fakes::{
+    Config, Handle, blocking, platform,
+    script::{self, Answer},
+    spawn,
+};
 use link::{
     http::client::Fence,
     platform::{Client, Condition, Error},
@@ -162,32 +166,13 @@
     .unwrap();
 }
 
-/// Answers one call on each connection with a response of `responses`, and
-/// closes the connection without an answer for an empty one.
-fn serve_responses(listener: &TcpListener, responses: &[&str]) {
-    for (response, stream) in responses.iter().zip(listener.incoming()) {
-        let mut stream = stream.unwrap();
-        let mut request = [0; 4096];
-        assert!(stream.read(&mut request).unwrap() > 0);
-        stream.write_all(response.as_bytes()).unwrap();
-    }
-}
-
-/// Starts a platform that gives `responses` on a connection each.
-fn start_raw(responses: &'static [&'static str]) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    std::thread::spawn(move || serve_responses(&listener, responses));
-    address
-}
-
 #[test]
 fn create_in_transit_is_not_absent() {
     // The read is answered before the write that was sent first.
-    const NOT_FOUND: &str = "HTTP/1.1 404 Not Found\r\ncontent-length: 2\r\n\r\n{}";
-    let address = start_raw(&["", NOT_FOUND]);
+    let script = script::spawn(vec![vec![Answer::Close], vec![Answer::Status(404)]]).unwrap();
     link::runtime::run(async {
-        let created = Client::new(address, "vm-1").create(KIND, "new", "1").await;
+        let client = Client::new(script.address, "vm-1");
+        let created = client.create(KIND, "new", "1").await;
         assert!(matches!(created, Err(Error::Unknown(_))), "{created:?}");
     })
     .unwrap();
@@ -195,11 +180,9 @@
 
 #[test]
 fn unreadable_success_of_write_is_not_a_rejection() {
-    const UNREADABLE: &str =
-        "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 4\r\n\r\nbusy";
-    let address = start_raw(&[UNREADABLE; 3]);
+    let script = script::spawn(vec![vec![Answer::Body("busy")]; 3]).unwrap();
     link::runtime::run(async {
-        let client = Client::new(address, "vm-1");
+        let client = Client::new(script.address, "vm-1");
         let body = json!({});
         let outcomes = [
             outcome(client.put(KIND, "new", Condition::Absent, "1").await),
@@ -207,6 +190,7 @@
             outcome(client.post::<_, Value>("/v1/orders", &body).await),
         ];
         assert_eq!(outcomes, ["unknown"; 3]);
+        assert_eq!(script.requests(), 3);
     })
     .unwrap();
 }
--- a/crates/fakes/src/script.rs
+++ b/crates/fakes/src/script.rs
@@ -15,6 +15,8 @@
 pub enum Answer {
     /// An empty response with this status.
     Status(u16),
+    /// A success with this body.
+    Body(&'static str),
     /// The response of an endpoint that does not run the request.
     NotRun,
     /// The connection closes without a response.
@@ -75,17 +77,24 @@
 
 fn serve(mut stream: TcpStream, answers: &[Answer], requests: &AtomicUsize) -> io::Result<()> {
     let mut reader = BufReader::new(stream.try_clone()?);
-    for answer in answers {
+    for (number, answer) in answers.iter().enumerate() {
         let id = read_request(&mut reader)?;
         requests.fetch_add(1, Ordering::SeqCst);
-        let (status, header) = match answer {
-            Answer::Status(status) => (*status, ""),
-            Answer::NotRun => (503, "not-run: 1\r\n"),
+        let (status, header, body) = match answer {
+            Answer::Status(status) => (*status, "", ""),
+            Answer::Body(body) => (200, "", *body),
+            Answer::NotRun => (503, "not-run: 1\r\n", ""),
             Answer::Close => return Ok(()),
         };
+        // Without this a client may reuse the connection before it is closed.
+        let close = match number + 1 == answers.len() {
+            true => "connection: close\r\n",
+            false => "",
+        };
+        let length = body.len();
         write!(
             stream,
-            "HTTP/1.1 {status} Scripted\r\n{id}{header}content-length: 0\r\n\r\n"
+            "HTTP/1.1 {status} Scripted\r\n{id}{header}{close}content-length: {length}\r\n\r\n{body}"
         )?;
     }
     Ok(())
