site: tests wait for the log line of a call

Cause: a VM answers a call and leaves its log lines to a thread of their own, since a log must not block a request.

Ruled out: that the call was not forwarded.

Change: Vm::wait_until_logged. The test in duty.rs that picks the holder of the duty lease by its log waits too. What the tests assert of answers and of the store is as before.

Conclusion: the fault was the test's. Other tests that read a log do so in a wait, or after the exit of the process.

--- a/crates/site/tests/common/mod.rs
+++ b/crates/site/tests/common/mod.rs
@@ -229,11 +229,19 @@
         self.process.exit_code()
     }
 
-    /// Returns what the VM has logged so far.
+    /// Returns what the VM has logged so far. A separate thread writes the lines,
+    /// so those of a call may follow its response.
     pub(crate) fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap()
     }
 
+    /// Waits until the VM has logged `text`.
+    pub(crate) fn wait_until_logged(&self, text: &str) {
+        wait(&format!("the log of {} with {text:?}", self.name), || {
+            self.log().contains(text)
+        });
+    }
+
     /// Sends a request of the account `acme`, and returns the response.
     pub(crate) fn request(&self, method: Method, path: &str, id: &str) -> Fetched {
         self.send(caller(method, path, id))
--- a/crates/site/tests/duty.rs
+++ b/crates/site/tests/duty.rs
@@ -44,10 +44,11 @@
             .max()
     };
     let before = epoch(&deployment.site.state());
-    let holder = deployment
-        .vms
-        .iter()
-        .position(|vm| vm.log().contains("weights ordered"));
+    let has_ordered = |vm: &common::Vm| vm.log().contains("weights ordered");
+    wait("the log of the orders", || {
+        deployment.vms.iter().any(has_ordered)
+    });
+    let holder = deployment.vms.iter().position(has_ordered);
     deployment.vms[holder.unwrap()].kill();
     deployment
         .site
--- a/crates/site/tests/job.rs
+++ b/crates/site/tests/job.rs
@@ -389,7 +389,7 @@
     let vm = &deployment.vms[0];
     deployment.site.state().fault = Fault::Unavailable;
     let status = vm.request(Method::DELETE, "/lots/job-a", "e1").status;
-    assert!(vm.log().contains("VM did not respond to forwarded call"));
+    vm.wait_until_logged("VM did not respond to forwarded call");
     assert!(!PROMISES.contains(&status.as_u16()), "{status}");
 }
 
