site: a late page of a former runner cannot hide from the current one

Cause: the VM that runs a job confirmed "no more samples" from memory while its view of the store was recent. A recent view shows claims, not pages, and a page of the former runner may be created after the claim: by a runner that was frozen or cut off from the store and has not seen the claim, or by the store itself, which may execute a write without an answer seconds later. Such a page is listed by its writer, and by any VM that reads the store. The current runner answered 200 without it until its own page of that number conflicted, at the tail of a job seconds later: more than the second within which a listed sample must be found at every VM.

Ruled out: a limit on the age of the view before a page is written, as for the start of items. It does not cover a write that the store executes late, nor a VM that is frozen after the check. Reading the store for each read until the first own page: a call for each read of a trainer.

Change: a VM that takes a job over creates an empty page, the fence, after all pages that exist. Creates of former runners conflict with it, and a runner that meets a page of another VM stops; it may write again only after a new claim, which recent views show. Until the fence is written the VM confirms reads from the store and writes no page; its items run meanwhile. The VM that accepted a job needs no fence. An unknown outcome of the fence is never counted: only a create that was confirmed makes a VM the sole writer.

Cost: one write for each takeover, none for each read. Samples that a former runner finished but could not write before the fence are produced again.

Conclusion: from its fence on, a runner knows all pages until a new claim, and its view of the store bounds how long it may miss that.

--- a/crates/site/src/job/api.rs
+++ b/crates/site/src/job/api.rs
@@ -186,8 +186,9 @@
 ///
 /// The response that there are no more samples must be confirmed, since another
 /// VM may have returned more. The VM that runs the job confirms it from memory
-/// as long as its view of the store is recent enough to show a takeover; other
-/// VMs confirm it by reading the store.
+/// as long as no other VM can add a page without a claim and its view of the
+/// store is recent enough to show one; else it is confirmed by reading the
+/// store.
 async fn read_samples(
     jobs: &Jobs,
     job: &Handle,
@@ -200,7 +201,7 @@
     loop {
         let now = Instant::now();
         let waited = now - start;
-        let is_runner = job.borrow().is_loaded && is_view_recent(jobs, now);
+        let is_runner = job.borrow().is_sole_writer && is_view_recent(jobs, now);
         let is_complete = job.borrow().is_complete();
         if !is_runner
             && !is_complete
--- a/crates/site/src/job/content.rs
+++ b/crates/site/src/job/content.rs
@@ -1,7 +1,7 @@
 //! The content of jobs in the store: items, pages of samples, and the saved
 //! progress of unfinished items. Each job has its own kind of objects.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use platform::{
     batch::Item,
@@ -18,6 +18,9 @@
 /// 1 MB per object.
 const PART_BYTES_MAX: usize = 500 * 1024;
 
+/// The pause before a failed write of a fence is repeated.
+const FENCE_RETRY_DELAY: Duration = Duration::from_millis(200);
+
 /// Reads and writes the content of jobs.
 #[derive(Clone)]
 pub struct Content {
@@ -60,6 +63,38 @@
         self.store.create(&kind, &name, page).await
     }
 
+    /// Writes an empty page of `vm` after all pages of `job`, and adds those that
+    /// were not in memory. Marks the job as written by this process alone, unless
+    /// another VM has added a page since. Retries until the page is written.
+    pub async fn write_fence(&self, job: &Handle, vm: &str) {
+        let id = job.borrow().id.clone();
+        let fence = Page {
+            vm: vm.to_string(),
+            samples: Vec::new(),
+        };
+        loop {
+            let number = job.borrow().pages;
+            let existing = match self.write_page(&id, number, &fence).await {
+                Ok(Written::Done(_)) => {
+                    let mut job = job.borrow_mut();
+                    job.put_page(number, fence);
+                    job.is_sole_writer = job.pages == number + 1;
+                    return;
+                }
+                Ok(Written::Conflict(object)) => object.and_then(|object| object.read()),
+                Err(e) => {
+                    let (job, problem) = (id.as_str(), e.to_string());
+                    spdlog::warn!("cannot write fence of job, retrying", kv: { job, problem });
+                    None
+                }
+            };
+            match existing {
+                Some(page) => job.borrow_mut().put_page(number, page),
+                None => monoio::time::sleep(FENCE_RETRY_DELAY).await,
+            }
+        }
+    }
+
     /// Saves the progress of the unfinished items of the job `id`.
     ///
     /// # Errors
--- a/crates/site/src/job/executor.rs
+++ b/crates/site/src/job/executor.rs
@@ -85,6 +85,7 @@
     Retry(Pending),
     Finished(usize, Sample),
     ProgressWritten(Result<(), Error>),
+    FenceWritten,
     PageWritten(Result<Written, Error>, u32),
     Tick,
 }
@@ -111,6 +112,8 @@
     /// When the last page was written, or the execution started.
     page_written_at: Instant,
     is_writing_page: bool,
+    /// Whether former runners of the job can add no page anymore.
+    is_fenced: bool,
     progress_written_at: Instant,
     is_writing_progress: bool,
 }
@@ -131,6 +134,7 @@
                 let mut job = job.borrow_mut();
                 job.is_running = false;
                 job.is_loaded = false;
+                job.is_sole_writer = false;
                 job.partial_texts.clear();
             }
             let samples = job.borrow().samples.len();
@@ -247,6 +251,10 @@
         job.borrow_mut().partial_texts = texts.collect();
         let tasks: FuturesUnordered<Task> = FuturesUnordered::new();
         tasks.push(tick());
+        let is_fenced = job.borrow().is_sole_writer;
+        if !is_fenced {
+            tasks.push(write_fence(&executor, &job));
+        }
         Some(Self {
             executor,
             service: service.to_string(),
@@ -263,6 +271,7 @@
             group_endpoints: Map::default(),
             ready: Vec::new(),
             is_writing_page: false,
+            is_fenced,
             page_written_at: now,
         })
     }
@@ -276,7 +285,11 @@
         if job.is_complete() {
             return Some("whole");
         }
-        (job.holder != self.executor.vm).then_some("claimed by another VM")
+        if job.holder != self.executor.vm {
+            return Some("claimed by another VM");
+        }
+        // The claim of that VM may not be known yet.
+        (self.is_fenced && !job.is_sole_writer).then_some("another VM wrote a page")
     }
 
     /// Starts items as long as endpoints have free slots.
@@ -445,7 +458,7 @@
 
     /// Writes a page of samples if one is due.
     fn write_page(&mut self) {
-        if self.is_writing_page {
+        if self.is_writing_page || !self.is_fenced {
             return;
         }
         {
@@ -497,6 +510,7 @@
                     spdlog::warn!("cannot save progress of job", kv: { job, problem });
                 }
             }
+            Completion::FenceWritten => self.is_fenced = true,
             Completion::Tick => self.tasks.push(tick()),
             Completion::PageWritten(result, number) => self.handle_page(result, number),
         }
@@ -532,6 +546,15 @@
     Completion::Retry(pending)
 }
 
+fn write_fence(executor: &Executor, job: &Handle) -> Task {
+    let (content, vm) = (executor.content.clone(), executor.vm.clone());
+    let job = job.clone();
+    Box::pin(async move {
+        content.write_fence(&job, &vm).await;
+        Completion::FenceWritten
+    })
+}
+
 fn tick() -> Task {
     Box::pin(async {
         monoio::time::sleep(CAPACITY_POLL_PERIOD).await;
--- a/crates/site/src/job/mod.rs
+++ b/crates/site/src/job/mod.rs
@@ -7,6 +7,11 @@
 //! of its samples. Positions therefore never change, and two VMs that run the
 //! same job at once waste work but do not corrupt it.
 //!
+//! A VM that takes a job over first writes an empty page, the fence. A write of
+//! a former runner that arrives later conflicts with it, and a VM that meets a
+//! page of another one stops running the job. From its fence on, a VM therefore
+//! knows all pages until another VM claims the job.
+//!
 //! The one object that is overwritten is the saved progress of unfinished
 //! items, from which another VM resumes them.
 
@@ -75,6 +80,9 @@
     /// Whether this process runs the job and has read all pages that were
     /// written before it started to run it.
     pub is_loaded: bool,
+    /// Whether this process runs the job, knows all of its pages, and no other
+    /// VM can add a page without a new claim.
+    pub is_sole_writer: bool,
     /// The texts of unfinished items that this process runs, by item index.
     pub partial_texts: Map<usize, Rc<RefCell<Text>>>,
     /// Notifies tasks that wait for a change of this job.
@@ -98,6 +106,9 @@
         if number < self.pages {
             return;
         }
+        if page.vm != self.holder {
+            self.is_sole_writer = false;
+        }
         self.early_pages.insert(number, page);
         while let Some(page) = self.early_pages.remove(&self.pages) {
             self.pages += 1;
--- a/crates/site/src/job/record.rs
+++ b/crates/site/src/job/record.rs
@@ -44,7 +44,9 @@
 }
 
 board::record! {
-    /// Samples at consecutive positions, after those of the page before.
+    /// Samples at consecutive positions, after those of the page before. The
+    /// page of a VM that takes the job over may have none: see
+    /// [`Content::write_fence`](super::content::Content::write_fence).
     pub struct Page {
         /// The VM that wrote the page.
         pub vm: String,
--- a/crates/site/src/job/registry.rs
+++ b/crates/site/src/job/registry.rs
@@ -103,6 +103,7 @@
             used_at: now,
             is_running: false,
             is_loaded: false,
+            is_sole_writer: false,
             partial_texts: Map::default(),
             changes: Notifier::default(),
         };
--- a/crates/site/src/job/submission.rs
+++ b/crates/site/src/job/submission.rs
@@ -206,8 +206,10 @@
             {
                 let mut known = known.borrow_mut();
                 known.items = Some(Rc::new(submission.items));
-                // A new job has no pages that would have to be read.
+                // A new job has no pages that would have to be read, and no
+                // other VM has run it.
                 known.is_loaded = true;
+                known.is_sole_writer = true;
             }
             jobs.executor.start(&known);
             accepted()
--- a/crates/site/tests/content.rs
+++ b/crates/site/tests/content.rs
@@ -2,8 +2,10 @@
 
 mod common;
 
-use fakes::site::{self, Plan, Site};
-use platform::store::Store;
+use std::time::Duration;
+
+use fakes::site::{self, Fault, Plan, Site};
+use platform::store::{Store, Written};
 use tarragonseam_site::job::{
     Handle, Registry,
     content::Content,
@@ -87,3 +89,42 @@
     assert_eq!(ids, ["a-0", "a-1"]);
     assert_eq!(names, ["p00000", "p00001"]);
 }
+
+#[test]
+fn write_fence_after_unseen_page() {
+    let write = async {
+        let fixture = Fixture::new();
+        let job = fixture.job();
+        fixture.content.read_pages(&job).await.unwrap();
+        fixture.write(0, "a-0").await;
+        fixture.content.write_fence(&job, "vm-1").await;
+        let late = fixture.content.write_page("job-a", 1, &page("a-1")).await;
+        let is_refused = matches!(late, Ok(Written::Conflict(_)));
+        let job = job.borrow();
+        (job.samples.len(), job.is_sole_writer, is_refused)
+    };
+    assert_eq!(link::runtime::run(write).unwrap(), (1, true, true));
+}
+
+#[test]
+fn write_fence_with_lost_replies() {
+    let write = async {
+        let fixture = Fixture::new();
+        let job = fixture.job();
+        fixture.site.state().fault = Fault::DroppedReplies;
+        let lost = fixture.content.write_fence(&job, "vm-1");
+        let is_written = monoio::time::timeout(Duration::from_millis(500), lost).await;
+        fixture.site.state().fault = Fault::None;
+        let is_known_before = job.borrow().is_sole_writer;
+        fixture.content.write_fence(&job, "vm-1").await;
+        let job = job.borrow();
+        (
+            is_written.is_ok(),
+            is_known_before,
+            job.is_sole_writer,
+            job.pages,
+        )
+    };
+    let expected = (false, false, true, 2);
+    assert_eq!(link::runtime::run(write).unwrap(), expected);
+}
--- a/crates/site/tests/job.rs
+++ b/crates/site/tests/job.rs
@@ -7,11 +7,12 @@
 use base64::{Engine as _, engine::general_purpose::STANDARD as BASE64};
 use common::{Deployment, caller, job, text, wait};
 use fakes::{
+    blocking,
     script::{self, Answer},
     site::{Fault, Plan},
 };
 use link::Method;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 fn ids(samples: &[Value]) -> Vec<String> {
     let ids = samples
@@ -223,6 +224,83 @@
     assert_eq!(ids(&samples)[..before.len()], ids(&before)[..]);
 }
 
+/// The kind of the objects with the content of `job-a`.
+const CONTENT: &str = "rollout-job-job-a";
+
+/// Returns the ids of the samples in all pages of `job-a` in the store.
+fn stored_ids(deployment: &Deployment) -> Vec<String> {
+    let state = deployment.site.state();
+    let pages = state.names(CONTENT).into_iter();
+    let pages = pages.filter(|name| name.starts_with('p'));
+    let samples = pages.flat_map(|name| {
+        let page = state.get(CONTENT, &name).unwrap_or_default();
+        page["samples"].as_array().cloned().unwrap_or_default()
+    });
+    ids(&samples.collect::<Vec<Value>>())
+}
+
+#[test]
+fn read_after_late_page_of_former_runner() {
+    let plan = Plan {
+        event_time: Duration::from_millis(400),
+        ..Plan::default()
+    };
+    let mut deployment = Deployment::start(2, plan);
+    assert_eq!(deployment.vms[0].submit("job-a", &job("a", 4, 20)), 202);
+    let runner = deployment.runner();
+    wait("all items to start", || {
+        deployment.site.state().arrivals.len() == 4
+    });
+    deployment.vms[runner].kill();
+    let other = &deployment.vms[1 - runner];
+    wait("the other VM to have read the job", || {
+        deployment.site.state().arrivals.len() > 4
+    });
+    // The store executes a write of the former runner that was in transit.
+    let sample = json!({"id": "a-0", "state": "done", "text": "a-0/0", "score": "s"});
+    let page = json!({
+        "metadata": {"name": "p00000"},
+        "spec": {"vm": deployment.vms[runner].name, "samples": [sample]},
+    });
+    let path = format!("/objects/{CONTENT}");
+    blocking::post(deployment.site.store, &path, &page).unwrap();
+    std::thread::sleep(Duration::from_millis(1000));
+    let stored = stored_ids(&deployment);
+    let (status, body) = other.read("job-a", 0);
+    let samples = body["results"].as_array().cloned().unwrap_or_default();
+    assert!(
+        status == 503 || ids(&samples) == stored,
+        "{status}, {samples:?}, stored: {stored:?}"
+    );
+}
+
+#[test]
+fn former_runner_stops_at_page_of_its_successor() {
+    let plan = Plan {
+        event_time: Duration::from_millis(200),
+        ..Plan::default()
+    };
+    let deployment = Deployment::start(1, plan);
+    let vm = &deployment.vms[0];
+    assert_eq!(vm.submit("job-a", &job("a", 4, 5)), 202);
+    wait("the first item to start", || {
+        !deployment.site.state().arrivals.is_empty()
+    });
+    {
+        let mut state = deployment.site.state();
+        // The VM does not learn of the claim before it writes its first page.
+        state.fault = Fault::SilentWatches;
+        let claim = json!({"vm": "vm-9", "address": null});
+        state.put("rollout-jobs", "job-a.c00000", claim);
+        state.put(CONTENT, "p00000", json!({"vm": "vm-9", "samples": []}));
+    }
+    vm.wait_until_logged("stopped running job");
+    assert_eq!(stored_ids(&deployment), [""; 0]);
+    deployment.site.state().fault = Fault::None;
+    // Since vm-9 sends no heartbeats, the job returns to this VM.
+    assert_done(&vm.read_all("job-a", 4), 5);
+}
+
 #[test]
 fn resume_job_after_all_vms_restart() {
     let plan = Plan {
