entry: a record of a window whose figures were deleted moves only if it was certainly not counted

What operators could see: usage of a VM that was out of touch with the reporter for longer than keep_windows_ms was billed twice.

Cause: the next close after a report tells a VM that its records were counted. A VM that misses it (cut off, stopped, or without access to the platform, so that it cannot read the frozen figures) keeps them, and reads the figures later. Deleted after keep_windows_ms, the object is absent, and `reconcile` took absent for "never frozen": all records of the window moved to the next one. What the VM knew, that it had answered for the window or that a holder had stored the copy, was not looked at.

Ruled out: a lower bound for keep_windows_ms in the settings. No bound on the time out of touch exists: a stopped process keeps its records and its incarnation, and daemons may come back after any time. The latest two windows are always kept, so it takes two windows beside the time.

Change: the ledger knows of each own record whether another process may have a copy for its window (an attempt in progress counts as such until it has ended), and of each window whether its figures were requested. If the object is absent, a record moves only if neither is the case; otherwise it is not billed, the log has account and figures, and tarragonseam_usage_records{result="undecided"} counts it. Billing twice is the worse fault: no one but the client account would notice. A VM that was alone all the time still has all its use billed, in a later window. `merge` leaves records that may be copied as they are; it relied on its caller for that, who looks at the queued attempt alone and not at an earlier one.

Considered: to keep each window until all VMs have discarded it (one that never returns keeps all), to drop all records of such a window (loses all usage of a VM that was alone).

Conclusion: by this way no record is billed twice, and one that is not billed is logged and counted.

--- a/crates/board/src/usage.rs
+++ b/crates/board/src/usage.rs
@@ -1,6 +1,6 @@
 //! Usage of each client account by time window.
 
-use std::collections::{BTreeMap, btree_map};
+use std::collections::{BTreeMap, BTreeSet, btree_map};
 
 use crate::hash::Map;
 
@@ -163,10 +163,46 @@
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
     closed: Window,
-    own: BTreeMap<Window, Map<String, Record>>,
+    own: BTreeMap<Window, Map<String, Own>>,
+    /// The windows with own records whose figures this process was asked for.
+    requested: BTreeSet<Window>,
     copies: Map<Origin, Copies>,
 }
 
+/// A record that this process measured.
+#[derive(Clone, Debug)]
+struct Own {
+    record: Record,
+    copied: Copied,
+}
+
+impl Own {
+    fn new(record: Record) -> Self {
+        Self {
+            record,
+            copied: Copied::No,
+        }
+    }
+}
+
+/// Whether another process may have a copy of a record for its window.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Copied {
+    No,
+    /// An attempt is in progress, and none before it can have succeeded.
+    InProgress,
+    Maybe,
+}
+
+/// The records of a window of which the figures are not known.
+#[derive(Clone, Debug, Default)]
+pub struct Unresolved {
+    /// Records that were certainly not counted and are in a later window now.
+    pub moved: Vec<Record>,
+    /// Records that may have been counted, which were dropped.
+    pub undecided: Vec<Record>,
+}
+
 /// Copies of the records of one process, by window and request id.
 type Copies = BTreeMap<Window, Map<String, Record>>;
 
@@ -177,7 +213,7 @@
     pub fn add(&mut self, id: &str, account: &str, window: Window, figures: Figures) -> Record {
         let known = self.own.values().find_map(|records| records.get(id));
         if let Some(known) = known {
-            return known.clone();
+            return known.record.clone();
         }
         let open = window.max(self.closed.next());
         let record = Record {
@@ -187,14 +223,17 @@
             late: open != window,
             figures,
         };
-        let records = self.own.entry(open).or_default();
-        records.insert(record.id.clone(), record.clone());
+        self.insert(record.clone());
         record
     }
 
-    /// Closes `window` and all earlier windows to new records.
+    /// Closes `window` and all earlier windows to new records, because the
+    /// figures of `window` are requested.
     pub fn close(&mut self, window: Window) {
         self.closed = self.closed.max(window);
+        if self.own.contains_key(&window) {
+            self.requested.insert(window);
+        }
     }
 
     /// Returns the last closed window.
@@ -243,7 +282,7 @@
     /// Returns the records of this process that are not known to be counted.
     pub fn uncounted_records(&self) -> Vec<Record> {
         let all = self.own.values().flat_map(|records| records.values());
-        all.cloned().collect()
+        all.map(|own| own.record.clone()).collect()
     }
 
     /// Returns the number of records of this process that are not known to be
@@ -259,15 +298,45 @@
         records.is_some_and(|records| records.contains_key(&record.id))
     }
 
+    /// Notes that copies of `records` are about to be sent to other processes.
+    pub fn begin_copies<'a>(&mut self, records: impl IntoIterator<Item = &'a Record>) {
+        for record in records {
+            if let Some(own) = self.own_mut(record)
+                && own.copied == Copied::No
+            {
+                own.copied = Copied::InProgress;
+            }
+        }
+    }
+
+    /// Notes whether another process may have stored the copy of `record` that
+    /// was sent.
+    pub fn end_copy(&mut self, record: &Record, may_be_stored: bool) {
+        let Some(own) = self.own_mut(record) else {
+            return;
+        };
+        match own.copied {
+            _ if may_be_stored => own.copied = Copied::Maybe,
+            Copied::InProgress => own.copied = Copied::No,
+            Copied::No | Copied::Maybe => {}
+        }
+    }
+
     /// Sums up the uncounted records among `records` by account and window,
     /// replaces them by the sums, and returns the sums.
     ///
-    /// The records must not have been sent to any other process. Only then can
-    /// no other process count them one by one, so that their ids are not
-    /// needed. A request whose record was merged must not be added again.
+    /// Records of which another process may have a copy are left as they are,
+    /// because it counts them one by one, by their ids. A request whose record
+    /// was merged must not be added again.
     pub fn merge(&mut self, records: Vec<Record>) -> Vec<Record> {
         let mut sums = BTreeMap::new();
         for record in records {
+            if self
+                .own_mut(&record)
+                .is_none_or(|own| own.copied != Copied::No)
+            {
+                continue;
+            }
             let Some(open) = self.remove(&record.id, record.window) else {
                 continue;
             };
@@ -280,8 +349,7 @@
         }
         let sums: Vec<Record> = sums.into_values().collect();
         for sum in &sums {
-            let records = self.own.entry(sum.window).or_default();
-            records.insert(sum.id.clone(), sum.clone());
+            self.insert(sum.clone());
         }
         sums
     }
@@ -316,12 +384,48 @@
                 moved.extend(self.reassign(&id, window, self.closed));
             }
         }
+        self.requested.remove(&window);
         moved
     }
 
+    /// Resolves the records of `window`, which was reported and whose figures
+    /// are not known any more.
+    ///
+    /// A record was counted by the figures of this process or from a copy. If
+    /// neither is possible, it moves to the next open window. If either is, it
+    /// is dropped. A record with an attempt to copy it in progress stays.
+    pub fn resolve_unknown(&mut self, window: Window) -> Unresolved {
+        let mut unresolved = Unresolved::default();
+        let Some(records) = self.own.get(&window) else {
+            return unresolved;
+        };
+        let is_requested = self.requested.contains(&window);
+        let copied = |own: &Own| match is_requested {
+            true => Copied::Maybe,
+            false => own.copied,
+        };
+        let states: Vec<_> = records
+            .iter()
+            .map(|(id, own)| (id.clone(), copied(own)))
+            .collect();
+        for (id, copied) in states {
+            match copied {
+                Copied::No => {
+                    let moved = self.reassign(&id, window, self.closed);
+                    unresolved.moved.extend(moved);
+                }
+                Copied::InProgress => {}
+                Copied::Maybe => unresolved.undecided.extend(self.remove(&id, window)),
+            }
+        }
+        self.requested.remove(&window);
+        unresolved
+    }
+
     /// Drops the records of `window`, all of which were counted.
     pub fn discard(&mut self, window: Window) {
         self.own.remove(&window);
+        self.requested.remove(&window);
     }
 
     /// Adds copies of records that another process measured. Records of closed
@@ -394,24 +498,33 @@
 
     fn records_of(&self, window: Window) -> impl Iterator<Item = &Record> {
         let records = self.own.get(&window).into_iter();
-        records.flat_map(|records| records.values())
+        let all = records.flat_map(|records| records.values());
+        all.map(|own| &own.record)
+    }
+
+    fn own_mut(&mut self, record: &Record) -> Option<&mut Own> {
+        self.own.get_mut(&record.window)?.get_mut(&record.id)
+    }
+
+    fn insert(&mut self, record: Record) {
+        let records = self.own.entry(record.window).or_default();
+        records.insert(record.id.clone(), Own::new(record));
     }
 
     fn remove(&mut self, id: &str, window: Window) -> Option<Record> {
         let records = self.own.get_mut(&window)?;
-        let record = records.remove(id);
+        let own = records.remove(id);
         if records.is_empty() {
             self.own.remove(&window);
         }
-        record
+        own.map(|own| own.record)
     }
 
     fn reassign(&mut self, id: &str, window: Window, after: Window) -> Option<Record> {
         let mut record = self.remove(id, window)?;
         record.window = after.max(self.closed).next();
         record.late = true;
-        let records = self.own.entry(record.window).or_default();
-        records.insert(record.id.clone(), record.clone());
+        self.insert(record.clone());
         Some(record)
     }
 }
--- a/crates/cli/tests/control_usage.rs
+++ b/crates/cli/tests/control_usage.rs
@@ -282,6 +282,117 @@
     .unwrap();
 }
 
+/// Returns a plan of two VMs in which the figures of windows are deleted soon.
+fn plan_with_short_retention(tree: &Tree) -> Plan {
+    let mut plan =
+        Plan::new(&tree.0)
+            .vms(2, &FAILURE_DOMAINS)
+            .engines("notes", 2, &FAILURE_DOMAINS);
+    for vm in &mut plan.vms {
+        vm.entry_settings = "test_faults = true\n".to_string();
+        vm.steward_settings =
+            "test_faults = true\nkeep_lots_ms = 800\nkeep_windows_ms = 1000\n".to_string();
+    }
+    plan
+}
+
+/// Cuts the reporter off from the entry daemons at `peers`, and from no others.
+async fn cut_reporters(deployment: &Deployment, peers: &[std::net::SocketAddr]) {
+    for vm in &deployment.vms {
+        let cut = json!({"to": peers, "from": peers});
+        set_faults(deployment, vm.steward_admin, cut).await;
+    }
+}
+
+/// Waits until a window after the current one was reported and the figures of
+/// both were deleted.
+async fn wait_deleted(deployment: &Deployment, plan: &Plan) {
+    let window = link::clock::wall_millis() / plan.window.as_millis() as u64 + 1;
+    let client = link::platform::Client::new(deployment.platform, "test");
+    wait_for("deletion of the figures", async || {
+        let listed = client.list(board::usage::KIND, "").await.ok()?;
+        let numbers = listed.changes.iter().map(|c| c.name.parse::<u64>().ok());
+        (numbers.flatten().min()? > window).then_some(())
+    })
+    .await;
+}
+
+#[test]
+fn record_counted_in_deleted_window_is_not_billed_twice() {
+    let tree = Tree::new("deleted", CONFIG);
+    let plan = plan_with_short_retention(&tree);
+    link::runtime::run(async {
+        let deployment = start(&plan).await;
+        let key = issue_key(&deployment, "steady");
+        let served = RefCell::default();
+        warm_up(&deployment, &key, &served).await;
+        wait_reported(&deployment, &plan).await;
+        let origin = &deployment.vms[0];
+        assert!(generate(&deployment.pool, origin.callers, &key, 7, &served).await);
+        let expected = sum_usage(&served.borrow());
+        wait_for("report of the record", async || {
+            let reports = fetch_usage(&deployment).await;
+            (sum_reported(&reports, "steady") == expected).then_some(())
+        })
+        .await;
+        // The VM does not learn in time that its record was counted.
+        cut_reporters(&deployment, &[origin.peers]).await;
+        wait_deleted(&deployment, &plan).await;
+        cut_reporters(&deployment, &[]).await;
+        wait_reported(&deployment, &plan).await;
+        wait_reported(&deployment, &plan).await;
+        let reports = fetch_usage(&deployment).await;
+        check_reports(&reports);
+        assert_eq!(sum_reported(&reports, "steady"), expected, "{reports:#}");
+        wait_for("count of the undecided record", async || {
+            let call = Call::get("/metrics");
+            let answer = deployment.pool.fetch(origin.entry_admin, call).await.ok()?;
+            let text = String::from_utf8(answer.body.to_vec()).unwrap();
+            let is_undecided = |sample: &fakes::metrics::Sample<'_>| {
+                sample
+                    .series
+                    .starts_with("tarragonseam_usage_records_total{")
+                    && sample.series.contains("result=\"undecided\"")
+            };
+            let mut samples = fakes::metrics::samples(&text);
+            (samples.find(is_undecided)?.count() == Some(1)).then_some(())
+        })
+        .await;
+    })
+    .unwrap();
+}
+
+#[test]
+fn record_never_copied_of_deleted_window_is_billed() {
+    let tree = Tree::new("alone", CONFIG);
+    let plan = plan_with_short_retention(&tree);
+    link::runtime::run(async {
+        let deployment = start(&plan).await;
+        let key = issue_key(&deployment, "steady");
+        let served = RefCell::default();
+        warm_up(&deployment, &key, &served).await;
+        wait_reported(&deployment, &plan).await;
+        let [origin, holder] = &deployment.vms[..] else {
+            unreachable!("the plan has two VMs");
+        };
+        cut_reporters(&deployment, &[origin.peers]).await;
+        let cut = json!({"to": [holder.peers], "from": [holder.peers]});
+        set_faults(&deployment, origin.entry_admin, cut).await;
+        assert!(generate(&deployment.pool, origin.callers, &key, 7, &served).await);
+        wait_deleted(&deployment, &plan).await;
+        let mended = json!({"to": [], "from": []});
+        set_faults(&deployment, origin.entry_admin, mended).await;
+        cut_reporters(&deployment, &[]).await;
+        wait_reported(&deployment, &plan).await;
+        wait_reported(&deployment, &plan).await;
+        let reports = fetch_usage(&deployment).await;
+        check_reports(&reports);
+        let expected = sum_usage(&served.borrow());
+        assert_eq!(sum_reported(&reports, "steady"), expected, "{reports:#}");
+    })
+    .unwrap();
+}
+
 /// Sends requests to a VM, one after another, until `end`.
 async fn generate_until(
     pool: Pool,
--- a/crates/entry/src/usage/copy.rs
+++ b/crates/entry/src/usage/copy.rs
@@ -172,7 +172,8 @@
         requeue(vm, batch);
         return false;
     }
-    let records = batch.iter().map(|pending| pending.record.clone()).collect();
+    let records: Vec<_> = batch.iter().map(|pending| pending.record.clone()).collect();
+    vm.board.borrow_mut().usage.begin_copies(&records);
     let request = Request::AddCopies(vm.usage.origin.clone(), records);
     for (name, address) in candidates {
         let (answer, unanswered) = vm
@@ -204,6 +205,9 @@
 /// the next try, so that at most one batch has an unknown outcome.
 fn requeue(vm: &Vm, batch: Vec<Pending>) {
     vm.usage.has_no_holder.set(true);
+    for pending in &batch {
+        end_copy(vm, pending, false);
+    }
     let mut queue = vm.usage.queue.borrow_mut();
     let mut all = batch;
     all.append(&mut queue);
@@ -221,6 +225,14 @@
     *queue = queued;
 }
 
+/// Notes the outcome of an attempt to store a copy. An attempt that a holder
+/// confirmed, or that may have succeeded, lets other processes count the record.
+fn end_copy(vm: &Vm, pending: &Pending, is_held: bool) {
+    let may_be_stored = is_held || pending.stored == Execution::Unknown;
+    let usage = &mut vm.board.borrow_mut().usage;
+    usage.end_copy(&pending.record, may_be_stored);
+}
+
 /// Removes queued records that were counted already or moved to another window.
 pub(crate) fn prune(vm: &Vm) {
     let board = vm.board.borrow();
@@ -286,6 +298,7 @@
     for mut pending in batch {
         let (id, window) = (&pending.record.id, pending.record.window);
         let is_held = window > holder.closed;
+        end_copy(vm, &pending, is_held);
         let moved = match pending.stored {
             Execution::NotRun if !is_held => {
                 let usage = &mut vm.board.borrow_mut().usage;
--- a/crates/entry/src/usage/window.rs
+++ b/crates/entry/src/usage/window.rs
@@ -3,7 +3,7 @@
 
 use std::rc::Rc;
 
-use board::usage::{FrozenWindow, KIND, Origin, Record, Window};
+use board::usage::{FrozenWindow, KIND, Origin, Record, Totals, Window};
 use link::platform::Error;
 use policy::usage;
 use wire::{
@@ -67,21 +67,23 @@
 /// window.
 async fn reconcile(vm: &Rc<Vm>, window: Window) {
     let name = window.0.to_string();
-    let read = vm.platform.read::<FrozenWindow>(KIND, &name);
-    let frozen = match read.await {
-        Ok((_, frozen)) => Some(frozen),
-        // A later window is frozen already, so this one is never frozen.
-        Err(Error::Absent) => None,
+    let frozen = vm.platform.read::<FrozenWindow>(KIND, &name).await;
+    let origin = &vm.usage.origin;
+    let moved = match frozen {
+        Ok((_, frozen)) => {
+            let is_all_counted = frozen.origins.contains(origin);
+            let is_counted = |id: &str| is_all_counted || usage::is_counted(&frozen, origin, id);
+            vm.board.borrow_mut().usage.resolve(window, is_counted)
+        }
+        // The figures were deleted, or the window was never reported.
+        Err(Error::Absent) => {
+            let unresolved = vm.board.borrow_mut().usage.resolve_unknown(window);
+            report_undecided(vm, window, &unresolved.undecided);
+            unresolved.moved
+        }
         // The figures cannot be read now; the next call of `close` tries again.
         Err(_) => return,
     };
-    let origin = &vm.usage.origin;
-    let is_counted = |id: &str| {
-        frozen.as_ref().is_some_and(|frozen| {
-            frozen.origins.contains(origin) || usage::is_counted(frozen, origin, id)
-        })
-    };
-    let moved = vm.board.borrow_mut().usage.resolve(window, is_counted);
     copy::prune(vm);
     let (window, count) = (window.0, moved.len());
     spdlog::info!("moved usage records that a reported window omits", kv: { window, records = count });
@@ -90,3 +92,19 @@
         copy::enqueue(vm, record, None);
     }
 }
+
+/// Logs and counts records that are not billed, because they may have been
+/// counted in `window`.
+fn report_undecided(vm: &Vm, window: Window, records: &[Record]) {
+    let mut totals = Totals::default();
+    for record in records {
+        vm.metrics.record_usage("undecided");
+        let account = record.account.clone();
+        totals.entry(account).or_default().add(record.figures);
+    }
+    for (account, figures) in totals {
+        let (window, requests) = (window.0, figures.requests);
+        let (tokens_in, tokens_out) = (figures.tokens_in, figures.tokens_out);
+        spdlog::warn!("usage not billed because it may have been reported", kv: { window, account, requests, tokens_in, tokens_out });
+    }
+}
--- a/crates/policy/tests/usage.rs
+++ b/crates/policy/tests/usage.rs
@@ -221,6 +221,92 @@
     assert_eq!(requests(&second), 1);
 }
 
+#[test]
+fn merge_leaves_records_that_may_be_copied() {
+    let mut ledger = Ledger::default();
+    let ids = ["never", "in-progress", "stored"];
+    let records = ids.map(|id| ledger.add(id, "a", WINDOW, one_request(3)));
+    ledger.begin_copies(&records[1..]);
+    ledger.end_copy(&records[2], true);
+    let sums = ledger.merge(records.to_vec());
+    assert_eq!(sums, records[..1]);
+    assert_eq!(ledger.uncounted_len(), 3);
+}
+
+#[test]
+fn resolve_unknown_of_requested_window() {
+    let mut ledger = Ledger::default();
+    let record = ledger.add("r1", "a", WINDOW, one_request(3));
+    ledger.close(WINDOW);
+    // The sums take the place of the records, in the same window.
+    ledger.merge(vec![record.clone()]);
+    let unresolved = ledger.resolve_unknown(WINDOW);
+    assert_eq!(unresolved.undecided, [record]);
+    assert!(unresolved.moved.is_empty());
+    assert_eq!(ledger.uncounted_len(), 0);
+}
+
+#[test]
+fn resolve_unknown_of_window_not_requested() {
+    let mut ledger = Ledger::default();
+    let ids = ["never", "failed", "lost", "held", "failed-after-lost"];
+    let records = ids.map(|id| ledger.add(id, "a", WINDOW, one_request(3)));
+    let [_, failed, lost, held, failed_after_lost] = &records;
+    let attempts = [
+        (failed, false),
+        (lost, true),
+        (held, true),
+        (failed_after_lost, true),
+        (failed_after_lost, false),
+    ];
+    for (record, may_be_stored) in attempts {
+        ledger.begin_copies([record]);
+        ledger.end_copy(record, may_be_stored);
+    }
+    ledger.close(WINDOW.next());
+    let unresolved = ledger.resolve_unknown(WINDOW);
+    let names = |records: &[Record]| {
+        let mut names: Vec<_> = records.iter().map(|record| record.id.clone()).collect();
+        names.sort();
+        names
+    };
+    assert_eq!(names(&unresolved.moved), ["failed", "never"]);
+    assert_eq!(
+        names(&unresolved.undecided),
+        ["failed-after-lost", "held", "lost"]
+    );
+    assert!(unresolved.moved.iter().all(|record| record.late));
+    let later = ledger.totals(Window(WINDOW.0 + 2));
+    assert_eq!(later["a"].requests, 2);
+}
+
+#[test]
+fn resolve_unknown_while_copy_is_in_progress() {
+    let mut ledger = Ledger::default();
+    let record = ledger.add("r1", "a", WINDOW, one_request(3));
+    ledger.begin_copies([&record]);
+    ledger.close(WINDOW.next());
+    let unresolved = ledger.resolve_unknown(WINDOW);
+    assert!(unresolved.moved.is_empty() && unresolved.undecided.is_empty());
+    ledger.end_copy(&record, false);
+    assert_eq!(ledger.resolve_unknown(WINDOW).moved.len(), 1);
+}
+
+#[test]
+fn resolve_unknown_forgets_attempts_for_earlier_window() {
+    let mut ledger = Ledger::default();
+    let record = ledger.add("r1", "a", WINDOW, one_request(3));
+    ledger.begin_copies([&record]);
+    ledger.end_copy(&record, true);
+    ledger.close(WINDOW);
+    // The frozen figures of the window omit the record.
+    let moved = ledger.resolve(WINDOW, |_| false);
+    ledger.end_copy(&record, true);
+    ledger.close(Window(WINDOW.0 + 2));
+    let unresolved = ledger.resolve_unknown(moved[0].window);
+    assert_eq!(unresolved.moved.len(), 1);
+}
+
 #[test]
 fn add_repeated_request() {
     let mut ledger = Ledger::default();
