board: an older copy of a usage record does not replace a newer one

What operators could see: a request that its caller has the answer of was not billed.

Cause: a holder keeps a copy of a record for one window, and the copy that arrived last replaced the others. A holder that was cut off keeps the copy for window W while the record moves to a later one and is copied to another VM. Once it is reached again, it hands over its old copy, since it has not heard from the VM that measured it for 5 s. The copy for the later window was replaced by one for W, which is reported already and dropped at the next close. If the VM that measured the record is lost then, nothing is left of it. The same holds for a message with copies that arrives after a later one.

Change: records move to later windows only, so a copy for an earlier window is ignored while one for a later window is held.

Ruled out: rejecting copies for closed windows when they are handed over; the VM that hands them over may hold the only ones, and windows that are closed but not frozen still need them.

Both pass now, as do the other tests of board and policy. The way over the daemons (cut, move, mend, loss of the VM) was read, not played.

Conclusion: the order in which copies arrive does not matter any more.

--- a/crates/board/src/usage.rs
+++ b/crates/board/src/usage.rs
@@ -446,12 +446,14 @@
     fn insert_copies(&mut self, origin: &Origin, records: impl IntoIterator<Item = Record>) {
         let held = self.copies.entry(origin.clone()).or_default();
         for record in records {
-            // A record that was moved to another window replaces its older
-            // copy.
-            let others = held
-                .iter_mut()
-                .filter(|(window, _)| **window != record.window);
-            others.for_each(|(_, copies)| {
+            // Records move to later windows only, so an earlier window means an
+            // older copy.
+            let mut later = held.range(record.window.next()..);
+            if later.any(|(_, copies)| copies.contains_key(&record.id)) {
+                continue;
+            }
+            let earlier = held.range_mut(..record.window);
+            earlier.for_each(|(_, copies)| {
                 copies.remove(&record.id);
             });
             let copies = held.entry(record.window).or_default();
--- a/crates/policy/tests/usage.rs
+++ b/crates/policy/tests/usage.rs
@@ -134,6 +134,27 @@
     assert_eq!(ledger.copied_origins().count(), 0);
 }
 
+#[test]
+fn inherit_copies_of_moved_record() {
+    let mut ledger = Ledger::default();
+    let from = origin("vm-a");
+    ledger.add_copies(&from, vec![record(WINDOW.next())]);
+    // Another holder was cut off when the record moved, and hands it over now.
+    ledger.inherit_copies(&from, vec![record(WINDOW)]);
+    ledger.close(WINDOW);
+    ledger.discard_copies(WINDOW);
+    assert_eq!(ledger.copies(&from, WINDOW.next()).len(), 1);
+}
+
+#[test]
+fn add_copies_of_moved_record_late() {
+    let mut ledger = Ledger::default();
+    let from = origin("vm-a");
+    ledger.add_copies(&from, vec![record(WINDOW.next())]);
+    ledger.add_copies(&from, vec![record(WINDOW)]);
+    assert_eq!(ledger.all_copies(&from), [record(WINDOW.next())]);
+}
+
 proptest! {
     /// Each row is a record: its account, its window, and whether it was sent
     /// to another process.
