steward: VMs are asked for copies of usage records again after a wait

What operators could see: usage that its caller has the answer of, and that two VMs had confirmed, was not billed after these two VMs were lost seconds apart.

Cause: while the reporter waits up to 10 s for a VM that does not answer, it keeps the answers of the others, with the copies that they hold. In that time the holder hands the copies of the lost VM over to another VM, which has answered already. When the holder is lost as well, only its own answer was dropped; that the other VM has the copies was never asked, and the window was frozen without them. A holder that was restarted meanwhile answers with no copies at all, which was taken for the copies that it had named.

Change: after a wait, and when a holder no longer has the copies that it named, all VMs are asked again before the window is frozen. Answers are kept by process: the own figures in an answer are final, since the process has closed the window, and stay in force when it is lost later. Before, they were dropped together with its copies.

Ruled out: asking all VMs in each round of 250 ms (for 10 s, beside a VM that is lost); asking for copies of every lost process without looking at the answers (a call to each VM for each process that was ever lost).

The restarted holder follows from the code; no test shows it.

Conclusion: copies count that any reachable VM holds when the window is frozen. What two VMs lose that fail within the same 5 s or so is still lost (docs/design/usage.md).

--- a/crates/cli/tests/control_usage.rs
+++ b/crates/cli/tests/control_usage.rs
@@ -193,6 +193,40 @@
     .unwrap();
 }
 
+/// Longer than a holder takes to hand over the copies of a lost VM, and shorter
+/// than the reporter waits for that VM.
+const HAND_OVER_TIME: Duration = Duration::from_millis(8500);
+
+#[test]
+fn killed_vm_and_later_its_holder_lose_no_usage() {
+    let tree = Tree::new("holder", CONFIG);
+    let plan = plan(&tree);
+    link::runtime::run(async {
+        let mut deployment = start(&plan).await;
+        let key = issue_key(&deployment, "shaky");
+        let served = RefCell::default();
+        warm_up(&deployment, &key, &served).await;
+        wait_reported(&deployment, &plan).await;
+        let vms = deployment.vms.iter().map(|vm| &vm.vm);
+        let names: Vec<_> = vms
+            .map(|vm| (vm.id.as_str(), vm.failure_domain.as_str()))
+            .collect();
+        let (origin, domain) = names[0];
+        let holder = policy::usage::copy_holders(origin, domain, &names)[0];
+        let callers = deployment.vms[0].callers;
+        assert!(generate(&deployment.pool, callers, &key, 7, &served).await);
+        deployment.vms[0].entry.kill();
+        monoio::time::sleep(HAND_OVER_TIME).await;
+        deployment.vms[holder].entry.kill();
+        wait_reported(&deployment, &plan).await;
+        let reports = fetch_usage(&deployment).await;
+        check_reports(&reports);
+        let expected = sum_usage(&served.borrow());
+        assert_eq!(sum_reported(&reports, "shaky"), expected, "{reports:#}");
+    })
+    .unwrap();
+}
+
 #[test]
 fn frozen_reporter_resumed_changes_no_figures() {
     let tree = Tree::new("reporter", CONFIG);
--- a/crates/steward/src/usage.rs
+++ b/crates/steward/src/usage.rs
@@ -4,7 +4,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use board::{
-    hash::Map,
+    hash::{Map, Set},
     usage::{AccountFigures, ClosedWindow, FrozenWindow, KIND, Origin, Record, Window},
 };
 use link::{clock, peer::Pool, platform::Error};
@@ -38,8 +38,13 @@
     last: Option<FrozenWindow>,
     /// The VMs that do not answer, and for how long they have not.
     unresponsive: Unresponsive,
-    /// The answers of VMs about the next window, by name.
-    answers: Map<String, ClosedWindow>,
+    /// The answers of processes about the next window. Their own figures are
+    /// final; the copies that they hold may change.
+    answers: Map<Origin, ClosedWindow>,
+    /// The VMs that need not be asked again.
+    answered: Set<String>,
+    /// Whether copies may have been handed over to VMs that answered before.
+    is_outdated: bool,
 }
 
 /// Reports each window after its end while this process holds the lease on
@@ -88,6 +93,7 @@
             return None;
         }
         let answers = std::mem::take(&mut self.answers);
+        self.answered.clear();
         let oldest = answers.values().filter_map(|answer| answer.oldest).min();
         Some(oldest.map_or(current, |oldest| oldest.min(current)))
     }
@@ -134,6 +140,7 @@
         self.next = frozen.window.next();
         self.last = Some(frozen);
         self.answers.clear();
+        self.answered.clear();
     }
 
     /// Freezes and returns the figures of the next window; `None` when a VM has
@@ -163,14 +170,29 @@
 
     /// Closes the next window on every VM, and returns whether all VMs that
     /// have to be waited for have answered.
+    ///
+    /// After a wait all VMs are asked again: a copy of which the holder is lost
+    /// meanwhile may be on a VM that answered before it received the copy.
     async fn close_everywhere(&mut self, vm: &Rc<Vm>) -> bool {
+        let was_outdated = self.is_outdated;
+        self.is_outdated = !self.close_unanswered(vm).await;
+        if was_outdated && !self.is_outdated {
+            self.answered.clear();
+            self.is_outdated = !self.close_unanswered(vm).await;
+        }
+        !self.is_outdated
+    }
+
+    /// Closes the next window on the VMs that have not answered, and returns
+    /// whether none of them has to be waited for.
+    async fn close_unanswered(&mut self, vm: &Rc<Vm>) -> bool {
         let Ok(vms) = vm.platform.vms().await else {
             return false;
         };
         let request = Rc::new(Request::Close(self.close_request()));
         let mut requests = Vec::new();
         for peer in vms {
-            if self.answers.contains_key(&peer.id) {
+            if self.answered.contains(&peer.id) {
                 continue;
             }
             let (peer_pool, request) = (self.peer_pool.clone(), request.clone());
@@ -189,7 +211,8 @@
                 .unresponsive
                 .record_response(&id, vm.now(), has_answered);
             if let Ok(Response::Closed(closed)) = answer {
-                self.answers.insert(id, closed);
+                self.answers.insert(closed.origin.clone(), closed);
+                self.answered.insert(id);
             }
         }
         !is_waiting
@@ -222,10 +245,8 @@
                     None => None,
                 };
                 let Some(records) = records else {
-                    // The window is closed on the holder again, because its
-                    // answer may be out of date: other VMs may hold the
-                    // copies by now.
-                    self.answers.remove(holder);
+                    // Other VMs may hold the copies by now.
+                    self.discard_copies(&answer.origin);
                     return None;
                 };
                 copies.push((origin.clone(), records));
@@ -234,6 +255,17 @@
         Some(copies)
     }
 
+    /// Discards what `holder` answered about its copies, and has all VMs asked
+    /// again.
+    fn discard_copies(&mut self, holder: &Origin) {
+        if let Some(answer) = self.answers.get_mut(holder) {
+            answer.copies.clear();
+        }
+        self.answered.clear();
+    }
+
+    /// Returns the copies that `holder` has answered to hold; `None` if it does
+    /// not have them any more, as after a restart, or does not answer.
     async fn fetch_copies(&self, holder: SocketAddr, origin: &Origin) -> Option<Vec<Record>> {
         let request = Request::Copies(origin.clone(), self.next);
         match self
@@ -241,7 +273,7 @@
             .request(holder, &request, REQUEST_TIMEOUT)
             .await
         {
-            Ok(Response::Copies(records)) => Some(records),
+            Ok(Response::Copies(records)) if !records.is_empty() => Some(records),
             _ => None,
         }
     }
