steward: the first window that is reported is agreed on before it is frozen

What operators could see: after the reporter changed while a deployment reported its first window, usage of a VM that the new reporter did not reach was not billed.

Cause: a reporter without any frozen window takes the oldest window with records on a VM that answers. Its write of that window's figures can be lost and take effect later. Its successor finds no window, reaches other VMs, and starts with a later one. Then the late figures appear for a window that nobody reports: a VM that they name discards its records as counted. (A successor takes the latest window from the list, so an earlier one is never looked at again.)

The same object answers the question that the deletion of figures had left open: whether a window without figures is before the first one, so that all its records move.

Change: the number of the first window is written by create-if-absent before any window is frozen; who comes second takes the stored one. Reconciliation reads it when a window has no figures. A deployment that has reported windows already gets no such object, and its VMs decide as if the window may have been reported.

Ruled out: fencing the write of the figures; bytes that are under way pass any fence. Reporting each listed window that has no report yet: reports are not listed on the platform for us.

Conclusion: figures of a window are frozen only if it is reported.

--- a/crates/board/src/usage.rs
+++ b/crates/board/src/usage.rs
@@ -7,6 +7,13 @@
 /// The kind of the platform objects that hold the figures of reported windows.
 pub const KIND: &str = "usage-window";
 
+/// The kind of the platform object that holds the first window that is
+/// reported. It is written before any window is frozen, and never changes.
+pub const FIRST_KIND: &str = "usage-first-window";
+
+/// The name of the only object of [`FIRST_KIND`].
+pub const FIRST_NAME: &str = "first";
+
 crate::record! {
     /// The number of a window: wall-clock milliseconds divided by its length.
     #[derive(Default)]
--- a/crates/cli/tests/control_usage.rs
+++ b/crates/cli/tests/control_usage.rs
@@ -427,6 +427,123 @@
     .unwrap();
 }
 
+/// Starts `plan` with fault switches in its daemons. No window can be reported
+/// until the platform's faults are reset.
+async fn start_without_reports(plan: &mut Plan) -> Deployment {
+    for vm in &mut plan.vms {
+        vm.entry_settings = "test_faults = true\n".to_string();
+        vm.steward_settings = "test_faults = true\n".to_string();
+    }
+    let deployment = common::start_unconfigured(plan).await;
+    let unlisted = json!({"outage": true, "outage_of": "GET /v1/objects/usage-window"});
+    set_faults(&deployment, deployment.platform, unlisted).await;
+    control_support::publish(&deployment);
+    deployment.wait_ready().await.unwrap();
+    deployment
+}
+
+/// Sends a request to a VM until it answers.
+async fn generate_first(
+    deployment: &Deployment,
+    vm: usize,
+    key: &str,
+    served: &RefCell<Served>,
+) -> u64 {
+    let callers = deployment.vms[vm].callers;
+    wait_for("answer", async || {
+        generate(&deployment.pool, callers, key, 7, served)
+            .await
+            .then_some(())
+    })
+    .await;
+    link::clock::wall_millis()
+}
+
+#[test]
+fn first_window_in_transit_while_reporter_changes() {
+    let tree = Tree::new("first-window", CONFIG);
+    let mut plan = plan(&tree);
+    link::runtime::run(async {
+        let mut deployment = start_without_reports(&mut plan).await;
+        let peers: Vec<_> = deployment.vms.iter().map(|vm| vm.peers).collect();
+        let cut = json!({"to": peers[1..], "from": peers[1..]});
+        set_faults(&deployment, deployment.vms[0].entry_admin, cut).await;
+        let key = issue_key(&deployment, "steady");
+        let served = RefCell::default();
+        generate_first(&deployment, 0, &key, &served).await;
+        let delayed = json!({
+            "reset": true,
+            "lost_reply": 1.0,
+            "lost_reply_of": "PUT /v1/objects/usage-window/",
+            "transit_ms": 35_000,
+            "outage_after_lost_reply": true,
+            "outage_of": "PUT /v1/objects/usage-window/",
+        });
+        set_faults(&deployment, deployment.platform, delayed).await;
+        wait_for("figures in transit", async || {
+            let faults = fetch_json(&deployment, deployment.platform, "/fault").await;
+            (faults["outage"] == true).then_some(())
+        })
+        .await;
+        let find_reporter = async || find_holder(&deployment, "reports_epoch", "", None).await;
+        let (reporter, _) = wait_for("reporter", find_reporter).await;
+        cut_reporters(&deployment, &peers[..1]).await;
+        deployment.vms[reporter].steward.kill();
+        set_faults(&deployment, deployment.platform, json!({"reset": true})).await;
+        wait_reported(&deployment, &plan).await;
+        // The figures in transit have arrived, unless others were written first.
+        monoio::time::sleep(Duration::from_secs(35)).await;
+        for (index, vm) in deployment.vms.iter().enumerate() {
+            if index != reporter {
+                let mended = json!({"to": [], "from": []});
+                set_faults(&deployment, vm.steward_admin, mended).await;
+            }
+        }
+        wait_reported(&deployment, &plan).await;
+        wait_reported(&deployment, &plan).await;
+        let reports = fetch_usage(&deployment).await;
+        check_reports(&reports);
+        let expected = sum_usage(&served.borrow());
+        assert_eq!(sum_reported(&reports, "steady"), expected, "{reports:#}");
+    })
+    .unwrap();
+}
+
+#[test]
+fn record_from_before_first_window_is_billed() {
+    let tree = Tree::new("before-first", CONFIG);
+    let mut plan = plan(&tree);
+    link::runtime::run(async {
+        let deployment = start_without_reports(&mut plan).await;
+        let key = issue_key(&deployment, "steady");
+        let served = RefCell::default();
+        let ended_ms = generate_first(&deployment, 0, &key, &served).await;
+        let vms = deployment.vms.iter().map(|vm| &vm.vm);
+        let names: Vec<_> = vms
+            .map(|vm| (vm.id.as_str(), vm.failure_domain.as_str()))
+            .collect();
+        let holder = policy::usage::copy_holders(names[0].0, names[0].1, &names)[0];
+        let unreached = [0, holder].map(|index| deployment.vms[index].peers);
+        cut_reporters(&deployment, &unreached).await;
+        monoio::time::sleep(plan.window).await;
+        set_faults(&deployment, deployment.platform, json!({"reset": true})).await;
+        wait_reported(&deployment, &plan).await;
+        let reports = fetch_usage(&deployment).await;
+        let reported = reports["reports"].as_array().unwrap().iter();
+        let numbers = reported.map(|r| r["window"].as_str().unwrap().parse::<u64>().unwrap());
+        let last_window = ended_ms / plan.window.as_millis() as u64;
+        assert!(numbers.min() > Some(last_window), "{reports:#}");
+        cut_reporters(&deployment, &[]).await;
+        wait_reported(&deployment, &plan).await;
+        wait_reported(&deployment, &plan).await;
+        let reports = fetch_usage(&deployment).await;
+        check_reports(&reports);
+        let expected = sum_usage(&served.borrow());
+        assert_eq!(sum_reported(&reports, "steady"), expected, "{reports:#}");
+    })
+    .unwrap();
+}
+
 /// Sends requests to a VM, one after another, until `end`.
 async fn generate_until(
     pool: Pool,
--- a/crates/entry/src/usage/window.rs
+++ b/crates/entry/src/usage/window.rs
@@ -3,7 +3,7 @@
 
 use std::rc::Rc;
 
-use board::usage::{FrozenWindow, KIND, Origin, Record, Totals, Window};
+use board::usage::{FIRST_KIND, FIRST_NAME, FrozenWindow, KIND, Origin, Record, Totals, Window};
 use link::platform::Error;
 use policy::usage;
 use wire::{
@@ -66,23 +66,9 @@
 /// with its frozen figures: records that they omit move to the next open
 /// window.
 async fn reconcile(vm: &Rc<Vm>, window: Window) {
-    let name = window.0.to_string();
-    let frozen = vm.platform.read::<FrozenWindow>(KIND, &name).await;
-    let origin = &vm.usage.origin;
-    let moved = match frozen {
-        Ok((_, frozen)) => {
-            let is_all_counted = frozen.origins.contains(origin);
-            let is_counted = |id: &str| is_all_counted || usage::is_counted(&frozen, origin, id);
-            vm.board.borrow_mut().usage.resolve(window, is_counted)
-        }
-        // The figures were deleted, or the window was never reported.
-        Err(Error::Absent) => {
-            let unresolved = vm.board.borrow_mut().usage.resolve_unknown(window);
-            report_undecided(vm, window, &unresolved.undecided);
-            unresolved.moved
-        }
-        // The figures cannot be read now; the next call of `close` tries again.
-        Err(_) => return,
+    // If the figures cannot be read now, the next call of `close` tries again.
+    let Ok(moved) = resolve(vm, window).await else {
+        return;
     };
     copy::prune(vm);
     let (window, count) = (window.0, moved.len());
@@ -93,6 +79,42 @@
     }
 }
 
+/// Drops the records of a reported window that were or may have been counted,
+/// and returns the others, which are in a later window now.
+async fn resolve(vm: &Vm, window: Window) -> Result<Vec<Record>, Error> {
+    let name = window.0.to_string();
+    let frozen = match vm.platform.read::<FrozenWindow>(KIND, &name).await {
+        Ok((_, frozen)) => Some(frozen),
+        Err(Error::Absent) => None,
+        Err(e) => return Err(e),
+    };
+    let origin = &vm.usage.origin;
+    let is_never_frozen = frozen.is_none() && is_before_first(vm, window).await?;
+    let usage = &mut vm.board.borrow_mut().usage;
+    if let Some(frozen) = frozen {
+        let is_all_counted = frozen.origins.contains(origin);
+        let is_counted = |id: &str| is_all_counted || usage::is_counted(&frozen, origin, id);
+        return Ok(usage.resolve(window, is_counted));
+    }
+    if is_never_frozen {
+        return Ok(usage.resolve(window, |_| false));
+    }
+    // The figures were deleted.
+    let unresolved = usage.resolve_unknown(window);
+    report_undecided(vm, window, &unresolved.undecided);
+    Ok(unresolved.moved)
+}
+
+/// Returns whether `window` is before the first window that was reported.
+async fn is_before_first(vm: &Vm, window: Window) -> Result<bool, Error> {
+    match vm.platform.read::<Window>(FIRST_KIND, FIRST_NAME).await {
+        Ok((_, first)) => Ok(window < first),
+        // The deployment reported windows before this object existed.
+        Err(Error::Absent) => Ok(false),
+        Err(e) => Err(e),
+    }
+}
+
 /// Logs and counts records that are not billed, because they may have been
 /// counted in `window`.
 fn report_undecided(vm: &Vm, window: Window, records: &[Record]) {
--- a/crates/steward/src/usage.rs
+++ b/crates/steward/src/usage.rs
@@ -5,7 +5,10 @@
 
 use board::{
     hash::{Map, Set},
-    usage::{AccountFigures, ClosedWindow, FrozenWindow, KIND, Origin, Record, Window},
+    usage::{
+        AccountFigures, ClosedWindow, FIRST_KIND, FIRST_NAME, FrozenWindow, KIND, Origin, Record,
+        Window,
+    },
 };
 use link::{clock, peer::Pool, platform::Error};
 use policy::usage::{self, CLOCK_SKEW_MAX, Unresponsive};
@@ -84,10 +87,23 @@
         Some(())
     }
 
-    /// Returns the window to start with in a deployment that has not reported a
+    /// Returns the window to start with in a deployment that has not frozen a
     /// window yet: the oldest window with records on a VM, or the current
-    /// window.
+    /// window. Every process gets the same one.
     async fn first_window(&mut self, vm: &Rc<Vm>) -> Option<Window> {
+        match vm.platform.read::<Window>(FIRST_KIND, FIRST_NAME).await {
+            Ok((_, first)) => return Some(first),
+            Err(Error::Absent) => {}
+            Err(_) => return None,
+        }
+        let first = self.oldest_window(vm).await?;
+        let value = serde_json::to_vec(&first).ok()?;
+        let first = vm.platform.create(FIRST_KIND, FIRST_NAME, value).await;
+        first.ok()?.json().ok()
+    }
+
+    /// Returns the oldest window with records on a VM, or the current window.
+    async fn oldest_window(&mut self, vm: &Rc<Vm>) -> Option<Window> {
         let current = Window(clock::wall_millis() / window_length_ms(vm));
         if !self.close_everywhere(vm).await {
             return None;
