--- a/crates/cli/tests/control_usage.rs
+++ b/crates/cli/tests/control_usage.rs
@@ -193,6 +193,40 @@
     .unwrap();
 }
 
+/// Longer than a holder takes to hand over the copies of a lost VM, and shorter
+/// than the reporter waits for that VM.
+const HAND_OVER_TIME: Duration = Duration::from_millis(8500);
+
+#[test]
+fn killed_vm_and_later_its_holder_lose_no_usage() {
+    let tree = Tree::new("holder", CONFIG);
+    let plan = plan(&tree);
+    link::runtime::run(async {
+        let mut deployment = start(&plan).await;
+        let key = issue_key(&deployment, "shaky");
+        let served = RefCell::default();
+        warm_up(&deployment, &key, &served).await;
+        wait_reported(&deployment, &plan).await;
+        let vms = deployment.vms.iter().map(|vm| &vm.vm);
+        let names: Vec<_> = vms
+            .map(|vm| (vm.id.as_str(), vm.failure_domain.as_str()))
+            .collect();
+        let (origin, domain) = names[0];
+        let holder = policy::usage::copy_holders(origin, domain, &names)[0];
+        let callers = deployment.vms[0].callers;
+        assert!(generate(&deployment.pool, callers, &key, 7, &served).await);
+        deployment.vms[0].entry.kill();
+        monoio::time::sleep(HAND_OVER_TIME).await;
+        deployment.vms[holder].entry.kill();
+        wait_reported(&deployment, &plan).await;
+        let reports = fetch_usage(&deployment).await;
+        check_reports(&reports);
+        let expected = sum_usage(&served.borrow());
+        assert_eq!(sum_reported(&reports, "shaky"), expected, "{reports:#}");
+    })
+    .unwrap();
+}
+
 #[test]
 fn frozen_reporter_resumed_changes_no_figures() {
     let tree = Tree::new("reporter", CONFIG);
@@ -282,6 +316,234 @@
     .unwrap();
 }
 
+/// Returns a plan of two VMs in which the figures of windows are deleted soon.
+fn plan_with_short_retention(tree: &Tree) -> Plan {
+    let mut plan =
+        Plan::new(&tree.0)
+            .vms(2, &FAILURE_DOMAINS)
+            .engines("notes", 2, &FAILURE_DOMAINS);
+    for vm in &mut plan.vms {
+        vm.entry_settings = "test_faults = true\n".to_string();
+        vm.steward_settings =
+            "test_faults = true\nkeep_lots_ms = 800\nkeep_windows_ms = 1000\n".to_string();
+    }
+    plan
+}
+
+/// Cuts the reporter off from the entry daemons at `peers`, and from no others.
+async fn cut_reporters(deployment: &Deployment, peers: &[std::net::SocketAddr]) {
+    for vm in &deployment.vms {
+        let cut = json!({"to": peers, "from": peers});
+        set_faults(deployment, vm.steward_admin, cut).await;
+    }
+}
+
+/// Waits until a window after the current one was reported and the figures of
+/// both were deleted.
+async fn wait_deleted(deployment: &Deployment, plan: &Plan) {
+    let window = link::clock::wall_millis() / plan.window.as_millis() as u64 + 1;
+    let client = link::platform::Client::new(deployment.platform, "test");
+    wait_for("deletion of the figures", async || {
+        let listed = client.list(board::usage::KIND, "").await.ok()?;
+        let numbers = listed.changes.iter().map(|c| c.name.parse::<u64>().ok());
+        (numbers.flatten().min()? > window).then_some(())
+    })
+    .await;
+}
+
+#[test]
+fn record_counted_in_deleted_window_is_not_billed_twice() {
+    let tree = Tree::new("deleted", CONFIG);
+    let plan = plan_with_short_retention(&tree);
+    link::runtime::run(async {
+        let deployment = start(&plan).await;
+        let key = issue_key(&deployment, "steady");
+        let served = RefCell::default();
+        warm_up(&deployment, &key, &served).await;
+        wait_reported(&deployment, &plan).await;
+        let origin = &deployment.vms[0];
+        assert!(generate(&deployment.pool, origin.callers, &key, 7, &served).await);
+        let expected = sum_usage(&served.borrow());
+        wait_for("report of the record", async || {
+            let reports = fetch_usage(&deployment).await;
+            (sum_reported(&reports, "steady") == expected).then_some(())
+        })
+        .await;
+        // The VM does not learn in time that its record was counted.
+        cut_reporters(&deployment, &[origin.peers]).await;
+        wait_deleted(&deployment, &plan).await;
+        cut_reporters(&deployment, &[]).await;
+        wait_reported(&deployment, &plan).await;
+        wait_reported(&deployment, &plan).await;
+        let reports = fetch_usage(&deployment).await;
+        check_reports(&reports);
+        assert_eq!(sum_reported(&reports, "steady"), expected, "{reports:#}");
+        wait_for("count of the undecided record", async || {
+            let call = Call::get("/metrics");
+            let answer = deployment.pool.fetch(origin.entry_admin, call).await.ok()?;
+            let text = String::from_utf8(answer.body.to_vec()).unwrap();
+            let is_undecided = |sample: &fakes::metrics::Sample<'_>| {
+                sample
+                    .series
+                    .starts_with("tarragonseam_usage_records_total{")
+                    && sample.series.contains("result=\"undecided\"")
+            };
+            let mut samples = fakes::metrics::samples(&text);
+            (samples.find(is_undecided)?.count() == Some(1)).then_some(())
+        })
+        .await;
+    })
+    .unwrap();
+}
+
+#[test]
+fn record_never_copied_of_deleted_window_is_billed() {
+    let tree = Tree::new("alone", CONFIG);
+    let plan = plan_with_short_retention(&tree);
+    link::runtime::run(async {
+        let deployment = start(&plan).await;
+        let key = issue_key(&deployment, "steady");
+        let served = RefCell::default();
+        warm_up(&deployment, &key, &served).await;
+        wait_reported(&deployment, &plan).await;
+        let [origin, holder] = &deployment.vms[..] else {
+            unreachable!("the plan has two VMs");
+        };
+        cut_reporters(&deployment, &[origin.peers]).await;
+        let cut = json!({"to": [holder.peers], "from": [holder.peers]});
+        set_faults(&deployment, origin.entry_admin, cut).await;
+        assert!(generate(&deployment.pool, origin.callers, &key, 7, &served).await);
+        wait_deleted(&deployment, &plan).await;
+        let mended = json!({"to": [], "from": []});
+        set_faults(&deployment, origin.entry_admin, mended).await;
+        cut_reporters(&deployment, &[]).await;
+        wait_reported(&deployment, &plan).await;
+        wait_reported(&deployment, &plan).await;
+        let reports = fetch_usage(&deployment).await;
+        check_reports(&reports);
+        let expected = sum_usage(&served.borrow());
+        assert_eq!(sum_reported(&reports, "steady"), expected, "{reports:#}");
+    })
+    .unwrap();
+}
+
+/// Starts `plan` with fault switches in its daemons. No window can be reported
+/// until the platform's faults are reset.
+async fn start_without_reports(plan: &mut Plan) -> Deployment {
+    for vm in &mut plan.vms {
+        vm.entry_settings = "test_faults = true\n".to_string();
+        vm.steward_settings = "test_faults = true\n".to_string();
+    }
+    let deployment = common::start_unconfigured(plan).await;
+    let unlisted = json!({"outage": true, "outage_of": "GET /v1/objects/usage-window"});
+    set_faults(&deployment, deployment.platform, unlisted).await;
+    control_support::publish(&deployment);
+    deployment.wait_ready().await.unwrap();
+    deployment
+}
+
+/// Sends a request to a VM until it answers.
+async fn generate_first(
+    deployment: &Deployment,
+    vm: usize,
+    key: &str,
+    served: &RefCell<Served>,
+) -> u64 {
+    let callers = deployment.vms[vm].callers;
+    wait_for("answer", async || {
+        generate(&deployment.pool, callers, key, 7, served)
+            .await
+            .then_some(())
+    })
+    .await;
+    link::clock::wall_millis()
+}
+
+#[test]
+fn first_window_in_transit_while_reporter_changes() {
+    let tree = Tree::new("first-window", CONFIG);
+    let mut plan = plan(&tree);
+    link::runtime::run(async {
+        let mut deployment = start_without_reports(&mut plan).await;
+        let peers: Vec<_> = deployment.vms.iter().map(|vm| vm.peers).collect();
+        let cut = json!({"to": peers[1..], "from": peers[1..]});
+        set_faults(&deployment, deployment.vms[0].entry_admin, cut).await;
+        let key = issue_key(&deployment, "steady");
+        let served = RefCell::default();
+        generate_first(&deployment, 0, &key, &served).await;
+        let delayed = json!({
+            "reset": true,
+            "lost_reply": 1.0,
+            "lost_reply_of": "PUT /v1/objects/usage-window/",
+            "transit_ms": 35_000,
+            "outage_after_lost_reply": true,
+            "outage_of": "PUT /v1/objects/usage-window/",
+        });
+        set_faults(&deployment, deployment.platform, delayed).await;
+        wait_for("figures in transit", async || {
+            let faults = fetch_json(&deployment, deployment.platform, "/fault").await;
+            (faults["outage"] == true).then_some(())
+        })
+        .await;
+        let find_reporter = async || find_holder(&deployment, "reports_epoch", "", None).await;
+        let (reporter, _) = wait_for("reporter", find_reporter).await;
+        cut_reporters(&deployment, &peers[..1]).await;
+        deployment.vms[reporter].steward.kill();
+        set_faults(&deployment, deployment.platform, json!({"reset": true})).await;
+        wait_reported(&deployment, &plan).await;
+        // The figures in transit have arrived, unless others were written first.
+        monoio::time::sleep(Duration::from_secs(35)).await;
+        for (index, vm) in deployment.vms.iter().enumerate() {
+            if index != reporter {
+                let mended = json!({"to": [], "from": []});
+                set_faults(&deployment, vm.steward_admin, mended).await;
+            }
+        }
+        wait_reported(&deployment, &plan).await;
+        wait_reported(&deployment, &plan).await;
+        let reports = fetch_usage(&deployment).await;
+        check_reports(&reports);
+        let expected = sum_usage(&served.borrow());
+        assert_eq!(sum_reported(&reports, "steady"), expected, "{reports:#}");
+    })
+    .unwrap();
+}
+
+#[test]
+fn record_from_before_first_window_is_billed() {
+    let tree = Tree::new("before-first", CONFIG);
+    let mut plan = plan(&tree);
+    link::runtime::run(async {
+        let deployment = start_without_reports(&mut plan).await;
+        let key = issue_key(&deployment, "steady");
+        let served = RefCell::default();
+        let ended_ms = generate_first(&deployment, 0, &key, &served).await;
+        let vms = deployment.vms.iter().map(|vm| &vm.vm);
+        let names: Vec<_> = vms
+            .map(|vm| (vm.id.as_str(), vm.failure_domain.as_str()))
+            .collect();
+        let holder = policy::usage::copy_holders(names[0].0, names[0].1, &names)[0];
+        let unreached = [0, holder].map(|index| deployment.vms[index].peers);
+        cut_reporters(&deployment, &unreached).await;
+        monoio::time::sleep(plan.window).await;
+        set_faults(&deployment, deployment.platform, json!({"reset": true})).await;
+        wait_reported(&deployment, &plan).await;
+        let reports = fetch_usage(&deployment).await;
+        let reported = reports["reports"].as_array().unwrap().iter();
+        let numbers = reported.map(|r| r["window"].as_str().unwrap().parse::<u64>().unwrap());
+        let last_window = ended_ms / plan.window.as_millis() as u64;
+        assert!(numbers.min() > Some(last_window), "{reports:#}");
+        cut_reporters(&deployment, &[]).await;
+        wait_reported(&deployment, &plan).await;
+        wait_reported(&deployment, &plan).await;
+        let reports = fetch_usage(&deployment).await;
+        check_reports(&reports);
+        let expected = sum_usage(&served.borrow());
+        assert_eq!(sum_reported(&reports, "steady"), expected, "{reports:#}");
+    })
+    .unwrap();
+}
+
 /// Sends requests to a VM, one after another, until `end`.
 async fn generate_until(
     pool: Pool,
