steward: tests of the successor's look-up of unsettled orders

The intent names the orders whose outcome its writer does not know (Intent.unsettled), so that a successor looks them up. No test covered this.

Two tests: the first order's reply is lost while it is in transit, its repeat is rejected because the class is out of stock, another pool's order follows. Then the intent names the first order beside the one sent last, and the holder is killed, or frozen and resumed later. The platform accepts the first order 6 s after it was sent, before the successor's look-up; the list of endpoints lags by 8 s, so that only the look-up shows the endpoint. Expected: each pool is ordered once, the endpoint of the first order is in use, the declared numbers are met in the end.

--- a/crates/cli/tests/control_orders.rs
+++ b/crates/cli/tests/control_orders.rs
@@ -28,6 +28,12 @@
     capacity = { stable = 1 }\n\
     [accounts.a]\n";
 
+const CONFIG_TWO_CHEAP: &str = "[services.registry]\n\
+    capacity = { stable = 1, cheap = 2 }\n\
+    [services.other]\n\
+    capacity = { stable = 1, cheap = 1 }\n\
+    [accounts.a]\n";
+
 fn plan(tree: &Tree, vms: usize, domains: &[&str]) -> Plan {
     let mut plan = Plan::new(&tree.0).vms(vms, domains);
     for domain in domains {
@@ -276,11 +282,17 @@
     .unwrap();
 }
 
-/// Counts the endpoints of a class that orders have started.
+/// Counts the endpoints of a class of the service "registry" that orders have
+/// started.
 fn count_started(history: &Value, class: &str) -> usize {
+    count_started_of(history, "registry", class)
+}
+
+/// Counts the endpoints of a class of `service` that orders have started.
+fn count_started_of(history: &Value, service: &str, class: &str) -> usize {
     let orders = history["orders"].as_array().unwrap().iter();
-    let start_orders = orders
-        .filter(|o| o["service"] == "registry" && o["class"] == class && o["action"] == "start");
+    let start_orders =
+        orders.filter(|o| o["service"] == service && o["class"] == class && o["action"] == "start");
     start_orders
         .map(|o| o["endpoints"].as_array().unwrap().len())
         .sum()
@@ -411,6 +423,95 @@
     .unwrap();
 }
 
+/// Waits until the intent of the failure domain names an order without a known
+/// outcome beside the order sent last, and returns the intent.
+async fn wait_for_unsettled_order(deployment: &Deployment) -> Value {
+    wait_for("intent with an unsettled order", async || {
+        let path = "/v1/objects/order-intent/a";
+        let intent = fetch_json(deployment, deployment.platform, path).await;
+        let is_named = intent["order"].is_object() && intent["unsettled"].is_array();
+        is_named.then_some(intent)
+    })
+    .await
+}
+
+/// Ends the steward that holds the lease on orders by `signal`, and returns its
+/// VM.
+async fn end_holder(deployment: &Deployment, signal: &str) -> usize {
+    let (holder, _) = wait_for("lease holder", async || {
+        find_holder(deployment, "orders_epoch", "a", None).await
+    })
+    .await;
+    let steward = &deployment.vms[holder].steward;
+    steward.signal(signal).unwrap();
+    holder
+}
+
+/// Ends the holder while its intent names an order that the platform accepts
+/// afterwards, and that the list of endpoints shows only after the successor
+/// has begun.
+async fn check_unsettled_order_taken_over(name: &str, signal: &str) {
+    let tree = Tree::new(name, CONFIG_TWO_CHEAP);
+    let mut plan = add_spares(plan(&tree, 3, &["a"]), "other", "a", "cheap", 4);
+    plan.platform.push("--gone-ms=60000".to_string());
+    let deployment = start(&plan).await;
+    let platform = deployment.platform;
+    wait_active(&deployment, "a", (1, 2)).await;
+    delay_order(&deployment, 6000).await;
+    let stock = json!({"failure_domain": "a", "class": "cheap"});
+    let switches = json!({"reset": true, "out_of_stock": [stock]});
+    set_faults(&deployment, platform, switches).await;
+    let intent = wait_for_unsettled_order(&deployment).await;
+    let old_holder = end_holder(&deployment, signal).await;
+    let switches = json!({"reset": true, "endpoint_lag_ms": 8000});
+    set_faults(&deployment, platform, switches).await;
+    let unsettled = &intent["unsettled"][0];
+    assert_eq!(unsettled["service"], "other", "{intent:#}");
+    let history = fetch_orders(&deployment).await;
+    assert_eq!(
+        count_started_of(&history, "other", "cheap"),
+        1,
+        "{history:#}"
+    );
+
+    wait_for("orders of the successor", async || {
+        let history = fetch_orders(&deployment).await;
+        (count_started(&history, "cheap") >= 4).then_some(())
+    })
+    .await;
+    let steward = &deployment.vms[old_holder].steward;
+    if signal == "STOP" {
+        steward.signal("CONT").unwrap();
+    }
+    // An endpoint that is missing from the plan would be ordered within this
+    // time.
+    monoio::time::sleep(Duration::from_secs(20)).await;
+    let history = fetch_orders(&deployment).await;
+    check_orders(&history, "a");
+    let counts = (
+        count_started_of(&history, "other", "cheap"),
+        count_started(&history, "cheap"),
+    );
+    assert_eq!(counts, (2, 4), "{history:#}");
+    let orders = history["orders"].as_array().unwrap();
+    assert!(
+        orders.iter().any(|o| o["key"] == unsettled["key"]),
+        "{history:#}"
+    );
+    assert_eq!(count_active(&deployment, "other", "a").await, (1, 1));
+    assert_eq!(count_active(&deployment, "registry", "a").await, (1, 2));
+}
+
+#[test]
+fn unsettled_order_of_killed_holder_is_looked_up() {
+    link::runtime::run(check_unsettled_order_taken_over("unsettled-killed", "KILL")).unwrap();
+}
+
+#[test]
+fn unsettled_order_of_frozen_holder_is_looked_up() {
+    link::runtime::run(check_unsettled_order_taken_over("unsettled-frozen", "STOP")).unwrap();
+}
+
 #[test]
 fn out_of_stock_backs_off_and_is_replaced_elsewhere() {
     let tree = Tree::new("stock", CONFIG);
