steward: a successor repeats an order that its look-up did not find

Cause: a successor looked up the orders that its predecessor had left without a known outcome. One that the platform did not know was dropped, since the successor's higher epoch rejects it. But the platform knows that epoch only from an order. Until the first one is accepted, an order in transit arrives under the old epoch and is accepted; then the successor, whose list of endpoints does not show it yet, orders the same again under a new key. Where the platform ignores epochs, it is accepted after the successor's order, too.

Ruled out: to wait until an order in transit must have arrived. The platform names no bound, and the failure domain would have no orders meanwhile. An order that announces the epoch alone: the interface has none. To keep looking up: an order may arrive right after any look-up. Found harmless: an order that arrives at a platform that checks epochs after its successor's order (409); a test keeps that.

Change: an order that the look-up does not find stays unsettled, and the intent of the new epoch names it. The order that would replace it is sent under its key with the successor's epoch; the platform accepts a key once, whichever arrives first, so this does not depend on epochs. When the platform accepts an order under a new key, it has seen the epoch, and the orders of earlier epochs are forgotten. A repeated key does not show that: it may have been accepted in the earlier epoch.

Conclusion: the key protects a start of endpoints across epochs.

--- a/crates/cli/tests/control_orders.rs
+++ b/crates/cli/tests/control_orders.rs
@@ -512,6 +512,65 @@
     link::runtime::run(check_unsettled_order_taken_over("unsettled-frozen", "STOP")).unwrap();
 }
 
+/// Kills the holder while its order is delayed by `transit_ms`, and waits for a
+/// successor.
+async fn succeed_during_transit(deployment: &Deployment, transit_ms: u64, switches: Value) {
+    wait_active(deployment, "a", (1, 2)).await;
+    delay_order(deployment, transit_ms).await;
+    let old_holder = end_holder(deployment, "KILL").await;
+    set_faults(deployment, deployment.platform, switches).await;
+    wait_for("successor", async || {
+        find_holder(deployment, "orders_epoch", "a", Some(old_holder)).await
+    })
+    .await;
+    let history = fetch_orders(deployment).await;
+    assert_eq!(count_started(&history, "cheap"), 2, "{history:#}");
+}
+
+#[test]
+fn order_in_transit_is_not_replaced_by_a_successor_in_an_outage() {
+    let tree = Tree::new("transit-outage", CONFIG_IN_STOCK);
+    let mut plan = plan(&tree, 3, &["a"]);
+    plan.platform.push("--gone-ms=60000".to_string());
+    link::runtime::run(async {
+        let deployment = start(&plan).await;
+        let platform = deployment.platform;
+        // The order arrives after its look-up by the successor, whose own orders
+        // are rejected until then. The list of endpoints shows it later.
+        let lag = json!({"endpoint_lag_ms": 8000});
+        succeed_during_transit(&deployment, 18000, lag).await;
+        wait_for("arrival of the order", async || {
+            (count_started(&fetch_orders(&deployment).await, "cheap") >= 4).then_some(())
+        })
+        .await;
+        let switches = json!({"reset": true, "endpoint_lag_ms": 8000});
+        set_faults(&deployment, platform, switches).await;
+        check_not_replaced(&deployment, Duration::from_secs(15)).await;
+    })
+    .unwrap();
+}
+
+/// Lets an order arrive after the successor has ordered what it was for.
+async fn check_late_order(name: &str, ignores_epochs: bool) {
+    let tree = Tree::new(name, CONFIG_IN_STOCK);
+    let plan = plan(&tree, 3, &["a"]);
+    let deployment = start(&plan).await;
+    let switches = json!({"reset": true, "ignore_epochs": ignores_epochs});
+    succeed_during_transit(&deployment, 20000, switches).await;
+    check_not_replaced(&deployment, Duration::from_secs(20)).await;
+    assert_eq!(count_active(&deployment, "registry", "a").await, (1, 2));
+}
+
+#[test]
+fn order_in_transit_arrives_after_order_of_successor() {
+    link::runtime::run(check_late_order("late", false)).unwrap();
+}
+
+#[test]
+fn order_in_transit_arrives_after_order_of_successor_epochs_ignored() {
+    link::runtime::run(check_late_order("late-ignored", true)).unwrap();
+}
+
 #[test]
 fn out_of_stock_backs_off_and_is_replaced_elsewhere() {
     let tree = Tree::new("stock", CONFIG);
--- a/crates/steward/src/order.rs
+++ b/crates/steward/src/order.rs
@@ -67,10 +67,12 @@
         }
         for order in open_orders {
             let is_accepted = resolve(vm, &order).await?;
-            // An order that does not exist may be in transit. The higher epoch
-            // rejects it; in the same epoch, only its key does.
-            if is_accepted || order.epoch < epoch {
-                vm.unsettled.borrow_mut().settle(&order.key);
+            let mut unsettled = vm.unsettled.borrow_mut();
+            // An order that does not exist may be in transit. The platform
+            // accepts it until it has seen this epoch.
+            match is_accepted {
+                true => unsettled.settle(&order.key),
+                false => unsettled.begin(&order),
             }
         }
         let intent = Intent {
@@ -135,6 +137,12 @@
         if execution == Execution::NotRun {
             vm.unsettled.borrow_mut().settle(&order.key);
         }
+        // A repeated key may have been accepted in an earlier epoch.
+        let is_epoch_seen =
+            matches!(outcome, Outcome::Accepted(_)) && previous == Execution::NotRun;
+        if is_epoch_seen {
+            vm.unsettled.borrow_mut().settle_before(self.epoch);
+        }
         let result = match (&outcome, execution) {
             (Outcome::Accepted(_), _) => "accepted",
             (Outcome::Rejected, Execution::NotRun) => "refused",
--- a/crates/steward/src/unsettled.rs
+++ b/crates/steward/src/unsettled.rs
@@ -1,23 +1,25 @@
 //! The orders of this process that the platform may have accepted, or may yet.
 //!
-//! An order in transit may arrive after its sender has given it up. Only its
-//! key, accepted once, or a higher epoch makes sure that it has no effect then.
-//! Within an epoch it is therefore sent again under its key, and no order with
-//! another key replaces it.
+//! An order in transit may arrive after its sender has given it up, or after
+//! the sender's epoch. Only its key, accepted once, or a higher epoch that the
+//! platform has seen makes sure that it has no effect then. Until one of them
+//! does, it is sent again under its key, and no order with another key replaces
+//! it.
 
 use board::capacity::Order;
 
-/// The orders of one epoch whose outcome is unknown.
+/// The orders whose outcome is unknown, with the epoch in which each was last
+/// sent.
 #[derive(Debug, Default)]
 pub(crate) struct Unsettled(Vec<Order>);
 
 impl Unsettled {
-    /// Records that `order` is being sent. It stays recorded until
-    /// [`settle`](Self::settle) is called for its key.
+    /// Records that `order` is being sent, or may be in transit. It stays
+    /// recorded until its outcome is known or its epoch has ended for the
+    /// platform.
     pub(crate) fn begin(&mut self, order: &Order) {
-        if !self.contains(&order.key) {
-            self.0.push(order.clone());
-        }
+        self.settle(&order.key);
+        self.0.push(order.clone());
     }
 
     /// Records that the outcome of the order `key` is known.
@@ -25,6 +27,12 @@
         self.0.retain(|order| order.key != key);
     }
 
+    /// Records that the platform has seen `epoch`, so that it rejects the orders
+    /// of earlier epochs.
+    pub(crate) fn settle_before(&mut self, epoch: u64) {
+        self.0.retain(|order| order.epoch >= epoch);
+    }
+
     /// Returns whether the outcome of the order `key` is unknown.
     pub(crate) fn contains(&self, key: &str) -> bool {
         self.0.iter().any(|order| order.key == key)
@@ -36,16 +44,22 @@
     }
 
     /// Returns `order`, or the order whose outcome is unknown that `order` would
-    /// replace: one that differs from it in key and count at most.
+    /// replace: one that differs from it in key, count and epoch at most. It is
+    /// returned with the epoch of `order`.
     pub(crate) fn or_repeated(&self, order: Order) -> Order {
-        let replaces = |other: &&Order| {
+        let repeated = |other: &Order| Order {
+            epoch: order.epoch,
+            ..other.clone()
+        };
+        let replaces = |other: &Order| {
             let other_of_same_pool = Order {
                 key: order.key.clone(),
                 count: order.count,
-                ..(*other).clone()
+                ..other.clone()
             };
             other_of_same_pool == order
         };
-        self.0.iter().find(replaces).cloned().unwrap_or(order)
+        let found = self.0.iter().map(repeated).find(replaces);
+        found.unwrap_or(order)
     }
 }
