policy: an order recorded as accepted twice counts once

Cause: a successor that looks up an order and then cannot write its intent or read the endpoints opens its session again, and looks the order up again. Each look-up added the order's endpoints to those that count before they are listed. One endpoint counted twice hides a missing one until it is listed, or for 10 s.

Ruled out: that too many are ordered; it is too few, for a short time. Not reproduced with processes, only for the decision.

Change: record_accepted replaces what it knows of the same endpoints. A repeated order under its key, which gets the first answer, is covered too.

Figures: plan_counts_accepted_once_when_recorded_twice, two endpoints missing, one accepted and recorded twice.

assertion `left == right` failed left: [] right: [Start { .. count: 1 }]

After: ok, with all tests of the crate.

Conclusion: a look-up may be repeated without an effect on the plan.

--- a/crates/policy/src/capacity.rs
+++ b/crates/policy/src/capacity.rs
@@ -90,7 +90,10 @@
         pool: pool.clone(),
         until: now + LISTING_DELAY_MAX,
     });
-    board.capacity.pending.extend(pending);
+    // An order that is looked up again is accepted with the same endpoints.
+    let known = &mut board.capacity.pending;
+    known.retain(|pending| !answer.endpoints.contains(&pending.endpoint));
+    known.extend(pending);
     if received < count {
         record_rejected(board, now, pool);
     } else {
--- a/crates/policy/tests/capacity.rs
+++ b/crates/policy/tests/capacity.rs
@@ -238,6 +238,20 @@
     );
 }
 
+#[test]
+fn plan_counts_accepted_once_when_recorded_twice() {
+    let mut board = board("a", (2, 0, 0), [(0, 0), (2, 0), (2, 0)]);
+    let answer = Accepted {
+        key: "a.1.1".into(),
+        endpoints: vec!["a-Stable-0".into()],
+    };
+    let pool = pool(CapacityClass::Stable);
+    capacity::record_accepted(&mut board, START, &pool, 1, &answer);
+    capacity::record_accepted(&mut board, START, &pool, 1, &answer);
+    let missing = Change::Start { pool, count: 1 };
+    assert_eq!(capacity::plan(&mut board, START), [missing]);
+}
+
 #[test]
 fn plan_partial_order_backs_off() {
     let mut board = board("a", (3, 0, 0), [(0, 0), (3, 0), (3, 0)]);
