link: a repeated id goes over another connection

Cause: an id that is sent twice on one connection does not say which of the two a response is for. After all endpoints rejected an unsafe request, Forwarder::try_endpoints sends it to them again, with the same id and mostly on the connection used last. An extra copy of the first rejection passed for the answer to the second sending, which ran: the caller got 503 for a request that had run (REFUSED), or the request went on to the next attempt and ran twice (TWICE).

Pool::take_idle does look for unexpected input, but only before the request is written. Entry is not affected: its unsafe calls use new connections.

Change: Pool does not take an idle connection on which one of the last 16 requests had the id that the call expects back. It takes another idle one; if all had the id, a new connection replaces one of them, since endpoints reset connections beyond a limit. This holds for all calls with an echoed id, so for items and scoring calls too, where a late 500 counted as one more failure of the same item. The scripted server of the tests serves its connections concurrently, counts runs, and has an answer with an extra rejection before it.

Conclusion: fixed where the echoed id is checked. An extra response that arrives more than 16 requests later on the same connection would still pass. The price in new connections on a loaded site was not measured here.

--- a/crates/fakes/src/script.rs
+++ b/crates/fakes/src/script.rs
@@ -1,4 +1,4 @@
-//! A server that answers by a script, one connection after the other.
+//! A server that answers by a script for each connection.
 
 use std::{
     io::{self, BufRead, BufReader, Read, Write},
@@ -19,6 +19,9 @@
     Body(&'static str),
     /// The response of an endpoint that does not run the request.
     NotRun,
+    /// As [`Body`](Self::Body), after an extra [`NotRun`](Self::NotRun) that
+    /// belongs to an earlier request with the same id.
+    BodyAfterLateNotRun(&'static str),
     /// The connection closes without a response.
     Close,
 }
@@ -28,18 +31,31 @@
 pub struct Script {
     /// The address that it listens on.
     pub address: SocketAddr,
-    requests: Arc<AtomicUsize>,
+    counters: Arc<Counters>,
+}
+
+#[derive(Debug, Default)]
+struct Counters {
+    requests: AtomicUsize,
+    runs: AtomicUsize,
 }
 
 impl Script {
     /// Returns the number of requests that have been read.
     pub fn requests(&self) -> usize {
-        self.requests.load(Ordering::SeqCst)
+        self.counters.requests.load(Ordering::SeqCst)
+    }
+
+    /// Returns the number of requests that have run: all but those whose answer
+    /// is [`Answer::NotRun`].
+    pub fn runs(&self) -> usize {
+        self.counters.runs.load(Ordering::SeqCst)
     }
 }
 
 /// Starts a server on loopback. Each element of `connections` has the answers
-/// of one connection, which closes after the last one.
+/// of one connection, in the order in which they are accepted. A connection
+/// closes after its last answer.
 ///
 /// # Errors
 ///
@@ -60,46 +76,59 @@
     let listener = TcpListener::bind(("127.0.0.1", 0))?;
     let script = Script {
         address: listener.local_addr()?,
-        requests: Arc::default(),
+        counters: Arc::default(),
     };
-    let requests = script.requests.clone();
+    let counters = script.counters.clone();
     thread::spawn(move || {
         for answers in connections {
             let Ok((stream, _)) = listener.accept() else {
                 return;
             };
-            // A peer may close a connection early; the next one is served.
-            let _ = serve(stream, &answers, &requests);
+            let counters = counters.clone();
+            // A peer may close a connection early.
+            thread::spawn(move || serve(stream, &answers, &counters));
         }
     });
     Ok(script)
 }
 
-fn serve(mut stream: TcpStream, answers: &[Answer], requests: &AtomicUsize) -> io::Result<()> {
+fn serve(mut stream: TcpStream, answers: &[Answer], counters: &Counters) -> io::Result<()> {
     let mut reader = BufReader::new(stream.try_clone()?);
     for (number, answer) in answers.iter().enumerate() {
         let id = read_request(&mut reader)?;
-        requests.fetch_add(1, Ordering::SeqCst);
-        let (status, header, body) = match answer {
-            Answer::Status(status) => (*status, "", ""),
-            Answer::Body(body) => (200, "", *body),
-            Answer::NotRun => (503, "not-run: 1\r\n", ""),
-            Answer::Close => return Ok(()),
-        };
+        counters.requests.fetch_add(1, Ordering::SeqCst);
+        if !matches!(answer, Answer::NotRun) {
+            counters.runs.fetch_add(1, Ordering::SeqCst);
+        }
+        let not_run = format!("{id}not-run: 1\r\n");
+        if let Answer::BodyAfterLateNotRun(_) = answer {
+            respond(&mut stream, 503, &not_run, "")?;
+        }
         // Without this a client may reuse the connection before it is closed.
         let close = match number + 1 == answers.len() {
             true => "connection: close\r\n",
             false => "",
         };
-        let length = body.len();
-        write!(
-            stream,
-            "HTTP/1.1 {status} Scripted\r\n{id}{header}{close}content-length: {length}\r\n\r\n{body}"
-        )?;
+        match *answer {
+            Answer::Status(status) => respond(&mut stream, status, &format!("{id}{close}"), "")?,
+            Answer::Body(body) | Answer::BodyAfterLateNotRun(body) => {
+                respond(&mut stream, 200, &format!("{id}{close}"), body)?;
+            }
+            Answer::NotRun => respond(&mut stream, 503, &format!("{not_run}{close}"), "")?,
+            Answer::Close => return Ok(()),
+        }
     }
     Ok(())
 }
 
+fn respond(stream: &mut TcpStream, status: u16, headers: &str, body: &str) -> io::Result<()> {
+    let length = body.len();
+    write!(
+        stream,
+        "HTTP/1.1 {status} Scripted\r\n{headers}content-length: {length}\r\n\r\n{body}"
+    )
+}
+
 /// Reads a request, and returns the line of its head with the id, which
 /// responses repeat.
 fn read_request(reader: &mut impl BufRead) -> io::Result<String> {
--- a/crates/link/src/http/call.rs
+++ b/crates/link/src/http/call.rs
@@ -120,7 +120,8 @@
     }
 
     /// Sends `id` as the header `name` and accepts only a response that repeats
-    /// it.
+    /// it. A request that is sent again with the same `id` uses another
+    /// connection, since the id does not distinguish the two responses.
     pub fn echoed_header(mut self, name: HeaderName, id: &str) -> Self {
         if let Ok(value) = HeaderValue::from_str(id) {
             self.headers.insert(name.clone(), value.clone());
--- a/crates/link/src/http/client.rs
+++ b/crates/link/src/http/client.rs
@@ -11,7 +11,7 @@
     time::{Duration, Instant},
 };
 
-use board::hash::Map;
+use board::hash::{self, Map};
 use http::{HeaderMap, HeaderValue, Method, Version, header};
 use monoio::{
     io::{OwnedReadHalf, OwnedWriteHalf, Splitable, sink::SinkExt, stream::Stream},
@@ -48,6 +48,8 @@
     pub(crate) budget: Budget,
     descriptor: RawFd,
     idle_since: Instant,
+    /// Hashes of the ids of the last requests on the connection.
+    recent_ids: VecDeque<u64>,
 }
 
 impl Connection {
@@ -61,9 +63,24 @@
             budget,
             descriptor,
             idle_since: Instant::now(),
+            recent_ids: VecDeque::new(),
         }
     }
 
+    /// Returns whether a request with the id `id` was sent on the connection
+    /// recently. A late response to that one would pass for a response to the
+    /// next.
+    fn had_id(&self, id: u64) -> bool {
+        self.recent_ids.contains(&id)
+    }
+
+    fn record_id(&mut self, id: u64) {
+        if self.recent_ids.len() == RECENT_IDS_MAX {
+            self.recent_ids.pop_front();
+        }
+        self.recent_ids.push_back(id);
+    }
+
     /// Returns whether nothing arrived since the last response: neither the end
     /// of the connection nor unexpected bytes.
     fn has_no_input(&mut self) -> bool {
@@ -89,6 +106,7 @@
 
 const IDLE_CONNECTIONS_MAX: usize = 64;
 const IDLE_TIME_MAX: Duration = Duration::from_secs(20);
+const RECENT_IDS_MAX: usize = 16;
 
 impl Pool {
     /// Returns an empty pool.
@@ -125,7 +143,7 @@
     pub async fn send(&self, peer: SocketAddr, call: Call) -> Result<Response, Error> {
         let deadline = Instant::now() + call.deadline;
         if !call.needs_new_connection
-            && let Some(connection) = self.take_idle(peer)
+            && let Some(connection) = self.take_idle(peer, &call)
         {
             let budget = connection.budget.clone();
             let result = self.exchange(connection, peer, &call, deadline).await;
@@ -178,6 +196,9 @@
         deadline: Instant,
     ) -> Result<Response, Error> {
         let request = build_request(peer, call)?;
+        if let Some(id) = id_hash(call) {
+            connection.record_id(id);
+        }
         connection
             .budget
             .allow(self.limits.head_bytes + READ_BYTES_MAX, remaining(deadline));
@@ -279,14 +300,22 @@
         self.idle.borrow_mut().remove(&peer);
     }
 
-    fn take_idle(&self, peer: SocketAddr) -> Option<Connection> {
+    fn take_idle(&self, peer: SocketAddr, call: &Call) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let queue = idle.get_mut(&peer)?;
-        while let Some(mut connection) = queue.pop_back() {
+        let id = id_hash(call);
+        for index in (0..queue.len()).rev() {
+            if id.is_some_and(|id| queue[index].had_id(id)) {
+                continue;
+            }
+            let mut connection = queue.remove(index)?;
             if connection.idle_since.elapsed() < IDLE_TIME_MAX && connection.has_no_input() {
                 return Some(connection);
             }
         }
+        // The new connection replaces one that had the id, since peers reset
+        // connections beyond a limit.
+        queue.pop_back();
         None
     }
 
@@ -301,6 +330,12 @@
     }
 }
 
+/// Returns a hash of the id that the response must echo, if there is one.
+fn id_hash(call: &Call) -> Option<u64> {
+    let (_, id) = call.expected_echo.as_ref()?;
+    Some(hash::hash_bytes(id.as_bytes(), 0))
+}
+
 fn build_request(peer: SocketAddr, call: &Call) -> Result<http::Request<Payload>, Error> {
     let mut builder = http::Request::builder()
         .method(call.method.clone())
--- a/crates/site/tests/common/mod.rs
+++ b/crates/site/tests/common/mod.rs
@@ -15,6 +15,7 @@
 use fakes::{
     blocking,
     deployment::{Block, Child},
+    script::Script,
     site::{self, Plan, Site},
 };
 use link::{
@@ -279,6 +280,23 @@
     }
 }
 
+/// Announces `script` as an endpoint of `service` that has a current model, and
+/// waits until the first VM knows it.
+pub(crate) fn announce_script(deployment: &Deployment, service: &str, script: &Script) {
+    let record = json!({
+        "service": service, "address": script.address.to_string(), "zone": "zone-a",
+        "version": "v1", "slots": 1, "state": "ready", "born": 1,
+        "models": [{"name": site::MODEL, "version": 1}],
+    });
+    deployment.site.state().put("servers", "scripted", record);
+    let vm = &deployment.vms[0];
+    wait("the scripted endpoint to be known", || {
+        let log = vm.log();
+        log.lines()
+            .any(|line| line.contains("endpoint added") && line.contains("scripted"))
+    });
+}
+
 /// Returns a request of the account `acme`.
 pub(crate) fn caller(method: Method, path: &str, id: &str) -> Call {
     Call::new(method, path)
--- a/crates/site/tests/request.rs
+++ b/crates/site/tests/request.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
-use common::{Deployment, KEY, caller, header, wait};
+use common::{Deployment, KEY, caller, header};
 use fakes::{
-    script::{self, Answer},
+    script::{self, Answer, Script},
     site::{Fault, PLAIN_SERVICE, Plan},
 };
 use link::{Method, http::client::Call};
@@ -28,6 +28,17 @@
     );
 }
 
+/// Starts a VM whose only endpoint of the plain service is `script`.
+fn start_with_script(script: &Script) -> Deployment {
+    let plan = Plan {
+        plain: 0,
+        ..Plan::default()
+    };
+    let deployment = Deployment::start(1, plan);
+    common::announce_script(&deployment, PLAIN_SERVICE, script);
+    deployment
+}
+
 #[test]
 fn request_rejected_when_sent_again() {
     let connections = vec![
@@ -35,26 +46,36 @@
         vec![Answer::NotRun],
     ];
     let script = script::spawn(connections).unwrap();
-    let plan = Plan {
-        plain: 0,
-        ..Plan::default()
-    };
-    let deployment = Deployment::start(1, plan);
-    let record = serde_json::json!({
-        "service": PLAIN_SERVICE, "address": script.address.to_string(), "zone": "zone-a",
-        "version": "v1", "slots": 4, "state": "ready", "born": 1,
-    });
-    deployment.site.state().put("servers", "scripted", record);
+    let deployment = start_with_script(&script);
     let vm = &deployment.vms[0];
-    wait("the endpoint to be known", || {
-        vm.log().contains("endpoint added") && vm.log().contains("scripted")
-    });
     assert_eq!(vm.request(Method::GET, "/safe/a", "r1").status, 200);
     // The endpoint may have run the request before the idle connection closed.
     assert_eq!(vm.request(Method::GET, "/safe/a", "r2").status, 504);
     assert_eq!(script.requests(), 3);
 }
 
+#[test]
+fn unsafe_request_with_late_rejection_runs_once() {
+    let connections = vec![
+        vec![Answer::NotRun, Answer::BodyAfterLateNotRun("first run")],
+        vec![Answer::Body("second connection")],
+    ];
+    let script = script::spawn(connections).unwrap();
+    let deployment = start_with_script(&script);
+    let answer = deployment.vms[0].request(Method::POST, "/unsafe/a", "r1");
+    assert_eq!((answer.status.as_u16(), script.runs()), (200, 1));
+}
+
+#[test]
+fn unsafe_request_with_late_rejection_is_not_rejected() {
+    let rejections = vec![vec![Answer::NotRun]; 8];
+    let first = vec![Answer::NotRun, Answer::BodyAfterLateNotRun("first run")];
+    let script = script::spawn([vec![first], rejections].concat()).unwrap();
+    let deployment = start_with_script(&script);
+    let answer = deployment.vms[0].request(Method::POST, "/unsafe/a", "r1");
+    assert_eq!((answer.status.as_u16(), script.runs()), (503, 0));
+}
+
 #[test]
 fn request_without_route_or_key() {
     let deployment = Deployment::start(1, Plan::default());
