site: a rejected repeat of an item's request is not "not run"

Cause: Runner::read_events looked at the rejection alone, without whether the HTTP client had sent the request before on an idle connection that closed. An item that the endpoint may have run was logged as "item rejected by endpoint without running it", counted as not-run, and the endpoint got the backoff of a full one.

Ruled out: that a caller gets a false promise by this. Attempt::Rejected and Attempt::Interrupted both lead to a retry of the item, items are not in reports of usage, and a rejection of the job is decided in job::submission before any item runs.

Change: check_repeated and is_rejection are one function, is_rejected, which returns an error for a rejected repeat. Requests, streams and items use it, and a response cannot be judged without saying whether it is one to a repeat. The item is interrupted.

Read as well: scoring calls go through Forwarder::run and have the check; job::proxy::execution_at_vm has its own (a VM's 503 needs no Not-Run); Collector::send and the reads take only a success for an effect; orders and usage reports are not idempotent, so the client never repeats them.

--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -244,20 +244,21 @@
         let window = self.usage.window();
         let call = dispatch.call(&endpoint.id, remaining);
         let sent = self.pool.send(endpoint.record.address, call).await;
-        let sent = sent.and_then(|response| {
-            check_repeated(response.is_repeated, response.status, &response.headers)?;
-            Ok(response)
+        let judged = sent.and_then(|response| {
+            let is_rejected =
+                is_rejected(response.status, &response.headers, response.is_repeated)?;
+            Ok((response, is_rejected))
         });
-        let may_have_run = match &sent {
-            Ok(response) => !is_rejection(response.status, &response.headers),
+        let may_have_run = match &judged {
+            Ok((_, is_rejected)) => !is_rejected,
             Err(e) => !e.is_unsent(),
         };
         if let (true, Some(account)) = (may_have_run, &dispatch.account) {
             self.usage.count(window, account);
         }
         let now = Instant::now();
-        match sent {
-            Ok(response) if may_have_run => {
+        match judged {
+            Ok((response, false)) => {
                 let load = header::parse_load(&response.headers);
                 self.facts.borrow_mut().record_success(key, load, now);
                 Some(Some(Source {
@@ -266,7 +267,7 @@
                     response,
                 }))
             }
-            Ok(_) => {
+            Ok((_, true)) => {
                 self.facts.borrow_mut().record_rejection(key, now);
                 outcome.rejections += 1;
                 Some(None)
@@ -475,38 +476,37 @@
 
 /// Returns whether a response with this status and these headers means that the
 /// endpoint did not run the request.
-pub(crate) fn is_rejection(status: StatusCode, headers: &HeaderMap) -> bool {
-    status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(header::NOT_RUN)
-}
-
-/// Returns an error if the endpoint rejected a request that was sent again: it
-/// may have run the first one.
-fn check_repeated(
-    is_repeated: bool,
+///
+/// # Errors
+///
+/// If the request was sent again and the endpoint rejected it: the endpoint may
+/// have run the first one.
+pub(crate) fn is_rejected(
     status: StatusCode,
     headers: &HeaderMap,
-) -> Result<(), http::Error> {
-    if is_repeated && is_rejection(status, headers) {
+    is_repeated: bool,
+) -> Result<bool, http::Error> {
+    let is_rejected =
+        status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(header::NOT_RUN);
+    if is_rejected && is_repeated {
         let detail = "the connection closed, and the endpoint rejected the repeated request";
         return Err(http::Error::new(error::Kind::Incomplete, detail));
     }
-    Ok(())
+    Ok(is_rejected)
 }
 
 fn classify(response: Result<Fetched, http::Error>) -> Attempt {
-    let response = response.and_then(|response| {
-        check_repeated(response.is_repeated, response.status, &response.headers)?;
-        Ok(response)
-    });
-    match response {
-        Ok(response) if is_rejection(response.status, &response.headers) => {
-            Attempt::NotRun(match response.status {
-                StatusCode::MISDIRECTED_REQUEST => "another endpoint has this address",
-                _ => "rejected by the endpoint",
-            })
-        }
-        Ok(response) => Attempt::Answered(response),
-        Err(e) if e.is_unsent() => Attempt::Unreached(e),
+    let response = match response {
+        Ok(response) => response,
+        Err(e) if e.is_unsent() => return Attempt::Unreached(e),
+        Err(e) => return Attempt::Unknown(e),
+    };
+    match is_rejected(response.status, &response.headers, response.is_repeated) {
+        Ok(false) => Attempt::Answered(response),
+        Ok(true) => Attempt::NotRun(match response.status {
+            StatusCode::MISDIRECTED_REQUEST => "another endpoint has this address",
+            _ => "rejected by the endpoint",
+        }),
         Err(e) => Attempt::Unknown(e),
     }
 }
--- a/crates/site/src/job/attempt.rs
+++ b/crates/site/src/job/attempt.rs
@@ -19,7 +19,7 @@
 use super::text::Text;
 use crate::{
     facts::{Facts, Key},
-    forward::{Dispatch, End, Forwarder, is_rejection},
+    forward::{Dispatch, End, Forwarder, is_rejected},
     latency::Meter,
     metrics::Metrics,
     placement::{self, Criteria},
@@ -182,8 +182,10 @@
         is_pinned: bool,
     ) -> Attempt {
         let headers = &response.headers;
-        if is_rejection(response.status, headers) {
-            return Attempt::Rejected;
+        match is_rejected(response.status, headers, response.is_repeated) {
+            Ok(false) => {}
+            Ok(true) => return Attempt::Rejected,
+            Err(e) => return Attempt::Interrupted(e.to_string()),
         }
         if response.status == StatusCode::UNPROCESSABLE_ENTITY {
             return Attempt::Unprocessable;
--- a/crates/site/tests/job.rs
+++ b/crates/site/tests/job.rs
@@ -8,7 +8,7 @@
 use common::{Deployment, caller, job, text, wait};
 use fakes::{
     script::{self, Answer},
-    site::{Fault, Plan},
+    site::{ENGINE_SERVICE, Fault, Plan},
 };
 use link::Method;
 use serde_json::Value;
@@ -393,6 +393,36 @@
     assert!(!PROMISES.contains(&status.as_u16()), "{status}");
 }
 
+#[test]
+fn item_rejected_when_sent_again() {
+    let text = Answer::Body("id: 0\ndata: text\n\n");
+    let connections = vec![vec![text, Answer::Close], vec![Answer::NotRun], vec![text]];
+    let script = script::spawn(connections).unwrap();
+    let plan = Plan {
+        engines: 0,
+        ..Plan::default()
+    };
+    let deployment = Deployment::start(1, plan);
+    common::announce_script(&deployment, ENGINE_SERVICE, &script);
+    let mut job = job("a", 2, 1);
+    for item in job["items"].as_array_mut().unwrap() {
+        item.as_object_mut().unwrap().remove("scorer");
+    }
+    let vm = &deployment.vms[0];
+    assert_eq!(vm.submit("job-a", &job), 202);
+    vm.read_all("job-a", 2);
+    vm.wait_until_logged("stopped running job");
+    let log = vm.log();
+    // The endpoint may have run the second item before the idle connection
+    // closed.
+    let first = log.lines().find(|line| line.contains("a-1")).unwrap();
+    assert!(
+        first.contains("the endpoint rejected the repeated request"),
+        "{first}"
+    );
+    assert_eq!(script.requests(), 4);
+}
+
 #[test]
 fn read_rejected_while_coordinators_do_not_respond() {
     let deployment = Deployment::start_with_coordinators(3, 2, Plan::default());
