site: counts stay with their VM until they are known to be stored

Cause: a window whose counts were being submitted was in no map, only in the future of submit_counts. submit_remaining looked at the map alone, so on SIGTERM a process with nothing else to submit exited at once, with the outcome of that submission unknown: at a coordinator within the 0.5 s in which it collects, or while the store does not answer. No line was logged.

Ruled out: that the write which is under way takes effect in any case. It may (a late write), but in the 0.5 s of collecting nothing has been sent, and a write without a response may be lost. Ruled out too: that a second submission bills twice. Counts are merged by maximum under the name of the process, and a window is still in one submission at a time.

Change: Usage keeps the counts under submission (begin_submission, end_submission) and puts them back unless they are known to be stored. The exit submits until nothing is unconfirmed. It may use the rest of grace-s up to 0.3 s before its end, and at least 1.2 s as before; when that is over, the warning says how many requests are not confirmed.

Counts of a process that is killed are lost as before.

--- a/crates/site/src/duty/report.rs
+++ b/crates/site/src/duty/report.rs
@@ -32,27 +32,38 @@
 pub async fn submit_counts(duties: Duties) {
     loop {
         monoio::time::sleep(CHECK_PERIOD).await;
-        while let Some((window, counts)) = duties.usage.take_ended(SUBMIT_DELAY) {
-            if !duties.collector.submit(window, &counts).await {
-                duties.usage.restore(window, counts);
+        while let Some((window, counts)) = duties.usage.begin_submission(SUBMIT_DELAY) {
+            if !submit(&duties, window, &counts).await {
                 break;
             }
         }
     }
 }
 
+/// Submits the counts of `window`, and returns whether they are stored.
+async fn submit(duties: &Duties, window: u64, counts: &Counts) -> bool {
+    let is_stored = duties.collector.submit(window, counts).await;
+    duties.usage.end_submission(window, is_stored);
+    is_stored
+}
+
 /// Submits all counts of a process that is about to exit, including those of
-/// the current window.
+/// the current window, until all of them are stored.
 pub async fn submit_remaining(duties: &Duties) {
-    let ended = std::iter::from_fn(|| duties.usage.take_ended(Duration::ZERO));
-    // The submissions run concurrently, since each waits while the coordinator
-    // collects the counts of its window.
-    let submissions = ended.map(|(window, counts)| async move {
-        let is_stored = duties.collector.submit(window, &counts).await;
-        let requests: u64 = counts.values().sum();
-        spdlog::info!("usage counts submitted before exit", kv: { window, requests, is_kept = is_stored });
-    });
-    join_all(submissions).await;
+    let usage = &duties.usage;
+    while usage.unconfirmed_requests() > 0 {
+        let ended = std::iter::from_fn(|| usage.begin_submission(Duration::ZERO));
+        // The submissions run concurrently, since each waits while the
+        // coordinator collects the counts of its window.
+        let submissions = ended.map(|(window, counts)| async move {
+            let is_stored = submit(duties, window, &counts).await;
+            let requests: u64 = counts.values().sum();
+            spdlog::info!("usage counts submitted before exit", kv: { window, requests, is_kept = is_stored });
+        });
+        join_all(submissions).await;
+        // `submit_counts` may have begun a submission, and may begin others.
+        usage.wait_for_submission().await;
+    }
 }
 
 /// Reports windows while this VM holds the duty lease. Never returns.
--- a/crates/site/src/usage.rs
+++ b/crates/site/src/usage.rs
@@ -5,16 +5,22 @@
 
 use link::clock;
 
+use crate::notify::Notifier;
+
 /// The number of requests of each account.
 pub type Counts = BTreeMap<String, u64>;
 
-/// The counts of this VM that have not been submitted. Clones share them.
+/// The counts of this VM that are not known to be stored. Clones share them.
 #[derive(Clone)]
 pub struct Usage(Rc<Inner>);
 
 struct Inner {
     window_ms: u64,
     counts: RefCell<BTreeMap<u64, Counts>>,
+    /// The counts whose submission has no outcome yet. Requests that are counted
+    /// meanwhile are in `counts`.
+    submitting: RefCell<BTreeMap<u64, Counts>>,
+    submission_ended: Notifier,
 }
 
 impl Usage {
@@ -23,6 +29,8 @@
         Self(Rc::new(Inner {
             window_ms: (window.as_millis() as u64).max(1),
             counts: RefCell::default(),
+            submitting: RefCell::default(),
+            submission_ended: Notifier::default(),
         }))
     }
 
@@ -44,21 +52,51 @@
         *counts.entry(account.to_string()).or_default() += 1;
     }
 
-    /// Removes and returns the counts of the oldest window if it ended at least
-    /// `age` ago.
-    pub fn take_ended(&self, age: Duration) -> Option<(u64, Counts)> {
+    /// Begins the submission of the oldest window that ended at least `age` ago
+    /// and is not being submitted, and returns its counts. The caller calls
+    /// [`end_submission`](Self::end_submission).
+    pub fn begin_submission(&self, age: Duration) -> Option<(u64, Counts)> {
         let mut counts = self.0.counts.borrow_mut();
-        let oldest = *counts.keys().next()?;
-        (self.elapsed_since_end(oldest) >= age)
-            .then(|| (oldest, counts.remove(&oldest).unwrap_or_default()))
+        let mut submitting = self.0.submitting.borrow_mut();
+        let mut waiting = counts
+            .keys()
+            .filter(|window| !submitting.contains_key(window));
+        let window = *waiting.next()?;
+        if self.elapsed_since_end(window) < age {
+            return None;
+        }
+        let submitted = counts.remove(&window)?;
+        submitting.insert(window, submitted.clone());
+        Some((window, submitted))
+    }
+
+    /// Ends the submission of `window`. Counts that are not known to be stored
+    /// will be submitted again.
+    pub fn end_submission(&self, window: u64, is_stored: bool) {
+        let submitted = self.0.submitting.borrow_mut().remove(&window);
+        if let (false, Some(submitted)) = (is_stored, submitted) {
+            let mut counts = self.0.counts.borrow_mut();
+            let counts = counts.entry(window).or_default();
+            for (account, count) in submitted {
+                *counts.entry(account).or_default() += count;
+            }
+        }
+        self.0.submission_ended.notify();
+    }
+
+    /// Returns the number of requests whose counts are not known to be stored.
+    pub fn unconfirmed_requests(&self) -> u64 {
+        let sum = |counts: &BTreeMap<u64, Counts>| -> u64 {
+            counts.values().flat_map(Counts::values).sum()
+        };
+        sum(&self.0.counts.borrow()) + sum(&self.0.submitting.borrow())
     }
 
-    /// Adds back counts that could not be submitted.
-    pub fn restore(&self, window: u64, counts: Counts) {
-        let mut all = self.0.counts.borrow_mut();
-        let known = all.entry(window).or_default();
-        for (account, count) in counts {
-            *known.entry(account).or_default() += count;
+    /// Waits until a submission ends, or returns at once if there is none.
+    pub async fn wait_for_submission(&self) {
+        let seen = self.0.submission_ended.count();
+        if !self.0.submitting.borrow().is_empty() {
+            self.0.submission_ended.wait(seen).await;
         }
     }
 }
--- a/crates/site/src/vm.rs
+++ b/crates/site/src/vm.rs
@@ -66,9 +66,11 @@
 /// The time before SIGKILL that is reserved for releasing jobs and submitting
 /// usage counts.
 const RELEASE_RESERVE: Duration = Duration::from_millis(1500);
-/// How long submitting the counts of the last windows may take. This time is
-/// included in [`RELEASE_RESERVE`].
-const USAGE_TIMEOUT: Duration = Duration::from_millis(1200);
+/// How long submitting the counts of the last windows may take at least. This
+/// time is included in [`RELEASE_RESERVE`].
+const USAGE_TIME_MIN: Duration = Duration::from_millis(1200);
+/// The time before SIGKILL that submitting counts leaves, if it may take more.
+const EXIT_RESERVE: Duration = Duration::from_millis(300);
 /// The largest request body that is read, which is the limit that the platform
 /// documents. The limit in the configuration is not known at the start.
 const BODY_BYTES_MAX: usize = 32 * 1024 * 1024;
@@ -226,12 +228,17 @@
     failover::release_jobs(&components.jobs).await;
     let is_done = drain.wait(remaining()).await;
     spdlog::info!("drained", kv: { is_done });
+    let end = settings.bounds.shutdown_grace.saturating_sub(EXIT_RESERVE);
+    let limit = end.saturating_sub(start.elapsed()).max(USAGE_TIME_MIN);
+    submit_usage(components, limit).await;
+}
+
+/// Submits the usage counts of this VM, for at most `limit`.
+async fn submit_usage(components: &Components, limit: Duration) {
     let submission = report::submit_remaining(&components.duties);
-    if monoio::time::timeout(USAGE_TIMEOUT, submission)
-        .await
-        .is_err()
-    {
-        spdlog::warn!("submitting usage counts timed out, those of the last windows may be lost");
+    if monoio::time::timeout(limit, submission).await.is_err() {
+        let requests = components.duties.usage.unconfirmed_requests();
+        spdlog::warn!("submitting usage counts timed out, those of the last windows may be lost", kv: { requests });
     }
 }
 
--- a/crates/site/tests/duty.rs
+++ b/crates/site/tests/duty.rs
@@ -10,10 +10,11 @@
 use common::{Deployment, wait};
 use fakes::{
     blocking,
-    site::{Fault, MODEL, Plan, Report},
+    site::{Fault, MODEL, Plan, Report, State},
 };
 use link::Method;
 use serde_json::json;
+use tarragonseam_site::duty::collect::{self, CountsByProcess};
 
 #[test]
 fn load_named_version_everywhere() {
@@ -115,6 +116,41 @@
     assert_eq!(reported(), served);
 }
 
+#[test]
+fn stop_while_counts_are_being_submitted() {
+    let mut deployment = Deployment::start(1, Plan::default());
+    let Deployment { site, vms, .. } = &mut deployment;
+    let vm = &mut vms[0];
+    vm.change_settings(|text| text.replace("grace-s = 4", "grace-s = 8"));
+    vm.kill();
+    vm.restart();
+    site.state().fault = Fault::LateWrites(WRITE_NEVER);
+    assert_eq!(vm.request(Method::GET, "/safe/a", "r1").status, 200);
+    vm.wait_until_logged("writing usage counts failed");
+    // The VM exits 3 s later, while the second attempt after this one writes.
+    vm.signal("TERM");
+    vm.wait_until_logged("\"drained\"");
+    site.state().fault = Fault::None;
+    wait("the exit of the VM", || vm.exit_code().is_some());
+    assert_eq!(submitted_requests(&site.state()), 1, "{}", vm.log());
+}
+
+/// Longer than any test, so that a write takes effect in none.
+const WRITE_NEVER: Duration = Duration::from_secs(600);
+
+/// Returns the sum of the counts that are in the store.
+fn submitted_requests(state: &State) -> u64 {
+    let names = state.names("usage-counts");
+    let objects = names
+        .iter()
+        .filter_map(|name| state.get("usage-counts", name));
+    let mut all = CountsByProcess::new();
+    for object in objects {
+        collect::merge(&mut all, serde_json::from_value(object).unwrap());
+    }
+    all.values().flat_map(|counts| counts.values()).sum()
+}
+
 #[test]
 fn retire_vm_with_disk() {
     let deployment = Deployment::start(2, Plan::default());
