site: count a request for its account from its sending on

What accounts saw: nothing; their usage was too low. A request that an endpoint ran was not counted if its caller closed the connection before the endpoint had answered, nor if it ended more than 1.2 s after its window.

Cause: forward.rs counted after the await of the response. The close of the caller's connection drops that future, and the count with it. A count that came after the counts of its window had been submitted was submitted by itself, and merging keeps the larger count of a process, since these only grow: the late one was lost.

What is asked for: the usage of a window is the requests that endpoints began in it, by account, within 5 %; a caller that leaves doesn't change that an endpoint began.

Ruled out: a guard that counts when the future is dropped. It cannot tell a request that was sent from one that still waits for its connection, which never runs (a VM that is cut off from endpoints would bill each of its callers that leave), and it leaves late counts as they were.

Change: Call::on_send of link calls a function right before the request is written. usage::Entry counts there, once, and subtracts if the endpoint says that it did not run the request. Requests in flight at the exit of a VM count as well.

No figure of how often callers leave was taken.

Conclusion: it was a fault against the rule. What remains: a request that its caller abandons in an endpoint's queue counts, although it may never have begun, and so does one whose rejection arrives more than 1.2 s after its window.

--- a/crates/fakes/src/script.rs
+++ b/crates/fakes/src/script.rs
@@ -21,6 +21,8 @@
     NotRun,
     /// The connection closes without a response.
     Close,
+    /// The connection stays open without a response until the peer closes it.
+    Silence,
 }
 
 /// A running server, which ends with the process.
@@ -85,6 +87,7 @@
             Answer::Body(body) => (200, "", *body),
             Answer::NotRun => (503, "not-run: 1\r\n", ""),
             Answer::Close => return Ok(()),
+            Answer::Silence => return io::copy(&mut reader, &mut io::sink()).map(drop),
         };
         // Without this a client may reuse the connection before it is closed.
         let close = match number + 1 == answers.len() {
--- a/crates/link/src/http/call.rs
+++ b/crates/link/src/http/call.rs
@@ -1,6 +1,6 @@
 //! The builder of a request to a peer.
 
-use std::time::Duration;
+use std::{fmt, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, header::IntoHeaderName};
@@ -32,6 +32,23 @@
     pub(crate) connect_timeout: Duration,
     pub(crate) deadline: Duration,
     pub(crate) fence: Option<Fence>,
+    pub(crate) on_send: Option<Hook>,
+}
+
+/// A function that is called when a request is sent.
+#[derive(Clone)]
+pub(crate) struct Hook(Rc<dyn Fn()>);
+
+impl Hook {
+    pub(crate) fn run(&self) {
+        (self.0)();
+    }
+}
+
+impl fmt::Debug for Hook {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Hook")
+    }
 }
 
 const DEADLINE_DEFAULT: Duration = Duration::from_secs(10);
@@ -51,6 +68,7 @@
             connect_timeout: CONNECT_TIMEOUT_DEFAULT,
             deadline: DEADLINE_DEFAULT,
             fence: None,
+            on_send: None,
             method,
         }
     }
@@ -105,6 +123,14 @@
         self
     }
 
+    /// Sets a function that is called right before the request is written, each
+    /// time that it is. From then on the peer may run the request, also if its
+    /// sender is dropped.
+    pub fn on_send(mut self, hook: impl Fn() + 'static) -> Self {
+        self.on_send = Some(Hook(Rc::new(hook)));
+        self
+    }
+
     /// Sets whether the request may be sent twice. If so, it is repeated when
     /// the peer turns out to have closed an idle connection. By default only
     /// requests with a safe method are idempotent.
--- a/crates/link/src/http/client.rs
+++ b/crates/link/src/http/client.rs
@@ -191,6 +191,9 @@
                 ));
             }
         }
+        if let Some(hook) = &call.on_send {
+            hook.run();
+        }
         let sent = monoio::time::timeout(write_time, connection.writer.send_and_flush(request));
         match sent.await {
             Err(_) => return Err(Error::new(Kind::Timeout, "request not fully written")),
--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -28,7 +28,7 @@
     metrics::Metrics,
     placement::{self, Criteria},
     stream::Source,
-    usage::Usage,
+    usage::{Entry, Usage},
 };
 
 /// How long an endpoint may take to accept a connection. A live endpoint takes
@@ -241,8 +241,8 @@
         tried.push(key);
         let endpoint = self.facts.borrow().endpoints.get(key).cloned()?;
         let slot = Slot::acquire(&self.facts, key)?;
-        let window = self.usage.window();
-        let call = dispatch.call(&endpoint.id, remaining);
+        let entry = self.usage.entry(dispatch.account.as_deref());
+        let call = counted(dispatch.call(&endpoint.id, remaining), &entry);
         let sent = self.pool.send(endpoint.record.address, call).await;
         let sent = sent.and_then(|response| {
             check_repeated(response.is_repeated, response.status, &response.headers)?;
@@ -252,8 +252,8 @@
             Ok(response) => !is_rejection(response.status, &response.headers),
             Err(e) => !e.is_unsent(),
         };
-        if let (true, Some(account)) = (may_have_run, &dispatch.account) {
-            self.usage.count(window, account);
+        if !may_have_run {
+            entry.cancel();
         }
         let now = Instant::now();
         match sent {
@@ -390,17 +390,15 @@
         let Some(_slot) = Slot::acquire(&self.facts, key) else {
             return Attempt::NotRun("endpoint was removed");
         };
-        let window = self.usage.window();
-        let call = dispatch.call(&endpoint.id, limit);
+        let entry = self.usage.entry(dispatch.account.as_deref());
+        let call = counted(dispatch.call(&endpoint.id, limit), &entry);
         let response = self.pool.fetch(endpoint.record.address, call).await;
         let attempt = classify(response);
         self.metrics
             .record_attempt(&endpoint.record.service, attempt.name());
         let now = Instant::now();
-        if let (Attempt::Answered(_) | Attempt::Unknown(_), Some(account)) =
-            (&attempt, &dispatch.account)
-        {
-            self.usage.count(window, account);
+        if let Attempt::NotRun(_) | Attempt::Unreached(_) = &attempt {
+            entry.cancel();
         }
         let (request, id) = (dispatch.id.as_str(), endpoint.id.as_str());
         match &attempt {
@@ -427,6 +425,12 @@
     }
 }
 
+/// Returns `call` with `entry`, which is counted once the call is sent.
+fn counted(call: Call, entry: &Entry) -> Call {
+    let entry = entry.clone();
+    call.on_send(move || entry.record_sent())
+}
+
 /// The timeout of a request for which neither the caller nor the route sets
 /// one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/site/src/usage.rs
+++ b/crates/site/src/usage.rs
@@ -1,7 +1,12 @@
 //! Counts of the requests of each account, by the window of wall-clock time in
 //! which they began.
 
-use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    time::Duration,
+};
 
 use link::clock;
 
@@ -37,13 +42,37 @@
         Duration::from_millis(clock::wall_millis().saturating_sub(end))
     }
 
-    /// Counts a request of `account` that began in `window`.
-    pub fn count(&self, window: u64, account: &str) {
+    /// Returns the entry of a request that is billed to `account`, if any. The
+    /// request is not counted yet.
+    pub fn entry(&self, account: Option<&str>) -> Entry {
+        Entry(Rc::new(EntryInner {
+            usage: self.clone(),
+            account: account.map(str::to_string),
+            window: Cell::new(None),
+        }))
+    }
+
+    fn add(&self, window: u64, account: &str) {
         let mut counts = self.0.counts.borrow_mut();
         let counts = counts.entry(window).or_default();
         *counts.entry(account.to_string()).or_default() += 1;
     }
 
+    /// Subtracts a request, unless the counts of `window` have been taken.
+    fn subtract(&self, window: u64, account: &str) {
+        let mut all = self.0.counts.borrow_mut();
+        let Some(counts) = all.get_mut(&window) else {
+            return;
+        };
+        if let Some(count) = counts.get_mut(account) {
+            *count = count.saturating_sub(1);
+        }
+        counts.retain(|_, count| *count > 0);
+        if counts.is_empty() {
+            all.remove(&window);
+        }
+    }
+
     /// Removes and returns the counts of the oldest window if it ended at least
     /// `age` ago.
     pub fn take_ended(&self, age: Duration) -> Option<(u64, Counts)> {
@@ -62,3 +91,55 @@
         }
     }
 }
+
+/// The entry of one request at one endpoint. Clones are the same entry.
+///
+/// A request counts from its sending on: the endpoint may run it whether or not
+/// its answer is awaited.
+///
+/// # Examples
+///
+/// ```
+/// use std::time::Duration;
+/// use tarragonseam_site::usage::Usage;
+///
+/// let usage = Usage::new(Duration::from_millis(1));
+/// let (rejected, abandoned) = (usage.entry(Some("acme")), usage.entry(Some("acme")));
+/// rejected.record_sent();
+/// abandoned.record_sent();
+/// rejected.cancel();
+/// drop(abandoned);
+/// std::thread::sleep(Duration::from_millis(5));
+/// let counts = std::iter::from_fn(|| usage.take_ended(Duration::ZERO));
+/// assert_eq!(counts.map(|(_, counts)| counts["acme"]).sum::<u64>(), 1);
+/// ```
+#[derive(Clone)]
+pub struct Entry(Rc<EntryInner>);
+
+struct EntryInner {
+    usage: Usage,
+    account: Option<String>,
+    /// The window in which the request is counted.
+    window: Cell<Option<u64>>,
+}
+
+impl Entry {
+    /// Counts the request in the current window, unless it is counted already.
+    pub fn record_sent(&self) {
+        let Some(account) = &self.0.account else {
+            return;
+        };
+        if self.0.window.get().is_none() {
+            let window = self.0.usage.window();
+            self.0.window.set(Some(window));
+            self.0.usage.add(window, account);
+        }
+    }
+
+    /// Records that the endpoint did not run the request and will not run it.
+    pub fn cancel(&self) {
+        if let (Some(window), Some(account)) = (self.0.window.take(), &self.0.account) {
+            self.0.usage.subtract(window, account);
+        }
+    }
+}
--- a/crates/site/tests/request.rs
+++ b/crates/site/tests/request.rs
@@ -2,10 +2,12 @@
 
 mod common;
 
+use std::{io::Write, net::TcpStream, thread};
+
 use common::{Deployment, KEY, caller, header, wait};
 use fakes::{
-    script::{self, Answer},
-    site::{Fault, PLAIN_SERVICE, Plan},
+    script::{self, Answer, Script},
+    site::{ENGINE_SERVICE, Fault, PLAIN_SERVICE, Plan},
 };
 use link::{Method, http::client::Call};
 
@@ -28,6 +30,20 @@
     );
 }
 
+/// Adds `script` as an endpoint of `service`, and waits until the first VM knows
+/// it.
+fn add_scripted_endpoint(deployment: &Deployment, service: &str, script: &Script) {
+    let record = serde_json::json!({
+        "service": service, "address": script.address.to_string(), "zone": "zone-a",
+        "version": "v1", "slots": 4, "state": "ready", "born": 1,
+    });
+    deployment.site.state().put("servers", "scripted", record);
+    let vm = &deployment.vms[0];
+    wait("the endpoint to be known", || {
+        vm.log().contains("endpoint added") && vm.log().contains("scripted")
+    });
+}
+
 #[test]
 fn request_rejected_when_sent_again() {
     let connections = vec![
@@ -40,15 +56,8 @@
         ..Plan::default()
     };
     let deployment = Deployment::start(1, plan);
-    let record = serde_json::json!({
-        "service": PLAIN_SERVICE, "address": script.address.to_string(), "zone": "zone-a",
-        "version": "v1", "slots": 4, "state": "ready", "born": 1,
-    });
-    deployment.site.state().put("servers", "scripted", record);
+    add_scripted_endpoint(&deployment, PLAIN_SERVICE, &script);
     let vm = &deployment.vms[0];
-    wait("the endpoint to be known", || {
-        vm.log().contains("endpoint added") && vm.log().contains("scripted")
-    });
     assert_eq!(vm.request(Method::GET, "/safe/a", "r1").status, 200);
     // The endpoint may have run the request before the idle connection closed.
     assert_eq!(vm.request(Method::GET, "/safe/a", "r2").status, 504);
@@ -241,7 +250,7 @@
     let mut config = common::config(3);
     let route = serde_json::json!({
         "name": "stream", "host": common::HOST, "path-prefix": "/stream/", "kind": "unsafe",
-        "timeout-ms": 5000, "aim-ms": 400, "service": fakes::site::ENGINE_SERVICE, "max-attempts": 2,
+        "timeout-ms": 5000, "aim-ms": 400, "service": ENGINE_SERVICE, "max-attempts": 2,
         "public": false, "streaming": true, "resumable": is_resumable,
     });
     config["routes"].as_array_mut().unwrap().push(route);
@@ -338,3 +347,79 @@
         assert_eq!(state.arrivals_of(&id)[0].endpoint, "plain-1");
     }
 }
+
+/// A deployment of one VM whose only endpoint of `service` never answers, and
+/// that endpoint. The first VM has a route of event streams.
+fn deployment_with_silent_endpoint(service: &str) -> (Deployment, Script) {
+    let plan = Plan {
+        engines: usize::from(service != ENGINE_SERVICE),
+        plain: usize::from(service != PLAIN_SERVICE),
+        ..Plan::default()
+    };
+    let deployment = Deployment::start(1, plan);
+    let script = script::spawn(vec![vec![Answer::Silence]]).unwrap();
+    add_scripted_endpoint(&deployment, service, &script);
+    add_stream_route(&deployment, false);
+    (deployment, script)
+}
+
+fn wait_until_reported(deployment: &Deployment, requests: u64) {
+    let reported = || deployment.site.state().reported_requests();
+    wait("reports of all requests", || reported() >= requests);
+    assert_eq!(reported(), requests);
+}
+
+/// Checks that a request on `path` counts whose caller leaves before the endpoint,
+/// which is of `service`, answers.
+fn check_count_after_caller_has_left(path: &str, service: &str) {
+    let (deployment, script) = deployment_with_silent_endpoint(service);
+    let mut stream = TcpStream::connect(deployment.vms[0].callers).unwrap();
+    let host = common::HOST;
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nhost: {host}\r\nx-api-key: {KEY}\r\nrequest-id: r1\r\ncontent-length: 0\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    wait("the request", || script.requests() == 1);
+    drop(stream);
+    wait_until_reported(&deployment, 1);
+}
+
+#[test]
+fn request_counted_after_caller_has_left() {
+    check_count_after_caller_has_left("/unsafe/a", PLAIN_SERVICE);
+}
+
+#[test]
+fn stream_counted_after_caller_has_left() {
+    check_count_after_caller_has_left("/stream/a", ENGINE_SERVICE);
+}
+
+#[test]
+fn request_counted_although_it_outlasts_its_window() {
+    let (deployment, script) = deployment_with_silent_endpoint(ENGINE_SERVICE);
+    let vm = &deployment.vms[0];
+    thread::scope(|scope| {
+        scope.spawn(|| {
+            let call = caller(Method::POST, "/stream/a", "r1").header("deadline-ms", "4000");
+            assert_eq!(vm.send(call).status, 504);
+        });
+        wait("the long request", || script.requests() == 1);
+        // A short one in the same window, which is submitted before the long one ends.
+        assert_eq!(vm.request(Method::GET, "/safe/a", "r2").status, 200);
+    });
+    wait_until_reported(&deployment, 2);
+}
+
+#[test]
+fn rejected_request_not_counted() {
+    let deployment = Deployment::start(1, Plan::default());
+    let mut state = deployment.site.state();
+    state.endpoints.get_mut("plain-0").unwrap().faults.rejects = 1000;
+    drop(state);
+    for number in 0..4 {
+        let answer = deployment.vms[0].request(Method::POST, "/unsafe/a", &format!("r{number}"));
+        assert_eq!(answer.status, 200);
+    }
+    assert!(deployment.site.state().arrivals.len() > 4);
+    wait_until_reported(&deployment, 4);
+}
