--- a/crates/fakes/src/script.rs
+++ b/crates/fakes/src/script.rs
@@ -24,6 +24,8 @@
     BodyAfterLateNotRun(&'static str),
     /// The connection closes without a response.
     Close,
+    /// The connection stays open without a response until the peer closes it.
+    Silence,
 }
 
 /// A running server, which ends with the process.
@@ -116,6 +118,7 @@
             }
             Answer::NotRun => respond(&mut stream, 503, &format!("{not_run}{close}"), "")?,
             Answer::Close => return Ok(()),
+            Answer::Silence => return io::copy(&mut reader, &mut io::sink()).map(drop),
         }
     }
     Ok(())
