--- a/crates/site/src/usage.rs
+++ b/crates/site/src/usage.rs
@@ -148,7 +148,7 @@
 /// rejected.cancel();
 /// drop(abandoned);
 /// std::thread::sleep(Duration::from_millis(5));
-/// let counts = std::iter::from_fn(|| usage.take_ended(Duration::ZERO));
+/// let counts = std::iter::from_fn(|| usage.begin_submission(Duration::ZERO));
 /// assert_eq!(counts.map(|(_, counts)| counts["acme"]).sum::<u64>(), 1);
 /// ```
 #[derive(Clone)]
