site: test that a page of another VM ends confirming from memory

Cause: a runner that lost its job may learn of the successor's page by reading the store for a trainer, before it sees the claim or writes a page itself. former_runner_stops_at_page_of_its_successor covers the conflict of a write only. The tests of the fence also left the job with another holder, which does not occur.

Ruled out: a case of its own on processes; the view of the store has to be old and the store readable at once, which takes a fault per call.

Change: page_of_other_vm_after_fence; the tests of the fence claim the job first.

Conclusion: both ways to learn of the page are tested.

--- a/crates/site/tests/content.rs
+++ b/crates/site/tests/content.rs
@@ -9,7 +9,7 @@
 use tarragonseam_site::job::{
     Handle, Registry,
     content::Content,
-    record::{self, Page},
+    record::{self, Claim, Page},
 };
 
 /// Returns a page with one sample of `item`.
@@ -43,6 +43,17 @@
         self.registry.put_head("job-a", common::record::head(2))
     }
 
+    /// Returns the job after a claim of `vm`.
+    fn claimed_job(&self, vm: &str) -> Handle {
+        let job = self.job();
+        let claim = Claim {
+            vm: vm.to_string(),
+            address: None,
+        };
+        self.registry.put_claim("job-a", 0, claim);
+        job
+    }
+
     async fn write(&self, number: u32, item: &str) {
         let page = page(item);
         let written = self.content.write_page("job-a", number, &page).await;
@@ -94,7 +105,7 @@
 fn write_fence_after_unseen_page() {
     let write = async {
         let fixture = Fixture::new();
-        let job = fixture.job();
+        let job = fixture.claimed_job("vm-1");
         fixture.content.read_pages(&job).await.unwrap();
         fixture.write(0, "a-0").await;
         fixture.content.write_fence(&job, "vm-1").await;
@@ -110,7 +121,7 @@
 fn write_fence_with_lost_replies() {
     let write = async {
         let fixture = Fixture::new();
-        let job = fixture.job();
+        let job = fixture.claimed_job("vm-1");
         fixture.site.state().fault = Fault::DroppedReplies;
         let lost = fixture.content.write_fence(&job, "vm-1");
         let is_written = monoio::time::timeout(Duration::from_millis(500), lost).await;
@@ -128,3 +139,17 @@
     let expected = (false, false, true, 2);
     assert_eq!(link::runtime::run(write).unwrap(), expected);
 }
+
+#[test]
+fn page_of_other_vm_after_fence() {
+    let read = async {
+        let fixture = Fixture::new();
+        let job = fixture.claimed_job("vm-1");
+        fixture.content.write_fence(&job, "vm-1").await;
+        let is_sole_before = job.borrow().is_sole_writer;
+        fixture.write(1, "a-0").await;
+        fixture.content.read_pages(&job).await.unwrap();
+        (is_sole_before, job.borrow().is_sole_writer)
+    };
+    assert_eq!(link::runtime::run(read).unwrap(), (true, false));
+}
