site: counts that a usage report omits are logged and counted

Cause: the sum of a window is created 4 s after its end and never changes. Counts that are stored later, by a VM that was frozen or cut off or whose write took effect late, were confirmed like any others. No report contains them, and nothing said so.

What is owed: a report is to hold, for each account, the requests that endpoints began in its window, within a tolerance (5 % on both sites); a second report of a window with other counts is never allowed; a report that is off has a price only. So late counts cannot be added to their window, and in another window they would make a second report wrong.

Ruled out: moving them to the next window, as the entry daemon does, for that reason. A later sum would omit fewer, and leave a successor less of the 10 s in which a report is due; not tried. That a submission of unknown outcome is taken for not summed: it is submitted again, and the comparison is with what was summed.

Change: a VM whose counts are stored 3 s or more after their window logs this at once, then reads the report and the counts of the window. The objects in the order of their creation, as far as their sum fits into the report, are those that were summed, also if an object was created between the reading of the counts and the creation of the report. What the VM submitted beyond them is logged and added to tarragonseam_usage_omitted_requests. This costs two reads of the store for each VM and late window, and one more every 5 s until there is a report.

The requests stay unreported within the tolerance of the platform, no longer in silence. Not covered: a process that exits within seconds of a late submission has only the first line, and one that is killed has none.

--- a/crates/fakes/src/site/mod.rs
+++ b/crates/fakes/src/site/mod.rs
@@ -86,6 +86,8 @@
     /// Writes are executed after this time, also if the caller or the fault has
     /// gone by then, and get no answer. Reads are answered.
     LateWrites(Duration),
+    /// The same for writes to one kind of object.
+    LateWritesOf(&'static str, Duration),
     /// Watches report no changes; other calls are answered.
     SilentWatches,
 }
--- a/crates/fakes/src/site/store.rs
+++ b/crates/fakes/src/site/store.rs
@@ -36,9 +36,7 @@
     if fault == Fault::Unavailable {
         return Reply::new(StatusCode::SERVICE_UNAVAILABLE, "");
     }
-    if let Fault::LateWrites(delay) = fault
-        && request.method != Method::GET
-    {
+    if let Some(delay) = write_delay(fault, &request) {
         // A task of its own, since the caller may close the connection.
         let write = monoio::spawn(async move {
             monoio::time::sleep(delay).await;
@@ -74,6 +72,16 @@
     }
 }
 
+/// Returns how much later a write is executed.
+fn write_delay(fault: Fault, request: &Request) -> Option<Duration> {
+    let delay = match fault {
+        Fault::LateWrites(delay) => delay,
+        Fault::LateWritesOf(kind, delay) if request.segments().get(1) == Some(&kind) => delay,
+        _ => return None,
+    };
+    (request.method != Method::GET).then_some(delay)
+}
+
 async fn watch_from(state: &SharedState, request: &Request, from: u64) -> Reply {
     let kind = request
         .segments()
--- a/crates/site/src/components.rs
+++ b/crates/site/src/components.rs
@@ -137,6 +137,7 @@
             pool,
             provider: settings.provider.address,
             usage,
+            metrics: metrics.clone(),
         };
         let front = Front {
             facts: facts.clone(),
--- a/crates/site/src/duty/collect.rs
+++ b/crates/site/src/duty/collect.rs
@@ -14,7 +14,7 @@
     StatusCode,
     http::{Limits, Pool, Request, client::Call, server::Reply},
 };
-use platform::store::{Error, Store, Written};
+use platform::store::{Error, Object, Store, Written};
 
 use crate::{coordinator::Coordinators, notify::Notifier, usage::Counts};
 
@@ -90,6 +90,11 @@
         }))
     }
 
+    /// Returns the name of this process.
+    pub(crate) fn process(&self) -> &str {
+        &self.0.process
+    }
+
     /// Submits the counts of this process in `window` to a coordinator, and
     /// returns whether they are stored.
     pub(crate) async fn submit(&self, window: u64, counts: &Counts) -> bool {
@@ -239,22 +244,55 @@
     }
 }
 
-/// Returns the stored counts of `window` by process.
+/// Returns how many of the `counts` that `process` submitted are not in
+/// `report`. The report is the sum of the objects of its window that existed
+/// when it was summed; `stored` are all of them in the order of their creation.
+pub fn count_omitted(
+    report: &Counts,
+    stored: Vec<CountsByProcess>,
+    process: &str,
+    counts: &Counts,
+) -> u64 {
+    let mut summed = CountsByProcess::new();
+    for object in stored {
+        let mut more = summed.clone();
+        merge(&mut more, object);
+        let exceeds = |(account, count): (&String, &u64)| {
+            *count > report.get(account).copied().unwrap_or_default()
+        };
+        if sum(&more).iter().any(exceeds) {
+            break;
+        }
+        summed = more;
+    }
+    let summed = summed.remove(process).unwrap_or_default();
+    let omitted = counts.iter().map(|(account, count)| {
+        count.saturating_sub(summed.get(account).copied().unwrap_or_default())
+    });
+    omitted.sum()
+}
+
+/// Returns the sum of the counts of all processes.
+pub fn sum(all: &CountsByProcess) -> Counts {
+    let mut sum = Counts::new();
+    for (account, count) in all.values().flatten() {
+        *sum.entry(account.clone()).or_default() += count;
+    }
+    sum
+}
+
+/// Returns the objects that hold counts of `window`, in the order of their
+/// creation.
 ///
 /// # Errors
 ///
 /// An [`Error`] when they cannot be read.
-pub(crate) async fn read_counts(store: &Store, window: u64) -> Result<CountsByProcess, Error> {
-    let objects = store
-        .list_after(KIND, &format!("{window:012}"))
-        .await?
-        .value;
+pub(crate) async fn read_counts(store: &Store, window: u64) -> Result<Vec<CountsByProcess>, Error> {
+    let objects = store.list_after(KIND, &format!("{window:012}")).await?;
     let prefix = object_name(window, "");
-    let mut all = CountsByProcess::new();
-    for object in objects {
-        if object.name.starts_with(&prefix) {
-            merge(&mut all, object.read().ok_or(Error::Malformed)?);
-        }
-    }
-    Ok(all)
+    let mut objects = objects.value;
+    objects.retain(|object| object.name.starts_with(&prefix));
+    objects.sort_by_key(|object| object.revision);
+    let counts = objects.iter().map(Object::read);
+    counts.collect::<Option<_>>().ok_or(Error::Malformed)
 }
--- a/crates/site/src/duty/mod.rs
+++ b/crates/site/src/duty/mod.rs
@@ -2,6 +2,7 @@
 //! reporting usage, and retiring VMs with disks.
 
 pub mod collect;
+mod late;
 pub mod lease;
 pub mod loading;
 pub mod report;
@@ -18,6 +19,7 @@
     facts::Facts,
     follow::View,
     job::{Registry, content::Content},
+    metrics::Metrics,
     usage::Usage,
 };
 
@@ -44,4 +46,6 @@
     pub usage: Usage,
     /// Collects usage counts and writes them to the store.
     pub collector: Collector,
+    /// The metrics of this VM.
+    pub metrics: Metrics,
 }
--- a/crates/site/src/duty/report.rs
+++ b/crates/site/src/duty/report.rs
@@ -4,7 +4,7 @@
 //! Before it is reported, the sum is created as an object that never changes,
 //! so that two holders never report different counts for one window.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::time::Duration;
 
 use futures_util::future::join_all;
 use platform::{
@@ -12,19 +12,23 @@
     store::{Error, Written},
 };
 
-use super::{Duties, collect};
+use super::{
+    Duties,
+    collect::{self, CountsByProcess},
+    late,
+};
 use crate::usage::Counts;
 
 /// The kind of the objects that hold the reported sum of a window.
-const REPORT_KIND: &str = "usage-reports";
+pub(super) const REPORT_KIND: &str = "usage-reports";
 /// How long after the end of a window a VM submits its counts, so that all
 /// requests that began in the window have been counted.
 const SUBMIT_DELAY: Duration = Duration::from_millis(1200);
 /// How long after the end of a window its counts are summed. Submitting them
 /// takes well under a second, and a report is due 10 s after its window.
-const SUM_DELAY: Duration = Duration::from_millis(4000);
+pub(super) const SUM_DELAY: Duration = Duration::from_millis(4000);
 /// How long after its end a window may still be reported.
-const REPORT_AGE_MAX: Duration = Duration::from_secs(60);
+pub(super) const REPORT_AGE_MAX: Duration = Duration::from_secs(60);
 /// How often the VM checks for a window to submit or to report.
 const CHECK_PERIOD: Duration = Duration::from_millis(250);
 
@@ -44,6 +48,9 @@
 async fn submit(duties: &Duties, window: u64, counts: &Counts) -> bool {
     let is_stored = duties.collector.submit(window, counts).await;
     duties.usage.end_submission(window, is_stored);
+    if is_stored {
+        late::check(duties, window, counts);
+    }
     is_stored
 }
 
@@ -123,16 +130,12 @@
 /// Returns the counts to report for `window`. The first call by any holder
 /// stores the sum, and later calls return the stored one.
 async fn create_report(duties: &Duties, window: u64) -> Result<Counts, Error> {
-    let mut sum: Counts = BTreeMap::new();
-    for counts in collect::read_counts(&duties.store, window)
-        .await?
-        .into_values()
-    {
-        for (account, count) in counts {
-            *sum.entry(account).or_default() += count;
-        }
+    let mut all = CountsByProcess::new();
+    for counts in collect::read_counts(&duties.store, window).await? {
+        collect::merge(&mut all, counts);
     }
-    let name = format!("{window:012}");
+    let sum = collect::sum(&all);
+    let name = report_name(window);
     match duties.store.create(REPORT_KIND, &name, &sum).await? {
         Written::Done(_) => Ok(sum),
         Written::Conflict(object) => {
@@ -142,6 +145,11 @@
     }
 }
 
+/// Returns the name of the object that holds the reported sum of `window`.
+pub(super) fn report_name(window: u64) -> String {
+    format!("{window:012}")
+}
+
 /// How long counts and reports are kept. This exceeds the age up to which a
 /// window may be reported by any holder.
 const COUNTS_RETENTION: Duration = Duration::from_secs(120);
--- a/crates/site/src/metrics.rs
+++ b/crates/site/src/metrics.rs
@@ -29,6 +29,7 @@
     peer_calls: Counter<u64>,
     store_calls: Gauge<u64>,
     endpoints: Gauge<u64>,
+    usage_omitted_requests: Counter<u64>,
     log_lines_dropped: Counter<u64>,
 }
 
@@ -52,6 +53,7 @@
             peer_calls: telemetry.counter("tarragonseam_peer_calls"),
             store_calls: meter.u64_gauge("tarragonseam_store_calls").build(),
             endpoints: meter.u64_gauge("tarragonseam_endpoints").build(),
+            usage_omitted_requests: telemetry.counter("tarragonseam_usage_omitted_requests"),
             log_lines_dropped: telemetry.counter("tarragonseam_log_lines_dropped"),
             telemetry,
         }))
@@ -93,6 +95,11 @@
         self.0.peer_calls.add(1, &[subject]);
     }
 
+    /// Records that `requests` requests are in no usage report.
+    pub fn record_omitted_usage(&self, requests: u64) {
+        self.0.usage_omitted_requests.add(requests, &[]);
+    }
+
     /// Records that the log dropped `count` lines.
     pub fn record_dropped_lines(&self, count: u64) {
         self.0.log_lines_dropped.add(count, &[]);
--- a/crates/site/tests/common/mod.rs
+++ b/crates/site/tests/common/mod.rs
@@ -243,6 +243,12 @@
         });
     }
 
+    /// Returns the page with the metrics.
+    pub(crate) fn metrics_page(&self) -> String {
+        let page = blocking::fetch(self.metrics, Call::get("/metrics")).unwrap();
+        String::from_utf8_lossy(&page.body).to_string()
+    }
+
     /// Sends a request of the account `acme`, and returns the response.
     pub(crate) fn request(&self, method: Method, path: &str, id: &str) -> Fetched {
         self.send(caller(method, path, id))
--- a/crates/site/tests/duty.rs
+++ b/crates/site/tests/duty.rs
@@ -10,9 +10,9 @@
 use common::{Deployment, wait};
 use fakes::{
     blocking,
-    site::{Fault, MODEL, Plan, Report, State},
+    site::{Fault, MODEL, Plan, Report, Site, State},
 };
-use link::Method;
+use link::{Method, clock};
 use serde_json::json;
 use tarragonseam_site::duty::collect::{self, CountsByProcess};
 
@@ -135,6 +135,67 @@
     assert_eq!(submitted_requests(&site.state()), 1, "{}", vm.log());
 }
 
+#[test]
+fn submit_counts_of_frozen_vm_after_report() {
+    let deployment = Deployment::start_with_coordinators(2, 1, Plan::default());
+    let vm = &deployment.vms[1];
+    for number in 0..SERVED {
+        let served = vm.request(Method::GET, "/safe/a", &format!("r{number}"));
+        assert_eq!(served.status, 200);
+    }
+    vm.signal("STOP");
+    let last_window = clock::wall_millis() / 1000;
+    wait_for_report(&deployment.site, last_window);
+    vm.signal("CONT");
+    wait("counts in the store", || {
+        submitted_requests(&deployment.site.state()) == SERVED
+    });
+    vm.wait_until_logged("usage counts omitted from report");
+    wait("the metric", || omitted_requests(vm) == SERVED);
+    assert_eq!(deployment.site.state().reported_requests(), 0);
+}
+
+#[test]
+fn submit_counts_with_write_later_than_sum() {
+    let deployment = Deployment::start(1, Plan::default());
+    let (site, vm) = (&deployment.site, &deployment.vms[0]);
+    assert_eq!(vm.request(Method::GET, "/safe/a", "r1").status, 200);
+    let last_window = clock::wall_millis() / 1000;
+    site.state().fault = Fault::LateWritesOf("usage-counts", Duration::from_secs(6));
+    wait_for_report(site, last_window);
+    site.state().fault = Fault::None;
+    vm.wait_until_logged("usage counts omitted from report");
+    wait("the metric", || omitted_requests(vm) == 1);
+    let state = site.state();
+    assert_eq!(
+        (submitted_requests(&state), state.reported_requests()),
+        (1, 0)
+    );
+}
+
+/// Waits until `window` and the windows before it are reported.
+fn wait_for_report(site: &Site, window: u64) {
+    wait("the report of the last window", || {
+        let state = site.state();
+        state.reports.iter().any(|report| report.window >= window)
+    });
+}
+
+/// Returns the number of requests that `vm` counted and no report contains.
+fn omitted_requests(vm: &common::Vm) -> u64 {
+    let page = vm.metrics_page();
+    let mut samples = page
+        .lines()
+        .filter(|line| line.starts_with("tarragonseam_usage_omitted_requests_total"));
+    let value = samples
+        .next()
+        .and_then(|sample| sample.split(' ').next_back());
+    value.map_or(0, |value| value.parse().unwrap())
+}
+
+/// The number of requests that the VM serves before it is frozen.
+const SERVED: u64 = 5;
+
 /// Longer than any test, so that a write takes effect in none.
 const WRITE_NEVER: Duration = Duration::from_secs(600);
 
--- a/crates/site/tests/model.rs
+++ b/crates/site/tests/model.rs
@@ -9,6 +9,7 @@
 use tarragonseam_site::{
     duty::collect::{self, CountsByProcess},
     job::{Handle, Registry, record::Page, text::Text},
+    usage::Counts,
 };
 
 const EVENTS: u64 = 20;
@@ -147,6 +148,30 @@
 }
 
 proptest! {
+    /// Whatever objects existed when a window was summed, the counts that the
+    /// processes submitted last are in its report or known to be omitted.
+    #[test]
+    fn omitted_usage_is_known(increments in usage_increments(), at in any::<prop::sample::Index>()) {
+        let mut last: BTreeMap<String, Counts> = BTreeMap::new();
+        let mut stored = Vec::new();
+        for (process, increment) in increments {
+            let counts = last.entry(format!("vm-{process}")).or_default();
+            *counts.entry("acme".to_string()).or_default() += increment;
+            let name = format!("vm-{process}");
+            stored.push(CountsByProcess::from([(name, counts.clone())]));
+        }
+        let mut summed = CountsByProcess::new();
+        for object in &stored[..at.index(stored.len() + 1)] {
+            collect::merge(&mut summed, object.clone());
+        }
+        let report = collect::sum(&summed);
+        let omitted = last.iter().map(|(process, counts)| {
+            collect::count_omitted(&report, stored.clone(), process, counts)
+        });
+        let known = omitted.sum::<u64>() + report.values().sum::<u64>();
+        prop_assert_eq!(known, collect::sum(&last).values().sum::<u64>());
+    }
+
     /// A process submits its counts of a window again when a response is lost,
     /// together with later ones. Each request counts once, however the counts
     /// are spread over the stored objects.
--- a/crates/site/tests/process.rs
+++ b/crates/site/tests/process.rs
@@ -91,8 +91,7 @@
     let deployment = Deployment::start(1, Plan::default());
     let vm = &deployment.vms[0];
     assert_eq!(vm.request(Method::GET, "/safe/a", "r1").status, 200);
-    let page = blocking::fetch(vm.metrics, Call::get("/metrics")).unwrap();
-    let page = String::from_utf8_lossy(&page.body).to_string();
+    let page = vm.metrics_page();
     for name in [
         "tarragonseam_requests_total",
         "tarragonseam_request_duration_seconds_bucket",
