steward: an order that was accepted late is settled within a round

Cause: an order without a known outcome is settled by a repeat or when a session opens. If it arrives while its pool backs off after a rejected repeat, its endpoints are listed, nothing is missing any more, and it stays unsettled. When endpoints of the pool are lost later, they are ordered by repeating the old key. The platform returns the first answer, whose endpoints are gone; they count as ordered for 10 s, and the replacement waits as long. A successor that keeps such an order is in the same situation.

Ruled out: to tell from the answer whether its endpoints are new. The list may still show an earlier, removed state of an endpoint that is being started again (plan_ordered_endpoint_listed_as_removed).

Change: the holder looks up its unsettled orders once a round, 1 s. This is one read a second for each such order, and none otherwise. Opening a session does the same for the orders that it inherits, with one function for both.

Conclusion: an order in doubt no longer delays a later one once it has arrived. One that never arrives is looked up until the platform accepts an order of a later epoch under a new key.

--- a/crates/cli/tests/control_orders.rs
+++ b/crates/cli/tests/control_orders.rs
@@ -4,7 +4,7 @@
 mod common;
 mod control_support;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use control_support::{
     Tree, add_spares, check_orders, count_active, fetch_json, find_holder, set_faults, start,
@@ -423,6 +423,43 @@
     .unwrap();
 }
 
+#[test]
+fn order_that_arrived_in_a_backoff_does_not_delay_the_next() {
+    let tree = Tree::new("transit-backoff", CONFIG_IN_STOCK);
+    let mut plan = plan(&tree, 1, &["a"]);
+    plan.platform.push("--gone-ms=60000".to_string());
+    link::runtime::run(async {
+        let deployment = start(&plan).await;
+        let platform = deployment.platform;
+        wait_active(&deployment, "a", (1, 2)).await;
+        delay_order(&deployment, 12000).await;
+        let stock = json!({"failure_domain": "a", "class": "cheap"});
+        let switches = json!({"reset": true, "out_of_stock": [stock]});
+        set_faults(&deployment, platform, switches).await;
+        let before = count_order_calls(&deployment).await;
+        // The third rejection is followed by the longest backoff, in which the
+        // order arrives.
+        wait_for("third rejection", async || {
+            (count_order_calls(&deployment).await >= before + 3).then_some(())
+        })
+        .await;
+        set_faults(&deployment, platform, json!({"reset": true})).await;
+        wait_active(&deployment, "a", (1, 2)).await;
+        // The backoff has ended.
+        monoio::time::sleep(Duration::from_secs(12)).await;
+        let reclaim = json!({"failure_domain": "a", "notice_ms": 300});
+        set_faults(&deployment, platform, json!({"reclaim": reclaim})).await;
+        let reclaimed_at = Instant::now();
+        wait_for("replacement", async || {
+            (count_started(&fetch_orders(&deployment).await, "cheap") >= 6).then_some(())
+        })
+        .await;
+        let delay = reclaimed_at.elapsed();
+        assert!(delay < Duration::from_secs(8), "replaced after {delay:?}");
+    })
+    .unwrap();
+}
+
 /// Waits until the intent of the failure domain names an order without a known
 /// outcome beside the order sent last, and returns the intent.
 async fn wait_for_unsettled_order(deployment: &Deployment) -> Value {
--- a/crates/steward/src/endpoints.rs
+++ b/crates/steward/src/endpoints.rs
@@ -9,7 +9,7 @@
 use policy::capacity::{self, Change};
 
 use crate::{
-    order::{Outcome, Session},
+    order::{self, Outcome, Session},
     vm::Vm,
 };
 
@@ -55,6 +55,8 @@
 /// Sends the orders that are due, and returns false when the session has to be
 /// opened again.
 async fn send_due(vm: &Rc<Vm>, session: &mut Session) -> bool {
+    // An order that cannot be looked up now is looked up in a later round.
+    let _ = order::settle_accepted(vm).await;
     let now = vm.now();
     let plan = capacity::plan(&mut vm.board.borrow_mut(), now);
     for change in plan {
--- a/crates/steward/src/order.rs
+++ b/crates/steward/src/order.rs
@@ -58,23 +58,14 @@
         // outcome, continues the count, so that no key is used twice.
         let same_epoch = previous.as_ref().filter(|intent| intent.epoch == epoch);
         let count = same_epoch.map_or(0, |intent| intent.count);
-        let mut open_orders = vm.unsettled.borrow().orders().to_vec();
         // In the same epoch this process wrote the intent, and knows which of its
         // orders have an unknown outcome.
         if let Some(intent) = previous.filter(|intent| intent.epoch < epoch) {
-            let inherited = intent.order.into_iter().chain(intent.unsettled);
-            open_orders.extend(inherited.filter(|o| !vm.unsettled.borrow().contains(&o.key)));
-        }
-        for order in open_orders {
-            let is_accepted = resolve(vm, &order).await?;
             let mut unsettled = vm.unsettled.borrow_mut();
-            // An order that does not exist may be in transit. The platform
-            // accepts it until it has seen this epoch.
-            match is_accepted {
-                true => unsettled.settle(&order.key),
-                false => unsettled.begin(&order),
-            }
+            let inherited = intent.order.into_iter().chain(intent.unsettled);
+            inherited.for_each(|order| unsettled.begin(&order));
         }
+        settle_accepted(vm).await?;
         let intent = Intent {
             epoch,
             count,
@@ -190,6 +181,20 @@
     }
 }
 
+/// Looks up the orders whose outcome is unknown, and settles those that the
+/// platform has accepted; `None` when the platform cannot be read. One that does
+/// not exist may be in transit, and the platform accepts it until it has seen a
+/// higher epoch.
+pub(crate) async fn settle_accepted(vm: &Vm) -> Option<()> {
+    let orders = vm.unsettled.borrow().orders().to_vec();
+    for order in orders {
+        if resolve(vm, &order).await? {
+            vm.unsettled.borrow_mut().settle(&order.key);
+        }
+    }
+    Some(())
+}
+
 /// Resolves an order whose outcome is unknown by reading it from the platform,
 /// and returns whether the platform has accepted it; `None` when the platform
 /// cannot be read.
