steward: an order repeated under its key has the present count

Cause: an order that replaces one without a known outcome was the remembered order with its count, however many endpoints are missing by then. A successor finds the last order of its predecessor in the intent, of any age, also one that was rejected: since "a successor repeats an order that its look-up did not find" it may order that count again. In one epoch the surplus was a known loss of docs/design/leases.md.

Ruled out: to leave rejected orders out of the intent. That is another write for each rejected order, and the count of one in transit would still be old.

Change: the order keeps its present count and takes the key of the remembered one only. The platform gives a repeated key its first answer, so one of the two counts is carried out. An answer with fewer endpoints than ordered is a partial one, and the rest is ordered after a backoff as before.

Conclusion: only an order that arrives before its repeat still starts as many endpoints as were missing when it was sent.

--- a/crates/cli/tests/control_orders.rs
+++ b/crates/cli/tests/control_orders.rs
@@ -4,7 +4,10 @@
 mod common;
 mod control_support;
 
-use std::time::{Duration, Instant};
+use std::{
+    fs,
+    time::{Duration, Instant},
+};
 
 use control_support::{
     Tree, add_spares, check_orders, count_active, fetch_json, find_holder, set_faults, start,
@@ -608,6 +611,43 @@
     link::runtime::run(check_late_order("late-ignored", true)).unwrap();
 }
 
+#[test]
+fn rejected_order_of_predecessor_is_not_repeated_with_its_count() {
+    let tree = Tree::new("rejected-count", CONFIG_IN_STOCK);
+    let mut plan = plan(&tree, 3, &["a"]);
+    plan.platform.push("--gone-ms=60000".to_string());
+    link::runtime::run(async {
+        let deployment = start(&plan).await;
+        let platform = deployment.platform;
+        wait_active(&deployment, "a", (1, 2)).await;
+        let stock = json!({"failure_domain": "a", "class": "cheap"});
+        let reclaim = json!({"failure_domain": "a", "notice_ms": 300});
+        let switches = json!({"out_of_stock": [stock], "reclaim": reclaim});
+        let before = count_order_calls(&deployment).await;
+        set_faults(&deployment, platform, switches).await;
+        wait_for("rejected order", async || {
+            (count_order_calls(&deployment).await > before).then_some(())
+        })
+        .await;
+        let old_holder = end_holder(&deployment, "KILL").await;
+        let fewer = CONFIG_IN_STOCK.replace("cheap = 2", "cheap = 1");
+        fs::write(deployment.tree.join("tarragonseam.toml"), fewer).unwrap();
+        control_support::publish(&deployment);
+        set_faults(&deployment, platform, json!({"reset": true})).await;
+        wait_for("successor", async || {
+            find_holder(&deployment, "orders_epoch", "a", Some(old_holder)).await
+        })
+        .await;
+        wait_for("order of the successor", async || {
+            (count_started(&fetch_orders(&deployment).await, "cheap") >= 3).then_some(())
+        })
+        .await;
+        let history = fetch_orders(&deployment).await;
+        assert_eq!(count_started(&history, "cheap"), 3, "{history:#}");
+    })
+    .unwrap();
+}
+
 #[test]
 fn out_of_stock_backs_off_and_is_replaced_elsewhere() {
     let tree = Tree::new("stock", CONFIG);
--- a/crates/steward/src/unsettled.rs
+++ b/crates/steward/src/unsettled.rs
@@ -43,23 +43,23 @@
         &self.0
     }
 
-    /// Returns `order`, or the order whose outcome is unknown that `order` would
-    /// replace: one that differs from it in key, count and epoch at most. It is
-    /// returned with the epoch of `order`.
+    /// Returns `order`, under the key of the order whose outcome is unknown that
+    /// it would replace, if any: one that differs from it in key, count and epoch
+    /// at most.
     pub(crate) fn or_repeated(&self, order: Order) -> Order {
-        let repeated = |other: &Order| Order {
-            epoch: order.epoch,
-            ..other.clone()
-        };
-        let replaces = |other: &Order| {
+        let replaces = |other: &&Order| {
             let other_of_same_pool = Order {
                 key: order.key.clone(),
                 count: order.count,
-                ..other.clone()
+                epoch: order.epoch,
+                ..(*other).clone()
             };
             other_of_same_pool == order
         };
-        let found = self.0.iter().map(repeated).find(replaces);
-        found.unwrap_or(order)
+        let repeated = self.0.iter().find(replaces);
+        match repeated.map(|other| other.key.clone()) {
+            Some(key) => Order { key, ..order },
+            None => order,
+        }
     }
 }
