lease: a write that lands after a read is still recognized

Cause: record_read dropped the write of unknown outcome also if the read still returned the old version. That version does not resolve the write, which may be in transit.

Ruled out: that two of the remembered writes take effect, since all require the version seen; that one that took effect counts from its read or from a later write, since a record is recognized by its whole content (nonce and serial are in it) and each has its own time of sending.

Change: Lease::pending_writes (16 at most) in place of one pending write. It is emptied by another version and by a write that succeeds. must_read says that a read is due before the next write. A site's VM reads from the store, not from its watch, while one is pending. The model has a fault LateWrites: writes are given up within 150 ms and land up to 12 s later, reads stay fast.

Conclusion: a lost reply costs no lease while one of the writes lands within its term.

--- a/crates/board/src/lease.rs
+++ b/crates/board/src/lease.rs
@@ -45,8 +45,11 @@
     pub held: Option<(u64, Time)>,
     /// When the object was last read.
     pub read_at: Time,
-    /// A write whose outcome is unknown, and when it was sent.
-    pub pending_write: Option<(Record, Time)>,
+    /// Writes whose outcome is unknown, and when each was sent. Any of them may
+    /// yet take effect, but not two, since all require the version seen.
+    pub pending_writes: Vec<(Record, Time)>,
+    /// Whether the object must be read before it is written again.
+    pub must_read: bool,
     /// When to check the lease again.
     pub next_check: Time,
 }
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -33,6 +33,9 @@
 /// this for each VM of the deployment.
 const PERIOD_PER_VM: Duration = Duration::from_secs(2);
 
+/// The number of own writes of unknown outcome that a process remembers.
+const PENDING_WRITES_MAX: usize = 16;
+
 /// The next step of the lease protocol.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
@@ -91,7 +94,7 @@
     let Some((version, record, since)) = lease.seen.clone() else {
         return Step::Read;
     };
-    if lease.pending_write.is_some() {
+    if lease.must_read {
         return Step::Read;
     }
     let is_held = lease.held.is_some();
@@ -126,8 +129,8 @@
 /// Records the result of a read: the version and value, or `None` if the object
 /// does not exist.
 pub fn record_read(lease: &mut Lease, now: Time, found: Option<(u64, Record)>, terms: Terms) {
-    let pending = lease.pending_write.take();
     lease.read_at = now;
+    lease.must_read = false;
     let Some((version, record)) = found else {
         // An absent lease may be acquired at once: version 0 denotes absence.
         let absent = Record {
@@ -153,9 +156,11 @@
     }
     // If the read returns a write of this process whose outcome was unknown,
     // its term counts from when it was sent, before any other process can have
-    // read it. Any other version means that the lease is no longer held.
+    // read it. Any other version means that the lease is no longer held. The
+    // remaining writes require the previous version and can't take effect.
+    let mut pending = std::mem::take(&mut lease.pending_writes).into_iter();
     lease.held = pending
-        .filter(|(written, _)| *written == record)
+        .find(|(written, _)| *written == record)
         .map(|(_, sent)| (record.epoch, sent + (terms.ttl - terms.margin)));
     lease.seen = Some((version, record, now));
 }
@@ -166,10 +171,19 @@
         Outcome::Written(version) => {
             let until = sent + (terms.ttl - terms.margin);
             lease.held = Some((record.epoch, until));
+            lease.pending_writes.clear();
             lease.seen = Some((version, record, sent));
             lease.next_check = lease.next_check.min(sent + renewal_period(terms));
         }
-        Outcome::Unknown => lease.pending_write = Some((record, sent)),
+        Outcome::Unknown => {
+            // A read that still returns the previous version doesn't resolve the
+            // write, which may be in transit.
+            if lease.pending_writes.len() == PENDING_WRITES_MAX {
+                lease.pending_writes.remove(0);
+            }
+            lease.pending_writes.push((record, sent));
+            lease.must_read = true;
+        }
     }
 }
 
@@ -202,7 +216,7 @@
 /// assert!(matches!(step, Step::Write { version: 41, record } if record.epoch == 4));
 /// ```
 pub fn expire_predecessor(lease: &mut Lease, now: Time, terms: Terms, holder: &str) {
-    let has_own_write = lease.held.is_some() || lease.pending_write.is_some();
+    let has_own_write = lease.held.is_some() || lease.must_read;
     if let Some((_, record, since)) = &mut lease.seen
         && record.holder == holder
         && record.nonce != lease.nonce
--- a/crates/policy/tests/lease.rs
+++ b/crates/policy/tests/lease.rs
@@ -7,7 +7,7 @@
 
 use board::{
     Time,
-    lease::{Lease, ORDER_DELIVERY_MAX, Terms},
+    lease::{Lease, ORDER_DELIVERY_MAX, Record, Terms},
 };
 use lease_model::{Event, Fault, Simulation};
 use proptest::prelude::*;
@@ -21,6 +21,7 @@
         2 => Just(Fault::Restart),
         2 => (500_u64..12_000).prop_map(Fault::SlowCalls),
         2 => (500_u64..12_000).prop_map(Fault::LostReplies),
+        2 => (500_u64..12_000).prop_map(Fault::LateWrites),
         1 => (500_u64..12_000).prop_map(Fault::Outage),
     ];
     (0_u64..90_000, 0_usize..5, fault).prop_map(|(at_ms, process, fault)| Event {
@@ -105,6 +106,94 @@
     );
 }
 
+#[test]
+fn step_keeps_lease_after_late_write() {
+    for seed in 0..100 {
+        let late_writes = |at_ms| Event {
+            at_ms,
+            process: 0,
+            fault: Fault::LateWrites(2_000),
+        };
+        let mut simulation = Simulation::new(Terms::default(), seed);
+        simulation.keep_only(0);
+        simulation.run(
+            &[late_writes(12_000), late_writes(30_000)],
+            Duration::from_secs(50),
+        );
+        simulation.check().unwrap();
+        assert_eq!(simulation.last_epoch(), 1, "seed {seed}");
+    }
+}
+
+/// Returns the record that `lease` writes at `now`, with the outcome unknown.
+fn write_unknown(lease: &mut Lease, now: Time, terms: Terms) -> Record {
+    let Step::Write { record, .. } = step(lease, now, terms, "vm-1") else {
+        panic!("no write at {now:?}");
+    };
+    record_write(lease, now, record.clone(), Outcome::Unknown, terms);
+    record
+}
+
+/// Returns a lease held since `now` under epoch 1, and its record, of version 1.
+fn held_lease(now: Time, terms: Terms) -> (Lease, Record) {
+    let mut lease = Lease::new(1);
+    record_read(&mut lease, now, None, terms);
+    let Step::Write { record, .. } = step(&mut lease, now, terms, "vm-1") else {
+        panic!("an absent lease is acquired at once");
+    };
+    record_write(&mut lease, now, record.clone(), Outcome::Written(1), terms);
+    (lease, record)
+}
+
+#[test]
+fn record_read_write_landed_after_read() {
+    let terms = Terms::default();
+    let start = Time::from_millis(10_000);
+    let at = |ms| start + Duration::from_millis(ms);
+    let (mut lease, record) = held_lease(start, terms);
+    let first = write_unknown(&mut lease, at(1_500), terms);
+    assert_eq!(step(&mut lease, at(3_000), terms, "vm-1"), Step::Read);
+    record_read(&mut lease, at(3_000), Some((1, record)), terms);
+    // The first write lands, so the second one fails.
+    write_unknown(&mut lease, at(4_500), terms);
+    record_read(&mut lease, at(4_600), Some((2, first)), terms);
+    let end = at(1_500) + (terms.ttl - terms.margin);
+    assert_eq!(epoch(&lease, at(4_600)), Some(1));
+    assert_eq!(epoch(&lease, end), None);
+}
+
+#[test]
+fn record_read_record_of_other_process() {
+    let terms = Terms::default();
+    let start = Time::from_millis(10_000);
+    let (mut lease, _) = held_lease(start, terms);
+    let now = start + Duration::from_millis(1_500);
+    let written = write_unknown(&mut lease, now, terms);
+    let others = [
+        Record {
+            nonce: 2,
+            ..written.clone()
+        },
+        Record {
+            serial: written.serial + 1,
+            ..written.clone()
+        },
+        Record {
+            epoch: 2,
+            ..written.clone()
+        },
+        Record {
+            holder: "vm-2".to_string(),
+            ..written
+        },
+    ];
+    for other in others {
+        let mut lease = lease.clone();
+        record_read(&mut lease, now, Some((2, other.clone())), terms);
+        assert_eq!(epoch(&lease, now), None, "{other:?}");
+    }
+}
+
 /// Returns how often a minute `count` VMs together check one lease.
 fn checks_per_minute(count: usize) -> f64 {
     let names: Vec<_> = (0..count).map(|n| format!("vm-{n}")).collect();
--- a/crates/policy/tests/lease_model/mod.rs
+++ b/crates/policy/tests/lease_model/mod.rs
@@ -22,6 +22,8 @@
     Restart,
     SlowCalls(u64),
     LostReplies(u64),
+    /// Writes take effect late, while reads stay fast.
+    LateWrites(u64),
     Outage(u64),
 }
 
@@ -58,6 +60,7 @@
     paused_until: u64,
     slow_until: u64,
     lossy_until: u64,
+    late_writes_until: u64,
     outage_until: u64,
     started_ms: u64,
     next_order_ms: u64,
@@ -99,6 +102,7 @@
             paused_until: 0,
             slow_until: 0,
             lossy_until: 0,
+            late_writes_until: 0,
             outage_until: 0,
             started_ms: 0,
             next_order_ms: 0,
@@ -167,6 +171,7 @@
             Fault::Pause(span) => process.paused_until = now + span,
             Fault::SlowCalls(span) => process.slow_until = now + span,
             Fault::LostReplies(span) => process.lossy_until = now + span,
+            Fault::LateWrites(span) => process.late_writes_until = now + span,
             Fault::Outage(span) => process.outage_until = now + span,
             Fault::Restart => {
                 self.next_nonce += 1;
@@ -288,11 +293,13 @@
             }
             return;
         }
-        let delay_max_ms = if now < process.slow_until {
+        let is_late_write = write.is_some() && now < process.late_writes_until;
+        let delay_max_ms = if now < process.slow_until || is_late_write {
             12_000
         } else {
             150
         };
+        let timeout_ms = if is_late_write { 150 } else { TIMEOUT_MS };
         let arrives_ms = now + self.rng.random_range(0..delay_max_ms);
         let is_lossy = now < process.lossy_until;
         process.call = Some(Call {
@@ -300,7 +307,7 @@
             sent: local_now,
             arrives_ms,
             answers_ms: arrives_ms + self.rng.random_range(0..delay_max_ms),
-            expires_ms: now + TIMEOUT_MS,
+            expires_ms: now + timeout_ms,
             is_lost: is_lossy && self.rng.random_bool(0.7),
             answer: None,
         });
--- a/crates/site/src/duty/lease.rs
+++ b/crates/site/src/duty/lease.rs
@@ -201,7 +201,7 @@
     /// if the watch fails or the outcome of a write is unknown.
     async fn read(&self) -> Result<Option<Object>, Error> {
         let inner = &*self.0;
-        let is_outcome_unknown = inner.lease.borrow().pending_write.is_some();
+        let is_outcome_unknown = !inner.lease.borrow().pending_writes.is_empty();
         let is_connected = inner.view.connected_for(Instant::now()) > Duration::ZERO;
         if is_connected && !is_outcome_unknown {
             return Ok(inner.object.borrow().clone());
