weights: a load whose order got no reply counts against the floor

Cause: Rollout::finish cleared is_loading for an outcome that is unknown (a lost reply, or 30 s without one) as for one that failed. Another engine was ordered to load while the first still loaded, below the declared floor.

Ruled out: that a failed repeat settles the first order. A refused connection, an error or 409 stale-epoch of the repeat says nothing of the load that the first one may have started, so only success of the same version does. A newer version ordered on the same engine does not settle it either.

Change: Rollout remembers loads without a known outcome by endpoint and version. They count against the floor until a repeat succeeds, the engine reports that version, or 30 s have passed since the last order that got no reply. The window, which adapts to the weight store, counts awaited orders as before, so one such load does not hold up other models. The repeat itself needs no other place.

Conclusion: the floor holds for loads of this holder of the lease that end within 30 s of the last order. Open: a successor does not know which loads still run, and docs/INTERFACES.md names no longest time of a load.

--- a/crates/policy/src/weights.rs
+++ b/crates/policy/src/weights.rs
@@ -68,10 +68,20 @@
     is_loaded: bool,
 }
 
+/// A load that may be in progress although its order is no longer awaited.
+#[derive(Clone, Copy, Debug)]
+struct Unsettled {
+    endpoint: endpoint::Key,
+    version: u64,
+    /// When the load has ended at the latest.
+    until: Time,
+}
+
 /// The rollout of weights in one failure domain.
 #[derive(Clone, Debug)]
 pub struct Rollout {
     attempts: Map<endpoint::Key, Attempts>,
+    unsettled: Vec<Unsettled>,
     /// The number of concurrent loads allowed, adapted to successes and
     /// failures.
     window: f64,
@@ -84,6 +94,9 @@
 const BACKOFF_MIN: Duration = Duration::from_millis(250);
 const BACKOFF_MAX: Duration = Duration::from_secs(8);
 const BACKOFF_DOUBLINGS_MAX: u32 = 5;
+/// How long a load may go on after its order was given up. Repeats of the order
+/// extend it.
+const UNSETTLED_MAX: Duration = Duration::from_secs(30);
 /// Consecutive failures after which an endpoint is excluded.
 const FAILURES_MAX: u32 = 8;
 
@@ -91,6 +104,7 @@
     fn default() -> Self {
         Self {
             attempts: Map::default(),
+            unsettled: Vec::new(),
             window: WINDOW_INITIAL,
         }
     }
@@ -113,23 +127,21 @@
     pub fn due(&mut self, board: &Board, now: Time, failure_domain: &str) -> Vec<Swap> {
         self.attempts
             .retain(|key, _| board.endpoints.get(*key).is_some());
+        self.settle_reported(board, now);
         let mut swaps = Vec::new();
         for (model, version) in &board.weights {
             let capacity = board.config.models.get(model).map(|model| model.capacity);
             let keys = endpoints_in(board, model, failure_domain);
             let loads_max = loads_max(board, failure_domain, model, capacity.unwrap_or_default());
-            let is_loading = |key: &&endpoint::Key| {
-                self.attempts
-                    .get(key)
-                    .is_some_and(|attempts| attempts.is_loading)
-            };
-            let mut loading = keys.iter().filter(is_loading).count();
+            let mut loading = keys.iter().filter(|key| self.may_load(**key)).count();
             for key in keys {
-                let is_full = loading >= loads_max || self.running() >= self.window as usize;
+                let is_counted = self.may_load(key);
+                let is_below_floor = loading >= loads_max && !is_counted;
+                let is_full = is_below_floor || self.running() >= self.window as usize;
                 if is_full || !self.is_due(board, now, key, model, *version) {
                     continue;
                 }
-                loading += 1;
+                loading += usize::from(!is_counted);
                 self.start(key, *version);
                 swaps.push(Swap {
                     endpoint: key,
@@ -147,6 +159,11 @@
             return Verdict::Unchanged;
         };
         attempts.is_loading = false;
+        // What is known of an earlier order for the same load changes only if the
+        // endpoint holds the version: a failed repeat says nothing about it.
+        if matches!(outcome, Outcome::Loaded | Outcome::Unknown) {
+            self.unsettled.retain(|load| !load.is_of(swap));
+        }
         match outcome {
             Outcome::Loaded => {
                 attempts.failures = 0;
@@ -159,6 +176,9 @@
                 Verdict::Unchanged
             }
             Outcome::Failed | Outcome::Unknown => {
+                if outcome == Outcome::Unknown {
+                    self.unsettled.push(Unsettled::new(swap, now));
+                }
                 let doublings = attempts.failures.min(BACKOFF_DOUBLINGS_MAX);
                 attempts.next_attempt = now + (BACKOFF_MIN * 2_u32.pow(doublings)).min(BACKOFF_MAX);
                 attempts.failures += 1;
@@ -172,7 +192,7 @@
         }
     }
 
-    /// Returns how many loads are in progress.
+    /// Returns how many orders are awaited.
     pub fn running(&self) -> usize {
         self.attempts
             .values()
@@ -180,6 +200,24 @@
             .count()
     }
 
+    /// Returns whether the endpoint is loading, or may be.
+    fn may_load(&self, key: endpoint::Key) -> bool {
+        let attempts = self.attempts.get(&key);
+        attempts.is_some_and(|attempts| attempts.is_loading)
+            || self.unsettled.iter().any(|load| load.endpoint == key)
+    }
+
+    /// Removes the loads that have ended by `now`, or that the endpoint reports
+    /// as complete.
+    fn settle_reported(&mut self, board: &Board, now: Time) {
+        self.unsettled.retain(|load| {
+            let is_pending = |endpoint: &Endpoint| {
+                endpoint.version(&endpoint.record.service) != Some(load.version)
+            };
+            now < load.until && board.endpoints.get(load.endpoint).is_some_and(is_pending)
+        });
+    }
+
     fn start(&mut self, key: endpoint::Key, version: u64) {
         let initial = Attempts {
             version,
@@ -222,6 +260,22 @@
     }
 }
 
+impl Unsettled {
+    /// Returns the load that `swap`, whose outcome became unknown at `now`, may
+    /// have started.
+    fn new(swap: &Swap, now: Time) -> Self {
+        Self {
+            endpoint: swap.endpoint,
+            version: swap.version,
+            until: now + UNSETTLED_MAX,
+        }
+    }
+
+    fn is_of(&self, swap: &Swap) -> bool {
+        (self.endpoint, self.version) == (swap.endpoint, swap.version)
+    }
+}
+
 fn is_behind(endpoint: &Endpoint, model: &str, version: u64) -> bool {
     endpoint.record.state == State::Ready
         && endpoint.version(model).is_some_and(|held| held < version)
--- a/crates/policy/tests/weights.rs
+++ b/crates/policy/tests/weights.rs
@@ -1,6 +1,6 @@
 //! Rollouts of model weights.
 
-use std::time::Duration;
+use std::{slice, time::Duration};
 
 use board::{
     Board, Time,
@@ -172,3 +172,99 @@
     );
     assert_eq!(rollout.due(&board, Time::ZERO, "a").len(), 1);
 }
+
+/// Starts the first load of a domain of two engines without spare capacity, and
+/// loses the reply at time 0.
+fn lost_reply_without_spare_capacity() -> (Board, Rollout, Swap) {
+    let board = board(2, 4);
+    let mut rollout = Rollout::default();
+    let swap = rollout.due(&board, Time::ZERO, "a").remove(0);
+    rollout.finish(Time::ZERO, &swap, Outcome::Unknown);
+    (board, rollout, swap)
+}
+
+/// Returns the swaps that are due in the 25 s after time 0. Each of them ends
+/// with `outcome` at once.
+fn due_later(rollout: &mut Rollout, board: &Board, outcome: Outcome) -> Vec<Swap> {
+    let mut swaps = Vec::new();
+    for now in (0..25_000).step_by(10).map(Time::from_millis) {
+        let due = rollout.due(board, now, "a");
+        due.iter().for_each(|swap| {
+            rollout.finish(now, swap, outcome);
+        });
+        swaps.extend(due);
+    }
+    swaps
+}
+
+#[test]
+fn due_lost_reply_keeps_floor() {
+    for outcome in [Outcome::Unknown, Outcome::Failed, Outcome::Stale] {
+        let (board, mut rollout, first) = lost_reply_without_spare_capacity();
+        let swaps = due_later(&mut rollout, &board, outcome);
+        assert!(!swaps.is_empty(), "{outcome:?}");
+        assert!(swaps.iter().all(|swap| *swap == first), "{outcome:?}");
+    }
+}
+
+#[test]
+fn due_lost_reply_then_newer_version_keeps_floor() {
+    let (mut board, mut rollout, first) = lost_reply_without_spare_capacity();
+    board.record_weights(MODEL, 3);
+    let swaps = due_later(&mut rollout, &board, Outcome::Loaded);
+    assert_eq!(swaps.len(), 1);
+    assert_eq!((swaps[0].endpoint, swaps[0].version), (first.endpoint, 3));
+}
+
+#[test]
+fn due_lost_reply_then_loaded() {
+    let (board, mut rollout, first) = lost_reply_without_spare_capacity();
+    let now = Time::from_millis(300);
+    assert_eq!(rollout.due(&board, now, "a"), slice::from_ref(&first));
+    rollout.finish(now, &first, Outcome::Loaded);
+    assert_ne!(rollout.due(&board, now, "a")[0].endpoint, first.endpoint);
+}
+
+#[test]
+fn due_lost_reply_then_report() {
+    let (mut board, mut rollout, first) = lost_reply_without_spare_capacity();
+    report(&mut board, first.endpoint, 2);
+    let due = rollout.due(&board, Time::ZERO, "a");
+    assert_ne!(due[0].endpoint, first.endpoint);
+}
+
+#[test]
+fn due_lost_reply_then_silence() {
+    let (board, mut rollout, first) = lost_reply_without_spare_capacity();
+    let is_other = |swap: &Swap| swap.endpoint != first.endpoint;
+    let mut due_after = |ms| {
+        let now = Time::from_millis(ms);
+        let due = rollout.due(&board, now, "a");
+        due.iter().for_each(|swap| {
+            rollout.finish(now, swap, Outcome::Failed);
+        });
+        due.iter().any(is_other)
+    };
+    // The engine refuses all repeats of the order.
+    assert!(!(0..30_000).step_by(10).any(&mut due_after));
+    assert!(due_after(30_000));
+}
+
+#[test]
+fn due_lost_replies_until_excluded() {
+    let (board, mut rollout, first) = lost_reply_without_spare_capacity();
+    let mut awaited: Option<(Time, Swap)> = None;
+    let end = (0..600_000).step_by(10).map(Time::from_millis).find(|now| {
+        if let Some((_, swap)) = awaited.take_if(|(until, _)| *until <= *now) {
+            rollout.finish(*now, &swap, Outcome::Unknown);
+        }
+        let due = rollout.due(&board, *now, "a").into_iter().next();
+        let is_other = due.as_ref().is_some_and(|s| s.endpoint != first.endpoint);
+        awaited = awaited
+            .take()
+            .or(due.map(|swap| (*now + Duration::from_secs(30), swap)));
+        is_other
+    });
+    let end = end.expect("the other engine gets no weights");
+    assert!(end < Time::from_millis(300_000), "{end:?}");
+}
