weights: an engine that goes back to older weights loads the newer ones again

Cause: a load that the engine confirmed set is_loaded, and nothing unset it before the next version. An order for an older version whose reply was lost may take effect later and replace the newer weights; the engine then reported the old version and was not ordered to load the new one until yet another came.

Ruled out: the repeat under the same key, since an engine answers a key that it has executed without loading. That a lagging report causes a second load: its age is compared with the time of the success. That alone was wrong, since the entry daemon passed a report on with the age that it had on arrival, however long ago: with an engine that was too slow to report, a second order was sent.

Change: Attempts::loaded_at in place of is_loaded. A report made more than 2 s after the success, and not older than 10 s (ages between VMs end at 25.5 s), that shows an older version makes the load due again, with Swap::round in the key. The rounds are delayed like failures and end after eight. The steward logs each. The entry daemon adds the time for which it has held a report to its age.

Conclusion: the engine's report decides, also after a success. A steward that follows in the lease begins at round 0 and goes through the rounds of its predecessor, about 2 s and a delay each.

--- a/crates/cli/tests/control_orders.rs
+++ b/crates/cli/tests/control_orders.rs
@@ -4,7 +4,7 @@
 mod common;
 mod control_support;
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use control_support::{
     Tree, add_spares, check_orders, count_active, fetch_json, find_holder, set_faults, start,
@@ -89,6 +89,21 @@
     }
 }
 
+/// Returns the version of the weights that `engine` has loaded.
+async fn loaded_version(deployment: &Deployment, engine: SocketAddr) -> Option<u64> {
+    let load = fetch_json(deployment, engine, "/v1/load").await;
+    load["versions"]["notes"].as_u64()
+}
+
+/// Returns the keys of the orders that `engine` has executed.
+async fn executed_orders(deployment: &Deployment, engine: SocketAddr) -> Vec<String> {
+    let log = fetch_json(deployment, engine, "/v1/log").await;
+    let orders = log["orders"].as_array().unwrap().iter();
+    let done = orders.filter(|order| order["outcome"] == "done");
+    done.map(|order| order["key"].as_str().unwrap().to_string())
+        .collect()
+}
+
 /// Returns whether every engine has accepted an order for version 3.
 async fn is_version_3_ordered(deployment: &Deployment) -> bool {
     for endpoint in deployment.endpoints.iter().filter(|e| e.plan.is_engine) {
@@ -411,6 +426,75 @@
     .unwrap();
 }
 
+/// Starts one VM and one engine, and returns the deployment with the engine's
+/// address.
+async fn start_engine(tree: &Tree) -> (Deployment, SocketAddr) {
+    let mut plan = plan(tree, 1, &["a"]).engines("notes", 1, &["a"]);
+    let mut endpoints = plan.endpoints.iter_mut();
+    let engine = endpoints.find(|endpoint| endpoint.is_engine).unwrap();
+    engine.class = "stable".to_string();
+    let deployment = start(&plan).await;
+    wait_active(&deployment, "a", (1, 2)).await;
+    let mut endpoints = deployment.endpoints.iter();
+    let engine = endpoints.find(|endpoint| endpoint.plan.is_engine).unwrap();
+    let address = engine.address;
+    (deployment, address)
+}
+
+#[test]
+fn weights_in_transit_do_not_replace_newer_ones() {
+    let tree = Tree::new("weights-transit", CONFIG);
+    link::runtime::run(async {
+        let (deployment, engine) = start_engine(&tree).await;
+        // The order for version 2 arrives after version 3 was loaded.
+        let switches = json!({
+            "lost_reply": 1.0,
+            "lost_reply_of": "POST /v1/weights",
+            "transit_ms": 8000,
+            "outage_after_lost_reply": true,
+            "outage_of": "POST /v1/weights",
+        });
+        set_faults(&deployment, engine, switches).await;
+        let tag = put_weights(&deployment, 2, None).await;
+        wait_for("order without a reply", async || {
+            let faults = fetch_json(&deployment, engine, "/fault").await;
+            (faults["outage"] == true).then_some(())
+        })
+        .await;
+        put_weights(&deployment, 3, Some(tag)).await;
+        set_faults(&deployment, engine, json!({"reset": true})).await;
+        for version in [3, 2, 3] {
+            wait_for(&format!("version {version}"), async || {
+                let loaded = loaded_version(&deployment, engine).await;
+                (loaded == Some(version)).then_some(())
+            })
+            .await;
+        }
+        assert_eq!(executed_orders(&deployment, engine).await.len(), 3);
+    })
+    .unwrap();
+}
+
+#[test]
+fn weights_are_not_loaded_again_without_reports() {
+    let tree = Tree::new("weights-silent", CONFIG);
+    link::runtime::run(async {
+        let (deployment, engine) = start_engine(&tree).await;
+        // Too slow for reports of its load, not for an order.
+        set_faults(&deployment, engine, json!({"latency_ms": 1500})).await;
+        put_weights(&deployment, 2, None).await;
+        wait_for("version 2", async || {
+            let orders = executed_orders(&deployment, engine).await;
+            (!orders.is_empty()).then_some(())
+        })
+        .await;
+        // Enough time for a second order.
+        monoio::time::sleep(Duration::from_secs(6)).await;
+        assert_eq!(executed_orders(&deployment, engine).await.len(), 1);
+    })
+    .unwrap();
+}
+
 #[test]
 fn out_of_stock_backs_off_and_is_replaced_elsewhere() {
     let tree = Tree::new("stock", CONFIG);
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -69,7 +69,9 @@
             let is_local =
                 |endpoint: &&Endpoint| endpoint.record.failure_domain == board.failure_domain;
             let load = |endpoint: &Endpoint| {
-                let (_, load) = endpoint.load.clone()?;
+                let (received, mut load) = endpoint.load.clone()?;
+                let held_ms = (vm.now() - received).as_millis() as u64;
+                load.age_ms = load.age_ms.saturating_add(held_ms);
                 Some((endpoint.record.id.clone(), load))
             };
             let endpoints = board.endpoints.iter().map(|(_, endpoint)| endpoint);
--- a/crates/policy/src/weights.rs
+++ b/crates/policy/src/weights.rs
@@ -30,6 +30,10 @@
     pub model: String,
     /// The version to load.
     pub version: u64,
+    /// How often the endpoint has gone back to an older version after it had
+    /// loaded this one. An order of another round needs another key, since the
+    /// endpoint may have stored the answer to the first.
+    pub round: u32,
 }
 
 /// How a load ended.
@@ -63,9 +67,9 @@
     failures: u32,
     next_attempt: Time,
     is_loading: bool,
-    /// Whether the endpoint has confirmed the version. Its reports may lag
-    /// behind.
-    is_loaded: bool,
+    /// When the endpoint confirmed the version. Its reports may lag behind.
+    loaded_at: Option<Time>,
+    round: u32,
 }
 
 /// A load that may be in progress although its order is no longer awaited.
@@ -97,6 +101,12 @@
 /// How long a load may go on after its order was given up. Repeats of the order
 /// extend it.
 const UNSETTLED_MAX: Duration = Duration::from_secs(30);
+/// How much older a report may be than its age says, because ages are rounded
+/// and don't include the time in transit.
+const REPORT_LAG_MAX: Duration = Duration::from_secs(2);
+/// The age from which a report is not compared with a load: ages between VMs
+/// are bounded.
+const REPORT_AGE_MAX: Duration = Duration::from_secs(10);
 /// Consecutive failures after which an endpoint is excluded.
 const FAILURES_MAX: u32 = 8;
 
@@ -142,11 +152,12 @@
                     continue;
                 }
                 loading += usize::from(!is_counted);
-                self.start(key, *version);
+                let round = self.start(key, *version);
                 swaps.push(Swap {
                     endpoint: key,
                     model: model.clone(),
                     version: *version,
+                    round,
                 });
             }
         }
@@ -166,8 +177,9 @@
         }
         match outcome {
             Outcome::Loaded => {
-                attempts.failures = 0;
-                attempts.is_loaded = attempts.version == swap.version;
+                attempts.failures = attempts.round;
+                attempts.next_attempt = now + backoff(attempts.failures);
+                attempts.loaded_at = (attempts.version == swap.version).then_some(now);
                 self.window = (self.window + 1.0).min(WINDOW_MAX);
                 Verdict::Unchanged
             }
@@ -179,8 +191,7 @@
                 if outcome == Outcome::Unknown {
                     self.unsettled.push(Unsettled::new(swap, now));
                 }
-                let doublings = attempts.failures.min(BACKOFF_DOUBLINGS_MAX);
-                attempts.next_attempt = now + (BACKOFF_MIN * 2_u32.pow(doublings)).min(BACKOFF_MAX);
+                attempts.next_attempt = now + backoff(attempts.failures);
                 attempts.failures += 1;
                 let is_excluded = attempts.failures == FAILURES_MAX;
                 self.window = (self.window / 2.0).max(WINDOW_MIN);
@@ -218,19 +229,25 @@
         });
     }
 
-    fn start(&mut self, key: endpoint::Key, version: u64) {
+    /// Marks the endpoint as loading and returns the round of the load.
+    fn start(&mut self, key: endpoint::Key, version: u64) -> u32 {
         let initial = Attempts {
             version,
             failures: 0,
             next_attempt: Time::ZERO,
             is_loading: true,
-            is_loaded: false,
+            loaded_at: None,
+            round: 0,
         };
         let attempts = self.attempts.entry(key).or_insert(initial);
         if attempts.version != version {
             *attempts = initial;
         }
         attempts.is_loading = true;
+        if attempts.loaded_at.take().is_some() {
+            attempts.round += 1;
+        }
+        attempts.round
     }
 
     fn is_due(
@@ -252,7 +269,9 @@
             Some(attempts) if attempts.is_loading => false,
             Some(attempts) if attempts.version < version => true,
             Some(attempts) => {
-                !attempts.is_loaded
+                attempts
+                    .loaded_at
+                    .is_none_or(|at| has_reported_since(endpoint, at))
                     && attempts.failures < FAILURES_MAX
                     && attempts.next_attempt <= now
             }
@@ -276,6 +295,20 @@
     }
 }
 
+/// Returns the delay before the attempt that follows `failures` and one more.
+fn backoff(failures: u32) -> Duration {
+    let doublings = failures.min(BACKOFF_DOUBLINGS_MAX);
+    (BACKOFF_MIN * 2_u32.pow(doublings)).min(BACKOFF_MAX)
+}
+
+/// Returns whether the endpoint's last report was certainly made after `time`.
+fn has_reported_since(endpoint: &Endpoint, time: Time) -> bool {
+    endpoint.load.as_ref().is_some_and(|(received, load)| {
+        let age = Duration::from_millis(load.age_ms);
+        age <= REPORT_AGE_MAX && *received - age > time + REPORT_LAG_MAX
+    })
+}
+
 fn is_behind(endpoint: &Endpoint, model: &str, version: u64) -> bool {
     endpoint.record.state == State::Ready
         && endpoint.version(model).is_some_and(|held| held < version)
--- a/crates/policy/tests/weights.rs
+++ b/crates/policy/tests/weights.rs
@@ -12,9 +12,17 @@
 const MODEL: &str = "notes";
 
 fn report(board: &mut Board, key: endpoint::Key, version: u64) {
-    let mut load = Load::default();
-    load.versions.insert(MODEL.to_string(), version);
-    board.endpoints.get_mut(key).unwrap().load = Some((Time::ZERO, load));
+    report_at(board, Time::ZERO, 0, key, version);
+}
+
+/// Records a report that arrived at `now` and was made `age_ms` before.
+fn report_at(board: &mut Board, now: Time, age_ms: u64, key: endpoint::Key, version: u64) {
+    let load = Load {
+        versions: [(MODEL.to_string(), version)].into(),
+        age_ms,
+        ..Load::default()
+    };
+    board.endpoints.get_mut(key).unwrap().load = Some((now, load));
 }
 
 /// Returns a board with `count` ready engines in each of two failure domains,
@@ -268,3 +276,59 @@
     let end = end.expect("the other engine gets no weights");
     assert!(end < Time::from_millis(300_000), "{end:?}");
 }
+
+const LOADED_AT: Time = Time::from_millis(1_000);
+
+/// Loads version 3 at [`LOADED_AT`] on an engine whose order for version 2 got no
+/// reply.
+fn loaded_after_lost_reply() -> (Board, Rollout, Swap) {
+    let mut board = board(1, 0);
+    let mut rollout = Rollout::default();
+    let lost = rollout.due(&board, Time::ZERO, "a").remove(0);
+    rollout.finish(Time::ZERO, &lost, Outcome::Unknown);
+    board.record_weights(MODEL, 3);
+    let swap = rollout.due(&board, Time::ZERO, "a").remove(0);
+    rollout.finish(LOADED_AT, &swap, Outcome::Loaded);
+    (board, rollout, swap)
+}
+
+#[test]
+fn due_engine_back_on_older_version() {
+    let (mut board, mut rollout, swap) = loaded_after_lost_reply();
+    let at = |ms| LOADED_AT + Duration::from_millis(ms);
+    report_at(&mut board, at(1_000), 0, swap.endpoint, 3);
+    assert!(rollout.due(&board, at(1_000), "a").is_empty());
+    report_at(&mut board, at(5_000), 500, swap.endpoint, 2);
+    let due = rollout.due(&board, at(5_000), "a");
+    // The engine may have stored the answer to the first order of version 3.
+    let again = Swap { round: 1, ..swap };
+    assert_eq!(due, slice::from_ref(&again));
+    rollout.finish(at(6_000), &again, Outcome::Loaded);
+    report_at(&mut board, at(12_000), 500, again.endpoint, 3);
+    assert!(rollout.due(&board, at(12_000), "a").is_empty());
+}
+
+#[test]
+fn due_report_made_before_load() {
+    let (mut board, mut rollout, swap) = loaded_after_lost_reply();
+    // The ages of reports between VMs end at 25.5 s.
+    for (after_ms, age_ms) in [(5_000, 4_500), (65_000, 25_500)] {
+        let now = LOADED_AT + Duration::from_millis(after_ms);
+        report_at(&mut board, now, age_ms, swap.endpoint, 2);
+        assert!(rollout.due(&board, now, "a").is_empty(), "age {age_ms}");
+    }
+}
+
+#[test]
+fn due_engine_always_on_older_version() {
+    let (mut board, mut rollout, swap) = loaded_after_lost_reply();
+    let mut rounds = Vec::new();
+    for now in (1_000..600_000).step_by(100).map(Time::from_millis) {
+        report_at(&mut board, now, 0, swap.endpoint, 2);
+        for swap in rollout.due(&board, now, "a") {
+            rounds.push(swap.round);
+            rollout.finish(now, &swap, Outcome::Loaded);
+        }
+    }
+    assert_eq!(rounds, [1, 2, 3, 4, 5, 6, 7, 8]);
+}
--- a/crates/steward/src/weights.rs
+++ b/crates/steward/src/weights.rs
@@ -33,6 +33,7 @@
             .borrow_mut()
             .due(&vm.board.borrow(), vm.now(), domain);
         for swap in due {
+            log_repeated(&vm, &swap);
             let (vm, rollout) = (vm.clone(), rollout.clone());
             monoio::spawn(async move {
                 let outcome = send(&vm, &swap).await;
@@ -43,13 +44,22 @@
     }
 }
 
-fn log_outcome(vm: &Vm, swap: &Swap, outcome: Outcome, verdict: Verdict) {
+fn endpoint_id(vm: &Vm, swap: &Swap) -> String {
     let board = vm.board.borrow();
-    let id = board
-        .endpoints
-        .get(swap.endpoint)
-        .map(|e| e.record.id.as_str());
-    let endpoint = id.unwrap_or("gone");
+    let endpoint = board.endpoints.get(swap.endpoint);
+    endpoint.map_or_else(|| "gone".to_string(), |e| e.record.id.clone())
+}
+
+fn log_repeated(vm: &Vm, swap: &Swap) {
+    if swap.round > 0 {
+        let endpoint = endpoint_id(vm, swap);
+        let (model, version, round) = (swap.model.as_str(), swap.version, swap.round);
+        spdlog::warn!("endpoint reports older weights than it loaded", kv: { endpoint, model, version, round });
+    }
+}
+
+fn log_outcome(vm: &Vm, swap: &Swap, outcome: Outcome, verdict: Verdict) {
+    let endpoint = endpoint_id(vm, swap);
     let (model, version) = (swap.model.as_str(), swap.version);
     if outcome == Outcome::Loaded {
         spdlog::info!("weights loaded", kv: { endpoint, model, version });
@@ -59,6 +69,14 @@
     }
 }
 
+fn order_key(id: &str, swap: &Swap) -> String {
+    let key = format!("{id}.{}.{}", swap.model, swap.version);
+    match swap.round {
+        0 => key,
+        round => format!("{key}.{round}"),
+    }
+}
+
 async fn send(vm: &Rc<Vm>, swap: &Swap) -> Outcome {
     let found = vm
         .board
@@ -74,7 +92,7 @@
         return Outcome::Stale;
     };
     let order = Order {
-        key: format!("{id}.{}.{}", swap.model, swap.version),
+        key: order_key(&id, swap),
         epoch,
         model: &swap.model,
         version: swap.version,
