--- a/crates/policy/src/weights.rs
+++ b/crates/policy/src/weights.rs
@@ -30,6 +30,10 @@
     pub model: String,
     /// The version to load.
     pub version: u64,
+    /// How often the endpoint has gone back to an older version after it had
+    /// loaded this one. An order of another round needs another key, since the
+    /// endpoint may have stored the answer to the first.
+    pub round: u32,
 }
 
 /// How a load ended.
@@ -63,15 +67,25 @@
     failures: u32,
     next_attempt: Time,
     is_loading: bool,
-    /// Whether the endpoint has confirmed the version. Its reports may lag
-    /// behind.
-    is_loaded: bool,
+    /// When the endpoint confirmed the version. Its reports may lag behind.
+    loaded_at: Option<Time>,
+    round: u32,
+}
+
+/// A load that may be in progress although its order is no longer awaited.
+#[derive(Clone, Copy, Debug)]
+struct Unsettled {
+    endpoint: endpoint::Key,
+    version: u64,
+    /// When the load has ended at the latest.
+    until: Time,
 }
 
 /// The rollout of weights in one failure domain.
 #[derive(Clone, Debug)]
 pub struct Rollout {
     attempts: Map<endpoint::Key, Attempts>,
+    unsettled: Vec<Unsettled>,
     /// The number of concurrent loads allowed, adapted to successes and
     /// failures.
     window: f64,
@@ -84,6 +98,15 @@
 const BACKOFF_MIN: Duration = Duration::from_millis(250);
 const BACKOFF_MAX: Duration = Duration::from_secs(8);
 const BACKOFF_DOUBLINGS_MAX: u32 = 5;
+/// How long a load may go on after its order was given up. Repeats of the order
+/// extend it.
+const UNSETTLED_MAX: Duration = Duration::from_secs(30);
+/// How much older a report may be than its age says, because ages are rounded
+/// and don't include the time in transit.
+const REPORT_LAG_MAX: Duration = Duration::from_secs(2);
+/// The age from which a report is not compared with a load: ages between VMs
+/// are bounded.
+const REPORT_AGE_MAX: Duration = Duration::from_secs(10);
 /// Consecutive failures after which an endpoint is excluded.
 const FAILURES_MAX: u32 = 8;
 
@@ -91,6 +114,7 @@
     fn default() -> Self {
         Self {
             attempts: Map::default(),
+            unsettled: Vec::new(),
             window: WINDOW_INITIAL,
         }
     }
@@ -113,28 +137,27 @@
     pub fn due(&mut self, board: &Board, now: Time, failure_domain: &str) -> Vec<Swap> {
         self.attempts
             .retain(|key, _| board.endpoints.get(*key).is_some());
+        self.settle_reported(board, now);
         let mut swaps = Vec::new();
         for (model, version) in &board.weights {
             let capacity = board.config.models.get(model).map(|model| model.capacity);
             let keys = endpoints_in(board, model, failure_domain);
             let loads_max = loads_max(board, failure_domain, model, capacity.unwrap_or_default());
-            let is_loading = |key: &&endpoint::Key| {
-                self.attempts
-                    .get(key)
-                    .is_some_and(|attempts| attempts.is_loading)
-            };
-            let mut loading = keys.iter().filter(is_loading).count();
+            let mut loading = keys.iter().filter(|key| self.may_load(**key)).count();
             for key in keys {
-                let is_full = loading >= loads_max || self.running() >= self.window as usize;
+                let is_counted = self.may_load(key);
+                let is_below_floor = loading >= loads_max && !is_counted;
+                let is_full = is_below_floor || self.running() >= self.window as usize;
                 if is_full || !self.is_due(board, now, key, model, *version) {
                     continue;
                 }
-                loading += 1;
-                self.start(key, *version);
+                loading += usize::from(!is_counted);
+                let round = self.start(key, *version);
                 swaps.push(Swap {
                     endpoint: key,
                     model: model.clone(),
                     version: *version,
+                    round,
                 });
             }
         }
@@ -147,10 +170,16 @@
             return Verdict::Unchanged;
         };
         attempts.is_loading = false;
+        // What is known of an earlier order for the same load changes only if the
+        // endpoint holds the version: a failed repeat says nothing about it.
+        if matches!(outcome, Outcome::Loaded | Outcome::Unknown) {
+            self.unsettled.retain(|load| !load.is_of(swap));
+        }
         match outcome {
             Outcome::Loaded => {
-                attempts.failures = 0;
-                attempts.is_loaded = attempts.version == swap.version;
+                attempts.failures = attempts.round;
+                attempts.next_attempt = now + backoff(attempts.failures);
+                attempts.loaded_at = (attempts.version == swap.version).then_some(now);
                 self.window = (self.window + 1.0).min(WINDOW_MAX);
                 Verdict::Unchanged
             }
@@ -159,8 +188,10 @@
                 Verdict::Unchanged
             }
             Outcome::Failed | Outcome::Unknown => {
-                let doublings = attempts.failures.min(BACKOFF_DOUBLINGS_MAX);
-                attempts.next_attempt = now + (BACKOFF_MIN * 2_u32.pow(doublings)).min(BACKOFF_MAX);
+                if outcome == Outcome::Unknown {
+                    self.unsettled.push(Unsettled::new(swap, now));
+                }
+                attempts.next_attempt = now + backoff(attempts.failures);
                 attempts.failures += 1;
                 let is_excluded = attempts.failures == FAILURES_MAX;
                 self.window = (self.window / 2.0).max(WINDOW_MIN);
@@ -172,7 +203,7 @@
         }
     }
 
-    /// Returns how many loads are in progress.
+    /// Returns how many orders are awaited.
     pub fn running(&self) -> usize {
         self.attempts
             .values()
@@ -180,19 +211,43 @@
             .count()
     }
 
-    fn start(&mut self, key: endpoint::Key, version: u64) {
+    /// Returns whether the endpoint is loading, or may be.
+    fn may_load(&self, key: endpoint::Key) -> bool {
+        let attempts = self.attempts.get(&key);
+        attempts.is_some_and(|attempts| attempts.is_loading)
+            || self.unsettled.iter().any(|load| load.endpoint == key)
+    }
+
+    /// Removes the loads that have ended by `now`, or that the endpoint reports
+    /// as complete.
+    fn settle_reported(&mut self, board: &Board, now: Time) {
+        self.unsettled.retain(|load| {
+            let is_pending = |endpoint: &Endpoint| {
+                endpoint.version(&endpoint.record.service) != Some(load.version)
+            };
+            now < load.until && board.endpoints.get(load.endpoint).is_some_and(is_pending)
+        });
+    }
+
+    /// Marks the endpoint as loading and returns the round of the load.
+    fn start(&mut self, key: endpoint::Key, version: u64) -> u32 {
         let initial = Attempts {
             version,
             failures: 0,
             next_attempt: Time::ZERO,
             is_loading: true,
-            is_loaded: false,
+            loaded_at: None,
+            round: 0,
         };
         let attempts = self.attempts.entry(key).or_insert(initial);
         if attempts.version != version {
             *attempts = initial;
         }
         attempts.is_loading = true;
+        if attempts.loaded_at.take().is_some() {
+            attempts.round += 1;
+        }
+        attempts.round
     }
 
     fn is_due(
@@ -214,7 +269,9 @@
             Some(attempts) if attempts.is_loading => false,
             Some(attempts) if attempts.version < version => true,
             Some(attempts) => {
-                !attempts.is_loaded
+                attempts
+                    .loaded_at
+                    .is_none_or(|at| has_reported_since(endpoint, at))
                     && attempts.failures < FAILURES_MAX
                     && attempts.next_attempt <= now
             }
@@ -222,6 +279,36 @@
     }
 }
 
+impl Unsettled {
+    /// Returns the load that `swap`, whose outcome became unknown at `now`, may
+    /// have started.
+    fn new(swap: &Swap, now: Time) -> Self {
+        Self {
+            endpoint: swap.endpoint,
+            version: swap.version,
+            until: now + UNSETTLED_MAX,
+        }
+    }
+
+    fn is_of(&self, swap: &Swap) -> bool {
+        (self.endpoint, self.version) == (swap.endpoint, swap.version)
+    }
+}
+
+/// Returns the delay before the attempt that follows `failures` and one more.
+fn backoff(failures: u32) -> Duration {
+    let doublings = failures.min(BACKOFF_DOUBLINGS_MAX);
+    (BACKOFF_MIN * 2_u32.pow(doublings)).min(BACKOFF_MAX)
+}
+
+/// Returns whether the endpoint's last report was certainly made after `time`.
+fn has_reported_since(endpoint: &Endpoint, time: Time) -> bool {
+    endpoint.load.as_ref().is_some_and(|(received, load)| {
+        let age = Duration::from_millis(load.age_ms);
+        age <= REPORT_AGE_MAX && *received - age > time + REPORT_LAG_MAX
+    })
+}
+
 fn is_behind(endpoint: &Endpoint, model: &str, version: u64) -> bool {
     endpoint.record.state == State::Ready
         && endpoint.version(model).is_some_and(|held| held < version)
