link: an idle connection that had the id is kept for other requests

Cause: a connection on which the expected id was sent recently was closed when a new one replaced it. A caller whose requests endpoints reject often then opened a connection for nearly each repeat.

Ruled out: that endpoints reset the additional connection; the number of connections to an endpoint stays near the number of concurrent requests.

Change: Pool::take_idle passes over such a connection and leaves it idle.

--- a/crates/link/src/http/client.rs
+++ b/crates/link/src/http/client.rs
@@ -316,9 +316,6 @@
                 return Some(connection);
             }
         }
-        // The new connection replaces one that had the id, since peers reset
-        // connections beyond a limit.
-        queue.pop_back();
         None
     }
 
