site: report a job as released only if the store has the release

What operators saw: `job released` with is_told true when a VM stopped, although another VM had claimed the job before: the release was not stored, and the job ran at that VM. The VM also noted its own release as the claim in force.

Cause: release_jobs took every answer of the store for success. A conflict is one: it says that the claim of this number exists, and contains it.

Ruled out: that a conflict is always another VM's claim. The store's client calls through another VM when the first attempt gets no answer, and finds its own release if the first one took effect.

Change: is_told if the stored claim is the release, whichever attempt wrote it; else the claim that was found is in force, and `holder` of the log line names its VM. Without a readable claim is_told is false.

Conclusion: a wrong line in the log; no job was lost by it.

--- a/crates/site/src/job/failover.rs
+++ b/crates/site/src/job/failover.rs
@@ -220,8 +220,16 @@
             address: None,
         };
         let written = jobs.store.create(record::KIND, &name, &release).await;
-        jobs.registry.put_claim(&id, number, release);
-        let (job, is_recorded) = (id.as_str(), written.is_ok());
-        spdlog::info!("job released", kv: { job, is_told = is_recorded });
+        let stored: Option<Claim> = match written {
+            Ok(Written::Done(_)) => Some(release.clone()),
+            // The release itself, if an earlier attempt at the write succeeded.
+            Ok(Written::Conflict(object)) => object.and_then(|object| object.read()),
+            Err(_) => None,
+        };
+        let is_told = stored.as_ref() == Some(&release);
+        let claim = stored.unwrap_or(release);
+        let (job, holder) = (id.as_str(), claim.vm.as_str());
+        spdlog::info!("job released", kv: { job, is_told, holder });
+        jobs.registry.put_claim(&id, number, claim);
     }
 }
--- a/crates/site/tests/job.rs
+++ b/crates/site/tests/job.rs
@@ -470,6 +470,32 @@
     assert_eq!(vm.exit_code(), Some(0));
 }
 
+#[test]
+fn release_after_claim_of_another_vm_is_not_told() {
+    let plan = Plan {
+        event_time: Duration::from_millis(50),
+        ..Plan::default()
+    };
+    let mut deployment = Deployment::start(1, plan);
+    assert_eq!(deployment.vms[0].submit("job-a", &job("a", 2, 200)), 202);
+    deployment.vms[0].wait_until_logged("started running job");
+    // The VM learns of the claim only when it writes its own one.
+    deployment.site.state().fault = Fault::SilentWatches;
+    let claim = serde_json::json!({"vm": "vm-9", "address": null});
+    deployment
+        .site
+        .state()
+        .put("rollout-jobs", "job-a.c00000", claim);
+    let vm = &mut deployment.vms[0];
+    vm.signal("TERM");
+    wait("the process to exit", || vm.exit_code().is_some());
+    let log = vm.log();
+    let release = log.lines().find(|line| line.contains("job released"));
+    let release = release.unwrap();
+    assert!(release.contains("\"is_told\":false"), "{release}");
+    assert!(release.contains("\"holder\":\"vm-9\""), "{release}");
+}
+
 #[test]
 fn resume_job_from_saved_progress() {
     let plan = Plan {
