site: a submission whose job may exist is answered within its limit

What trainers saw: 2.5 to 4.5 s until the 504, where the limit is 2.5 s from the arrival.

Cause: several time limits one after the other. The limit only decided whether a failed write was tried again. A write that began before it still had a second at the store and another one at the VM that relays it; with frozen coordinators that VM never answers. The limit was stated in the code alone, not in docs/PROMISES.md nor in docs/design/platform.md.

Ruled out: the forwarding of the submission (200 ms for each coordinator, so 0.6 s of the 2.5 s), and the time from the arrival to the first write.

Change: Store::create_until bounds all attempts at a call by one deadline; one with less than 10 ms left is not sent, so it adds no unknown outcome. The items and the head of a job that may exist are written under the deadline of the submission. A first attempt writes its items without it, as before, so that a job of many parts is accepted by a slow store too, and its head has 1 s left at least.

What remains: a rejection without an unsettled attempt takes 1.0 s while a VM that relays calls is frozen, one call's limit.

--- a/crates/site/src/job/content.rs
+++ b/crates/site/src/job/content.rs
@@ -1,7 +1,7 @@
 //! The content of jobs in the store: items, pages of samples, and the saved
 //! progress of unfinished items. Each job has its own kind of objects.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Instant};
 
 use platform::{
     batch::Item,
@@ -32,17 +32,27 @@
         Self { store, registry }
     }
 
-    /// Writes the items of the job `id`. Objects that exist already are kept:
-    /// they have the same content, as they were submitted with the same job id.
+    /// Writes the items of the job `id`, until `deadline` if there is one.
+    /// Objects that exist already are kept: they have the same content, as they
+    /// were submitted with the same job id.
     ///
     /// # Errors
     ///
     /// An [`Error`] when some of the items may be missing in the store.
-    pub async fn write_items(&self, id: &str, items: &[Item]) -> Result<(), Error> {
+    pub async fn write_items(
+        &self,
+        id: &str,
+        items: &[Item],
+        deadline: Option<Instant>,
+    ) -> Result<(), Error> {
         let kind = record::ContentName::kind(id);
         for (number, part) in split_items(items).into_iter().enumerate() {
             let name = record::ContentName::Items(number as u32).encode();
-            match self.store.create(&kind, &name, &part).await? {
+            let written = match deadline {
+                Some(end) => self.store.create_until(&kind, &name, &part, end).await,
+                None => self.store.create(&kind, &name, &part).await,
+            };
+            match written? {
                 Written::Done(_) | Written::Conflict(_) => {}
             }
         }
--- a/crates/site/src/job/submission.rs
+++ b/crates/site/src/job/submission.rs
@@ -28,8 +28,11 @@
 };
 
 /// How long after its arrival a submission is retried while the job may have
-/// been accepted already.
-const ACCEPT_RETRY_MAX: Duration = Duration::from_millis(2500);
+/// been accepted already. It is answered by then.
+const ACCEPT_TIMEOUT: Duration = Duration::from_millis(2500);
+/// How long the write of a head may take if writing the items took most of
+/// [`ACCEPT_TIMEOUT`], as with a job of many parts on a slow store.
+const HEAD_TIMEOUT_MIN: Duration = Duration::from_millis(1000);
 /// How long failed writes of a job's items are retried: less than half of the
 /// time in which a trainer expects the response to its submission.
 const ITEMS_RETRY_MAX: Duration = Duration::from_millis(150);
@@ -111,6 +114,11 @@
         Self { sender, at }
     }
 
+    /// Returns when the submission is answered if the job may have been accepted.
+    fn deadline(self) -> Instant {
+        self.at + ACCEPT_TIMEOUT
+    }
+
     fn elapsed_ms(self) -> u64 {
         self.at.elapsed().as_millis() as u64
     }
@@ -190,11 +198,8 @@
     // A job that may have been accepted cannot be rejected, so it is worth
     // waiting for the store. A VM that forwards a submission does not wait.
     let is_worth_waiting = matches!(sender, Sender::Caller) && jobs.unsettled.contains(id);
-    let items_deadline = match is_worth_waiting {
-        true => arrival.at + ACCEPT_RETRY_MAX,
-        false => Instant::now() + ITEMS_RETRY_MAX,
-    };
-    let written = create(jobs, id, &head, &submission.items, items_deadline, arrival).await;
+    let deadline = is_worth_waiting.then(|| arrival.deadline());
+    let written = create(jobs, id, &head, &submission.items, deadline, arrival).await;
     let (job, items, sender) = (id, head.items, sender.name());
     let ms = arrival.elapsed_ms();
     match written {
@@ -257,27 +262,32 @@
 }
 
 /// Writes a job to the store: its items first, since the job is accepted once
-/// its head exists. Failed writes of items are retried until `items_deadline`.
-/// The write of the head remains unsettled unless its outcome becomes known.
+/// its head exists. If there is a `deadline`, writes are retried until then and
+/// end then. The write of the head remains unsettled unless its outcome becomes
+/// known.
 async fn create(
     jobs: &Jobs,
     id: &str,
     head: &Head,
     items: &[Item],
-    items_deadline: Instant,
+    deadline: Option<Instant>,
     arrival: Arrival,
 ) -> Result<Written, Error> {
+    let items_retry_end = match deadline {
+        Some(deadline) => deadline - WRITE_RETRY_DELAY,
+        None => Instant::now() + ITEMS_RETRY_MAX,
+    };
     loop {
-        match jobs.content.write_items(id, items).await {
+        match jobs.content.write_items(id, items, deadline).await {
             Ok(()) => break,
-            Err(e) if Instant::now() > items_deadline => return Err(e),
+            Err(e) if Instant::now() > items_retry_end => return Err(e),
             Err(_) => monoio::time::sleep(WRITE_RETRY_DELAY).await,
         }
     }
     // Also recorded if this future is dropped while it waits for the store.
     let now = Instant::now();
     let token = jobs.unsettled.begin(id, UNSETTLED_RETENTION, now);
-    let deadline = arrival.at + ACCEPT_RETRY_MAX;
+    let deadline = deadline.unwrap_or_else(|| arrival.deadline().max(now + HEAD_TIMEOUT_MIN));
     let (written, execution) = write_head(jobs, id, head, deadline).await;
     if execution == Execution::NotRun {
         jobs.unsettled.settle(token);
@@ -285,9 +295,9 @@
     written
 }
 
-/// Writes the head of a job, and retries as long as it is unknown whether the
-/// head was written. Returns also whether the head may exist although this VM
-/// has not seen it.
+/// Writes the head of a job, and retries until `deadline` as long as it is
+/// unknown whether the head was written. Returns also whether the head may exist
+/// although this VM has not seen it.
 async fn write_head(
     jobs: &Jobs,
     id: &str,
@@ -296,13 +306,14 @@
 ) -> (Result<Written, Error>, Execution) {
     let mut execution = Execution::NotRun;
     loop {
-        let error = match jobs.store.create(record::KIND, id, head).await {
+        let written = jobs.store.create_until(record::KIND, id, head, deadline);
+        let error = match written.await {
             Ok(written) => return (Ok(written), Execution::NotRun),
             Err(e) => e,
         };
         let is_first = execution == Execution::NotRun;
         execution = execution.and(execution_of_write(&error));
-        if execution == Execution::NotRun || Instant::now() > deadline {
+        if execution == Execution::NotRun || Instant::now() > deadline - WRITE_RETRY_DELAY {
             return (Err(error), execution);
         }
         if is_first {
