steward, entry: figures that are written after the deletion of their window are not in force

What operators could see: as with deleted figures, usage of a VM that was out of touch was billed twice, or was not billed.

Cause: figures are written by create-if-absent. Once a window's figures are deleted, the write of a reporter that was frozen before it, or whose write was in transit, succeeds with other figures than those reported.

Change: as for lots, the first window that is kept is written to usage-floor/floor before anything below it is deleted, by condition on its version, and never decreases. A VM reads it after the figures and ignores figures below it.

Ruled out: the fence of the lease on this write alone; bytes that are under way pass it, and the lots need the floor for the same reason.

Cost: one more read for each window that a VM reconciles, one read and at most one write for each round that deletes windows.

Conclusion: only figures that were frozen before their report decide about a record.

--- a/crates/board/src/usage.rs
+++ b/crates/board/src/usage.rs
@@ -14,6 +14,14 @@
 /// The name of the only object of [`FIRST_KIND`].
 pub const FIRST_NAME: &str = "first";
 
+/// The kind of the platform object that holds the first window whose figures
+/// are not deleted. It is written before they are deleted, and never decreases.
+/// Figures below it that exist were written too late, and are not in force.
+pub const FLOOR_KIND: &str = "usage-floor";
+
+/// The name of the only object of [`FLOOR_KIND`].
+pub const FLOOR_NAME: &str = "floor";
+
 crate::record! {
     /// The number of a window: wall-clock milliseconds divided by its length.
     #[derive(Default)]
--- a/crates/cli/tests/control_usage.rs
+++ b/crates/cli/tests/control_usage.rs
@@ -5,7 +5,7 @@
 mod control_support;
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::BTreeMap,
     rc::Rc,
     time::{Duration, Instant},
@@ -427,6 +427,70 @@
     .unwrap();
 }
 
+/// Returns the last reported window with usage of `account`.
+fn last_window_of(reports: &Value, account: &str) -> u64 {
+    let reports = reports["reports"].as_array().unwrap().iter();
+    let has_usage = |report: &&Value| {
+        let mut lines = report["figures"].as_array().unwrap().iter();
+        lines.any(|line| line["account"] == account)
+    };
+    let windows = reports.filter(has_usage).map(|report| &report["window"]);
+    let numbers = windows.map(|window| window.as_str().unwrap().parse().unwrap());
+    numbers.max().unwrap()
+}
+
+/// Writes figures of `window` that count nothing, whenever there are none, until
+/// `end`.
+async fn freeze_late(platform: std::net::SocketAddr, window: u64, end: Rc<Cell<bool>>) {
+    let client = link::platform::Client::new(platform, "test");
+    let late = json!({
+        "window": window, "epoch": 1, "figures": [], "late": 0, "origins": [], "copied": [],
+    });
+    while !end.get() {
+        // The object exists until the next round of deletion.
+        let _ = client
+            .create(board::usage::KIND, &window.to_string(), late.to_string())
+            .await;
+        monoio::time::sleep(Duration::from_millis(15)).await;
+    }
+}
+
+#[test]
+fn figures_written_after_deletion_are_not_in_force() {
+    let tree = Tree::new("late-figures", CONFIG);
+    let plan = plan_with_short_retention(&tree);
+    link::runtime::run(async {
+        let deployment = start(&plan).await;
+        let key = issue_key(&deployment, "steady");
+        let served = RefCell::default();
+        warm_up(&deployment, &key, &served).await;
+        wait_reported(&deployment, &plan).await;
+        let origin = &deployment.vms[0];
+        assert!(generate(&deployment.pool, origin.callers, &key, 7, &served).await);
+        let expected = sum_usage(&served.borrow());
+        let reports = wait_for("report of the record", async || {
+            let reports = fetch_usage(&deployment).await;
+            (sum_reported(&reports, "steady") == expected).then_some(reports)
+        })
+        .await;
+        cut_reporters(&deployment, &[origin.peers]).await;
+        wait_deleted(&deployment, &plan).await;
+        // A reporter that was frozen before its write resumes.
+        let window = last_window_of(&reports, "steady");
+        let end = Rc::new(Cell::new(false));
+        let late = monoio::spawn(freeze_late(deployment.platform, window, end.clone()));
+        cut_reporters(&deployment, &[]).await;
+        wait_reported(&deployment, &plan).await;
+        wait_reported(&deployment, &plan).await;
+        end.set(true);
+        late.await;
+        let reports = fetch_usage(&deployment).await;
+        check_reports(&reports);
+        assert_eq!(sum_reported(&reports, "steady"), expected, "{reports:#}");
+    })
+    .unwrap();
+}
+
 /// Starts `plan` with fault switches in its daemons. No window can be reported
 /// until the platform's faults are reset.
 async fn start_without_reports(plan: &mut Plan) -> Deployment {
--- a/crates/entry/src/usage/window.rs
+++ b/crates/entry/src/usage/window.rs
@@ -3,7 +3,10 @@
 
 use std::rc::Rc;
 
-use board::usage::{FIRST_KIND, FIRST_NAME, FrozenWindow, KIND, Origin, Record, Totals, Window};
+use board::usage::{
+    FIRST_KIND, FIRST_NAME, FLOOR_KIND, FLOOR_NAME, FrozenWindow, KIND, Origin, Record, Totals,
+    Window,
+};
 use link::platform::Error;
 use policy::usage;
 use wire::{
@@ -89,7 +92,10 @@
         Err(e) => return Err(e),
     };
     let origin = &vm.usage.origin;
-    let is_never_frozen = frozen.is_none() && is_before_first(vm, window).await?;
+    // The floor is read last: figures written after a deletion are below it.
+    let is_never_frozen = frozen.is_none() && is_before(vm, window, FIRST_KIND, FIRST_NAME).await?;
+    let is_deleted = is_before(vm, window, FLOOR_KIND, FLOOR_NAME).await?;
+    let frozen = frozen.filter(|_| !is_deleted);
     let usage = &mut vm.board.borrow_mut().usage;
     if let Some(frozen) = frozen {
         let is_all_counted = frozen.origins.contains(origin);
@@ -105,11 +111,11 @@
     Ok(unresolved.moved)
 }
 
-/// Returns whether `window` is before the first window that was reported.
-async fn is_before_first(vm: &Vm, window: Window) -> Result<bool, Error> {
-    match vm.platform.read::<Window>(FIRST_KIND, FIRST_NAME).await {
-        Ok((_, first)) => Ok(window < first),
-        // The deployment reported windows before this object existed.
+/// Returns whether `window` is before the window that an object holds, and
+/// `false` if there is no such object.
+async fn is_before(vm: &Vm, window: Window, kind: &str, name: &str) -> Result<bool, Error> {
+    match vm.platform.read::<Window>(kind, name).await {
+        Ok((_, stored)) => Ok(window < stored),
         Err(Error::Absent) => Ok(false),
         Err(e) => Err(e),
     }
--- a/crates/steward/src/retention.rs
+++ b/crates/steward/src/retention.rs
@@ -3,14 +3,15 @@
 //!
 //! The steward that holds the lease on reports deletes it, so that the work is
 //! done once. Safety does not depend on the lease: the floor of each trainer is
-//! written before any lot below it is deleted, and never decreases.
+//! written before any lot below it is deleted, and never decreases. So is the
+//! floor of usage windows.
 
 use std::{rc::Rc, time::Duration};
 
 use board::{
     lot::Cursor,
     retention::{CLAIM_KIND, KIND, LOT_KIND, PART_KIND, Retention, STEP_KIND},
-    usage::{self, Window},
+    usage::{self, FLOOR_KIND, FLOOR_NAME, Window},
 };
 use link::{
     clock,
@@ -122,6 +123,10 @@
         clock::wall_millis(),
         retention_time,
     );
+    let Some(last) = due.iter().max() else {
+        return Ok(());
+    };
+    raise_window_floor(vm, last.next()).await?;
     let is_due =
         |change: &&Change| parse_window(change).is_some_and(|window| due.contains(&window));
     for object in listed.changes.iter().filter(is_due) {
@@ -130,6 +135,20 @@
     Ok(())
 }
 
+/// Raises the floor of usage windows on the platform to `floor`, unless it is
+/// higher.
+async fn raise_window_floor(vm: &Vm, floor: Window) -> Result<(), Error> {
+    let platform = &vm.cleanup_platform;
+    let condition = match platform.read::<Window>(FLOOR_KIND, FLOOR_NAME).await {
+        Ok((_, stored)) if stored >= floor => return Ok(()),
+        Ok((version, _)) => Condition::At(version),
+        Err(Error::Absent) => Condition::Absent,
+        Err(e) => return Err(e),
+    };
+    let written = platform.write(FLOOR_KIND, FLOOR_NAME, condition, &floor);
+    written.await.map(drop)
+}
+
 /// Deletes an object unless it has changed since it was listed.
 async fn delete(vm: &Vm, kind: &'static str, object: &Change) -> Result<(), Error> {
     if !is_lease_held(vm) {
