site: a VM is ready only once it knows its endpoints

Cause: the readiness check asked for the configuration alone. A VM lists its configuration and its endpoints in two tasks, so between the two it was ready and answered each request with 503. If the list of endpoints fails, this lasts until the store answers it. The tests start VMs, wait until they are ready and send a request or change an endpoint, so two of them failed now and then:

- metrics_count_requests (process.rs:73, 503 for 200).
The VM's log: the configuration at 28.225 s, the request rejected at 28.252, the first endpoint added at 28.257.
- endpoint_draining_or_removed (request.rs:222, waited 30 s).
The test removed engine-0 between the two lists, so the VM never knew that endpoint, and never logged its removal.

Ruled out: a log line that is read too early (the second test waits for it), a lost watch event (the first list, 3 ms after the configuration, already has plain-0 draining and no engine-0), and a fault of the store (none is logged).

Change: facts say whether the endpoints have been listed, even if there are none, and the readiness check asks for it too, as the comment on `Plan::is_required` says. Tests are unchanged but for the new one.

Conclusion: a fault of the VM, not of the tests. Any test that acts on endpoints right after the start could fail so; all wait for the readiness check.

--- a/crates/site/src/facts.rs
+++ b/crates/site/src/facts.rs
@@ -83,6 +83,8 @@
     pub accounts: Map<String, String>,
     /// The endpoints.
     pub endpoints: SlotMap<Key, Endpoint>,
+    /// Whether the endpoints have been listed, also if there are none.
+    pub are_endpoints_known: bool,
     /// The key of each endpoint by its id.
     by_id: Map<String, Key>,
     /// The newest version that a trainer named for each model.
--- a/crates/site/src/follow.rs
+++ b/crates/site/src/follow.rs
@@ -350,6 +350,7 @@
                         known.remove(&object.name);
                     }
                 }
+                facts.borrow_mut().are_endpoints_known = true;
                 removed.extend(known);
             }
             Change::Events(events) => {
--- a/crates/site/src/vm.rs
+++ b/crates/site/src/vm.rs
@@ -236,7 +236,8 @@
 }
 
 fn readiness_reply(facts: &Facts, is_draining: bool) -> Reply {
-    match facts.config.is_some() && !is_draining {
+    let knows_routes = facts.config.is_some() && facts.are_endpoints_known;
+    match knows_routes && !is_draining {
         true => Reply::new(StatusCode::OK, ""),
         false => Reply::new(StatusCode::SERVICE_UNAVAILABLE, ""),
     }
--- a/crates/site/tests/process.rs
+++ b/crates/site/tests/process.rs
@@ -4,8 +4,11 @@
 
 use std::process::Command;
 
-use common::{Deployment, wait};
-use fakes::{blocking, site::Plan};
+use common::{Deployment, Vm, wait};
+use fakes::{
+    blocking,
+    site::{Fault, Plan},
+};
 use link::{Method, http::client::Call};
 
 fn vm() -> Command {
@@ -66,6 +69,23 @@
     assert_eq!(vm.request(Method::GET, "/safe/a", "r1").status, 200);
 }
 
+#[test]
+fn not_ready_before_endpoints_are_known() {
+    let mut deployment = Deployment::start(1, Plan::default());
+    deployment.vms[0].kill();
+    let count = |vm: &Vm| vm.log().matches("configuration in force").count();
+    let before = count(&deployment.vms[0]);
+    deployment.site.state().fault = Fault::DroppedRepliesOf("servers");
+    deployment.vms[0].start_again();
+    let vm = &deployment.vms[0];
+    wait("the configuration after the restart", || count(vm) > before);
+    let ready = blocking::fetch(vm.ready, Call::get("/ready")).unwrap();
+    assert_eq!(ready.status, 503);
+    deployment.site.state().fault = Fault::None;
+    vm.wait_until_ready();
+    assert_eq!(vm.request(Method::GET, "/safe/a", "r1").status, 200);
+}
+
 #[test]
 fn metrics_count_requests() {
     let deployment = Deployment::start(1, Plan::default());
