fakes: tests of the engine wait for its log, not for 50 ms

Cause: the tests started a request in a thread and slept for 50 ms, then acted on a stream that ends 400 ms after its start. The engine paces its tokens by the clock, so a test thread that gets no processor for that long finds the stream ended. weights_mid_stream failed so in 4 of 16 runs (four at once on one core beside other load; engine.rs:245, one span), all four at the same moment. The same cause acts in generate_queue_full_and_priority.

Ruled out: that the weights arrived before the first token. With the test process stopped for 600 ms after its start, the log entry has all 40 tokens of version 1 and "finish":"length".

Change: in_background waits until the engine has logged the request. weights_mid_stream waits for tokens of each version, and both streams last until the test cancels them. The tokens of the changed stream are still compared one by one, and the log with what arrived.

--- a/crates/fakes/tests/engine.rs
+++ b/crates/fakes/tests/engine.rs
@@ -15,6 +15,8 @@
 };
 
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(5);
+const WAIT_MAX: Duration = Duration::from_secs(20);
+const POLL_PERIOD: Duration = Duration::from_millis(2);
 
 fn config() -> engine::Config {
     engine::Config {
@@ -50,9 +52,11 @@
     blocking::generate(address, request, SILENCE_TIMEOUT).unwrap()
 }
 
+/// Sends a request from another thread, and waits until the engine has it.
 fn in_background(address: SocketAddr, request: Value) -> thread::JoinHandle<blocking::Stream> {
+    let id = request["request_id"].as_str().unwrap().to_owned();
     let running = thread::spawn(move || generate(address, &request));
-    thread::sleep(Duration::from_millis(50));
+    wait("the request", || find_entry(address, &id).is_some());
     running
 }
 
@@ -61,13 +65,37 @@
     (from..to).map(token).collect()
 }
 
-fn entry(address: SocketAddr, id: &str) -> Value {
+fn wait(description: &str, mut condition: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !condition() {
+        assert!(
+            start.elapsed() < WAIT_MAX,
+            "waited too long for {description}"
+        );
+        thread::sleep(POLL_PERIOD);
+    }
+}
+
+fn find_entry(address: SocketAddr, id: &str) -> Option<Value> {
     let log: Value = blocking::get(address, "/v1/log").unwrap();
     let mut entries = log["entries"].as_array().unwrap().iter();
-    entries
-        .find(|entry| entry["request_id"] == id)
-        .cloned()
-        .unwrap()
+    entries.find(|entry| entry["request_id"] == id).cloned()
+}
+
+fn entry(address: SocketAddr, id: &str) -> Value {
+    find_entry(address, id).unwrap()
+}
+
+/// Waits until the engine has logged tokens of `count` versions for a request.
+fn wait_for_spans(address: SocketAddr, id: &str, count: usize) {
+    wait("tokens", || {
+        entry(address, id)["spans"].as_array().unwrap().len() == count
+    });
+}
+
+fn cancel(address: SocketAddr, id: &str) -> u16 {
+    let body = json!({ "request_id": id });
+    blocking::post(address, "/v1/cancel", &body).unwrap().0
 }
 
 fn weights(address: SocketAddr, key: &str, epoch: u64, version: u64) -> (u16, Value) {
@@ -129,7 +157,8 @@
         ..config()
     });
     let address = engine.address();
-    let running = in_background(address, request("r1", 40));
+    // The stream occupies the slot until the queue has been checked.
+    let running = in_background(address, request("r1", 100_000));
     let low = in_background(address, request("low", 3));
     let high = in_background(address, with(request("high", 3), "priority", 5));
     assert_eq!(generate(address, &request("r4", 3)).status, 503);
@@ -141,7 +170,9 @@
     let started = Instant::now();
     let high = thread::spawn(move || (high.join().unwrap(), started.elapsed()));
     let low = thread::spawn(move || (low.join().unwrap(), started.elapsed()));
-    assert_eq!(running.join().unwrap().tokens().len(), 40);
+    assert_eq!(cancel(address, "r1"), 200);
+    let tokens = running.join().unwrap().tokens().len() as u64;
+    assert_eq!(entry(address, "r1")["tokens"], tokens);
     assert!(high.join().unwrap().1 < low.join().unwrap().1);
 }
 
@@ -171,8 +202,7 @@
     });
     let address = engine.address();
     let running = in_background(address, request("r1", 1000));
-    let (status, _) = blocking::post(address, "/v1/cancel", &json!({"request_id": "r1"})).unwrap();
-    assert_eq!(status, 200);
+    assert_eq!(cancel(address, "r1"), 200);
     let stream = running.join().unwrap();
     assert_eq!(
         stream.events.last().unwrap(),
@@ -235,12 +265,19 @@
         ..config()
     });
     let address = engine.address();
-    let running = in_background(address, request("r1", 40));
+    // The stream does not end before the test has changed the weights.
+    let running = in_background(address, request("r1", 100_000));
+    wait_for_spans(address, "r1", 1);
     assert_eq!(weights(address, "k1", 1, 2), (200, json!({"version": 2})));
+    wait_for_spans(address, "r1", 2);
+    assert_eq!(cancel(address, "r1"), 200);
     let stream = running.join().unwrap();
-    assert_eq!(stream.tokens(), expected(0, 40));
     let entry = entry(address, "r1");
+    let count = entry["tokens"].as_u64().unwrap();
+    assert_eq!(stream.tokens(), expected(0, count));
     let spans = entry["spans"].as_array().unwrap();
+    assert_eq!(spans.len(), 2, "{entry}");
+    assert_eq!(spans[1]["to"], count);
     assert_eq!(
         (&spans[0]["version"], &spans[1]["version"]),
         (&json!(1), &json!(2))
