fakes: the test of a call in transit waits for its execution

Cause: the test read the log right after the reply was lost and expected no run, but the fake executes the call 200 ms later whether or not the test thread has run by then; after a sleep of 600 ms it expected the run.

Ruled out: that the fake executes the call early. The new check, the time from the call to its run, fails with a transit of 0 ms and holds with 200.

Change: the test waits for the run, and checks that it came at least 200 ms after the call was sent, and once.

Conclusion: the fault was the test's.

--- a/crates/fakes/tests/faults.rs
+++ b/crates/fakes/tests/faults.rs
@@ -18,6 +18,7 @@
 };
 
 const CALL_TIMEOUT: Duration = Duration::from_millis(300);
+const WAIT_MAX: Duration = Duration::from_secs(20);
 
 fn start_service() -> Handle {
     spawn(Config::Service(service::Config::default())).unwrap()
@@ -195,10 +196,14 @@
     let service = start_service();
     let switches = json!({"lost_reply": 1.0, "transit_ms": 200});
     service.set_faults(&switches).unwrap();
+    let start = Instant::now();
     assert_eq!(status(service.address(), "r1"), Err(Kind::Incomplete));
     service.set_faults(&json!({"reset": true})).unwrap();
-    assert_eq!(runs(service.address()), 0);
-    thread::sleep(Duration::from_millis(600));
+    while runs(service.address()) == 0 {
+        assert!(start.elapsed() < WAIT_MAX, "the call is not executed");
+        thread::sleep(Duration::from_millis(5));
+    }
+    assert!(start.elapsed() >= Duration::from_millis(200));
     assert_eq!(runs(service.address()), 1);
 }
 
