site: one function names a window in the names of objects

Cause: the twelve digits of a window stood in three places, of which the name of a report and the position after which counts are listed were written apart.

Ruled out: a difference between them; all three are the same text.

Change: collect::window_name, which object_name, the listing of counts and the names of reports call. report_name goes.

The tests of the crate pass.

Conclusion: no behaviour changes.

--- a/crates/site/src/duty/collect.rs
+++ b/crates/site/src/duty/collect.rs
@@ -213,10 +213,16 @@
     }
 }
 
+/// Returns the name of `window` in the names of objects, which sorts as the
+/// numbers do.
+pub(super) fn window_name(window: u64) -> String {
+    format!("{window:012}")
+}
+
 /// Returns the name of an object that holds counts of `window`. `rest`
 /// distinguishes the objects of one window.
 pub(crate) fn object_name(window: u64, rest: &str) -> String {
-    format!("{window:012}.{rest}")
+    format!("{}.{rest}", window_name(window))
 }
 
 /// Merges `more` into `all`. For each process and account the larger count is
@@ -288,7 +294,7 @@
 ///
 /// An [`Error`] when they cannot be read.
 pub(crate) async fn read_counts(store: &Store, window: u64) -> Result<Vec<CountsByProcess>, Error> {
-    let objects = store.list_after(KIND, &format!("{window:012}")).await?;
+    let objects = store.list_after(KIND, &window_name(window)).await?;
     let prefix = object_name(window, "");
     let mut objects = objects.value;
     objects.retain(|object| object.name.starts_with(&prefix));
--- a/crates/site/src/duty/late.rs
+++ b/crates/site/src/duty/late.rs
@@ -9,7 +9,7 @@
 
 use super::{
     Duties, collect,
-    report::{REPORT_AGE_MAX, REPORT_KIND, SUM_DELAY, report_name},
+    report::{REPORT_AGE_MAX, REPORT_KIND, SUM_DELAY},
 };
 use crate::usage::Counts;
 
@@ -68,7 +68,8 @@
     counts: &Counts,
 ) -> Result<Option<u64>, Error> {
     let store = &duties.store;
-    let Some(report) = store.get(REPORT_KIND, &report_name(window)).await? else {
+    let name = collect::window_name(window);
+    let Some(report) = store.get(REPORT_KIND, &name).await? else {
         return Ok(None);
     };
     let report: Counts = report.read().ok_or(Error::Malformed)?;
--- a/crates/site/src/duty/report.rs
+++ b/crates/site/src/duty/report.rs
@@ -19,7 +19,7 @@
 };
 use crate::usage::Counts;
 
-/// The kind of the objects that hold the reported sum of a window.
+/// The kind of the objects that hold the reported sum of a window, by its name.
 pub(super) const REPORT_KIND: &str = "usage-reports";
 /// How long after the end of a window a VM submits its counts, so that all
 /// requests that began in the window have been counted.
@@ -135,7 +135,7 @@
         collect::merge(&mut all, counts);
     }
     let sum = collect::sum(&all);
-    let name = report_name(window);
+    let name = collect::window_name(window);
     match duties.store.create(REPORT_KIND, &name, &sum).await? {
         Written::Done(_) => Ok(sum),
         Written::Conflict(object) => {
@@ -145,11 +145,6 @@
     }
 }
 
-/// Returns the name of the object that holds the reported sum of `window`.
-pub(super) fn report_name(window: u64) -> String {
-    format!("{window:012}")
-}
-
 /// How long counts and reports are kept. This exceeds the age up to which a
 /// window may be reported by any holder.
 const COUNTS_RETENTION: Duration = Duration::from_secs(120);
