site: two tests of rejected requests share their play

Cause: rejected_request_not_counted repeated the play of unsafe_request_retried_after_rejection line by line.

Ruled out: one test for both, since they are named after two failures.

Change: deployment_with_rejecting_endpoint, with the assertion on each answer that both had.

Conclusion: the same checks as before.

--- a/crates/site/tests/request.rs
+++ b/crates/site/tests/request.rs
@@ -149,8 +149,9 @@
     assert_eq!(deployment.site.state().arrivals_of("r1").len(), 1);
 }
 
-#[test]
-fn unsafe_request_retried_after_rejection() {
+/// Returns a deployment that has answered four unsafe requests while one of its
+/// endpoints rejected all.
+fn deployment_with_rejecting_endpoint() -> Deployment {
     let deployment = Deployment::start(1, Plan::default());
     let mut state = deployment.site.state();
     state.endpoints.get_mut("plain-0").unwrap().faults.rejects = 1000;
@@ -159,6 +160,12 @@
         let answer = deployment.vms[0].request(Method::POST, "/unsafe/a", &format!("r{number}"));
         assert_eq!(answer.status, 200);
     }
+    deployment
+}
+
+#[test]
+fn unsafe_request_retried_after_rejection() {
+    deployment_with_rejecting_endpoint();
 }
 
 #[test]
@@ -426,14 +433,7 @@
 
 #[test]
 fn rejected_request_not_counted() {
-    let deployment = Deployment::start(1, Plan::default());
-    let mut state = deployment.site.state();
-    state.endpoints.get_mut("plain-0").unwrap().faults.rejects = 1000;
-    drop(state);
-    for number in 0..4 {
-        let answer = deployment.vms[0].request(Method::POST, "/unsafe/a", &format!("r{number}"));
-        assert_eq!(answer.status, 200);
-    }
+    let deployment = deployment_with_rejecting_endpoint();
     assert!(deployment.site.state().arrivals.len() > 4);
     wait_until_reported(&deployment, 4);
 }
