tests: the plays of usage share their begin and their checks

Cause: eight tests in control_usage.rs repeated how a key is issued and warmed up, how a report is awaited and how the reported usage is compared, and three each the plan of two VMs, the switches of the daemons and those of a cut. Two computed the holder of copies.

Ruled out: one scenario function with options; the plays differ in between.

Change: issue_and_warm_up, wait_billed, assert_reported, first_holder, cut, allow_faults and plan_of_two. assert_reported contains check_reports and the equality that each test had; one message prints the reports with line breaks now.

Conclusion: the assertions are the same.

--- a/crates/cli/tests/control_usage.rs
+++ b/crates/cli/tests/control_usage.rs
@@ -80,6 +80,15 @@
     }
 }
 
+/// Issues a key for `account`, and returns it once all VMs know it, with what was
+/// served meanwhile.
+async fn issue_and_warm_up(deployment: &Deployment, account: &str) -> (String, RefCell<Served>) {
+    let key = issue_key(deployment, account);
+    let served = RefCell::default();
+    warm_up(deployment, &key, &served).await;
+    (key, served)
+}
+
 /// Returns the sum of the reported usage of an account.
 fn sum_reported(reports: &Value, account: &str) -> Usage {
     let mut total = Usage::default();
@@ -149,15 +158,52 @@
     }
 }
 
+/// Waits until the reports bill `expected` to `account`, and returns them.
+async fn wait_billed(deployment: &Deployment, account: &str, expected: Usage) -> Value {
+    wait_for("report of the usage", async || {
+        let reports = fetch_usage(deployment).await;
+        (sum_reported(&reports, account) == expected).then_some(reports)
+    })
+    .await
+}
+
+/// Checks the reports, and that they bill `expected` to `account`.
+async fn assert_reported(deployment: &Deployment, account: &str, expected: Usage) {
+    let reports = fetch_usage(deployment).await;
+    check_reports(&reports);
+    assert_eq!(sum_reported(&reports, account), expected, "{reports:#}");
+}
+
+/// Returns the index of the VM that holds the copies of the first VM's records.
+fn first_holder(deployment: &Deployment) -> usize {
+    let vms = deployment.vms.iter().map(|vm| &vm.vm);
+    let names: Vec<_> = vms
+        .map(|vm| (vm.id.as_str(), vm.failure_domain.as_str()))
+        .collect();
+    let (origin, domain) = names[0];
+    policy::usage::copy_holders(origin, domain, &names)[0]
+}
+
+/// Returns switches that cut a daemon off from `peers`, and from no others.
+fn cut(peers: &[std::net::SocketAddr]) -> Value {
+    json!({"to": peers, "from": peers})
+}
+
+/// Lets tests set the fault switches of all daemons.
+fn allow_faults(plan: &mut Plan) {
+    for vm in &mut plan.vms {
+        vm.entry_settings = "test_faults = true\n".to_string();
+        vm.steward_settings = "test_faults = true\n".to_string();
+    }
+}
+
 #[test]
 fn killed_vm_loses_no_usage() {
     let tree = Tree::new("killed", CONFIG);
     let plan = plan(&tree);
     link::runtime::run(async {
         let mut deployment = start(&plan).await;
-        let key = issue_key(&deployment, "shaky");
-        let served = RefCell::default();
-        warm_up(&deployment, &key, &served).await;
+        let (key, served) = issue_and_warm_up(&deployment, "shaky").await;
         let callers = deployment.vms[0].callers;
         for tokens in 1..=12 {
             assert!(generate(&deployment.pool, callers, &key, tokens, &served).await);
@@ -203,26 +249,17 @@
     let plan = plan(&tree);
     link::runtime::run(async {
         let mut deployment = start(&plan).await;
-        let key = issue_key(&deployment, "shaky");
-        let served = RefCell::default();
-        warm_up(&deployment, &key, &served).await;
+        let (key, served) = issue_and_warm_up(&deployment, "shaky").await;
         wait_reported(&deployment, &plan).await;
-        let vms = deployment.vms.iter().map(|vm| &vm.vm);
-        let names: Vec<_> = vms
-            .map(|vm| (vm.id.as_str(), vm.failure_domain.as_str()))
-            .collect();
-        let (origin, domain) = names[0];
-        let holder = policy::usage::copy_holders(origin, domain, &names)[0];
+        let holder = first_holder(&deployment);
         let callers = deployment.vms[0].callers;
         assert!(generate(&deployment.pool, callers, &key, 7, &served).await);
         deployment.vms[0].entry.kill();
         monoio::time::sleep(HAND_OVER_TIME).await;
         deployment.vms[holder].entry.kill();
         wait_reported(&deployment, &plan).await;
-        let reports = fetch_usage(&deployment).await;
-        check_reports(&reports);
         let expected = sum_usage(&served.borrow());
-        assert_eq!(sum_reported(&reports, "shaky"), expected, "{reports:#}");
+        assert_reported(&deployment, "shaky", expected).await;
     })
     .unwrap();
 }
@@ -233,9 +270,7 @@
     let plan = plan(&tree);
     link::runtime::run(async {
         let deployment = start(&plan).await;
-        let key = issue_key(&deployment, "steady");
-        let served = RefCell::default();
-        warm_up(&deployment, &key, &served).await;
+        let (key, served) = issue_and_warm_up(&deployment, "steady").await;
         let (old_reporter, _) = wait_for("reporter", async || {
             find_holder(&deployment, "reports_epoch", "", None).await
         })
@@ -254,40 +289,35 @@
         deployment.vms[old_reporter].steward.signal("CONT").unwrap();
         warm_up(&deployment, &key, &served).await;
         wait_reported(&deployment, &plan).await;
-        let reports = fetch_usage(&deployment).await;
-        check_reports(&reports);
-        assert_eq!(
-            sum_reported(&reports, "steady"),
-            sum_usage(&served.borrow()),
-            "{reports}"
-        );
+        let expected = sum_usage(&served.borrow());
+        assert_reported(&deployment, "steady", expected).await;
     })
     .unwrap();
 }
 
+/// Returns a plan of two VMs with fault switches in their daemons.
+fn plan_of_two(tree: &Tree) -> Plan {
+    let mut plan =
+        Plan::new(&tree.0)
+            .vms(2, &FAILURE_DOMAINS)
+            .engines("notes", 2, &FAILURE_DOMAINS);
+    allow_faults(&mut plan);
+    plan
+}
+
 const RESEND_TIME_MAX: Duration = Duration::from_secs(8);
 
 #[test]
 fn record_counted_from_unconfirmed_copy_is_not_billed_twice() {
     let tree = Tree::new("unconfirmed", CONFIG);
-    let mut plan =
-        Plan::new(&tree.0)
-            .vms(2, &FAILURE_DOMAINS)
-            .engines("notes", 2, &FAILURE_DOMAINS);
-    for vm in &mut plan.vms {
-        vm.entry_settings = "test_faults = true\n".to_string();
-        vm.steward_settings = "test_faults = true\n".to_string();
-    }
+    let plan = plan_of_two(&tree);
     link::runtime::run(async {
         let deployment = start(&plan).await;
-        let key = issue_key(&deployment, "steady");
-        let served = RefCell::default();
-        warm_up(&deployment, &key, &served).await;
+        let (key, served) = issue_and_warm_up(&deployment, "steady").await;
         wait_reported(&deployment, &plan).await;
         let [origin, holder] = &deployment.vms[..] else {
             unreachable!("the plan has two VMs");
         };
-        let cut = |peer: &[std::net::SocketAddr]| json!({"to": peer, "from": peer});
         for vm in [origin, holder] {
             set_faults(&deployment, vm.steward_admin, cut(&[origin.peers])).await;
         }
@@ -297,11 +327,7 @@
         set_faults(&deployment, origin.entry_admin, cut(&[holder.peers])).await;
         holder.entry.signal("CONT").unwrap();
         let expected = sum_usage(&served.borrow());
-        wait_for("report of the copy", async || {
-            let reports = fetch_usage(&deployment).await;
-            (sum_reported(&reports, "steady") == expected).then_some(())
-        })
-        .await;
+        wait_billed(&deployment, "steady", expected).await;
         set_faults(&deployment, origin.entry_admin, cut(&[])).await;
         monoio::time::sleep(RESEND_TIME_MAX).await;
         for vm in [origin, holder] {
@@ -309,23 +335,17 @@
         }
         wait_reported(&deployment, &plan).await;
         wait_reported(&deployment, &plan).await;
-        let reports = fetch_usage(&deployment).await;
-        check_reports(&reports);
-        assert_eq!(sum_reported(&reports, "steady"), expected, "{reports:#}");
+        assert_reported(&deployment, "steady", expected).await;
     })
     .unwrap();
 }
 
 /// Returns a plan of two VMs in which the figures of windows are deleted soon.
 fn plan_with_short_retention(tree: &Tree) -> Plan {
-    let mut plan =
-        Plan::new(&tree.0)
-            .vms(2, &FAILURE_DOMAINS)
-            .engines("notes", 2, &FAILURE_DOMAINS);
+    let mut plan = plan_of_two(tree);
     for vm in &mut plan.vms {
-        vm.entry_settings = "test_faults = true\n".to_string();
-        vm.steward_settings =
-            "test_faults = true\nkeep_lots_ms = 800\nkeep_windows_ms = 1000\n".to_string();
+        vm.steward_settings
+            .push_str("keep_lots_ms = 800\nkeep_windows_ms = 1000\n");
     }
     plan
 }
@@ -333,8 +353,7 @@
 /// Cuts the reporter off from the entry daemons at `peers`, and from no others.
 async fn cut_reporters(deployment: &Deployment, peers: &[std::net::SocketAddr]) {
     for vm in &deployment.vms {
-        let cut = json!({"to": peers, "from": peers});
-        set_faults(deployment, vm.steward_admin, cut).await;
+        set_faults(deployment, vm.steward_admin, cut(peers)).await;
     }
 }
 
@@ -357,27 +376,19 @@
     let plan = plan_with_short_retention(&tree);
     link::runtime::run(async {
         let deployment = start(&plan).await;
-        let key = issue_key(&deployment, "steady");
-        let served = RefCell::default();
-        warm_up(&deployment, &key, &served).await;
+        let (key, served) = issue_and_warm_up(&deployment, "steady").await;
         wait_reported(&deployment, &plan).await;
         let origin = &deployment.vms[0];
         assert!(generate(&deployment.pool, origin.callers, &key, 7, &served).await);
         let expected = sum_usage(&served.borrow());
-        wait_for("report of the record", async || {
-            let reports = fetch_usage(&deployment).await;
-            (sum_reported(&reports, "steady") == expected).then_some(())
-        })
-        .await;
+        wait_billed(&deployment, "steady", expected).await;
         // The VM does not learn in time that its record was counted.
         cut_reporters(&deployment, &[origin.peers]).await;
         wait_deleted(&deployment, &plan).await;
         cut_reporters(&deployment, &[]).await;
         wait_reported(&deployment, &plan).await;
         wait_reported(&deployment, &plan).await;
-        let reports = fetch_usage(&deployment).await;
-        check_reports(&reports);
-        assert_eq!(sum_reported(&reports, "steady"), expected, "{reports:#}");
+        assert_reported(&deployment, "steady", expected).await;
         wait_for("count of the undecided record", async || {
             let call = Call::get("/metrics");
             let answer = deployment.pool.fetch(origin.entry_admin, call).await.ok()?;
@@ -402,27 +413,21 @@
     let plan = plan_with_short_retention(&tree);
     link::runtime::run(async {
         let deployment = start(&plan).await;
-        let key = issue_key(&deployment, "steady");
-        let served = RefCell::default();
-        warm_up(&deployment, &key, &served).await;
+        let (key, served) = issue_and_warm_up(&deployment, "steady").await;
         wait_reported(&deployment, &plan).await;
         let [origin, holder] = &deployment.vms[..] else {
             unreachable!("the plan has two VMs");
         };
         cut_reporters(&deployment, &[origin.peers]).await;
-        let cut = json!({"to": [holder.peers], "from": [holder.peers]});
-        set_faults(&deployment, origin.entry_admin, cut).await;
+        set_faults(&deployment, origin.entry_admin, cut(&[holder.peers])).await;
         assert!(generate(&deployment.pool, origin.callers, &key, 7, &served).await);
         wait_deleted(&deployment, &plan).await;
-        let mended = json!({"to": [], "from": []});
-        set_faults(&deployment, origin.entry_admin, mended).await;
+        set_faults(&deployment, origin.entry_admin, cut(&[])).await;
         cut_reporters(&deployment, &[]).await;
         wait_reported(&deployment, &plan).await;
         wait_reported(&deployment, &plan).await;
-        let reports = fetch_usage(&deployment).await;
-        check_reports(&reports);
         let expected = sum_usage(&served.borrow());
-        assert_eq!(sum_reported(&reports, "steady"), expected, "{reports:#}");
+        assert_reported(&deployment, "steady", expected).await;
     })
     .unwrap();
 }
@@ -461,18 +466,12 @@
     let plan = plan_with_short_retention(&tree);
     link::runtime::run(async {
         let deployment = start(&plan).await;
-        let key = issue_key(&deployment, "steady");
-        let served = RefCell::default();
-        warm_up(&deployment, &key, &served).await;
+        let (key, served) = issue_and_warm_up(&deployment, "steady").await;
         wait_reported(&deployment, &plan).await;
         let origin = &deployment.vms[0];
         assert!(generate(&deployment.pool, origin.callers, &key, 7, &served).await);
         let expected = sum_usage(&served.borrow());
-        let reports = wait_for("report of the record", async || {
-            let reports = fetch_usage(&deployment).await;
-            (sum_reported(&reports, "steady") == expected).then_some(reports)
-        })
-        .await;
+        let reports = wait_billed(&deployment, "steady", expected).await;
         cut_reporters(&deployment, &[origin.peers]).await;
         wait_deleted(&deployment, &plan).await;
         // A reporter that was frozen before its write resumes.
@@ -484,9 +483,7 @@
         wait_reported(&deployment, &plan).await;
         end.set(true);
         late.await;
-        let reports = fetch_usage(&deployment).await;
-        check_reports(&reports);
-        assert_eq!(sum_reported(&reports, "steady"), expected, "{reports:#}");
+        assert_reported(&deployment, "steady", expected).await;
     })
     .unwrap();
 }
@@ -494,10 +491,7 @@
 /// Starts `plan` with fault switches in its daemons. No window can be reported
 /// until the platform's faults are reset.
 async fn start_without_reports(plan: &mut Plan) -> Deployment {
-    for vm in &mut plan.vms {
-        vm.entry_settings = "test_faults = true\n".to_string();
-        vm.steward_settings = "test_faults = true\n".to_string();
-    }
+    allow_faults(plan);
     let deployment = common::start_unconfigured(plan).await;
     let unlisted = json!({"outage": true, "outage_of": "GET /v1/objects/usage-window"});
     set_faults(&deployment, deployment.platform, unlisted).await;
@@ -530,8 +524,7 @@
     link::runtime::run(async {
         let mut deployment = start_without_reports(&mut plan).await;
         let peers: Vec<_> = deployment.vms.iter().map(|vm| vm.peers).collect();
-        let cut = json!({"to": peers[1..], "from": peers[1..]});
-        set_faults(&deployment, deployment.vms[0].entry_admin, cut).await;
+        set_faults(&deployment, deployment.vms[0].entry_admin, cut(&peers[1..])).await;
         let key = issue_key(&deployment, "steady");
         let served = RefCell::default();
         generate_first(&deployment, 0, &key, &served).await;
@@ -559,16 +552,13 @@
         monoio::time::sleep(Duration::from_secs(35)).await;
         for (index, vm) in deployment.vms.iter().enumerate() {
             if index != reporter {
-                let mended = json!({"to": [], "from": []});
-                set_faults(&deployment, vm.steward_admin, mended).await;
+                set_faults(&deployment, vm.steward_admin, cut(&[])).await;
             }
         }
         wait_reported(&deployment, &plan).await;
         wait_reported(&deployment, &plan).await;
-        let reports = fetch_usage(&deployment).await;
-        check_reports(&reports);
         let expected = sum_usage(&served.borrow());
-        assert_eq!(sum_reported(&reports, "steady"), expected, "{reports:#}");
+        assert_reported(&deployment, "steady", expected).await;
     })
     .unwrap();
 }
@@ -582,11 +572,7 @@
         let key = issue_key(&deployment, "steady");
         let served = RefCell::default();
         let ended_ms = generate_first(&deployment, 0, &key, &served).await;
-        let vms = deployment.vms.iter().map(|vm| &vm.vm);
-        let names: Vec<_> = vms
-            .map(|vm| (vm.id.as_str(), vm.failure_domain.as_str()))
-            .collect();
-        let holder = policy::usage::copy_holders(names[0].0, names[0].1, &names)[0];
+        let holder = first_holder(&deployment);
         let unreached = [0, holder].map(|index| deployment.vms[index].peers);
         cut_reporters(&deployment, &unreached).await;
         monoio::time::sleep(plan.window).await;
@@ -600,10 +586,8 @@
         cut_reporters(&deployment, &[]).await;
         wait_reported(&deployment, &plan).await;
         wait_reported(&deployment, &plan).await;
-        let reports = fetch_usage(&deployment).await;
-        check_reports(&reports);
         let expected = sum_usage(&served.borrow());
-        assert_eq!(sum_reported(&reports, "steady"), expected, "{reports:#}");
+        assert_reported(&deployment, "steady", expected).await;
     })
     .unwrap();
 }
