site: log the rate limit that an endpoint names

Ruled out: reading it where the load is read. Rejections and responses whose body never ends are answers too, so a hook of the call sees the head of every response to it; the load is now read there as well.

Change: Call::on_head; platform::header::parse_rate_limit; a line when an endpoint changes its limit. No decision uses it.

--- a/crates/link/src/http/call.rs
+++ b/crates/link/src/http/call.rs
@@ -3,7 +3,7 @@
 use std::{fmt, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Method, header::IntoHeaderName};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header::IntoHeaderName};
 
 use super::fence::Fence;
 
@@ -32,20 +32,20 @@
     pub(crate) connect_timeout: Duration,
     pub(crate) deadline: Duration,
     pub(crate) fence: Option<Fence>,
-    pub(crate) on_send: Option<Hook>,
+    pub(crate) on_send: Option<Hook<dyn Fn()>>,
+    pub(crate) on_head: Option<Hook<dyn Fn(StatusCode, &HeaderMap)>>,
 }
 
-/// A function that is called when a request is sent.
-#[derive(Clone)]
-pub(crate) struct Hook(Rc<dyn Fn()>);
+/// A function that is called at some point of an exchange.
+pub(crate) struct Hook<F: ?Sized>(pub(crate) Rc<F>);
 
-impl Hook {
-    pub(crate) fn run(&self) {
-        (self.0)();
+impl<F: ?Sized> Clone for Hook<F> {
+    fn clone(&self) -> Self {
+        Self(self.0.clone())
     }
 }
 
-impl fmt::Debug for Hook {
+impl<F: ?Sized> fmt::Debug for Hook<F> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("Hook")
     }
@@ -69,6 +69,7 @@
             deadline: DEADLINE_DEFAULT,
             fence: None,
             on_send: None,
+            on_head: None,
             method,
         }
     }
@@ -131,6 +132,14 @@
         self
     }
 
+    /// Sets a function that is called with the status and the headers of each
+    /// response to this request, also if its body is never completed. It is not
+    /// called for a response to another request.
+    pub fn on_head(mut self, hook: impl Fn(StatusCode, &HeaderMap) + 'static) -> Self {
+        self.on_head = Some(Hook(Rc::new(hook)));
+        self
+    }
+
     /// Sets whether the request may be sent twice. If so, it is repeated when
     /// the peer turns out to have closed an idle connection. By default only
     /// requests with a safe method are idempotent.
--- a/crates/link/src/http/client.rs
+++ b/crates/link/src/http/client.rs
@@ -213,7 +213,7 @@
             }
         }
         if let Some(hook) = &call.on_send {
-            hook.run();
+            (hook.0)();
         }
         let sent = monoio::time::timeout(write_time, connection.writer.send_and_flush(request));
         match sent.await {
@@ -245,6 +245,9 @@
                 format!("the header {name} differs"),
             ));
         }
+        if let Some(hook) = &call.on_head {
+            (hook.0)(status, &headers);
+        }
         if framing == Framing::UntilClose {
             return Err(Error::new(Kind::Incomplete, "the response has no length"));
         }
--- a/crates/site/src/facts.rs
+++ b/crates/site/src/facts.rs
@@ -7,7 +7,8 @@
 };
 
 use board::hash::Map;
-use platform::{config::Config, endpoint::Record};
+use link::HeaderMap;
+use platform::{config::Config, endpoint::Record, header};
 use slotmap::SlotMap;
 
 use crate::latency::{self, Estimates};
@@ -29,6 +30,9 @@
     /// The number of running and waiting requests of all callers that it last
     /// reported, and when.
     pub load: Option<(u32, Instant)>,
+    /// The requests per second that it accepts from all VMs together, if its
+    /// last response named a limit.
+    pub rate_limit: Option<f64>,
     /// Estimates of its time per event.
     pub latencies: Estimates,
     /// The end of its backoff after a failure or a rejection.
@@ -55,6 +59,7 @@
             record,
             in_flight: 0,
             load: None,
+            rate_limit: None,
             latencies: Estimates::default(),
             backoff_until: None,
             failures: 0,
@@ -169,14 +174,34 @@
         overdue.map(|endpoint| endpoint.id.clone()).collect()
     }
 
-    /// Records that the endpoint `key` answered, which ends its backoff. `load`
-    /// holds the running requests, waiting requests and slots that it reported.
-    pub fn record_success(&mut self, key: Key, load: Option<(u32, u32, u32)>, now: Instant) {
+    /// Records that the endpoint `key` answered, which ends its backoff.
+    pub fn record_success(&mut self, key: Key) {
         if let Some(endpoint) = self.endpoints.get_mut(key) {
             endpoint.failures = 0;
             endpoint.backoff_until = None;
-            if let Some((running, waiting, _)) = load {
-                endpoint.load = Some((running + waiting, now));
+        }
+    }
+
+    /// Records what the endpoint `key` stated about itself in the headers of a
+    /// response, whether or not it ran the request.
+    pub fn record_headers(&mut self, key: Key, headers: &HeaderMap, now: Instant) {
+        let Some(endpoint) = self.endpoints.get_mut(key) else {
+            return;
+        };
+        if let Some((running, waiting, _)) = header::parse_load(headers) {
+            endpoint.load = Some((running + waiting, now));
+        }
+        let id = endpoint.id.as_str();
+        match header::parse_rate_limit(headers) {
+            Ok(limit) if limit == endpoint.rate_limit => {}
+            Ok(limit) => {
+                let (is_limited, per_s) = (limit.is_some(), limit.unwrap_or_default());
+                spdlog::info!("endpoint changed its rate limit", kv: { endpoint = id, is_limited, per_s });
+                endpoint.rate_limit = limit;
+            }
+            Err(value) => {
+                let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
+                spdlog::warn!("rate limit of an endpoint cannot be decoded", kv: { endpoint = id, value });
             }
         }
     }
--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -242,7 +242,8 @@
         let endpoint = self.facts.borrow().endpoints.get(key).cloned()?;
         let slot = Slot::acquire(&self.facts, key)?;
         let entry = self.usage.entry(dispatch.account.as_deref());
-        let call = counted(dispatch.call(&endpoint.id, remaining), &entry);
+        let call = observed(dispatch.call(&endpoint.id, remaining), &self.facts, key);
+        let call = counted(call, &entry);
         let sent = self.pool.send(endpoint.record.address, call).await;
         let judged = sent.and_then(|response| {
             let is_rejected =
@@ -259,8 +260,7 @@
         let now = Instant::now();
         match judged {
             Ok((response, false)) => {
-                let load = header::parse_load(&response.headers);
-                self.facts.borrow_mut().record_success(key, load, now);
+                self.facts.borrow_mut().record_success(key);
                 Some(Some(Source {
                     key,
                     slot,
@@ -392,7 +392,8 @@
             return Attempt::NotRun("endpoint was removed");
         };
         let entry = self.usage.entry(dispatch.account.as_deref());
-        let call = counted(dispatch.call(&endpoint.id, limit), &entry);
+        let call = observed(dispatch.call(&endpoint.id, limit), &self.facts, key);
+        let call = counted(call, &entry);
         let response = self.pool.fetch(endpoint.record.address, call).await;
         let attempt = classify(response);
         self.metrics
@@ -403,10 +404,7 @@
         }
         let (request, id) = (dispatch.id.as_str(), endpoint.id.as_str());
         match &attempt {
-            Attempt::Answered(response) => {
-                let load = header::parse_load(&response.headers);
-                self.facts.borrow_mut().record_success(key, load, now);
-            }
+            Attempt::Answered(_) => self.facts.borrow_mut().record_success(key),
             Attempt::NotRun(reason) => {
                 let reason = *reason;
                 let backoff = self
@@ -432,6 +430,19 @@
     call.on_send(move || entry.record_sent())
 }
 
+/// Returns `call` to the endpoint `key` with a hook that records what the
+/// endpoint states about itself in any response.
+pub(crate) fn observed(call: Call, facts: &Rc<RefCell<Facts>>, key: Key) -> Call {
+    let facts = facts.clone();
+    call.on_head(move |status, headers| {
+        // Such a response comes from another endpoint at the same address.
+        if status != StatusCode::MISDIRECTED_REQUEST {
+            let now = Instant::now();
+            facts.borrow_mut().record_headers(key, headers, now);
+        }
+    })
+}
+
 /// The timeout of a request for which neither the caller nor the route sets
 /// one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/site/src/job/attempt.rs
+++ b/crates/site/src/job/attempt.rs
@@ -19,7 +19,7 @@
 use super::text::Text;
 use crate::{
     facts::{Facts, Key},
-    forward::{Dispatch, End, Forwarder, is_rejected},
+    forward::{Dispatch, End, Forwarder, is_rejected, observed},
     latency::Meter,
     metrics::Metrics,
     placement::{self, Criteria},
@@ -134,6 +134,7 @@
         let other_requests = endpoint.in_flight.saturating_sub(1);
         let dispatch = build_dispatch(item, context, &text.borrow());
         let call = dispatch.call(&endpoint.id, FIRST_EVENT_TIMEOUT);
+        let call = observed(call, &self.facts, key);
         let result = self.pool.send(endpoint.record.address, call).await;
         let waited_ms = start.elapsed().as_millis() as u64;
         let attempt = match result {
@@ -199,9 +200,7 @@
                 response.status
             ));
         }
-        let now = Instant::now();
-        let load = header::parse_load(headers);
-        self.facts.borrow_mut().record_success(key, load, now);
+        self.facts.borrow_mut().record_success(key);
         let mut version = header::parse_number(headers, header::VERSION);
         let mut events = Events::default();
         let mut meter = Meter::default();
