--- a/crates/fakes/src/site/mod.rs
+++ b/crates/fakes/src/site/mod.rs
@@ -30,7 +30,7 @@
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError, mpsc},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use link::{
@@ -99,6 +99,8 @@
     pub id: String,
     /// The id of the endpoint.
     pub endpoint: String,
+    /// When it arrived.
+    pub at: Instant,
     /// The path.
     pub path: String,
     /// The account of the request.
@@ -137,6 +139,8 @@
     pub epoch: u64,
     /// The pending faults.
     pub faults: PendingFaults,
+    /// The requests per second that its answers name as its limit.
+    pub rate_limit: Option<f64>,
 }
 
 /// The state that the fakes share.
@@ -227,7 +231,11 @@
         let id = format!("engine-{number}");
         let (name, time) = (id.clone(), plan.event_time);
         let address = listen(state, move |state, request| {
-            engine::answer(state, request, name.clone(), time)
+            let name = name.clone();
+            async move {
+                let reply = engine::answer(state.clone(), request, name.clone(), time).await;
+                name_rate_limit(&state, &name, reply)
+            }
         })?;
         let mut state = lock(state);
         let versions = BTreeMap::from([(MODEL.to_string(), 1)]);
@@ -240,7 +248,11 @@
         let id = format!("plain-{number}");
         let name = id.clone();
         let address = listen(state, move |state, request| {
-            plain::answer(state, request, name.clone())
+            let name = name.clone();
+            async move {
+                let reply = plain::answer(state.clone(), request, name.clone()).await;
+                name_rate_limit(&state, &name, reply)
+            }
         })?;
         let mut state = lock(state);
         state
@@ -259,6 +271,7 @@
         orders: 0,
         epoch: 0,
         faults: PendingFaults::default(),
+        rate_limit: None,
     }
 }
 
@@ -336,6 +349,7 @@
     let arrival = Arrival {
         id: header_text(request, "request-id").unwrap_or_default(),
         endpoint: id.to_string(),
+        at: Instant::now(),
         path: request.uri.path().to_string(),
         account: header_text(request, "tenant"),
         last_event_id: number("last-event-id"),
@@ -378,6 +392,16 @@
     Some(echo_request_id(request, reply))
 }
 
+/// Adds the rate limit that the endpoint `id` names, if any, to a reply.
+pub(crate) fn name_rate_limit(state: &SharedState, id: &str, reply: Reply) -> Reply {
+    let state = lock(state);
+    let limit = state.endpoints.get(id).and_then(|e| e.rate_limit);
+    match limit {
+        Some(limit) => reply.header("server-limit", limit.to_string()),
+        None => reply,
+    }
+}
+
 /// Adds the id of the request to a reply, as every endpoint does.
 pub(crate) fn echo_request_id(request: &Request, reply: Reply) -> Reply {
     reply.header(
