site, policy: requests to endpoints with a rate limit need a permit

The class: a bound on the sum over all VMs that each VM would have to keep alone.

Ruled out: a share of the limit for each VM, since VMs do not know how many there are and most have no traffic; one coordinator with the whole limit, since VMs that disagree on which one it is would double it; permits in the store, since the limit holds while the store is down; fewer requests to such endpoints only by their rank, which bounds nothing.

Change: policy::rate, a token bucket for one coordinator's fixed share of the limit; site::permit, which asks the coordinators before each request and grants permits as one. An endpoint without a permit is left out until one is expected. If all are, the caller is rejected at once and told when to come back. Callers' requests, streams, scoring requests and items all need permits; orders and state requests are not requests of callers and need none.

--- a/crates/link/src/http/call.rs
+++ b/crates/link/src/http/call.rs
@@ -33,9 +33,11 @@
     pub(crate) deadline: Duration,
     pub(crate) fence: Option<Fence>,
     pub(crate) on_send: Option<Hook<dyn Fn()>>,
-    pub(crate) on_head: Option<Hook<dyn Fn(StatusCode, &HeaderMap)>>,
+    pub(crate) on_head: Option<Hook<OnHead>>,
 }
 
+type OnHead = dyn Fn(StatusCode, &HeaderMap);
+
 /// A function that is called at some point of an exchange.
 pub(crate) struct Hook<F: ?Sized>(pub(crate) Rc<F>);
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod lot;
 pub mod membership;
 pub mod owner;
+pub mod rate;
 pub mod relay;
 pub mod retention;
 pub mod retry;
--- a/crates/site/src/components.rs
+++ b/crates/site/src/components.rs
@@ -20,6 +20,7 @@
     metrics::Metrics,
     mirror::Mirror,
     peer::Server,
+    permit::Permits,
     retention,
     usage::Usage,
 };
@@ -40,6 +41,7 @@
     /// The metrics.
     pub(crate) metrics: Metrics,
     mirror: Mirror,
+    permits: Permits,
 }
 
 /// Returns the VM from whose mirror `vm` reads, or `None` if it reads from the
@@ -85,9 +87,12 @@
         let pool = Pool::new(Limits::new().body_bytes(RESPONSE_BYTES_MAX)).reset_on_close();
         let usage = Usage::new(settings.bounds.usage_window);
         let domain = settings.failure_domain.as_str();
+        let vm = settings.vm.as_str();
+        let permits = Permits::new(facts.clone(), coordinators.clone(), metrics.clone(), vm);
         let forwarder = Forwarder::new(
             facts.clone(),
             pool.clone(),
+            permits.clone(),
             usage.clone(),
             metrics.clone(),
             domain,
@@ -100,6 +105,7 @@
                 facts: facts.clone(),
                 pool: pool.clone(),
                 forwarder: forwarder.clone(),
+                permits: permits.clone(),
                 metrics: metrics.clone(),
             },
             registry: registry.clone(),
@@ -151,6 +157,7 @@
             front,
             metrics,
             mirror,
+            permits,
         }
     }
 
@@ -160,6 +167,7 @@
             self.jobs.clone(),
             self.mirror.clone(),
             self.duties.collector.clone(),
+            self.permits.clone(),
         )
     }
 
--- a/crates/site/src/coordinator.rs
+++ b/crates/site/src/coordinator.rs
@@ -58,6 +58,11 @@
         self.0.changed.notify();
     }
 
+    /// Returns the number of seeds.
+    pub fn count(&self) -> usize {
+        self.0.seeds.borrow().len()
+    }
+
     /// Returns whether the settings name this VM as a seed, or name no seeds.
     pub fn is_seed(&self) -> bool {
         let seeds = self.0.seeds.borrow();
--- a/crates/site/src/facts.rs
+++ b/crates/site/src/facts.rs
@@ -30,9 +30,12 @@
     /// The number of running and waiting requests of all callers that it last
     /// reported, and when.
     pub load: Option<(u32, Instant)>,
-    /// The requests per second that it accepts from all VMs together, if its
-    /// last response named a limit.
-    pub rate_limit: Option<f64>,
+    /// The rate limit, if its last response named one.
+    pub rate_limit: Option<RateLimit>,
+    /// When it last responded.
+    responded_at: Option<Instant>,
+    /// When a permit is expected, after none was granted.
+    pub denied_until: Option<Instant>,
     /// Estimates of its time per event.
     pub latencies: Estimates,
     /// The end of its backoff after a failure or a rejection.
@@ -44,6 +47,15 @@
     pub missing_until: Option<Instant>,
 }
 
+/// The rate limit that an endpoint named.
+#[derive(Clone, Copy, Debug)]
+pub struct RateLimit {
+    /// The requests per second that it accepts from all VMs together.
+    pub per_s: f64,
+    /// When it last named the limit.
+    pub named_at: Instant,
+}
+
 /// The backoff after the first failure. It doubles with each further failure.
 const BACKOFF_MIN: Duration = Duration::from_millis(250);
 /// The backoff after a rejection, when the endpoint is full or loads weights. A
@@ -60,6 +72,8 @@
             in_flight: 0,
             load: None,
             rate_limit: None,
+            responded_at: None,
+            denied_until: None,
             latencies: Estimates::default(),
             backoff_until: None,
             failures: 0,
@@ -73,6 +87,29 @@
         versions.find(|(name, _)| name == model).map(|(_, v)| *v)
     }
 
+    fn set_rate_limit(&mut self, per_s: f64, now: Instant) {
+        if self.rate_limit.is_none_or(|limit| limit.per_s != per_s) {
+            let id = self.id.as_str();
+            spdlog::info!("endpoint names a rate limit", kv: { endpoint = id, per_s });
+        }
+        let named_at = now;
+        self.rate_limit = Some(RateLimit { per_s, named_at });
+    }
+
+    fn end_rate_limit(&mut self) {
+        if self.rate_limit.take().is_some() {
+            self.denied_until = None;
+            let id = self.id.as_str();
+            spdlog::info!("rate limit of an endpoint ended", kv: { endpoint = id });
+        }
+    }
+
+    /// Returns whether the endpoint gets no requests of this VM at `now`, since
+    /// no permit was granted.
+    pub fn is_denied(&self, now: Instant) -> bool {
+        self.denied_until.is_some_and(|until| until > now)
+    }
+
     /// Returns whether the endpoint is backing off at `now`.
     pub fn is_backing_off(&self, now: Instant) -> bool {
         self.backoff_until.is_some_and(|until| until > now)
@@ -191,21 +228,58 @@
         if let Some((running, waiting, _)) = header::parse_load(headers) {
             endpoint.load = Some((running + waiting, now));
         }
-        let id = endpoint.id.as_str();
+        endpoint.responded_at = Some(now);
         match header::parse_rate_limit(headers) {
-            Ok(limit) if limit == endpoint.rate_limit => {}
-            Ok(limit) => {
-                let (is_limited, per_s) = (limit.is_some(), limit.unwrap_or_default());
-                spdlog::info!("endpoint changed its rate limit", kv: { endpoint = id, is_limited, per_s });
-                endpoint.rate_limit = limit;
-            }
+            Ok(Some(per_s)) => endpoint.set_rate_limit(per_s, now),
+            Ok(None) => endpoint.end_rate_limit(),
             Err(value) => {
                 let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
+                let id = endpoint.id.as_str();
                 spdlog::warn!("rate limit of an endpoint cannot be decoded", kv: { endpoint = id, value });
             }
         }
     }
 
+    /// Records that the endpoint `key` names no rate limit any more.
+    pub fn end_rate_limit(&mut self, key: Key) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.end_rate_limit();
+        }
+    }
+
+    /// Records that the endpoint `key` gets no requests of this VM before
+    /// `until`, since no permit was granted.
+    pub fn record_denial(&mut self, key: Key, until: Instant) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.denied_until = Some(until);
+        }
+    }
+
+    /// Returns the id and the rate limit of the endpoint `key`, or `None` if it
+    /// has no limit.
+    pub fn rate_limit(&self, key: Key) -> Option<(String, RateLimit)> {
+        let endpoint = self.endpoints.get(key)?;
+        Some((endpoint.id.clone(), endpoint.rate_limit?))
+    }
+
+    /// Returns the requests per second in the last response of the endpoint
+    /// `id`, if it named a limit, and when the response arrived. Returns `None`
+    /// if this VM has received none.
+    pub fn newest_rate_limit(&self, id: &str) -> Option<(Option<f64>, Instant)> {
+        let endpoint = self.endpoints.get(*self.by_id.get(id)?)?;
+        let per_s = endpoint.rate_limit.map(|limit| limit.per_s);
+        Some((per_s, endpoint.responded_at?))
+    }
+
+    /// Returns when a permit is expected for an endpoint of `service`, if no
+    /// other endpoint of it is left.
+    pub fn next_permit(&self, service: &str, now: Instant) -> Option<Instant> {
+        let endpoints = self.endpoints.values();
+        let active = endpoints.filter(|e| e.record.service == service && !e.record.is_draining);
+        let denied = active.filter(|endpoint| endpoint.is_denied(now));
+        denied.filter_map(|endpoint| endpoint.denied_until).min()
+    }
+
     /// Records that the endpoint `key` took `event_time` for an event of
     /// `model`.
     pub fn observe_latency(&mut self, key: Key, model: &str, event_time: Duration, now: Instant) {
--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -26,6 +26,7 @@
 use crate::{
     facts::{Facts, Key},
     metrics::Metrics,
+    permit::Permits,
     placement::{self, Criteria},
     stream::Source,
     usage::{Entry, Usage},
@@ -36,6 +37,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// The number of rejections after which a request fails.
 const REJECTIONS_MAX: usize = 6;
+/// The number of endpoints without a permit after which a request fails. All
+/// coordinators are asked for each.
+const DENIALS_MAX: usize = 3;
 /// The `retry-after` of a request that no endpoint has run. Most endpoints have
 /// a free slot again within the time of one request.
 const RETRY_AFTER_S: &str = "0.1";
@@ -50,6 +54,7 @@
 pub struct Forwarder {
     facts: Rc<RefCell<Facts>>,
     pool: Pool,
+    permits: Permits,
     usage: Usage,
     metrics: Metrics,
     domain: String,
@@ -130,6 +135,8 @@
     /// The endpoint did not run the request and will not run it, for this
     /// reason.
     NotRun(&'static str),
+    /// The request was not sent, since no permit was granted for the endpoint.
+    Denied,
     /// The request was not sent, since no connection could be opened.
     Unreached(http::Error),
     /// The endpoint may have run the request, but no answer arrived.
@@ -142,6 +149,7 @@
         match self {
             Self::Answered(_) => "answered",
             Self::NotRun(_) => "not-run",
+            Self::Denied => "denied",
             Self::Unreached(_) => "unreached",
             Self::Unknown(_) => "unknown",
         }
@@ -160,6 +168,10 @@
     pub failures: u32,
     /// The number of endpoints that did not run the request.
     pub rejections: usize,
+    /// The number of endpoints for which no permit was granted.
+    pub denials: usize,
+    /// When the request may be sent again, if this is known.
+    pub retry_after: Option<Duration>,
     /// The last endpoint that ran the request or may have run it.
     pub endpoint: String,
 }
@@ -181,6 +193,7 @@
     pub fn new(
         facts: Rc<RefCell<Facts>>,
         pool: Pool,
+        permits: Permits,
         usage: Usage,
         metrics: Metrics,
         domain: &str,
@@ -188,6 +201,7 @@
         Self {
             facts,
             pool,
+            permits,
             usage,
             metrics,
             domain: domain.to_string(),
@@ -237,10 +251,17 @@
         if remaining.is_zero() || outcome.rejections >= REJECTIONS_MAX {
             return None;
         }
-        let key = self.choose(select_service(route, &dispatch.id)?, tried)?;
-        tried.push(key);
+        let service = select_service(route, &dispatch.id)?;
+        outcome.retry_after = self.time_to_permit(service);
+        let key = self.choose(service, tried)?;
         let endpoint = self.facts.borrow().endpoints.get(key).cloned()?;
         let slot = Slot::acquire(&self.facts, key)?;
+        if !self.permits.acquire(key, &dispatch.id).await {
+            outcome.denials += 1;
+            outcome.retry_after = self.time_to_permit(service);
+            return (outcome.denials < DENIALS_MAX).then_some(None);
+        }
+        tried.push(key);
         let entry = self.usage.entry(dispatch.account.as_deref());
         let call = observed(dispatch.call(&endpoint.id, remaining), &self.facts, key);
         let call = counted(call, &entry);
@@ -300,12 +321,12 @@
             End::NotRun => StatusCode::SERVICE_UNAVAILABLE.as_u16(),
         };
         let (request, name) = (dispatch.id.as_str(), route.name.as_str());
-        let (runs, rejections) = (outcome.runs, outcome.rejections);
+        let (runs, rejections, denials) = (outcome.runs, outcome.rejections, outcome.denials);
         let endpoint = outcome.endpoint.as_str();
         let is_answered = matches!(outcome.end, End::Answered(_));
         let ms = start.elapsed().as_millis() as u64;
         self.metrics.record_request(name, status, start.elapsed());
-        spdlog::info!("request finished", kv: { request, route = name, status, endpoint, is_answered, runs, turned_away = rejections, ms });
+        spdlog::info!("request finished", kv: { request, route = name, status, endpoint, is_answered, runs, turned_away = rejections, denials, ms });
         outcome
     }
 
@@ -321,6 +342,7 @@
                 return outcome;
             };
             let Some(key) = self.choose(service, &tried) else {
+                outcome.retry_after = self.time_to_permit(service);
                 if tried.is_empty() || outcome.runs > 0 {
                     return outcome;
                 }
@@ -330,16 +352,25 @@
                 monoio::time::sleep(ALL_FULL_PAUSE.min(remaining)).await;
                 continue;
             };
-            tried.push(key);
             let attempts_left = route.max_attempts.saturating_sub(outcome.runs);
             let limit = attempt_timeout(remaining, route, dispatch.may_repeat, attempts_left);
             let is_last = attempts_left <= 1 || !dispatch.may_repeat;
             let attempt = self.try_endpoint(key, dispatch, limit).await;
+            if !matches!(attempt, Attempt::Denied) {
+                tried.push(key);
+            }
             if let Attempt::Answered(_) | Attempt::Unknown(_) = &attempt {
                 outcome.endpoint = self.endpoint_id(key);
             }
             match attempt {
                 Attempt::NotRun(_) | Attempt::Unreached(_) => outcome.rejections += 1,
+                Attempt::Denied => {
+                    outcome.denials += 1;
+                    outcome.retry_after = self.time_to_permit(service);
+                    if outcome.denials >= DENIALS_MAX {
+                        return outcome;
+                    }
+                }
                 Attempt::Answered(response) => {
                     outcome.runs += 1;
                     let is_failure = response.status.is_server_error();
@@ -373,6 +404,14 @@
         placement::choose(&self.facts.borrow(), criteria, Instant::now())
     }
 
+    /// Returns the time until a permit is expected for an endpoint of `service`,
+    /// if one was denied.
+    fn time_to_permit(&self, service: &str) -> Option<Duration> {
+        let now = Instant::now();
+        let next = self.facts.borrow().next_permit(service, now);
+        next.map(|at| at.saturating_duration_since(now))
+    }
+
     /// Returns the id of the endpoint `key`, or an empty string if the endpoint
     /// has been removed.
     fn endpoint_id(&self, key: Key) -> String {
@@ -391,6 +430,9 @@
         let Some(_slot) = Slot::acquire(&self.facts, key) else {
             return Attempt::NotRun("endpoint was removed");
         };
+        if !self.permits.acquire(key, &dispatch.id).await {
+            return Attempt::Denied;
+        }
         let entry = self.usage.entry(dispatch.account.as_deref());
         let call = observed(dispatch.call(&endpoint.id, limit), &self.facts, key);
         let call = counted(call, &entry);
@@ -405,6 +447,8 @@
         let (request, id) = (dispatch.id.as_str(), endpoint.id.as_str());
         match &attempt {
             Attempt::Answered(_) => self.facts.borrow_mut().record_success(key),
+            // The permits log it.
+            Attempt::Denied => {}
             Attempt::NotRun(reason) => {
                 let reason = *reason;
                 let backoff = self
@@ -485,7 +529,14 @@
             "no-answer",
             "no endpoint answered",
         ),
-        End::NotRun => rejection("no-place", "no endpoint has a free slot"),
+        End::NotRun => match outcome.retry_after {
+            Some(time) => {
+                let detail = "the endpoints accept no more requests per second";
+                let seconds = format!("{:.3}", time.as_secs_f64());
+                rejection("rate-limited", detail).header("retry-after", seconds)
+            }
+            None => rejection("no-place", "no endpoint has a free slot"),
+        },
     }
 }
 
--- a/crates/site/src/job/attempt.rs
+++ b/crates/site/src/job/attempt.rs
@@ -22,6 +22,7 @@
     forward::{Dispatch, End, Forwarder, is_rejected, observed},
     latency::Meter,
     metrics::Metrics,
+    permit::Permits,
     placement::{self, Criteria},
 };
 
@@ -41,6 +42,8 @@
     pub facts: Rc<RefCell<Facts>>,
     /// Connections to endpoints.
     pub pool: Pool,
+    /// Permits to send to endpoints with a rate limit.
+    pub permits: Permits,
     /// Forwards scoring requests to endpoints.
     pub forwarder: Forwarder,
     /// Counters of items.
@@ -60,6 +63,8 @@
     Moved,
     /// The endpoint rejected the item without running it, or was removed.
     Rejected,
+    /// No permit was granted for the endpoint.
+    Denied,
     /// No connection to the endpoint could be opened.
     Unreachable(String),
     /// The endpoint responded with status 500.
@@ -76,6 +81,7 @@
             Self::Interrupted(_) => "broken",
             Self::Moved => "moved",
             Self::Rejected => "not-run",
+            Self::Denied => "denied",
             Self::Unreachable(_) => "unreached",
             Self::Failed => "failed",
             Self::Unprocessable => "never",
@@ -129,6 +135,9 @@
         let Some(endpoint) = known else {
             return Attempt::Rejected;
         };
+        if !self.permits.acquire(key, &item.id).await {
+            return Attempt::Denied;
+        }
         let start = Instant::now();
         // This VM's other requests at the endpoint.
         let other_requests = endpoint.in_flight.saturating_sub(1);
@@ -161,6 +170,8 @@
             Attempt::Moved => {
                 spdlog::info!("item moves to a faster endpoint", kv: { item, job, endpoint = id, last });
             }
+            // The permits log it.
+            Attempt::Denied => {}
             Attempt::Rejected => {
                 self.facts.borrow_mut().record_rejection(key, now);
                 spdlog::info!("item rejected by endpoint without running it", kv: { item, job, endpoint = id, last });
--- a/crates/site/src/job/executor.rs
+++ b/crates/site/src/job/executor.rs
@@ -421,9 +421,10 @@
                     pending.moves += 1;
                     return Completion::Retry(pending);
                 }
-                Attempt::Interrupted(_) | Attempt::Rejected | Attempt::Unreachable(_) => {
-                    return retry(pending);
-                }
+                Attempt::Interrupted(_)
+                | Attempt::Rejected
+                | Attempt::Denied
+                | Attempt::Unreachable(_) => return retry(pending),
             }
             let score = match &item.scorer {
                 Some(scorer) => runner.score(item, scorer, max_attempts, &context).await,
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod mirror;
 pub mod notify;
 pub mod peer;
+pub mod permit;
 pub mod placement;
 pub mod reload;
 pub(crate) mod retention;
--- a/crates/site/src/metrics.rs
+++ b/crates/site/src/metrics.rs
@@ -27,6 +27,7 @@
     item_seconds: Histogram<f64>,
     jobs: Counter<u64>,
     peer_calls: Counter<u64>,
+    permits: Counter<u64>,
     store_calls: Gauge<u64>,
     endpoints: Gauge<u64>,
     usage_omitted_requests: Counter<u64>,
@@ -51,6 +52,7 @@
             item_seconds: seconds("tarragonseam_item_run_duration"),
             jobs: telemetry.counter("tarragonseam_jobs"),
             peer_calls: telemetry.counter("tarragonseam_peer_calls"),
+            permits: telemetry.counter("tarragonseam_permits"),
             store_calls: meter.u64_gauge("tarragonseam_store_calls").build(),
             endpoints: meter.u64_gauge("tarragonseam_endpoints").build(),
             usage_omitted_requests: telemetry.counter("tarragonseam_usage_omitted_requests"),
@@ -95,6 +97,12 @@
         self.0.peer_calls.add(1, &[subject]);
     }
 
+    /// Records the result of asking for a permit to send a request to an
+    /// endpoint with a rate limit.
+    pub fn record_permit(&self, result: &'static str) {
+        self.0.permits.add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Records that `requests` requests are in no usage report.
     pub fn record_omitted_usage(&self, requests: u64) {
         self.0.usage_omitted_requests.add(requests, &[]);
--- a/crates/site/src/peer.rs
+++ b/crates/site/src/peer.rs
@@ -1,5 +1,6 @@
 //! Serves calls from other VMs: reads from the mirror, submissions of usage
-//! counts, calls about jobs, and calls that this VM relays to the store.
+//! counts, calls about jobs, requests for permits, and calls that this VM relays
+//! to the store.
 
 use link::{
     StatusCode,
@@ -11,6 +12,7 @@
     duty::collect::{self, Collector},
     job::{Jobs, proxy},
     mirror::Mirror,
+    permit::{self, Permits},
 };
 
 /// Serves calls from other VMs.
@@ -19,15 +21,17 @@
     jobs: Jobs,
     mirror: Mirror,
     collector: Collector,
+    permits: Permits,
 }
 
 impl Server {
     /// Returns a server for these components.
-    pub fn new(jobs: Jobs, mirror: Mirror, collector: Collector) -> Self {
+    pub fn new(jobs: Jobs, mirror: Mirror, collector: Collector, permits: Permits) -> Self {
         Self {
             jobs,
             mirror,
             collector,
+            permits,
         }
     }
 
@@ -45,6 +49,10 @@
             self.jobs.metrics.record_peer_call("usage");
             return self.collector.answer(&request).await;
         }
+        if path == permit::PATH {
+            self.jobs.metrics.record_peer_call("permit");
+            return self.permits.answer(&request);
+        }
         if path.starts_with(proxy::PATH) {
             self.jobs.metrics.record_peer_call("job");
             return proxy::answer(&self.jobs, request).await;
--- /dev/null
+++ b/crates/site/src/permit.rs
@@ -0,0 +1,231 @@
+//! Permits to send requests to endpoints that name a rate limit.
+//!
+//! The limit holds for the requests of all VMs together, so a VM asks the
+//! coordinators for a permit before each request. They need neither the store
+//! nor each other for this ([`policy::rate`]). A VM that reaches no coordinator
+//! sends nothing to such an endpoint.
+
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use board::hash::Map;
+use link::{
+    StatusCode,
+    clock::Clock,
+    http::{Limits, Pool, Request, client::Call, server::Reply},
+};
+use policy::rate::Bucket;
+
+use crate::{
+    coordinator::Coordinators,
+    facts::{Facts, Key, RateLimit},
+    metrics::Metrics,
+};
+
+/// The path at which coordinators grant permits.
+pub(crate) const PATH: &str = "/permits";
+/// How long a coordinator may take to answer. It does so from memory.
+const ASK_TIMEOUT: Duration = Duration::from_millis(100);
+/// How long a coordinator that did not answer is not asked.
+const BACKOFF: Duration = Duration::from_millis(1000);
+/// The bounds of the time for which an endpoint gets no requests of this VM
+/// after no permit was granted. Other VMs may learn meanwhile that the limit
+/// has ended.
+const WAIT_MIN: Duration = Duration::from_millis(20);
+const WAIT_MAX: Duration = Duration::from_millis(2000);
+/// How long an unused bucket is retained.
+const BUCKET_RETENTION: Duration = Duration::from_secs(60);
+
+board::record! {
+    /// A request for a permit.
+    struct Ask {
+        /// The id of the endpoint.
+        endpoint: String,
+        /// The limit that the endpoint named, in requests per second.
+        per_s: f64,
+        /// The age of the response that named it, in milliseconds.
+        age_ms: u64,
+    }
+}
+
+board::record! {
+    /// The answer to a request for a permit.
+    struct Grant {
+        /// The time until there is a permit, in milliseconds; 0 if one is
+        /// granted.
+        wait_ms: u64,
+        /// Whether a newer response of the endpoint named no limit.
+        is_ended: bool,
+    }
+}
+
+/// Asks for permits, and grants them if this VM is a coordinator. Clones share
+/// the state.
+#[derive(Clone)]
+pub struct Permits(Rc<Inner>);
+
+struct Inner {
+    facts: Rc<RefCell<Facts>>,
+    coordinators: Coordinators,
+    metrics: Metrics,
+    vm: String,
+    pool: Pool,
+    clock: Clock,
+    /// This VM's share of the limit of each endpoint, by its id.
+    buckets: RefCell<Map<String, Bucket>>,
+    backoff_until: RefCell<Map<SocketAddr, Instant>>,
+}
+
+impl Permits {
+    /// Returns the permits of `vm`.
+    pub fn new(
+        facts: Rc<RefCell<Facts>>,
+        coordinators: Coordinators,
+        metrics: Metrics,
+        vm: &str,
+    ) -> Self {
+        Self(Rc::new(Inner {
+            facts,
+            coordinators,
+            metrics,
+            vm: vm.to_string(),
+            pool: Pool::new(Limits::new()).reset_on_close(),
+            clock: Clock::default(),
+            buckets: RefCell::default(),
+            backoff_until: RefCell::default(),
+        }))
+    }
+
+    /// Returns whether this VM may send `request` to the endpoint `key` now. If
+    /// not, [`placement`](crate::placement) leaves the endpoint out until a
+    /// permit is expected.
+    pub async fn acquire(&self, key: Key, request: &str) -> bool {
+        let named = self.0.facts.borrow().rate_limit(key);
+        let Some((endpoint, RateLimit { per_s, named_at })) = named else {
+            return true;
+        };
+        let ask = Ask {
+            endpoint,
+            per_s,
+            age_ms: named_at.elapsed().as_millis() as u64,
+        };
+        let mut wait = None;
+        for coordinator in self.ranked_coordinators(&ask.endpoint) {
+            let grant = match self.0.coordinators.is_own(coordinator) {
+                true => Some(self.grant(&ask)),
+                false => self.ask(coordinator, &ask).await,
+            };
+            let Some(grant) = grant else {
+                continue;
+            };
+            if grant.is_ended {
+                self.0.facts.borrow_mut().end_rate_limit(key);
+                return true;
+            }
+            if grant.wait_ms == 0 {
+                self.0.metrics.record_permit("granted");
+                return true;
+            }
+            let stated = Duration::from_millis(grant.wait_ms);
+            wait = Some(wait.map_or(stated, |wait: Duration| wait.min(stated)));
+        }
+        let is_answered = wait.is_some();
+        let label = if is_answered { "denied" } else { "unreachable" };
+        self.0.metrics.record_permit(label);
+        let wait = wait.unwrap_or(BACKOFF).clamp(WAIT_MIN, WAIT_MAX);
+        let until = Instant::now() + wait;
+        self.0.facts.borrow_mut().record_denial(key, until);
+        let (endpoint, wait_ms) = (ask.endpoint.as_str(), wait.as_millis() as u64);
+        spdlog::info!("no permit for an endpoint with a rate limit", kv: { request, endpoint, per_s, is_answered, wait_ms });
+        false
+    }
+
+    /// Returns the coordinators to ask in turn: this VM first if it is one, and
+    /// the others in an order that differs by VM and endpoint, which spreads
+    /// the requests over them.
+    fn ranked_coordinators(&self, endpoint: &str) -> Vec<SocketAddr> {
+        let now = Instant::now();
+        let subject = format!("{}/{endpoint}", self.0.vm);
+        let mut ranked = self.0.coordinators.rank(&subject, now);
+        let backoffs = self.0.backoff_until.borrow();
+        ranked.retain(|vm| backoffs.get(vm).is_none_or(|until| *until <= now));
+        ranked.sort_by_key(|vm| !self.0.coordinators.is_own(*vm));
+        if ranked.is_empty() && self.0.coordinators.count() == 0 {
+            // Without seeds, each VM is on its own.
+            ranked.extend(self.0.coordinators.own_address());
+        }
+        ranked
+    }
+
+    async fn ask(&self, coordinator: SocketAddr, ask: &Ask) -> Option<Grant> {
+        let body = serde_json::to_vec(ask).ok()?;
+        let call = Call::post(PATH, body)
+            .connect_timeout(ASK_TIMEOUT)
+            .deadline(ASK_TIMEOUT);
+        let answer = self.0.pool.fetch(coordinator, call).await;
+        let problem = match answer {
+            Ok(response) if response.status.is_success() => {
+                match serde_json::from_slice(&response.body) {
+                    Ok(grant) => return Some(grant),
+                    Err(e) => e.to_string(),
+                }
+            }
+            Ok(response) => response.status.to_string(),
+            Err(e) => e.to_string(),
+        };
+        let until = Instant::now() + BACKOFF;
+        self.0.backoff_until.borrow_mut().insert(coordinator, until);
+        let (endpoint, vm) = (ask.endpoint.as_str(), coordinator.to_string());
+        spdlog::warn!("coordinator did not answer a request for a permit", kv: { endpoint, vm, problem });
+        None
+    }
+
+    /// Answers a request for a permit from this VM's share.
+    fn grant(&self, ask: &Ask) -> Grant {
+        let mut per_s = ask.per_s;
+        let known = self.0.facts.borrow().newest_rate_limit(&ask.endpoint);
+        if let Some((limit, at)) = known
+            && at.elapsed() < Duration::from_millis(ask.age_ms)
+        {
+            let Some(limit) = limit else {
+                return Grant {
+                    wait_ms: 0,
+                    is_ended: true,
+                };
+            };
+            per_s = limit;
+        }
+        let now = self.0.clock.now();
+        let mut buckets = self.0.buckets.borrow_mut();
+        if !buckets.contains_key(&ask.endpoint) {
+            buckets.retain(|_, bucket| now - bucket.used_at() < BUCKET_RETENTION);
+        }
+        let bucket = buckets
+            .entry(ask.endpoint.clone())
+            .or_insert_with(|| Bucket::new(now));
+        let wait = match bucket.take(per_s, self.0.coordinators.count(), now) {
+            Ok(()) => 0,
+            Err(wait) => (wait.as_millis() as u64).max(1),
+        };
+        Grant {
+            wait_ms: wait,
+            is_ended: false,
+        }
+    }
+
+    /// Serves another VM's request for a permit.
+    pub(crate) fn answer(&self, request: &Request) -> Reply {
+        // The shares of the seeds add up to the limit.
+        if !self.0.coordinators.is_seed() {
+            return Reply::new(StatusCode::SERVICE_UNAVAILABLE, "");
+        }
+        match request.json::<Ask>() {
+            Ok(ask) => Reply::json(StatusCode::OK, &self.grant(&ask)),
+            Err(reply) => reply,
+        }
+    }
+}
--- a/crates/site/src/placement.rs
+++ b/crates/site/src/placement.rs
@@ -102,7 +102,9 @@
         seconds.is_some_and(|seconds| seconds <= limit)
     });
     faster.any(|(_, other)| {
-        is_usable(other, criteria, now) && load_permille(other, now) < PREFERRED_LOAD_PERMILLE
+        // The permit for a run that moves there may be denied.
+        let is_free = other.rate_limit.is_none() && is_usable(other, criteria, now);
+        is_free && load_permille(other, now) < PREFERRED_LOAD_PERMILLE
     })
 }
 
@@ -122,7 +124,7 @@
 
 fn is_usable(endpoint: &Endpoint, criteria: Criteria<'_>, now: Instant) -> bool {
     let record = &endpoint.record;
-    if record.service != criteria.service || record.is_draining {
+    if record.service != criteria.service || record.is_draining || endpoint.is_denied(now) {
         return false;
     }
     let is_unavailable = endpoint.in_flight >= record.slots || endpoint.is_backing_off(now);
--- a/crates/site/tests/rate_limit.rs
+++ b/crates/site/tests/rate_limit.rs
@@ -29,7 +29,10 @@
         .skip(skipped)
         .map(|arrival| arrival.at)
         .collect();
-    let within = |from| at.iter().filter(move |at| **at >= from && **at < from + WINDOW);
+    let within = |from| {
+        at.iter()
+            .filter(move |at| **at >= from && **at < from + WINDOW)
+    };
     at.iter()
         .map(|from| within(*from).count())
         .max()
