site: tests of permits for streams, without a coordinator and after a limit

Ruled out: nothing; no fault was found.

Change: endpoint_rate_limit_exceeded_by_streams, rate_limited_endpoint_without_a_coordinator and rate_limit_end_learned_from_a_coordinator. The doc text of Facts::next_permit says what it returns.

Conclusion: all three ways of sending a caller's request or an item ask for permits.

--- a/crates/site/src/facts.rs
+++ b/crates/site/src/facts.rs
@@ -271,8 +271,8 @@
         Some((per_s, endpoint.responded_at?))
     }
 
-    /// Returns when a permit is expected for an endpoint of `service`, if no
-    /// other endpoint of it is left.
+    /// Returns when the first permit is expected for an endpoint of `service`
+    /// for which none was granted.
     pub fn next_permit(&self, service: &str, now: Instant) -> Option<Instant> {
         let endpoints = self.endpoints.values();
         let active = endpoints.filter(|e| e.record.service == service && !e.record.is_draining);
--- a/crates/site/tests/rate_limit.rs
+++ b/crates/site/tests/rate_limit.rs
@@ -4,9 +4,10 @@
 
 use std::{thread, time::Duration};
 
-use common::{Deployment, job, wait};
-use fakes::site::Plan;
+use common::{Deployment, HOST, header, job, wait};
+use fakes::site::{ENGINE_SERVICE, Plan};
 use link::Method;
+use serde_json::json;
 
 /// The limit that endpoints name, in requests per second.
 const LIMIT: f64 = 2.0;
@@ -59,13 +60,18 @@
     statuses
 }
 
-#[test]
-fn endpoint_rate_limit_exceeded_by_requests() {
-    let plan = Plan {
+/// One endpoint of each service.
+fn single_endpoints() -> Plan {
+    Plan {
+        engines: 1,
         plain: 1,
         ..Plan::default()
-    };
-    let deployment = Deployment::start(3, plan);
+    }
+}
+
+#[test]
+fn endpoint_rate_limit_exceeded_by_requests() {
+    let deployment = Deployment::start(3, single_endpoints());
     set_limit(&deployment, "plain-0", Some(LIMIT));
     for vm in &deployment.vms {
         assert_eq!(vm.request(Method::POST, "/safe/a", &vm.name).status, 200);
@@ -91,11 +97,7 @@
 
 #[test]
 fn endpoint_rate_limit_ended() {
-    let plan = Plan {
-        plain: 1,
-        ..Plan::default()
-    };
-    let deployment = Deployment::start(3, plan);
+    let deployment = Deployment::start(3, single_endpoints());
     set_limit(&deployment, "plain-0", Some(LIMIT));
     send_many(&deployment, "limited");
     set_limit(&deployment, "plain-0", None);
@@ -111,3 +113,70 @@
     let statuses = send_many(&deployment, "free");
     assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
 }
+
+#[test]
+fn endpoint_rate_limit_exceeded_by_streams() {
+    let deployment = Deployment::start(3, single_endpoints());
+    let mut config = common::config(2);
+    let route = json!({
+        "name": "streams", "host": HOST, "path-prefix": "/streams/", "kind": "unsafe",
+        "streaming": true, "resumable": true, "timeout-ms": 2000, "aim-ms": 150,
+        "service": ENGINE_SERVICE, "max-attempts": 2, "public": true,
+    });
+    config["routes"].as_array_mut().unwrap().push(route);
+    deployment.site.state().put("config", "main", config);
+    set_limit(&deployment, "engine-0", Some(LIMIT));
+    for vm in &deployment.vms {
+        wait("a stream", || {
+            vm.request(Method::POST, "/streams/a", &vm.name).status == 200
+        });
+    }
+    for number in 0..20 {
+        for vm in &deployment.vms {
+            let id = format!("{}-{number}", vm.name);
+            vm.request(Method::POST, "/streams/a", &id);
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    assert!(peak(&deployment, "engine-0", 3) <= allowed());
+}
+
+#[test]
+fn rate_limited_endpoint_without_a_coordinator() {
+    let mut deployment = Deployment::start_with_coordinators(2, 1, single_endpoints());
+    set_limit(&deployment, "plain-0", Some(LIMIT));
+    let first = deployment.vms[1].request(Method::POST, "/safe/a", "r1");
+    assert_eq!(first.status, 200);
+    deployment.vms[0].kill();
+    let rejected = deployment.vms[1].request(Method::POST, "/safe/a", "r2");
+    assert_eq!(rejected.status, 503);
+    let retry_after: f64 = header(&rejected, "retry-after").parse().unwrap();
+    assert!(retry_after > 0.0 && retry_after <= 2.0, "{retry_after}");
+    assert!(deployment.site.state().arrivals_of("r2").is_empty());
+    deployment.vms[0].restart();
+    wait("a permit of the restarted coordinator", || {
+        deployment.vms[1]
+            .request(Method::POST, "/safe/a", "r3")
+            .status
+            == 200
+    });
+}
+
+#[test]
+fn rate_limit_end_learned_from_a_coordinator() {
+    let deployment = Deployment::start_with_coordinators(2, 1, single_endpoints());
+    set_limit(&deployment, "plain-0", Some(0.0));
+    for vm in &deployment.vms {
+        assert_eq!(vm.request(Method::POST, "/safe/a", &vm.name).status, 200);
+    }
+    set_limit(&deployment, "plain-0", None);
+    for vm in &deployment.vms {
+        wait("a request after the end of the limit", || {
+            vm.request(Method::POST, "/safe/a", "again").status == 200
+        });
+    }
+    // One permit of the coordinator's was enough for both VMs.
+    let ended = "rate limit of an endpoint ended";
+    assert!(deployment.vms.iter().all(|vm| vm.log().contains(ended)));
+    assert_eq!(deployment.site.state().arrivals_of("again").len(), 2);
+}
