site: log the content and the origin of lost requests

Ruled out: logging path and body; bodies are large and may be confidential. A digest of all that makes two requests equal is enough.

Change: Dispatch::content and Dispatch::origin, in the lines about a request that an endpoint did not answer.

--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -9,6 +9,7 @@
     time::{Duration, Instant},
 };
 
+use board::key::Digest;
 use link::{
     Bytes, HeaderMap, Method, StatusCode,
     http::{
@@ -101,13 +102,47 @@
     pub body: Bytes,
     /// The client account that is billed, if there is one.
     pub account: Option<String>,
+    /// Who sent the request.
+    pub origin: Origin,
     /// Whether the request may run more than once.
     pub may_repeat: bool,
     /// When the caller stops waiting.
     pub deadline: Instant,
 }
 
+/// Who sent a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// A caller, who waits for the answer.
+    Caller,
+    /// This system, for a job that it has accepted.
+    Job,
+}
+
+impl Origin {
+    /// Returns the name in log lines.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Caller => "caller",
+            Self::Job => "job",
+        }
+    }
+}
+
 impl Dispatch {
+    /// Returns a digest of all that makes two requests equal for an endpoint,
+    /// whatever their ids.
+    pub fn content(&self) -> String {
+        let account = self.account.as_deref().unwrap_or_default();
+        let parts = [self.method.as_str(), &self.host, &self.path, account];
+        // No part can contain the separator.
+        let head = parts.join("\n");
+        let body = Digest::of_bytes(&self.body);
+        let mut digest = Digest::of(&format!("{head}\n{body}")).to_string();
+        digest.truncate(CONTENT_DIGITS);
+        digest
+    }
+
     /// Returns the call to `endpoint`, which may take `limit`.
     pub fn call(&self, endpoint: &str, limit: Duration) -> Call {
         let remaining = self.deadline.saturating_duration_since(Instant::now());
@@ -128,6 +163,9 @@
     }
 }
 
+/// The number of hexadecimal digits of a digest that identify a content.
+const CONTENT_DIGITS: usize = 32;
+
 /// The outcome of sending a request to one endpoint.
 enum Attempt {
     /// The endpoint ran the request and answered.
@@ -227,6 +265,7 @@
             headers: header::forwarded_headers(&request.headers),
             body: request.body.clone(),
             account,
+            origin: Origin::Caller,
             may_repeat: route.kind == Kind::Safe,
             deadline: Instant::now() + limit.saturating_sub(REPLY_RESERVE),
         };
@@ -296,7 +335,8 @@
             Err(e) => {
                 self.facts.borrow_mut().record_failure(key, now);
                 let (request, endpoint, problem) = (&*dispatch.id, &*endpoint.id, e.to_string());
-                spdlog::warn!("opening an event stream at an endpoint failed", kv: { request, endpoint, problem });
+                let content = dispatch.content();
+                spdlog::warn!("opening an event stream at an endpoint failed", kv: { request, endpoint, problem, content });
                 if !may_have_run {
                     outcome.rejections += 1;
                     return Some(None);
@@ -461,7 +501,8 @@
             Attempt::Unreached(e) | Attempt::Unknown(e) => {
                 let backoff = self.facts.borrow_mut().record_failure(key, now).as_millis() as u64;
                 let problem = e.to_string();
-                spdlog::warn!("request to an endpoint failed", kv: { request, endpoint = id, problem, rest_ms = backoff });
+                let (content, origin) = (dispatch.content(), dispatch.origin.name());
+                spdlog::warn!("request to an endpoint failed", kv: { request, endpoint = id, problem, rest_ms = backoff, content, origin });
             }
         }
         attempt
--- a/crates/site/src/job/attempt.rs
+++ b/crates/site/src/job/attempt.rs
@@ -19,7 +19,7 @@
 use super::text::Text;
 use crate::{
     facts::{Facts, Key},
-    forward::{Dispatch, End, Forwarder, is_rejected, observed},
+    forward::{Dispatch, End, Forwarder, Origin, is_rejected, observed},
     latency::Meter,
     metrics::Metrics,
     permit::Permits,
@@ -295,6 +295,7 @@
                 headers: HeaderMap::new(),
                 body: scorer.body.0.clone(),
                 account: None,
+                origin: Origin::Job,
                 may_repeat: true,
                 deadline: deadline.min(Instant::now() + limit),
             };
@@ -353,6 +354,7 @@
         headers,
         body: item.body.0.clone(),
         account: context.account.clone(),
+        origin: Origin::Job,
         may_repeat: true,
         deadline: context.deadline,
     }
