--- a/crates/fakes/src/site/engine.rs
+++ b/crates/fakes/src/site/engine.rs
@@ -11,7 +11,9 @@
 };
 use serde_json::{Value, json};
 
-use super::{MODEL, SharedState, echo_request_id, header_text, lock, record_arrival, rejection};
+use super::{
+    MODEL, SharedState, crashes, echo_request_id, header_text, lock, record_arrival, rejection,
+};
 
 /// The number of events of a stream whose request names none.
 const EVENTS_DEFAULT: u64 = 5;
@@ -87,7 +89,7 @@
     if let Some(reply) = rejection(request, id, &faults) {
         return reply;
     }
-    if faults.dropped_replies > 0 {
+    if faults.dropped_replies > 0 || crashes(state, request, id) {
         return Reply::cut();
     }
     let version = {
--- a/crates/fakes/src/site/mod.rs
+++ b/crates/fakes/src/site/mod.rs
@@ -141,6 +141,8 @@
     pub faults: PendingFaults,
     /// The requests per second that its answers name as its limit.
     pub rate_limit: Option<f64>,
+    /// When it last started, in the unit of its record.
+    pub born: u64,
 }
 
 /// The state that the fakes share.
@@ -158,6 +160,8 @@
     pub endpoints: BTreeMap<String, Endpoint>,
     /// The requests that the endpoints received, in order.
     pub arrivals: Vec<Arrival>,
+    /// How many more endpoints crash under requests with a path.
+    pub crashes: BTreeMap<String, u32>,
     /// The accepted usage reports, in order.
     pub reports: Vec<Report>,
 }
@@ -272,6 +276,7 @@
         epoch: 0,
         faults: PendingFaults::default(),
         rate_limit: None,
+        born: 1,
     }
 }
 
@@ -315,7 +320,7 @@
             "slots": 4,
             "state": state,
             "models": models.collect::<Vec<Value>>(),
-            "born": 1,
+            "born": endpoint.born,
         });
         self.put("servers", id, record);
     }
@@ -374,6 +379,21 @@
     current_faults
 }
 
+/// Returns whether the endpoint `id` crashes under `request`. It starts again at
+/// once.
+pub(crate) fn crashes(state: &SharedState, request: &Request, id: &str) -> bool {
+    let mut state = lock(state);
+    match state.crashes.get_mut(request.uri.path()) {
+        None | Some(0) => return false,
+        Some(left) => *left -= 1,
+    }
+    if let Some(endpoint) = state.endpoints.get_mut(id) {
+        endpoint.born += 1;
+    }
+    state.announce(id, "ready");
+    true
+}
+
 /// Returns the answer to a request that the endpoint does not run, because the
 /// request expects another endpoint, or a fault rejects or fails it.
 pub(crate) fn rejection(request: &Request, id: &str, faults: &PendingFaults) -> Option<Reply> {
--- a/crates/fakes/src/site/plain.rs
+++ b/crates/fakes/src/site/plain.rs
@@ -7,7 +7,7 @@
     http::{Reply, Request},
 };
 
-use super::{SharedState, echo_request_id, header_text, record_arrival, rejection};
+use super::{SharedState, crashes, echo_request_id, header_text, record_arrival, rejection};
 
 /// The time for which a connection stays open without an answer before it is
 /// closed.
@@ -18,6 +18,9 @@
     if let Some(reply) = rejection(&request, &id, &faults) {
         return reply;
     }
+    if crashes(&state, &request, &id) {
+        return Reply::cut();
+    }
     if faults.dropped_replies > 0 {
         monoio::time::sleep(DROPPED_REPLY_DELAY).await;
         return Reply::cut();
