site, policy: requests under which endpoints ended are quarantined

The limit of attempts holds for one attempt of a caller at one VM; the next attempt has a new id, and nothing remembered what the request had done. The class: a budget that is kept for each attempt, where the thing to bound is the request.

Ruled out: that the pool sends more than is counted. It repeats a request once if an idle connection closed under it, to the same endpoint, which refuses connections by then; each id of the record reaches max-attempts endpoints. Requests of jobs: the record's requests are callers'. A memory of each VM alone: the request comes to any VM, and each would lose three endpoints. Counting lost requests of any kind as proof: innocent ones are lost with the endpoint, so three endpoints must end under a request, and an answer clears it.

Change: policy::crash counts, for a content (method, host, path, account, body), the endpoint processes that disconnected under it; after three it is quarantined for ten minutes and rejected at once with that time. site::crash shares losses as objects in the store, created once and followed through the mirrors, so that all VMs know them within about 0.3 s, also after a restart. A loss that another endpoint makes good within 0.2 s is not shared. Items and scoring requests are exempt.

Conclusion: the request is bounded by its content over all VMs and attempts.

--- a/crates/site/src/components.rs
+++ b/crates/site/src/components.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     coordinator::Coordinators,
+    crash::Crashes,
     duty::{self, Duties, collect::Collector, lease::Manager},
     facts::Facts,
     follow::{self, View},
@@ -42,6 +43,7 @@
     pub(crate) metrics: Metrics,
     mirror: Mirror,
     permits: Permits,
+    crashes: Crashes,
 }
 
 /// Returns the VM from whose mirror `vm` reads, or `None` if it reads from the
@@ -89,10 +91,12 @@
         let domain = settings.failure_domain.as_str();
         let vm = settings.vm.as_str();
         let permits = Permits::new(facts.clone(), coordinators.clone(), metrics.clone(), vm);
+        let crashes = Crashes::new(store.clone(), metrics.clone());
         let forwarder = Forwarder::new(
             facts.clone(),
             pool.clone(),
             permits.clone(),
+            crashes.clone(),
             usage.clone(),
             metrics.clone(),
             domain,
@@ -158,6 +162,7 @@
             metrics,
             mirror,
             permits,
+            crashes,
         }
     }
 
@@ -190,6 +195,7 @@
         let pool = self.duties.pool.clone();
         let view = self.jobs.view.sibling();
         monoio::spawn(follow::config(store.clone(), view.clone(), facts.clone()));
+        monoio::spawn(self.crashes.clone().follow(view.sibling()));
         monoio::spawn(follow::endpoints(store, view, facts, pool));
         monoio::spawn(failover::follow(self.jobs.clone()));
         monoio::spawn(failover::take_over(self.jobs.clone()));
--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -25,7 +25,8 @@
 };
 
 use crate::{
-    facts::{Facts, Key},
+    crash::Crashes,
+    facts::{Endpoint, Facts, Key},
     metrics::Metrics,
     permit::Permits,
     placement::{self, Criteria},
@@ -56,6 +57,7 @@
     facts: Rc<RefCell<Facts>>,
     pool: Pool,
     permits: Permits,
+    pub(crate) crashes: Crashes,
     usage: Usage,
     metrics: Metrics,
     domain: String,
@@ -208,12 +210,22 @@
     pub rejections: usize,
     /// The number of endpoints for which no permit was granted.
     pub denials: usize,
-    /// When the request may be sent again, if this is known.
-    pub retry_after: Option<Duration>,
+    /// Why the request was not sent, if this is known.
+    pub hold: Option<Hold>,
     /// The last endpoint that ran the request or may have run it.
     pub endpoint: String,
 }
 
+/// Why a request is not sent for some time.
+#[derive(Clone, Copy, Debug)]
+pub enum Hold {
+    /// The endpoints accept no more requests per second. A permit is expected
+    /// after this time.
+    RateLimit(Duration),
+    /// Endpoints ended under it. The quarantine ends after this time.
+    Quarantine(Duration),
+}
+
 /// How a request ended.
 #[derive(Debug, Default)]
 pub enum End {
@@ -232,6 +244,7 @@
         facts: Rc<RefCell<Facts>>,
         pool: Pool,
         permits: Permits,
+        crashes: Crashes,
         usage: Usage,
         metrics: Metrics,
         domain: &str,
@@ -240,6 +253,7 @@
             facts,
             pool,
             permits,
+            crashes,
             usage,
             metrics,
             domain: domain.to_string(),
@@ -290,14 +304,18 @@
         if remaining.is_zero() || outcome.rejections >= REJECTIONS_MAX {
             return None;
         }
+        if let Some(rest) = self.crashes.quarantine(dispatch) {
+            outcome.hold = Some(Hold::Quarantine(rest));
+            return None;
+        }
         let service = select_service(route, &dispatch.id)?;
-        outcome.retry_after = self.time_to_permit(service);
+        outcome.hold = self.time_to_permit(service);
         let key = self.choose(service, tried)?;
-        let endpoint = self.facts.borrow().endpoints.get(key).cloned()?;
+        let endpoint = self.endpoint(key)?;
         let slot = Slot::acquire(&self.facts, key)?;
         if !self.permits.acquire(key, &dispatch.id).await {
             outcome.denials += 1;
-            outcome.retry_after = self.time_to_permit(service);
+            outcome.hold = self.time_to_permit(service);
             return (outcome.denials < DENIALS_MAX).then_some(None);
         }
         tried.push(key);
@@ -334,13 +352,15 @@
             }
             Err(e) => {
                 self.facts.borrow_mut().record_failure(key, now);
-                let (request, endpoint, problem) = (&*dispatch.id, &*endpoint.id, e.to_string());
+                let (request, known, problem) = (&*dispatch.id, &endpoint, e.to_string());
+                let endpoint = known.id.as_str();
                 let content = dispatch.content();
                 spdlog::warn!("opening an event stream at an endpoint failed", kv: { request, endpoint, problem, content });
                 if !may_have_run {
                     outcome.rejections += 1;
                     return Some(None);
                 }
+                self.crashes.record_failure(dispatch, known, &e);
                 outcome.runs += 1;
                 outcome.end = End::Lost;
                 // The endpoint may have run the request, so only a stream
@@ -378,11 +398,15 @@
             if remaining.is_zero() || outcome.rejections >= REJECTIONS_MAX {
                 return outcome;
             }
+            if let Some(rest) = self.crashes.quarantine(dispatch) {
+                outcome.hold = Some(Hold::Quarantine(rest));
+                return outcome;
+            }
             let Some(service) = select_service(route, &dispatch.id) else {
                 return outcome;
             };
             let Some(key) = self.choose(service, &tried) else {
-                outcome.retry_after = self.time_to_permit(service);
+                outcome.hold = self.time_to_permit(service);
                 if tried.is_empty() || outcome.runs > 0 {
                     return outcome;
                 }
@@ -406,7 +430,7 @@
                 Attempt::NotRun(_) | Attempt::Unreached(_) => outcome.rejections += 1,
                 Attempt::Denied => {
                     outcome.denials += 1;
-                    outcome.retry_after = self.time_to_permit(service);
+                    outcome.hold = self.time_to_permit(service);
                     if outcome.denials >= DENIALS_MAX {
                         return outcome;
                     }
@@ -446,25 +470,26 @@
 
     /// Returns the time until a permit is expected for an endpoint of `service`,
     /// if one was denied.
-    fn time_to_permit(&self, service: &str) -> Option<Duration> {
+    fn time_to_permit(&self, service: &str) -> Option<Hold> {
         let now = Instant::now();
         let next = self.facts.borrow().next_permit(service, now);
-        next.map(|at| at.saturating_duration_since(now))
+        next.map(|at| Hold::RateLimit(at.saturating_duration_since(now)))
+    }
+
+    /// Returns the endpoint `key`, or `None` if it has been removed.
+    pub(crate) fn endpoint(&self, key: Key) -> Option<Endpoint> {
+        self.facts.borrow().endpoints.get(key).cloned()
     }
 
     /// Returns the id of the endpoint `key`, or an empty string if the endpoint
     /// has been removed.
     fn endpoint_id(&self, key: Key) -> String {
-        let facts = self.facts.borrow();
-        let endpoint = facts.endpoints.get(key);
-        endpoint
-            .map(|endpoint| endpoint.id.clone())
-            .unwrap_or_default()
+        let endpoint = self.endpoint(key);
+        endpoint.map(|endpoint| endpoint.id).unwrap_or_default()
     }
 
     async fn try_endpoint(&self, key: Key, dispatch: &Dispatch, limit: Duration) -> Attempt {
-        let known = self.facts.borrow().endpoints.get(key).cloned();
-        let Some(endpoint) = known else {
+        let Some(endpoint) = self.endpoint(key) else {
             return Attempt::NotRun("endpoint was removed");
         };
         let Some(_slot) = Slot::acquire(&self.facts, key) else {
@@ -486,7 +511,13 @@
         }
         let (request, id) = (dispatch.id.as_str(), endpoint.id.as_str());
         match &attempt {
-            Attempt::Answered(_) => self.facts.borrow_mut().record_success(key),
+            Attempt::Answered(response) => {
+                self.facts.borrow_mut().record_success(key);
+                // A 504 may come from the endpoint's queue.
+                if !response.status.is_server_error() {
+                    self.crashes.record_answer(dispatch);
+                }
+            }
             // The permits log it.
             Attempt::Denied => {}
             Attempt::NotRun(reason) => {
@@ -505,6 +536,9 @@
                 spdlog::warn!("request to an endpoint failed", kv: { request, endpoint = id, problem, rest_ms = backoff, content, origin });
             }
         }
+        if let Attempt::Unknown(e) = &attempt {
+            self.crashes.record_failure(dispatch, &endpoint, e);
+        }
         attempt
     }
 }
@@ -570,17 +604,25 @@
             "no-answer",
             "no endpoint answered",
         ),
-        End::NotRun => match outcome.retry_after {
-            Some(time) => {
+        End::NotRun => match outcome.hold {
+            Some(Hold::RateLimit(time)) => {
                 let detail = "the endpoints accept no more requests per second";
-                let seconds = format!("{:.3}", time.as_secs_f64());
-                rejection("rate-limited", detail).header("retry-after", seconds)
+                rejection("rate-limited", detail).header("retry-after", seconds(time))
+            }
+            Some(Hold::Quarantine(time)) => {
+                let detail = "endpoints ended under this request";
+                rejection("quarantined", detail).header("retry-after", seconds(time))
             }
             None => rejection("no-place", "no endpoint has a free slot"),
         },
     }
 }
 
+/// Returns `time` as the value of `retry-after`.
+fn seconds(time: Duration) -> String {
+    format!("{:.3}", time.as_secs_f64())
+}
+
 /// Returns whether a response with this status and these headers means that the
 /// endpoint did not run the request.
 ///
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub(crate) mod components;
 pub mod coordinator;
+pub mod crash;
 pub mod duty;
 pub mod expiry;
 pub mod facts;
--- a/crates/site/src/metrics.rs
+++ b/crates/site/src/metrics.rs
@@ -28,6 +28,7 @@
     jobs: Counter<u64>,
     peer_calls: Counter<u64>,
     permits: Counter<u64>,
+    quarantined_requests: Counter<u64>,
     store_calls: Gauge<u64>,
     endpoints: Gauge<u64>,
     usage_omitted_requests: Counter<u64>,
@@ -53,6 +54,7 @@
             jobs: telemetry.counter("tarragonseam_jobs"),
             peer_calls: telemetry.counter("tarragonseam_peer_calls"),
             permits: telemetry.counter("tarragonseam_permits"),
+            quarantined_requests: telemetry.counter("tarragonseam_quarantined_requests"),
             store_calls: meter.u64_gauge("tarragonseam_store_calls").build(),
             endpoints: meter.u64_gauge("tarragonseam_endpoints").build(),
             usage_omitted_requests: telemetry.counter("tarragonseam_usage_omitted_requests"),
@@ -103,6 +105,11 @@
         self.0.permits.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Records a request that was not sent, since endpoints ended under it.
+    pub fn record_quarantined_request(&self) {
+        self.0.quarantined_requests.add(1, &[]);
+    }
+
     /// Records that `requests` requests are in no usage report.
     pub fn record_omitted_usage(&self, requests: u64) {
         self.0.usage_omitted_requests.add(requests, &[]);
--- a/crates/site/src/retention.rs
+++ b/crates/site/src/retention.rs
@@ -1,11 +1,12 @@
-//! Removes expired objects from the store: jobs past their retention, and usage
-//! counts that were reported.
+//! Removes expired objects from the store: jobs past their retention, usage
+//! counts that were reported, and losses of requests.
 
 use std::time::{Duration, Instant};
 
 use platform::{settings::Bounds, store::Error};
 
 use crate::{
+    crash,
     duty::{Duties, report},
     job::{Job, record},
 };
@@ -19,6 +20,9 @@
 /// calls to the store.
 const REMOVALS_MAX: usize = 20;
 
+/// Losses of requests are listed in windows whose number is a multiple of this.
+const CRASH_INTERVAL_WINDOWS: u64 = 16;
+
 /// Removes expired objects while this VM holds the duty lease. Never returns.
 pub(crate) async fn run(duties: Duties, bounds: Bounds) {
     loop {
@@ -57,6 +61,9 @@
     }
     let window = duties.usage.window();
     removed += report::remove_expired(duties, window, bounds.usage_window, REMOVALS_MAX).await?;
+    if window.is_multiple_of(CRASH_INTERVAL_WINDOWS) {
+        removed += crash::remove_expired(&duties.store, REMOVALS_MAX).await?;
+    }
     Ok(removed)
 }
 
--- a/crates/site/src/stream.rs
+++ b/crates/site/src/stream.rs
@@ -6,7 +6,7 @@
 use link::{
     HeaderValue,
     http::{
-        Response,
+        self, Response,
         server::{Part, Reply, Sender},
     },
 };
@@ -31,7 +31,7 @@
 /// Why the relay from one endpoint stopped.
 enum Stop {
     Complete,
-    Broken,
+    Broken(http::Error),
     CallerDisconnected,
 }
 
@@ -58,17 +58,25 @@
         let mut opened = Some(first);
         let mut last_id = None;
         while let Some(source) = opened.take() {
+            let endpoint = self.endpoint(source.key);
+            let is_failure = source.response.status.is_server_error();
             let stop = relay_events(source, &sender, &mut last_id).await;
             let request = dispatch.id.as_str();
             let event = last_id.unwrap_or_default();
             match stop {
                 Stop::Complete => {
+                    if !is_failure {
+                        self.crashes.record_answer(&dispatch);
+                    }
                     // The send fails only if the caller has disconnected.
                     let _ = sender.send(Part::End).await;
                     return;
                 }
                 Stop::CallerDisconnected => return,
-                Stop::Broken => {
+                Stop::Broken(e) => {
+                    if let Some(endpoint) = endpoint {
+                        self.crashes.record_failure(&dispatch, &endpoint, &e);
+                    }
                     let is_resumed = route.resumable && tried.len() < route.max_attempts as usize;
                     spdlog::warn!("event stream broke", kv: { request, event, is_resumed });
                     if !is_resumed {
@@ -114,7 +122,7 @@
                 drop(source.slot);
                 return Stop::Complete;
             }
-            Some(Err(_)) => return Stop::Broken,
+            Some(Err(e)) => return Stop::Broken(e),
             Some(Ok(part)) => events.push(&part),
         }
         while let Some((bytes, event)) = events.next_block() {
