site, platform: bytes without an event do not keep a stream open

Cause: an endpoint may send bytes that are no answer without end, in a head or a body. The parser of events kept all bytes until a separator came, and searched them from the start for each part; and any byte counted as progress. One such engine made a VM so busy that it answered no request within 10 s, and its memory had no limit. Blocks without an event kept an item, or a caller's stream, at that engine until its deadline.

Ruled out: heads and the bodies of requests. A limit for the whole body: streams have none.

EventTimer measures the time since the last event instead of the last byte; a slow caller or a paused process does not shorten the time for data that has arrived.

--- a/crates/fakes/src/script.rs
+++ b/crates/fakes/src/script.rs
@@ -8,6 +8,7 @@
         atomic::{AtomicUsize, Ordering},
     },
     thread,
+    time::Duration,
 };
 
 /// The answer to one request.
@@ -26,6 +27,14 @@
     Close,
     /// The connection stays open without a response until the peer closes it.
     Silence,
+    /// A status line and then this text again and again until the peer closes
+    /// the connection.
+    EndlessHead(&'static str),
+    /// The head of an event stream and then this text again and again, as chunks
+    /// of its body, until the peer closes the connection.
+    EndlessBody(&'static str),
+    /// As [`EndlessBody`](Self::EndlessBody), slowly.
+    TrickledBody(&'static str),
 }
 
 /// A running server, which ends with the process.
@@ -118,12 +127,49 @@
             }
             Answer::NotRun => respond(&mut stream, 503, &format!("{not_run}{close}"), "")?,
             Answer::Close => return Ok(()),
+            Answer::EndlessHead(text) => {
+                write!(stream, "HTTP/1.1 200 Scripted\r\n{id}")?;
+                let block = text.repeat(ENDLESS_BLOCK_BYTES / text.len());
+                return write_endlessly(&mut stream, block.as_bytes(), ENDLESS_PAUSE);
+            }
+            Answer::EndlessBody(text) | Answer::TrickledBody(text) => {
+                let stream_headers =
+                    "content-type: text/event-stream\r\ntransfer-encoding: chunked";
+                write!(
+                    stream,
+                    "HTTP/1.1 200 Scripted\r\n{id}{stream_headers}\r\n\r\n"
+                )?;
+                let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+                let (block, pause) = match answer {
+                    Answer::TrickledBody(_) => (chunk, TRICKLE_PAUSE),
+                    _ => (
+                        chunk.repeat(ENDLESS_BLOCK_BYTES / chunk.len()),
+                        ENDLESS_PAUSE,
+                    ),
+                };
+                return write_endlessly(&mut stream, block.as_bytes(), pause);
+            }
             Answer::Silence => return io::copy(&mut reader, &mut io::sink()).map(drop),
         }
     }
     Ok(())
 }
 
+/// Writes `block` again and again with pauses, until the peer closes the
+/// connection.
+fn write_endlessly(stream: &mut TcpStream, block: &[u8], pause: Duration) -> io::Result<()> {
+    loop {
+        stream.write_all(block)?;
+        thread::sleep(pause);
+    }
+}
+
+/// Endless answers have about 16 MB per second.
+const ENDLESS_BLOCK_BYTES: usize = 16 * 1024;
+const ENDLESS_PAUSE: Duration = Duration::from_millis(1);
+/// The pause between the chunks of a trickled body.
+const TRICKLE_PAUSE: Duration = Duration::from_millis(20);
+
 fn respond(stream: &mut TcpStream, status: u16, headers: &str, body: &str) -> io::Result<()> {
     let length = body.len();
     write!(
--- a/crates/fakes/src/site/mod.rs
+++ b/crates/fakes/src/site/mod.rs
@@ -143,6 +143,8 @@
     pub rate_limit: Option<f64>,
     /// When it last started, in the unit of its record.
     pub born: u64,
+    /// Its failure domain.
+    pub domain: &'static str,
 }
 
 /// The state that the fakes share.
@@ -277,6 +279,7 @@
         faults: PendingFaults::default(),
         rate_limit: None,
         born: 1,
+        domain: "zone-a",
     }
 }
 
@@ -315,7 +318,7 @@
         let record = json!({
             "service": service,
             "address": endpoint.address.to_string(),
-            "zone": "zone-a",
+            "zone": endpoint.domain,
             "version": "v1",
             "slots": 4,
             "state": state,
--- a/crates/site/src/job/attempt.rs
+++ b/crates/site/src/job/attempt.rs
@@ -24,6 +24,7 @@
     metrics::Metrics,
     permit::Permits,
     placement::{self, Criteria},
+    stream::EventTimer,
 };
 
 /// How long the first event may take. An endpoint processes a full queue in
@@ -215,8 +216,9 @@
         let mut version = header::parse_number(headers, header::VERSION);
         let mut events = Events::default();
         let mut meter = Meter::default();
+        let mut timer = EventTimer::new(EVENT_TIMEOUT);
         loop {
-            let part = match response.next(EVENT_TIMEOUT).await {
+            let part = match response.next(timer.remaining()).await {
                 None => {
                     text.borrow_mut().mark_complete();
                     return Attempt::Complete;
@@ -224,8 +226,12 @@
                 Some(Err(e)) => return Attempt::Interrupted(e.to_string()),
                 Some(Ok(part)) => part,
             };
-            events.push(&part);
+            if let Err(e) = events.push(&part) {
+                return Attempt::Interrupted(e.to_string());
+            }
+            let mut has_event = false;
             while let Some(event) = events.next() {
+                has_event = true;
                 version = event.version.or(version);
                 if let Some(problem) = version_problem(version, context, &text.borrow()) {
                     return Attempt::Interrupted(problem);
@@ -241,6 +247,9 @@
                     return Attempt::Moved;
                 }
             }
+            if let Err(e) = timer.record(has_event) {
+                return Attempt::Interrupted(e.to_string());
+            }
         }
     }
 
--- a/crates/site/src/stream.rs
+++ b/crates/site/src/stream.rs
@@ -1,12 +1,12 @@
 //! Relays event streams from endpoints to callers. A stream that breaks is
 //! resumed at another endpoint if the route allows it.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use link::{
     HeaderValue,
     http::{
-        self, Response,
+        self, Response, error,
         server::{Part, Reply, Sender},
     },
 };
@@ -116,16 +116,23 @@
 /// incomplete event is held back, since its remainder may never arrive.
 async fn relay_events(mut source: Source, sender: &Sender, last_id: &mut Option<u64>) -> Stop {
     let mut events = Events::default();
+    let mut timer = EventTimer::new(EVENT_GAP_MAX);
     loop {
-        match source.response.next(EVENT_GAP_MAX).await {
+        match source.response.next(timer.remaining()).await {
             None => {
                 drop(source.slot);
                 return Stop::Complete;
             }
             Some(Err(e)) => return Stop::Broken(e),
-            Some(Ok(part)) => events.push(&part),
+            Some(Ok(part)) => {
+                if let Err(e) = events.push(&part) {
+                    return Stop::Broken(http::Error::new(error::Kind::Malformed, e));
+                }
+            }
         }
+        let mut has_event = false;
         while let Some((bytes, event)) = events.next_block() {
+            has_event |= event.is_some();
             let id = event.and_then(|event| event.id);
             if id.is_some_and(|id| last_id.is_some_and(|last_id| id <= last_id)) {
                 continue;
@@ -135,5 +142,52 @@
                 return Stop::CallerDisconnected;
             }
         }
+        // A slow caller may have delayed the next read.
+        if let Err(e) = timer.record(has_event) {
+            return Stop::Broken(e);
+        }
     }
 }
+
+/// The time that is left for the next event of a stream. Bytes that complete no
+/// event do not extend it.
+pub(crate) struct EventTimer {
+    limit: Duration,
+    last_event: Instant,
+}
+
+impl EventTimer {
+    /// Returns a timer that starts now.
+    pub(crate) fn new(limit: Duration) -> Self {
+        Self {
+            limit,
+            last_event: Instant::now(),
+        }
+    }
+
+    /// Returns how long to wait for the next part of the body. After a pause of
+    /// this process, data that has arrived meanwhile is still read.
+    pub(crate) fn remaining(&self) -> Duration {
+        let remaining = self.limit.saturating_sub(self.last_event.elapsed());
+        remaining.max(READ_TIME_MIN)
+    }
+
+    /// Records a part of the body, after its events were processed.
+    ///
+    /// # Errors
+    ///
+    /// [`error::Kind::Timeout`] if the part completed no event and the time for
+    /// one has passed.
+    pub(crate) fn record(&mut self, has_event: bool) -> Result<(), http::Error> {
+        if has_event {
+            self.last_event = Instant::now();
+        } else if self.last_event.elapsed() > self.limit {
+            let detail = "the endpoint sent bytes without an event";
+            return Err(http::Error::new(error::Kind::Timeout, detail));
+        }
+        Ok(())
+    }
+}
+
+/// The least time to wait for a part of a body.
+const READ_TIME_MIN: Duration = Duration::from_millis(100);
--- a/crates/site/tests/common/mod.rs
+++ b/crates/site/tests/common/mod.rs
@@ -230,6 +230,15 @@
         self.process.exit_code()
     }
 
+    /// Returns the peak of the memory of the process, in bytes.
+    pub(crate) fn peak_memory(&self) -> u64 {
+        let status = format!("/proc/{}/status", self.process.id().unwrap());
+        let status = std::fs::read_to_string(status).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.unwrap().trim().trim_end_matches(" kB");
+        kilobytes.parse::<u64>().unwrap() * 1024
+    }
+
     /// Returns what the VM has logged so far. A separate thread writes the lines,
     /// so those of a call may follow its response.
     pub(crate) fn log(&self) -> String {
@@ -303,6 +312,22 @@
     });
 }
 
+/// Adds a route of event streams at `/stream/`, which may be resumed if
+/// `is_resumable`.
+pub(crate) fn add_stream_route(deployment: &Deployment, is_resumable: bool) {
+    let mut config = config(3);
+    let route = json!({
+        "name": "stream", "host": HOST, "path-prefix": "/stream/", "kind": "unsafe",
+        "timeout-ms": 5000, "aim-ms": 400, "service": site::ENGINE_SERVICE, "max-attempts": 2,
+        "public": false, "streaming": true, "resumable": is_resumable,
+    });
+    config["routes"].as_array_mut().unwrap().push(route);
+    deployment.site.state().put("config", "main", config);
+    for vm in &deployment.vms {
+        wait("the configuration", || vm.log().contains("\"version\":3"));
+    }
+}
+
 /// Returns a request of the account `acme`.
 pub(crate) fn caller(method: Method, path: &str, id: &str) -> Call {
     Call::new(method, path)
--- /dev/null
+++ b/crates/site/tests/endless.rs
@@ -0,0 +1,135 @@
+//! End-to-end tests of endpoints that send bytes without end.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::{Deployment, caller, job};
+use fakes::{
+    script::{self, Answer, Script},
+    site::{ENGINE_SERVICE, PLAIN_SERVICE, Plan},
+};
+use link::Method;
+
+/// The memory of a VM, which no answer may exhaust.
+const MEMORY_MAX: u64 = 260 * 1024 * 1024;
+/// How long callers wait.
+const DEADLINE: Duration = Duration::from_secs(2);
+/// How long trainers wait for a small job.
+const JOB_TIME: Duration = Duration::from_secs(10);
+
+/// Starts a VM, one endpoint of each service, and another one of `service` that
+/// gives `answer` on each connection.
+fn start(service: &str, answer: Answer) -> (Deployment, Script) {
+    let script = script::spawn(vec![vec![answer]; 100]).unwrap();
+    let plan = Plan {
+        engines: 1,
+        plain: 1,
+        ..Plan::default()
+    };
+    let deployment = Deployment::start(1, plan);
+    // The VM prefers the other one, which is in its own failure domain.
+    let mut state = deployment.site.state();
+    for id in ["engine-0", "plain-0"] {
+        state.endpoints.get_mut(id).unwrap().domain = "zone-b";
+        state.announce(id, "ready");
+    }
+    drop(state);
+    common::announce_script(&deployment, service, &script);
+    (deployment, script)
+}
+
+/// Asserts that requests are answered in time although an endpoint gives
+/// `answer`.
+fn assert_requests_answered(answer: Answer) {
+    let (deployment, script) = start(PLAIN_SERVICE, answer);
+    let vm = &deployment.vms[0];
+    for number in 0..6 {
+        let start = Instant::now();
+        let answer = vm.request(Method::POST, "/safe/a", &format!("r{number}"));
+        assert_eq!(answer.status, 200);
+        assert!(start.elapsed() < DEADLINE);
+    }
+    assert!(script.requests() > 0);
+    assert!(vm.peak_memory() < MEMORY_MAX);
+}
+
+/// Asserts that a job is run in time although an engine gives `answer`.
+fn assert_job_run(answer: Answer) {
+    let (deployment, script) = start(ENGINE_SERVICE, answer);
+    let vm = &deployment.vms[0];
+    let start = Instant::now();
+    assert_eq!(vm.submit("j1", &job("i", 4, 3)), 202);
+    vm.read_all("j1", 4);
+    assert!(start.elapsed() < JOB_TIME, "{:?}", start.elapsed());
+    assert!(script.requests() > 0);
+    assert!(vm.peak_memory() < MEMORY_MAX);
+}
+
+/// Asserts that streams are resumed in time although an engine gives `answer`.
+fn assert_stream_resumed(answer: Answer) {
+    let (deployment, script) = start(ENGINE_SERVICE, answer);
+    common::add_stream_route(&deployment, true);
+    let vm = &deployment.vms[0];
+    for number in 0..3 {
+        let start = Instant::now();
+        let id = format!("s{number}");
+        let answer = vm.send(caller(Method::POST, "/stream/a", &id).header("x-events", "2"));
+        assert_eq!(answer.status, 200);
+        let end = format!("id: 1\ndata: {id}/1\n\n");
+        assert!(String::from_utf8_lossy(&answer.body).ends_with(&end));
+        assert!(start.elapsed() < 2 * DEADLINE, "{:?}", start.elapsed());
+    }
+    assert!(script.requests() > 0);
+    assert!(vm.peak_memory() < MEMORY_MAX);
+}
+
+#[test]
+fn request_with_endless_line_in_head() {
+    assert_requests_answered(Answer::EndlessHead("x"));
+}
+
+#[test]
+fn request_with_endless_head() {
+    assert_requests_answered(Answer::EndlessHead("name: value\r\n"));
+}
+
+#[test]
+fn request_with_endless_body() {
+    assert_requests_answered(Answer::EndlessBody("no answer"));
+}
+
+#[test]
+fn item_with_endless_head() {
+    assert_job_run(Answer::EndlessHead("name: value\r\n"));
+}
+
+#[test]
+fn item_with_endless_line_in_body() {
+    assert_job_run(Answer::EndlessBody("no event"));
+}
+
+#[test]
+fn item_with_endless_blocks_in_body() {
+    assert_job_run(Answer::EndlessBody("no event\n\n"));
+}
+
+#[test]
+fn stream_with_endless_line_in_body() {
+    assert_stream_resumed(Answer::EndlessBody("no event"));
+}
+
+#[test]
+fn stream_with_endless_blocks_in_body() {
+    assert_stream_resumed(Answer::EndlessBody(": no event\n\n"));
+}
+
+#[test]
+fn item_with_trickled_blocks_in_body() {
+    assert_job_run(Answer::TrickledBody(": no event\n\n"));
+}
+
+#[test]
+fn stream_with_trickled_blocks_in_body() {
+    assert_stream_resumed(Answer::TrickledBody(": no event\n\n"));
+}
--- a/crates/site/tests/rate_limit.rs
+++ b/crates/site/tests/rate_limit.rs
@@ -4,10 +4,9 @@
 
 use std::{thread, time::Duration};
 
-use common::{Deployment, HOST, header, job, wait};
-use fakes::site::{ENGINE_SERVICE, Plan};
+use common::{Deployment, header, job, wait};
+use fakes::site::Plan;
 use link::Method;
-use serde_json::json;
 
 /// The limit that endpoints name, in requests per second.
 const LIMIT: f64 = 2.0;
@@ -117,24 +116,15 @@
 #[test]
 fn endpoint_rate_limit_exceeded_by_streams() {
     let deployment = Deployment::start(3, single_endpoints());
-    let mut config = common::config(2);
-    let route = json!({
-        "name": "streams", "host": HOST, "path-prefix": "/streams/", "kind": "unsafe",
-        "streaming": true, "resumable": true, "timeout-ms": 2000, "aim-ms": 150,
-        "service": ENGINE_SERVICE, "max-attempts": 2, "public": true,
-    });
-    config["routes"].as_array_mut().unwrap().push(route);
-    deployment.site.state().put("config", "main", config);
+    common::add_stream_route(&deployment, true);
     set_limit(&deployment, "engine-0", Some(LIMIT));
     for vm in &deployment.vms {
-        wait("a stream", || {
-            vm.request(Method::POST, "/streams/a", &vm.name).status == 200
-        });
+        assert_eq!(vm.request(Method::POST, "/stream/a", &vm.name).status, 200);
     }
     for number in 0..20 {
         for vm in &deployment.vms {
             let id = format!("{}-{number}", vm.name);
-            vm.request(Method::POST, "/streams/a", &id);
+            vm.request(Method::POST, "/stream/a", &id);
         }
         thread::sleep(Duration::from_millis(50));
     }
--- a/crates/site/tests/request.rs
+++ b/crates/site/tests/request.rs
@@ -266,21 +266,6 @@
     );
 }
 
-/// Adds a route of event streams, which may be resumed if `is_resumable`.
-fn add_stream_route(deployment: &Deployment, is_resumable: bool) {
-    let mut config = common::config(3);
-    let route = serde_json::json!({
-        "name": "stream", "host": common::HOST, "path-prefix": "/stream/", "kind": "unsafe",
-        "timeout-ms": 5000, "aim-ms": 400, "service": ENGINE_SERVICE, "max-attempts": 2,
-        "public": false, "streaming": true, "resumable": is_resumable,
-    });
-    config["routes"].as_array_mut().unwrap().push(route);
-    deployment.site.state().put("config", "main", config);
-    common::wait("the configuration", || {
-        deployment.vms[0].log().contains("\"version\":3")
-    });
-}
-
 /// Returns the body of an event stream with six events for the request `id`.
 fn stream_body(id: &str) -> String {
     let events = (0..6).map(|n| format!("id: {n}\ndata: {}\n\n", fakes::site::event_text(id, n)));
@@ -290,7 +275,7 @@
 #[test]
 fn stream_relayed() {
     let deployment = Deployment::start(1, Plan::default());
-    add_stream_route(&deployment, false);
+    common::add_stream_route(&deployment, false);
     let call = caller(Method::POST, "/stream/a", "s1").header("x-events", "6");
     let answer = deployment.vms[0].send(call);
     assert_eq!(answer.status, 200);
@@ -302,7 +287,7 @@
 fn stream_cut_resumed_if_allowed() {
     for is_resumable in [true, false] {
         let deployment = Deployment::start(1, Plan::default());
-        add_stream_route(&deployment, is_resumable);
+        common::add_stream_route(&deployment, is_resumable);
         for endpoint in deployment.site.state().endpoints.values_mut() {
             endpoint.faults.cut_after = Some(2);
         }
@@ -380,7 +365,7 @@
     let deployment = Deployment::start(1, plan);
     let script = script::spawn(vec![vec![Answer::Silence]]).unwrap();
     common::announce_script(&deployment, service, &script);
-    add_stream_route(&deployment, false);
+    common::add_stream_route(&deployment, false);
     (deployment, script)
 }
 
--- a/fuzz/fuzz_targets/site.rs
+++ b/fuzz/fuzz_targets/site.rs
@@ -36,7 +36,9 @@
         let mut decoder = stream::Events::default();
         let mut events = Vec::new();
         for part in bytes.chunks(size) {
-            decoder.push(part);
+            if decoder.push(part).is_err() {
+                break;
+            }
             while let Some(event) = decoder.next() {
                 events.push(event);
             }
