--- a/crates/policy/src/crash.rs
+++ b/crates/policy/src/crash.rs
@@ -16,10 +16,11 @@
 /// How long after the last loss a request is quarantined. After that it is
 /// tried once more, since the endpoints may have been repaired.
 const QUARANTINE: Duration = Duration::from_secs(600);
-/// How long losses are remembered after the last one: for requests that are
-/// quarantined, and for others.
+/// How long the losses of a request that was quarantined are remembered after
+/// the last one.
 const RETENTION: Duration = Duration::from_secs(3600);
-const RETENTION_UNPROVED: Duration = Duration::from_secs(600);
+/// How long the losses of any other request are remembered.
+const SUSPICION_RETENTION: Duration = Duration::from_secs(600);
 
 /// An endpoint that ended while it had a request.
 #[derive(Clone, Debug)]
@@ -115,7 +116,7 @@
         self.0.retain(|_, losses| {
             let limit = match losses.len() >= ENDPOINTS_MAX {
                 true => RETENTION,
-                false => RETENTION_UNPROVED,
+                false => SUSPICION_RETENTION,
             };
             losses.iter().any(|loss| now - loss.at < limit)
         });
