site: a request without permits goes to an endpoint without a limit

Ruled out: ranking endpoints with a limit last. Most of them accept requests below their limit, and the others would get them all.

Change: Criteria::avoids_limits, set after three denials; runs that move to a faster endpoint use it too, instead of a condition of their own.

Conclusion: only a service that is limited as a whole rejects for its limit.

--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -39,8 +39,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// The number of rejections after which a request fails.
 const REJECTIONS_MAX: usize = 6;
-/// The number of endpoints without a permit after which a request fails. All
-/// coordinators are asked for each.
+/// The number of endpoints without a permit after which a request goes only to
+/// endpoints without a rate limit. All coordinators are asked for each permit.
 const DENIALS_MAX: usize = 3;
 /// The `retry-after` of a request that no endpoint has run. Most endpoints have
 /// a free slot again within the time of one request.
@@ -310,13 +310,12 @@
         }
         let service = select_service(route, &dispatch.id)?;
         outcome.hold = self.time_to_permit(service);
-        let key = self.choose(service, tried)?;
+        let key = self.choose(service, tried, outcome.denials)?;
         let endpoint = self.endpoint(key)?;
         let slot = Slot::acquire(&self.facts, key)?;
         if !self.permits.acquire(key, &dispatch.id).await {
             outcome.denials += 1;
-            outcome.hold = self.time_to_permit(service);
-            return (outcome.denials < DENIALS_MAX).then_some(None);
+            return Some(None);
         }
         tried.push(key);
         let entry = self.usage.entry(dispatch.account.as_deref());
@@ -405,7 +404,7 @@
             let Some(service) = select_service(route, &dispatch.id) else {
                 return outcome;
             };
-            let Some(key) = self.choose(service, &tried) else {
+            let Some(key) = self.choose(service, &tried, outcome.denials) else {
                 outcome.hold = self.time_to_permit(service);
                 if tried.is_empty() || outcome.runs > 0 {
                     return outcome;
@@ -428,13 +427,7 @@
             }
             match attempt {
                 Attempt::NotRun(_) | Attempt::Unreached(_) => outcome.rejections += 1,
-                Attempt::Denied => {
-                    outcome.denials += 1;
-                    outcome.hold = self.time_to_permit(service);
-                    if outcome.denials >= DENIALS_MAX {
-                        return outcome;
-                    }
-                }
+                Attempt::Denied => outcome.denials += 1,
                 Attempt::Answered(response) => {
                     outcome.runs += 1;
                     let is_failure = response.status.is_server_error();
@@ -458,10 +451,11 @@
         }
     }
 
-    fn choose(&self, service: &str, tried: &[Key]) -> Option<Key> {
+    fn choose(&self, service: &str, tried: &[Key], denials: usize) -> Option<Key> {
         let criteria = Criteria {
             service,
             domain: &self.domain,
+            avoids_limits: denials >= DENIALS_MAX,
             tried,
             ..Criteria::default()
         };
--- a/crates/site/src/job/attempt.rs
+++ b/crates/site/src/job/attempt.rs
@@ -269,6 +269,7 @@
             service: &endpoint.record.service,
             model: Some((model, context.oldest_version)),
             may_wait: true,
+            avoids_limits: true,
             ..Criteria::default()
         };
         placement::should_move(&facts, key, criteria, event_time, now)
--- a/crates/site/src/placement.rs
+++ b/crates/site/src/placement.rs
@@ -31,6 +31,9 @@
     pub may_wait: bool,
     /// The endpoint to choose if it is usable, fast and not heavily loaded.
     pub preferred: Option<Key>,
+    /// Whether endpoints with a rate limit are left out. The permit for one may
+    /// be denied.
+    pub avoids_limits: bool,
     /// Endpoints that this request was sent to before.
     pub tried: &'a [Key],
 }
@@ -102,9 +105,7 @@
         seconds.is_some_and(|seconds| seconds <= limit)
     });
     faster.any(|(_, other)| {
-        // The permit for a run that moves there may be denied.
-        let is_free = other.rate_limit.is_none() && is_usable(other, criteria, now);
-        is_free && load_permille(other, now) < PREFERRED_LOAD_PERMILLE
+        is_usable(other, criteria, now) && load_permille(other, now) < PREFERRED_LOAD_PERMILLE
     })
 }
 
@@ -127,6 +128,9 @@
     if record.service != criteria.service || record.is_draining || endpoint.is_denied(now) {
         return false;
     }
+    if criteria.avoids_limits && endpoint.rate_limit.is_some() {
+        return false;
+    }
     let is_unavailable = endpoint.in_flight >= record.slots || endpoint.is_backing_off(now);
     if criteria.may_wait && is_unavailable {
         return false;
--- a/crates/site/tests/rate_limit.rs
+++ b/crates/site/tests/rate_limit.rs
@@ -170,3 +170,29 @@
     assert!(deployment.vms.iter().all(|vm| vm.log().contains(ended)));
     assert_eq!(deployment.site.state().arrivals_of("again").len(), 2);
 }
+
+#[test]
+fn request_rejected_beside_an_endpoint_without_limit() {
+    let plan = Plan {
+        plain: 6,
+        ..single_endpoints()
+    };
+    let deployment = Deployment::start(1, plan);
+    let vm = &deployment.vms[0];
+    // The endpoint without a limit is the last choice.
+    let mut state = deployment.site.state();
+    state.endpoints.get_mut("plain-5").unwrap().domain = "zone-b";
+    state.announce("plain-5", "ready");
+    drop(state);
+    for number in 0..5 {
+        set_limit(&deployment, &format!("plain-{number}"), Some(0.0));
+    }
+    let limited = || vm.log().matches("endpoint names a rate limit").count();
+    wait("a VM that knows five limits", || {
+        assert_eq!(vm.request(Method::POST, "/safe/a", "learn").status, 200);
+        limited() == 5
+    });
+    // Denials are forgotten after two seconds.
+    thread::sleep(Duration::from_millis(2100));
+    assert_eq!(vm.request(Method::POST, "/safe/a", "r1").status, 200);
+}
