site: a VM without seeds and peers grants its own permits

Cause: the own peer address stood for this VM in the list of coordinators. A VM whose settings name neither seeds nor an address for peers had no coordinator, and would have sent nothing to an endpoint with a rate limit.

Found by reading.

Change: the list names this VM as such and not by its address.

Conclusion: behaves as before where there are seeds.

--- a/crates/site/src/permit.rs
+++ b/crates/site/src/permit.rs
@@ -63,6 +63,15 @@
     }
 }
 
+/// A VM that grants permits.
+#[derive(Clone, Copy, Debug)]
+enum Coordinator {
+    /// This VM.
+    Own,
+    /// The VM with this peer address.
+    Other(SocketAddr),
+}
+
 /// Asks for permits, and grants them if this VM is a coordinator. Clones share
 /// the state.
 #[derive(Clone)]
@@ -115,9 +124,9 @@
         };
         let mut wait = None;
         for coordinator in self.ranked_coordinators(&ask.endpoint) {
-            let grant = match self.0.coordinators.is_own(coordinator) {
-                true => Some(self.grant(&ask)),
-                false => self.ask(coordinator, &ask).await,
+            let grant = match coordinator {
+                Coordinator::Own => Some(self.grant(&ask)),
+                Coordinator::Other(vm) => self.ask(vm, &ask).await,
             };
             let Some(grant) = grant else {
                 continue;
@@ -146,19 +155,18 @@
 
     /// Returns the coordinators to ask in turn: this VM first if it is one, and
     /// the others in an order that differs by VM and endpoint, which spreads
-    /// the requests over them.
-    fn ranked_coordinators(&self, endpoint: &str) -> Vec<SocketAddr> {
+    /// the requests over them. Without seeds, this VM is the only one.
+    fn ranked_coordinators(&self, endpoint: &str) -> Vec<Coordinator> {
+        let coordinators = &self.0.coordinators;
         let now = Instant::now();
         let subject = format!("{}/{endpoint}", self.0.vm);
-        let mut ranked = self.0.coordinators.rank(&subject, now);
+        let mut others = coordinators.rank(&subject, now);
         let backoffs = self.0.backoff_until.borrow();
-        ranked.retain(|vm| backoffs.get(vm).is_none_or(|until| *until <= now));
-        ranked.sort_by_key(|vm| !self.0.coordinators.is_own(*vm));
-        if ranked.is_empty() && self.0.coordinators.count() == 0 {
-            // Without seeds, each VM is on its own.
-            ranked.extend(self.0.coordinators.own_address());
-        }
-        ranked
+        others.retain(|vm| !coordinators.is_own(*vm));
+        others.retain(|vm| backoffs.get(vm).is_none_or(|until| *until <= now));
+        let own = coordinators.is_seed().then_some(Coordinator::Own);
+        let others = others.into_iter().map(Coordinator::Other);
+        own.into_iter().chain(others).collect()
     }
 
     async fn ask(&self, coordinator: SocketAddr, ask: &Ask) -> Option<Grant> {
