site: a request for a permit is sent again after a closed idle connection

Cause: a coordinator that was restarted has closed the idle connections of other VMs. The next request for a permit failed there, and the coordinator was not asked for a second.

Change: the call may be repeated. If both arrive, one permit is not used, which keeps the limit.

--- a/crates/site/src/permit.rs
+++ b/crates/site/src/permit.rs
@@ -171,7 +171,9 @@
 
     async fn ask(&self, coordinator: SocketAddr, ask: &Ask) -> Option<Grant> {
         let body = serde_json::to_vec(ask).ok()?;
+        // A permit that is granted twice is lost.
         let call = Call::post(PATH, body)
+            .idempotent(true)
             .connect_timeout(ASK_TIMEOUT)
             .deadline(ASK_TIMEOUT);
         let answer = self.0.pool.fetch(coordinator, call).await;
