site: names of the bounds in the tests of quarantine

Cause: one constant had the platform's word for its bound.

Ruled out: nothing.

Change: STOP_TIME and CRASHES_MAX; the values are the same.

Conclusion: no check changes.

--- a/crates/site/tests/crash.rs
+++ b/crates/site/tests/crash.rs
@@ -14,10 +14,10 @@
 /// The path of the requests that crash endpoints.
 const PATH: &str = "/safe/crash";
 /// The number of endpoints that may end under a request before it is stopped.
-const CRASHES: usize = 3;
-/// How long after that retries are not counted.
-const CONTACT: Duration = Duration::from_secs(3);
-/// The number of retries that are accepted later.
+const CRASHES_MAX: usize = 3;
+/// How long VMs may take to stop it. The platform does not count retries sooner.
+const STOP_TIME: Duration = Duration::from_secs(3);
+/// The number of retries that the platform accepts later.
 const RETRIES_MAX: usize = 3;
 
 /// Starts VMs and four endpoints. The next `crashes` requests to [`PATH`] crash
@@ -64,12 +64,12 @@
     status
 }
 
-/// Asserts that at most [`RETRIES_MAX`] requests came later than [`CONTACT`]
-/// after the crash of the last of [`CRASHES`] endpoints.
+/// Asserts that at most [`RETRIES_MAX`] requests came later than [`STOP_TIME`]
+/// after the crash of the last of [`CRASHES_MAX`] endpoints.
 fn assert_stopped(deployment: &Deployment) {
     let arrivals = arrivals(deployment);
-    assert!(arrivals.len() >= CRASHES, "{}", arrivals.len());
-    let since = arrivals[CRASHES - 1] + CONTACT;
+    assert!(arrivals.len() >= CRASHES_MAX, "{}", arrivals.len());
+    let since = arrivals[CRASHES_MAX - 1] + STOP_TIME;
     let late = arrivals.iter().filter(|at| **at > since).count();
     assert!(late <= RETRIES_MAX, "{late} of {}", arrivals.len());
 }
@@ -77,7 +77,7 @@
 #[test]
 fn crashing_request_sent_on_and_on() {
     let deployment = start(3, u32::MAX);
-    let end = Instant::now() + CONTACT * 2;
+    let end = Instant::now() + STOP_TIME * 2;
     let status = send_until(&deployment, "c", end);
     assert_stopped(&deployment);
     assert_eq!(status, 503);
@@ -93,7 +93,7 @@
 #[test]
 fn crashing_request_sent_on_after_restart() {
     let mut deployment = start(2, u32::MAX);
-    send_until(&deployment, "a", Instant::now() + CONTACT);
+    send_until(&deployment, "a", Instant::now() + STOP_TIME);
     let before = arrivals(&deployment).len();
     for vm in &mut deployment.vms {
         vm.kill();
@@ -101,7 +101,7 @@
     for vm in &mut deployment.vms {
         vm.restart();
     }
-    let status = send_until(&deployment, "b", Instant::now() + CONTACT);
+    let status = send_until(&deployment, "b", Instant::now() + STOP_TIME);
     assert_stopped(&deployment);
     assert_eq!((arrivals(&deployment).len(), status), (before, 503));
 }
@@ -109,7 +109,7 @@
 #[test]
 fn crashing_request_rejected_with_time_to_return() {
     let deployment = start(1, u32::MAX);
-    let end = Instant::now() + CONTACT;
+    let end = Instant::now() + STOP_TIME;
     assert_eq!(send_until(&deployment, "c", end), 503);
     let rejected = deployment.vms[0].send(crashing("last"));
     assert_eq!(rejected.status, 503);
