site: one loop and one interval for the removal of expired objects

Cause: the removal of losses of requests repeated the loop of counts and reports, which removed the parts of jobs with the same one, and their interval of 16 windows stood in two constants.

Ruled out: one interval for each kind; both are 16 windows for the same reason.

Change: retention::remove_objects, called in three places; the interval is checked once, in retention, and no longer for each kind in a loop.

The same objects are removed in the same windows.

Conclusion: no behaviour changes.

--- a/crates/site/src/crash.rs
+++ b/crates/site/src/crash.rs
@@ -25,6 +25,7 @@
     follow::{self, Change, Plan, View},
     forward::{Dispatch, Origin},
     metrics::Metrics,
+    retention::remove_objects,
 };
 
 /// The kind of the objects that share losses.
@@ -286,10 +287,6 @@
         let report: Option<Report> = object.read();
         report.is_none_or(|report| report.at_ms < oldest_ms)
     };
-    let mut removed = 0;
-    for object in objects.iter().filter(is_expired).take(limit) {
-        store.remove(KIND, &object.name).await?;
-        removed += 1;
-    }
-    Ok(removed)
+    let expired = objects.iter().filter(is_expired);
+    remove_objects(store, KIND, expired.take(limit)).await
 }
--- a/crates/site/src/duty/report.rs
+++ b/crates/site/src/duty/report.rs
@@ -17,7 +17,7 @@
     collect::{self, CountsByProcess},
     late,
 };
-use crate::usage::Counts;
+use crate::{retention::remove_objects, usage::Counts};
 
 /// The kind of the objects that hold the reported sum of a window, by its name.
 pub(super) const REPORT_KIND: &str = "usage-reports";
@@ -162,20 +162,9 @@
     let oldest = collect::object_name(window.saturating_sub(windows as u64), "");
     let mut removed = 0;
     for kind in [collect::KIND, REPORT_KIND] {
-        // Few objects expire in one window, so the kinds are listed only in
-        // some windows.
-        if !window.is_multiple_of(REMOVAL_INTERVAL_WINDOWS) {
-            continue;
-        }
         let objects = duties.store.list_after(kind, "").await?.value;
         let expired = objects.iter().filter(|object| object.name < oldest);
-        for object in expired.take(limit) {
-            duties.store.remove(kind, &object.name).await?;
-            removed += 1;
-        }
+        removed += remove_objects(&duties.store, kind, expired.take(limit)).await?;
     }
     Ok(removed)
 }
-
-/// Expired objects are removed in windows whose number is a multiple of this.
-const REMOVAL_INTERVAL_WINDOWS: u64 = 16;
--- a/crates/site/src/retention.rs
+++ b/crates/site/src/retention.rs
@@ -3,7 +3,10 @@
 
 use std::time::{Duration, Instant};
 
-use platform::{settings::Bounds, store::Error};
+use platform::{
+    settings::Bounds,
+    store::{Error, Object, Store},
+};
 
 use crate::{
     crash,
@@ -20,8 +23,9 @@
 /// calls to the store.
 const REMOVALS_MAX: usize = 20;
 
-/// Losses of requests are listed in windows whose number is a multiple of this.
-const CRASH_INTERVAL_WINDOWS: u64 = 16;
+/// Counts, reports and losses of requests are removed in windows whose number is
+/// a multiple of this.
+const REMOVAL_INTERVAL_WINDOWS: u64 = 16;
 
 /// Removes expired objects while this VM holds the duty lease. Never returns.
 pub(crate) async fn run(duties: Duties, bounds: Bounds) {
@@ -60,8 +64,11 @@
         removed += remove_job(duties, &id).await?;
     }
     let window = duties.usage.window();
-    removed += report::remove_expired(duties, window, bounds.usage_window, REMOVALS_MAX).await?;
-    if window.is_multiple_of(CRASH_INTERVAL_WINDOWS) {
+    // Few of these objects expire in one window, so they are listed only in some
+    // windows.
+    if window.is_multiple_of(REMOVAL_INTERVAL_WINDOWS) {
+        let length = bounds.usage_window;
+        removed += report::remove_expired(duties, window, length, REMOVALS_MAX).await?;
         removed += crash::remove_expired(&duties.store, REMOVALS_MAX).await?;
     }
     Ok(removed)
@@ -75,6 +82,24 @@
     now.saturating_duration_since(job.submitted_at) > age
 }
 
+/// Removes `objects` of `kind`, and returns their number.
+///
+/// # Errors
+///
+/// An [`Error`] when one cannot be removed.
+pub(crate) async fn remove_objects<'a>(
+    store: &Store,
+    kind: &str,
+    objects: impl Iterator<Item = &'a Object>,
+) -> Result<usize, Error> {
+    let mut removed = 0;
+    for object in objects {
+        store.remove(kind, &object.name).await?;
+        removed += 1;
+    }
+    Ok(removed)
+}
+
 /// Removes the objects of a job. The head is removed last, so that after a
 /// failure the job is still found and removed in a later pass.
 async fn remove_job(duties: &Duties, id: &str) -> Result<usize, Error> {
@@ -84,10 +109,7 @@
         .iter()
         .filter(|object| object.name.starts_with(&prefix));
     let mut removed = duties.content.remove(id).await?;
-    for part in parts {
-        duties.store.remove(record::KIND, &part.name).await?;
-        removed += 1;
-    }
+    removed += remove_objects(&duties.store, record::KIND, parts).await?;
     duties.store.remove(record::KIND, id).await?;
     duties.jobs.remove(id);
     Ok(removed + 1)
