site: the digest of a request's content is computed once

Cause: while any request is suspected, the digest of a caller's body was computed before each attempt, after an answer, and twice after a failure: for the line and for the loss.

Ruled out: leaving it out of the line; on-call need it for other failures too.

Change: Dispatch keeps the result; the content does not depend on the headers, which alone change when a stream is resumed.

Conclusion: the same digests, each computed at most once for a request.

--- a/crates/site/src/crash.rs
+++ b/crates/site/src/crash.rs
@@ -101,7 +101,7 @@
     pub(crate) fn quarantine(&self, dispatch: &Dispatch) -> Option<Duration> {
         let content = self.suspected_content(dispatch)?;
         let now = self.0.clock.now();
-        let rest = self.0.suspects.borrow().quarantine(&content, now)?;
+        let rest = self.0.suspects.borrow().quarantine(content, now)?;
         self.0.metrics.record_quarantined_request();
         let (request, rest_s) = (dispatch.id.as_str(), rest.as_secs());
         spdlog::warn!("request is in quarantine, endpoints ended under it", kv: { request, content, rest_s });
@@ -125,13 +125,13 @@
         let incarnation = incarnation(endpoint);
         let now = self.0.clock.now();
         let mut suspects = self.0.suspects.borrow_mut();
-        let is_new = suspects.record(now, &content, &incarnation, false);
-        let endpoints = suspects.count(&content);
+        let is_new = suspects.record(now, content, &incarnation, false);
+        let endpoints = suspects.count(content);
         drop(suspects);
         let (request, id) = (dispatch.id.as_str(), endpoint.id.as_str());
         spdlog::info!("endpoint may have ended under a request", kv: { request, endpoint = id, content, endpoints });
         if is_new {
-            self.start_sharing(content, incarnation, id);
+            self.start_sharing(content.to_string(), incarnation, id);
         }
     }
 
@@ -140,13 +140,13 @@
         let Some(content) = self.suspected_content(dispatch) else {
             return;
         };
-        let shared = self.0.suspects.borrow_mut().clear(&content);
+        let shared = self.0.suspects.borrow_mut().clear(content);
         if shared.is_empty() {
             return;
         }
         let (request, endpoints) = (dispatch.id.as_str(), shared.len());
         spdlog::info!("request was answered, its losses are removed", kv: { request, content, endpoints });
-        let crashes = self.clone();
+        let (crashes, content) = (self.clone(), content.to_string());
         monoio::spawn(async move {
             for incarnation in shared {
                 crashes.remove(&object_name(&content, &incarnation)).await;
@@ -156,7 +156,7 @@
 
     /// Returns the content of `dispatch` if any request is suspected. The digest
     /// of a large body takes time.
-    fn suspected_content(&self, dispatch: &Dispatch) -> Option<String> {
+    fn suspected_content<'a>(&self, dispatch: &'a Dispatch) -> Option<&'a str> {
         let has_suspects = !self.0.suspects.borrow().is_empty();
         (dispatch.origin == Origin::Caller && has_suspects).then(|| dispatch.content())
     }
--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -4,7 +4,7 @@
 //! cannot have run it, or if the request may run more than once.
 
 use std::{
-    cell::RefCell,
+    cell::{OnceCell, RefCell},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -110,6 +110,8 @@
     pub may_repeat: bool,
     /// When the caller stops waiting.
     pub deadline: Instant,
+    /// The result of [`Dispatch::content`].
+    pub digest: OnceCell<String>,
 }
 
 /// Who sent a request.
@@ -133,8 +135,12 @@
 
 impl Dispatch {
     /// Returns a digest of all that makes two requests equal for an endpoint,
-    /// whatever their ids.
-    pub fn content(&self) -> String {
+    /// whatever their ids. It is computed once, since bodies may be large.
+    pub fn content(&self) -> &str {
+        self.digest.get_or_init(|| self.compute_content())
+    }
+
+    fn compute_content(&self) -> String {
         let account = self.account.as_deref().unwrap_or_default();
         let parts = [self.method.as_str(), &self.host, &self.path, account];
         // No part can contain the separator.
@@ -282,6 +288,7 @@
             origin: Origin::Caller,
             may_repeat: route.kind == Kind::Safe,
             deadline: Instant::now() + limit.saturating_sub(REPLY_RESERVE),
+            digest: OnceCell::new(),
         };
         if route.streaming {
             return self.stream(route.clone(), dispatch).await;
--- a/crates/site/src/job/attempt.rs
+++ b/crates/site/src/job/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt to run an item at an endpoint, and the scoring of its text.
 
 use std::{
-    cell::RefCell,
+    cell::{OnceCell, RefCell},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -308,6 +308,7 @@
                 origin: Origin::Job,
                 may_repeat: true,
                 deadline: deadline.min(Instant::now() + limit),
+                digest: OnceCell::new(),
             };
             let outcome = self.forwarder.run(route, &dispatch).await;
             failures += outcome.failures;
@@ -367,5 +368,6 @@
         origin: Origin::Job,
         may_repeat: true,
         deadline: context.deadline,
+        digest: OnceCell::new(),
     }
 }
