site: why permits have a backoff of their own

Cause: the coordinators have a backoff already, and a reader would use it.

Ruled out: using it. It ranks the coordinators for jobs, and a permit that takes over 0.1 s is no reason to run jobs elsewhere.

Change: the reason, beside the field.

Conclusion: no behaviour changes.

--- a/crates/site/src/permit.rs
+++ b/crates/site/src/permit.rs
@@ -86,6 +86,8 @@
     clock: Clock,
     /// This VM's share of the limit of each endpoint, by its id.
     buckets: RefCell<Map<String, Bucket>>,
+    /// Apart from the backoff in [`Coordinators`]: a late permit must not move
+    /// jobs to another coordinator.
     backoff_until: RefCell<Map<SocketAddr, Instant>>,
 }
 
