site, policy: a shared loss is confirmed in one step

Cause: after the object for a loss was created, the code asked whether the loss was unshared, recorded it again, and asked for the number of losses of its request to tell whether an answer had come first. If another endpoint had lost the request since that answer, the number was not 0: the object stayed, and its followers counted a loss that the answer had cleared.

Ruled out: a test with processes; the answer has to fall into the call to the store. loss_cleared_while_it_was_shared tests the step itself.

Change: Suspects::mark_shared, which tells whether the loss is still known. If not, the object is removed. All else behaves as before.

Conclusion: one question instead of three.

--- a/crates/policy/src/crash.rs
+++ b/crates/policy/src/crash.rs
@@ -88,6 +88,18 @@
         (losses.len() >= ENDPOINTS_MAX && !rest.is_zero()).then_some(rest)
     }
 
+    /// Records that other VMs know a loss. Returns whether it is known here: an
+    /// answer may have cleared it.
+    pub fn mark_shared(&mut self, content: &str, endpoint: &str) -> bool {
+        let mut losses = self.0.get_mut(content).into_iter().flatten();
+        let loss = losses.find(|loss| loss.endpoint == endpoint);
+        let is_known = loss.is_some();
+        if let Some(loss) = loss {
+            loss.is_shared = true;
+        }
+        is_known
+    }
+
     /// Returns whether a loss is known here and not to other VMs.
     pub fn is_unshared(&self, content: &str, endpoint: &str) -> bool {
         let losses = self.0.get(content).into_iter().flatten();
--- a/crates/policy/tests/crash.rs
+++ b/crates/policy/tests/crash.rs
@@ -61,3 +61,15 @@
     assert_eq!(suspects.clear("request"), ["0", "1", "2"]);
     assert!(suspects.quarantine("request", NOW).is_none());
 }
+
+#[test]
+fn loss_cleared_while_it_was_shared() {
+    let mut suspects = Suspects::default();
+    suspects.record(NOW, "request", "a", false);
+    assert!(suspects.mark_shared("request", "a"));
+    assert!(!suspects.is_unshared("request", "a"));
+    suspects.clear("request");
+    suspects.record(NOW, "request", "b", false);
+    assert!(!suspects.mark_shared("request", "a"));
+    assert!(suspects.is_unshared("request", "b"));
+}
--- a/crates/site/src/crash.rs
+++ b/crates/site/src/crash.rs
@@ -183,22 +183,16 @@
     /// Creates the object for a loss, unless the request is answered first.
     async fn share(&self, content: &str, incarnation: &str, report: &Report) {
         let name = object_name(content, incarnation);
-        let is_unshared = || self.0.suspects.borrow().is_unshared(content, incarnation);
         for _ in 0..SHARE_ATTEMPTS_MAX {
-            if !is_unshared() {
+            if !self.0.suspects.borrow().is_unshared(content, incarnation) {
                 return;
             }
             match self.0.store.create(KIND, &name, report).await {
-                Ok(_) if is_unshared() => {
-                    let now = self.0.clock.now();
-                    let mut suspects = self.0.suspects.borrow_mut();
-                    suspects.record(now, content, incarnation, true);
-                    return;
-                }
-                // An endpoint answered the request meanwhile, or the object is
-                // known already as one that the VM follows.
                 Ok(_) => {
-                    if self.0.suspects.borrow().count(content) == 0 {
+                    let suspects = &self.0.suspects;
+                    let is_known = suspects.borrow_mut().mark_shared(content, incarnation);
+                    // An endpoint answered the request meanwhile.
+                    if !is_known {
                         self.remove(&name).await;
                     }
                     return;
