site, platform: log lines name the software version of endpoints

The logs could not tell whether a stream goes on at another software version: lines named endpoints only, an opened stream left no line, and the attempt that a caller resumes was not read.

`endpoint added` and the lines about items have `software`; `event stream opened` is new. The record of an endpoint has its software version, without which it is not valid, as for its other fields.

No logic is changed.

--- a/crates/site/src/follow.rs
+++ b/crates/site/src/follow.rs
@@ -396,12 +396,12 @@
         return false;
     };
     let (address, is_draining) = (record.address, record.is_draining);
-    let service = record.service.clone();
+    let (service, software) = (record.service.clone(), record.software.clone());
     let is_new = facts.borrow_mut().put_endpoint(id, record);
     if is_new {
         pool.close_idle(address);
         let address = address.to_string();
-        spdlog::info!("endpoint added", kv: { endpoint = id, service, address });
+        spdlog::info!("endpoint added", kv: { endpoint = id, service, software, address });
     }
     if is_draining {
         spdlog::info!("endpoint is draining", kv: { endpoint = id });
--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -345,6 +345,7 @@
         match judged {
             Ok((response, false)) => {
                 self.facts.borrow_mut().record_success(key);
+                log_opened(dispatch, &endpoint);
                 Some(Some(Source {
                     key,
                     slot,
@@ -544,6 +545,15 @@
     }
 }
 
+fn log_opened(dispatch: &Dispatch, endpoint: &Endpoint) {
+    let request = dispatch.id.as_str();
+    let (id, software) = (endpoint.id.as_str(), endpoint.record.software.as_str());
+    let text = |name| dispatch.headers.get(name).and_then(|v| v.to_str().ok());
+    let origin = text(header::RESUMES).unwrap_or(request);
+    let after = text(header::LAST_EVENT).unwrap_or_default();
+    spdlog::info!("event stream opened", kv: { request, origin, endpoint = id, software, after });
+}
+
 /// Returns `call` with `entry`, which is counted once the call is sent.
 fn counted(call: Call, entry: &Entry) -> Call {
     let entry = entry.clone();
--- a/crates/site/src/job/attempt.rs
+++ b/crates/site/src/job/attempt.rs
@@ -158,18 +158,19 @@
         let now = Instant::now();
         self.metrics.record_item(attempt.label(), now - start);
         let (item, id) = (item.id.as_str(), endpoint.id.as_str());
+        let software = endpoint.record.software.as_str();
         let job = context.job.as_str();
         let last = text.borrow().last_event().unwrap_or_default();
         match &attempt {
             Attempt::Complete => {
                 let ms = (now - start).as_millis() as u64;
-                spdlog::info!("item completed", kv: { item, job, endpoint = id, last, ms, waited_ms, beside = other_requests });
+                spdlog::info!("item completed", kv: { item, job, endpoint = id, software, last, ms, waited_ms, beside = other_requests });
             }
             Attempt::Unprocessable | Attempt::Failed => {
                 spdlog::warn!("endpoint reported an error for item", kv: { item, job, endpoint = id, last });
             }
             Attempt::Moved => {
-                spdlog::info!("item moves to a faster endpoint", kv: { item, job, endpoint = id, last });
+                spdlog::info!("item moves to a faster endpoint", kv: { item, job, endpoint = id, software, last });
             }
             // The permits log it.
             Attempt::Denied => {}
@@ -180,7 +181,7 @@
             Attempt::Interrupted(problem) | Attempt::Unreachable(problem) => {
                 self.facts.borrow_mut().record_failure(key, now);
                 let problem = problem.as_str();
-                spdlog::warn!("item interrupted or endpoint unreachable", kv: { item, job, endpoint = id, last, problem });
+                spdlog::warn!("item interrupted or endpoint unreachable", kv: { item, job, endpoint = id, software, last, problem });
             }
         }
         attempt
--- a/crates/site/tests/common/record.rs
+++ b/crates/site/tests/common/record.rs
@@ -38,6 +38,7 @@
 pub(crate) fn endpoint(number: u8, slots: u32, versions: &[(&str, u64)]) -> endpoint::Record {
     endpoint::Record {
         service: "writer".to_string(),
+        software: "v1".to_string(),
         address: ([127, 0, 0, number], 80).into(),
         failure_domain: "a".to_string(),
         slots,
