site, fakes: failing tests of streams that mix software versions

Fakes of engines have a software version, and their events show it, so a test sees what a caller or a trainer sees. The tests cover a stream that goes on within one answer, one that its caller takes up again at another VM after an endpoint, a VM or both broke it, with the store and without it, and the text of an item, from memory and from the saved progress.

A first form of the tests used one path for all streams. Some of them then ended early: equal requests that lose three endpoints are taken for one that crashes them. Streams now have a path each.

--- a/crates/fakes/src/site/engine.rs
+++ b/crates/fakes/src/site/engine.rs
@@ -12,7 +12,8 @@
 use serde_json::{Value, json};
 
 use super::{
-    MODEL, SharedState, crashes, echo_request_id, header_text, lock, record_arrival, rejection,
+    MODEL, SOFTWARE, SharedState, crashes, echo_request_id, header_text, lock, record_arrival,
+    rejection,
 };
 
 /// The number of events of a stream whose request names none.
@@ -29,6 +30,21 @@
     format!("{id}/{number}")
 }
 
+/// Returns the version of the software that produced an event with this data.
+///
+/// # Examples
+///
+/// ```
+/// use tarragonseam_fakes::site;
+///
+/// assert_eq!(site::event_software(&site::event_text("a", 2)), site::SOFTWARE);
+/// assert_eq!(site::event_software("a/2@v2"), "v2");
+/// ```
+pub fn event_software(data: &str) -> &str {
+    data.split_once('@')
+        .map_or(SOFTWARE, |(_, software)| software)
+}
+
 pub(super) async fn answer(
     state: SharedState,
     request: Request,
@@ -92,12 +108,12 @@
     if faults.dropped_replies > 0 || crashes(state, request, id) {
         return Reply::cut();
     }
-    let version = {
+    let (version, software) = {
         let state = lock(state);
         let endpoint = state.endpoints.get(id);
-        endpoint
-            .and_then(|endpoint| endpoint.versions.get(MODEL).copied())
-            .unwrap_or_default()
+        let version = endpoint.and_then(|endpoint| endpoint.versions.get(MODEL).copied());
+        let software = endpoint.map_or(SOFTWARE, |endpoint| endpoint.software);
+        (version.unwrap_or_default(), software)
     };
     let item = header_text(request, "request-id").unwrap_or_default();
     let number = |name| request.header(name).and_then(|value| value.parse().ok());
@@ -105,7 +121,11 @@
     let end = number("x-events").unwrap_or(EVENTS_DEFAULT);
     let cut = faults.cut_after;
     let reply = Reply::produced(StatusCode::OK, move |sender| async move {
-        write_events(sender, &item, first..end, cut, time).await;
+        let data = |number| match software {
+            SOFTWARE => event_text(&item, number),
+            _ => format!("{}@{software}", event_text(&item, number)),
+        };
+        write_events(sender, data, first..end, cut, time).await;
     });
     echo_request_id(request, reply)
         .header("content-type", "text/event-stream")
@@ -115,14 +135,14 @@
 
 async fn write_events(
     sender: Sender,
-    item: &str,
+    data: impl Fn(u64) -> String,
     events: std::ops::Range<u64>,
     cut: Option<u64>,
     time: Duration,
 ) {
     for number in events {
         monoio::time::sleep(time).await;
-        let event = format!("id: {number}\ndata: {}\n\n", event_text(item, number));
+        let event = format!("id: {number}\ndata: {}\n\n", data(number));
         if sender.send(Part::Data(Bytes::from(event))).await.is_err() || cut == Some(number) {
             return;
         }
--- a/crates/fakes/src/site/mod.rs
+++ b/crates/fakes/src/site/mod.rs
@@ -42,7 +42,7 @@
 };
 use serde_json::{Value, json};
 
-pub use engine::event_text;
+pub use engine::{event_software, event_text};
 pub use provider::Report;
 
 /// The endpoints to start.
@@ -145,8 +145,13 @@
     pub born: u64,
     /// Its failure domain.
     pub domain: &'static str,
+    /// The version of its software, which its events show.
+    pub software: &'static str,
 }
 
+/// The version of the software of all endpoints at first.
+pub const SOFTWARE: &str = "v1";
+
 /// The state that the fakes share.
 #[derive(Debug, Default)]
 pub struct State {
@@ -280,6 +285,7 @@
         rate_limit: None,
         born: 1,
         domain: "zone-a",
+        software: SOFTWARE,
     }
 }
 
@@ -319,7 +325,7 @@
             "service": service,
             "address": endpoint.address.to_string(),
             "zone": endpoint.domain,
-            "version": "v1",
+            "version": endpoint.software,
             "slots": 4,
             "state": state,
             "models": models.collect::<Vec<Value>>(),
--- a/crates/site/tests/common/mod.rs
+++ b/crates/site/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub(crate) mod record;
+pub(crate) mod stream;
 
 use std::{
     net::SocketAddr,
@@ -313,12 +314,22 @@
 }
 
 /// Adds a route of event streams at `/stream/`, which may be resumed if
-/// `is_resumable`.
+/// `is_resumable`. An attempt may run at two endpoints.
 pub(crate) fn add_stream_route(deployment: &Deployment, is_resumable: bool) {
+    add_stream_route_with(deployment, is_resumable, 2);
+}
+
+/// As [`add_stream_route`], with `max_attempts` endpoints for an attempt.
+pub(crate) fn add_stream_route_with(
+    deployment: &Deployment,
+    is_resumable: bool,
+    max_attempts: u32,
+) {
     let mut config = config(3);
     let route = json!({
         "name": "stream", "host": HOST, "path-prefix": "/stream/", "kind": "unsafe",
-        "timeout-ms": 5000, "aim-ms": 400, "service": site::ENGINE_SERVICE, "max-attempts": 2,
+        "timeout-ms": 5000, "aim-ms": 400, "service": site::ENGINE_SERVICE,
+        "max-attempts": max_attempts,
         "public": false, "streaming": true, "resumable": is_resumable,
     });
     config["routes"].as_array_mut().unwrap().push(route);
--- /dev/null
+++ b/crates/site/tests/software.rs
@@ -0,0 +1,253 @@
+//! End-to-end tests of endpoints of several software versions.
+
+mod common;
+
+use std::{net::SocketAddr, thread, time::Duration};
+
+use common::{
+    Deployment, job,
+    stream::{Attempt, Stream},
+    wait,
+};
+use fakes::site::{self, Fault, Plan};
+use serde_json::Value;
+
+/// The number of engines, every other one of which has the newer version.
+const ENGINES: usize = 4;
+/// The number of streams of a test: as many as the platform needs to judge how
+/// many of them go on.
+const STREAMS: usize = 12;
+/// The number of events of a stream.
+const EVENTS: u64 = 8;
+/// The number of events after which streams break.
+const EVENTS_BEFORE: usize = 3;
+
+/// Starts `vms` VMs, of which the first three are coordinators, and engines of
+/// two software versions.
+fn start(vms: usize, event_time: Duration) -> Deployment {
+    let plan = Plan {
+        engines: ENGINES,
+        plain: 1,
+        event_time,
+    };
+    let deployment = Deployment::start_with_coordinators(vms, vms.min(3), plan);
+    let mut state = deployment.site.state();
+    for number in (1..ENGINES).step_by(2) {
+        set_software(&mut state, &format!("engine-{number}"), "v2");
+    }
+    drop(state);
+    for vm in &deployment.vms {
+        wait("the newer endpoints", || {
+            let log = vm.log();
+            log.lines()
+                .filter(|line| line.contains("\"software\":\"v2\""))
+                .count()
+                >= ENGINES / 2
+        });
+    }
+    deployment
+}
+
+/// Replaces the process of the endpoint `id` by one of another version.
+fn set_software(state: &mut site::State, id: &str, software: &'static str) {
+    let endpoint = state.endpoints.get_mut(id).unwrap();
+    endpoint.software = software;
+    endpoint.born += 1;
+    state.announce(id, "ready");
+}
+
+/// Makes the next stream of each engine break after an event.
+fn cut_streams(deployment: &Deployment, after: u64) {
+    for endpoint in deployment.site.state().endpoints.values_mut() {
+        endpoint.faults.cut_after = Some(after);
+    }
+}
+
+/// Opens a stream at each of `vms` and calls `break_streams` once all of them have
+/// [`EVENTS_BEFORE`] events. Returns the streams once their answers have ended.
+fn open_streams(round: usize, vms: &[SocketAddr], break_streams: impl FnOnce()) -> Vec<Stream> {
+    let names = (0..vms.len()).map(|number| format!("s{round}-{number}"));
+    let mut streams: Vec<Stream> = names.map(|name| Stream::new(&name)).collect();
+    let opened = streams.iter().zip(vms);
+    let mut attempts: Vec<Attempt> = opened
+        .map(|(stream, vm)| Attempt::open(*vm, stream, EVENTS))
+        .collect();
+    for attempt in &mut attempts {
+        attempt.read(EVENTS_BEFORE);
+    }
+    break_streams();
+    for (attempt, stream) in attempts.into_iter().zip(&mut streams) {
+        attempt.finish(stream);
+    }
+    streams
+}
+
+/// Resumes the streams that are not complete, each at one of `vms`.
+fn resume_streams(streams: &mut [Stream], vms: &[SocketAddr]) {
+    thread::scope(|scope| {
+        let broken = streams.iter_mut().filter(|stream| !stream.is_complete);
+        for (stream, vm) in broken.zip(vms.iter().cycle()) {
+            scope.spawn(move || Attempt::open(*vm, stream, EVENTS).finish(stream));
+        }
+    });
+}
+
+/// Asserts that all streams have their events, each from one version.
+fn assert_whole(streams: &[Stream]) {
+    let is_good = |stream: &&Stream| stream.is_whole(EVENTS) && !stream.is_mixed();
+    let bad = streams.iter().filter(|stream| !is_good(stream));
+    let bad: Vec<_> = bad.map(|stream| &stream.events).collect();
+    assert!(
+        bad.is_empty(),
+        "{} of {}: {bad:?}",
+        bad.len(),
+        streams.len()
+    );
+}
+
+fn callers(deployment: &Deployment) -> Vec<SocketAddr> {
+    deployment.vms.iter().map(|vm| vm.callers).collect()
+}
+
+/// Returns [`STREAMS`] times one of `vms`, in turn.
+fn in_turn(vms: &[SocketAddr]) -> Vec<SocketAddr> {
+    vms.iter().copied().cycle().take(STREAMS).collect()
+}
+
+#[test]
+fn stream_continued_within_answer_at_other_version() {
+    let deployment = start(2, Duration::from_millis(20));
+    common::add_stream_route(&deployment, true);
+    let vms = in_turn(&callers(&deployment));
+    for round in 0..2 {
+        cut_streams(&deployment, EVENTS_BEFORE as u64);
+        assert_whole(&open_streams(round, &vms, || {}));
+    }
+    let state = deployment.site.state();
+    assert!(
+        state
+            .arrivals
+            .iter()
+            .any(|arrival| arrival.last_event_id.is_some())
+    );
+}
+
+#[test]
+fn stream_broken_by_endpoint_resumed_at_other_version() {
+    let deployment = start(4, Duration::from_millis(20));
+    common::add_stream_route_with(&deployment, true, 1);
+    let vms = callers(&deployment);
+    let others = [vms[1], vms[2], vms[3], vms[0]];
+    for round in 0..STREAMS / ENGINES {
+        cut_streams(&deployment, EVENTS_BEFORE as u64);
+        let mut streams = open_streams(round, &in_turn(&vms), || {});
+        resume_streams(&mut streams, &others);
+        assert_whole(&streams);
+    }
+    let state = deployment.site.state();
+    let resumed = state.arrivals.iter().filter(|a| a.last_event_id.is_some());
+    assert!(resumed.count() >= STREAMS);
+}
+
+/// Kills the last VM, and with it all streams, and resumes them at the others.
+fn assert_resumed_after_kill(fault: Fault, break_endpoints: impl FnOnce(&Deployment)) {
+    let mut deployment = start(4, Duration::from_millis(60));
+    common::add_stream_route_with(&deployment, true, 3);
+    let vms = callers(&deployment);
+    deployment.site.state().fault = fault;
+    let mut killed = deployment.vms.pop().unwrap();
+    let mut streams = open_streams(0, &in_turn(&vms[3..]), || {
+        killed.kill();
+        break_endpoints(&deployment);
+    });
+    resume_streams(&mut streams, &vms[..3]);
+    assert_whole(&streams);
+}
+
+#[test]
+fn stream_broken_by_vm_resumed_at_other_version() {
+    assert_resumed_after_kill(Fault::None, |_| {});
+}
+
+#[test]
+fn stream_broken_by_vm_resumed_at_other_version_without_store() {
+    assert_resumed_after_kill(Fault::Unavailable, |_| {});
+}
+
+/// Makes one engine of each version reject all requests.
+fn reject_at_two_engines(deployment: &Deployment) {
+    let mut state = deployment.site.state();
+    for id in ["engine-0", "engine-1"] {
+        state.endpoints.get_mut(id).unwrap().faults.rejects = u32::MAX;
+    }
+}
+
+#[test]
+fn stream_broken_by_vm_and_endpoint_resumed_at_other_version() {
+    assert_resumed_after_kill(Fault::None, reject_at_two_engines);
+}
+
+#[test]
+fn stream_broken_by_vm_and_endpoint_resumed_at_other_version_without_store() {
+    assert_resumed_after_kill(Fault::Unavailable, reject_at_two_engines);
+}
+
+/// Asserts that each text comes from one version and has `events` events.
+fn assert_texts(samples: &[Value], events: u64) {
+    for sample in samples {
+        let text = sample["text"].as_str().unwrap();
+        let versions: Vec<&str> = text.lines().map(site::event_software).collect();
+        let is_mixed = versions.iter().any(|version| *version != versions[0]);
+        assert!(!is_mixed, "{versions:?}");
+        assert_eq!(versions.len() as u64, events);
+    }
+}
+
+#[test]
+fn item_resumed_at_other_version() {
+    let deployment = start(1, Duration::from_millis(5));
+    for number in 0..3 {
+        let mut state = deployment.site.state();
+        for id in ["engine-0", "engine-2"] {
+            state.endpoints.get_mut(id).unwrap().faults.cut_after = Some(2);
+        }
+        drop(state);
+        let (id, prefix) = (format!("job-{number}"), format!("i{number}"));
+        assert_eq!(
+            deployment.vms[0].submit(&id, &job(&prefix, STREAMS, 6)),
+            202
+        );
+        assert_texts(&deployment.vms[0].read_all(&id, STREAMS), 6);
+    }
+}
+
+#[test]
+fn item_resumed_at_other_version_from_saved_progress() {
+    let mut deployment = start(2, Duration::from_millis(25));
+    // Long ids produce enough text for the progress to be saved.
+    let long = "x".repeat(200);
+    assert_eq!(deployment.vms[0].submit("job-a", &job(&long, 4, 120)), 202);
+    wait("progress to be saved", || {
+        let saved = deployment.site.state().get("rollout-job-job-a", "a");
+        let texts = saved.and_then(|saved| saved["texts"].as_array().cloned());
+        texts.is_some_and(|texts| texts.len() == 4)
+    });
+    deployment.vms.iter_mut().for_each(|vm| vm.kill());
+    // Each engine now has the version that the other ones had.
+    let mut state = deployment.site.state();
+    for number in 0..ENGINES {
+        let software = if number % 2 == 0 {
+            "v2"
+        } else {
+            site::SOFTWARE
+        };
+        set_software(&mut state, &format!("engine-{number}"), software);
+    }
+    let before = state.arrivals.len();
+    drop(state);
+    deployment.vms.iter_mut().for_each(|vm| vm.restart());
+    assert_texts(&deployment.vms[0].read_all("job-a", 4), 120);
+    let state = deployment.site.state();
+    let resumed = |arrival: &site::Arrival| arrival.last_event_id.is_some();
+    assert!(state.arrivals[before..].iter().any(resumed));
+}
