site: a stream goes on within its answer at one software version

What callers saw: an answer whose first events come from one software version of a service and whose last ones come from another, after the first endpoint broke off.

Cause: the relay asks placement for any endpoint of the service. What began the stream (service and software version) was not a thing that the code knew. Class of fault: state that belongs to one producer is handed to any member of its pool.

Change: a `Producer` is kept for the stream from the first endpoint on, whose headers the reply bears, and placement takes the software version as a requirement. The endpoints that ran the request are counted apart from those that were tried, since a rejection is no run.

--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -28,9 +28,10 @@
     crash::Crashes,
     facts::{Endpoint, Facts, Key},
     metrics::Metrics,
+    origin::Producer,
     permit::Permits,
     placement::{self, Criteria},
-    stream::Source,
+    stream::{Attempts, Source},
     usage::{Entry, Usage},
 };
 
@@ -296,7 +297,8 @@
         reply_for(self.run(route, &dispatch).await)
     }
 
-    /// Opens an event stream at the next endpoint that is not in `tried`.
+    /// Opens an event stream at the next endpoint that was not tried and can
+    /// continue what its producer began.
     ///
     /// Returns `Some(None)` if the stream was not opened and another endpoint
     /// may be tried, and `None` if no other endpoint may be tried.
@@ -304,7 +306,7 @@
         &self,
         route: &Route,
         dispatch: &Dispatch,
-        tried: &mut Vec<Key>,
+        attempts: &mut Attempts,
         outcome: &mut Outcome,
     ) -> Option<Option<Source>> {
         let remaining = dispatch.deadline.saturating_duration_since(Instant::now());
@@ -315,16 +317,23 @@
             outcome.hold = Some(Hold::Quarantine(rest));
             return None;
         }
-        let service = select_service(route, &dispatch.id)?;
+        let (service, software) = match &attempts.producer {
+            Some(producer) => (&*producer.service, Some(&*producer.software)),
+            None => (select_service(route, &dispatch.id)?, None),
+        };
         outcome.hold = self.time_to_permit(service);
-        let key = self.choose(service, tried, outcome.denials)?;
+        let criteria = Criteria {
+            software,
+            ..self.criteria(service, &attempts.tried, outcome.denials)
+        };
+        let key = placement::choose(&self.facts.borrow(), criteria, Instant::now())?;
         let endpoint = self.endpoint(key)?;
         let slot = Slot::acquire(&self.facts, key)?;
         if !self.permits.acquire(key, &dispatch.id).await {
             outcome.denials += 1;
             return Some(None);
         }
-        tried.push(key);
+        attempts.tried.push(key);
         let entry = self.usage.entry(dispatch.account.as_deref());
         let call = observed(dispatch.call(&endpoint.id, remaining), &self.facts, key);
         let call = counted(call, &entry);
@@ -344,12 +353,14 @@
         let now = Instant::now();
         match judged {
             Ok((response, false)) => {
+                attempts.runs += 1;
                 self.facts.borrow_mut().record_success(key);
                 log_opened(dispatch, &endpoint);
                 Some(Some(Source {
                     key,
                     slot,
                     response,
+                    producer: Producer::new(&endpoint.record),
                 }))
             }
             Ok((_, true)) => {
@@ -368,6 +379,7 @@
                     return Some(None);
                 }
                 self.crashes.record_failure(dispatch, known, &e);
+                attempts.runs += 1;
                 outcome.runs += 1;
                 outcome.end = End::Lost;
                 // The endpoint may have run the request, so only a stream
@@ -412,7 +424,9 @@
             let Some(service) = select_service(route, &dispatch.id) else {
                 return outcome;
             };
-            let Some(key) = self.choose(service, &tried, outcome.denials) else {
+            let criteria = self.criteria(service, &tried, outcome.denials);
+            let chosen = placement::choose(&self.facts.borrow(), criteria, Instant::now());
+            let Some(key) = chosen else {
                 outcome.hold = self.time_to_permit(service);
                 if tried.is_empty() || outcome.runs > 0 {
                     return outcome;
@@ -459,15 +473,14 @@
         }
     }
 
-    fn choose(&self, service: &str, tried: &[Key], denials: usize) -> Option<Key> {
-        let criteria = Criteria {
+    fn criteria<'a>(&'a self, service: &'a str, tried: &'a [Key], denials: usize) -> Criteria<'a> {
+        Criteria {
             service,
             domain: &self.domain,
             avoids_limits: denials >= DENIALS_MAX,
             tried,
             ..Criteria::default()
-        };
-        placement::choose(&self.facts.borrow(), criteria, Instant::now())
+        }
     }
 
     /// Returns the time until a permit is expected for an endpoint of `service`,
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod metrics;
 pub mod mirror;
 pub mod notify;
+pub mod origin;
 pub mod peer;
 pub mod permit;
 pub mod placement;
--- a/crates/site/src/placement.rs
+++ b/crates/site/src/placement.rs
@@ -22,6 +22,9 @@
 pub struct Criteria<'a> {
     /// The service that the endpoint must belong to.
     pub service: &'a str,
+    /// The version of its software that the endpoint must have, since it
+    /// continues what another endpoint began.
+    pub software: Option<&'a str>,
     /// The failure domain of this VM. Endpoints in it are nearer than others.
     pub domain: &'a str,
     /// The model and the oldest acceptable version of its weights.
@@ -128,6 +131,12 @@
     if record.service != criteria.service || record.is_draining || endpoint.is_denied(now) {
         return false;
     }
+    if criteria
+        .software
+        .is_some_and(|software| software != record.software)
+    {
+        return false;
+    }
     if criteria.avoids_limits && endpoint.rate_limit.is_some() {
         return false;
     }
--- a/crates/site/src/stream.rs
+++ b/crates/site/src/stream.rs
@@ -15,6 +15,7 @@
 use crate::{
     facts::Key,
     forward::{Dispatch, End, Forwarder, Outcome, Slot, reply_for},
+    origin::Producer,
 };
 
 /// The longest time between two events, after which a stream counts as broken.
@@ -26,6 +27,25 @@
     pub(crate) key: Key,
     pub(crate) slot: Slot,
     pub(crate) response: Response,
+    pub(crate) producer: Producer,
+}
+
+/// The endpoints of one stream.
+#[derive(Default)]
+pub(crate) struct Attempts {
+    /// What began the stream, once an endpoint has opened it.
+    pub(crate) producer: Option<Producer>,
+    /// The endpoints that the stream was requested from.
+    pub(crate) tried: Vec<Key>,
+    /// The number of endpoints that ran the request or may have run it.
+    pub(crate) runs: u32,
+}
+
+impl Attempts {
+    /// Returns whether another endpoint may run the request on `route`.
+    pub(crate) fn may_continue(&self, route: &Route) -> bool {
+        route.resumable && self.runs < route.max_attempts
+    }
 }
 
 /// Why the relay from one endpoint stopped.
@@ -39,7 +59,8 @@
     /// Opens the event stream that `dispatch` requests, and returns the reply
     /// that relays it.
     pub(crate) async fn stream(&self, route: Route, dispatch: Dispatch) -> Reply {
-        let (outcome, opened) = self.open(&route, &dispatch, &mut Vec::new()).await;
+        let mut attempts = Attempts::default();
+        let (outcome, opened) = self.open(&route, &dispatch, &mut attempts).await;
         let Some(opened) = opened else {
             return reply_for(outcome);
         };
@@ -47,18 +68,29 @@
         let headers = header::forwarded_headers(&opened.response.headers);
         let forwarder = self.clone();
         let mut reply = Reply::produced(status, move |sender| async move {
-            forwarder.relay(route, dispatch, opened, sender).await;
+            forwarder
+                .relay(route, dispatch, attempts, opened, sender)
+                .await;
         });
         *reply.headers_mut() = headers;
         reply
     }
 
-    async fn relay(&self, route: Route, mut dispatch: Dispatch, first: Source, sender: Sender) {
-        let mut tried = vec![first.key];
+    async fn relay(
+        &self,
+        route: Route,
+        mut dispatch: Dispatch,
+        mut attempts: Attempts,
+        first: Source,
+        sender: Sender,
+    ) {
         let mut opened = Some(first);
         let mut last_id = None;
         while let Some(source) = opened.take() {
             let endpoint = self.endpoint(source.key);
+            // The headers of the reply are those of the first endpoint, so the
+            // others have to be of its kind even before the first event.
+            attempts.producer.get_or_insert(source.producer.clone());
             let is_failure = source.response.status.is_server_error();
             let stop = relay_events(source, &sender, &mut last_id).await;
             let request = dispatch.id.as_str();
@@ -77,7 +109,7 @@
                     if let Some(endpoint) = endpoint {
                         self.crashes.record_failure(&dispatch, &endpoint, &e);
                     }
-                    let is_resumed = route.resumable && tried.len() < route.max_attempts as usize;
+                    let is_resumed = attempts.may_continue(&route);
                     spdlog::warn!("event stream broke", kv: { request, event, is_resumed });
                     if !is_resumed {
                         return;
@@ -89,20 +121,23 @@
                     .headers
                     .insert(header::LAST_EVENT, HeaderValue::from(last_id));
             }
-            let (_, next) = self.open(&route, &dispatch, &mut tried).await;
+            let (_, next) = self.open(&route, &dispatch, &mut attempts).await;
             opened = next;
         }
     }
 
-    /// Opens an event stream at an endpoint that is not in `tried`.
+    /// Opens an event stream at an endpoint that was not tried.
     async fn open(
         &self,
         route: &Route,
         dispatch: &Dispatch,
-        tried: &mut Vec<Key>,
+        attempts: &mut Attempts,
     ) -> (Outcome, Option<Source>) {
         let mut outcome = Outcome::default();
-        while let Some(attempt) = self.open_next(route, dispatch, tried, &mut outcome).await {
+        while let Some(attempt) = self
+            .open_next(route, dispatch, attempts, &mut outcome)
+            .await
+        {
             if let Some(opened) = attempt {
                 outcome.end = End::NotRun;
                 return (outcome, Some(opened));
