site: a stream without an answer is bound by the attempts of its route

What was seen: a resumable stream that endpoints drop before its head was sent on to every endpoint of the service. The limit of the route was checked only once a stream had opened.

stream_sent_to_more_endpoints_than_allowed: 3 endpoints before (the request was in quarantine then), 2 after, where the route allows 2.

--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -384,7 +384,7 @@
                 outcome.end = End::Lost;
                 // The endpoint may have run the request, so only a stream
                 // that may be resumed is requested again.
-                route.resumable.then_some(None)
+                attempts.may_continue(route).then_some(None)
             }
         }
     }
--- a/crates/site/tests/software.rs
+++ b/crates/site/tests/software.rs
@@ -132,6 +132,18 @@
     );
 }
 
+#[test]
+fn stream_sent_to_more_endpoints_than_allowed() {
+    let deployment = start(1, Duration::from_millis(5));
+    common::add_stream_route(&deployment, true);
+    for endpoint in deployment.site.state().endpoints.values_mut() {
+        endpoint.faults.dropped_replies = 1;
+    }
+    let mut stream = Stream::new("s");
+    Attempt::open(deployment.vms[0].callers, &stream, EVENTS).finish(&mut stream);
+    assert_eq!(deployment.site.state().arrivals_of("s-0").len(), 2);
+}
+
 #[test]
 fn stream_broken_by_endpoint_resumed_at_other_version() {
     let deployment = start(4, Duration::from_millis(20));
