site: the text of an item goes on at one software version

What trainers saw: samples whose first events come from one software version of a service and whose last ones come from another, after an endpoint broke off, after a move to a faster one, or after another VM took the job over from its saved progress.

Cause: as in the answer to a caller, the text did not know what began it. A text outlives the endpoint and the VM, so it has to carry this itself.

Change: `Text` has the version of the software, in memory and in the saved progress, and refuses events of another one, so no path can mix them. Placement and moves take it as a requirement. Stored texts without it (of earlier releases) are not continued. An item that no endpoint can continue within a second begins again: the text is ours, and nothing of it was delivered.

Ruled out: to wait for the version until the item's deadline. It may never come back after a release.

The model test of texts has runs of two versions now.

--- a/crates/site/src/job/attempt.rs
+++ b/crates/site/src/job/attempt.rs
@@ -151,7 +151,8 @@
             Err(e) if e.is_unsent() => Attempt::Unreachable(e.to_string()),
             Err(e) => Attempt::Interrupted(e.to_string()),
             Ok(response) => {
-                self.read_events(key, response, context, text, is_pinned)
+                let software = endpoint.record.software.as_str();
+                self.read_events(key, software, response, context, text, is_pinned)
                     .await
             }
         };
@@ -190,6 +191,7 @@
     async fn read_events(
         &self,
         key: Key,
+        software: &str,
         mut response: Response,
         context: &Context,
         text: &RefCell<Text>,
@@ -237,8 +239,9 @@
                 if let Some(problem) = version_problem(version, context, &text.borrow()) {
                     return Attempt::Interrupted(problem);
                 }
-                if text.borrow_mut().push(&event, version).is_err() {
-                    return Attempt::Interrupted("the stream of events has a gap".to_string());
+                let added = text.borrow_mut().push(&event, version, software);
+                if let Err(e) = added {
+                    return Attempt::Interrupted(e.to_string());
                 }
                 let measured = meter.count(Instant::now());
                 if let Some(time) = measured
@@ -268,6 +271,7 @@
         };
         let criteria = Criteria {
             service: &endpoint.record.service,
+            software: Some(&endpoint.record.software),
             model: Some((model, context.oldest_version)),
             may_wait: true,
             avoids_limits: true,
--- a/crates/site/src/job/executor.rs
+++ b/crates/site/src/job/executor.rs
@@ -43,6 +43,9 @@
 const READ_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// The pause before an item that was interrupted or rejected is run again.
 const ITEM_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// How long an item waits for an endpoint with the software that began its text.
+/// After that, another endpoint begins the text again.
+const CONTINUE_WAIT_MAX: Duration = Duration::from_millis(1000);
 /// How old this VM's view of the jobs may be for items to be started. No item
 /// may be started later than 3 s after the end of its job.
 const JOB_STATE_AGE_MAX: Duration = Duration::from_millis(2000);
@@ -78,6 +81,16 @@
     /// How many times the item was moved to a faster endpoint.
     moves: u32,
     not_before: Instant,
+    queued_at: Instant,
+}
+
+impl Pending {
+    /// Returns the version of the software that has to continue the text.
+    fn software(&self) -> Option<String> {
+        let text = self.text.borrow();
+        let software = text.software().filter(|_| !text.is_complete());
+        software.map(str::to_string)
+    }
 }
 
 /// The result of a task of an execution.
@@ -239,6 +252,7 @@
                 failures: 0,
                 moves: 0,
                 not_before: now,
+                queued_at: now,
             })
         });
         let mut queue: Vec<Pending> = queue.collect();
@@ -310,17 +324,59 @@
                 index += 1;
                 continue;
             }
-            // All items have the same requirements, so the others find no
-            // endpoint either.
-            let Some(key) = self.choose_endpoint(index, now) else {
-                return;
-            };
-            if let Some(pending) = self.queue.remove(index) {
-                self.start_item(pending, key);
+            let is_bound = pending.software().is_some();
+            match self.choose_endpoint(index, now) {
+                Some(key) => {
+                    if let Some(pending) = self.queue.remove(index) {
+                        self.start_item(pending, key);
+                    }
+                }
+                None if is_bound => {
+                    // An item whose text was dropped may run anywhere.
+                    let is_dropped = self.drop_text_without_endpoint(index, now);
+                    index += usize::from(!is_dropped);
+                }
+                // Any endpoint would do, so the other items find none either.
+                None => return,
             }
         }
     }
 
+    /// Drops the text of the item at `index` of the queue if no endpoint can
+    /// continue it soon, and returns whether it was dropped.
+    fn drop_text_without_endpoint(&mut self, index: usize, now: Instant) -> bool {
+        let Some(pending) = self.queue.get(index) else {
+            return false;
+        };
+        let software = pending.software();
+        let criteria = self.criteria(software.as_deref());
+        let has_endpoint = placement::has_suitable(&self.executor.runner.facts.borrow(), criteria);
+        if has_endpoint && now - pending.queued_at < CONTINUE_WAIT_MAX {
+            return false;
+        }
+        let item = self.items[pending.index].id.as_str();
+        let job = self.context.job.as_str();
+        let software = software.unwrap_or_default();
+        let last = pending.text.borrow().last_event().unwrap_or_default();
+        spdlog::warn!("item begins again, no endpoint can continue its text", kv: { item, job, software, last, has_endpoint });
+        pending.text.replace(Text::default());
+        true
+    }
+
+    /// Returns the requirements for an endpoint that continues a text of
+    /// `software`, or begins one.
+    fn criteria<'a>(&'a self, software: Option<&'a str>) -> Criteria<'a> {
+        let model = self.head.model.as_deref();
+        Criteria {
+            service: &self.service,
+            software,
+            domain: &self.executor.failure_domain,
+            model: model.map(|model| (model, self.context.oldest_version)),
+            may_wait: true,
+            ..Criteria::default()
+        }
+    }
+
     fn abandon_queue(&mut self) {
         for pending in std::mem::take(&mut self.queue) {
             let item = self.items[pending.index].id.as_str();
@@ -343,20 +399,17 @@
 
     /// Returns an endpoint for the item at `index` of the queue.
     fn choose_endpoint(&mut self, index: usize, now: Instant) -> Option<Key> {
-        let item = &self.items[self.queue.get(index)?.index];
+        let pending = self.queue.get(index)?;
+        let item = &self.items[pending.index];
+        let software = pending.software();
         let facts = self.executor.runner.facts.borrow();
-        let model = self.head.model.as_deref();
         let criteria = Criteria {
-            service: &self.service,
-            domain: &self.executor.failure_domain,
-            model: model.map(|model| (model, self.context.oldest_version)),
             preferred: item
                 .group
                 .as_ref()
                 .and_then(|g| self.group_endpoints.get(g))
                 .copied(),
-            may_wait: true,
-            ..Criteria::default()
+            ..self.criteria(software.as_deref())
         };
         let key = placement::choose(&facts, criteria, now)?;
         if let Some(group) = &item.group {
@@ -494,7 +547,10 @@
 
     fn handle(&mut self, completion: Completion) {
         match completion {
-            Completion::Retry(pending) => self.queue.push_front(pending),
+            Completion::Retry(mut pending) => {
+                pending.queued_at = Instant::now();
+                self.queue.push_front(pending);
+            }
             Completion::Finished(index, sample) => {
                 // A later job with the same item reuses the text.
                 let text = self.job.borrow_mut().partial_texts.remove(&index);
--- a/crates/site/src/job/text.rs
+++ b/crates/site/src/job/text.rs
@@ -11,6 +11,10 @@
         data: String,
         /// The id of the last event.
         last: Option<u64>,
+        /// The version of the software of the endpoints that produced the events.
+        /// It is missing in texts that earlier releases stored.
+        #[serde(default)]
+        software: Option<String>,
         /// The versions of the weights that produced the events.
         versions: Vec<u64>,
         /// Whether no more events follow.
@@ -19,24 +23,39 @@
     }
 }
 
-/// The error for an event whose id does not follow that of the event before.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Gap;
+/// The error for an event that does not continue the text.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Mismatch {
+    /// An earlier event is missing, or the event has no id.
+    #[error("the stream of events has a gap")]
+    Gap,
+    /// Another version of the software produced the events before.
+    #[error("another software version produced the events before")]
+    Software,
+}
 
 impl Text {
-    /// Adds an event that weights of `version` produced. An event that the text
-    /// has already is ignored.
+    /// Adds an event that weights of `version` produced at an endpoint with this
+    /// version of the software. An event that the text has already is ignored.
     ///
     /// # Errors
     ///
-    /// [`Gap`] if an earlier event is missing or the event has no id.
-    pub fn push(&mut self, event: &Event, version: Option<u64>) -> Result<(), Gap> {
-        let id = event.id.ok_or(Gap)?;
+    /// A [`Mismatch`] if the event does not continue the text.
+    pub fn push(
+        &mut self,
+        event: &Event,
+        version: Option<u64>,
+        software: &str,
+    ) -> Result<(), Mismatch> {
+        let id = event.id.ok_or(Mismatch::Gap)?;
+        if self.last.is_some() && self.software.as_deref() != Some(software) {
+            return Err(Mismatch::Software);
+        }
         match self.last {
             Some(last) if id <= last => return Ok(()),
-            Some(last) if id - 1 != last => return Err(Gap),
+            Some(last) if id - 1 != last => return Err(Mismatch::Gap),
             Some(_) => self.data.push('\n'),
-            None => {}
+            None => self.software = Some(software.to_string()),
         }
         self.data.push_str(&event.data);
         self.last = Some(id);
@@ -53,6 +72,12 @@
         self.last
     }
 
+    /// Returns the version of the software that has to produce the events that
+    /// follow, or `None` if the text has no events.
+    pub fn software(&self) -> Option<&str> {
+        self.software.as_deref()
+    }
+
     /// Returns the versions of the weights that produced the text.
     pub fn versions(&self) -> &[u64] {
         &self.versions
@@ -74,8 +99,12 @@
     }
 
     /// Returns whether a job may use the text: no version of the weights may be
-    /// older than `oldest`, and `is_single_version` allows only one version.
+    /// older than `oldest`, and `is_single_version` allows only one version. An
+    /// incomplete text can be continued only if its software is known.
     pub fn is_usable(&self, oldest: u64, is_single_version: bool) -> bool {
+        if !self.is_complete && self.last.is_some() && self.software.is_none() {
+            return false;
+        }
         let is_recent_enough = self.versions.iter().all(|version| *version >= oldest);
         is_recent_enough && (!is_single_version || self.versions.len() <= 1)
     }
--- a/crates/site/src/placement.rs
+++ b/crates/site/src/placement.rs
@@ -126,30 +126,39 @@
     latency::slowness(own, best_latency, now)
 }
 
-fn is_usable(endpoint: &Endpoint, criteria: Criteria<'_>, now: Instant) -> bool {
+/// Returns whether an endpoint meets the requirements of `criteria`, whether or
+/// not it accepts requests now.
+pub fn has_suitable(facts: &Facts, criteria: Criteria<'_>) -> bool {
+    let mut endpoints = facts.endpoints.values();
+    endpoints.any(|endpoint| is_suitable(endpoint, criteria))
+}
+
+fn is_suitable(endpoint: &Endpoint, criteria: Criteria<'_>) -> bool {
     let record = &endpoint.record;
-    if record.service != criteria.service || record.is_draining || endpoint.is_denied(now) {
-        return false;
-    }
-    if criteria
-        .software
-        .is_some_and(|software| software != record.software)
+    let has_software = |software| software == record.software;
+    if record.service != criteria.service
+        || record.is_draining
+        || !criteria.software.is_none_or(has_software)
     {
         return false;
     }
-    if criteria.avoids_limits && endpoint.rate_limit.is_some() {
-        return false;
-    }
-    let is_unavailable = endpoint.in_flight >= record.slots || endpoint.is_backing_off(now);
-    if criteria.may_wait && is_unavailable {
-        return false;
-    }
     match criteria.model {
         Some((model, oldest)) => endpoint.version(model).is_some_and(|v| v >= oldest),
         None => true,
     }
 }
 
+fn is_usable(endpoint: &Endpoint, criteria: Criteria<'_>, now: Instant) -> bool {
+    if !is_suitable(endpoint, criteria) || endpoint.is_denied(now) {
+        return false;
+    }
+    if criteria.avoids_limits && endpoint.rate_limit.is_some() {
+        return false;
+    }
+    let is_full = endpoint.in_flight >= endpoint.record.slots;
+    !criteria.may_wait || !(is_full || endpoint.is_backing_off(now))
+}
+
 /// Returns the number of requests at an endpoint in thousandths of its slots.
 pub fn load_permille(endpoint: &Endpoint, now: Instant) -> u32 {
     let reported = match endpoint.load {
--- a/crates/site/tests/model.rs
+++ b/crates/site/tests/model.rs
@@ -27,6 +27,8 @@
 struct Run {
     /// The version of its weights.
     version: u64,
+    /// The version of its software.
+    software: &'static str,
     /// How many events before the requested one are sent again.
     repeats: u64,
     /// How many events are left out, as by a faulty endpoint.
@@ -36,8 +38,11 @@
 }
 
 fn run() -> impl Strategy<Value = Run> {
-    (1_u64..5, 0_u64..3, 0_u64..8, 1_u64..12).prop_map(|(version, repeats, skips, length)| Run {
+    let numbers = (1_u64..5, 0_u64..3, 0_u64..8, 1_u64..12);
+    let software = prop::sample::select(vec!["v1", "v1", "v1", "v2"]);
+    (numbers, software).prop_map(|((version, repeats, skips, length), software)| Run {
         version,
+        software,
         repeats,
         // Most runs leave out no events.
         skips: skips.saturating_sub(6),
@@ -48,7 +53,7 @@
 proptest! {
     /// After runs that are interrupted, repeat events or leave some out, a text
     /// has each event once and in order, and its versions are those that
-    /// produced these events.
+    /// produced these events. All of them come from one version of the software.
     #[test]
     fn push_events_in_any_order(runs in vec(run(), 1..20)) {
         let mut text = Text::default();
@@ -58,10 +63,12 @@
             let first = (next + run.skips).saturating_sub(run.repeats);
             for id in first..(first + run.length).min(EVENTS) {
                 let is_next = id == text.last_event().map_or(first, |last| last + 1);
-                if text.push(&event(id), Some(run.version)).is_err() {
-                    prop_assert!(!is_next);
+                let is_compatible = text.software().is_none_or(|software| software == run.software);
+                if text.push(&event(id), Some(run.version), run.software).is_err() {
+                    prop_assert!(!is_next || !is_compatible);
                     break;
                 }
+                prop_assert!(is_compatible);
                 if pushed.last().is_none_or(|(last, _)| *last < id) {
                     pushed.push((id, run.version));
                 }
--- a/crates/site/tests/software.rs
+++ b/crates/site/tests/software.rs
@@ -263,3 +263,27 @@
     let resumed = |arrival: &site::Arrival| arrival.last_event_id.is_some();
     assert!(state.arrivals[before..].iter().any(resumed));
 }
+
+#[test]
+fn item_stuck_without_endpoint_of_its_version() {
+    let deployment = start(1, Duration::from_millis(20));
+    cut_streams(&deployment, 30);
+    let vm = &deployment.vms[0];
+    assert_eq!(vm.submit("job", &job("i", 4, 40)), 202);
+    let runs = |state: &site::State| {
+        let arrivals = state.arrivals.iter();
+        arrivals
+            .filter(|a| a.endpoint.starts_with("engine"))
+            .count()
+    };
+    wait("all items at engines", || {
+        runs(&deployment.site.state()) == 4
+    });
+    let mut state = deployment.site.state();
+    for number in 0..ENGINES {
+        set_software(&mut state, &format!("engine-{number}"), "v3");
+    }
+    drop(state);
+    assert_texts(&vm.read_all("job", 4), 40);
+    assert!(vm.log().contains("item begins again"));
+}
