--- a/crates/site/src/components.rs
+++ b/crates/site/src/components.rs
@@ -7,6 +7,7 @@
 use platform::{Settings, settings::Bounds, store::Store};
 
 use crate::{
+    ask,
     coordinator::Coordinators,
     crash::Crashes,
     duty::{self, Duties, collect::Collector, lease::Manager},
@@ -91,7 +92,14 @@
         let usage = Usage::new(settings.bounds.usage_window);
         let domain = settings.failure_domain.as_str();
         let vm = settings.vm.as_str();
-        let permits = Permits::new(facts.clone(), coordinators.clone(), metrics.clone(), vm);
+        let client = ask::Client::default();
+        let permits = Permits::new(
+            facts.clone(),
+            coordinators.clone(),
+            client.clone(),
+            metrics.clone(),
+            vm,
+        );
         let crashes = Crashes::new(store.clone(), metrics.clone());
         let forwarder = Forwarder::new(
             facts.clone(),
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -4,6 +4,7 @@
 //! All durable state is in the platform's store. A VM has no durable state of
 //! its own, so any VM can continue the work of another one.
 
+pub mod ask;
 pub(crate) mod components;
 pub mod coordinator;
 pub mod crash;
--- a/crates/site/src/permit.rs
+++ b/crates/site/src/permit.rs
@@ -16,11 +16,12 @@
 use link::{
     StatusCode,
     clock::Clock,
-    http::{Limits, Pool, Request, client::Call, server::Reply},
+    http::{Request, server::Reply},
 };
 use policy::rate::Bucket;
 
 use crate::{
+    ask,
     coordinator::Coordinators,
     facts::{Facts, Key, RateLimit},
     metrics::Metrics,
@@ -28,10 +29,6 @@
 
 /// The path at which coordinators grant permits.
 pub(crate) const PATH: &str = "/permits";
-/// How long a coordinator may take to answer. It does so from memory.
-const ASK_TIMEOUT: Duration = Duration::from_millis(100);
-/// How long a coordinator that did not answer is not asked.
-const BACKOFF: Duration = Duration::from_millis(1000);
 /// The bounds of the time for which an endpoint gets no requests of this VM
 /// after no permit was granted. Other VMs may learn meanwhile that the limit
 /// has ended.
@@ -82,13 +79,10 @@
     coordinators: Coordinators,
     metrics: Metrics,
     vm: String,
-    pool: Pool,
+    client: ask::Client,
     clock: Clock,
     /// This VM's share of the limit of each endpoint, by its id.
     buckets: RefCell<Map<String, Bucket>>,
-    /// Apart from the backoff in [`Coordinators`]: a late permit must not move
-    /// jobs to another coordinator.
-    backoff_until: RefCell<Map<SocketAddr, Instant>>,
 }
 
 impl Permits {
@@ -96,6 +90,7 @@
     pub fn new(
         facts: Rc<RefCell<Facts>>,
         coordinators: Coordinators,
+        client: ask::Client,
         metrics: Metrics,
         vm: &str,
     ) -> Self {
@@ -104,10 +99,9 @@
             coordinators,
             metrics,
             vm: vm.to_string(),
-            pool: Pool::new(Limits::new()).reset_on_close(),
+            client,
             clock: Clock::default(),
             buckets: RefCell::default(),
-            backoff_until: RefCell::default(),
         }))
     }
 
@@ -147,7 +141,7 @@
         let is_answered = wait.is_some();
         let label = if is_answered { "denied" } else { "unreachable" };
         self.0.metrics.record_permit(label);
-        let wait = wait.unwrap_or(BACKOFF).clamp(WAIT_MIN, WAIT_MAX);
+        let wait = wait.unwrap_or(ask::BACKOFF).clamp(WAIT_MIN, WAIT_MAX);
         let until = Instant::now() + wait;
         self.0.facts.borrow_mut().record_denial(key, until);
         let (endpoint, wait_ms) = (ask.endpoint.as_str(), wait.as_millis() as u64);
@@ -163,37 +157,23 @@
         let now = Instant::now();
         let subject = format!("{}/{endpoint}", self.0.vm);
         let mut others = coordinators.rank(&subject, now);
-        let backoffs = self.0.backoff_until.borrow();
         others.retain(|vm| !coordinators.is_own(*vm));
-        others.retain(|vm| backoffs.get(vm).is_none_or(|until| *until <= now));
+        others.retain(|vm| !self.0.client.is_backing_off(*vm, now));
         let own = coordinators.is_seed().then_some(Coordinator::Own);
         let others = others.into_iter().map(Coordinator::Other);
         own.into_iter().chain(others).collect()
     }
 
     async fn ask(&self, coordinator: SocketAddr, ask: &Ask) -> Option<Grant> {
-        let body = serde_json::to_vec(ask).ok()?;
         // A permit that is granted twice is lost.
-        let call = Call::post(PATH, body)
-            .idempotent(true)
-            .connect_timeout(ASK_TIMEOUT)
-            .deadline(ASK_TIMEOUT);
-        let answer = self.0.pool.fetch(coordinator, call).await;
-        let problem = match answer {
-            Ok(response) if response.status.is_success() => {
-                match serde_json::from_slice(&response.body) {
-                    Ok(grant) => return Some(grant),
-                    Err(e) => e.to_string(),
-                }
+        match self.0.client.ask(coordinator, PATH, ask).await {
+            Ok(grant) => Some(grant),
+            Err(problem) => {
+                let (endpoint, vm) = (ask.endpoint.as_str(), coordinator.to_string());
+                spdlog::warn!("coordinator did not answer a request for a permit", kv: { endpoint, vm, problem });
+                None
             }
-            Ok(response) => response.status.to_string(),
-            Err(e) => e.to_string(),
-        };
-        let until = Instant::now() + BACKOFF;
-        self.0.backoff_until.borrow_mut().insert(coordinator, until);
-        let (endpoint, vm) = (ask.endpoint.as_str(), coordinator.to_string());
-        spdlog::warn!("coordinator did not answer a request for a permit", kv: { endpoint, vm, problem });
-        None
+        }
     }
 
     /// Answers a request for a permit from this VM's share.
