site: a caller's stream is resumed at the software version that began it

What callers saw: a stream that an endpoint, a VM or both broke, and that the caller took up at another VM, went on at any endpoint of the service.

Cause: the caller names the attempt that brought the first event, and no code read it. The VM that it comes to cannot know what began the stream, since only the VM before, which may be gone, has seen it. Class of fault: state that must outlive its holder is kept by the holder alone.

Change: the VM that opens a stream records service and software version of its endpoint (the producer) at all coordinators, before it passes the first event on; each of them may answer any VM later, without the store. A coordinator that starts copies the records of another one. Where the producer is not known, the stream is rejected (503), unless only one version was seen for a minute. Where no endpoint of the version is left, it is rejected with the time after which one may be back.

Ruled out: an object in the store for each stream (a priced write, and none while the store is out); a version chosen by a hash of the id (the set of versions changes, and differs between VMs); to ask all VMs (they do not know each other).

Evidence: the five tests stream_broken_by_... failed before, with 1 to 8 of 12 streams mixed, and pass; all streams go on.

--- a/crates/site/src/components.rs
+++ b/crates/site/src/components.rs
@@ -21,6 +21,7 @@
     },
     metrics::Metrics,
     mirror::Mirror,
+    origin::Origins,
     peer::Server,
     permit::Permits,
     retention,
@@ -44,6 +45,9 @@
     pub(crate) metrics: Metrics,
     mirror: Mirror,
     permits: Permits,
+    origins: Origins,
+    /// The age of the configuration and of the endpoints.
+    facts_view: View,
     /// The requests under which endpoints ended.
     pub(crate) crashes: Crashes,
 }
@@ -101,17 +105,25 @@
             vm,
         );
         let crashes = Crashes::new(store.clone(), metrics.clone());
+        let view = View::new(mirror.clone());
+        let facts_view = view.sibling();
+        let origins = Origins::new(
+            facts.clone(),
+            facts_view.clone(),
+            coordinators.clone(),
+            client,
+        );
         let forwarder = Forwarder::new(
             facts.clone(),
             pool.clone(),
             permits.clone(),
+            origins.clone(),
             crashes.clone(),
             usage.clone(),
             metrics.clone(),
             domain,
         );
         let registry = Registry::default();
-        let view = View::new(mirror.clone());
         let content = Content::new(store.clone(), registry.clone());
         let executor = Executor {
             runner: Runner {
@@ -171,6 +183,8 @@
             metrics,
             mirror,
             permits,
+            origins,
+            facts_view,
             crashes,
         }
     }
@@ -182,6 +196,7 @@
             self.mirror.clone(),
             self.duties.collector.clone(),
             self.permits.clone(),
+            self.origins.clone(),
         )
     }
 
@@ -202,10 +217,11 @@
     pub(crate) fn spawn_tasks(&self, settings: &Settings) {
         let (store, facts) = (self.jobs.store.clone(), self.facts.clone());
         let pool = self.duties.pool.clone();
-        let view = self.jobs.view.sibling();
+        let view = self.facts_view.clone();
         monoio::spawn(follow::config(store.clone(), view.clone(), facts.clone()));
         monoio::spawn(self.crashes.clone().follow(view.sibling()));
         monoio::spawn(follow::endpoints(store, view, facts, pool));
+        monoio::spawn(self.origins.clone().copy());
         monoio::spawn(failover::follow(self.jobs.clone()));
         monoio::spawn(failover::take_over(self.jobs.clone()));
         monoio::spawn(failover::send_heartbeats(self.jobs.clone()));
--- a/crates/site/src/facts.rs
+++ b/crates/site/src/facts.rs
@@ -125,8 +125,11 @@
     pub accounts: Map<String, String>,
     /// The endpoints.
     pub endpoints: SlotMap<Key, Endpoint>,
-    /// Whether the endpoints have been listed, also if there are none.
-    pub are_endpoints_known: bool,
+    /// When the endpoints were first listed, also if there were none.
+    pub endpoints_known_since: Option<Instant>,
+    /// When the last endpoint of a service and a version of its software was
+    /// removed or replaced.
+    departures: Map<(String, String), Instant>,
     /// The key of each endpoint by its id.
     by_id: Map<String, Key>,
     /// The newest version that a trainer named for each model.
@@ -160,7 +163,7 @@
                 return false;
             }
             let key = *key;
-            self.endpoints.remove(key);
+            self.remove_key(key);
         }
         let key = self.endpoints.insert(Endpoint::new(id, record));
         self.by_id.insert(id.to_string(), key);
@@ -170,7 +173,37 @@
     /// Removes the endpoint `id` and returns it.
     pub fn remove_endpoint(&mut self, id: &str) -> Option<Endpoint> {
         let key = self.by_id.remove(id)?;
-        self.endpoints.remove(key)
+        self.remove_key(key)
+    }
+
+    fn remove_key(&mut self, key: Key) -> Option<Endpoint> {
+        let removed = self.endpoints.remove(key)?;
+        let record = &removed.record;
+        let version = (record.service.clone(), record.software.clone());
+        self.departures.insert(version, Instant::now());
+        Some(removed)
+    }
+
+    /// Returns the version of the software that all endpoints of `service` had
+    /// during the last `history`, or `None` if there were several, or this VM has
+    /// not known the endpoints for so long.
+    pub fn only_software(&self, service: &str, history: Duration, now: Instant) -> Option<String> {
+        let since = self.endpoints_known_since?;
+        if now.saturating_duration_since(since) < history {
+            return None;
+        }
+        let records = self.endpoints.values().map(|endpoint| &endpoint.record);
+        let present = records
+            .filter(|record| record.service == service)
+            .map(|record| &record.software);
+        let departed = self.departures.iter().filter(|((departed, _), at)| {
+            departed == service && now.saturating_duration_since(**at) < history
+        });
+        let mut versions = present.chain(departed.map(|((_, software), _)| software));
+        let first = versions.next()?;
+        versions
+            .all(|software| software == first)
+            .then(|| first.clone())
     }
 
     /// Marks the record of the endpoint `id` as missing. The endpoint is kept
--- a/crates/site/src/follow.rs
+++ b/crates/site/src/follow.rs
@@ -350,7 +350,8 @@
                         known.remove(&object.name);
                     }
                 }
-                facts.borrow_mut().are_endpoints_known = true;
+                let known_since = &mut facts.borrow_mut().endpoints_known_since;
+                known_since.get_or_insert_with(Instant::now);
                 removed.extend(known);
             }
             Change::Events(events) => {
--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -28,7 +28,7 @@
     crash::Crashes,
     facts::{Endpoint, Facts, Key},
     metrics::Metrics,
-    origin::Producer,
+    origin::{Origins, Producer},
     permit::Permits,
     placement::{self, Criteria},
     stream::{Attempts, Source},
@@ -46,6 +46,9 @@
 /// The `retry-after` of a request that no endpoint has run. Most endpoints have
 /// a free slot again within the time of one request.
 const RETRY_AFTER_S: &str = "0.1";
+/// The `retry-after` of a stream that no endpoint can continue. An endpoint that
+/// crashed restarts within seconds.
+const SOFTWARE_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// The pause before endpoints are tried again after all of them rejected the
 /// request.
 const ALL_FULL_PAUSE: Duration = Duration::from_millis(20);
@@ -58,6 +61,7 @@
     facts: Rc<RefCell<Facts>>,
     pool: Pool,
     permits: Permits,
+    pub(crate) origins: Origins,
     pub(crate) crashes: Crashes,
     usage: Usage,
     metrics: Metrics,
@@ -141,6 +145,13 @@
         self.digest.get_or_init(|| self.compute_content())
     }
 
+    /// Returns the attempt that received the first event of the stream that this
+    /// request resumes, if it resumes one and names it.
+    pub fn origin(&self) -> Option<&str> {
+        self.headers.get(header::LAST_EVENT)?;
+        self.headers.get(header::RESUMES)?.to_str().ok()
+    }
+
     fn compute_content(&self) -> String {
         let account = self.account.as_deref().unwrap_or_default();
         let parts = [self.method.as_str(), &self.host, &self.path, account];
@@ -231,6 +242,8 @@
     RateLimit(Duration),
     /// Endpoints ended under it. The quarantine ends after this time.
     Quarantine(Duration),
+    /// No endpoint has the software that began the stream.
+    Software,
 }
 
 /// How a request ended.
@@ -251,6 +264,7 @@
         facts: Rc<RefCell<Facts>>,
         pool: Pool,
         permits: Permits,
+        origins: Origins,
         crashes: Crashes,
         usage: Usage,
         metrics: Metrics,
@@ -260,6 +274,7 @@
             facts,
             pool,
             permits,
+            origins,
             crashes,
             usage,
             metrics,
@@ -326,7 +341,14 @@
             software,
             ..self.criteria(service, &attempts.tried, outcome.denials)
         };
-        let key = placement::choose(&self.facts.borrow(), criteria, Instant::now())?;
+        let chosen = placement::choose(&self.facts.borrow(), criteria, Instant::now());
+        let Some(key) = chosen else {
+            let has_endpoint = placement::has_suitable(&self.facts.borrow(), criteria);
+            if software.is_some() && !has_endpoint {
+                outcome.hold = Some(Hold::Software);
+            }
+            return None;
+        };
         let endpoint = self.endpoint(key)?;
         let slot = Slot::acquire(&self.facts, key)?;
         if !self.permits.acquire(key, &dispatch.id).await {
@@ -561,9 +583,11 @@
 fn log_opened(dispatch: &Dispatch, endpoint: &Endpoint) {
     let request = dispatch.id.as_str();
     let (id, software) = (endpoint.id.as_str(), endpoint.record.software.as_str());
-    let text = |name| dispatch.headers.get(name).and_then(|v| v.to_str().ok());
-    let origin = text(header::RESUMES).unwrap_or(request);
-    let after = text(header::LAST_EVENT).unwrap_or_default();
+    let origin = dispatch.origin().unwrap_or(request);
+    let after = dispatch.headers.get(header::LAST_EVENT);
+    let after = after
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default();
     spdlog::info!("event stream opened", kv: { request, origin, endpoint = id, software, after });
 }
 
@@ -637,6 +661,11 @@
                 let detail = "endpoints ended under this request";
                 rejection("quarantined", detail).header("retry-after", seconds(time))
             }
+            Some(Hold::Software) => {
+                let detail = "no endpoint has the software that began the stream";
+                let time = seconds(SOFTWARE_RETRY_AFTER);
+                rejection("no-software", detail).header("retry-after", time)
+            }
             None => rejection("no-place", "no endpoint has a free slot"),
         },
     }
--- a/crates/site/src/peer.rs
+++ b/crates/site/src/peer.rs
@@ -1,6 +1,6 @@
 //! Serves calls from other VMs: reads from the mirror, submissions of usage
-//! counts, calls about jobs, requests for permits, and calls that this VM relays
-//! to the store.
+//! counts, calls about jobs, requests for permits, questions about streams, and
+//! calls that this VM relays to the store.
 
 use link::{
     StatusCode,
@@ -12,6 +12,7 @@
     duty::collect::{self, Collector},
     job::{Jobs, proxy},
     mirror::Mirror,
+    origin::{self, Origins},
     permit::{self, Permits},
 };
 
@@ -22,16 +23,24 @@
     mirror: Mirror,
     collector: Collector,
     permits: Permits,
+    origins: Origins,
 }
 
 impl Server {
     /// Returns a server for these components.
-    pub fn new(jobs: Jobs, mirror: Mirror, collector: Collector, permits: Permits) -> Self {
+    pub fn new(
+        jobs: Jobs,
+        mirror: Mirror,
+        collector: Collector,
+        permits: Permits,
+        origins: Origins,
+    ) -> Self {
         Self {
             jobs,
             mirror,
             collector,
             permits,
+            origins,
         }
     }
 
@@ -53,6 +62,10 @@
             self.jobs.metrics.record_peer_call("permit");
             return self.permits.answer(&request);
         }
+        if path == origin::PATH {
+            self.jobs.metrics.record_peer_call("stream");
+            return self.origins.answer(&request);
+        }
         if path.starts_with(proxy::PATH) {
             self.jobs.metrics.record_peer_call("job");
             return proxy::answer(&self.jobs, request).await;
--- a/crates/site/src/stream.rs
+++ b/crates/site/src/stream.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     facts::Key,
-    forward::{Dispatch, End, Forwarder, Outcome, Slot, reply_for},
+    forward::{Dispatch, End, Forwarder, Outcome, Slot, rejection, reply_for, select_service},
     origin::Producer,
 };
 
@@ -59,7 +59,14 @@
     /// Opens the event stream that `dispatch` requests, and returns the reply
     /// that relays it.
     pub(crate) async fn stream(&self, route: Route, dispatch: Dispatch) -> Reply {
-        let mut attempts = Attempts::default();
+        let producer = match self.find_producer(&route, &dispatch).await {
+            Ok(producer) => producer,
+            Err(reply) => return reply,
+        };
+        let mut attempts = Attempts {
+            producer,
+            ..Attempts::default()
+        };
         let (outcome, opened) = self.open(&route, &dispatch, &mut attempts).await;
         let Some(opened) = opened else {
             return reply_for(outcome);
@@ -76,6 +83,44 @@
         reply
     }
 
+    /// Returns what began the stream that `dispatch` resumes, or `None` if it
+    /// begins one.
+    ///
+    /// # Errors
+    ///
+    /// The reply if the stream cannot be resumed here.
+    async fn find_producer(
+        &self,
+        route: &Route,
+        dispatch: &Dispatch,
+    ) -> Result<Option<Producer>, Reply> {
+        if !dispatch.headers.contains_key(header::LAST_EVENT) {
+            return Ok(None);
+        }
+        let Some(service) = select_service(route, &dispatch.id) else {
+            return Ok(None);
+        };
+        let origin = dispatch.origin();
+        let found = self.origins.find(origin, service).await;
+        let request = dispatch.id.as_str();
+        let origin = origin.unwrap_or_default();
+        match found {
+            None => {
+                spdlog::warn!("stream not resumed, its producer is not known", kv: { request, origin });
+                let detail = "it is not known here which software began the stream";
+                Err(rejection("unknown-stream", detail))
+            }
+            Some(producer) if route.shares().all(|(name, _)| name != producer.service) => {
+                let service = producer.service.as_str();
+                spdlog::warn!("stream not resumed, its route leads elsewhere", kv: { request, origin, service });
+                let detail =
+                    "the route leads to another service than the one that began the stream";
+                Err(rejection("moved-stream", detail))
+            }
+            Some(producer) => Ok(Some(producer)),
+        }
+    }
+
     async fn relay(
         &self,
         route: Route,
@@ -84,13 +129,17 @@
         first: Source,
         sender: Sender,
     ) {
+        // The headers of the reply are those of the first endpoint, so the others
+        // have to be of its kind even before the first event.
+        attempts.producer = Some(first.producer.clone());
+        if route.resumable {
+            let origin = dispatch.origin().unwrap_or(&dispatch.id);
+            self.origins.record(origin, &first.producer).await;
+        }
         let mut opened = Some(first);
         let mut last_id = None;
         while let Some(source) = opened.take() {
             let endpoint = self.endpoint(source.key);
-            // The headers of the reply are those of the first endpoint, so the
-            // others have to be of its kind even before the first event.
-            attempts.producer.get_or_insert(source.producer.clone());
             let is_failure = source.response.status.is_server_error();
             let stop = relay_events(source, &sender, &mut last_id).await;
             let request = dispatch.id.as_str();
--- a/crates/site/src/vm.rs
+++ b/crates/site/src/vm.rs
@@ -248,7 +248,7 @@
 
 /// Returns whether this VM knows where to send requests.
 fn has_facts(facts: &Facts) -> bool {
-    facts.config.is_some() && facts.are_endpoints_known
+    facts.config.is_some() && facts.endpoints_known_since.is_some()
 }
 
 fn readiness_reply(is_ready: bool) -> Reply {
--- a/crates/site/tests/placement.rs
+++ b/crates/site/tests/placement.rs
@@ -181,3 +181,55 @@
     let measured: Vec<Duration> = (1..=16).filter_map(|n| meter.count(at(n))).collect();
     assert_eq!(measured, [FAST_EVENT, FAST_EVENT]);
 }
+
+/// Facts with endpoints of these software versions, known since `since`.
+fn facts_of_software(versions: &[&str], since: Instant) -> Facts {
+    let mut facts = Facts::default();
+    for (number, software) in versions.iter().enumerate() {
+        let mut record = common::record::endpoint(number as u8, SLOTS, &[(MODEL, 1)]);
+        record.software = (*software).to_string();
+        facts.put_endpoint(&format!("e{number}"), record);
+    }
+    facts.endpoints_known_since = Some(since);
+    facts
+}
+
+#[test]
+fn choose_endpoint_of_one_software() {
+    let now = Instant::now();
+    let facts = facts_of_software(&["v1", "v2", "v1"], now);
+    for software in ["v1", "v2"] {
+        let criteria = Criteria {
+            software: Some(software),
+            ..criteria()
+        };
+        let key = placement::choose(&facts, criteria, now).unwrap();
+        assert_eq!(facts.endpoints[key].record.software, software);
+    }
+    let criteria = Criteria {
+        software: Some("v3"),
+        ..criteria()
+    };
+    assert_eq!(placement::choose(&facts, criteria, now), None);
+    assert!(!placement::has_suitable(&facts, criteria));
+}
+
+#[test]
+fn only_software_after_versions_changed() {
+    const HISTORY: Duration = Duration::from_secs(60);
+    let start = Instant::now();
+    let long_after = start + 2 * HISTORY;
+    let mut facts = facts_of_software(&["v1", "v1"], start);
+    let only = |facts: &Facts, now| facts.only_software("writer", HISTORY, now);
+    assert_eq!(only(&facts, start), None);
+    assert_eq!(only(&facts, long_after).as_deref(), Some("v1"));
+    let mut newer = common::record::endpoint(9, SLOTS, &[(MODEL, 1)]);
+    newer.software = "v2".to_string();
+    facts.put_endpoint("e9", newer);
+    assert_eq!(only(&facts, long_after), None);
+    facts.remove_endpoint("e0");
+    facts.remove_endpoint("e1");
+    assert_eq!(only(&facts, start + HISTORY), None);
+    assert_eq!(only(&facts, long_after).as_deref(), Some("v2"));
+    assert_eq!(facts.only_software("registry", HISTORY, long_after), None);
+}
