--- a/crates/site/src/components.rs
+++ b/crates/site/src/components.rs
@@ -94,7 +94,6 @@
         let metrics = Metrics::default();
         let pool = Pool::new(Limits::new().body_bytes(RESPONSE_BYTES_MAX)).reset_on_close();
         let usage = Usage::new(settings.bounds.usage_window);
-        let domain = settings.failure_domain.as_str();
         let vm = settings.vm.as_str();
         let client = ask::Client::default();
         let permits = Permits::new(
@@ -113,16 +112,16 @@
             coordinators.clone(),
             client,
         );
-        let forwarder = Forwarder::new(
-            facts.clone(),
-            pool.clone(),
-            permits.clone(),
-            origins.clone(),
-            crashes.clone(),
-            usage.clone(),
-            metrics.clone(),
-            domain,
-        );
+        let forwarder = Forwarder {
+            facts: facts.clone(),
+            pool: pool.clone(),
+            permits: permits.clone(),
+            origins: origins.clone(),
+            crashes: crashes.clone(),
+            usage: usage.clone(),
+            metrics: metrics.clone(),
+            domain: settings.failure_domain.clone(),
+        };
         let registry = Registry::default();
         let content = Content::new(store.clone(), registry.clone());
         let executor = Executor {
--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -58,14 +58,22 @@
 /// Forwards requests to endpoints.
 #[derive(Clone)]
 pub struct Forwarder {
-    facts: Rc<RefCell<Facts>>,
-    pool: Pool,
-    permits: Permits,
-    pub(crate) origins: Origins,
-    pub(crate) crashes: Crashes,
-    usage: Usage,
-    metrics: Metrics,
-    domain: String,
+    /// The facts that this VM knows.
+    pub facts: Rc<RefCell<Facts>>,
+    /// Connections to endpoints.
+    pub pool: Pool,
+    /// Permits to send to endpoints with a rate limit.
+    pub permits: Permits,
+    /// What began the streams of callers.
+    pub origins: Origins,
+    /// The requests under which endpoints ended.
+    pub crashes: Crashes,
+    /// The counts of requests by account.
+    pub usage: Usage,
+    /// Counters of requests.
+    pub metrics: Metrics,
+    /// The failure domain of this VM.
+    pub domain: String,
 }
 
 /// A slot that one request occupies at an endpoint. Dropping it frees the slot.
@@ -259,29 +267,6 @@
 }
 
 impl Forwarder {
-    /// Returns a forwarder for the VM in `domain`.
-    pub fn new(
-        facts: Rc<RefCell<Facts>>,
-        pool: Pool,
-        permits: Permits,
-        origins: Origins,
-        crashes: Crashes,
-        usage: Usage,
-        metrics: Metrics,
-        domain: &str,
-    ) -> Self {
-        Self {
-            facts,
-            pool,
-            permits,
-            origins,
-            crashes,
-            usage,
-            metrics,
-            domain: domain.to_string(),
-        }
-    }
-
     /// Forwards a caller's request on `route`, and returns the reply.
     pub async fn answer(&self, route: &Route, account: Option<String>, request: Request) -> Reply {
         let requested =
