site, policy: log lines on a VM's links to endpoints

The logs showed single connections that failed, so a VM without any link looked like one whose idle connections were dead, or like a service that is down.

`policy::path` keeps the evidence: endpoints that could not be connected to since a connection was last opened. `links to endpoints may be lost` and `link to an endpoint works` mark the changes. All requests, streams and items go through `site::path`, which observes their connections. No decision uses it yet.

--- a/crates/link/src/http/call.rs
+++ b/crates/link/src/http/call.rs
@@ -32,6 +32,7 @@
     pub(crate) connect_timeout: Duration,
     pub(crate) deadline: Duration,
     pub(crate) fence: Option<Fence>,
+    pub(crate) on_connect: Option<Hook<dyn Fn(bool)>>,
     pub(crate) on_send: Option<Hook<dyn Fn()>>,
     pub(crate) on_head: Option<Hook<OnHead>>,
 }
@@ -70,6 +71,7 @@
             connect_timeout: CONNECT_TIMEOUT_DEFAULT,
             deadline: DEADLINE_DEFAULT,
             fence: None,
+            on_connect: None,
             on_send: None,
             on_head: None,
             method,
@@ -126,6 +128,13 @@
         self
     }
 
+    /// Sets a function that is called each time that a connection to the peer is
+    /// opened or cannot be opened in its full time, with whether it was opened.
+    pub fn on_connect(mut self, hook: impl Fn(bool) + 'static) -> Self {
+        self.on_connect = Some(Hook(Rc::new(hook)));
+        self
+    }
+
     /// Sets a function that is called right before the request is written, each
     /// time that it is. From then on the peer may run the request, also if its
     /// sender is dropped.
--- a/crates/link/src/http/client.rs
+++ b/crates/link/src/http/client.rs
@@ -173,6 +173,13 @@
     ) -> Result<Response, Error> {
         let limit = remaining(deadline).min(call.connect_timeout);
         let stream = net::connect(peer, limit).await;
+        if let Some(hook) = &call.on_connect {
+            let is_timeout = matches!(&stream, Err(e) if e.kind() == io::ErrorKind::TimedOut);
+            // With less time, a peer that is reached may not have answered yet.
+            if !is_timeout || limit == call.connect_timeout {
+                (hook.0)(stream.is_ok());
+            }
+        }
         let stream = stream.map_err(|e| Error::new(Kind::Connect, e))?;
         if let Some(limit) = self.silence_timeout {
             net::set_silence_timeout(&stream, limit).map_err(|e| Error::new(Kind::Connect, e))?;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod lot;
 pub mod membership;
 pub mod owner;
+pub mod path;
 pub mod rate;
 pub mod relay;
 pub mod retention;
--- a/crates/site/src/components.rs
+++ b/crates/site/src/components.rs
@@ -22,6 +22,7 @@
     metrics::Metrics,
     mirror::Mirror,
     origin::Origins,
+    path::Paths,
     peer::Server,
     permit::Permits,
     retention,
@@ -93,6 +94,7 @@
         let facts: Rc<RefCell<Facts>> = Rc::default();
         let metrics = Metrics::default();
         let pool = Pool::new(Limits::new().body_bytes(RESPONSE_BYTES_MAX)).reset_on_close();
+        let paths = Paths::new(pool.clone());
         let usage = Usage::new(settings.bounds.usage_window);
         let vm = settings.vm.as_str();
         let client = ask::Client::default();
@@ -114,7 +116,7 @@
         );
         let forwarder = Forwarder {
             facts: facts.clone(),
-            pool: pool.clone(),
+            paths: paths.clone(),
             permits: permits.clone(),
             origins: origins.clone(),
             crashes: crashes.clone(),
@@ -127,7 +129,7 @@
         let executor = Executor {
             runner: Runner {
                 facts: facts.clone(),
-                pool: pool.clone(),
+                paths,
                 forwarder: forwarder.clone(),
                 permits: permits.clone(),
                 metrics: metrics.clone(),
--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -13,7 +13,7 @@
 use link::{
     Bytes, HeaderMap, Method, StatusCode,
     http::{
-        self, Pool, Request,
+        self, Request,
         client::{Call, Fetched},
         error,
         server::Reply,
@@ -29,6 +29,7 @@
     facts::{Endpoint, Facts, Key},
     metrics::Metrics,
     origin::{Origins, Producer},
+    path::Paths,
     permit::Permits,
     placement::{self, Criteria},
     stream::{Attempts, Source},
@@ -60,8 +61,8 @@
 pub struct Forwarder {
     /// The facts that this VM knows.
     pub facts: Rc<RefCell<Facts>>,
-    /// Connections to endpoints.
-    pub pool: Pool,
+    /// The paths to endpoints.
+    pub paths: Paths,
     /// Permits to send to endpoints with a rate limit.
     pub permits: Permits,
     /// What began the streams of callers.
@@ -344,7 +345,7 @@
         let entry = self.usage.entry(dispatch.account.as_deref());
         let call = observed(dispatch.call(&endpoint.id, remaining), &self.facts, key);
         let call = counted(call, &entry);
-        let sent = self.pool.send(endpoint.record.address, call).await;
+        let sent = self.paths.send(key, &endpoint, call).await;
         let judged = sent.and_then(|response| {
             let is_rejected =
                 is_rejected(response.status, &response.headers, response.is_repeated)?;
@@ -523,7 +524,7 @@
         let entry = self.usage.entry(dispatch.account.as_deref());
         let call = observed(dispatch.call(&endpoint.id, limit), &self.facts, key);
         let call = counted(call, &entry);
-        let response = self.pool.fetch(endpoint.record.address, call).await;
+        let response = self.paths.fetch(key, &endpoint, call).await;
         let attempt = classify(response);
         self.metrics
             .record_attempt(&endpoint.record.service, attempt.name());
--- a/crates/site/src/job/attempt.rs
+++ b/crates/site/src/job/attempt.rs
@@ -6,10 +6,7 @@
     time::{Duration, Instant},
 };
 
-use link::{
-    HeaderMap, HeaderName, HeaderValue, Method, StatusCode,
-    http::{Pool, Response},
-};
+use link::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, http::Response};
 use platform::{
     batch::{Item, Scorer},
     header,
@@ -22,6 +19,7 @@
     forward::{Dispatch, End, Forwarder, Origin, is_rejected, observed},
     latency::Meter,
     metrics::Metrics,
+    path::Paths,
     permit::Permits,
     placement::{self, Criteria},
     stream::EventTimer,
@@ -41,8 +39,8 @@
 pub struct Runner {
     /// The configuration and the endpoints known to this VM.
     pub facts: Rc<RefCell<Facts>>,
-    /// Connections to endpoints.
-    pub pool: Pool,
+    /// The paths to endpoints.
+    pub paths: Paths,
     /// Permits to send to endpoints with a rate limit.
     pub permits: Permits,
     /// Forwards scoring requests to endpoints.
@@ -145,7 +143,7 @@
         let dispatch = build_dispatch(item, context, &text.borrow());
         let call = dispatch.call(&endpoint.id, FIRST_EVENT_TIMEOUT);
         let call = observed(call, &self.facts, key);
-        let result = self.pool.send(endpoint.record.address, call).await;
+        let result = self.paths.send(key, &endpoint, call).await;
         let waited_ms = start.elapsed().as_millis() as u64;
         let attempt = match result {
             Err(e) if e.is_unsent() => Attempt::Unreachable(e.to_string()),
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod mirror;
 pub mod notify;
 pub mod origin;
+pub mod path;
 pub mod peer;
 pub mod permit;
 pub mod placement;
