--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -20,7 +20,7 @@
             Response::Status(status) => Reply::json(StatusCode::OK, &status),
             _ => Reply::error(StatusCode::INTERNAL_SERVER_ERROR, "no-status", ""),
         },
-        "/fault" if vm.settings.test_faults => set_faults(request),
+        "/fault" if vm.settings.test_faults => fault::answer(request),
         "/spans" => {
             let trace = request.query("trace").unwrap_or_default();
             Reply::json(StatusCode::OK, &vm.telemetry.spans(trace))
@@ -29,17 +29,6 @@
     }
 }
 
-/// Sets which links to other VMs are cut, for tests.
-fn set_faults(request: &Request) -> Reply {
-    match serde_json::from_slice(&request.body) {
-        Ok(faults) => {
-            fault::set(faults);
-            Reply::new(StatusCode::OK, "cut\n")
-        }
-        Err(e) => Reply::error(StatusCode::BAD_REQUEST, "bad-cuts", &e.to_string()),
-    }
-}
-
 fn ready(vm: &Rc<Vm>) -> Reply {
     if vm.is_draining.get() {
         return Reply::error(
--- a/crates/fakes/src/site/engine.rs
+++ b/crates/fakes/src/site/engine.rs
@@ -120,11 +120,13 @@
     let first = number("last-event-id").map_or(0, |last: u64| last + 1);
     let end = number("x-events").unwrap_or(EVENTS_DEFAULT);
     let cut = faults.cut_after;
+    let guard = StreamGuard::new(state);
     let reply = Reply::produced(StatusCode::OK, move |sender| async move {
         let data = |number| match software {
             SOFTWARE => event_text(&item, number),
             _ => format!("{}@{software}", event_text(&item, number)),
         };
+        let _guard = guard;
         write_events(sender, data, first..end, cut, time).await;
     });
     echo_request_id(request, reply)
@@ -133,6 +135,22 @@
         .header("server-stamp", format!("{id}.stamp"))
 }
 
+/// Counts a stream as open until it is dropped.
+struct StreamGuard(SharedState);
+
+impl StreamGuard {
+    fn new(state: &SharedState) -> Self {
+        lock(state).open_streams += 1;
+        Self(state.clone())
+    }
+}
+
+impl Drop for StreamGuard {
+    fn drop(&mut self) {
+        lock(&self.0).open_streams -= 1;
+    }
+}
+
 async fn write_events(
     sender: Sender,
     data: impl Fn(u64) -> String,
--- a/crates/fakes/src/site/mod.rs
+++ b/crates/fakes/src/site/mod.rs
@@ -169,6 +169,8 @@
     pub arrivals: Vec<Arrival>,
     /// How many more endpoints crash under requests with a path.
     pub crashes: BTreeMap<String, u32>,
+    /// The number of streams that engines are writing.
+    pub open_streams: usize,
     /// The accepted usage reports, in order.
     pub reports: Vec<Report>,
 }
--- a/crates/link/src/fault.rs
+++ b/crates/link/src/fault.rs
@@ -1,5 +1,4 @@
-//! Fault injection for tests: cut links between VMs and delayed fenced
-//! requests.
+//! Fault injection for tests: cut links and delayed fenced requests.
 //!
 //! A daemon accepts faults at `POST /fault` on its admin address when its
 //! settings contain `test_faults = true`. A cut drops datagrams in one
@@ -9,6 +8,10 @@
 
 use std::{cell::RefCell, net::SocketAddr, time::Duration};
 
+use http::StatusCode;
+
+use crate::http::{Reply, Request};
+
 board::record! {
     /// The faults in force.
     #[derive(Default)]
@@ -21,6 +24,10 @@
         /// Paths whose fenced requests are held back until the path is removed
         /// from this list, as if the process were paused before sending them.
         pub hold: Vec<String>,
+        /// Peers to which TCP connections hang, open ones included.
+        pub hang: Vec<SocketAddr>,
+        /// Peers to which no TCP connection is opened. Open ones live on.
+        pub refuse: Vec<SocketAddr>,
     }
 }
 
@@ -61,6 +68,29 @@
     HELD_PATHS.with(|held_paths| held_paths.borrow().clone())
 }
 
+/// Returns whether no TCP connection to `peer` can be opened.
+pub(crate) fn is_refused_by(peer: SocketAddr) -> bool {
+    FAULTS.with(|faults| faults.borrow().refuse.contains(&peer))
+}
+
+/// Waits while TCP connections to `peer` hang.
+pub(crate) async fn wait_while_hanging(peer: SocketAddr) {
+    while FAULTS.with(|faults| faults.borrow().hang.contains(&peer)) {
+        monoio::time::sleep(HOLD_POLL_PERIOD).await;
+    }
+}
+
+/// Replaces the faults of this thread by those in the body of `request`.
+pub fn answer(request: &Request) -> Reply {
+    match serde_json::from_slice(&request.body) {
+        Ok(faults) => {
+            set(faults);
+            Reply::new(StatusCode::OK, "set\n")
+        }
+        Err(e) => Reply::error(StatusCode::BAD_REQUEST, "bad-faults", &e.to_string()),
+    }
+}
+
 /// Waits while fenced requests to `path` are held back.
 pub(crate) async fn wait_while_held(path: &str) {
     let is_held = || FAULTS.with(|faults| faults.borrow().hold.iter().any(|held| held == path));
--- a/crates/link/src/http/client.rs
+++ b/crates/link/src/http/client.rs
@@ -47,13 +47,14 @@
     writer: Writer,
     pub(crate) budget: Budget,
     descriptor: RawFd,
+    pub(crate) peer: SocketAddr,
     idle_since: Instant,
     /// Hashes of the ids of the last requests on the connection.
     recent_ids: VecDeque<u64>,
 }
 
 impl Connection {
-    fn new(stream: TcpStream) -> Self {
+    fn new(stream: TcpStream, peer: SocketAddr) -> Self {
         let descriptor = stream.as_raw_fd();
         let budget = Budget::default();
         let (read, write) = stream.into_split();
@@ -62,6 +63,7 @@
             writer: GenericEncoder::new(write),
             budget,
             descriptor,
+            peer,
             idle_since: Instant::now(),
             recent_ids: VecDeque::new(),
         }
@@ -191,7 +193,7 @@
             net::set_user_timeout(&stream, fence::ACK_TIMEOUT)
                 .map_err(|e| Error::new(Kind::Connect, e))?;
         }
-        self.exchange(Connection::new(stream), peer, call, deadline)
+        self.exchange(Connection::new(stream, peer), peer, call, deadline)
             .await
     }
 
@@ -222,7 +224,11 @@
         if let Some(hook) = &call.on_send {
             (hook.0)();
         }
-        let sent = monoio::time::timeout(write_time, connection.writer.send_and_flush(request));
+        let sending = async {
+            fault::wait_while_hanging(peer).await;
+            connection.writer.send_and_flush(request).await
+        };
+        let sent = monoio::time::timeout(write_time, sending);
         match sent.await {
             Err(_) => return Err(Error::new(Kind::Timeout, "request not fully written")),
             Ok(Err(e)) => return Err(Error::new(Kind::Send, e)),
--- a/crates/link/src/http/response.rs
+++ b/crates/link/src/http/response.rs
@@ -16,6 +16,7 @@
     guard::READ_BYTES_MAX,
     limits::Limits,
 };
+use crate::fault;
 
 /// A response whose body has been read completely.
 #[derive(Clone, Debug)]
@@ -102,6 +103,12 @@
         connection
             .budget
             .allow(self.limits.body_bytes + READ_BYTES_MAX, timeout);
+        let peer = connection.peer;
+        let hanging = fault::wait_while_hanging(peer);
+        if monoio::time::timeout(timeout, hanging).await.is_err() {
+            self.connection = None;
+            return Some(Err(Error::new(Kind::Timeout, "the peer sent nothing")));
+        }
         let framed = connection.reader.framed_mut();
         let part = match &mut self.decoder {
             PayloadDecoder::None => return None,
--- a/crates/link/src/net.rs
+++ b/crates/link/src/net.rs
@@ -10,6 +10,8 @@
 
 use monoio::net::{ListenerOpts, TcpListener, TcpStream};
 
+use crate::fault;
+
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(2);
 const USER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -23,7 +25,14 @@
 ///
 /// The error of the socket, or [`io::ErrorKind::TimedOut`].
 pub async fn connect(peer: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
-    let stream = match monoio::time::timeout(limit, TcpStream::connect_addr(peer)).await {
+    if fault::is_refused_by(peer) {
+        return Err(io::ErrorKind::ConnectionRefused.into());
+    }
+    let connecting = async {
+        fault::wait_while_hanging(peer).await;
+        TcpStream::connect_addr(peer).await
+    };
+    let stream = match monoio::time::timeout(limit, connecting).await {
         Ok(result) => result?,
         Err(_) => return Err(io::ErrorKind::TimedOut.into()),
     };
--- a/crates/site/src/vm.rs
+++ b/crates/site/src/vm.rs
@@ -11,7 +11,7 @@
 
 use clap::Parser;
 use link::{
-    StatusCode,
+    StatusCode, fault,
     http::{
         Limits, Request,
         server::{self, Drain, Reply},
@@ -35,6 +35,9 @@
     /// The port on which metrics are served.
     #[arg(long)]
     metrics_port: Option<u16>,
+    /// Accepts faults at `POST /fault` on the metrics port; for tests only.
+    #[arg(long, hide = true, requires = "metrics_port")]
+    test_faults: bool,
     /// Checks the settings and exits.
     #[arg(long)]
     check: bool,
@@ -100,17 +103,18 @@
     // merged.
     link::log::start_bounded(&file.settings().vm)?;
     let signals = Signals::register()?;
-    link::runtime::run(start(file, signals, arguments.metrics_port))?
+    link::runtime::run(start(file, signals, arguments))?
 }
 
-async fn start(mut file: File, signals: Signals, metrics_port: Option<u16>) -> Result<(), Error> {
+async fn start(mut file: File, signals: Signals, arguments: &Arguments) -> Result<(), Error> {
     let settings = file.settings().clone();
     let (vm, domain) = (settings.vm.as_str(), settings.failure_domain.as_str());
     let version = env!("CARGO_PKG_VERSION");
     spdlog::info!("started", kv: { vm, domain, version });
     let components = Components::new(&settings);
-    if let Some(port) = metrics_port {
-        serve_metrics(&components, SocketAddr::new(settings.ip, port))?;
+    if let Some(port) = arguments.metrics_port {
+        let address = SocketAddr::new(settings.ip, port);
+        serve_metrics(&components, address, arguments.test_faults)?;
     }
     match settings.listen.callers {
         Some(address) => {
@@ -155,11 +159,18 @@
     }
 }
 
-fn serve_metrics(components: &Components, address: SocketAddr) -> Result<(), Error> {
+fn serve_metrics(
+    components: &Components,
+    address: SocketAddr,
+    has_test_faults: bool,
+) -> Result<(), Error> {
     let listener = net::listen(address)?;
     let (metrics, facts) = (components.metrics.clone(), components.facts.clone());
     let store = components.jobs.store.clone();
-    let page = move |_: &Request| metrics.page(store.call_count(), facts.borrow().endpoints.len());
+    let page = move |request: &Request| match request.uri.path() {
+        "/fault" if has_test_faults => fault::answer(request),
+        _ => metrics.page(store.call_count(), facts.borrow().endpoints.len()),
+    };
     monoio::spawn(server::serve_pages(listener, page));
     Ok(())
 }
--- a/crates/site/tests/common/mod.rs
+++ b/crates/site/tests/common/mod.rs
@@ -187,6 +187,7 @@
     let mut command = Command::new(env!("CARGO_BIN_EXE_tarragonseam-vm"));
     command.env("TARRAGONSEAM_NODE_FILE", settings);
     command.arg("--metrics-port").arg(metrics_port.to_string());
+    command.arg("--test-faults");
     Child::spawn(command, log).unwrap()
 }
 
@@ -221,6 +222,13 @@
         std::fs::write(&self.settings, change(&text)).unwrap();
     }
 
+    /// Replaces the faults of the VM's connections.
+    pub(crate) fn set_faults(&self, faults: &Value) {
+        let call = Call::post("/fault", faults.to_string());
+        let answer = blocking::fetch(self.metrics, call).unwrap();
+        assert_eq!(answer.status, 200);
+    }
+
     /// Sends `signal` to the process.
     pub(crate) fn signal(&self, signal: &str) {
         self.process.signal(signal).unwrap();
--- a/crates/steward/src/run.rs
+++ b/crates/steward/src/run.rs
@@ -102,11 +102,9 @@
     if request.body.is_empty() {
         return Reply::json(StatusCode::OK, &fault::held_paths());
     }
-    match serde_json::from_slice(&request.body) {
-        Ok(faults) => {
-            fault::set(faults);
-            Reply::json(StatusCode::OK, &fault::held_paths())
-        }
-        Err(e) => Reply::error(StatusCode::BAD_REQUEST, "bad-cuts", &e.to_string()),
+    let reply = fault::answer(request);
+    match reply.status() {
+        StatusCode::OK => Reply::json(StatusCode::OK, &fault::held_paths()),
+        _ => reply,
     }
 }
