site: a VM without links sends its attempts through another VM

Cause: the VM had one way to an endpoint, its own link, and took each failure for one of the endpoint. Class of fault: a fault of the observer is taken for one of each thing that it observes.

Change: two endpoints that cannot be connected to, with no connection that opens meanwhile, make a VM suspect its links (`policy::path`). It connects to an endpoint of another service; if that fails too, it asks three VMs at a time whether they reach what it cannot. One that does becomes its gateway (`site::gateway`): each attempt goes to it, and it sends it to the chosen endpoint over its own link, once, and passes the response on as it arrives. Choice, permits, retries, usage and the memory of crashes stay with the VM, so an attempt is the same on either path: requests, streams, items and scoring need no code of their own. An error of the gateway says whether the attempt may have run. If VMs with links reach the endpoints no better, they are down, and the VM suspects nothing for a second. A VM that is cut off connects to an endpoint each second to see the end.

Idle connections are probed by the kernel, so a VM without traffic learns of a cut too: 1.5 s of silence end them, where 10 s did. (A user timeout that is set also decides when probes give up.) VMs learn of each other from the coordinators, to which each announces itself every 10 s, without the store.

Ruled out: to hand jobs and callers to other VMs (callers choose the VM, and texts would be lost); the coordinators as the only gateways (all three may be cut off, see the test); to tell VMs by the failures of one endpoint (a crash would look like a cut).

--- a/crates/link/src/http/call.rs
+++ b/crates/link/src/http/call.rs
@@ -200,6 +200,27 @@
         self.is_idempotent
     }
 
+    /// Sets the start of the path, before the present one.
+    pub fn path_prefix(mut self, prefix: &str) -> Self {
+        self.path.insert_str(0, prefix);
+        self
+    }
+
+    /// Removes the `host` header that was set, and returns it.
+    pub fn take_host(&mut self) -> Option<HeaderValue> {
+        self.host.take()
+    }
+
+    /// Returns how long the call may take.
+    pub fn time_limit(&self) -> Duration {
+        self.deadline
+    }
+
+    /// Returns the headers that were set, without `host`.
+    pub fn header_map(&self) -> &HeaderMap {
+        &self.headers
+    }
+
     /// Returns the method.
     pub fn method(&self) -> &Method {
         &self.method
--- a/crates/link/src/http/client.rs
+++ b/crates/link/src/http/client.rs
@@ -89,11 +89,19 @@
         if !self.reader.framed_mut().read_buffer().is_empty() {
             return false;
         }
+        matches!(self.peek(), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Returns whether the connection ended with an error.
+    fn has_failed(&self) -> bool {
+        matches!(self.peek(), Err(e) if e.kind() != io::ErrorKind::WouldBlock)
+    }
+
+    fn peek(&self) -> io::Result<usize> {
         // SAFETY: `self` owns both halves, so the descriptor stays open.
         let descriptor = unsafe { BorrowedFd::borrow_raw(self.descriptor) };
         let mut byte = [MaybeUninit::uninit()];
-        let peeked = socket2::SockRef::from(&descriptor).peek(&mut byte);
-        matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        socket2::SockRef::from(&descriptor).peek(&mut byte)
     }
 }
 
@@ -167,6 +175,18 @@
         self.send_on_new_connection(peer, &call, deadline).await
     }
 
+    /// Connects to `peer` and sets the options of this pool.
+    async fn connect(&self, peer: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
+        let stream = net::connect(peer, limit).await?;
+        if let Some(limit) = self.silence_timeout {
+            net::set_silence_timeout(&stream, limit)?;
+        }
+        if self.reset_on_close {
+            net::reset_on_close(&stream)?;
+        }
+        Ok(stream)
+    }
+
     async fn send_on_new_connection(
         &self,
         peer: SocketAddr,
@@ -174,7 +194,7 @@
         deadline: Instant,
     ) -> Result<Response, Error> {
         let limit = remaining(deadline).min(call.connect_timeout);
-        let stream = net::connect(peer, limit).await;
+        let stream = self.connect(peer, limit).await;
         if let Some(hook) = &call.on_connect {
             let is_timeout = matches!(&stream, Err(e) if e.kind() == io::ErrorKind::TimedOut);
             // With less time, a peer that is reached may not have answered yet.
@@ -183,12 +203,6 @@
             }
         }
         let stream = stream.map_err(|e| Error::new(Kind::Connect, e))?;
-        if let Some(limit) = self.silence_timeout {
-            net::set_silence_timeout(&stream, limit).map_err(|e| Error::new(Kind::Connect, e))?;
-        }
-        if self.reset_on_close {
-            net::reset_on_close(&stream).map_err(|e| Error::new(Kind::Connect, e))?;
-        }
         if call.fence.is_some() {
             net::set_user_timeout(&stream, fence::ACK_TIMEOUT)
                 .map_err(|e| Error::new(Kind::Connect, e))?;
@@ -314,6 +328,33 @@
         }
     }
 
+    /// Opens a connection to `peer` within `limit` and adds it to the idle ones.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Connect`].
+    pub async fn open(&self, peer: SocketAddr, limit: Duration) -> Result<(), Error> {
+        let stream = self.connect(peer, limit).await;
+        let stream = stream.map_err(|e| Error::new(Kind::Connect, e))?;
+        self.release(peer, Connection::new(stream, peer));
+        Ok(())
+    }
+
+    /// Removes the idle connections that have failed, as after the silence timeout
+    /// or a reset, and returns their peers. A connection that its peer closed has
+    /// not failed.
+    pub fn take_failed(&self) -> Vec<SocketAddr> {
+        let mut failed = Vec::new();
+        for (peer, queue) in self.idle.borrow_mut().iter_mut() {
+            let before = queue.len();
+            queue.retain(|connection| !connection.has_failed());
+            if queue.len() < before {
+                failed.push(*peer);
+            }
+        }
+        failed
+    }
+
     /// Closes all idle connections to `peer`.
     pub fn close_idle(&self, peer: SocketAddr) {
         self.idle.borrow_mut().remove(&peer);
--- a/crates/policy/src/path.rs
+++ b/crates/policy/src/path.rs
@@ -54,8 +54,6 @@
     state: State,
     /// The endpoints that failed since a connection was last opened, and when.
     failures: Vec<(K, Time)>,
-    /// The endpoints that another VM did not reach either.
-    refutations: Vec<K>,
     refuted_until: Time,
     probed_at: Time,
 }
@@ -65,7 +63,6 @@
         Self {
             state: State::Connected,
             failures: Vec::new(),
-            refutations: Vec::new(),
             refuted_until: Time::ZERO,
             probed_at: Time::ZERO,
         }
@@ -78,16 +75,16 @@
         self.state
     }
 
-    /// Returns the number of endpoints that failed since a connection was opened.
-    pub fn failures(&self) -> usize {
-        self.failures.len()
+    /// Returns the endpoints that failed since a connection was opened, the last
+    /// one first.
+    pub fn failures(&self) -> Vec<K> {
+        self.failures.iter().rev().map(|(key, _)| *key).collect()
     }
 
     /// Records that this VM opened a connection to an endpoint.
     pub fn record_open(&mut self) {
         self.state = State::Connected;
         self.failures.clear();
-        self.refutations.clear();
     }
 
     /// Records that this VM could not connect to `endpoint`.
@@ -98,26 +95,20 @@
         let is_suspicious = self.failures.len() >= FAILURES_MIN && now >= self.refuted_until;
         if self.state == State::Connected && is_suspicious {
             self.state = State::Suspected;
-            self.refutations.clear();
         }
     }
 
-    /// Records that another VM reached an endpoint, to which this VM then could
-    /// not connect itself.
+    /// Records that another VM reaches an endpoint that failed here.
     pub fn record_cut(&mut self, now: Time) {
-        self.state = State::CutOff;
-        self.probed_at = now;
+        if self.state == State::Suspected {
+            self.state = State::CutOff;
+            self.probed_at = now;
+        }
     }
 
-    /// Records that another VM with working links did not reach `endpoint`, or
-    /// that no VM can tell.
-    pub fn record_refutation(&mut self, endpoint: Option<K>, now: Time) {
-        let is_known = endpoint.is_some_and(|endpoint| self.refutations.contains(&endpoint));
-        if let Some(endpoint) = endpoint.filter(|_| !is_known) {
-            self.refutations.push(endpoint);
-        }
-        let is_refuted = endpoint.is_none() || self.refutations.len() >= FAILURES_MIN;
-        if self.state == State::Suspected && is_refuted {
+    /// Records that the endpoints that failed are down, or that no VM can tell.
+    pub fn record_refutation(&mut self, now: Time) {
+        if self.state == State::Suspected {
             self.record_open();
             self.refuted_until = now + REFUTED_TIME;
         }
--- a/crates/site/src/components.rs
+++ b/crates/site/src/components.rs
@@ -15,14 +15,16 @@
     follow::{self, View},
     forward::Forwarder,
     front::Front,
+    gateway::Gateway,
     job::{
         Jobs, Registry, attempt::Runner, content::Content, executor::Executor, failover,
         proxy::Proxy, unsettled::Unsettled,
     },
+    member::Members,
     metrics::Metrics,
     mirror::Mirror,
     origin::Origins,
-    path::Paths,
+    path::{self, Paths},
     peer::Server,
     permit::Permits,
     retention,
@@ -47,6 +49,8 @@
     mirror: Mirror,
     permits: Permits,
     origins: Origins,
+    members: Members,
+    paths: Paths,
     /// The age of the configuration and of the endpoints.
     facts_view: View,
     /// The requests under which endpoints ended.
@@ -93,11 +97,14 @@
         let mirror = Mirror::new(coordinators.is_seed());
         let facts: Rc<RefCell<Facts>> = Rc::default();
         let metrics = Metrics::default();
-        let pool = Pool::new(Limits::new().body_bytes(RESPONSE_BYTES_MAX)).reset_on_close();
-        let paths = Paths::new(pool.clone());
+        let pool = Pool::new(Limits::new().body_bytes(RESPONSE_BYTES_MAX))
+            .silence_timeout(path::SILENCE_TIMEOUT)
+            .reset_on_close();
         let usage = Usage::new(settings.bounds.usage_window);
         let vm = settings.vm.as_str();
         let client = ask::Client::default();
+        let members = Members::new(coordinators.clone(), client.clone());
+        let paths = Paths::new(facts.clone(), members.clone(), client.clone(), pool.clone());
         let permits = Permits::new(
             facts.clone(),
             coordinators.clone(),
@@ -129,7 +136,7 @@
         let executor = Executor {
             runner: Runner {
                 facts: facts.clone(),
-                paths,
+                paths: paths.clone(),
                 forwarder: forwarder.clone(),
                 permits: permits.clone(),
                 metrics: metrics.clone(),
@@ -185,6 +192,8 @@
             mirror,
             permits,
             origins,
+            members,
+            paths,
             facts_view,
             crashes,
         }
@@ -192,13 +201,19 @@
 
     /// Returns the server for calls from other VMs.
     pub(crate) fn peer(&self) -> Server {
-        Server::new(
-            self.jobs.clone(),
-            self.mirror.clone(),
-            self.duties.collector.clone(),
-            self.permits.clone(),
-            self.origins.clone(),
-        )
+        Server {
+            jobs: self.jobs.clone(),
+            mirror: self.mirror.clone(),
+            collector: self.duties.collector.clone(),
+            permits: self.permits.clone(),
+            origins: self.origins.clone(),
+            members: self.members.clone(),
+            gateway: Gateway {
+                facts: self.facts.clone(),
+                paths: self.paths.clone(),
+                permits: self.permits.clone(),
+            },
+        }
     }
 
     /// Applies the settings that may change while the process runs.
@@ -223,6 +238,8 @@
         monoio::spawn(self.crashes.clone().follow(view.sibling()));
         monoio::spawn(follow::endpoints(store, view, facts, pool));
         monoio::spawn(self.origins.clone().copy());
+        monoio::spawn(self.members.clone().run());
+        monoio::spawn(self.paths.clone().watch());
         monoio::spawn(failover::follow(self.jobs.clone()));
         monoio::spawn(failover::take_over(self.jobs.clone()));
         monoio::spawn(failover::send_heartbeats(self.jobs.clone()));
--- a/crates/site/src/facts.rs
+++ b/crates/site/src/facts.rs
@@ -216,6 +216,19 @@
         }
     }
 
+    /// Returns the key of the endpoint `id`.
+    pub fn key(&self, id: &str) -> Option<Key> {
+        self.by_id.get(id).copied()
+    }
+
+    /// Ends the backoffs of all endpoints, after failures that were not theirs.
+    pub fn end_backoffs(&mut self) {
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.failures = 0;
+            endpoint.backoff_until = None;
+        }
+    }
+
     /// Returns the service of the endpoint `id`, or `None` if the endpoint is
     /// draining or not known.
     pub fn service_unless_draining(&self, id: &str) -> Option<String> {
--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -38,7 +38,7 @@
 
 /// How long an endpoint may take to accept a connection. A live endpoint takes
 /// a few milliseconds.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// The number of rejections after which a request fails.
 const REJECTIONS_MAX: usize = 6;
 /// The number of endpoints without a permit after which a request goes only to
--- a/crates/site/src/peer.rs
+++ b/crates/site/src/peer.rs
@@ -1,6 +1,7 @@
 //! Serves calls from other VMs: reads from the mirror, submissions of usage
-//! counts, calls about jobs, requests for permits, questions about streams, and
-//! calls that this VM relays to the store.
+//! counts, calls about jobs, requests for permits, questions about streams and
+//! VMs, attempts that this VM forwards to endpoints, and calls that it relays to
+//! the store.
 
 use link::{
     StatusCode,
@@ -10,7 +11,9 @@
 
 use crate::{
     duty::collect::{self, Collector},
+    gateway::{self, Gateway},
     job::{Jobs, proxy},
+    member::{self, Members},
     mirror::Mirror,
     origin::{self, Origins},
     permit::{self, Permits},
@@ -19,31 +22,23 @@
 /// Serves calls from other VMs.
 #[derive(Clone)]
 pub struct Server {
-    jobs: Jobs,
-    mirror: Mirror,
-    collector: Collector,
-    permits: Permits,
-    origins: Origins,
+    /// The jobs of this VM.
+    pub jobs: Jobs,
+    /// The copies of followed kinds.
+    pub mirror: Mirror,
+    /// Collects the usage counts of other VMs.
+    pub collector: Collector,
+    /// Grants permits.
+    pub permits: Permits,
+    /// Knows what began streams.
+    pub origins: Origins,
+    /// Knows the VMs.
+    pub members: Members,
+    /// Forwards attempts to endpoints.
+    pub gateway: Gateway,
 }
 
 impl Server {
-    /// Returns a server for these components.
-    pub fn new(
-        jobs: Jobs,
-        mirror: Mirror,
-        collector: Collector,
-        permits: Permits,
-        origins: Origins,
-    ) -> Self {
-        Self {
-            jobs,
-            mirror,
-            collector,
-            permits,
-            origins,
-        }
-    }
-
     /// Serves one call from another VM.
     pub async fn answer(&self, request: Request) -> Reply {
         let path = request.target();
@@ -66,6 +61,18 @@
             self.jobs.metrics.record_peer_call("stream");
             return self.origins.answer(&request);
         }
+        if path == member::PATH {
+            self.jobs.metrics.record_peer_call("vm");
+            return self.members.answer(&request);
+        }
+        if path == gateway::CHECK_PATH {
+            self.jobs.metrics.record_peer_call("gateway-check");
+            return self.gateway.check(&request).await;
+        }
+        if path.starts_with(gateway::PATH) {
+            self.jobs.metrics.record_peer_call("gateway");
+            return self.gateway.answer(request).await;
+        }
         if path.starts_with(proxy::PATH) {
             self.jobs.metrics.record_peer_call("job");
             return proxy::answer(&self.jobs, request).await;
