site, platform: a holder of the duty lease without links releases it

What trainers saw: steps that wait for weights. The VM that held the lease had lost its links, kept renewing the lease through the store, and sent 205 orders that stayed without an answer within 12 s.

Cause: the lease shows that its holder is alive, not that it can carry the duty out. Class of fault: liveness is checked on another path than the one that the work takes.

Change: a VM that is cut off releases the lease and does not compete for it until its links are back. Orders go over the observed paths, so a holder without any other traffic notices as well.

Ruled out: to send orders through a gateway. The platform counts the machine that an order comes from as its holder, so two holders would share one epoch (ONE).

--- a/crates/site/src/duty/lease.rs
+++ b/crates/site/src/duty/lease.rs
@@ -17,6 +17,7 @@
 use crate::{
     coordinator::Coordinators,
     follow::{self, Change, Plan, View},
+    path::Paths,
 };
 
 /// The kind of the object that holds the lease.
@@ -71,6 +72,7 @@
     /// When the object last changed, or when this process started.
     changed_at: Cell<Instant>,
     coordinators: Coordinators,
+    paths: Paths,
     /// Whether this VM has released the lease and no longer competes for it.
     is_released: Cell<bool>,
 }
@@ -83,6 +85,7 @@
         view: View,
         vm: &str,
         coordinators: Coordinators,
+        paths: Paths,
         ttl: Duration,
     ) -> Self {
         let terms = Terms {
@@ -100,6 +103,7 @@
             object: RefCell::default(),
             changed_at: Cell::new(Instant::now()),
             coordinators,
+            paths,
             is_released: Cell::new(false),
         }))
     }
@@ -122,7 +126,13 @@
                 monoio::time::sleep(ABANDONED_CHECK_PERIOD).await;
                 continue;
             }
-            self.step().await;
+            if self.0.paths.is_cut_off() {
+                // Endpoints take orders from the VM that holds the lease, so
+                // these cannot go through another one.
+                self.give_up().await;
+            } else {
+                self.step().await;
+            }
             let epoch = self.authority().map(|authority| authority.epoch);
             if epoch.is_some() {
                 self.0
@@ -156,6 +166,11 @@
     /// term, and stops competing for it.
     pub async fn release(&self) {
         self.0.is_released.set(true);
+        self.give_up().await;
+    }
+
+    /// Releases the lease if this VM holds it.
+    async fn give_up(&self) {
         let inner = &*self.0;
         let step = decision::release(&mut inner.lease.borrow_mut(), inner.terms, &inner.vm);
         if let Some(Step::Write { version, record }) = step {
--- a/crates/site/src/duty/mod.rs
+++ b/crates/site/src/duty/mod.rs
@@ -20,6 +20,7 @@
     follow::View,
     job::{Registry, content::Content},
     metrics::Metrics,
+    path::Paths,
     usage::Usage,
 };
 
@@ -38,7 +39,9 @@
     pub store: Store,
     /// This VM's view of the store.
     pub view: View,
-    /// Connections to endpoints and the provider.
+    /// The paths to endpoints.
+    pub paths: Paths,
+    /// Connections to the provider.
     pub pool: Pool,
     /// The address of the provider, which accepts usage reports.
     pub provider: SocketAddr,
--- a/crates/site/src/duty/weights.rs
+++ b/crates/site/src/duty/weights.rs
@@ -104,9 +104,9 @@
     let Some(endpoint) = known else {
         return false;
     };
-    let address = endpoint.record.address;
     let id = endpoint.id.as_str();
-    let state = match order::fetch_state(&duties.pool, address).await {
+    let fetch = async |call| duties.paths.fetch_directly(key, &endpoint, call).await;
+    let state = match order::fetch_state(fetch).await {
         Ok(state) => state,
         Err(e) => {
             let problem = e.to_string();
@@ -124,17 +124,7 @@
         return false;
     };
     let mode = load_mode(&duties.facts.borrow());
-    let pool = &duties.pool;
-    let sent = order::order_load(
-        pool,
-        address,
-        id,
-        version,
-        mode,
-        &authority,
-        state.accepted_orders,
-    )
-    .await;
+    let sent = order::order_load(fetch, id, version, mode, &authority, state.accepted_orders).await;
     let (model, number, epoch) = (version.model.as_str(), version.version, authority.epoch);
     match sent {
         Ok(outcome) => {
--- a/crates/site/src/path.rs
+++ b/crates/site/src/path.rs
@@ -170,23 +170,18 @@
         call: Call,
     ) -> Result<Fetched, http::Error> {
         let limit = call.time_limit();
-        let exchange = async {
-            let mut response = self.send(key, endpoint, call).await?;
-            let body = response.collect().await?;
-            Ok(Fetched {
-                status: response.status,
-                headers: response.headers.clone(),
-                body,
-                is_repeated: response.is_repeated,
-            })
-        };
-        match monoio::time::timeout(limit, exchange).await {
-            Ok(result) => result,
-            Err(_) => Err(http::Error::new(
-                Kind::Timeout,
-                "the response was not complete",
-            )),
-        }
+        collect(limit, self.send(key, endpoint, call)).await
+    }
+
+    /// As [`fetch`](Self::fetch), but never through another VM.
+    pub(crate) async fn fetch_directly(
+        &self,
+        key: Key,
+        endpoint: &Endpoint,
+        call: Call,
+    ) -> Result<Fetched, http::Error> {
+        let limit = call.time_limit();
+        collect(limit, self.send_directly(key, endpoint, call)).await
     }
 
     /// As [`send`](Self::send), but never through another VM.
@@ -431,6 +426,30 @@
     }
 }
 
+/// Waits for the head of a response and reads its body within `limit`.
+async fn collect(
+    limit: Duration,
+    sent: impl Future<Output = Result<Response, http::Error>>,
+) -> Result<Fetched, http::Error> {
+    let exchange = async {
+        let mut response = sent.await?;
+        let body = response.collect().await?;
+        Ok(Fetched {
+            status: response.status,
+            headers: std::mem::take(&mut response.headers),
+            body,
+            is_repeated: response.is_repeated,
+        })
+    };
+    match monoio::time::timeout(limit, exchange).await {
+        Ok(result) => result,
+        Err(_) => Err(http::Error::new(
+            Kind::Timeout,
+            "the response was not complete",
+        )),
+    }
+}
+
 /// Returns `call` with less time, after `elapsed` of it has passed.
 fn shortened(call: Call, elapsed: Duration) -> Call {
     let deadline = header::parse_number(call.header_map(), header::DEADLINE);
