site: a gateway that shuts down or is lost is left at once

A VM that shuts down told others that it reaches endpoints, and forwarded until its process ended. An attempt whose gateway was lost counted as one that its endpoint had disconnected, which quarantines the request after three.

A VM that shuts down forwards nothing and says so; the loss of a gateway counts as a time limit, so its outcome stays unknown. Tests: a gateway that is killed (20 of 20 requests or two thirds at least), no VM with links (no attempt is forwarded), the gateway's path at the address for callers (404), and a rate limit through gateways (at most 17 requests in 4 s for 2 a second).

--- a/crates/site/src/components.rs
+++ b/crates/site/src/components.rs
@@ -214,6 +214,7 @@
                 facts: self.facts.clone(),
                 paths: self.paths.clone(),
                 permits: self.permits.clone(),
+                proxy: self.jobs.proxy.clone(),
             },
         }
     }
--- a/crates/site/src/gateway.rs
+++ b/crates/site/src/gateway.rs
@@ -22,6 +22,7 @@
 use crate::{
     facts::{Endpoint, Facts, Key},
     forward::{CONNECT_TIMEOUT, is_rejected, observed},
+    job::proxy::Proxy,
     path::Paths,
     permit::Permits,
 };
@@ -45,8 +46,9 @@
 const ERROR: HeaderName = HeaderName::from_static("x-gateway-error");
 /// The prefix of the headers above.
 const PREFIX: &str = "x-gateway-";
-/// The value of [`ERROR`] of a gateway that has no links itself.
-const CUT_OFF: &str = "cut-off";
+/// The value of [`ERROR`] of a VM that forwards nothing, since it has no links
+/// itself or is shutting down.
+const UNAVAILABLE: &str = "unavailable";
 /// The status of a reply with [`ERROR`]. Endpoints use it for requests that are
 /// not for them, so what such a response states about its sender is ignored.
 const ERROR_STATUS: StatusCode = StatusCode::MISDIRECTED_REQUEST;
@@ -64,6 +66,7 @@
 
 board::record! {
     /// The answer to a [`Check`].
+    #[derive(Default)]
     pub(crate) struct Checked {
         /// Whether the VM reaches one of them.
         pub(crate) reaches: bool,
@@ -74,8 +77,8 @@
 
 /// Why a gateway returned no response of the endpoint.
 pub(crate) enum Refusal {
-    /// It has no links, and has not forwarded the attempt.
-    CutOff,
+    /// It forwards nothing, so the attempt was not sent.
+    Unavailable,
     /// The attempt failed with this error.
     Failed(Error),
 }
@@ -104,7 +107,7 @@
 pub(crate) fn refusal(response: &Response) -> Option<Refusal> {
     let name = response.headers.get(ERROR)?.to_str().unwrap_or_default();
     let kind = match name {
-        CUT_OFF => return Some(Refusal::CutOff),
+        UNAVAILABLE => return Some(Refusal::Unavailable),
         name => KINDS.iter().find(|(_, other)| *other == name),
     };
     let kind = kind.map_or(Kind::Incomplete, |(kind, _)| *kind);
@@ -132,15 +135,22 @@
     pub paths: Paths,
     /// Permits to send to endpoints with a rate limit.
     pub permits: Permits,
+    /// Knows whether this VM is shutting down.
+    pub proxy: Proxy,
 }
 
 impl Gateway {
     /// Answers whether this VM reaches endpoints.
     pub(crate) async fn check(&self, request: &Request) -> Reply {
-        match request.json::<Check>() {
-            Ok(check) => Reply::json(StatusCode::OK, &self.paths.check(&check).await),
-            Err(reply) => reply,
-        }
+        let check = match request.json::<Check>() {
+            Ok(check) => check,
+            Err(reply) => return reply,
+        };
+        let checked = match self.proxy.is_draining() {
+            true => Checked::default(),
+            false => self.paths.check(&check).await,
+        };
+        Reply::json(StatusCode::OK, &checked)
     }
 
     /// Forwards the attempt of another VM, and returns the endpoint's response.
@@ -148,8 +158,8 @@
         let id = request
             .header(header::REQUEST_ID.as_str())
             .unwrap_or_default();
-        if self.paths.is_cut_off() {
-            return failure(id, CUT_OFF);
+        if self.paths.is_cut_off() || self.proxy.is_draining() {
+            return failure(id, UNAVAILABLE);
         }
         let response = match self.forward(&request).await {
             Ok(response) => response,
--- a/crates/site/src/path.rs
+++ b/crates/site/src/path.rs
@@ -143,12 +143,14 @@
                 Ok(response) => match gateway::refusal(&response) {
                     None => return Ok(response),
                     Some(Refusal::Failed(e)) => return Err(e),
-                    Some(Refusal::CutOff) => "it has no links either".to_string(),
+                    Some(Refusal::Unavailable) => "it forwards nothing".to_string(),
                 },
                 Err(e) if e.is_unsent() => e.to_string(),
                 Err(e) => {
-                    self.leave_gateway(gateway, &e.to_string());
-                    return Err(e);
+                    let problem = e.to_string();
+                    self.leave_gateway(gateway, &problem);
+                    // The endpoint did not disconnect.
+                    return Err(http::Error::new(Kind::Timeout, problem));
                 }
             };
             self.leave_gateway(gateway, &refusal);
--- a/crates/site/tests/links.rs
+++ b/crates/site/tests/links.rs
@@ -253,6 +253,47 @@
     vms.iter().for_each(|vm| wait_until_served(vm));
 }
 
+#[test]
+fn requests_forwarded_in_circles_while_no_vm_has_links() {
+    let deployment = start(Duration::from_millis(5));
+    let vms: Vec<&Vm> = deployment.vms.iter().collect();
+    cut(&deployment, &vms, REFUSE, "");
+    thread::scope(|scope| {
+        for vm in &vms {
+            scope.spawn(|| assert_eq!(serve(vm, "/safe/a", "circle"), 0));
+        }
+    });
+    assert_eq!(forwarded(&deployment), 0);
+    assert_eq!(deployment.site.state().arrivals.len(), 0);
+}
+
+#[test]
+fn gateway_open_to_callers() {
+    let deployment = start(Duration::from_millis(5));
+    let call = caller(Method::POST, "/gateway/safe/a", "g1")
+        .header("x-gateway-endpoint", "plain-0")
+        .header("x-gateway-host", common::HOST)
+        .header("x-gateway-limit", "1000");
+    assert_eq!(deployment.vms[0].send(call).status, 404);
+    assert_eq!(deployment.site.state().arrivals.len(), 0);
+}
+
+#[test]
+fn requests_lost_when_gateway_is_killed() {
+    let mut deployment = start(Duration::from_millis(5));
+    let vms: Vec<&Vm> = deployment.vms[..2].iter().collect();
+    cut(&deployment, &vms, HANG, "");
+    wait_until_served(vms[0]);
+    // One of the others is the gateway.
+    for number in [2, 3] {
+        deployment.vms[number].kill();
+        let served = serve(&deployment.vms[0], "/safe/a", &format!("killed-{number}"));
+        assert!(3 * served >= 2 * REQUESTS, "{served}");
+        deployment.vms[number].restart();
+        wait_until_served(&deployment.vms[0]);
+    }
+}
+
 #[test]
 fn links_not_used_after_they_are_back() {
     let deployment = start(Duration::from_millis(5));
@@ -289,6 +330,46 @@
     assert!(!header(&answer, "retry-after").is_empty());
 }
 
+#[test]
+fn endpoint_rate_limit_exceeded_through_gateways() {
+    const LIMIT: f64 = 2.0;
+    let deployment = start(Duration::from_millis(5));
+    let vms: Vec<&Vm> = deployment.vms[..2].iter().collect();
+    cut(&deployment, &vms, HANG, "");
+    vms.iter().for_each(|vm| wait_until_served(vm));
+    for endpoint in deployment.site.state().endpoints.values_mut() {
+        endpoint.rate_limit = Some(LIMIT);
+    }
+    let named_at = Instant::now();
+    thread::scope(|scope| {
+        for vm in &vms {
+            scope.spawn(|| {
+                while named_at.elapsed() < Duration::from_secs(6) {
+                    let id = format!("l-{}-{}", vm.name, named_at.elapsed().as_micros());
+                    vm.request(Method::POST, "/safe/a", &id);
+                    thread::sleep(Duration::from_millis(20));
+                }
+            });
+        }
+    });
+    // The platform counts 4 s from half a second after the first answer.
+    let counted = named_at + Duration::from_secs(1)..named_at + Duration::from_secs(5);
+    let state = deployment.site.state();
+    for id in state.endpoints.keys() {
+        let arrivals = state
+            .arrivals
+            .iter()
+            .filter(|arrival| arrival.endpoint == *id);
+        let counted = arrivals
+            .filter(|arrival| counted.contains(&arrival.at))
+            .count();
+        assert!(
+            counted <= (1.5 * LIMIT * 4.0) as usize + 5,
+            "{id}: {counted}"
+        );
+    }
+}
+
 #[test]
 fn usage_of_forwarded_requests_miscounted() {
     let deployment = start(Duration::from_millis(5));
