--- a/crates/site/src/path.rs
+++ b/crates/site/src/path.rs
@@ -138,6 +138,7 @@
             let relayed = gateway::encode(call.clone(), &endpoint.id, permitted);
             let relayed =
                 shortened(relayed, start.elapsed()).connect_timeout(GATEWAY_CONNECT_TIMEOUT);
+            log_relayed(&call, endpoint, gateway);
             let sent = self.0.gateways.send(gateway, relayed).await;
             let refusal = match sent {
                 Ok(response) => match gateway::refusal(&response) {
@@ -428,6 +429,13 @@
     }
 }
 
+fn log_relayed(call: &Call, endpoint: &Endpoint, gateway: SocketAddr) {
+    let request = call.header_map().get(header::REQUEST_ID);
+    let request = request.and_then(|id| id.to_str().ok()).unwrap_or_default();
+    let (endpoint, vm) = (endpoint.id.as_str(), gateway.to_string());
+    spdlog::info!("attempt sent through another VM", kv: { request, endpoint, vm });
+}
+
 /// Waits for the head of a response and reads its body within `limit`.
 async fn collect(
     limit: Duration,
