--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -52,7 +52,7 @@
 const SOFTWARE_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// The pause before endpoints are tried again after all of them rejected the
 /// request.
-const ALL_FULL_PAUSE: Duration = Duration::from_millis(20);
+pub(crate) const ALL_FULL_PAUSE: Duration = Duration::from_millis(20);
 /// The time before a caller's deadline that is reserved for sending the reply.
 const REPLY_RESERVE: Duration = Duration::from_millis(5);
 
@@ -311,7 +311,7 @@
         outcome: &mut Outcome,
     ) -> Option<Option<Source>> {
         let remaining = dispatch.deadline.saturating_duration_since(Instant::now());
-        if remaining.is_zero() || outcome.rejections >= REJECTIONS_MAX {
+        if is_exhausted(dispatch, outcome) {
             return None;
         }
         if let Some(rest) = self.crashes.quarantine(dispatch) {
@@ -422,7 +422,7 @@
         let mut outcome = Outcome::default();
         loop {
             let remaining = dispatch.deadline.saturating_duration_since(Instant::now());
-            if remaining.is_zero() || outcome.rejections >= REJECTIONS_MAX {
+            if is_exhausted(dispatch, &outcome) {
                 return outcome;
             }
             if let Some(rest) = self.crashes.quarantine(dispatch) {
@@ -566,6 +566,12 @@
     }
 }
 
+/// Returns whether `dispatch` is sent to no other endpoint, since its deadline has
+/// passed or too many rejected it.
+pub(crate) fn is_exhausted(dispatch: &Dispatch, outcome: &Outcome) -> bool {
+    Instant::now() >= dispatch.deadline || outcome.rejections >= REJECTIONS_MAX
+}
+
 fn log_opened(dispatch: &Dispatch, endpoint: &Endpoint) {
     let request = dispatch.id.as_str();
     let (id, software) = (endpoint.id.as_str(), endpoint.record.software.as_str());
--- a/crates/site/src/stream.rs
+++ b/crates/site/src/stream.rs
@@ -14,7 +14,10 @@
 
 use crate::{
     facts::Key,
-    forward::{Dispatch, End, Forwarder, Outcome, Slot, rejection, reply_for, select_service},
+    forward::{
+        ALL_FULL_PAUSE, Dispatch, End, Forwarder, Outcome, Slot, is_exhausted, rejection,
+        reply_for, select_service,
+    },
     origin::Producer,
 };
 
@@ -183,16 +186,26 @@
         attempts: &mut Attempts,
     ) -> (Outcome, Option<Source>) {
         let mut outcome = Outcome::default();
-        while let Some(attempt) = self
-            .open_next(route, dispatch, attempts, &mut outcome)
-            .await
-        {
-            if let Some(opened) = attempt {
-                outcome.end = End::NotRun;
-                return (outcome, Some(opened));
+        loop {
+            let attempt = self.open_next(route, dispatch, attempts, &mut outcome);
+            match attempt.await {
+                Some(Some(opened)) => {
+                    outcome.end = End::NotRun;
+                    return (outcome, Some(opened));
+                }
+                Some(None) => {}
+                None if outcome.rejections == 0 || outcome.runs > 0 => return (outcome, None),
+                None if attempts.tried.is_empty() || is_exhausted(dispatch, &outcome) => {
+                    return (outcome, None);
+                }
+                // All endpoints rejected the request, but a slot may become free
+                // soon. Few endpoints may have the software of the stream.
+                None => {
+                    attempts.tried.clear();
+                    monoio::time::sleep(ALL_FULL_PAUSE).await;
+                }
             }
         }
-        (outcome, None)
     }
 }
 
--- a/crates/site/tests/software.rs
+++ b/crates/site/tests/software.rs
@@ -304,6 +304,21 @@
     assert_whole(&streams);
 }
 
+#[test]
+fn stream_not_resumed_while_its_version_is_full() {
+    let deployment = start(2, Duration::from_millis(20));
+    common::add_stream_route_with(&deployment, true, 1);
+    let vms = callers(&deployment);
+    cut_streams(&deployment, EVENTS_BEFORE as u64);
+    let mut streams = open_streams(0, &vms, || {});
+    assert!(streams.iter().any(|stream| !stream.is_complete));
+    for endpoint in deployment.site.state().endpoints.values_mut() {
+        endpoint.faults.rejects = 2;
+    }
+    resume_streams(&mut streams, &vms);
+    assert_whole(&streams);
+}
+
 #[test]
 fn stream_of_unknown_producer_resumed() {
     let deployment = start(1, Duration::from_millis(5));
