site: a record with another software version is that of another process

A record whose software version changes under its id and address was taken for a restart only if `born` changed with it, which the record may lack. Observations of the process before, and idle connections to it, were kept.

endpoint_of_other_software_under_same_id_taken_for_the_one_before fails before.

--- a/crates/site/src/facts.rs
+++ b/crates/site/src/facts.rs
@@ -157,7 +157,8 @@
         {
             known.missing_until = None;
             let is_same = known.record.started_ms == record.started_ms
-                && known.record.address == record.address;
+                && known.record.address == record.address
+                && known.record.software == record.software;
             if is_same {
                 known.record = record;
                 return false;
--- a/crates/site/tests/placement.rs
+++ b/crates/site/tests/placement.rs
@@ -233,3 +233,14 @@
     assert_eq!(only(&facts, long_after).as_deref(), Some("v2"));
     assert_eq!(facts.only_software("registry", HISTORY, long_after), None);
 }
+
+#[test]
+fn endpoint_of_other_software_under_same_id_taken_for_the_one_before() {
+    let mut facts = facts_of_software(&["v1"], Instant::now());
+    let key = facts.key("e0").unwrap();
+    let mut record = common::record::endpoint(0, SLOTS, &[(MODEL, 1)]);
+    assert!(!facts.put_endpoint("e0", record.clone()));
+    record.software = "v2".to_string();
+    assert!(facts.put_endpoint("e0", record));
+    assert!(!facts.endpoints.contains_key(key));
+}
