--- a/crates/link/src/fault.rs
+++ b/crates/link/src/fault.rs
@@ -73,9 +73,14 @@
     FAULTS.with(|faults| faults.borrow().refuse.contains(&peer))
 }
 
+/// Returns whether TCP connections to `peer` hang.
+pub(crate) fn is_hanging(peer: SocketAddr) -> bool {
+    FAULTS.with(|faults| faults.borrow().hang.contains(&peer))
+}
+
 /// Waits while TCP connections to `peer` hang.
 pub(crate) async fn wait_while_hanging(peer: SocketAddr) {
-    while FAULTS.with(|faults| faults.borrow().hang.contains(&peer)) {
+    while is_hanging(peer) {
         monoio::time::sleep(HOLD_POLL_PERIOD).await;
     }
 }
--- a/crates/link/src/http/response.rs
+++ b/crates/link/src/http/response.rs
@@ -105,7 +105,7 @@
             .allow(self.limits.body_bytes + READ_BYTES_MAX, timeout);
         let peer = connection.peer;
         let hanging = fault::wait_while_hanging(peer);
-        if monoio::time::timeout(timeout, hanging).await.is_err() {
+        if fault::is_hanging(peer) && monoio::time::timeout(timeout, hanging).await.is_err() {
             self.connection = None;
             return Some(Err(Error::new(Kind::Timeout, "the peer sent nothing")));
         }
