site: a gateway answers before the attempt ends, or is left

Found by reading the change. The VM, its gateway and the read of the whole response had the same time limit, so which of them ended an attempt was a matter of luck: a gateway whose process is frozen is left only if the VM's own wait ends first. The limit that the gateway was told also included the time of the search before.

Names: `forwarded` instead of `relayed`, which is another thing in the glossary.

--- a/crates/site/src/gateway.rs
+++ b/crates/site/src/gateway.rs
@@ -52,6 +52,8 @@
 /// The status of a reply with [`ERROR`]. Endpoints use it for requests that are
 /// not for them, so what such a response states about its sender is ignored.
 const ERROR_STATUS: StatusCode = StatusCode::MISDIRECTED_REQUEST;
+/// The time before the end of an attempt that is reserved for the gateway's reply.
+const REPLY_RESERVE: Duration = Duration::from_millis(30);
 /// How long a gateway waits for the next part of a body. The other VM has a limit
 /// of its own, and closes the connection after it.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
@@ -85,7 +87,8 @@
 
 /// Returns the call to a gateway that forwards `call` to `endpoint`.
 pub(crate) fn encode(mut call: Call, endpoint: &str, is_permitted: bool) -> Call {
-    let limit = call.time_limit().as_millis().to_string();
+    let limit = call.time_limit().saturating_sub(REPLY_RESERVE);
+    let limit = limit.as_millis().to_string();
     let host = call.take_host();
     let host = host.as_ref().and_then(|host| host.to_str().ok());
     let is_idempotent = call.may_repeat();
@@ -170,7 +173,7 @@
                 return failure(id, name.map_or("incomplete", |(_, name)| name));
             }
         };
-        relayed(response)
+        reply_for(response)
     }
 
     async fn forward(&self, request: &Request) -> Result<Response, Error> {
@@ -242,7 +245,7 @@
 
 /// Returns the reply that passes `response` on as it arrives. If the endpoint's
 /// body ends early, so does that of the reply.
-fn relayed(mut response: Response) -> Reply {
+fn reply_for(mut response: Response) -> Reply {
     let (status, headers) = (response.status, without_own(&response.headers));
     let has_no_body = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
     let mut reply = if has_no_body {
--- a/crates/site/src/path.rs
+++ b/crates/site/src/path.rs
@@ -41,6 +41,9 @@
 const GATEWAY_SILENCE_TIMEOUT: Duration = Duration::from_millis(1000);
 /// How long it may take to connect to a gateway.
 const GATEWAY_CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+/// How long before the end of an attempt its gateway has to have answered. One that
+/// has not, although it ends the attempt itself before, is left.
+const GATEWAY_MARGIN: Duration = Duration::from_millis(10);
 /// The largest response of a gateway that is read into memory.
 const RESPONSE_BYTES_MAX: usize = 4 * 1024 * 1024;
 /// How long a connection that only probes an endpoint may take to open. It is
@@ -154,12 +157,14 @@
             let Some(gateway) = self.gateway().await else {
                 break;
             };
-            let permitted = self.0.facts.borrow().rate_limit(key).is_some();
-            let relayed = gateway::encode(call.clone(), &endpoint.id, permitted);
-            let relayed =
-                shortened(relayed, start.elapsed()).connect_timeout(GATEWAY_CONNECT_TIMEOUT);
-            log_relayed(&call, endpoint, gateway);
-            let sent = self.0.gateways.send(gateway, relayed).await;
+            let is_permitted = self.0.facts.borrow().rate_limit(key).is_some();
+            let forwarded = shortened(call.clone(), start.elapsed());
+            let limit = forwarded.time_limit().saturating_sub(GATEWAY_MARGIN);
+            let forwarded = gateway::encode(forwarded, &endpoint.id, is_permitted)
+                .connect_timeout(GATEWAY_CONNECT_TIMEOUT)
+                .deadline(limit);
+            log_forwarded(&call, endpoint, gateway);
+            let sent = self.0.gateways.send(gateway, forwarded).await;
             let refusal = match sent {
                 Ok(response) => match gateway::refusal(&response) {
                     None => return Ok(response),
@@ -444,7 +449,7 @@
     }
 }
 
-fn log_relayed(call: &Call, endpoint: &Endpoint, gateway: SocketAddr) {
+fn log_forwarded(call: &Call, endpoint: &Endpoint, gateway: SocketAddr) {
     let request = call.header_map().get(header::REQUEST_ID);
     let request = request.and_then(|id| id.to_str().ok()).unwrap_or_default();
     let (endpoint, vm) = (endpoint.id.as_str(), gateway.to_string());
--- a/crates/site/tests/links.rs
+++ b/crates/site/tests/links.rs
@@ -309,6 +309,23 @@
     }
 }
 
+#[test]
+fn requests_lost_while_gateway_is_frozen() {
+    let deployment = start(Duration::from_millis(5));
+    let vms: Vec<&Vm> = deployment.vms[..2].iter().collect();
+    cut(&deployment, &vms, HANG, "");
+    wait_until_served(vms[0]);
+    // One of the others is the gateway.
+    for number in [2, 3] {
+        let frozen = &deployment.vms[number];
+        frozen.signal("STOP");
+        let served = serve(vms[0], "/safe/a", &format!("frozen-{number}"));
+        frozen.signal("CONT");
+        assert!(3 * served >= 2 * REQUESTS, "{served}");
+        wait_until_served(vms[0]);
+    }
+}
+
 #[test]
 fn links_not_used_after_they_are_back() {
     let deployment = start(Duration::from_millis(5));
