site: headers of callers cannot stand for those of gateways

A VM without links told its gateway that a permit was granted, or that a request may run twice, by headers that it set only if so. Other headers of a caller are forwarded, so a caller could set them: its request went out without a permit, and an unsafe one could have been sent again.

That an unsafe request was sent twice was not shown; its header had the same cause.

--- a/crates/site/src/gateway.rs
+++ b/crates/site/src/gateway.rs
@@ -38,9 +38,9 @@
 const HOST: HeaderName = HeaderName::from_static("x-gateway-host");
 /// How long the attempt may take, in milliseconds.
 const LIMIT: HeaderName = HeaderName::from_static("x-gateway-limit");
-/// Set if the request may run twice.
+/// Whether the request may run twice.
 const IDEMPOTENT: HeaderName = HeaderName::from_static("x-gateway-idempotent");
-/// Set if a permit was granted for the attempt.
+/// Whether a permit was granted for the attempt.
 const PERMITTED: HeaderName = HeaderName::from_static("x-gateway-permitted");
 /// Why there is no response of the endpoint.
 const ERROR: HeaderName = HeaderName::from_static("x-gateway-error");
@@ -92,18 +92,21 @@
     let host = call.take_host();
     let host = host.as_ref().and_then(|host| host.to_str().ok());
     let is_idempotent = call.may_repeat();
-    let mut call = call
-        .path_prefix(PATH)
+    // All of them are set, since a caller may have sent headers of these names.
+    call.path_prefix(PATH)
         .header(ENDPOINT, endpoint)
         .header(HOST, host.unwrap_or_default())
-        .header(LIMIT, limit);
-    if is_idempotent {
-        call = call.header(IDEMPOTENT, "1");
-    }
-    if is_permitted {
-        call = call.header(PERMITTED, "1");
-    }
-    call
+        .header(LIMIT, limit)
+        .header(IDEMPOTENT, encode_flag(is_idempotent))
+        .header(PERMITTED, encode_flag(is_permitted))
+}
+
+fn encode_flag(is_set: bool) -> &'static str {
+    if is_set { "1" } else { "0" }
+}
+
+fn decode_flag(request: &Request, name: &HeaderName) -> bool {
+    request.header(name.as_str()) == Some(encode_flag(true))
 }
 
 /// Returns why `response` of a gateway is not that of the endpoint, if so.
@@ -178,7 +181,7 @@
 
     async fn forward(&self, request: &Request) -> Result<Response, Error> {
         let (key, endpoint) = self.endpoint(request)?;
-        let is_permitted = request.headers.contains_key(PERMITTED);
+        let is_permitted = decode_flag(request, &PERMITTED);
         let id = request
             .header(header::REQUEST_ID.as_str())
             .unwrap_or_default();
@@ -217,7 +220,7 @@
         .headers(without_own(&request.headers))
         .body(request.body.clone())
         .host(request.header(HOST.as_str()).unwrap_or_default())
-        .idempotent(request.headers.contains_key(IDEMPOTENT))
+        .idempotent(decode_flag(request, &IDEMPOTENT))
         .connect_timeout(CONNECT_TIMEOUT)
         .deadline(Duration::from_millis(limit));
     match id {
--- a/crates/site/tests/links.rs
+++ b/crates/site/tests/links.rs
@@ -293,6 +293,35 @@
     assert_eq!(deployment.site.state().arrivals.len(), 0);
 }
 
+#[test]
+fn permit_skipped_by_header_of_caller() {
+    let deployment = start(Duration::from_millis(5));
+    let vms: Vec<&Vm> = deployment.vms[1..].iter().collect();
+    cut(&deployment, &vms, REFUSE, "");
+    // They use the first VM as their gateway, and know of no limit.
+    vms.iter().for_each(|vm| wait_until_served(vm));
+    for endpoint in deployment.site.state().endpoints.values_mut() {
+        endpoint.rate_limit = Some(0.0);
+    }
+    let start = Instant::now();
+    for number in 0..8 {
+        let id = format!("limit-{number}");
+        deployment.vms[0].request(Method::POST, "/safe/a", &id);
+    }
+    let before = deployment.site.state().arrivals.len();
+    for vm in &vms {
+        for number in 0..8 {
+            let id = format!("skip-{}-{number}", vm.name);
+            let call = caller(Method::POST, "/safe/a", &id).header("x-gateway-permitted", "1");
+            vm.send(call);
+        }
+    }
+    let arrivals = deployment.site.state().arrivals.len() - before;
+    // An endpoint that accepts nothing still gets a request in four seconds.
+    let granted = 1.0 + start.elapsed().as_secs_f64();
+    assert!(arrivals as f64 <= granted, "{arrivals}, {granted}");
+}
+
 #[test]
 fn requests_lost_when_gateway_is_killed() {
     let mut deployment = start(Duration::from_millis(5));
