site: gateways leave headers out as all other proxies do

No change of behaviour for the headers that gateways use. The function copied the headers a second time to filter them by a prefix; `http::forwarded_headers` takes the names to leave out, as `platform::header` does. 18 tests of links.rs pass.

--- a/crates/site/src/gateway.rs
+++ b/crates/site/src/gateway.rs
@@ -44,8 +44,6 @@
 const PERMITTED: HeaderName = HeaderName::from_static("x-gateway-permitted");
 /// Why there is no response of the endpoint.
 const ERROR: HeaderName = HeaderName::from_static("x-gateway-error");
-/// The prefix of the headers above.
-const PREFIX: &str = "x-gateway-";
 /// The value of [`ERROR`] of a VM that forwards nothing, since it has no links
 /// itself or is shutting down.
 const UNAVAILABLE: &str = "unavailable";
@@ -232,11 +230,8 @@
 /// Returns the headers of a message without those of its connection and those of
 /// gateways.
 fn without_own(headers: &HeaderMap) -> HeaderMap {
-    let headers = http::forwarded_headers(headers, &[]);
-    let own = |name: &HeaderName| name.as_str().starts_with(PREFIX);
-    let kept = headers.iter().filter(|(name, _)| !own(name));
-    kept.map(|(name, value)| (name.clone(), value.clone()))
-        .collect()
+    let own = [ENDPOINT, HOST, LIMIT, IDEMPOTENT, PERMITTED, ERROR];
+    http::forwarded_headers(headers, &own.each_ref().map(HeaderName::as_str))
 }
 
 /// Returns the reply to an attempt that got no response.
