link: the thread for blocking calls stands once

Cause: VMs on the users' platform are to keep records on disks, and need the thread that entry::bulk had for its own folder. Change: link::worker owns a value and runs operations on it; entry::bulk uses it. No change of behaviour. Ruled out: file calls on the runtime's own thread, which a disk that hangs for seconds would stop.

--- a/crates/entry/src/bulk/disk.rs
+++ b/crates/entry/src/bulk/disk.rs
@@ -10,12 +10,10 @@
     fs::{self, File, OpenOptions},
     io::{self, Read, Seek, SeekFrom, Write},
     path::{Path, PathBuf},
-    sync::mpsc,
-    thread,
-    time::Duration,
 };
 
 use board::key::Digest;
+use link::worker::{Stopped, Worker};
 use wire::message::{self, Chunk, Range};
 
 /// Why an operation on the disk failed.
@@ -47,20 +45,15 @@
     #[error("the name of the trainer cannot be part of a file name")]
     TrainerName,
     /// The thread for file operations has ended.
-    #[error("the thread for file operations has ended")]
-    Stopped,
+    #[error(transparent)]
+    Stopped(#[from] Stopped),
 }
 
-type Operation = Box<dyn FnOnce(&Path) + Send>;
-
 /// A folder, and the thread that runs operations on it.
 #[derive(Debug)]
-pub struct Disk {
-    operations: mpsc::Sender<Operation>,
-}
+pub struct Disk(Worker<PathBuf>);
 
 const TEMPORARY_EXTENSION: &str = "tmp";
-const POLL_INTERVAL: Duration = Duration::from_millis(1);
 
 impl Disk {
     /// Opens `folder`, creates it if it does not exist, and removes incomplete
@@ -74,14 +67,7 @@
             folder: folder.to_owned(),
             source,
         })?;
-        let (operations, queue) = mpsc::channel::<Operation>();
-        let folder = folder.to_owned();
-        thread::spawn(move || {
-            for operation in queue {
-                operation(&folder);
-            }
-        });
-        Ok(Self { operations })
+        Ok(Self(Worker::start(folder.to_owned())))
     }
 
     /// Stores a chunk of a file. After the last chunk the file is durable.
@@ -142,23 +128,7 @@
         &self,
         operation: impl FnOnce(&Path) -> Result<T, Error> + Send + 'static,
     ) -> Result<T, Error> {
-        let (sender, receiver) = mpsc::channel();
-        let operation: Operation = Box::new(move |folder| {
-            // The receiver is dropped if the caller was cancelled.
-            let _ = sender.send(operation(folder));
-        });
-        self.operations
-            .send(operation)
-            .map_err(|_| Error::Stopped)?;
-        loop {
-            match receiver.try_recv() {
-                Ok(result) => return result,
-                Err(mpsc::TryRecvError::Disconnected) => return Err(Error::Stopped),
-                // Other threads do not wake the runtime, so the result is
-                // polled.
-                Err(mpsc::TryRecvError::Empty) => monoio::time::sleep(POLL_INTERVAL).await,
-            }
-        }
+        self.0.run(move |folder| operation(folder)).await?
     }
 }
 
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod settings;
 pub mod telemetry;
 pub(crate) mod traffic;
+pub mod worker;
 
 pub use ::http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 pub use bytes::Bytes;
