site: what began a stream outlasts the loss of all callers' VMs

Cause: the producer of a stream was in the memory of the coordinators, which are among the VMs that callers reach. When all of these are killed or lose power at once, no take-up can be served (LOST): a VM that has just started may conclude nothing from its list of endpoints for a minute.

Change: VMs with disks keep the producers too (site::storage, site::origin::archive).

Ruled out: a write to the store for each stream: priced, limited to 400 a second on the small deployments, and impossible while the store is out. A token that the caller brings back: callers return only the id of their attempt, which they choose themselves, and the id of an event, which the endpoint has signed. The version by a hash of the attempt: the set of versions changes between the attempts.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod path;
 pub mod rate;
 pub mod relay;
+pub mod replica;
 pub mod retention;
 pub mod retry;
 pub mod routing;
--- a/crates/site/src/components.rs
+++ b/crates/site/src/components.rs
@@ -103,7 +103,7 @@
         let usage = Usage::new(settings.bounds.usage_window);
         let vm = settings.vm.as_str();
         let client = ask::Client::default();
-        let members = Members::new(coordinators.clone(), client.clone());
+        let members = Members::new(coordinators.clone(), client.clone(), None);
         let paths = Paths::new(facts.clone(), members.clone(), client.clone(), pool.clone());
         let permits = Permits::new(
             facts.clone(),
@@ -119,7 +119,9 @@
             facts.clone(),
             facts_view.clone(),
             coordinators.clone(),
+            members.clone(),
             client,
+            settings.tolerate.disks + 1,
         );
         let forwarder = Forwarder {
             facts: facts.clone(),
@@ -167,7 +169,7 @@
                 &settings.vm,
                 coordinators,
                 paths.clone(),
-                settings.bounds.lease_ttl,
+                &settings.bounds,
             ),
             jobs: registry,
             content,
--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -161,6 +161,11 @@
         self.headers.get(header::RESUMES)?.to_str().ok()
     }
 
+    /// Returns the time until the caller stops waiting.
+    pub(crate) fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
     fn compute_content(&self) -> String {
         let account = self.account.as_deref().unwrap_or_default();
         let parts = [self.method.as_str(), &self.host, &self.path, account];
@@ -174,7 +179,7 @@
 
     /// Returns the call to `endpoint`, which may take `limit`.
     pub fn call(&self, endpoint: &str, limit: Duration) -> Call {
-        let remaining = self.deadline.saturating_duration_since(Instant::now());
+        let remaining = self.time_left();
         let mut call = Call::new(self.method.clone(), &self.path)
             .headers(self.headers.clone())
             .body(self.body.clone())
@@ -310,7 +315,7 @@
         attempts: &mut Attempts,
         outcome: &mut Outcome,
     ) -> Option<Option<Source>> {
-        let remaining = dispatch.deadline.saturating_duration_since(Instant::now());
+        let remaining = dispatch.time_left();
         if is_exhausted(dispatch, outcome) {
             return None;
         }
@@ -421,7 +426,7 @@
         let mut tried = Vec::new();
         let mut outcome = Outcome::default();
         loop {
-            let remaining = dispatch.deadline.saturating_duration_since(Instant::now());
+            let remaining = dispatch.time_left();
             if is_exhausted(dispatch, &outcome) {
                 return outcome;
             }
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -1,8 +1,9 @@
 //! One VM on the users' platform. It serves callers and trainers and runs the
 //! items of jobs. The VM that holds the duty lease also performs the duties.
 //!
-//! All durable state is in the platform's store. A VM has no durable state of
-//! its own, so any VM can continue the work of another one.
+//! All durable state is in the platform's store, except for what began each
+//! stream, which VMs with disks keep ([`origin`]). So any VM can continue the
+//! work of another one.
 
 pub mod ask;
 pub(crate) mod components;
@@ -29,6 +30,8 @@
 pub mod reload;
 pub(crate) mod retention;
 pub mod signal;
+pub(crate) mod stop;
+pub(crate) mod storage;
 pub(crate) mod stream;
 pub mod usage;
 pub mod vm;
--- a/crates/site/src/member.rs
+++ b/crates/site/src/member.rs
@@ -22,6 +22,12 @@
 const PERIOD: Duration = Duration::from_secs(10);
 /// How soon a VM announces itself again if no coordinator answered.
 const RETRY_PERIOD: Duration = Duration::from_secs(1);
+/// How long after its start a VM announces itself with that period, since the VMs
+/// that it starts with may not be known yet.
+const START_TIME: Duration = Duration::from_secs(5);
+/// How often a VM with a disk announces itself. After a loss of all VMs, streams
+/// are resumed only once it is known.
+const DISK_PERIOD: Duration = Duration::from_millis(500);
 /// How long after its last announcement a VM is listed.
 const RETENTION: Duration = Duration::from_secs(25);
 /// The number of VMs that a coordinator returns.
@@ -34,12 +40,30 @@
         address: SocketAddr,
         /// Whether it has lost its links to all endpoints.
         is_cut_off: bool,
+        /// The failure domain of its disk, if it has one. Such a VM serves no
+        /// callers and has no links to endpoints.
+        disk: Option<String>,
     }
 }
 
 board::record! {
-    /// Peer addresses of VMs that have their links.
-    struct Listing(Vec<SocketAddr>);
+    /// A VM with a disk.
+    #[derive(Eq, PartialOrd, Ord)]
+    pub(crate) struct Disk {
+        /// Its peer address.
+        pub(crate) address: SocketAddr,
+        /// Its failure domain.
+        pub(crate) domain: String,
+    }
+}
+
+board::record! {
+    /// The VMs that a coordinator knows.
+    struct Listing {
+        /// Peer addresses of VMs that have their links.
+        linked: Vec<SocketAddr>,
+        disks: Vec<Disk>,
+    }
 }
 
 /// The VMs that this VM knows. Clones share the set.
@@ -53,19 +77,26 @@
     announced: RefCell<Map<SocketAddr, (Announcement, Instant)>>,
     /// What coordinators returned last.
     listed: RefCell<Vec<SocketAddr>>,
+    /// The VMs with disks that coordinators returned last.
+    listed_disks: RefCell<Vec<Disk>>,
     is_cut_off: Cell<bool>,
+    /// The failure domain of this VM's disk, if it has one.
+    disk: Option<String>,
     changed: Notifier,
 }
 
 impl Members {
-    /// Returns an empty set, which `coordinators` fill.
-    pub fn new(coordinators: Coordinators, client: ask::Client) -> Self {
+    /// Returns an empty set, which `coordinators` fill. `disk` is the failure
+    /// domain of this VM if it has a disk.
+    pub fn new(coordinators: Coordinators, client: ask::Client, disk: Option<String>) -> Self {
         Self(Rc::new(Inner {
             coordinators,
             client,
             announced: RefCell::default(),
             listed: RefCell::default(),
+            listed_disks: RefCell::default(),
             is_cut_off: Cell::new(false),
+            disk,
             changed: Notifier::default(),
         }))
     }
@@ -99,19 +130,60 @@
 
     /// Returns the VMs that announced that they have their links.
     fn linked(&self) -> Vec<SocketAddr> {
+        let announced = self.announced();
+        let linked = announced
+            .iter()
+            .filter(|vm| !vm.is_cut_off && vm.disk.is_none());
+        linked.map(|vm| vm.address).collect()
+    }
+
+    /// Returns the VMs with disks, as last heard of.
+    pub(crate) fn disks(&self) -> Vec<Disk> {
+        let mut disks = self.announced_disks();
+        disks.extend(self.0.listed_disks.borrow().iter().cloned());
+        disks.sort();
+        disks.dedup();
+        disks
+    }
+
+    fn announced_disks(&self) -> Vec<Disk> {
+        let disks = self.announced().into_iter().filter_map(|vm| {
+            let (address, domain) = (vm.address, vm.disk?);
+            Some(Disk { address, domain })
+        });
+        disks.collect()
+    }
+
+    fn announced(&self) -> Vec<Announcement> {
         let now = Instant::now();
         let mut announced = self.0.announced.borrow_mut();
         announced.retain(|_, (_, at)| now.saturating_duration_since(*at) < RETENTION);
-        let linked = announced.values().filter(|(vm, _)| !vm.is_cut_off);
-        linked.map(|(vm, _)| vm.address).collect()
+        announced.values().map(|(vm, _)| vm.clone()).collect()
+    }
+
+    /// Asks the coordinators for the other VMs now.
+    pub(crate) async fn refresh(&self) {
+        self.announce().await;
     }
 
     /// Announces this VM periodically and when its links change. Never returns.
     pub(crate) async fn run(self) {
+        let start = Instant::now();
+        let mut known = 0;
         loop {
             let seen = self.0.changed.count();
             let is_listed = self.announce().await;
-            let pause = if is_listed { PERIOD } else { RETRY_PERIOD };
+            let disks = self.disks().len();
+            if disks != known {
+                spdlog::info!("VMs with disks known", kv: { disks });
+                known = disks;
+            }
+            let is_settled = start.elapsed() >= START_TIME;
+            let pause = match &self.0.disk {
+                Some(_) => DISK_PERIOD,
+                _ if !is_listed || !is_settled => RETRY_PERIOD,
+                None => PERIOD,
+            };
             self.0.changed.wait_timeout(seen, pause).await;
         }
     }
@@ -125,8 +197,9 @@
         let announcement = Announcement {
             address,
             is_cut_off: self.0.is_cut_off.get(),
+            disk: self.0.disk.clone(),
         };
-        let mut listed = Vec::new();
+        let (mut listed, mut disks) = (Vec::new(), Vec::new());
         let mut is_listed = false;
         for vm in coordinators.rank(PATH, Instant::now()) {
             if coordinators.is_own(vm) {
@@ -137,7 +210,8 @@
             match self.0.client.ask::<Listing>(vm, PATH, &announcement).await {
                 Ok(answer) => {
                     is_listed = true;
-                    listed.extend(answer.0);
+                    listed.extend(answer.linked);
+                    disks.extend(answer.disks);
                 }
                 Err(problem) => {
                     let vm = vm.to_string();
@@ -148,6 +222,11 @@
         listed.sort();
         listed.dedup();
         *self.0.listed.borrow_mut() = listed;
+        // Disks change seldom, so those that are known are kept while no
+        // coordinator answers.
+        if is_listed {
+            *self.0.listed_disks.borrow_mut() = disks;
+        }
         is_listed
     }
 
@@ -169,6 +248,8 @@
         let seed = hash::hash_value(&asker);
         listed.sort_by_key(|vm| hash::rendezvous(seed, &vm.to_string()));
         listed.truncate(LISTED_MAX);
-        Reply::json(StatusCode::OK, &Listing(listed))
+        let disks = self.announced_disks();
+        let linked = listed;
+        Reply::json(StatusCode::OK, &Listing { linked, disks })
     }
 }
--- a/crates/site/src/stream.rs
+++ b/crates/site/src/stream.rs
@@ -104,7 +104,9 @@
             return Ok(None);
         };
         let origin = dispatch.origin();
-        let found = self.origins.find(origin, service).await;
+        // A rejection has to reach the caller in time for another attempt.
+        let deadline = Instant::now() + dispatch.time_left() / 2;
+        let found = self.origins.find(origin, service, deadline).await;
         let request = dispatch.id.as_str();
         let origin = origin.unwrap_or_default();
         match found {
--- a/crates/site/src/vm.rs
+++ b/crates/site/src/vm.rs
@@ -22,7 +22,7 @@
 
 use crate::{
     components::Components, duty::report, facts::Facts, job::failover, reload::File,
-    signal::Signals,
+    signal::Signals, stop, storage,
 };
 
 /// One VM on the users' platform.
@@ -58,11 +58,6 @@
     Log(#[from] spdlog::Error),
 }
 
-/// How often the main loop polls for signals.
-const SIGNAL_POLL_PERIOD: Duration = Duration::from_millis(50);
-/// The number of polls for signals after which the settings file and the log
-/// are checked, which is once a second.
-const FILE_CHECK_POLLS: u32 = 20;
 /// How long after SIGTERM a VM still accepts connections. Load balancers probe
 /// readiness once a second, and stop sending requests after two failed probes.
 const DRAIN_DELAY: Duration = Duration::from_millis(3000);
@@ -111,54 +106,30 @@
     let (vm, domain) = (settings.vm.as_str(), settings.failure_domain.as_str());
     let version = env!("CARGO_PKG_VERSION");
     spdlog::info!("started", kv: { vm, domain, version });
+    let Some(address) = settings.listen.callers else {
+        // A VM without an address for callers only provides its disk.
+        storage::run(&mut file, &signals).await?;
+        spdlog::info!("stopped", kv: { vm });
+        return Ok(());
+    };
     let components = Components::new(&settings);
     if let Some(port) = arguments.metrics_port {
         let address = SocketAddr::new(settings.ip, port);
         serve_metrics(&components, address, arguments.test_faults)?;
     }
-    match settings.listen.callers {
-        Some(address) => {
-            let drain = Drain::default();
-            let is_draining = Rc::new(Cell::new(false));
-            serve(&settings, &components, address, &drain, &is_draining)?;
-            wait_for_stop(&mut file, &components, &signals).await;
-            shut_down(&settings, &components, &drain, &is_draining).await;
-        }
-        // A VM without an address for callers only provides its disk. All
-        // durable state is in the platform's store, so this VM has no work.
-        None => wait_for_stop(&mut file, &components, &signals).await,
-    }
+    let drain = Drain::default();
+    let is_draining = Rc::new(Cell::new(false));
+    serve(&settings, &components, address, &drain, &is_draining)?;
+    let metrics = components.metrics.clone();
+    stop::wait(&mut file, &metrics, &signals, |settings| {
+        components.apply_settings(settings)
+    })
+    .await;
+    shut_down(&settings, &components, &drain, &is_draining).await;
     spdlog::info!("stopped", kv: { vm });
     Ok(())
 }
 
-/// Waits for a signal to stop, and applies changed settings meanwhile.
-async fn wait_for_stop(file: &mut File, components: &Components, signals: &Signals) {
-    let mut polls = 0;
-    while !signals.should_stop() {
-        monoio::time::sleep(SIGNAL_POLL_PERIOD).await;
-        polls = (polls + 1) % FILE_CHECK_POLLS;
-        let is_due = polls == 0;
-        let is_requested = signals.take_reload();
-        if (is_requested || (is_due && file.has_changed()))
-            && let Some(settings) = file.reload()
-        {
-            components.apply_settings(settings);
-        }
-        if is_due {
-            report_dropped_lines(components);
-        }
-    }
-}
-
-fn report_dropped_lines(components: &Components) {
-    let lines = link::log::take_dropped();
-    if lines > 0 {
-        components.metrics.record_dropped_lines(lines);
-        spdlog::warn!("log lines dropped", kv: { lines });
-    }
-}
-
 fn serve_metrics(
     components: &Components,
     address: SocketAddr,
--- a/crates/site/tests/common/mod.rs
+++ b/crates/site/tests/common/mod.rs
@@ -51,7 +51,20 @@
     pub(crate) site: Site,
     /// The VMs, of which number `n` is named `vm-n`.
     pub(crate) vms: Vec<Vm>,
-    _block: Block,
+    /// The VMs that only provide a disk.
+    pub(crate) disks: Vec<DiskVm>,
+    block: Block,
+}
+
+/// A VM that only provides a disk, and its process.
+pub(crate) struct DiskVm {
+    /// The address for other VMs.
+    pub(crate) peers: SocketAddr,
+    /// The folder on its disk.
+    pub(crate) data: PathBuf,
+    process: Child,
+    settings: PathBuf,
+    log: PathBuf,
 }
 
 /// Returns the configuration that all tests use.
@@ -130,7 +143,8 @@
         let deployment = Self {
             site,
             vms,
-            _block: block,
+            disks: Vec::new(),
+            block,
         };
         for vm in &deployment.vms {
             vm.wait_until_ready();
@@ -138,6 +152,62 @@
         deployment
     }
 
+    /// Starts `count` VMs with disks, each in a failure domain of its own, and
+    /// waits until the coordinators know them.
+    pub(crate) fn add_disks(&mut self, count: usize) {
+        let text = std::fs::read_to_string(&self.vms[0].settings).unwrap();
+        let seeds = text.lines().find(|line| line.starts_with("seeds")).unwrap();
+        let folder = self.block.folder();
+        for number in 0..count {
+            let peers = self.block.next();
+            let name = format!("disk-{number}");
+            let settings = folder.join(format!("{name}.toml"));
+            let data = folder.join(format!("{name}-data"));
+            let text = format!(
+                "node = \"{name}\"\nzone = \"zone-{number}\"\nip = \"{ip}\"\n{seeds}\n\
+                 port-range = [{port}, {port}]\ndata-dir = \"{data}\"\n[listen]\n\
+                 [platform]\naddress = \"{store}\"\n[cloud]\naddress = \"{provider}\"\n\
+                 [bounds]\ngrace-s = 4\nreport-window-s = 1\nstatus-s = 120\nlease-ms = 3000\n\
+                 [limits]\nmemory-mb = 260\n",
+                ip = peers.ip(),
+                port = peers.port(),
+                data = data.display(),
+                store = self.site.store,
+                provider = self.site.provider,
+            );
+            std::fs::write(&settings, text).unwrap();
+            let log = folder.join(format!("{name}.log"));
+            let process = launch_without_metrics(&settings, &log);
+            self.disks.push(DiskVm {
+                peers,
+                data,
+                process,
+                settings,
+                log,
+            });
+        }
+        for vm in self.vms.iter().filter(|_| count > 0) {
+            wait("the disks to be known", || vm.knows_disks(count));
+        }
+    }
+
+    /// Kills all VMs at the same moment, those with disks only if `with_disks`.
+    pub(crate) fn kill_all(&mut self, with_disks: bool) {
+        self.vms.iter_mut().for_each(Vm::kill);
+        if with_disks {
+            self.disks.iter_mut().for_each(|disk| disk.process.kill());
+        }
+    }
+
+    /// Starts all VMs again that were killed, and waits until they are ready.
+    pub(crate) fn restart_all(&mut self) {
+        for disk in &mut self.disks {
+            disk.start_if_ended();
+        }
+        self.vms.iter_mut().for_each(Vm::start_again);
+        self.vms.iter().for_each(Vm::wait_until_ready);
+    }
+
     /// Waits until a VM runs a job, and returns its index.
     pub(crate) fn runner(&self) -> usize {
         let mut runner = None;
@@ -168,11 +238,14 @@
 address = "{}"
 [cloud]
 address = "{}"
+[tolerate]
+machines = 1
 [bounds]
 grace-s = 4
 report-window-s = 1
 status-s = 120
 lease-ms = 3000
+fence-checked = true
 [limits]
 memory-mb = 260
 "#,
@@ -191,7 +264,42 @@
     Child::spawn(command, log).unwrap()
 }
 
+fn launch_without_metrics(settings: &Path, log: &Path) -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_tarragonseam-vm"));
+    command.env("TARRAGONSEAM_NODE_FILE", settings);
+    Child::spawn(command, log).unwrap()
+}
+
+impl DiskVm {
+    /// Kills the process.
+    pub(crate) fn kill(&mut self) {
+        self.process.kill();
+    }
+
+    /// Sends `signal` to the process.
+    pub(crate) fn signal(&self, signal: &str) {
+        self.process.signal(signal).unwrap();
+    }
+
+    /// Starts the process again if it has ended.
+    pub(crate) fn start_if_ended(&mut self) {
+        if self.process.id().is_none() {
+            self.process = launch_without_metrics(&self.settings, &self.log);
+        }
+    }
+
+    /// Returns what the VM has logged so far.
+    pub(crate) fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap()
+    }
+}
+
 impl Vm {
+    /// Returns whether the VM has logged that it knows `count` VMs with disks.
+    fn knows_disks(&self, count: usize) -> bool {
+        self.log().contains(&format!("\"disks\":{count}"))
+    }
+
     /// Waits until the VM reports that it is ready.
     pub(crate) fn wait_until_ready(&self) {
         wait("a ready VM", || {
--- a/crates/site/tests/common/stream.rs
+++ b/crates/site/tests/common/stream.rs
@@ -3,12 +3,13 @@
 use std::{
     io::{Read, Write},
     net::{SocketAddr, TcpStream},
+    thread,
     time::Duration,
 };
 
-use fakes::site;
+use fakes::site::{self, Plan};
 
-use super::{HOST, KEY};
+use super::{Deployment, HOST, KEY, wait};
 
 /// How long the caller waits for the next bytes.
 const READ_TIMEOUT: Duration = Duration::from_secs(5);
@@ -132,3 +133,119 @@
         self.is_complete && self.events.iter().map(|(id, _)| *id).eq(0..count)
     }
 }
+
+/// The number of engines, every other one of which has the newer version.
+pub(crate) const ENGINES: usize = 4;
+/// The number of streams of a test: as many as the platform needs to judge how
+/// many of them go on.
+pub(crate) const STREAMS: usize = 12;
+/// The number of events of a stream.
+pub(crate) const EVENTS: u64 = 8;
+/// The number of events after which streams break.
+pub(crate) const EVENTS_BEFORE: usize = 3;
+
+/// Starts `vms` VMs, of which the first three are coordinators, and engines of
+/// two software versions.
+pub(crate) fn start(vms: usize, event_time: Duration) -> Deployment {
+    let plan = Plan {
+        engines: ENGINES,
+        plain: 1,
+        event_time,
+    };
+    let deployment = Deployment::start_with_coordinators(vms, vms.min(3), plan);
+    let mut state = deployment.site.state();
+    for number in (1..ENGINES).step_by(2) {
+        set_software(&mut state, &format!("engine-{number}"), "v2");
+    }
+    drop(state);
+    for vm in &deployment.vms {
+        wait("the newer endpoints", || {
+            let log = vm.log();
+            log.lines()
+                .filter(|line| line.contains("\"software\":\"v2\""))
+                .count()
+                >= ENGINES / 2
+        });
+    }
+    deployment
+}
+
+/// Replaces the process of the endpoint `id` by one of another version.
+pub(crate) fn set_software(state: &mut site::State, id: &str, software: &'static str) {
+    let endpoint = state.endpoints.get_mut(id).unwrap();
+    endpoint.software = software;
+    endpoint.born += 1;
+    state.announce(id, "ready");
+}
+
+/// Makes the next stream of each engine break after an event.
+pub(crate) fn cut_streams(deployment: &Deployment, after: u64) {
+    for endpoint in deployment.site.state().endpoints.values_mut() {
+        endpoint.faults.cut_after = Some(after);
+    }
+}
+
+/// Opens a stream at each of `vms` and calls `break_streams` once all of them have
+/// [`EVENTS_BEFORE`] events. Returns the streams once their answers have ended.
+pub(crate) fn open_streams(
+    round: usize,
+    vms: &[SocketAddr],
+    break_streams: impl FnOnce(),
+) -> Vec<Stream> {
+    open_streams_until(round, vms, EVENTS_BEFORE, break_streams)
+}
+
+/// As [`open_streams`], with `events` events before the streams break.
+pub(crate) fn open_streams_until(
+    round: usize,
+    vms: &[SocketAddr],
+    events: usize,
+    break_streams: impl FnOnce(),
+) -> Vec<Stream> {
+    let names = (0..vms.len()).map(|number| format!("s{round}-{number}"));
+    let mut streams: Vec<Stream> = names.map(|name| Stream::new(&name)).collect();
+    let opened = streams.iter().zip(vms);
+    let mut attempts: Vec<Attempt> = opened
+        .map(|(stream, vm)| Attempt::open(*vm, stream, EVENTS))
+        .collect();
+    for attempt in &mut attempts {
+        attempt.read(events);
+    }
+    break_streams();
+    for (attempt, stream) in attempts.into_iter().zip(&mut streams) {
+        attempt.finish(stream);
+    }
+    streams
+}
+
+/// Resumes the streams that are not complete, each at one of `vms`.
+pub(crate) fn resume_streams(streams: &mut [Stream], vms: &[SocketAddr]) {
+    thread::scope(|scope| {
+        let broken = streams.iter_mut().filter(|stream| !stream.is_complete);
+        for (stream, vm) in broken.zip(vms.iter().cycle()) {
+            scope.spawn(move || Attempt::open(*vm, stream, EVENTS).finish(stream));
+        }
+    });
+}
+
+/// Asserts that all streams have their events, each from one version.
+pub(crate) fn assert_whole(streams: &[Stream]) {
+    let is_good = |stream: &&Stream| stream.is_whole(EVENTS) && !stream.is_mixed();
+    let bad = streams.iter().filter(|stream| !is_good(stream));
+    let bad: Vec<_> = bad.map(|stream| &stream.events).collect();
+    assert!(
+        bad.is_empty(),
+        "{} of {}: {bad:?}",
+        bad.len(),
+        streams.len()
+    );
+}
+
+pub(crate) fn callers(deployment: &Deployment) -> Vec<SocketAddr> {
+    deployment.vms.iter().map(|vm| vm.callers).collect()
+}
+
+/// Returns [`STREAMS`] times one of `vms`, in turn.
+pub(crate) fn in_turn(vms: &[SocketAddr]) -> Vec<SocketAddr> {
+    vms.iter().copied().cycle().take(STREAMS).collect()
+}
--- a/crates/site/tests/software.rs
+++ b/crates/site/tests/software.rs
@@ -2,119 +2,20 @@
 
 mod common;
 
-use std::{net::SocketAddr, thread, time::Duration};
+use std::time::Duration;
 
 use common::{
     Deployment, job,
-    stream::{Attempt, Stream},
+    stream::{
+        Attempt, ENGINES, EVENTS, EVENTS_BEFORE, STREAMS, Stream, assert_whole, callers,
+        cut_streams, in_turn, open_streams, resume_streams, set_software, start,
+    },
     wait,
 };
-use fakes::site::{self, Fault, Plan};
+use fakes::site::{self, Fault};
 use link::Method;
 use serde_json::Value;
 
-/// The number of engines, every other one of which has the newer version.
-const ENGINES: usize = 4;
-/// The number of streams of a test: as many as the platform needs to judge how
-/// many of them go on.
-const STREAMS: usize = 12;
-/// The number of events of a stream.
-const EVENTS: u64 = 8;
-/// The number of events after which streams break.
-const EVENTS_BEFORE: usize = 3;
-
-/// Starts `vms` VMs, of which the first three are coordinators, and engines of
-/// two software versions.
-fn start(vms: usize, event_time: Duration) -> Deployment {
-    let plan = Plan {
-        engines: ENGINES,
-        plain: 1,
-        event_time,
-    };
-    let deployment = Deployment::start_with_coordinators(vms, vms.min(3), plan);
-    let mut state = deployment.site.state();
-    for number in (1..ENGINES).step_by(2) {
-        set_software(&mut state, &format!("engine-{number}"), "v2");
-    }
-    drop(state);
-    for vm in &deployment.vms {
-        wait("the newer endpoints", || {
-            let log = vm.log();
-            log.lines()
-                .filter(|line| line.contains("\"software\":\"v2\""))
-                .count()
-                >= ENGINES / 2
-        });
-    }
-    deployment
-}
-
-/// Replaces the process of the endpoint `id` by one of another version.
-fn set_software(state: &mut site::State, id: &str, software: &'static str) {
-    let endpoint = state.endpoints.get_mut(id).unwrap();
-    endpoint.software = software;
-    endpoint.born += 1;
-    state.announce(id, "ready");
-}
-
-/// Makes the next stream of each engine break after an event.
-fn cut_streams(deployment: &Deployment, after: u64) {
-    for endpoint in deployment.site.state().endpoints.values_mut() {
-        endpoint.faults.cut_after = Some(after);
-    }
-}
-
-/// Opens a stream at each of `vms` and calls `break_streams` once all of them have
-/// [`EVENTS_BEFORE`] events. Returns the streams once their answers have ended.
-fn open_streams(round: usize, vms: &[SocketAddr], break_streams: impl FnOnce()) -> Vec<Stream> {
-    let names = (0..vms.len()).map(|number| format!("s{round}-{number}"));
-    let mut streams: Vec<Stream> = names.map(|name| Stream::new(&name)).collect();
-    let opened = streams.iter().zip(vms);
-    let mut attempts: Vec<Attempt> = opened
-        .map(|(stream, vm)| Attempt::open(*vm, stream, EVENTS))
-        .collect();
-    for attempt in &mut attempts {
-        attempt.read(EVENTS_BEFORE);
-    }
-    break_streams();
-    for (attempt, stream) in attempts.into_iter().zip(&mut streams) {
-        attempt.finish(stream);
-    }
-    streams
-}
-
-/// Resumes the streams that are not complete, each at one of `vms`.
-fn resume_streams(streams: &mut [Stream], vms: &[SocketAddr]) {
-    thread::scope(|scope| {
-        let broken = streams.iter_mut().filter(|stream| !stream.is_complete);
-        for (stream, vm) in broken.zip(vms.iter().cycle()) {
-            scope.spawn(move || Attempt::open(*vm, stream, EVENTS).finish(stream));
-        }
-    });
-}
-
-/// Asserts that all streams have their events, each from one version.
-fn assert_whole(streams: &[Stream]) {
-    let is_good = |stream: &&Stream| stream.is_whole(EVENTS) && !stream.is_mixed();
-    let bad = streams.iter().filter(|stream| !is_good(stream));
-    let bad: Vec<_> = bad.map(|stream| &stream.events).collect();
-    assert!(
-        bad.is_empty(),
-        "{} of {}: {bad:?}",
-        bad.len(),
-        streams.len()
-    );
-}
-
-fn callers(deployment: &Deployment) -> Vec<SocketAddr> {
-    deployment.vms.iter().map(|vm| vm.callers).collect()
-}
-
-/// Returns [`STREAMS`] times one of `vms`, in turn.
-fn in_turn(vms: &[SocketAddr]) -> Vec<SocketAddr> {
-    vms.iter().copied().cycle().take(STREAMS).collect()
-}
-
 #[test]
 fn stream_continued_within_answer_at_other_version() {
     let deployment = start(2, Duration::from_millis(20));
