site, policy: duties where receivers do not check the fence

Cause: expire_predecessor lets a restarted process act at once, so a call of the process before may arrive after it with a lower token; a release lets the next holder act after a second, and the first one again after another, so holders act in the order A, B, A within one lease. Both relied on receivers that reject lower epochs. And the lease was checked before an order's connection was opened, not before the order was written.

Change: Terms::is_epoch_checked, from the setting. Without a check, the record of a predecessor counts as released, which leaves its last call the time to arrive, and a lease is released early only after one term. With a check, nothing is slower. Orders and reports carry a fence that is checked right before their bytes are written.

Ruled out: no early release at all: a planned stop would leave the duties for 3.5 s each time, also where the lease has been held for long.

--- a/crates/board/src/lease.rs
+++ b/crates/board/src/lease.rs
@@ -43,6 +43,8 @@
     pub seen: Option<(u64, Record, Time)>,
     /// The epoch held, and until when orders may be sent under it.
     pub held: Option<(u64, Time)>,
+    /// The epoch that was held last, and when its first write was sent.
+    pub acquired: Option<(u64, Time)>,
     /// When the object was last read.
     pub read_at: Time,
     /// Writes whose outcome is unknown, and when each was sent. Any of them may
@@ -84,6 +86,12 @@
     pub margin: Duration,
     /// How often the holder renews the lease, and others check it.
     pub period: Duration,
+    /// Whether receivers reject orders of a lower epoch than they have seen. If
+    /// they do not, a lease changes hands by waiting alone: orders of a process
+    /// that was restarted are given time to arrive, and a lease that was just
+    /// acquired is not released early, so that the orders of two holders do not
+    /// alternate within one lease.
+    pub is_epoch_checked: bool,
 }
 
 impl Default for Terms {
@@ -92,6 +100,7 @@
             ttl: Duration::from_secs(6),
             margin: Duration::from_secs(2),
             period: Duration::from_millis(1500),
+            is_epoch_checked: true,
         }
     }
 }
--- a/crates/policy/src/lease.rs
+++ b/crates/policy/src/lease.rs
@@ -159,9 +159,11 @@
     // read it. Any other version means that the lease is no longer held. The
     // remaining writes require the previous version and can't take effect.
     let mut pending = std::mem::take(&mut lease.pending_writes).into_iter();
-    lease.held = pending
-        .find(|(written, _)| *written == record)
-        .map(|(_, sent)| (record.epoch, sent + (terms.ttl - terms.margin)));
+    let own = pending.find(|(written, _)| *written == record);
+    lease.held = None;
+    if let Some((_, sent)) = own {
+        hold(lease, record.epoch, sent, terms);
+    }
     lease.seen = Some((version, record, now));
 }
 
@@ -169,8 +171,7 @@
 pub fn record_write(lease: &mut Lease, sent: Time, record: Record, outcome: Outcome, terms: Terms) {
     match outcome {
         Outcome::Written(version) => {
-            let until = sent + (terms.ttl - terms.margin);
-            lease.held = Some((record.epoch, until));
+            hold(lease, record.epoch, sent, terms);
             lease.pending_writes.clear();
             lease.seen = Some((version, record, sent));
             lease.next_check = lease.next_check.min(sent + renewal_period(terms));
@@ -187,6 +188,14 @@
     }
 }
 
+/// Holds the lease under `epoch` by a write that was sent at `sent`.
+fn hold(lease: &mut Lease, epoch: u64, sent: Time, terms: Terms) {
+    lease.held = Some((epoch, sent + (terms.ttl - terms.margin)));
+    if lease.acquired.is_none_or(|(acquired, _)| acquired != epoch) {
+        lease.acquired = Some((epoch, sent));
+    }
+}
+
 /// Returns the epoch under which orders may be sent at `now`, or `None` if the
 /// lease is not held.
 pub fn epoch(lease: &Lease, now: Time) -> Option<u64> {
@@ -198,8 +207,9 @@
 
 /// Treats a record of `holder` that this process did not write as expired: it
 /// belongs to a previous process, which has ended. This is safe only if a
-/// holder never runs two processes at once and receivers reject orders of a
-/// lower epoch.
+/// holder never runs two processes at once. Where receivers do not check epochs,
+/// the record is treated as released, so that an order which the previous
+/// process sent just before its end is delivered first.
 ///
 /// # Examples
 ///
@@ -222,6 +232,10 @@
         && record.nonce != lease.nonce
         && !has_own_write
     {
+        if !terms.is_epoch_checked {
+            record.ttl_ms = record.ttl_ms.min(terms.margin.as_millis() as u64);
+            return;
+        }
         *since = now - takeover_delay(record, terms);
         lease.next_check = now;
     }
@@ -230,10 +244,18 @@
 /// Releases the lease and returns the write that publishes the release. The
 /// written record has a TTL as short as the margin. A successor still waits
 /// until an order that was sent just before the release has been delivered.
-pub fn release(lease: &mut Lease, terms: Terms, holder: &str) -> Option<Step> {
+/// Where receivers do not check epochs, it also waits until one TTL after the
+/// lease was acquired: by then the last orders of the holder before are older.
+pub fn release(lease: &mut Lease, now: Time, terms: Terms, holder: &str) -> Option<Step> {
     let (epoch, _) = lease.held.take()?;
     let (version, ..) = lease.seen.clone()?;
-    let record = next_record(lease, holder, epoch, terms.margin);
+    let mut ttl = terms.margin;
+    if !terms.is_epoch_checked {
+        let acquired = lease.acquired.filter(|(acquired, _)| *acquired == epoch);
+        let held_for = acquired.map_or(Duration::ZERO, |(_, since)| now - since);
+        ttl = ttl.max(terms.ttl.saturating_sub(held_for));
+    }
+    let record = next_record(lease, holder, epoch, ttl);
     Some(Step::Write { version, record })
 }
 
--- a/crates/policy/tests/lease.rs
+++ b/crates/policy/tests/lease.rs
@@ -12,7 +12,7 @@
 use lease_model::{Event, Fault, Simulation};
 use proptest::prelude::*;
 use tarragonseam_policy::lease::{
-    Outcome, Step, check_period, epoch, record_read, record_write, step,
+    Outcome, Step, check_period, epoch, record_read, record_write, release, step,
 };
 
 fn event() -> impl Strategy<Value = Event> {
@@ -46,6 +46,91 @@
     }
 }
 
+/// The terms of a platform on which a lease lasts 3 s.
+fn short_terms(is_epoch_checked: bool) -> Terms {
+    Terms {
+        ttl: Duration::from_millis(3000),
+        margin: Duration::from_millis(500),
+        period: Duration::from_millis(800),
+        is_epoch_checked,
+    }
+}
+
+fn events_with_releases() -> impl Strategy<Value = Vec<Event>> {
+    let release = (0_u64..90_000, 0_usize..5).prop_map(|(at_ms, process)| Event {
+        at_ms,
+        process,
+        fault: Fault::Release,
+    });
+    proptest::collection::vec(prop_oneof![1 => release, 1 => event()], 0..40)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(400))]
+
+    #[test]
+    fn orders_ordered_without_epoch_checks(
+        events in events_with_releases(),
+        seed in any::<u64>(),
+        vms in 2_usize..=5,
+    ) {
+        let terms = short_terms(false);
+        let mut simulation = Simulation::with_successors(terms, seed, vms);
+        simulation.run(&events, Duration::from_secs(100));
+        simulation.check()?;
+        simulation.check_alternation(terms.ttl)?;
+    }
+}
+
+/// Runs two VMs that release the lease or restart in turn, and returns whether any run has
+/// orders of a lower epoch, and whether orders of VMs alternate in any run.
+fn faults_in_turn(terms: Terms, fault: &Fault) -> (bool, bool) {
+    let mut found = (false, false);
+    for seed in 0..200 {
+        let events: Vec<_> = (0..60)
+            .map(|index| Event {
+                at_ms: 8_000 + 1_450 * index,
+                process: (index % 2) as usize,
+                fault: fault.clone(),
+            })
+            .collect();
+        let mut simulation = Simulation::with_successors(terms, seed, 2);
+        simulation.run(&events, Duration::from_secs(100));
+        found.0 |= simulation.check().is_err();
+        found.1 |= simulation.check_alternation(terms.ttl).is_err();
+    }
+    found
+}
+
+#[test]
+fn orders_without_epoch_checks_under_terms_that_rely_on_them() {
+    // The simulation finds what the terms for such receivers prevent.
+    let checked = short_terms(true);
+    assert!(faults_in_turn(checked, &Fault::Restart).0);
+    assert!(faults_in_turn(checked, &Fault::Release).1);
+    let unchecked = short_terms(false);
+    assert_eq!(faults_in_turn(unchecked, &Fault::Restart), (false, false));
+    assert_eq!(faults_in_turn(unchecked, &Fault::Release), (false, false));
+}
+
+#[test]
+fn release_early_only_after_one_term() {
+    let start = Time::from_millis(10_000);
+    let ttl_of_release = |terms: Terms, held_for: Duration| {
+        let (mut lease, _) = held_lease(start, terms);
+        let step = release(&mut lease, start + held_for, terms, "vm-1");
+        let Some(Step::Write { record, .. }) = step else {
+            panic!("the lease was held");
+        };
+        Duration::from_millis(record.ttl_ms)
+    };
+    let (checked, unchecked) = (short_terms(true), short_terms(false));
+    let second = Duration::from_secs(1);
+    assert_eq!(ttl_of_release(checked, second), checked.margin);
+    assert_eq!(ttl_of_release(unchecked, second), unchecked.ttl - second);
+    assert_eq!(ttl_of_release(unchecked, unchecked.ttl), unchecked.margin);
+}
+
 /// Returns whether orders of two holders overlap in any of many runs with
 /// `terms`.
 fn overlaps(terms: Terms) -> bool {
--- a/crates/policy/tests/lease_model/mod.rs
+++ b/crates/policy/tests/lease_model/mod.rs
@@ -14,6 +14,8 @@
 const TICK_MS: u64 = 50;
 const TIMEOUT_MS: u64 = 3_000;
 const ORDER_PERIOD_MS: u64 = 200;
+/// The longest way of a call that is not slow.
+const CALL_MAX_MS: u64 = 150;
 
 /// A fault of a process. A number is its duration in milliseconds.
 #[derive(Clone, Debug)]
@@ -25,6 +27,8 @@
     /// Writes take effect late, while reads stay fast.
     LateWrites(u64),
     Outage(u64),
+    /// The process releases the lease, and competes for it again.
+    Release,
 }
 
 /// A fault injected into one process at a given time.
@@ -73,6 +77,7 @@
     arrived_ms: u64,
     epoch: u64,
     nonce: u64,
+    vm: &'static str,
 }
 
 /// The state of the simulation, which runs in one thread with one global clock.
@@ -87,6 +92,10 @@
     in_transit: Vec<Call>,
     orders: Vec<Order>,
     next_nonce: u64,
+    /// Whether a process takes the lease of the one before it on its VM.
+    expires_predecessors: bool,
+    /// The longest way of an order.
+    delivery_max: Duration,
 }
 
 impl Simulation {
@@ -117,9 +126,23 @@
             in_transit: Vec::new(),
             orders: Vec::new(),
             next_nonce: 100,
+            expires_predecessors: false,
+            delivery_max: ORDER_DELIVERY_MAX,
         }
     }
 
+    /// Returns a simulation of at most five VMs, each of which runs one process at
+    /// a time. A process takes the lease of the one before it on its VM.
+    pub(crate) fn with_successors(terms: Terms, seed: u64, vms: usize) -> Self {
+        let mut simulation = Self::new(terms, seed);
+        simulation.processes[3].name = "vm-5";
+        simulation.processes.truncate(vms);
+        simulation.expires_predecessors = true;
+        // The terms may be shorter than those that allow for slow orders.
+        simulation.delivery_max = terms.margin;
+        simulation
+    }
+
     /// Removes all processes but the one at `index`.
     pub(crate) fn keep_only(&mut self, index: usize) {
         let process = self.processes.swap_remove(index);
@@ -159,6 +182,30 @@
         Ok(())
     }
 
+    /// Checks that no VM sent an order after one of another VM, within `span` of
+    /// an order that it had sent before that.
+    pub(crate) fn check_alternation(&self, span: Duration) -> Result<(), TestCaseError> {
+        let mut orders = self.orders.clone();
+        orders.sort_by_key(|order| order.arrived_ms);
+        let span = span.as_millis() as u64;
+        for (index, first) in orders.iter().enumerate() {
+            let later = orders[index..].iter();
+            let later = later.take_while(|order| order.arrived_ms < first.arrived_ms + span);
+            let mut other = None;
+            for order in later {
+                match other {
+                    None if order.vm != first.vm => other = Some(order),
+                    Some(other) if order.vm == first.vm => {
+                        let orders = format!("{first:?}, {other:?}, {order:?}");
+                        return Err(TestCaseError::fail(orders));
+                    }
+                    _ => {}
+                }
+            }
+        }
+        Ok(())
+    }
+
     /// Returns the epoch of the last order.
     pub(crate) fn last_epoch(&self) -> u64 {
         self.orders.last().map_or(0, |order| order.epoch)
@@ -168,6 +215,23 @@
         let count = self.processes.len();
         let process = &mut self.processes[event.process % count];
         match event.fault {
+            Fault::Release => {
+                let local_now = process.clock(now);
+                let name = process.name;
+                let step = lease::release(&mut process.lease, local_now, self.terms, name);
+                if let Some(Step::Write { version, record }) = step {
+                    let arrives_ms = now + self.rng.random_range(0..CALL_MAX_MS);
+                    self.in_transit.push(Call {
+                        write: Some((version, record)),
+                        sent: local_now,
+                        arrives_ms,
+                        answers_ms: arrives_ms,
+                        expires_ms: arrives_ms,
+                        is_lost: true,
+                        answer: None,
+                    });
+                }
+            }
             Fault::Pause(span) => process.paused_until = now + span,
             Fault::SlowCalls(span) => process.slow_until = now + span,
             Fault::LostReplies(span) => process.lossy_until = now + span,
@@ -229,6 +293,10 @@
         match (&call.write, answer) {
             (None, Some(Answer::Found(found))) => {
                 lease::record_read(&mut process.lease, local_now, found.clone(), terms);
+                if self.expires_predecessors {
+                    let name = process.name;
+                    lease::expire_predecessor(&mut process.lease, local_now, terms, name);
+                }
             }
             (Some((_, record)), answer) => {
                 let outcome = match answer {
@@ -262,11 +330,12 @@
         process.next_order_ms = now + ORDER_PERIOD_MS;
         let delay_ms = self
             .rng
-            .random_range(0..=ORDER_DELIVERY_MAX.as_millis() as u64);
+            .random_range(0..=self.delivery_max.as_millis() as u64);
         self.orders.push(Order {
             arrived_ms: now + delay_ms,
             epoch,
             nonce: process.lease.nonce,
+            vm: process.name,
         });
     }
 
@@ -297,9 +366,13 @@
         let delay_max_ms = if now < process.slow_until || is_late_write {
             12_000
         } else {
-            150
+            CALL_MAX_MS
+        };
+        let timeout_ms = if is_late_write {
+            CALL_MAX_MS
+        } else {
+            TIMEOUT_MS
         };
-        let timeout_ms = if is_late_write { 150 } else { TIMEOUT_MS };
         let arrives_ms = now + self.rng.random_range(0..delay_max_ms);
         let is_lossy = now < process.lossy_until;
         process.call = Some(Call {
--- a/crates/site/src/duty/lease.rs
+++ b/crates/site/src/duty/lease.rs
@@ -7,9 +7,10 @@
 };
 
 use board::lease::{Lease, Record, Terms};
-use link::clock::Clock;
+use link::{clock::Clock, http::client::Fence};
 use platform::{
     order::Authority,
+    settings::Bounds,
     store::{Error, Event, Object, Store, Written},
 };
 use policy::lease::{self as decision, Outcome, Step};
@@ -82,20 +83,20 @@
 }
 
 impl Manager {
-    /// Returns the lease manager of a process of `vm` that was just started. A
-    /// term of the lease lasts `ttl`.
+    /// Returns the lease manager of a process of `vm` that was just started.
     pub fn new(
         store: Store,
         view: View,
         vm: &str,
         coordinators: Coordinators,
         paths: Paths,
-        ttl: Duration,
+        bounds: &Bounds,
     ) -> Self {
         let terms = Terms {
-            ttl,
+            ttl: bounds.lease_ttl,
             margin: TERM_MARGIN,
             period: LEASE_CHECK_PERIOD,
+            is_epoch_checked: bounds.are_epochs_checked,
         };
         Self(Rc::new(Inner {
             terms,
@@ -115,9 +116,19 @@
     /// Returns the holder and the epoch under which orders may be sent now, or
     /// `None` if this VM does not hold the lease.
     pub fn authority(&self) -> Option<Authority> {
-        let epoch = decision::epoch(&self.0.lease.borrow(), self.0.clock.now())?;
+        let epoch = self.epoch()?;
         let holder = self.0.vm.clone();
-        Some(Authority { holder, epoch })
+        let lease = self.clone();
+        let fence = Fence::new(move || lease.epoch() == Some(epoch));
+        Some(Authority {
+            holder,
+            epoch,
+            fence,
+        })
+    }
+
+    fn epoch(&self) -> Option<u64> {
+        decision::epoch(&self.0.lease.borrow(), self.0.clock.now())
     }
 
     /// Competes for the lease and renews it while this VM is a coordinator.
@@ -137,7 +148,7 @@
             } else {
                 self.step().await;
             }
-            let epoch = self.authority().map(|authority| authority.epoch);
+            let epoch = self.epoch();
             if epoch.is_some() {
                 self.0
                     .coordinators
@@ -186,7 +197,8 @@
     /// Releases the lease if this VM holds it.
     async fn give_up(&self) {
         let inner = &*self.0;
-        let step = decision::release(&mut inner.lease.borrow_mut(), inner.terms, &inner.vm);
+        let now = inner.clock.now();
+        let step = decision::release(&mut inner.lease.borrow_mut(), now, inner.terms, &inner.vm);
         if let Some(Step::Write { version, record }) = step {
             let written = self.write(version, &record).await;
             let is_written = matches!(written, Outcome::Written(_));
--- a/crates/steward/src/lease.rs
+++ b/crates/steward/src/lease.rs
@@ -32,6 +32,7 @@
 pub(crate) async fn release(vm: &Vm, name: &str, select: Selector) {
     let step = lease::release(
         &mut select(vm).borrow_mut(),
+        vm.now(),
         Terms::default(),
         &vm.settings.vm,
     );
