link, site: a lease ends also while the machine is suspended

Cause: the clock of leases, permits and of the age of the view of the store stands still while a machine is suspended. A holder that was suspended for longer than its term acted under the lease for the rest of the term afterwards, when another VM held it; a VM that runs jobs took an old view for a recent one.

Ruled out: the time of day, which jumps. Timers of waits and backoffs stay on the monotonic clock: they give no permission.

--- a/crates/fakes/src/site/engine.rs
+++ b/crates/fakes/src/site/engine.rs
@@ -77,11 +77,12 @@
 fn order(state: &SharedState, request: &Request, id: &str) -> Reply {
     let body: Value = serde_json::from_slice(&request.body).unwrap_or(Value::Null);
     let mut state = lock(state);
+    let ignores_epochs = state.ignores_epochs;
     let Some(endpoint) = state.endpoints.get_mut(id) else {
         return Reply::new(StatusCode::NOT_FOUND, "");
     };
     let epoch = body["fence"].as_u64().unwrap_or_default();
-    if epoch < endpoint.epoch {
+    if !ignores_epochs && epoch < endpoint.epoch {
         return Reply::new(StatusCode::PRECONDITION_FAILED, "");
     }
     endpoint.epoch = epoch;
--- a/crates/fakes/src/site/mod.rs
+++ b/crates/fakes/src/site/mod.rs
@@ -173,6 +173,8 @@
     pub open_streams: usize,
     /// The accepted usage reports, in order.
     pub reports: Vec<Report>,
+    /// Whether the provider and the engines accept orders of any epoch.
+    pub ignores_epochs: bool,
 }
 
 /// The model that the engines serve.
--- a/crates/link/src/fault.rs
+++ b/crates/link/src/fault.rs
@@ -28,6 +28,8 @@
         pub hang: Vec<SocketAddr>,
         /// Peers to which no TCP connection is opened. Open ones live on.
         pub refuse: Vec<SocketAddr>,
+        /// How long the machine seems to have been suspended, in milliseconds.
+        pub suspended_ms: u64,
     }
 }
 
@@ -78,6 +80,11 @@
     FAULTS.with(|faults| faults.borrow().hang.contains(&peer))
 }
 
+/// Returns for how long the machine seems to have been suspended.
+pub(crate) fn suspension() -> Duration {
+    FAULTS.with(|faults| Duration::from_millis(faults.borrow().suspended_ms))
+}
+
 /// Waits while TCP connections to `peer` hang.
 pub(crate) async fn wait_while_hanging(peer: SocketAddr) {
     while is_hanging(peer) {
--- a/crates/site/src/follow.rs
+++ b/crates/site/src/follow.rs
@@ -9,7 +9,7 @@
 };
 
 use board::hash::Map;
-use link::{clock, http::Pool};
+use link::{clock::Moment, http::Pool};
 use platform::{
     config::{self, Config},
     endpoint,
@@ -100,7 +100,7 @@
     /// The time of the first success since the last failed call.
     connected_since: Rc<Cell<Option<Instant>>>,
     /// The VM knows all changes in the store up to this time.
-    as_of: Rc<Cell<Option<Instant>>>,
+    as_of: Rc<Cell<Option<Moment>>>,
     /// Notified when the store has lost the history of a kind.
     history_lost: Notifier,
     /// Notified when a call to the store succeeds.
@@ -138,14 +138,13 @@
     }
 
     /// Returns the age of the view, or `None` before the first list.
-    pub fn age(&self, now: Instant) -> Option<Duration> {
-        let as_of = self.as_of.get()?;
-        Some(now.saturating_duration_since(as_of))
+    pub fn age(&self) -> Option<Duration> {
+        self.as_of.get().map(Moment::elapsed)
     }
 
     /// Records that the view is now at most `age` old.
     fn record_age(&self, age: Duration) {
-        let as_of = clock::ago(age);
+        let as_of = Moment::ago(age);
         // A response may be older than the previous one if it comes from
         // another VM's mirror.
         self.as_of.set(self.as_of.get().max(Some(as_of)));
--- a/crates/site/src/job/api.rs
+++ b/crates/site/src/job/api.rs
@@ -201,7 +201,7 @@
     loop {
         let now = Instant::now();
         let waited = now - start;
-        let is_runner = job.borrow().is_sole_writer && is_view_recent(jobs, now);
+        let is_runner = job.borrow().is_sole_writer && is_view_recent(jobs);
         let is_complete = job.borrow().is_complete();
         if !is_runner
             && !is_complete
@@ -220,7 +220,7 @@
             break;
         }
         if waited >= wait + confirm_time {
-            let (id, age) = (job.borrow().id.clone(), jobs.view.age(now));
+            let (id, age) = (job.borrow().id.clone(), jobs.view.age());
             // The view has no age before the store was first read.
             let age_ms = age.map_or(-1, |age| age.as_millis() as i64);
             spdlog::warn!("read rejected, cannot confirm list of samples", kv: { job = id, from, known, age_ms });
@@ -250,8 +250,8 @@
 
 /// Returns whether this VM's view of the store is recent enough to show that
 /// another VM took over its jobs.
-fn is_view_recent(jobs: &Jobs, now: Instant) -> bool {
-    jobs.view.age(now).is_some_and(|age| age < VIEW_AGE_MAX)
+fn is_view_recent(jobs: &Jobs) -> bool {
+    jobs.view.age().is_some_and(|age| age < VIEW_AGE_MAX)
 }
 
 /// Ends a job. `execution` is whether another VM may have ended it for the same
--- a/crates/site/src/job/executor.rs
+++ b/crates/site/src/job/executor.rs
@@ -314,7 +314,7 @@
             return;
         }
         // With an old view of the store, the job may have been ended already.
-        let age = self.executor.view.age(now);
+        let age = self.executor.view.age();
         if age.is_none_or(|age| age > JOB_STATE_AGE_MAX) {
             return;
         }
--- a/crates/site/src/mirror.rs
+++ b/crates/site/src/mirror.rs
@@ -9,7 +9,7 @@
 };
 
 use board::hash::Map;
-use link::{StatusCode, clock, http::server::Reply};
+use link::{StatusCode, clock::Moment, http::server::Reply};
 use platform::store::{self, Event, Object, Update, Watch};
 
 use crate::{follow::Plan, notify::Notifier};
@@ -51,7 +51,7 @@
     floor: u64,
     revision: u64,
     /// The copy holds all changes in the store up to this time.
-    as_of: Instant,
+    as_of: Moment,
     /// How long this VM's own watch of the kind waits.
     wait: Duration,
 }
@@ -84,7 +84,7 @@
             log: VecDeque::new(),
             floor: update.revision,
             revision: update.revision,
-            as_of: clock::ago(update.age),
+            as_of: Moment::ago(update.age),
             wait: plan.wait,
         };
         let mut kinds = self.0.kinds.borrow_mut();
@@ -99,7 +99,7 @@
         let Some(known) = kinds.get_mut(kind) else {
             return;
         };
-        known.as_of = known.as_of.max(clock::ago(update.age));
+        known.as_of = known.as_of.max(Moment::ago(update.age));
         known.revision = known.revision.max(update.revision);
         for event in &update.value {
             known.apply(event, update.revision);
@@ -118,7 +118,7 @@
             let seen = self.0.changed.count();
             let now = Instant::now();
             let is_timed_out = now >= deadline;
-            if let Some(reply) = self.try_answer(kind, watch, is_timed_out, now) {
+            if let Some(reply) = self.try_answer(kind, watch, is_timed_out) {
                 return reply;
             }
             let remaining = deadline.saturating_duration_since(now);
@@ -127,38 +127,32 @@
     }
 
     /// Returns the reply, or `None` if the request still has to wait.
-    fn try_answer(
-        &self,
-        kind: &str,
-        watch: Option<Watch>,
-        is_timed_out: bool,
-        now: Instant,
-    ) -> Option<Reply> {
+    fn try_answer(&self, kind: &str, watch: Option<Watch>, is_timed_out: bool) -> Option<Reply> {
         let kinds = self.0.kinds.borrow();
-        let known = kinds.get(kind).filter(|known| known.is_recent(now));
+        let known = kinds.get(kind).filter(|known| known.is_recent());
         match (known, watch) {
             // A mirror that was just started does not have all kinds yet.
             (None, _) => is_timed_out.then(unavailable),
-            (Some(known), None) => Some(known.reply(known.list(), now)),
+            (Some(known), None) => Some(known.reply(known.list())),
             (Some(known), Some(watch)) if watch.from < known.floor => {
                 Some(Reply::new(StatusCode::GONE, ""))
             }
             (Some(known), Some(watch)) => {
                 let has_events = known.log.back().is_some_and(|(at, _)| *at > watch.from);
-                (has_events || is_timed_out).then(|| known.reply(known.events(watch.from), now))
+                (has_events || is_timed_out).then(|| known.reply(known.events(watch.from)))
             }
         }
     }
 }
 
 impl Kind {
-    fn is_recent(&self, now: Instant) -> bool {
+    fn is_recent(&self) -> bool {
         let age_max = self.wait.mul_f64(AGE_MAX_WAITS) + AGE_MAX_SLACK;
-        now.saturating_duration_since(self.as_of) < age_max
+        self.as_of.elapsed() < age_max
     }
 
-    fn reply(&self, body: Vec<u8>, now: Instant) -> Reply {
-        let age = now.saturating_duration_since(self.as_of).as_millis();
+    fn reply(&self, body: Vec<u8>) -> Reply {
+        let age = self.as_of.elapsed().as_millis();
         Reply::new(StatusCode::OK, body)
             .header("content-type", "application/json")
             .header(store::AGE_HEADER, age.to_string())
--- a/crates/site/src/origin/mod.rs
+++ b/crates/site/src/origin/mod.rs
@@ -306,7 +306,7 @@
     /// version can have begun a stream that is resumed now.
     fn only_software(&self, service: &str) -> Option<String> {
         let now = Instant::now();
-        let age = self.0.view.age(now)?;
+        let age = self.0.view.age()?;
         let facts = self.0.facts.borrow();
         (age <= VIEW_AGE_MAX).then(|| facts.only_software(service, HISTORY, now))?
     }
--- a/crates/site/tests/common/mod.rs
+++ b/crates/site/tests/common/mod.rs
@@ -152,6 +152,21 @@
         deployment
     }
 
+    /// Starts `count` VMs on a platform that does not check the epochs of orders.
+    pub(crate) fn start_unchecked(count: usize, plan: Plan) -> Self {
+        let mut deployment = Self::start(count, plan);
+        deployment.site.state().ignores_epochs = true;
+        deployment.kill_all(false);
+        for vm in &deployment.vms {
+            vm.change_settings(|text| {
+                text.replace("fence-checked = true", "fence-checked = false")
+            });
+        }
+        deployment.site.state().reports.clear();
+        deployment.restart_all();
+        deployment
+    }
+
     /// Starts `count` VMs with disks, each in a failure domain of its own, and
     /// waits until the coordinators know them.
     pub(crate) fn add_disks(&mut self, count: usize) {
--- a/crates/site/tests/duty.rs
+++ b/crates/site/tests/duty.rs
@@ -250,3 +250,87 @@
     let after: Vec<usize> = deployment.vms.iter().map(count).collect();
     assert_eq!(before, after);
 }
+
+/// Returns the index of the VM that holds the duty lease.
+fn holder(deployment: &Deployment) -> usize {
+    let mut found = None;
+    wait("a holder of the duty lease", || {
+        let is_holder = |vm: &common::Vm| vm.log().contains("\"change\":\"taken\"");
+        found = deployment.vms.iter().position(is_holder);
+        found.is_some()
+    });
+    found.unwrap()
+}
+
+#[test]
+fn holder_suspended_for_a_term_has_no_lease() {
+    let deployment = Deployment::start(2, Plan::default());
+    let vm = &deployment.vms[holder(&deployment)];
+    // No renewal can succeed, and 2.5 s of the term are left at most.
+    deployment.site.state().fault = Fault::Unavailable;
+    assert!(!vm.log().contains("\"change\":\"lost\""));
+    let begin = Instant::now();
+    vm.set_faults(&json!({"suspended_ms": 4000}));
+    vm.wait_until_logged("\"change\":\"lost\"");
+    let elapsed = begin.elapsed();
+    assert!(elapsed < Duration::from_millis(500), "{elapsed:?}");
+}
+
+/// Checks the calls to the provider as it does where it does not check epochs:
+/// no lower epoch after a higher one, no epoch of two holders, and no holder acts
+/// before and after another one within `lease`.
+fn assert_ordered(reports: &[Report], lease: Duration) {
+    for (index, first) in reports.iter().enumerate() {
+        let mut other = None;
+        for report in &reports[index + 1..] {
+            assert!(report.epoch >= first.epoch, "{first:?}, then {report:?}");
+            let is_same = report.holder == first.holder;
+            assert!(
+                is_same || report.epoch != first.epoch,
+                "{first:?} and {report:?}"
+            );
+            let is_near = report.at.duration_since(first.at) < lease;
+            assert!(
+                !(is_near && is_same && other.is_some()),
+                "{first:?}, {other:?}, {report:?}"
+            );
+            other = other.or((!is_same).then_some(report));
+        }
+    }
+}
+
+#[test]
+fn reports_alternate_where_epochs_are_not_checked() {
+    let mut deployment = Deployment::start_unchecked(3, Plan::default());
+    let mut stopped = Vec::new();
+    for _ in 0..3 {
+        let before = deployment.site.state().reports.len();
+        wait("a report", || {
+            deployment.site.state().reports.len() > before + 1
+        });
+        // The holder is killed, or stopped, and starts again at once.
+        let reports = deployment.site.state().reports.clone();
+        let name = &reports.last().unwrap().holder;
+        let number = deployment
+            .vms
+            .iter()
+            .position(|vm| vm.name == *name)
+            .unwrap();
+        match stopped.len() % 2 {
+            0 => deployment.vms[number].kill(),
+            _ => {
+                deployment.vms[number].signal("TERM");
+                wait("the end of the holder", || {
+                    deployment.vms[number].exit_code().is_some()
+                });
+            }
+        }
+        deployment.vms[number].start_again();
+        stopped.push(number);
+    }
+    let before = deployment.site.state().reports.len();
+    wait("more reports", || {
+        deployment.site.state().reports.len() > before + 2
+    });
+    assert_ordered(&deployment.site.state().reports, Duration::from_secs(3));
+}
