site: a follower lists a kind again also if the loss came between two watches

Cause: when the store has lost the history of one kind, the followers of the others are told to list theirs again. A follower that was between two watches (120 ms of each second for endpoints) read the count of losses only after, and went on with what it had. Change: the count of the last list is compared. Ruled out: that each kind gets 410 itself: a mirror that was enabled between two watches stayed empty.

--- a/crates/site/src/follow.rs
+++ b/crates/site/src/follow.rs
@@ -150,6 +150,11 @@
         self.as_of.set(self.as_of.get().max(Some(as_of)));
     }
 
+    /// Makes all followed kinds be listed again.
+    pub(crate) fn list_again(&self) {
+        self.history_lost.notify();
+    }
+
     /// Resets the view when its kinds are no longer followed.
     pub fn reset(&self) {
         self.as_of.set(None);
@@ -198,11 +203,15 @@
     let mut revision = None;
     // Whether the store was unreachable since the last successful call.
     let mut was_unreachable = false;
+    // The kind is listed again if this count has increased since the last list,
+    // also between two watches.
+    let mut losses = view.history_lost.count();
     loop {
-        // The kind is listed again if this count increases.
-        let losses = view.history_lost.count();
         let outcome = match revision {
-            None => list(&store, plan, was_unreachable, &view, &apply).await,
+            None => {
+                losses = view.history_lost.count();
+                list(&store, plan, was_unreachable, &view, &apply).await
+            }
             Some(from) => {
                 let relist = async {
                     view.history_lost.wait(losses).await;
