site: deputies stand in for coordinators that are all lost

Cause: when no seed answers, each VM that a trainer calls becomes a temporary coordinator, follows all jobs and runs some, and all VMs read the whole store themselves. On Shed Commons, grown, with the seeds away for 18 s: 113 times "no coordinator responds", 9 to 13 VMs a second.

Change: the coordinators choose three deputies among the VMs that announce themselves (policy::deputy): strong machines, in different failure domains. All VMs know them. If the seeds do not answer, calls about jobs and counts of usage go to the deputies in one order, so that one of them runs the jobs, and lists and watches go to their mirrors, of which the first reads the store. The seeds are used again once one answers an announcement.

Ruled out: more seeds, which the settings name; a watch of longer waits, since endpoints change many times a second and a watch returns with each change; one more backoff for seeds alone, which leaves each VM to itself.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod crash;
 pub mod credit;
 pub mod demand;
+pub mod deputy;
 pub mod dissemination;
 pub mod execution;
 pub mod fairness;
--- a/crates/site/src/components.rs
+++ b/crates/site/src/components.rs
@@ -5,6 +5,7 @@
 use board::hash;
 use link::http::{Limits, Pool};
 use platform::{Settings, settings::Bounds, store::Store};
+use policy::deputy;
 
 use crate::{
     ask,
@@ -20,7 +21,7 @@
         Jobs, Registry, attempt::Runner, content::Content, executor::Executor, failover,
         proxy::Proxy, unsettled::Unsettled,
     },
-    member::Members,
+    member::{Members, Role},
     metrics::Metrics,
     mirror::Mirror,
     origin::Origins,
@@ -73,6 +74,52 @@
     }
 }
 
+/// Returns the VMs from whose mirrors `vm` reads: that of [`upstream`], and a
+/// deputy in case it is lost. The first deputy then reads from the store, and the
+/// other deputies from the first one.
+fn mirrors(coordinators: &Coordinators, vm: &str) -> Vec<SocketAddr> {
+    let own = coordinators.own_address();
+    let seeds = coordinators.seeds();
+    let mut mirrors: Vec<SocketAddr> = upstream(&seeds, own, vm).into_iter().collect();
+    if !coordinators.is_seed() {
+        mirrors.extend(upstream(&coordinators.deputies(), own, vm));
+    }
+    mirrors
+}
+
+/// Chooses the mirrors anew each time that the seeds or the deputies change.
+/// Never returns.
+async fn follow_mirrors(
+    coordinators: Coordinators,
+    store: Store,
+    mirror: Mirror,
+    view: View,
+    vm: String,
+) {
+    let mut seen = None;
+    let mut was_enabled = coordinators.is_seed();
+    loop {
+        seen = Some(coordinators.wait_for_change(seen).await);
+        store.set_mirrors(mirrors(&coordinators, &vm));
+        let is_enabled = coordinators.is_seed() || coordinators.is_deputy();
+        mirror.set_enabled(is_enabled);
+        if is_enabled && !was_enabled {
+            // A mirror begins with complete lists.
+            view.list_again();
+        }
+        was_enabled = is_enabled;
+    }
+}
+
+fn role(settings: &Settings) -> Role {
+    let limits = settings.limits;
+    Role {
+        domain: settings.failure_domain.clone(),
+        is_disk: false,
+        power: deputy::power(limits.memory_mb, limits.link_mbps, limits.cpu_share),
+    }
+}
+
 /// Returns the seeds in an order that is the same on all VMs with the same
 /// settings.
 fn sorted_seeds(settings: &Settings) -> Vec<SocketAddr> {
@@ -91,8 +138,8 @@
     pub(crate) fn new(settings: &Settings) -> Self {
         let own = settings.listen.peers;
         let seeds = sorted_seeds(settings);
-        let upstream = upstream(&seeds, own, &settings.vm);
-        let store = Store::new(settings.store.address, other_seeds(&seeds, own), upstream);
+        let mirrors = upstream(&seeds, own, &settings.vm).into_iter().collect();
+        let store = Store::new(settings.store.address, other_seeds(&seeds, own), mirrors);
         let coordinators = Coordinators::new(seeds, own);
         let mirror = Mirror::new(coordinators.is_seed());
         let facts: Rc<RefCell<Facts>> = Rc::default();
@@ -103,7 +150,7 @@
         let usage = Usage::new(settings.bounds.usage_window);
         let vm = settings.vm.as_str();
         let client = ask::Client::default();
-        let members = Members::new(coordinators.clone(), client.clone(), None);
+        let members = Members::new(coordinators.clone(), client.clone(), role(settings));
         let paths = Paths::new(facts.clone(), members.clone(), client.clone(), pool.clone());
         let permits = Permits::new(
             facts.clone(),
@@ -226,12 +273,8 @@
         let seeds = sorted_seeds(settings);
         let coordinators = &self.jobs.coordinators;
         let own = coordinators.own_address();
-        let upstream = upstream(&seeds, own, &settings.vm);
-        self.jobs
-            .store
-            .set_relays(other_seeds(&seeds, own), upstream);
+        self.jobs.store.set_relays(other_seeds(&seeds, own));
         coordinators.set_seeds(seeds);
-        self.mirror.set_enabled(coordinators.is_seed());
     }
 
     /// Starts the tasks that run as long as the process.
@@ -244,6 +287,13 @@
         monoio::spawn(follow::endpoints(store, view, facts, pool));
         monoio::spawn(self.origins.clone().copy());
         monoio::spawn(self.members.clone().run());
+        monoio::spawn(follow_mirrors(
+            self.jobs.coordinators.clone(),
+            self.jobs.store.clone(),
+            self.mirror.clone(),
+            self.facts_view.clone(),
+            settings.vm.clone(),
+        ));
         monoio::spawn(self.paths.clone().watch());
         monoio::spawn(failover::follow(self.jobs.clone()));
         monoio::spawn(failover::take_over(self.jobs.clone()));
--- a/crates/site/src/coordinator.rs
+++ b/crates/site/src/coordinator.rs
@@ -1,9 +1,10 @@
 //! The coordinators: the VMs that run jobs and compete for the duty lease.
 //!
-//! They are the VMs that the settings name as seeds. Any other VM becomes a
-//! temporary coordinator when it reaches none of them. VMs that are not
-//! coordinators do not follow the jobs in the store, so the cost of a job does
-//! not grow with the number of VMs.
+//! They are the VMs that the settings name as seeds. When all of these are lost,
+//! deputies take their place: VMs that the coordinators have chosen before
+//! ([`policy::deputy`]). They become temporary coordinators, as does any other VM
+//! that reaches none of both. VMs that are not coordinators do not follow the
+//! jobs in the store, so the cost of a job does not grow with the number of VMs.
 
 use std::{
     cell::{Cell, RefCell},
@@ -13,7 +14,7 @@
     time::{Duration, Instant},
 };
 
-use board::hash::{self, Map};
+use board::hash::{self, Map, Set};
 
 use crate::notify::Notifier;
 
@@ -34,7 +35,11 @@
 struct Inner {
     seeds: RefCell<Vec<SocketAddr>>,
     own_address: Option<SocketAddr>,
+    /// The VMs that stand in for the seeds, in the order in which they are called.
+    deputies: RefCell<Vec<SocketAddr>>,
     backoff_until: RefCell<Map<SocketAddr, Instant>>,
+    /// The VMs that have not answered since they failed to.
+    failing: RefCell<Set<SocketAddr>>,
     temporary_until: Cell<Option<Instant>>,
     changed: Notifier,
 }
@@ -46,7 +51,9 @@
         Self(Rc::new(Inner {
             seeds: RefCell::new(seeds),
             own_address: own,
+            deputies: RefCell::default(),
             backoff_until: RefCell::default(),
+            failing: RefCell::default(),
             temporary_until: Cell::new(None),
             changed: Notifier::default(),
         }))
@@ -58,6 +65,42 @@
         self.0.changed.notify();
     }
 
+    /// Returns the seeds, in an order that is the same on all VMs with the same
+    /// settings.
+    pub(crate) fn seeds(&self) -> Vec<SocketAddr> {
+        self.0.seeds.borrow().clone()
+    }
+
+    /// Replaces the deputies.
+    pub fn set_deputies(&self, deputies: Vec<SocketAddr>) {
+        if *self.0.deputies.borrow() != deputies {
+            let is_deputy = self
+                .0
+                .own_address
+                .is_some_and(|own| deputies.contains(&own));
+            let count = deputies.len();
+            spdlog::info!("deputies of the coordinators changed", kv: { count, is_deputy });
+            *self.0.deputies.borrow_mut() = deputies;
+            self.0.changed.notify();
+        }
+    }
+
+    /// Returns the deputies, in the order in which they are called.
+    pub fn deputies(&self) -> Vec<SocketAddr> {
+        self.0.deputies.borrow().clone()
+    }
+
+    /// Returns whether this VM is a deputy.
+    pub fn is_deputy(&self) -> bool {
+        let own = self.0.own_address;
+        own.is_some_and(|own| self.0.deputies.borrow().contains(&own))
+    }
+
+    /// Returns whether `vm` is a seed.
+    pub(crate) fn has_seed(&self, vm: SocketAddr) -> bool {
+        self.0.seeds.borrow().contains(&vm)
+    }
+
     /// Returns the number of seeds.
     pub fn count(&self) -> usize {
         self.0.seeds.borrow().len()
@@ -117,6 +160,24 @@
         seeds
     }
 
+    /// Returns the seeds and the deputies in the order in which they are called
+    /// about `subject`: the seeds that answer, the deputies that answer, then the
+    /// others. If no seed has answered since it failed, all seeds are behind the
+    /// deputies, also after their backoffs: each of them costs a timeout.
+    pub fn rank_with_deputies(&self, subject: &str, now: Instant) -> Vec<SocketAddr> {
+        let seeds = self.rank(subject, now);
+        let failing = self.0.failing.borrow();
+        let are_seeds_lost = seeds.iter().all(|seed| failing.contains(seed));
+        let deputies = self.deputies().into_iter();
+        let deputies = deputies.filter(|vm| !seeds.contains(vm));
+        let is_up = |vm: &SocketAddr| !self.is_backing_off(*vm, now);
+        let (up, down): (Vec<_>, Vec<_>) = deputies.partition(is_up);
+        let (first, last): (Vec<_>, Vec<_>) = seeds
+            .into_iter()
+            .partition(|vm| is_up(vm) && !are_seeds_lost);
+        [first, up, last, down].concat()
+    }
+
     /// Returns whether `vm` recently failed to answer.
     pub fn is_backing_off(&self, vm: SocketAddr, now: Instant) -> bool {
         let backoffs = self.0.backoff_until.borrow();
@@ -136,11 +197,22 @@
     /// Records that `vm` answered, which ends its backoff.
     pub fn record_success(&self, vm: SocketAddr) {
         self.0.backoff_until.borrow_mut().remove(&vm);
+        self.0.failing.borrow_mut().remove(&vm);
     }
 
     /// Records that `vm` did not answer, which starts its backoff.
     pub fn record_failure(&self, vm: SocketAddr, now: Instant) {
         self.0.backoff_until.borrow_mut().insert(vm, now + BACKOFF);
+        self.0.failing.borrow_mut().insert(vm);
+    }
+
+    /// Waits until the seeds or the deputies may have changed since `seen`
+    /// changes, and returns the number of changes.
+    pub(crate) async fn wait_for_change(&self, seen: Option<u64>) -> u64 {
+        if let Some(seen) = seen {
+            self.0.changed.wait(seen).await;
+        }
+        self.0.changed.count()
     }
 
     /// Runs the future that `run` returns while this VM is a coordinator, and
--- a/crates/site/src/duty/collect.rs
+++ b/crates/site/src/duty/collect.rs
@@ -102,7 +102,7 @@
             process: self.0.process.clone(),
             counts: counts.clone(),
         };
-        let ranked = self.0.coordinators.rank(KIND, Instant::now());
+        let ranked = self.0.coordinators.rank_with_deputies(KIND, Instant::now());
         for vm in ranked.into_iter().take(ATTEMPTS_MAX) {
             if self.0.coordinators.is_own(vm) {
                 break;
--- a/crates/site/src/job/proxy.rs
+++ b/crates/site/src/job/proxy.rs
@@ -58,9 +58,9 @@
 const ACK_TIMEOUT: Duration = Duration::from_millis(400);
 /// The maximum size of a response. A page of samples is smaller than 1 MB.
 const RESPONSE_BYTES_MAX: usize = 4 * 1024 * 1024;
-/// The maximum number of coordinators that are tried for one call: the number
-/// that the settings of a deployment name.
-const COORDINATORS_TRIED_MAX: usize = 3;
+/// The maximum number of VMs that are tried for one call: the coordinators that
+/// the settings of a deployment name, and two of their deputies.
+const COORDINATORS_TRIED_MAX: usize = 5;
 /// How long after its start a call may still be tried at another VM or answered
 /// by this one. Trainers wait 1.5 s longer than they request.
 const RETRY_TIME_MAX: Duration = Duration::from_millis(1800);
@@ -255,7 +255,8 @@
     }
 
     fn ranked_coordinators(&self) -> Vec<SocketAddr> {
-        self.coordinators.rank(RENDEZVOUS_KEY, Instant::now())
+        self.coordinators
+            .rank_with_deputies(RENDEZVOUS_KEY, Instant::now())
     }
 
     async fn send(
@@ -349,6 +350,9 @@
         return Reply::new(StatusCode::BAD_REQUEST, "");
     };
     request.uri = uri;
+    // Only coordinators know all jobs from memory.
+    jobs.coordinators
+        .join_temporarily("another VM calls this VM about a job");
     let mode = match request.headers.contains_key(LAST_HOP) {
         true => api::FROM_COORDINATOR,
         false => api::FROM_PEER,
--- a/crates/site/src/member.rs
+++ b/crates/site/src/member.rs
@@ -14,6 +14,8 @@
     http::{Request, server::Reply},
 };
 
+use policy::deputy::{self, Candidate};
+
 use crate::{ask, coordinator::Coordinators, notify::Notifier};
 
 /// The path at which VMs announce themselves.
@@ -32,6 +34,8 @@
 const RETENTION: Duration = Duration::from_secs(25);
 /// The number of VMs that a coordinator returns.
 const LISTED_MAX: usize = 16;
+/// The number of deputies: as many as there are coordinators.
+const DEPUTIES: usize = 3;
 
 board::record! {
     /// What a VM announces.
@@ -40,9 +44,21 @@
         address: SocketAddr,
         /// Whether it has lost its links to all endpoints.
         is_cut_off: bool,
-        /// The failure domain of its disk, if it has one. Such a VM serves no
-        /// callers and has no links to endpoints.
-        disk: Option<String>,
+        role: Role,
+    }
+}
+
+board::record! {
+    /// What a VM is to the others.
+    #[derive(Default)]
+    pub(crate) struct Role {
+        /// Its failure domain.
+        pub(crate) domain: String,
+        /// Whether it only provides its disk. Such a VM serves no callers and has
+        /// no links to endpoints.
+        pub(crate) is_disk: bool,
+        /// What its machine can do, see [`policy::deputy::power`].
+        pub(crate) power: f64,
     }
 }
 
@@ -63,6 +79,8 @@
         /// Peer addresses of VMs that have their links.
         linked: Vec<SocketAddr>,
         disks: Vec<Disk>,
+        /// The deputies of the coordinators.
+        deputies: Vec<SocketAddr>,
     }
 }
 
@@ -80,15 +98,13 @@
     /// The VMs with disks that coordinators returned last.
     listed_disks: RefCell<Vec<Disk>>,
     is_cut_off: Cell<bool>,
-    /// The failure domain of this VM's disk, if it has one.
-    disk: Option<String>,
+    role: Role,
     changed: Notifier,
 }
 
 impl Members {
-    /// Returns an empty set, which `coordinators` fill. `disk` is the failure
-    /// domain of this VM if it has a disk.
-    pub fn new(coordinators: Coordinators, client: ask::Client, disk: Option<String>) -> Self {
+    /// Returns an empty set, which `coordinators` fill. This VM has `role`.
+    pub(crate) fn new(coordinators: Coordinators, client: ask::Client, role: Role) -> Self {
         Self(Rc::new(Inner {
             coordinators,
             client,
@@ -96,7 +112,7 @@
             listed: RefCell::default(),
             listed_disks: RefCell::default(),
             is_cut_off: Cell::new(false),
-            disk,
+            role,
             changed: Notifier::default(),
         }))
     }
@@ -133,7 +149,7 @@
         let announced = self.announced();
         let linked = announced
             .iter()
-            .filter(|vm| !vm.is_cut_off && vm.disk.is_none());
+            .filter(|vm| !vm.is_cut_off && !vm.role.is_disk);
         linked.map(|vm| vm.address).collect()
     }
 
@@ -148,12 +164,28 @@
 
     fn announced_disks(&self) -> Vec<Disk> {
         let disks = self.announced().into_iter().filter_map(|vm| {
-            let (address, domain) = (vm.address, vm.disk?);
-            Some(Disk { address, domain })
+            let (address, domain) = (vm.address, vm.role.domain);
+            vm.role.is_disk.then_some(Disk { address, domain })
         });
         disks.collect()
     }
 
+    /// Returns the deputies among the VMs that have announced themselves.
+    fn choose_deputies(&self) -> Vec<SocketAddr> {
+        let mut vms = self.announced();
+        vms.retain(|vm| !vm.is_cut_off && !vm.role.is_disk);
+        vms.retain(|vm| !self.0.coordinators.has_seed(vm.address));
+        let names: Vec<String> = vms.iter().map(|vm| vm.address.to_string()).collect();
+        let candidates = vms.iter().zip(&names).map(|(vm, name)| Candidate {
+            name,
+            domain: &vm.role.domain,
+            power: vm.role.power,
+        });
+        let candidates: Vec<_> = candidates.collect();
+        let chosen = deputy::choose(&candidates, DEPUTIES).into_iter();
+        chosen.map(|index| vms[index].address).collect()
+    }
+
     fn announced(&self) -> Vec<Announcement> {
         let now = Instant::now();
         let mut announced = self.0.announced.borrow_mut();
@@ -179,10 +211,10 @@
                 known = disks;
             }
             let is_settled = start.elapsed() >= START_TIME;
-            let pause = match &self.0.disk {
-                Some(_) => DISK_PERIOD,
-                _ if !is_listed || !is_settled => RETRY_PERIOD,
-                None => PERIOD,
+            let pause = match self.0.role.is_disk {
+                true => DISK_PERIOD,
+                false if !is_listed || !is_settled => RETRY_PERIOD,
+                false => PERIOD,
             };
             self.0.changed.wait_timeout(seen, pause).await;
         }
@@ -197,13 +229,15 @@
         let announcement = Announcement {
             address,
             is_cut_off: self.0.is_cut_off.get(),
-            disk: self.0.disk.clone(),
+            role: self.0.role.clone(),
         };
         let (mut listed, mut disks) = (Vec::new(), Vec::new());
+        let mut deputies = Vec::new();
         let mut is_listed = false;
         for vm in coordinators.rank(PATH, Instant::now()) {
             if coordinators.is_own(vm) {
                 self.put(announcement.clone());
+                deputies.push((vm, self.choose_deputies()));
                 is_listed = true;
                 continue;
             }
@@ -212,6 +246,8 @@
                     is_listed = true;
                     listed.extend(answer.linked);
                     disks.extend(answer.disks);
+                    deputies.push((vm, answer.deputies));
+                    coordinators.record_success(vm);
                 }
                 Err(problem) => {
                     let vm = vm.to_string();
@@ -227,6 +263,12 @@
         if is_listed {
             *self.0.listed_disks.borrow_mut() = disks;
         }
+        // The same one for all VMs, since coordinators may differ for a moment. A
+        // coordinator that has just started does not know the others yet.
+        deputies.retain(|(_, chosen)| !chosen.is_empty());
+        if let Some((_, chosen)) = deputies.into_iter().min() {
+            coordinators.set_deputies(chosen);
+        }
         is_listed
     }
 
@@ -248,8 +290,11 @@
         let seed = hash::hash_value(&asker);
         listed.sort_by_key(|vm| hash::rendezvous(seed, &vm.to_string()));
         listed.truncate(LISTED_MAX);
-        let disks = self.announced_disks();
-        let linked = listed;
-        Reply::json(StatusCode::OK, &Listing { linked, disks })
+        let listing = Listing {
+            linked: listed,
+            disks: self.announced_disks(),
+            deputies: self.choose_deputies(),
+        };
+        Reply::json(StatusCode::OK, &listing)
     }
 }
--- a/crates/site/src/storage.rs
+++ b/crates/site/src/storage.rs
@@ -12,8 +12,14 @@
 use platform::Settings;
 
 use crate::{
-    ask, coordinator::Coordinators, member::Members, metrics::Metrics, origin::archive::Archive,
-    reload::File, signal::Signals, stop,
+    ask,
+    coordinator::Coordinators,
+    member::{Members, Role},
+    metrics::Metrics,
+    origin::archive::Archive,
+    reload::File,
+    signal::Signals,
+    stop,
 };
 
 /// The folder of the records of streams, on the disk.
@@ -36,8 +42,12 @@
     let archive = Archive::open(&data.join(STREAMS));
     let listener = net::listen(address)?;
     let coordinators = Coordinators::new(settings.seeds.clone(), Some(address));
-    let domain = settings.failure_domain.clone();
-    let members = Members::new(coordinators.clone(), ask::Client::default(), Some(domain));
+    let role = Role {
+        domain: settings.failure_domain.clone(),
+        is_disk: true,
+        power: 0.0,
+    };
+    let members = Members::new(coordinators.clone(), ask::Client::default(), role);
     let server = archive.clone();
     let handler = move |request| {
         let archive = server.clone();
--- a/crates/site/tests/content.rs
+++ b/crates/site/tests/content.rs
@@ -31,7 +31,7 @@
     fn new() -> Self {
         let site = site::spawn(Plan::default()).unwrap();
         let registry = Registry::default();
-        let store = Store::new(site.store, Vec::new(), None);
+        let store = Store::new(site.store, Vec::new(), Vec::new());
         Self {
             site,
             content: Content::new(store, registry.clone()),
--- a/crates/site/tests/coordinator.rs
+++ b/crates/site/tests/coordinator.rs
@@ -96,3 +96,87 @@
     // The requests may have begun in two windows.
     assert!(deployment.site.state().names("usage-counts").len() <= 2);
 }
+
+/// Starts seven VMs, three of them coordinators, and waits until all others know
+/// the deputies.
+fn start_with_deputies(plan: Plan) -> Deployment {
+    let deployment = Deployment::start_with_coordinators(7, 3, plan);
+    for vm in &deployment.vms[3..] {
+        wait("the deputies to be known", || {
+            let log = vm.log();
+            let is_change = |line: &&str| line.contains("deputies of the coordinators");
+            let mut changes = log.lines().filter(is_change);
+            changes
+                .next_back()
+                .is_some_and(|line| line.contains("\"count\":3"))
+        });
+    }
+    deployment
+}
+
+/// Returns the number of VMs that have become temporary coordinators.
+fn temporary_coordinators(vms: &[Vm]) -> usize {
+    let joined = vms.iter().map(Vm::log);
+    joined
+        .filter(|log| log.contains("became a temporary coordinator"))
+        .count()
+}
+
+#[test]
+fn all_coordinators_killed_one_deputy_runs_jobs() {
+    let mut deployment = start_with_deputies(Plan::default());
+    assert_eq!(deployment.vms[4].submit("job-a", &job("a", 4, 2)), 202);
+    deployment.vms[..3].iter_mut().for_each(Vm::kill);
+    let vms = &deployment.vms[3..];
+    for (number, vm) in vms.iter().enumerate() {
+        let id = format!("job-{number}");
+        assert_eq!(vm.submit(&id, &job(&id, 4, 2)), 202);
+        assert_eq!(vm.read_all(&id, 4).len(), 4);
+        assert_eq!(vm.read_all("job-a", 4).len(), 4);
+    }
+    assert_eq!(temporary_coordinators(vms), 1);
+    // The others read what changes from deputies.
+    let is_direct = |call: &str| call.starts_with("GET config") || call.starts_with("GET servers");
+    let count = || {
+        let state = deployment.site.state();
+        let calls = state.calls.iter().filter(|(call, _)| is_direct(call));
+        calls.map(|(_, count)| *count).sum::<u64>()
+    };
+    // The deputies become mirrors, and each VM finds one, within two backoffs.
+    std::thread::sleep(Duration::from_secs(4));
+    let (before, seconds) = (count(), 4);
+    std::thread::sleep(Duration::from_secs(seconds));
+    let per_second = (count() - before) as f64 / seconds as f64;
+    // One VM watches two kinds for a second each.
+    assert!(per_second <= 3.5, "{per_second} calls a second");
+    let reported = deployment.site.state().reports.len();
+    wait("a report by a deputy", || {
+        deployment.site.state().reports.len() > reported
+    });
+}
+
+#[test]
+fn coordinators_back_deputies_run_no_more_jobs() {
+    let mut deployment = start_with_deputies(Plan::default());
+    deployment.vms[..3].iter_mut().for_each(Vm::kill);
+    assert_eq!(deployment.vms[5].submit("job-a", &job("a", 4, 2)), 202);
+    deployment.vms[..3].iter_mut().for_each(Vm::restart);
+    let served = |vms: &[Vm]| vms.iter().map(|vm| peer_calls(vm, "job")).sum::<u64>();
+    let mut number = 0;
+    wait("a job at a coordinator", || {
+        number += 1;
+        let id = format!("job-b{number}");
+        assert_eq!(deployment.vms[5].submit(&id, &job(&id, 2, 2)), 202);
+        served(&deployment.vms[..3]) > 0
+    });
+    // All VMs use the coordinators again within the period of announcements.
+    std::thread::sleep(Duration::from_secs(3));
+    let before = served(&deployment.vms[3..]);
+    for (number, vm) in deployment.vms[3..].iter().enumerate() {
+        // A job that a deputy runs would be read there.
+        let id = format!("job-c{number}");
+        assert_eq!(vm.submit(&id, &job(&id, 4, 2)), 202);
+        assert_eq!(vm.read_all(&id, 4).len(), 4);
+    }
+    assert_eq!(served(&deployment.vms[3..]), before);
+}
