site, link: a planned stop leaves time for what was accepted last

Cause: a VM that is told to stop accepts connections for 3 s more, and then answers what is running until 1.5 s before it is killed. With 4 s from SIGTERM to SIGKILL these 3 s are past that end, so requests that had just been accepted, some of them passed on to endpoints, were cut off without an answer. Change: connections are accepted for at most half of the time there is. The end of a drain also waits until the backlog has been accepted (Drain::accepting_servers); that one was found by reading and is not shown. Ruled out: a longer grace for new connections: the lost requests had been read.

--- a/crates/link/src/http/drain.rs
+++ b/crates/link/src/http/drain.rs
@@ -24,6 +24,9 @@
     is_rejecting: Cell<bool>,
     pub(crate) busy_requests: Cell<usize>,
     pub(crate) open_connections: Cell<usize>,
+    /// The servers that still accept connections, at the latest from their
+    /// backlogs.
+    pub(crate) accepting_servers: Cell<usize>,
     pub(crate) panics: Cell<u64>,
     /// Bytes reserved for the bodies of requests that are being read or
     /// answered.
@@ -104,11 +107,11 @@
         self.0.panics.get()
     }
 
-    /// Waits until no connection is open or `limit` has passed, and returns
-    /// whether all connections are closed.
+    /// Waits until no connection is open and none is accepted any more, or `limit`
+    /// has passed. Returns whether all connections are closed.
     pub async fn wait(&self, limit: Duration) -> bool {
         let start = std::time::Instant::now();
-        while self.open_connections() > 0 {
+        while self.open_connections() > 0 || self.0.accepting_servers.get() > 0 {
             if start.elapsed() > limit {
                 return false;
             }
--- a/crates/link/src/http/server.rs
+++ b/crates/link/src/http/server.rs
@@ -117,6 +117,7 @@
     F: Future<Output = Reply> + 'static,
 {
     let handler = Rc::new(handler);
+    let accepting = CountGuard::increment(&drain.0.accepting_servers);
     let serve_accepted = |(stream, peer)| {
         spawn_connection(stream, peer, &tls, limits, &drain, &handler);
         true
@@ -147,6 +148,8 @@
         .await
         .is_some_and(&serve_accepted)
     {}
+    drop(listener);
+    drop(accepting);
 }
 
 async fn accept(listener: &TcpListener, limit: Duration) -> Option<(TcpStream, SocketAddr)> {
--- a/crates/site/src/vm.rs
+++ b/crates/site/src/vm.rs
@@ -203,12 +203,13 @@
     drain.begin();
     components.jobs.proxy.drain();
     components.duties.lease.release().await;
-    monoio::time::sleep(DRAIN_DELAY).await;
-    drain.close();
     let end = settings
         .bounds
         .shutdown_grace
         .saturating_sub(RELEASE_RESERVE);
+    // The requests that arrive until the close need time too.
+    monoio::time::sleep(DRAIN_DELAY.min(end / 2)).await;
+    drain.close();
     let remaining = || end.saturating_sub(start.elapsed());
     failover::wait_until_idle(&components.jobs, remaining()).await;
     failover::release_jobs(&components.jobs).await;
