--- a/crates/site/src/stream.rs
+++ b/crates/site/src/stream.rs
@@ -21,9 +21,14 @@
     origin::Producer,
 };
 
-/// The longest time between two events, after which a stream counts as broken.
-/// The platform's callers disconnect after two seconds at the earliest.
-const EVENT_GAP_MAX: Duration = Duration::from_millis(1800);
+/// The longest time between two events after which a stream that may be resumed
+/// counts as broken, if its callers wait no longer. They disconnect after two
+/// seconds at the earliest.
+const EVENT_GAP_MIN: Duration = Duration::from_millis(1800);
+/// Callers wait for an event as long as this number of aims of the route.
+const EVENT_GAP_AIMS: u32 = 4;
+/// The time before callers disconnect at which a stream is resumed.
+const RESUME_RESERVE: Duration = Duration::from_millis(200);
 
 /// An event stream that an endpoint has opened.
 pub(crate) struct Source {
@@ -146,7 +151,8 @@
         while let Some(source) = opened.take() {
             let endpoint = self.endpoint(source.key);
             let is_failure = source.response.status.is_server_error();
-            let stop = relay_events(source, &sender, &mut last_id).await;
+            let timer = event_timer(&route, &dispatch);
+            let stop = relay_events(source, &sender, &mut last_id, timer).await;
             let request = dispatch.id.as_str();
             let event = last_id.unwrap_or_default();
             match stop {
@@ -213,9 +219,13 @@
 
 /// Relays complete events, and stores the id of the last one in `last_id`. An
 /// incomplete event is held back, since its remainder may never arrive.
-async fn relay_events(mut source: Source, sender: &Sender, last_id: &mut Option<u64>) -> Stop {
+async fn relay_events(
+    mut source: Source,
+    sender: &Sender,
+    last_id: &mut Option<u64>,
+    mut timer: EventTimer,
+) -> Stop {
     let mut events = Events::default();
-    let mut timer = EventTimer::new(EVENT_GAP_MAX);
     loop {
         match source.response.next(timer.remaining()).await {
             None => {
@@ -248,11 +258,24 @@
     }
 }
 
+/// Returns how long to wait for events of a stream on `route`. Another endpoint can
+/// continue it only if it may be resumed; else it ends with the caller's deadline,
+/// however slow it is.
+fn event_timer(route: &Route, dispatch: &Dispatch) -> EventTimer {
+    if !route.resumable {
+        return EventTimer::until(dispatch.deadline);
+    }
+    let patience = route.aim_ms.unwrap_or_default() * EVENT_GAP_AIMS;
+    EventTimer::new(EVENT_GAP_MIN.max(patience.saturating_sub(RESUME_RESERVE)))
+}
+
 /// The time that is left for the next event of a stream. Bytes that complete no
 /// event do not extend it.
 pub(crate) struct EventTimer {
     limit: Duration,
     last_event: Instant,
+    /// When the time ends whatever arrives before, if it does.
+    end: Option<Instant>,
 }
 
 impl EventTimer {
@@ -261,14 +284,30 @@
         Self {
             limit,
             last_event: Instant::now(),
+            end: None,
+        }
+    }
+
+    /// Returns a timer that ends at `end`, and allows for any time between events.
+    pub(crate) fn until(end: Instant) -> Self {
+        Self {
+            end: Some(end),
+            ..Self::new(Duration::MAX)
         }
     }
 
     /// Returns how long to wait for the next part of the body. After a pause of
     /// this process, data that has arrived meanwhile is still read.
     pub(crate) fn remaining(&self) -> Duration {
-        let remaining = self.limit.saturating_sub(self.last_event.elapsed());
-        remaining.max(READ_TIME_MIN)
+        self.time_left().max(READ_TIME_MIN)
+    }
+
+    fn time_left(&self) -> Duration {
+        let left = self.limit.saturating_sub(self.last_event.elapsed());
+        let until_end = self
+            .end
+            .map(|end| end.saturating_duration_since(Instant::now()));
+        until_end.map_or(left, |until_end| until_end.min(left))
     }
 
     /// Records a part of the body, after its events were processed.
@@ -280,7 +319,7 @@
     pub(crate) fn record(&mut self, has_event: bool) -> Result<(), http::Error> {
         if has_event {
             self.last_event = Instant::now();
-        } else if self.last_event.elapsed() > self.limit {
+        } else if self.time_left().is_zero() {
             let detail = "the endpoint sent bytes without an event";
             return Err(http::Error::new(error::Kind::Timeout, detail));
         }
--- a/crates/site/tests/common/mod.rs
+++ b/crates/site/tests/common/mod.rs
@@ -296,6 +296,11 @@
         self.process.signal(signal).unwrap();
     }
 
+    /// Returns whether the process has not ended.
+    pub(crate) fn is_running(&mut self) -> bool {
+        self.process.id().is_some() && self.process.exit_code().is_none()
+    }
+
     /// Starts the process again if it has ended.
     pub(crate) fn start_if_ended(&mut self) {
         if self.process.id().is_none() {
@@ -339,6 +344,11 @@
         self.process = launch(&self.settings, self.metrics.port(), &self.log);
     }
 
+    /// Returns the text of the settings file.
+    pub(crate) fn settings_text(&self) -> String {
+        std::fs::read_to_string(&self.settings).unwrap()
+    }
+
     /// Replaces the text of the settings file by the result of `change`.
     pub(crate) fn change_settings(&self, change: impl Fn(&str) -> String) {
         let text = std::fs::read_to_string(&self.settings).unwrap();
