--- a/crates/site/src/duty/retire.rs
+++ b/crates/site/src/duty/retire.rs
@@ -1,5 +1,6 @@
-//! Requests to empty a VM with a disk before it is retired. Nothing is stored
-//! on the disks, so each request is confirmed at once.
+//! Requests to empty a VM with a disk before it is retired. What is stored on a
+//! disk is on another one too, beyond those that may be lost ([`crate::origin`]),
+//! so each request is confirmed at once.
 
 use std::time::Duration;
 
