--- a/crates/site/src/job/proxy.rs
+++ b/crates/site/src/job/proxy.rs
@@ -350,12 +350,15 @@
         return Reply::new(StatusCode::BAD_REQUEST, "");
     };
     request.uri = uri;
-    // Only coordinators know all jobs from memory.
-    jobs.coordinators
-        .join_temporarily("another VM calls this VM about a job");
     let mode = match request.headers.contains_key(LAST_HOP) {
         true => api::FROM_COORDINATOR,
-        false => api::FROM_PEER,
+        false => {
+            // The other VM takes this one for a coordinator, as it does with a
+            // deputy. Only coordinators know all jobs from memory.
+            jobs.coordinators
+                .join_temporarily("another VM calls this VM about a job");
+            api::FROM_PEER
+        }
     };
     match batch::parse_call(&request) {
         Some(call) => api::answer(jobs, account, call, &request, mode, Execution::NotRun).await,
--- a/crates/site/src/origin/mod.rs
+++ b/crates/site/src/origin/mod.rs
@@ -177,10 +177,11 @@
         disks.truncate(self.0.copies + SPARE_COPIES);
         let question = Question::Record(name, producer.clone());
         let copies = Rc::new(Copies::default());
-        let in_memory = self.copy_to(&coordinators, &question, attempt, &copies, |c| &c.in_memory);
-        let on_disk = self.copy_to(&disks, &question, attempt, &copies, |c| &c.on_disk);
-        let goal = self.0.copies.min(on_disk);
-        let needs_memory = goal == 0 && in_memory > 0;
+        let awaited_coordinators =
+            self.copy_to(&coordinators, &question, attempt, &copies, |c| &c.in_memory);
+        let awaited_disks = self.copy_to(&disks, &question, attempt, &copies, |c| &c.on_disk);
+        let goal = self.0.copies.min(awaited_disks);
+        let needs_memory = goal == 0 && awaited_coordinators > 0;
         loop {
             let seen = copies.changed.count();
             let has_memory = copies.in_memory.get() > 0 || !needs_memory;
