site: a VM with a disk keeps each record in memory once

Cause: the archive put a record into its table before it wrote it, and again when it answered, so the table held half of the records that its limit allows. Change: the answer puts it, and the write follows. No other change of behaviour.

--- a/crates/site/src/origin/archive.rs
+++ b/crates/site/src/origin/archive.rs
@@ -20,7 +20,7 @@
 };
 
 use super::{
-    PATH, Producer, Question,
+    PATH, Question,
     ledger::{Entry, Ledger},
     table::Table,
 };
@@ -106,22 +106,21 @@
             Ok(question) => question,
             Err(reply) => return reply,
         };
-        if let Question::Record(name, producer) = &question
-            && !self.store(name, producer).await
+        let entry = match &question {
+            Question::Record(name, producer) => Some((name.clone(), producer.clone())),
+            Question::Find(_) | Question::List => None,
+        };
+        let answer = self.0.table.borrow_mut().answer(question);
+        if let Some(entry) = entry
+            && !self.store(entry).await
         {
             return Reply::new(StatusCode::INSUFFICIENT_STORAGE, "");
         }
-        let answer = self.0.table.borrow_mut().answer(question);
         Reply::json(StatusCode::OK, &answer)
     }
 
-    /// Keeps a record, and returns whether it is on the disk.
-    async fn store(&self, name: &str, producer: &Producer) -> bool {
-        let entry = (name.to_string(), producer.clone());
-        self.0
-            .table
-            .borrow_mut()
-            .put(name, producer.clone(), Instant::now());
+    /// Writes a record to the disk, and returns whether it is stored.
+    async fn store(&self, entry: Entry) -> bool {
         let batch = {
             let mut waiting = self.0.waiting.borrow_mut();
             if self.0.worker.is_none() || waiting.0.len() >= WAITING_MAX {
