--- a/review/standins/parts.py
+++ b/review/standins/parts.py
@@ -690,14 +690,14 @@
         connection.close()
 
 
-def job(items, prefix, tokens=(16, 12), scorer=None, step=0, desired=None):
+def job(items, prefix, tokens=(16, 12), scorer=None, step=0, desired=None, body_bytes=0):
     entries = []
     for number in range(items):
         ident = f"{prefix}-{number:03d}"
         entry = {"id": ident, "path": f"/rollouts/{prefix}/{number}",
                  "headers": {"Model": MODEL, "Token-Counts": f"{tokens[0]},{tokens[1]}",
                              "Prompt-Prefix": f"{number:x}:{tokens[0]}"},
-                 "body": base64.b64encode(ident.encode()).decode(),
+                 "body": base64.b64encode(ident.encode().ljust(body_bytes, b".")).decode(),
                  "tokens": tokens[0] + tokens[1], "group": f"g{number // 4}"}
         if scorer:
             entry["scorer"] = {"id": f"score-{ident}", "host": HOST, "path": scorer,
