--- a/review/standins/parts.py
+++ b/review/standins/parts.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import ctypes
 import http.client
 import json
 import os
@@ -520,6 +521,11 @@
 """
 
 
+def end_with_parent():
+    """Makes the process that is being started end when this one does."""
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)
+
+
 class Machine:
     """A machine with one process of the program, started as the deploy file says."""
 
@@ -580,7 +586,8 @@
         environment["TARRAGONSEAM_NODE_FILE"] = self.settings
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen(command, cwd=ROOT, env=environment, stdout=log,
-                                            stderr=log, stdin=subprocess.DEVNULL)
+                                            stderr=log, stdin=subprocess.DEVNULL,
+                                            preexec_fn=end_with_parent)
         self.is_first = False
         self.site.record.line(f"platform starts {self.name}")
 
@@ -712,6 +719,11 @@
     """Runs the case. Exits with 1 if the rule was broken, 0 if it held, and 2 if
     the case could not run."""
     site = Site(folder)
+
+    def stop(*_):
+        raise CannotRun("stopped before its end")
+
+    signal.signal(signal.SIGTERM, stop)
     try:
         is_broken = run(site)
         code = 1 if is_broken else 0
