Cases 2, 4 and 5: numbered anew, the gravest first

Case 3 (accepted jobs that no machine runs) is case 2 now, case 2 (items of an ended job) is case 4, and case 4 (streams after three resets) is case 5. Nothing else has changed.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,165 +1,104 @@
-"""Streams whose machine has connections reset three times are taken up at other machines."""
+"""The settings file of the machine that runs a batch job changes: it is no seed any more."""
 
 import os
-import socket
 import sys
-import threading
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standins"))
 from parts import *  # noqa: E402,F403
 
-SERVERS = 9
-SLOTS = 8
-STREAMS = 30
-EVENTS = 80
-RESETS = 3
-RESET_SHARE = 0.55  # the largest `x` in a list of troubles; single days have up to 0.741
-NEW_STREAMS = 16
-RETRY_S = 0.6  # how long a client waits before it takes its stream up again
+ITEMS = 48
+EVENTS = 40
+CANCEL_S = 3.0  # cancel-ms
+AFTER_END_S = 14.0
 
 
 class Writer(Engine):
-    def __init__(self, *arguments):
-        self.open = set()
-        super().__init__(*arguments)
+    """A model server that records when each item reached it."""
+
+    arrivals = []
 
     def run(self, peer, request, ident, base):
-        self.open.add(peer)
-        try:
-            super().run(peer, request, ident, base)
-        finally:
-            self.open.discard(peer)
-
-    def count_events(self, request):
-        return EVENTS
-
-
-def connections(machine):
-    """Returns the number of open connections of the machine's process."""
-    inodes = set()
-    folder = f"/proc/{machine.process.pid}/fd"
-    for name in os.listdir(folder):
-        try:
-            target = os.readlink(os.path.join(folder, name))
-        except OSError:
-            continue
-        if target.startswith("socket:["):
-            inodes.add(target[8:-1])
-    with open(f"/proc/{machine.process.pid}/net/tcp", encoding="ascii") as table:
-        rows = [line.split() for line in table.readlines()[1:]]
-    return sum(row[3] == "01" and row[9] in inodes for row in rows)
-
-
-class Client:
-    """A client of one stream, which it takes up again at another machine once it broke."""
-
-    def __init__(self, site, name):
-        self.site, self.name, self.events, self.attempts = site, name, [], 0
-        self.origin, self.is_whole = None, False
-
-    def attempt(self, machine):
-        ident = f"{self.name}-{self.attempts}"
-        self.attempts += 1
-        head = (f"POST /notes/{self.name} HTTP/1.1\r\nHost: {HOST}\r\nX-Api-Key: {KEY}\r\nRequest-Id: {ident}\r\n"
-                f"Deadline-Ms: 15000\r\nModel: {MODEL}\r\nToken-Counts: 16,{EVENTS}\r\n"
-                f"Prompt-Prefix: {self.name.encode().hex()}:16\r\nContent-Length: 0\r\n")
-        if self.events:
-            head += f"Last-Event-Id: {self.events[-1]}\r\nResumes: {self.origin}\r\n"
-        self.site.record.line(f"client sends {ident} to {machine.name}"
-                              + (f", after event {self.events[-1]}" if self.events else ""))
-        received = b""
-        try:
-            with socket.create_connection(("127.0.0.1", machine.front), timeout=10) as sock:
-                sock.sendall(head.encode() + b"\r\n")
-                while not received.endswith(b"\r\n0\r\n\r\n"):
-                    data = sock.recv(65536)
-                    if not data:
-                        break
-                    received += data
-                    if b"\r\n\r\n" in received and b"chunked" not in received.split(b"\r\n\r\n")[0].lower():
-                        break
-        except OSError:
-            pass
-        status = received.split(b" ")[1].decode() if received else "none"
-        new = [int(l[4:]) for l in received.split(b"\n") if l.startswith(b"id: ")]
-        if new and not self.events:
-            self.origin = ident
-        self.events += new
-        self.is_whole = received.endswith(b"\r\n0\r\n\r\n") and self.events == list(range(EVENTS))
-        after = [l for l in received.split(b"\r\n") if l.lower().startswith(b"retry-after")]
-        self.site.record.line(f"client has {ident}: status {status}, {len(new)} events"
-                              f"{', whole' if self.is_whole else ''} {after[0].decode() if after else ''}")
-        return status, bool(new)
+        self.arrivals.append((time.monotonic(), ident, self.ident))
+        super().run(peer, request, ident, base)
+
+
+def read(site, machine, is_reading):
+    position, number = 0, 0
+    while is_reading.is_set():
+        status, _, body = call(machine, "GET", f"/lots/job-1?after={position}", f"read-{number}",
+                               headers=[("Wait-Ms", 400)], timeout=2.5)
+        if status == 200:
+            position = json.loads(body)["next-token"]
+        site.record.line(f"client reads job-1 -> {status}, {position} results")
+        number += 1
+        time.sleep(0.1)
 
 
 def run(site):
     site.add(fronts=4, stores=3)
-    route = {"name": "notes", "host": HOST, "path-prefix": "/notes/", "kind": "unsafe", "streaming": True,
-             "resumable": True, "sticky": True, "timeout-ms": 15000, "aim-ms": 400, "priority": 1,
-             "service": "writer", "max-attempts": 4}
-    service = {"name": "writer", "max-conns": 130, "health-path": "/health",
-               "engine": {"slots": SLOTS, "kv-capacity-tokens": 91958, "models": [{"name": MODEL}]}}
-    site.store.put("config", "main", config([route], [service]))
+    routes = [{"name": "jobs", "host": HOST, "path-prefix": "/jobs/", "kind": "rollout", "timeout-ms": 10000,
+               "aim-ms": 400, "priority": 1, "service": "writer", "max-attempts": 3,
+               "run-target-ms": 7500, "max-wait-s": 40, "sticky": True}]
+    services = [{"name": "writer", "max-conns": 130, "health-path": "/health",
+                 "engine": {"slots": 2, "kv-capacity-tokens": 91958, "models": [{"name": MODEL}]}}]
+    site.store.put("config", "main", config(routes, services))
     zones = ["zone-a", "zone-b", "zone-c"]
-    engines = [Writer(site.store, site.record, f"i-{n}", "writer", zones[n % 3], SLOTS, [MODEL])
-               for n in range(SERVERS)]
-    site.start(site.fronts[:3])
-    wait("the disks to be known", lambda: all(m.has_logged('"disks":3') for m in site.fronts))
-    time.sleep(3.5)
-    first, others = site.fronts[0], site.fronts[1:]
-
-    clients = [Client(site, f"s{n:02d}") for n in range(STREAMS)]
-    taken_up, gone_on, lock = [], [], threading.Lock()
-
-    def follow(number, client):
-        client.attempt(first)
-        if not client.is_whole and client.events:
-            time.sleep(RETRY_S)
-            status, goes_on = client.attempt(others[number % len(others)])
-            with lock:
-                taken_up.append(client.name)
-                if goes_on:
-                    gone_on.append(client.name)
-
-    threads = [threading.Thread(target=follow, args=pair) for pair in enumerate(clients)]
-    for thread in threads:
-        thread.start()
+    engines = [Writer(site.store, site.record, f"i-{n}", "writer", zones[n % 3], 2, [MODEL]) for n in range(3)]
+    seeds, spare = site.fronts[:3], site.fronts[3]
+    site.start(seeds)
     time.sleep(2.0)
-    for turn in range(RESETS if TROUBLE else 0):
-        peers = [peer for engine in engines for peer in list(engine.open)]
-        total = connections(first)
-        if len(peers) > RESET_SHARE * total:
-            peers = peers[:int(RESET_SHARE * total)]
-        site.record.line(f"{len(peers)} of {total} connections of {first.name} are reset, those to servers")
-        for peer in peers:
-            peer.reset()
-        time.sleep(1.2)
-    # Other clients begin streams at the other machines meanwhile.
-    begun = []
-
-    def begin(number):
-        _, begins = Client(site, f"n{number:02d}").attempt(others[number % len(others)])
-        if begins:
-            begun.append(number)
-
-    new = [threading.Thread(target=begin, args=(n,)) for n in range(NEW_STREAMS)]
-    for thread in new:
-        thread.start()
-    for thread in threads + new:
-        thread.join()
-    share_new = len(begun) / NEW_STREAMS
-    share_old = len(gone_on) / max(len(taken_up), 1)
-    text = (f"{len(taken_up)} of {STREAMS} streams taken up again at other machines, {len(gone_on)} go on; "
-            f"{len(begun)} of {NEW_STREAMS} new streams begin")
-    site.record.line(text)
-    print(text)
-    if not TROUBLE and not all(client.is_whole for client in clients):
-        raise CannotRun("a stream broke without a disruption")
-    is_broken = len(taken_up) >= 12 and share_old < share_new / 2
-    if is_broken:
-        site.record.line("LOST: under half of the share of new streams")
-    return is_broken
+
+    # A trainer submits a batch job of more items than the servers have slots for.
+    status, _, _ = call(spare, "POST", "/jobs/step", "job-1", body=job(ITEMS, "it", tokens=(16, EVENTS)))
+    site.record.line(f"client submits job-1 with {ITEMS} items -> {status}")
+    if status != 202:
+        raise CannotRun(f"the job was answered {status}")
+    wait("items at servers", lambda: len(Writer.arrivals) >= 6)
+    text = '"payload":"started running job"'
+    wait("a machine that runs the job", lambda: any(m.has_logged(text) for m in site.fronts))
+    runner = next(m for m in site.fronts if m.has_logged(text))
+    site.record.line(f"{runner.name} runs job-1")
+    time.sleep(1.0)
+
+    # A trainer reads about twice per second.
+    is_reading = threading.Event()
+    is_reading.set()
+    reader = threading.Thread(target=read, args=(site, spare, is_reading))
+    reader.start()
+    time.sleep(1.0)
+
+    # The platform writes new settings, over 2 s. The machine that runs the job is no seed in
+    # them; the others are. Only that machine gets SIGHUP, the others find the file changed.
+    new = [m for m in site.fronts if m is not runner] if TROUBLE else seeds
+    others = [m for m in site.machines if m is not runner]
+    for machine in [runner, *others]:
+        machine.write_settings([m.control_address for m in new])
+        site.record.line(f"platform writes settings of {machine.name} with the seeds {[m.name for m in new]}")
+        if machine is runner:
+            machine.signal(signal.SIGHUP)
+            time.sleep(1.5)
+    time.sleep(3.0)
+    is_reading.clear()
+    reader.join()
+
+    # The trainer ends the job.
+    status, tries = 0, 0
+    while status != 200 and tries < 5:
+        status, _, _ = call(spare, "DELETE", "/lots/job-1", f"end-{tries}")
+        tries += 1
+        site.record.line(f"client ends job-1 -> {status}")
+    if status != 200:
+        raise CannotRun(f"the end was answered {status}")
+    ended = time.monotonic()
+    time.sleep(AFTER_END_S)
+    late = [(at - ended, ident, server) for at, ident, server in Writer.arrivals if at - ended > CANCEL_S]
+    for seconds, ident, server in late:
+        site.record.line(f"UNASKED: {ident} ran at {server} {seconds:.1f} s after the end was acknowledged")
+    total = len(Writer.arrivals)
+    print(f"{total} items ran, {len(late)} of them later than {CANCEL_S} s after the end of their job")
+    site.record.line(f"{total} items ran, {len(late)} later than cancel-ms after the end of their job")
+    return bool(late)
 
 
 main(run, os.path.dirname(os.path.abspath(__file__)))
