Case 2: the change of settings comes when the store has seen the first parts

Rule LOST (batch jobs), as before; the order of events is the same, and no longer depends on how fast the machine is.

--- a/review/standins/parts.py
+++ b/review/standins/parts.py
@@ -235,6 +235,7 @@
         self.objects = {}
         self.log = []
         self.revision = 7
+        self.created = 0
         super().__init__()
 
     # What the operator and the servers write.
@@ -295,6 +296,7 @@
                 name = body["metadata"]["name"]
                 if (kind, name) in self.objects:
                     return 409, self.objects[(kind, name)]
+                self.created += 1
                 return 200, self._set(kind, name, spec=body.get("spec"))
             name = parts[2]
             known = self.objects.get((kind, name))
