Streams: only an event stream continues one that broke

What callers saw: a stream that broke after some events ended as if it were complete (ORDER). Status 200 of the first endpoint, the last chunk, and most events missing.

Cause: `open_next` returned every response that is no rejection as an opened stream. The relay of a resumed stream never looked at its status, so the empty body of an endpoint's own 500 was the end of the stream. Ruled out: a lost last chunk of the first endpoint (its connection was reset, which the log names) and the framing of the answer (an empty body with length 0 is complete).

Change: once the caller has the head of the answer, a response with another status than 200 or another media type than `text/event-stream` counts as a run that failed. The stream goes on at another endpoint while `max-attempts` allows it; else the answer is broken off, and the caller can take the stream up. A response without a media type is still accepted. Each such answer is logged with request, endpoint and status.

--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -32,7 +32,7 @@
     path::Paths,
     permit::Permits,
     placement::{self, Criteria},
-    stream::{Attempts, Source},
+    stream::{Attempts, Source, is_event_stream},
     usage::{Entry, Usage},
 };
 
@@ -368,6 +368,13 @@
             Ok((response, false)) => {
                 attempts.runs += 1;
                 self.facts.borrow_mut().record_success(key);
+                if attempts.is_answered && !is_event_stream(response.status, &response.headers) {
+                    let status = response.status.as_u16();
+                    let (request, endpoint) = (dispatch.id.as_str(), endpoint.id.as_str());
+                    spdlog::warn!("stream not continued, the endpoint answered otherwise", kv: { request, endpoint, status });
+                    outcome.runs += 1;
+                    return attempts.may_continue(route).then_some(None);
+                }
                 log_opened(dispatch, &endpoint);
                 Some(Some(Source {
                     key,
--- a/crates/site/src/stream.rs
+++ b/crates/site/src/stream.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use link::{
-    HeaderValue,
+    HeaderMap, HeaderName, HeaderValue, StatusCode,
     http::{
         self, Response, error,
         server::{Part, Reply, Sender},
@@ -47,6 +47,9 @@
     pub(crate) tried: Vec<Key>,
     /// The number of endpoints that ran the request or may have run it.
     pub(crate) runs: u32,
+    /// Whether the caller has the head of the answer. Only another event stream
+    /// can continue it then.
+    pub(crate) is_answered: bool,
 }
 
 impl Attempts {
@@ -142,6 +145,7 @@
         // The headers of the reply are those of the first endpoint, so the others
         // have to be of its kind even before the first event.
         attempts.producer = Some(first.producer.clone());
+        attempts.is_answered = true;
         if route.resumable {
             let origin = dispatch.origin().unwrap_or(&dispatch.id);
             self.origins.record(origin, &first.producer).await;
@@ -217,6 +221,17 @@
     }
 }
 
+/// Returns whether a response is an event stream, and not an answer of another
+/// kind, such as the endpoint's own failure.
+pub(crate) fn is_event_stream(status: StatusCode, headers: &HeaderMap) -> bool {
+    let media_type = headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
+    let is_other_type = media_type.is_some_and(|value| !value.starts_with(EVENT_STREAM));
+    status == StatusCode::OK && !is_other_type
+}
+
+const CONTENT_TYPE: HeaderName = HeaderName::from_static("content-type");
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// Relays complete events, and stores the id of the last one in `last_id`. An
 /// incomplete event is held back, since its remainder may never arrive.
 async fn relay_events(
--- a/crates/site/tests/software.rs
+++ b/crates/site/tests/software.rs
@@ -12,7 +12,7 @@
     },
     wait,
 };
-use fakes::site::{self, Fault};
+use fakes::site::{self, Fault, Plan};
 use link::Method;
 use serde_json::Value;
 
@@ -260,3 +260,62 @@
     assert!(broken.iter().all(|stream| !stream.is_mixed()));
     assert!(deployment.vms[0].log().contains("\"status\":503"));
 }
+
+/// Opens a stream at an endpoint that cuts it after [`EVENTS_BEFORE`] events, while
+/// the endpoints that `fails` selects, of those that do not have the stream, answer
+/// with 500. Returns the stream once its answer has ended.
+fn cut_stream(deployment: &Deployment, round: usize, fails: impl Fn(usize) -> bool) -> Stream {
+    for endpoint in deployment.site.state().endpoints.values_mut() {
+        endpoint.faults.errors = 0;
+    }
+    cut_streams(deployment, EVENTS_BEFORE as u64);
+    let vms = callers(deployment);
+    let id = format!("s{round}-0-0");
+    let mut streams = open_streams(round, &vms[..1], || {
+        let mut state = deployment.site.state();
+        let owner = state.arrivals_of(&id)[0].endpoint.clone();
+        let others = state.endpoints.values_mut();
+        let others = others.filter(|e| e.id.starts_with("engine") && e.id != owner);
+        for (number, endpoint) in others.enumerate() {
+            endpoint.faults.cut_after = None;
+            endpoint.faults.errors = u32::from(fails(number));
+        }
+    });
+    streams.remove(0)
+}
+
+fn start_one_version(max_attempts: u32) -> Deployment {
+    let plan = Plan {
+        engines: 3,
+        plain: 1,
+        event_time: Duration::from_millis(40),
+    };
+    let deployment = Deployment::start(1, plan);
+    common::add_stream_route_with(&deployment, true, max_attempts);
+    deployment
+}
+
+/// An endpoint that answers the resumption of a stream with 500 and no body once
+/// ended the stream as if it were complete.
+#[test]
+fn stream_ends_as_complete_after_failed_resumption() {
+    let deployment = start_one_version(3);
+    let stream = cut_stream(&deployment, 0, |_| true);
+    assert!(!stream.is_complete);
+    let ids: Vec<u64> = stream.events.iter().map(|(id, _)| *id).collect();
+    assert_eq!(ids, [0, 1, 2, 3]);
+    assert_eq!(deployment.site.state().arrivals_of("s0-0-0").len(), 3);
+}
+
+/// A stream goes on at another endpoint after one answered its resumption with 500.
+#[test]
+fn stream_goes_on_after_failed_resumption() {
+    let deployment = start_one_version(3);
+    let streams: Vec<Stream> = (0..8)
+        .map(|round| cut_stream(&deployment, round, |other| other == round % 2))
+        .collect();
+    assert_whole(&streams);
+    let state = deployment.site.state();
+    let attempts = |round| state.arrivals_of(&format!("s{round}-0-0")).len();
+    assert!((0..8).any(|round| attempts(round) == 3));
+}
