Jobs: a VM stays a coordinator while it accepts, takes over or runs a job

What callers saw: a trainer ended its job and got 200, and items of that job went on starting for as long as there were any (UNASKED); and, with another order of the same events, jobs that were accepted and whose items no VM ran until their deadline (LOST).

Cause: only coordinators watch the jobs. `join_temporarily` does nothing for a seed, so a seed that ran or accepted a job ceased to be a coordinator at the moment its settings named others. `failover::follow` then cleared the registry, whose contract is that no job runs. The task of the job kept a handle of its own that no claim and no end reached, and `is_busy` was false, so `take_over`, which was to prolong the role, never did. Once another VM called, the view was fresh, and the old task started items again beside a second task for the same job. In the second order, `accept` was waiting for the store meanwhile: it put the job into the cleared registry of a VM without a view, whose heartbeats kept other VMs from taking its jobs over.

Ruled out: an end that was not written (the store had it before the 200), a stale view (items start only with one that is younger than 2 s), a claim of another VM (there was none).

Change: `Coordinators::hold` returns a tenure, which keeps the VM a coordinator until it is dropped and for the usual 6 s after. A submission holds one from before its first write, a takeover during its claim, and an execution as long as it runs; the poll that prolonged the role is gone. So the registry is cleared only while no task has a handle of a running job. A change of the role by settings is logged with the number of tenures.

On what VMs say, store or keep nothing changes.

--- a/crates/fakes/src/site/mod.rs
+++ b/crates/fakes/src/site/mod.rs
@@ -88,6 +88,8 @@
     LateWrites(Duration),
     /// The same for writes to one kind of object.
     LateWritesOf(&'static str, Duration),
+    /// Writes to one kind of object are executed and answered after this time.
+    SlowWritesOf(&'static str, Duration),
     /// Watches report no changes; other calls are answered.
     SilentWatches,
 }
--- a/crates/fakes/src/site/store.rs
+++ b/crates/fakes/src/site/store.rs
@@ -45,6 +45,12 @@
         write.await;
         return Reply::cut();
     }
+    if let Fault::SlowWritesOf(kind, delay) = fault
+        && request.segments().get(1) == Some(&kind)
+        && request.method != Method::GET
+    {
+        monoio::time::sleep(delay).await;
+    }
     let watch = request.query("watch").and_then(|value| value.parse().ok());
     let reply = match watch {
         Some(from) => watch_from(&state, &request, from).await,
--- a/crates/site/src/components.rs
+++ b/crates/site/src/components.rs
@@ -193,6 +193,7 @@
             registry: registry.clone(),
             content: content.clone(),
             view: view.clone(),
+            coordinators: coordinators.clone(),
             vm: settings.vm.clone(),
             failure_domain: settings.failure_domain.clone(),
         };
--- a/crates/site/src/coordinator.rs
+++ b/crates/site/src/coordinator.rs
@@ -41,9 +41,27 @@
     /// The VMs that have not answered since they failed to.
     failing: RefCell<Set<SocketAddr>>,
     temporary_until: Cell<Option<Instant>>,
+    /// The number of tenures that have not ended.
+    tenures: Cell<usize>,
     changed: Notifier,
 }
 
+/// Keeps this VM a coordinator until it is dropped and for a while after,
+/// whatever seeds the settings name meanwhile.
+#[derive(Debug)]
+pub struct Tenure(Coordinators);
+
+impl Drop for Tenure {
+    fn drop(&mut self) {
+        let inner = &self.0.0;
+        inner.tenures.set(inner.tenures.get() - 1);
+        if !self.0.is_seed() {
+            let end = Instant::now() + TEMPORARY_TERM;
+            inner.temporary_until.set(Some(end));
+        }
+    }
+}
+
 impl Coordinators {
     /// Returns the coordinators with the peer addresses `seeds`. `own` is the
     /// peer address of this VM.
@@ -55,13 +73,19 @@
             backoff_until: RefCell::default(),
             failing: RefCell::default(),
             temporary_until: Cell::new(None),
+            tenures: Cell::new(0),
             changed: Notifier::default(),
         }))
     }
 
     /// Replaces the seeds.
     pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        let was_seed = self.is_seed();
         *self.0.seeds.borrow_mut() = seeds;
+        let (is_seed, tenures) = (self.is_seed(), self.0.tenures.get());
+        if is_seed != was_seed {
+            spdlog::info!("settings changed whether this VM is a seed", kv: { is_seed, tenures });
+        }
         self.0.changed.notify();
     }
 
@@ -115,7 +139,9 @@
     /// Returns whether this VM is a coordinator now.
     pub fn is_coordinator(&self, now: Instant) -> bool {
         let temporary_until = self.0.temporary_until.get();
-        self.is_seed() || temporary_until.is_some_and(|until| until > now)
+        self.is_seed()
+            || self.0.tenures.get() > 0
+            || temporary_until.is_some_and(|until| until > now)
     }
 
     /// Makes this VM a temporary coordinator unless it is a seed. `reason` is
@@ -135,16 +161,36 @@
     /// # Ok::<(), std::net::AddrParseError>(())
     /// ```
     pub fn join_temporarily(&self, reason: &str) {
-        let now = Instant::now();
-        if self.is_seed() {
-            return;
-        }
-        let is_new = !self.is_coordinator(now);
-        self.0.temporary_until.set(Some(now + TEMPORARY_TERM));
+        drop(self.hold(reason));
+    }
+
+    /// Makes this VM a coordinator, and keeps it one until the tenure is dropped,
+    /// also if the settings stop naming it as a seed. `reason` is written to the
+    /// log if this VM was no coordinator.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use std::time::Instant;
+    /// use tarragonseam_site::coordinator::Coordinators;
+    ///
+    /// let (other, own) = ("127.0.0.1:7000".parse()?, "127.0.0.1:7001".parse()?);
+    /// let coordinators = Coordinators::new(vec![own], Some(own));
+    /// let tenure = coordinators.hold("this VM runs a job");
+    /// coordinators.set_seeds(vec![other]);
+    /// assert!(coordinators.is_coordinator(Instant::now()));
+    /// drop(tenure);
+    /// # Ok::<(), std::net::AddrParseError>(())
+    /// ```
+    #[must_use = "the tenure ends when it is dropped"]
+    pub fn hold(&self, reason: &str) -> Tenure {
+        let is_new = !self.is_coordinator(Instant::now());
+        self.0.tenures.set(self.0.tenures.get() + 1);
         if is_new {
             spdlog::warn!("became a temporary coordinator", kv: { reason });
             self.0.changed.notify();
         }
+        Tenure(self.clone())
     }
 
     /// Returns the seeds in the order in which they are called about
--- a/crates/site/src/job/executor.rs
+++ b/crates/site/src/job/executor.rs
@@ -27,6 +27,7 @@
     text::Text,
 };
 use crate::{
+    coordinator::Coordinators,
     facts::Key,
     follow::View,
     forward::Slot,
@@ -67,6 +68,8 @@
     pub content: Content,
     /// How recent this VM's view of the jobs in the store is.
     pub view: View,
+    /// The VMs that run jobs.
+    pub coordinators: Coordinators,
     /// The name of this VM.
     pub vm: String,
     /// The failure domain of this VM.
@@ -138,6 +141,8 @@
             return;
         }
         let (executor, job) = (self.clone(), job.clone());
+        // Only coordinators see that a job is claimed by another VM or ended.
+        let tenure = self.coordinators.hold("this VM runs a job");
         monoio::spawn(async move {
             let id = job.borrow().id.clone();
             let id = id.as_str();
@@ -152,6 +157,7 @@
             }
             let samples = job.borrow().samples.len();
             spdlog::info!("stopped running job", kv: { job = id, reason, samples });
+            drop(tenure);
         });
     }
 
--- a/crates/site/src/job/failover.rs
+++ b/crates/site/src/job/failover.rs
@@ -48,7 +48,8 @@
             () = watch(&jobs) => {}
             () = coordinators.wait_until(false) => {}
         }
-        // Without a watch the registry would become stale.
+        // Without a watch the registry would become stale. No job runs here now:
+        // an execution keeps this VM a coordinator.
         jobs.view.reset();
         jobs.registry.clear();
     }
@@ -90,9 +91,6 @@
         if jobs.proxy.is_draining() {
             return;
         }
-        if jobs.registry.is_busy() {
-            jobs.coordinators.join_temporarily("this VM runs a job");
-        }
         let now = Instant::now();
         let reachable_for = jobs.view.connected_for(now);
         jobs.registry.evict_unused(now);
@@ -156,6 +154,7 @@
 }
 
 async fn claim(jobs: &Jobs, job: &Handle) {
+    let _tenure = jobs.coordinators.hold("this VM takes over a job");
     let (id, number, from) = {
         let job = job.borrow();
         (job.id.clone(), job.claims, job.holder.clone())
--- a/crates/site/src/job/submission.rs
+++ b/crates/site/src/job/submission.rs
@@ -174,9 +174,9 @@
         return not_accepted(jobs, id, "draining", "this VM accepts no more jobs");
     }
     // A VM that runs a job must see when the job is ended, and only
-    // coordinators watch jobs.
-    jobs.coordinators
-        .join_temporarily("a job was submitted to this VM");
+    // coordinators watch jobs. Writing the job to the store takes time, in which
+    // the settings may change.
+    let _tenure = jobs.coordinators.hold("a job was submitted to this VM");
     let submission: Submission = match request.json() {
         Ok(submission) => submission,
         Err(reply) => return reply,
