Streams: a failure on a route of streams is passed on whole

The relay holds an incomplete event back, and a body without events is one; a body that breaks off is resumed at another endpoint.

Change: an answer that is no event stream is read and passed on as on other routes. If it breaks off, the caller gets 504, as there.

--- a/crates/fakes/src/script.rs
+++ b/crates/fakes/src/script.rs
@@ -18,6 +18,12 @@
     Status(u16),
     /// A success with this body.
     Body(&'static str),
+    /// A failure with this body.
+    Failure(&'static str),
+    /// A failure whose body ends after this text, before its declared length.
+    CutFailure(&'static str),
+    /// An event stream that is complete after this body.
+    Events(&'static str),
     /// The response of an endpoint that does not run the request.
     NotRun,
     /// As [`Body`](Self::Body), after an extra [`NotRun`](Self::NotRun) that
@@ -125,6 +131,16 @@
             Answer::Body(body) | Answer::BodyAfterLateNotRun(body) => {
                 respond(&mut stream, 200, &format!("{id}{close}"), body)?;
             }
+            Answer::Failure(body) => respond(&mut stream, 500, &format!("{id}{close}"), body)?,
+            Answer::CutFailure(text) => {
+                let length = text.len() + 1;
+                let head = format!("HTTP/1.1 500 Scripted\r\n{id}content-length: {length}");
+                return write!(stream, "{head}\r\n\r\n{text}");
+            }
+            Answer::Events(body) => {
+                let headers = format!("{id}{close}content-type: text/event-stream\r\n");
+                respond(&mut stream, 200, &headers, body)?;
+            }
             Answer::NotRun => respond(&mut stream, 503, &format!("{not_run}{close}"), "")?,
             Answer::Close => return Ok(()),
             Answer::EndlessHead(text) => {
--- a/crates/site/src/path.rs
+++ b/crates/site/src/path.rs
@@ -457,7 +457,7 @@
 }
 
 /// Waits for the head of a response and reads its body within `limit`.
-async fn collect(
+pub(crate) async fn collect(
     limit: Duration,
     sent: impl Future<Output = Result<Response, http::Error>>,
 ) -> Result<Fetched, http::Error> {
--- a/crates/site/src/stream.rs
+++ b/crates/site/src/stream.rs
@@ -1,7 +1,10 @@
 //! Relays event streams from endpoints to callers. A stream that breaks is
 //! resumed at another endpoint if the route allows it.
 
-use std::time::{Duration, Instant};
+use std::{
+    future,
+    time::{Duration, Instant},
+};
 
 use link::{
     HeaderMap, HeaderName, HeaderValue, StatusCode,
@@ -19,6 +22,7 @@
         reply_for, select_service,
     },
     origin::Producer,
+    path,
 };
 
 /// The longest time between two events after which a stream that may be resumed
@@ -83,6 +87,9 @@
             return reply_for(outcome);
         };
         let status = opened.response.status;
+        if !is_event_stream(status, &opened.response.headers) {
+            return self.pass_on(&dispatch, opened).await;
+        }
         let headers = header::forwarded_headers(&opened.response.headers);
         let forwarder = self.clone();
         let mut reply = Reply::produced(status, move |sender| async move {
@@ -94,6 +101,39 @@
         reply
     }
 
+    /// Returns the reply that passes an answer other than an event stream on, such
+    /// as the endpoint's own failure. No other endpoint can continue it.
+    async fn pass_on(&self, dispatch: &Dispatch, opened: Source) -> Reply {
+        let Source {
+            key,
+            slot: _slot,
+            response,
+            ..
+        } = opened;
+        let endpoint = self.endpoint(key);
+        let answer = path::collect(dispatch.time_left(), future::ready(Ok(response)));
+        let end = match answer.await {
+            Ok(answer) => {
+                if !answer.status.is_server_error() {
+                    self.crashes.record_answer(dispatch);
+                }
+                End::Answered(answer)
+            }
+            Err(e) => {
+                let (request, problem) = (dispatch.id.as_str(), e.to_string());
+                spdlog::warn!("answer without events broke off", kv: { request, problem });
+                if let Some(endpoint) = endpoint {
+                    self.crashes.record_failure(dispatch, &endpoint, &e);
+                }
+                End::Lost
+            }
+        };
+        reply_for(Outcome {
+            end,
+            ..Outcome::default()
+        })
+    }
+
     /// Returns what began the stream that `dispatch` resumes, or `None` if it
     /// begins one.
     ///
@@ -154,16 +194,13 @@
         let mut last_id = None;
         while let Some(source) = opened.take() {
             let endpoint = self.endpoint(source.key);
-            let is_failure = source.response.status.is_server_error();
             let timer = event_timer(&route, &dispatch);
             let stop = relay_events(source, &sender, &mut last_id, timer).await;
             let request = dispatch.id.as_str();
             let event = last_id.unwrap_or_default();
             match stop {
                 Stop::Complete => {
-                    if !is_failure {
-                        self.crashes.record_answer(&dispatch);
-                    }
+                    self.crashes.record_answer(&dispatch);
                     // The send fails only if the caller has disconnected.
                     let _ = sender.send(Part::End).await;
                     return;
--- /dev/null
+++ b/crates/site/tests/stream_answer.rs
@@ -0,0 +1,65 @@
+//! End-to-end tests of what endpoints answer on a route of event streams.
+
+mod common;
+
+use common::{Deployment, caller};
+use fakes::{
+    script::{self, Answer, Script},
+    site::{ENGINE_SERVICE, Plan},
+};
+use link::{Method, http::client::Fetched};
+
+/// The number of events of each stream.
+const EVENTS: usize = 3;
+
+/// Starts a VM, an engine, and an endpoint that the VM prefers and that gives
+/// `answers`, each on a connection of its own.
+fn start(answers: &[Answer]) -> (Deployment, Script) {
+    let connections = answers.iter().map(|answer| vec![*answer]);
+    let script = script::spawn(connections.collect()).unwrap();
+    let plan = Plan {
+        engines: 1,
+        plain: 1,
+        ..Plan::default()
+    };
+    let deployment = Deployment::start(1, plan);
+    let mut state = deployment.site.state();
+    state.endpoints.get_mut("engine-0").unwrap().domain = "zone-b";
+    state.announce("engine-0", "ready");
+    drop(state);
+    common::add_stream_route(&deployment, true);
+    common::announce_script(&deployment, ENGINE_SERVICE, &script);
+    (deployment, script)
+}
+
+/// Requests a stream of [`EVENTS`] events with the id `s`.
+fn open(deployment: &Deployment) -> Fetched {
+    let call = caller(Method::POST, "/stream/a", "s").header("x-events", EVENTS.to_string());
+    deployment.vms[0].send(call)
+}
+
+/// Returns the text of an answer.
+fn text(answer: &Fetched) -> String {
+    String::from_utf8_lossy(&answer.body).into_owned()
+}
+
+/// An endpoint's failure lost its body on its way to the caller.
+#[test]
+fn failure_instead_of_stream_loses_its_body() {
+    let (deployment, script) = start(&[Answer::Failure("no memory left")]);
+    let answer = open(&deployment);
+    assert_eq!(script.requests(), 1);
+    assert_eq!(answer.status, 500);
+    assert_eq!(text(&answer), "no memory left");
+}
+
+/// An endpoint's failure whose body broke off was followed by the events of another
+/// endpoint, in one answer with status 500.
+#[test]
+fn failure_that_breaks_off_goes_on_with_events() {
+    let (deployment, script) = start(&[Answer::CutFailure("no memory left\n\n")]);
+    let answer = open(&deployment);
+    assert_eq!(script.requests(), 1);
+    assert_eq!(answer.status, 504);
+    assert!(!text(&answer).contains("data:"), "{}", text(&answer));
+}
