Streams: a body that ends within an event has not ended the stream

Cause: the relay and the items of jobs drop an incomplete event at the end of a body, and took any end of the body for the end of the stream.

Change: bytes of an incomplete event at the end of a body make the stream broken, so it goes on at another endpoint after its last event, as after a reset. Line ends behind the last event are still accepted.

Shown: stream_that_ends_within_event_is_complete had 1 of 3 events before, and item_that_ends_within_event_is_done the text of one; both pass.

--- a/crates/site/src/job/attempt.rs
+++ b/crates/site/src/job/attempt.rs
@@ -220,6 +220,9 @@
         let mut timer = EventTimer::new(EVENT_TIMEOUT);
         loop {
             let part = match response.next(timer.remaining()).await {
+                None if events.is_within_event() => {
+                    return Attempt::Interrupted("the body ended within an event".to_string());
+                }
                 None => {
                     text.borrow_mut().mark_complete();
                     return Attempt::Complete;
--- a/crates/site/src/stream.rs
+++ b/crates/site/src/stream.rs
@@ -280,6 +280,11 @@
     let mut events = Events::default();
     loop {
         match source.response.next(timer.remaining()).await {
+            // An endpoint may stop within an event, and end its body all the same.
+            None if events.is_within_event() => {
+                let detail = "the body ended within an event";
+                return Stop::Broken(http::Error::new(error::Kind::Malformed, detail));
+            }
             None => {
                 drop(source.slot);
                 return Stop::Complete;
--- a/crates/site/tests/stream_answer.rs
+++ b/crates/site/tests/stream_answer.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Deployment, caller};
+use common::{Deployment, caller, job};
 use fakes::{
     script::{self, Answer, Script},
     site::{ENGINE_SERVICE, Plan},
@@ -43,6 +43,12 @@
     String::from_utf8_lossy(&answer.body).into_owned()
 }
 
+/// Returns the events from number `first` on as an engine sends them.
+fn events(first: usize) -> String {
+    let events = (first..EVENTS).map(|number| format!("id: {number}\ndata: s/{number}\n\n"));
+    events.collect()
+}
+
 /// An endpoint's failure lost its body on its way to the caller.
 #[test]
 fn failure_instead_of_stream_loses_its_body() {
@@ -63,3 +69,26 @@
     assert_eq!(answer.status, 504);
     assert!(!text(&answer).contains("data:"), "{}", text(&answer));
 }
+
+/// A stream that an endpoint ended within an event was complete for the caller.
+#[test]
+fn stream_that_ends_within_event_is_complete() {
+    let start_of_stream = "id: 0\ndata: s/0\n\nid: 1\nda";
+    let (deployment, script) = start(&[Answer::Events(start_of_stream)]);
+    let answer = open(&deployment);
+    assert_eq!(script.requests(), 1);
+    assert_eq!(text(&answer), events(0));
+}
+
+/// An item whose stream an endpoint ended within an event was done with a part of
+/// its text.
+#[test]
+fn item_that_ends_within_event_is_done() {
+    let start_of_stream = "id: 0\ndata: i-0/0\n\nid: 1\nda";
+    let (deployment, script) = start(&[Answer::Events(start_of_stream)]);
+    let vm = &deployment.vms[0];
+    assert_eq!(vm.submit("job", &job("i", 1, EVENTS as u64)), 202);
+    let samples = vm.read_all("job", 1);
+    assert_eq!(script.requests(), 1);
+    assert_eq!(samples[0]["text"], common::text("i-0", EVENTS as u64));
+}
