Jobs: an answer without events does not complete an item

What trainers saw: an item was done with an empty text, after an endpoint had answered with a success that has no events (status 204, or another media type).

Cause: the same as of the stream that ended as complete: the items of jobs accepted each 2xx as an event stream.

Change: they use the check of streams, so the item is run again elsewhere.

Shown: item_without_body_is_done had an empty text before and passes.

--- a/crates/site/src/job/attempt.rs
+++ b/crates/site/src/job/attempt.rs
@@ -22,7 +22,7 @@
     path::Paths,
     permit::Permits,
     placement::{self, Criteria},
-    stream::EventTimer,
+    stream::{EventTimer, is_event_stream},
 };
 
 /// How long the first event may take. An endpoint processes a full queue in
@@ -207,9 +207,9 @@
         if response.status == StatusCode::INTERNAL_SERVER_ERROR {
             return Attempt::Failed;
         }
-        if !response.status.is_success() {
+        if !is_event_stream(response.status, headers) {
             return Attempt::Interrupted(format!(
-                "endpoint responded with status {}",
+                "endpoint responded without events, with status {}",
                 response.status
             ));
         }
--- a/crates/site/tests/stream_answer.rs
+++ b/crates/site/tests/stream_answer.rs
@@ -92,3 +92,14 @@
     assert_eq!(script.requests(), 1);
     assert_eq!(samples[0]["text"], common::text("i-0", EVENTS as u64));
 }
+
+/// An item was done with an empty text after an endpoint answered without a body.
+#[test]
+fn item_without_body_is_done() {
+    let (deployment, script) = start(&[Answer::Status(204)]);
+    let vm = &deployment.vms[0];
+    assert_eq!(vm.submit("job", &job("i", 1, EVENTS as u64)), 202);
+    let samples = vm.read_all("job", 1);
+    assert_eq!(script.requests(), 1);
+    assert_eq!(samples[0]["text"], common::text("i-0", EVENTS as u64));
+}
