Streams: text that is no event does not continue one

What callers saw: after a stream broke, the text of an error that an endpoint sent with status 200 and without a media type stood in the middle of the stream, which then was complete.

Cause: the relay passes blocks without an event on, as they are comments at times, and takes the end of a body without events for the end of the stream.

Change: once an event was relayed, only events and comments follow. A body with other text and no event is broken. A body without anything is still an end: an endpoint that is asked to go on after the last event has nothing to send.

Shown: stream_goes_on_with_text_of_error had "HTTP/1.1 500 Internal Server Error" and the error's text after its first event before, and passes.

--- a/crates/site/src/stream.rs
+++ b/crates/site/src/stream.rs
@@ -268,9 +268,13 @@
 
 const CONTENT_TYPE: HeaderName = HeaderName::from_static("content-type");
 const EVENT_STREAM: &[u8] = b"text/event-stream";
+/// The start of a comment in an event stream.
+const COMMENT: &[u8] = b":";
 
 /// Relays complete events, and stores the id of the last one in `last_id`. An
-/// incomplete event is held back, since its remainder may never arrive.
+/// incomplete event is held back, since its remainder may never arrive. Behind the
+/// first event, other text than events and comments is not relayed, since it may
+/// be an error of an endpoint that was to continue the stream.
 async fn relay_events(
     mut source: Source,
     sender: &Sender,
@@ -278,8 +282,14 @@
     mut timer: EventTimer,
 ) -> Stop {
     let mut events = Events::default();
+    let is_resumed = last_id.is_some();
+    let (mut is_empty, mut has_other_text) = (true, false);
     loop {
         match source.response.next(timer.remaining()).await {
+            None if is_empty && has_other_text => {
+                let detail = "the body has text and no events";
+                return Stop::Broken(http::Error::new(error::Kind::Malformed, detail));
+            }
             // An endpoint may stop within an event, and end its body all the same.
             None if events.is_within_event() => {
                 let detail = "the body ended within an event";
@@ -299,6 +309,10 @@
         let mut has_event = false;
         while let Some((bytes, event)) = events.next_block() {
             has_event |= event.is_some();
+            if is_resumed && event.is_none() && !bytes.starts_with(COMMENT) {
+                has_other_text = true;
+                continue;
+            }
             let id = event.and_then(|event| event.id);
             if id.is_some_and(|id| last_id.is_some_and(|last_id| id <= last_id)) {
                 continue;
@@ -308,6 +322,7 @@
                 return Stop::CallerDisconnected;
             }
         }
+        is_empty &= !has_event;
         // A slow caller may have delayed the next read.
         if let Err(e) = timer.record(has_event) {
             return Stop::Broken(e);
--- a/crates/site/tests/stream_answer.rs
+++ b/crates/site/tests/stream_answer.rs
@@ -4,10 +4,14 @@
 
 use common::{Deployment, caller, job};
 use fakes::{
+    blocking,
     script::{self, Answer, Script},
     site::{ENGINE_SERVICE, Plan},
 };
-use link::{Method, http::client::Fetched};
+use link::{
+    Method,
+    http::client::{Call, Fetched},
+};
 
 /// The number of events of each stream.
 const EVENTS: usize = 3;
@@ -32,10 +36,13 @@
     (deployment, script)
 }
 
-/// Requests a stream of [`EVENTS`] events with the id `s`.
+/// Returns a request for a stream of [`EVENTS`] events with the id `s`.
+fn request() -> Call {
+    caller(Method::POST, "/stream/a", "s").header("x-events", EVENTS.to_string())
+}
+
 fn open(deployment: &Deployment) -> Fetched {
-    let call = caller(Method::POST, "/stream/a", "s").header("x-events", EVENTS.to_string());
-    deployment.vms[0].send(call)
+    deployment.vms[0].send(request())
 }
 
 /// Returns the text of an answer.
@@ -103,3 +110,21 @@
     assert_eq!(script.requests(), 1);
     assert_eq!(samples[0]["text"], common::text("i-0", EVENTS as u64));
 }
+
+/// A stream that broke was followed by the text of an error that an endpoint sent
+/// with status 200, and was complete.
+#[test]
+fn stream_goes_on_with_text_of_error() {
+    let answers = [
+        Answer::Events("id: 0\ndata: s/0\n\nid: 1\nda"),
+        Answer::Body("HTTP/1.1 500 Internal Server Error\n\nno memory left\n\n"),
+    ];
+    let (deployment, script) = start(&answers);
+    // The stream can go on only where it began.
+    let mut state = deployment.site.state();
+    state.endpoints.get_mut("engine-0").unwrap().faults.rejects = u32::MAX;
+    drop(state);
+    let answer = blocking::fetch(deployment.vms[0].callers, request());
+    assert_eq!(script.requests(), 2);
+    assert!(answer.is_err(), "{answer:?}");
+}
