Facts: a stated load beyond all bounds counts as a full endpoint

Cause: running and waiting requests of `Server-Load` were added, and multiplied by 1000, without a bound. In a release build an endpoint that states looked idle and got the requests; a debug build ended.

Change: both saturate.

Shown: stated_load_overflows ended with "attempt to add with overflow" before and passes.

--- a/crates/site/src/facts.rs
+++ b/crates/site/src/facts.rs
@@ -273,7 +273,7 @@
             return;
         };
         if let Some((running, waiting, _)) = header::parse_load(headers) {
-            endpoint.load = Some((running + waiting, now));
+            endpoint.load = Some((running.saturating_add(waiting), now));
         }
         endpoint.responded_at = Some(now);
         match header::parse_rate_limit(headers) {
--- a/crates/site/src/placement.rs
+++ b/crates/site/src/placement.rs
@@ -165,7 +165,8 @@
         Some((load, at)) if now - at < LOAD_AGE_MAX => load,
         _ => 0,
     };
-    reported.max(endpoint.in_flight) * 1000 / endpoint.record.slots
+    let requests = reported.max(endpoint.in_flight);
+    requests.saturating_mul(1000) / endpoint.record.slots
 }
 
 /// Returns a rank among equal endpoints that differs by failure domain, so
--- a/crates/site/tests/placement.rs
+++ b/crates/site/tests/placement.rs
@@ -5,6 +5,8 @@
 
 use std::time::{Duration, Instant};
 
+use link::{HeaderMap, HeaderValue};
+use platform::header;
 use tarragonseam_site::{
     facts::{Facts, Key},
     latency::Meter,
@@ -244,3 +246,19 @@
     assert!(facts.put_endpoint("e0", record));
     assert!(!facts.endpoints.contains_key(key));
 }
+
+/// An endpoint that stated a load beyond the numbers in use looked idle, and in a
+/// debug build the VM ended.
+#[test]
+fn stated_load_overflows() {
+    let (mut facts, keys) = facts(&[None, None]);
+    let now = Instant::now();
+    for load in ["4294967295, 1, 6", "5000000, 0, 6"] {
+        let value = HeaderValue::from_static(load);
+        let headers = HeaderMap::from_iter([(header::LOAD, value)]);
+        facts.record_headers(keys[0], &headers, now);
+        let stated = placement::load_permille(&facts.endpoints[keys[0]], now);
+        assert!(stated > 1000, "{load}: {stated}");
+        assert_eq!(placement::choose(&facts, criteria(), now), Some(keys[1]));
+    }
+}
