Origins: the store confirms that one version of the software is the only one

Cause: where no record of a stream's producer can be found, a VM continues the stream if the endpoints have had one version for a minute. It went by the endpoints that it follows, which may be 2 s out of date, and whose age is counted from when a response is read, so that it looks fresh after the process has stood still.

Change: before that, the VM reads the endpoints from the store in a call that begins after the request has arrived.

On what VMs say, store or keep nothing changes.

--- a/crates/site/src/components.rs
+++ b/crates/site/src/components.rs
@@ -164,7 +164,7 @@
         let facts_view = view.sibling();
         let origins = Origins::new(
             facts.clone(),
-            facts_view.clone(),
+            store.clone(),
             coordinators.clone(),
             members.clone(),
             client,
--- a/crates/site/src/origin/mod.rs
+++ b/crates/site/src/origin/mod.rs
@@ -9,6 +9,7 @@
 //! a stream is not resumed, unless only one version can have begun it.
 
 pub mod archive;
+mod census;
 pub mod ledger;
 mod table;
 
@@ -25,13 +26,11 @@
     StatusCode,
     http::{Request, server::Reply},
 };
-use platform::endpoint;
+use platform::{endpoint, store::Store};
 use policy::replica;
 
-use self::table::Table;
-use crate::{
-    ask, coordinator::Coordinators, facts::Facts, follow::View, member::Members, notify::Notifier,
-};
+use self::{census::Census, table::Table};
+use crate::{ask, coordinator::Coordinators, facts::Facts, member::Members, notify::Notifier};
 
 /// The path at which VMs record and return producers.
 pub(crate) const PATH: &str = "/streams";
@@ -43,8 +42,6 @@
 /// one version can have begun a stream: longer than an endpoint serves after it
 /// has left the store and a caller waits to resume its stream.
 const HISTORY: Duration = Duration::from_secs(60);
-/// How old the list of endpoints may be for that.
-const VIEW_AGE_MAX: Duration = Duration::from_millis(2000);
 /// How long a coordinator that starts attempts to copy the records.
 const COPY_TIME: Duration = Duration::from_secs(10);
 const COPY_RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -119,8 +116,8 @@
 struct Inner {
     table: RefCell<Table>,
     facts: Rc<RefCell<Facts>>,
-    /// The age of the list of endpoints.
-    view: View,
+    /// The producers that are in the store.
+    census: Census,
     coordinators: Coordinators,
     members: Members,
     client: ask::Client,
@@ -142,10 +139,10 @@
 
 impl Origins {
     /// Returns the producers that are recorded on `copies` disks and at
-    /// `coordinators`. `view` is that of the endpoints.
+    /// `coordinators`. The endpoints are in `store`.
     pub fn new(
         facts: Rc<RefCell<Facts>>,
-        view: View,
+        store: Store,
         coordinators: Coordinators,
         members: Members,
         client: ask::Client,
@@ -154,7 +151,7 @@
         Self(Rc::new(Inner {
             table: RefCell::default(),
             facts,
-            view,
+            census: Census::new(store),
             coordinators,
             members,
             client,
@@ -245,7 +242,7 @@
         {
             return Some(producer);
         }
-        let software = self.only_software(service)?;
+        let software = self.only_software(service, deadline).await?;
         Some(Producer {
             service: service.to_string(),
             software,
@@ -304,12 +301,20 @@
     }
 
     /// Returns the version of the software of `service` if no endpoint of another
-    /// version can have begun a stream that is resumed now.
-    fn only_software(&self, service: &str) -> Option<String> {
-        let now = Instant::now();
-        let age = self.0.view.age()?;
-        let facts = self.0.facts.borrow();
-        (age <= VIEW_AGE_MAX).then(|| facts.only_software(service, HISTORY, now))?
+    /// version can have begun a stream that is resumed now, as far as this is known
+    /// at `deadline`. What this VM has followed may be out of date, so the store
+    /// confirms it.
+    async fn only_software(&self, service: &str, deadline: Instant) -> Option<String> {
+        let followed = || {
+            let facts = self.0.facts.borrow();
+            facts.only_software(service, HISTORY, Instant::now())
+        };
+        followed()?;
+        let listed = self.0.census.producers(deadline).await?;
+        followed().filter(|software| {
+            let mut others = listed.iter().filter(|listed| listed.service == service);
+            others.all(|listed| listed.software == *software)
+        })
     }
 
     fn put(&self, name: &str, producer: Producer) {
--- a/crates/site/tests/common/mod.rs
+++ b/crates/site/tests/common/mod.rs
@@ -437,6 +437,14 @@
     }
 }
 
+/// Returns the address at which other VMs reach `vm`.
+pub(crate) fn peer_address(vm: &Vm) -> SocketAddr {
+    let text = vm.settings_text();
+    let mut lines = text.lines();
+    let line = lines.find_map(|line| line.strip_prefix("control = "));
+    line.unwrap().trim_matches('"').parse().unwrap()
+}
+
 /// Announces `script` as an endpoint of `service` that has a current model, and
 /// waits until the first VM knows it.
 pub(crate) fn announce_script(deployment: &Deployment, service: &str, script: &Script) {
--- a/crates/site/tests/seeds.rs
+++ b/crates/site/tests/seeds.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use common::{Deployment, Vm, job, wait};
+use common::{Deployment, Vm, job, peer_address, wait};
 use fakes::site::{Fault, Plan};
 use link::Method;
 
@@ -26,19 +26,13 @@
     Deployment::start_with_coordinators(4, 3, plan)
 }
 
-/// Returns the peer address in the settings of `vm`, in quotes.
-fn peer_address(vm: &Vm) -> String {
-    let text = vm.settings_text();
-    let mut lines = text.lines();
-    let line = lines.find_map(|line| line.strip_prefix("control = "));
-    line.unwrap().to_string()
-}
-
 /// Returns a list of all VMs but `runner`, as settings name seeds.
 fn seeds_without(deployment: &Deployment, runner: usize) -> String {
     let others = deployment.vms.iter().enumerate();
     let others = others.filter(|(number, _)| *number != runner);
-    let addresses: Vec<String> = others.map(|(_, vm)| peer_address(vm)).collect();
+    let addresses: Vec<String> = others
+        .map(|(_, vm)| format!("\"{}\"", peer_address(vm)))
+        .collect();
     addresses.join(", ")
 }
 
