Duties: the holder of the lease stays a coordinator while it holds it

What operators saw: when the settings of the VM that holds the duty lease name other seeds, nobody performed the duties (reports, orders, versions of weights) until the lease had lapsed and another VM had taken it.

Cause: only coordinators renew the lease, and `join_temporarily` does nothing for a seed.

Change: the holder has a tenure.

--- a/crates/site/src/duty/lease.rs
+++ b/crates/site/src/duty/lease.rs
@@ -135,6 +135,9 @@
     /// Returns after [`release`](Self::release).
     pub async fn run(&self) {
         let mut previous = None;
+        // A holder stays a coordinator, so that it renews the lease and performs
+        // the duties, whatever the settings say meanwhile.
+        let mut tenure = None;
         while !self.0.is_released.get() {
             if !self.0.coordinators.is_coordinator(Instant::now()) {
                 self.check_abandoned();
@@ -149,11 +152,10 @@
                 self.step().await;
             }
             let epoch = self.epoch();
-            if epoch.is_some() {
-                self.0
-                    .coordinators
-                    .join_temporarily("this VM holds the duty lease");
-            }
+            let coordinators = &self.0.coordinators;
+            tenure = epoch.and_then(|_| {
+                tenure.or_else(|| Some(coordinators.hold("this VM holds the duty lease")))
+            });
             if epoch != previous {
                 let change = if epoch.is_some() { "taken" } else { "lost" };
                 let number = epoch.or(previous).unwrap_or_default();
--- a/crates/site/tests/seeds.rs
+++ b/crates/site/tests/seeds.rs
@@ -15,6 +15,8 @@
 const CALLED: usize = 3;
 /// How long after the end of a job its items may still start.
 const CANCEL_TIME: Duration = Duration::from_secs(3);
+/// How long the duty lease lasts unless it is renewed.
+const LEASE_TIME: Duration = Duration::from_secs(3);
 
 /// Starts three seeds and another VM, and engines that take a second for an item
 /// of 20 events.
@@ -125,3 +127,19 @@
         assert_eq!(sample["state"], "done", "{}", sample["id"]);
     }
 }
+
+/// The VM that held the duty lease gave it up by not renewing it when it ceased to
+/// be a seed, so that for seconds no VM performed the duties.
+#[test]
+fn duty_lease_lapses_at_former_seed() {
+    let deployment = start();
+    let is_holder = |vm: &Vm| vm.log().contains("\"change\":\"taken\"");
+    wait("a holder of the lease", || {
+        deployment.vms.iter().any(is_holder)
+    });
+    let holder = deployment.vms.iter().position(is_holder).unwrap();
+    replace_seed(&deployment, holder, || {});
+    thread::sleep(3 * LEASE_TIME);
+    let holders = deployment.vms.iter().filter(|vm| is_holder(vm));
+    assert_eq!(holders.count(), 1);
+}
