Tests: refusals of streams are counted once their log lines are written

The test was wrong: a thread of its own writes the log, so the lines of a call may follow its answer.

Change: both tests that read such lines wait for as many as there are refusals, and then ask for exactly that number.

--- a/crates/site/tests/resume.rs
+++ b/crates/site/tests/resume.rs
@@ -148,11 +148,10 @@
     let elapsed = begin.elapsed();
     assert!(streams.iter().all(|s| !s.is_mixed() && !s.is_complete));
     assert!(elapsed < Duration::from_secs(1), "{elapsed:?}");
-    let refused = deployment.vms.iter().map(|vm| vm.log());
-    let refused: usize = refused
-        .map(|log| log.matches("\"status\":503").count())
-        .sum();
-    assert_eq!(refused, STREAMS);
+    let count = |vm: &common::Vm| vm.log().matches("\"status\":503").count();
+    let refused = || deployment.vms.iter().map(count).sum::<usize>();
+    wait("the lines of all refusals", || refused() >= STREAMS);
+    assert_eq!(refused(), STREAMS);
 }
 
 #[test]
--- a/crates/site/tests/software.rs
+++ b/crates/site/tests/software.rs
@@ -258,7 +258,9 @@
     let broken: Vec<&Stream> = streams.iter().filter(|s| !s.is_complete).collect();
     assert!(!broken.is_empty());
     assert!(broken.iter().all(|stream| !stream.is_mixed()));
-    assert!(deployment.vms[0].log().contains("\"status\":503"));
+    let refused = || deployment.vms[0].log().matches("\"status\":503").count();
+    wait("the lines of all refusals", || refused() >= broken.len());
+    assert_eq!(refused(), broken.len());
 }
 
 /// Opens a stream at an endpoint that cuts it after [`EVENTS_BEFORE`] events, while
