Streams: text is no continuation before the first event either

What callers would see: a stream breaks before its first event, another endpoint answers with status 200, no media type and the text of an error, and the text is the whole stream, complete.

Cause: the rule that only events continue a stream held from the first event on, and the head of the first endpoint reaches the caller before that.

Change: it holds for each endpoint but the first.

Found by a new test that plays random answers of endpoints: complete, cut within an event, failures, text, no body, rejections and closed connections. Whatever they answer, events come in order, without a gap, and an event stream is complete only with all of them.

--- a/crates/site/src/stream.rs
+++ b/crates/site/src/stream.rs
@@ -191,11 +191,13 @@
             self.origins.record(origin, &first.producer).await;
         }
         let mut opened = Some(first);
-        let mut last_id = None;
+        let (mut last_id, mut is_continuation) = (None, false);
         while let Some(source) = opened.take() {
             let endpoint = self.endpoint(source.key);
             let timer = event_timer(&route, &dispatch);
-            let stop = relay_events(source, &sender, &mut last_id, timer).await;
+            let relay = relay_events(source, &sender, &mut last_id, timer, is_continuation);
+            let stop = relay.await;
+            is_continuation = true;
             let request = dispatch.id.as_str();
             let event = last_id.unwrap_or_default();
             match stop {
@@ -272,17 +274,17 @@
 const COMMENT: &[u8] = b":";
 
 /// Relays complete events, and stores the id of the last one in `last_id`. An
-/// incomplete event is held back, since its remainder may never arrive. Behind the
-/// first event, other text than events and comments is not relayed, since it may
-/// be an error of an endpoint that was to continue the stream.
+/// incomplete event is held back, since its remainder may never arrive. In a
+/// continuation, only events and comments are relayed: other text may be the error
+/// of an endpoint that cannot continue the stream.
 async fn relay_events(
     mut source: Source,
     sender: &Sender,
     last_id: &mut Option<u64>,
     mut timer: EventTimer,
+    is_continuation: bool,
 ) -> Stop {
     let mut events = Events::default();
-    let is_resumed = last_id.is_some();
     let (mut is_empty, mut has_other_text) = (true, false);
     loop {
         match source.response.next(timer.remaining()).await {
@@ -309,7 +311,7 @@
         let mut has_event = false;
         while let Some((bytes, event)) = events.next_block() {
             has_event |= event.is_some();
-            if is_resumed && event.is_none() && !bytes.starts_with(COMMENT) {
+            if is_continuation && event.is_none() && !bytes.starts_with(COMMENT) {
                 has_other_text = true;
                 continue;
             }
--- a/crates/site/tests/common/stream.rs
+++ b/crates/site/tests/common/stream.rs
@@ -78,6 +78,11 @@
         }
     }
 
+    /// Returns the bytes that have arrived.
+    pub(crate) fn text(&self) -> &str {
+        &self.received
+    }
+
     fn is_ended(&self) -> bool {
         let is_rejected = !self.received.is_empty() && !self.received.contains(" 200 ");
         is_rejected || self.received.ends_with(LAST_CHUNK)
--- a/crates/site/tests/stream_answer.rs
+++ b/crates/site/tests/stream_answer.rs
@@ -2,7 +2,10 @@
 
 mod common;
 
-use common::{Deployment, caller, job};
+use common::{
+    Deployment, caller, job,
+    stream::{Attempt, Stream},
+};
 use fakes::{
     blocking,
     script::{self, Answer, Script},
@@ -128,3 +131,76 @@
     assert_eq!(script.requests(), 2);
     assert!(answer.is_err(), "{answer:?}");
 }
+
+const WHOLE: Answer = Answer::Events("id: 0\ndata: 0\n\nid: 1\ndata: 1\n\nid: 2\ndata: 2\n\n");
+/// The answers of which the random ones are drawn.
+const ANSWERS: [Answer; 14] = [
+    WHOLE,
+    WHOLE,
+    WHOLE,
+    Answer::Events("id: 0\ndata: 0\n\nid: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid"),
+    Answer::Events("id: 0\ndata: 0\n\nid: 1\ndata: 1\n\nid: 2\nda"),
+    Answer::Events("id: 0\ndata: 0\n\nid: 1"),
+    Answer::Events("id: 0\ndata"),
+    Answer::Failure("no memory left\n\n"),
+    Answer::CutFailure("no memory left\n\n"),
+    Answer::Status(500),
+    Answer::Status(204),
+    Answer::Body("no memory left\n\n"),
+    Answer::NotRun,
+    Answer::Close,
+];
+/// The number of streams of a run, each of which gets several answers.
+const RANDOM_STREAMS: usize = 200;
+/// The most answers that a stream gets.
+const ANSWERS_MAX: usize = 12;
+
+/// Whatever endpoints answer, a stream has its events in order and without gaps, is
+/// complete only with all of them, and contains nothing else.
+fn assert_streams_hold(seed: u64) {
+    let draw = |number: usize| {
+        let drawn = board::hash::hash_value(&(seed, number)) % ANSWERS.len() as u64;
+        ANSWERS[drawn as usize]
+    };
+    let answers: Vec<Answer> = (0..RANDOM_STREAMS * ANSWERS_MAX).map(draw).collect();
+    let (deployment, script) = start(&answers);
+    common::add_stream_route_with(&deployment, true, 4);
+    let mut state = deployment.site.state();
+    state.endpoints.get_mut("engine-0").unwrap().faults.rejects = u32::MAX;
+    drop(state);
+    let mut complete = 0;
+    for number in 0..RANDOM_STREAMS {
+        let mut stream = Stream::new(&format!("s{number}"));
+        let vm = deployment.vms[0].callers;
+        let mut attempt = Attempt::open(vm, &stream, EVENTS as u64);
+        attempt.read(usize::MAX);
+        // The first answer is passed on unchanged if it names no media type.
+        let is_stream = attempt.text().contains("text/event-stream");
+        attempt.finish(&mut stream);
+        let expected = (0..EVENTS as u64).map(|id| (id, id.to_string()));
+        let received = stream.events.len();
+        let context = format!("seed {seed}, stream {number}: {:?}", stream.events);
+        assert!(
+            expected.take(received).eq(stream.events.iter().cloned()),
+            "{context}"
+        );
+        // An endpoint may also stop behind the last event.
+        assert!(
+            !stream.is_complete || !is_stream || received == EVENTS,
+            "{context}"
+        );
+        complete += usize::from(stream.is_complete && is_stream);
+    }
+    assert!(
+        complete > RANDOM_STREAMS / 10,
+        "seed {seed}: {complete} complete"
+    );
+    assert!(script.requests() > RANDOM_STREAMS);
+}
+
+#[test]
+fn random_answers_spoil_streams() {
+    let seeds = std::env::var("STREAM_SEEDS").ok();
+    let seeds = seeds.and_then(|seeds| seeds.parse().ok()).unwrap_or(2);
+    (0..seeds).for_each(assert_streams_hold);
+}
