--- a/crates/site/tests/common/mod.rs
+++ b/crates/site/tests/common/mod.rs
@@ -437,6 +437,26 @@
     }
 }
 
+/// Starts a VM, one endpoint of each service, and `script` as another one of
+/// `service`, which the VM prefers.
+pub(crate) fn start_beside_script(service: &str, script: &Script) -> Deployment {
+    let plan = Plan {
+        engines: 1,
+        plain: 1,
+        ..Plan::default()
+    };
+    let deployment = Deployment::start(1, plan);
+    // The VM prefers an endpoint in its own failure domain.
+    let mut state = deployment.site.state();
+    for id in ["engine-0", "plain-0"] {
+        state.endpoints.get_mut(id).unwrap().domain = "zone-b";
+        state.announce(id, "ready");
+    }
+    drop(state);
+    announce_script(&deployment, service, script);
+    deployment
+}
+
 /// Returns the address at which other VMs reach `vm`.
 pub(crate) fn peer_address(vm: &Vm) -> SocketAddr {
     let text = vm.settings_text();
--- a/crates/site/tests/endless.rs
+++ b/crates/site/tests/endless.rs
@@ -7,7 +7,7 @@
 use common::{Deployment, caller, job};
 use fakes::{
     script::{self, Answer, Script},
-    site::{ENGINE_SERVICE, PLAIN_SERVICE, Plan},
+    site::{ENGINE_SERVICE, PLAIN_SERVICE},
 };
 use link::Method;
 
@@ -22,20 +22,7 @@
 /// gives `answer` on each connection.
 fn start(service: &str, answer: Answer) -> (Deployment, Script) {
     let script = script::spawn(vec![vec![answer]; 100]).unwrap();
-    let plan = Plan {
-        engines: 1,
-        plain: 1,
-        ..Plan::default()
-    };
-    let deployment = Deployment::start(1, plan);
-    // The VM prefers the other one, which is in its own failure domain.
-    let mut state = deployment.site.state();
-    for id in ["engine-0", "plain-0"] {
-        state.endpoints.get_mut(id).unwrap().domain = "zone-b";
-        state.announce(id, "ready");
-    }
-    drop(state);
-    common::announce_script(&deployment, service, &script);
+    let deployment = common::start_beside_script(service, &script);
     (deployment, script)
 }
 
--- a/crates/site/tests/stream_answer.rs
+++ b/crates/site/tests/stream_answer.rs
@@ -9,7 +9,7 @@
 use fakes::{
     blocking,
     script::{self, Answer, Script},
-    site::{ENGINE_SERVICE, Plan},
+    site::ENGINE_SERVICE,
 };
 use link::{
     Method,
@@ -24,18 +24,8 @@
 fn start(answers: &[Answer]) -> (Deployment, Script) {
     let connections = answers.iter().map(|answer| vec![*answer]);
     let script = script::spawn(connections.collect()).unwrap();
-    let plan = Plan {
-        engines: 1,
-        plain: 1,
-        ..Plan::default()
-    };
-    let deployment = Deployment::start(1, plan);
-    let mut state = deployment.site.state();
-    state.endpoints.get_mut("engine-0").unwrap().domain = "zone-b";
-    state.announce("engine-0", "ready");
-    drop(state);
+    let deployment = common::start_beside_script(ENGINE_SERVICE, &script);
     common::add_stream_route(&deployment, true);
-    common::announce_script(&deployment, ENGINE_SERVICE, &script);
     (deployment, script)
 }
 
@@ -90,12 +80,9 @@
     assert_eq!(text(&answer), events(0));
 }
 
-/// An item whose stream an endpoint ended within an event was done with a part of
-/// its text.
-#[test]
-fn item_that_ends_within_event_is_done() {
-    let start_of_stream = "id: 0\ndata: i-0/0\n\nid: 1\nda";
-    let (deployment, script) = start(&[Answer::Events(start_of_stream)]);
+/// Asserts that an item has its whole text although an endpoint gives `answer`.
+fn assert_item_whole(answer: Answer) {
+    let (deployment, script) = start(&[answer]);
     let vm = &deployment.vms[0];
     assert_eq!(vm.submit("job", &job("i", 1, EVENTS as u64)), 202);
     let samples = vm.read_all("job", 1);
@@ -103,15 +90,17 @@
     assert_eq!(samples[0]["text"], common::text("i-0", EVENTS as u64));
 }
 
+/// An item whose stream an endpoint ended within an event was done with a part of
+/// its text.
+#[test]
+fn item_that_ends_within_event_is_done() {
+    assert_item_whole(Answer::Events("id: 0\ndata: i-0/0\n\nid: 1\nda"));
+}
+
 /// An item was done with an empty text after an endpoint answered without a body.
 #[test]
 fn item_without_body_is_done() {
-    let (deployment, script) = start(&[Answer::Status(204)]);
-    let vm = &deployment.vms[0];
-    assert_eq!(vm.submit("job", &job("i", 1, EVENTS as u64)), 202);
-    let samples = vm.read_all("job", 1);
-    assert_eq!(script.requests(), 1);
-    assert_eq!(samples[0]["text"], common::text("i-0", EVENTS as u64));
+    assert_item_whole(Answer::Status(204));
 }
 
 /// A stream that broke was followed by the text of an error that an endpoint sent
