Streams: media types are compared without case and parameters

The check of what is an event stream compared the start of the header byte by byte, so `Text/Event-Stream` would have been another kind of answer. Names of media types have no case. The tenure of a lease holder is kept in two plain branches.

--- a/crates/site/src/duty/lease.rs
+++ b/crates/site/src/duty/lease.rs
@@ -152,10 +152,12 @@
                 self.step().await;
             }
             let epoch = self.epoch();
-            let coordinators = &self.0.coordinators;
-            tenure = epoch.and_then(|_| {
-                tenure.or_else(|| Some(coordinators.hold("this VM holds the duty lease")))
-            });
+            if epoch.is_none() {
+                tenure = None;
+            } else if tenure.is_none() {
+                let coordinators = &self.0.coordinators;
+                tenure = Some(coordinators.hold("this VM holds the duty lease"));
+            }
             if epoch != previous {
                 let change = if epoch.is_some() { "taken" } else { "lost" };
                 let number = epoch.or(previous).unwrap_or_default();
--- a/crates/site/src/stream.rs
+++ b/crates/site/src/stream.rs
@@ -261,10 +261,13 @@
 }
 
 /// Returns whether a response is an event stream, and not an answer of another
-/// kind, such as the endpoint's own failure.
+/// kind, such as the endpoint's own failure. Endpoints may omit the media type.
 pub(crate) fn is_event_stream(status: StatusCode, headers: &HeaderMap) -> bool {
-    let media_type = headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes);
-    let is_other_type = media_type.is_some_and(|value| !value.starts_with(EVENT_STREAM));
+    let is_other_type = headers.get(CONTENT_TYPE).is_some_and(|value| {
+        let mut parts = value.as_bytes().split(|byte| *byte == b';');
+        let media_type = parts.next().unwrap_or_default().trim_ascii();
+        !media_type.eq_ignore_ascii_case(EVENT_STREAM)
+    });
     status == StatusCode::OK && !is_other_type
 }
 
