store: one probe at a time for a VM while the store does not answer

Cause: each kind that is followed, and each reader and writer, called an unavailable store for itself, and repeated each failed call through another VM, which made the same call again. When the backoff of the direct path ended, all callers tried that path at the same time.

Change: `store::gate` closes when a call failed both directly and through a relay. Calls then wait for the store, a list for 250 ms, a watch as long as it lasts, any other call for 600 ms, and are rejected without being sent after that. One of them probes the store directly and through a relay, with pauses of 100 to 500 ms as before; an answer opens the gate and wakes the others at once. A failure closes the gate only if the store has answered nothing since, and a write without an answer does not, since one write may fail by itself. A VM whose gate is closed refuses to relay. When the backoff of the direct path ends, one call tries it, and the others go through a relay until it has succeeded. Writes of content wait in the same way, so a page is written when the store answers again.

`Notifier` moves to `link`, for the store's client.

Messages do not change. An older VM that is asked by a newer one to relay sends the call itself; a newer one that is asked by an older one answers 503 while it knows that the store does not answer, which older builds take for the store's.

--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod load;
 pub mod log;
 pub mod net;
+pub mod notify;
 pub mod peer;
 pub mod platform;
 pub mod rate;
--- /dev/null
+++ b/crates/site/tests/calls.rs
@@ -0,0 +1,58 @@
+//! End-to-end tests that count what many VMs cost the platform: calls to the
+//! store.
+
+mod common;
+
+use std::{thread, time::Duration};
+
+use common::{Deployment, job, wait};
+use fakes::site::{Fault, Plan};
+use link::Method;
+
+/// The number of VMs, and how many of them are coordinators.
+const VMS: usize = 12;
+const COORDINATORS: usize = 3;
+/// How long the store is unavailable.
+const OUTAGE: Duration = Duration::from_secs(3);
+/// The largest number of calls of each VM to an unavailable store in [`OUTAGE`]:
+/// eight probes with pauses of 100 to 500 ms, and the calls that were in
+/// progress when the outage began, each with its repetition through a relay.
+const OUTAGE_CALLS_MAX: u64 = 16;
+
+fn count_calls(deployment: &Deployment) -> u64 {
+    deployment.site.state().calls.values().sum()
+}
+
+/// Each kind, reader and writer of a VM once called an unavailable store for
+/// itself, and repeated each call through another VM.
+#[test]
+fn calls_to_unavailable_store_are_repeated_by_each_reader() {
+    let plan = Plan {
+        event_time: Duration::from_millis(50),
+        ..Plan::default()
+    };
+    let deployment = Deployment::start_with_coordinators(VMS, COORDINATORS, plan);
+    assert_eq!(deployment.vms[0].submit("job-a", &job("a", 24, 40)), 202);
+    wait("items at engines", || {
+        deployment.site.state().arrivals.len() >= 8
+    });
+    deployment.site.state().fault = Fault::Unavailable;
+    let before = count_calls(&deployment);
+    thread::scope(|scope| {
+        // Trainers read and submit meanwhile.
+        for vm in &deployment.vms[..2] {
+            scope.spawn(move || {
+                for _ in 0..4 {
+                    vm.request(Method::GET, "/lots/job-a?after=0", "read");
+                    thread::sleep(OUTAGE / 8);
+                }
+            });
+        }
+        thread::sleep(OUTAGE);
+    });
+    let calls = count_calls(&deployment) - before;
+    deployment.site.state().fault = Fault::None;
+    println!("{calls} calls of {VMS} VMs in an outage of {OUTAGE:?}");
+    assert!(calls <= OUTAGE_CALLS_MAX * VMS as u64, "{calls} calls");
+    deployment.vms[1].read_all("job-a", 24);
+}
