follow: endpoints are watched in larger batches at the store

With two mirrors in line all pauses together are 350 ms, where they were 360 ms, so other VMs learn of a draining endpoint and of loaded weights no later than before. The first seed learns up to 130 ms later, 65 ms in the mean. If it holds the duty lease, a load of 0.9 s is followed by the next one that much later, so longer pauses were not chosen. Without the setting nothing changes.

Messages do not change.

--- a/crates/site/src/components.rs
+++ b/crates/site/src/components.rs
@@ -13,7 +13,7 @@
     crash::Crashes,
     duty::{self, Duties, collect::Collector, lease::Manager},
     facts::Facts,
-    follow::{self, View},
+    follow::{self, Batching, View},
     forward::Forwarder,
     front::Front,
     gateway::Gateway,
@@ -285,7 +285,8 @@
         let view = self.facts_view.clone();
         monoio::spawn(follow::config(store.clone(), view.clone(), facts.clone()));
         monoio::spawn(self.crashes.clone().follow(view.sibling()));
-        monoio::spawn(follow::endpoints(store, view, facts, pool));
+        let batching = Batching::of_endpoints(settings.bounds.drain);
+        monoio::spawn(follow::endpoints(store, batching, view, facts, pool));
         monoio::spawn(self.origins.clone().copy());
         monoio::spawn(self.members.clone().run());
         monoio::spawn(follow_mirrors(
--- a/crates/site/src/follow.rs
+++ b/crates/site/src/follow.rs
@@ -51,7 +51,7 @@
 };
 /// The plan for the endpoints. A draining endpoint must get no requests 2 s
 /// after it announced so. The records also change with each load of weights,
-/// many times a second, so changes are batched.
+/// many times a second, so changes are batched ([`Batching`]).
 const ENDPOINTS: Plan = Plan {
     kind: endpoint::KIND,
     wait: Duration::from_millis(1000),
@@ -190,12 +190,73 @@
     pub is_probe: bool,
 }
 
+/// The pauses between two watches of a kind, by where the last response came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Batching {
+    /// The pause after a response of the store, each of which has a cost.
+    pub store: Duration,
+    /// The pause after a response of a mirror.
+    pub mirror: Duration,
+}
+
+/// The largest part of the bound on draining endpoints that changes wait for others.
+const DRAIN_BOUND_DIVISOR: u32 = 8;
+/// The longest pause between two watches of the endpoints at the store. A load of
+/// weights takes 0.9 s, and the next one is ordered once it is known to be done, so
+/// steps would wait for weights with a longer pause.
+const ENDPOINT_BATCH_MAX: Duration = Duration::from_millis(250);
+/// The pause between two watches of the endpoints at a mirror, whose records change
+/// in batches already. With two mirrors in line, all pauses together are no longer
+/// than where both use [`Plan::batch_time`].
+const ENDPOINT_MIRROR_BATCH: Duration = Duration::from_millis(50);
+
+impl Batching {
+    /// Returns the pauses of `plan`, wherever responses come from.
+    fn of_plan(plan: Plan) -> Self {
+        Self {
+            store: plan.batch_time,
+            mirror: plan.batch_time,
+        }
+    }
+
+    /// Returns the pauses for the endpoints. Where the platform states in `drain`
+    /// how long a draining endpoint may get requests, the store is watched less
+    /// often.
+    pub fn of_endpoints(drain: Option<Duration>) -> Self {
+        let default = Self::of_plan(ENDPOINTS);
+        let longest = drain.map(|bound| ENDPOINT_BATCH_MAX.min(bound / DRAIN_BOUND_DIVISOR));
+        match longest {
+            Some(store) if store > default.store => Self {
+                store,
+                mirror: ENDPOINT_MIRROR_BATCH,
+            },
+            _ => default,
+        }
+    }
+}
+
+/// Where a follower stands after a successful call.
+struct Position {
+    /// The revision of the next watch.
+    revision: u64,
+    is_from_mirror: bool,
+}
+
 /// Follows a kind and passes each change to `apply`, together with whether the
 /// store was unreachable since the previous change. Never returns.
 pub async fn follow(store: Store, plan: Plan, view: View, apply: impl Fn(Change, bool)) {
-    let Plan {
-        kind, batch_time, ..
-    } = plan;
+    follow_in_batches(store, plan, Batching::of_plan(plan), view, apply).await;
+}
+
+/// As [`follow`], with the pauses of `batching`. Never returns.
+async fn follow_in_batches(
+    store: Store,
+    plan: Plan,
+    batching: Batching,
+    view: View,
+    apply: impl Fn(Change, bool),
+) {
+    let kind = plan.kind;
     if !plan.is_required && store.is_awaiting_mirror() {
         monoio::time::sleep(START_DELAY).await;
     }
@@ -227,12 +288,17 @@
         };
         match outcome {
             Ok(at) => {
+                let number = at.revision;
                 if was_unreachable {
-                    spdlog::info!("store reachable again", kv: { kind, revision = at });
+                    spdlog::info!("store reachable again", kv: { kind, revision = number });
                 }
                 view.record_success();
                 view.recovered.notify();
-                (revision, pause, was_unreachable) = (Some(at), PROBE_PAUSE_MIN, false);
+                (revision, pause, was_unreachable) = (Some(number), PROBE_PAUSE_MIN, false);
+                let batch_time = match at.is_from_mirror {
+                    true => batching.mirror,
+                    false => batching.store,
+                };
                 monoio::time::sleep(batch_time).await;
             }
             Err(Error::HistoryExpired) => {
@@ -272,7 +338,7 @@
     was_unreachable: bool,
     view: &View,
     apply: &impl Fn(Change, bool),
-) -> Result<u64, Error> {
+) -> Result<Position, Error> {
     let update = match plan.is_required {
         true => store.list_after(plan.kind, "").await?,
         false => store.list(plan.kind).await?,
@@ -280,7 +346,10 @@
     view.record_age(update.age);
     view.mirror.replace(&plan, &update);
     apply(Change::Snapshot(update.value), was_unreachable);
-    Ok(update.revision)
+    Ok(Position {
+        revision: update.revision,
+        is_from_mirror: update.is_from_mirror,
+    })
 }
 
 async fn watch(
@@ -290,14 +359,17 @@
     was_unreachable: bool,
     view: &View,
     apply: &impl Fn(Change, bool),
-) -> Result<u64, Error> {
+) -> Result<Position, Error> {
     let update = store.watch(plan.kind, from, plan.wait).await?;
     view.record_age(update.age);
     view.mirror.apply(plan.kind, &update);
     if !update.value.is_empty() {
         apply(Change::Events(update.value), was_unreachable);
     }
-    Ok(update.revision)
+    Ok(Position {
+        revision: update.revision,
+        is_from_mirror: update.is_from_mirror,
+    })
 }
 
 /// Follows the configuration.
@@ -345,7 +417,13 @@
 
 /// Follows the endpoints, and removes those whose missing records do not
 /// return in time.
-pub async fn endpoints(store: Store, view: View, facts: Rc<RefCell<Facts>>, pool: Pool) {
+pub async fn endpoints(
+    store: Store,
+    batching: Batching,
+    view: View,
+    facts: Rc<RefCell<Facts>>,
+    pool: Pool,
+) {
     let detector = RefCell::default();
     let apply = |change: Change, was_unreachable: bool| {
         let mut removed = Vec::new();
@@ -376,7 +454,7 @@
         }
         remove_endpoints(removed, was_unreachable, &facts, &pool, &detector);
     };
-    let follower = follow(store, ENDPOINTS, view, apply);
+    let follower = follow_in_batches(store, ENDPOINTS, batching, view, apply);
     monoio::select! {
         () = follower => {}
         () = remove_overdue(&facts, &pool) => {}
@@ -469,3 +547,22 @@
         spdlog::info!("endpoint removed", kv: { endpoint = id });
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn batching_of_endpoints_by_drain_bound() {
+        let pauses = |drain: Option<u64>| {
+            let batching = Batching::of_endpoints(drain.map(Duration::from_millis));
+            (batching.store.as_millis(), batching.mirror.as_millis())
+        };
+        assert_eq!(pauses(None), (120, 120));
+        assert_eq!(pauses(Some(0)), (120, 120));
+        assert_eq!(pauses(Some(960)), (120, 120));
+        assert_eq!(pauses(Some(1600)), (200, 50));
+        assert_eq!(pauses(Some(2000)), (250, 50));
+        assert_eq!(pauses(Some(3000)), (250, 50));
+    }
+}
--- a/crates/site/tests/calls.rs
+++ b/crates/site/tests/calls.rs
@@ -3,7 +3,10 @@
 
 mod common;
 
-use std::{thread, time::Duration};
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
 
 use common::{Deployment, job, wait};
 use fakes::site::{Fault, MODEL, Plan};
@@ -58,6 +61,43 @@
     deployment.vms[1].read_all("job-a", 24);
 }
 
+/// How often the record of an endpoint changes, and for how long.
+const CHANGE_PERIOD: Duration = Duration::from_millis(20);
+const CHANGE_TIME: Duration = Duration::from_secs(3);
+/// The largest number of watches of the endpoints in [`CHANGE_TIME`]: one each 250 ms,
+/// by one VM, and two more.
+const ENDPOINT_WATCHES_MAX: u64 = 14;
+
+/// The records of endpoints change with each load of weights, and the first seed
+/// watched them eight times a second.
+#[test]
+fn endpoints_are_watched_for_each_change() {
+    let mut deployment = Deployment::start(3, Plan::default());
+    deployment.kill_all(false);
+    for vm in &deployment.vms {
+        vm.change_settings(|text| text.replace("[bounds]", "[bounds]\ndrain-ms = 2000"));
+    }
+    deployment.restart_all();
+    let watches = || {
+        let state = deployment.site.state();
+        state.calls.get("GET servers").copied().unwrap_or_default()
+    };
+    let before = watches();
+    let start = Instant::now();
+    while start.elapsed() < CHANGE_TIME {
+        deployment.site.state().announce("engine-0", "ready");
+        thread::sleep(CHANGE_PERIOD);
+    }
+    let watches = watches() - before;
+    println!("{watches} watches of the endpoints in {CHANGE_TIME:?}");
+    assert!(watches <= ENDPOINT_WATCHES_MAX, "{watches} watches");
+    // All VMs learn the changes.
+    deployment.site.state().announce("engine-0", "draining");
+    for vm in &deployment.vms {
+        vm.wait_until_logged("endpoint is draining");
+    }
+}
+
 /// The number of engines that load weights, and the versions that they load.
 const ENGINES: usize = 3;
 const VERSIONS: std::ops::Range<u64> = 2..8;
