link: connections are kept as long as the peer keeps them

Cause: a rejection whose body nobody reads closed its connection, which holds for rejected items and streams, and for items that an endpoint answers with 422 or 500. `Keep-Alive` was not read, so a request could be sent on a connection that its endpoint was about to close. `Connection: close` was found only if it stood alone.

Change: `Response::discard` reads the rest of a body for at most 200 ms in a task of its own. A connection is not used in the last 200 ms of the idle time that its peer states, nor after it. `Pool::has_idle` returns whether a request can use an open connection to a peer now; the choice of endpoints does not use it yet.

Measured: of three requests whose responses are discarded, each opened a connection before, and all shared one after. With `Keep-Alive: timeout=0` three requests shared one connection before, and used three after.

A run that is cut by this VM still costs its connection, since the request runs on it. Messages do not change.

--- a/crates/link/src/http/client.rs
+++ b/crates/link/src/http/client.rs
@@ -50,6 +50,8 @@
     descriptor: RawFd,
     pub(crate) peer: SocketAddr,
     idle_since: Instant,
+    /// How long the connection may stay idle and be used again.
+    idle_time_max: Duration,
     /// Whether the connection is kept apart from the other idle ones.
     is_kept: bool,
     /// Hashes of the ids of the last requests on the connection.
@@ -68,6 +70,7 @@
             descriptor,
             peer,
             idle_since: Instant::now(),
+            idle_time_max: IDLE_TIME_MAX,
             is_kept: false,
             recent_ids: VecDeque::new(),
         }
@@ -93,7 +96,7 @@
         if !self.reader.framed_mut().read_buffer().is_empty() {
             return false;
         }
-        matches!(self.peek(), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        self.is_silent()
     }
 
     /// Returns whether the connection ended with an error.
@@ -113,7 +116,18 @@
 
     /// Returns whether an idle connection may carry another request.
     fn is_usable(&mut self) -> bool {
-        self.idle_since.elapsed() < IDLE_TIME_MAX && self.has_no_input()
+        !self.is_expired() && self.has_no_input()
+    }
+
+    /// Returns whether the peer may close the connection soon, or has.
+    fn is_expired(&self) -> bool {
+        self.idle_since.elapsed() >= self.idle_time_max
+    }
+
+    /// Returns whether nothing has arrived, as far as is known without changing the
+    /// connection.
+    fn is_silent(&self) -> bool {
+        matches!(self.peek(), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 }
 
@@ -131,6 +145,12 @@
 const IDLE_CONNECTIONS_MAX: usize = 64;
 const IDLE_TIME_MAX: Duration = Duration::from_secs(20);
 const RECENT_IDS_MAX: usize = 16;
+/// How long before the end of the idle time that a peer states a connection is used
+/// for the last time. The peer counts from when it sent its last response, and a
+/// request that arrives after its limit is lost.
+const STATED_IDLE_MARGIN: Duration = Duration::from_millis(200);
+/// The largest idle time that is read from a header.
+const STATED_IDLE_SECONDS_MAX: u64 = 3600;
 
 impl Pool {
     /// Returns an empty pool.
@@ -309,6 +329,9 @@
             // repeats ids.
             connection.is_kept = is_echoed == Some(true);
         }
+        if let Some(stated) = stated_idle_time(&headers) {
+            connection.idle_time_max = IDLE_TIME_MAX.min(stated.saturating_sub(STATED_IDLE_MARGIN));
+        }
         let may_reuse = !has_connection_close(&headers);
         Ok(Response {
             status,
@@ -385,6 +408,14 @@
         failed
     }
 
+    /// Returns whether an idle connection to `peer` is open that a request can use
+    /// now, apart from a kept one.
+    pub fn has_idle(&self, peer: SocketAddr) -> bool {
+        let idle = self.idle.borrow();
+        let mut connections = idle.get(&peer).into_iter().flatten().rev();
+        connections.any(|connection| !connection.is_expired() && connection.is_silent())
+    }
+
     /// Closes all idle connections to `peer`.
     pub fn close_idle(&self, peer: SocketAddr) {
         self.idle.borrow_mut().remove(&peer);
@@ -466,9 +497,23 @@
 }
 
 fn has_connection_close(headers: &HeaderMap) -> bool {
-    headers
-        .get(header::CONNECTION)
-        .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
+    let values = headers.get_all(header::CONNECTION).iter();
+    let mut options = values
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','));
+    options.any(|option| option.trim().eq_ignore_ascii_case("close"))
+}
+
+/// Returns how long the peer keeps an idle connection open, if it states that.
+fn stated_idle_time(headers: &HeaderMap) -> Option<Duration> {
+    let values = headers.get_all("keep-alive").iter();
+    let mut parameters = values
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|parameter| parameter.split_once('='));
+    let (_, seconds) = parameters.find(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"))?;
+    let seconds: u64 = seconds.trim().parse().ok()?;
+    Some(Duration::from_secs(seconds.min(STATED_IDLE_SECONDS_MAX)))
 }
 
 pub(crate) fn read_error(budget: &Budget, e: impl std::fmt::Display) -> Error {
--- a/crates/link/src/http/response.rs
+++ b/crates/link/src/http/response.rs
@@ -18,6 +18,10 @@
 };
 use crate::fault;
 
+/// How long the rest of a body that nobody needs is read. A new connection costs less
+/// than reading for longer.
+const DISCARD_TIME_MAX: Duration = Duration::from_millis(200);
+
 /// A response whose body has been read completely.
 #[derive(Clone, Debug)]
 pub struct Fetched {
@@ -57,6 +61,19 @@
         self.body.next(timeout).await
     }
 
+    /// Reads and drops the rest of the body in a task of its own, so that the
+    /// connection can be used again. The connection is closed unless the body ends
+    /// within [`DISCARD_TIME_MAX`].
+    pub fn discard(mut self) {
+        if self.body.is_done {
+            return;
+        }
+        monoio::spawn(async move {
+            // Dropping a response without its end closes the connection.
+            let _ = monoio::time::timeout(DISCARD_TIME_MAX, self.collect()).await;
+        });
+    }
+
     /// Reads the rest of the body.
     ///
     /// # Errors
--- a/crates/link/tests/client.rs
+++ b/crates/link/tests/client.rs
@@ -2,8 +2,14 @@
 
 use std::{
     cell::Cell,
-    net::{SocketAddr, TcpListener},
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
     rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
     time::Duration,
 };
 
@@ -35,3 +41,122 @@
     drop(listener);
     assert_eq!(send(peer), (Kind::Connect, 0));
 }
+
+/// A server that answers each request on its connections with the same text.
+struct Server {
+    address: SocketAddr,
+    connections: Arc<AtomicUsize>,
+}
+
+fn serve(response: String) -> Server {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let connections = Arc::new(AtomicUsize::new(0));
+    let count = connections.clone();
+    thread::spawn(move || {
+        while let Ok((stream, _)) = listener.accept() {
+            count.fetch_add(1, Ordering::SeqCst);
+            let response = response.clone();
+            thread::spawn(move || answer_all(stream, &response));
+        }
+    });
+    Server {
+        address,
+        connections,
+    }
+}
+
+/// Answers requests without a body until the client closes the connection.
+fn answer_all(mut stream: TcpStream, response: &str) {
+    let (mut head, mut byte) = (Vec::new(), [0]);
+    while stream.read_exact(&mut byte).is_ok() {
+        head.push(byte[0]);
+        if head.ends_with(b"\r\n\r\n") {
+            head.clear();
+            if stream.write_all(response.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// Sends three requests, one after the other, to a server whose responses have
+/// `headers`. Returns the number of connections, and whether one is idle then.
+fn send_three(headers: &str) -> (usize, bool) {
+    let server = serve(format!(
+        "HTTP/1.1 200 OK\r\n{headers}content-length: 0\r\n\r\n"
+    ));
+    let run = async {
+        let pool = Pool::new(Limits::new());
+        assert!(!pool.has_idle(server.address));
+        for _ in 0..3 {
+            pool.fetch(server.address, Call::get("/")).await.unwrap();
+        }
+        pool.has_idle(server.address)
+    };
+    let has_idle = runtime::run(run).unwrap();
+    (server.connections.load(Ordering::SeqCst), has_idle)
+}
+
+/// A connection was used again after the idle time that its peer states, when the
+/// peer closes it, and the request was lost.
+#[test]
+fn connections_are_used_longer_than_the_peer_states() {
+    assert_eq!(send_three(""), (1, true));
+    assert_eq!(send_three("keep-alive: timeout=60, max=9\r\n"), (1, true));
+    assert_eq!(send_three("Keep-Alive: max=9, TIMEOUT = 60\r\n"), (1, true));
+    assert_eq!(send_three("keep-alive: timeout=soon\r\n"), (1, true));
+    assert_eq!(send_three("keep-alive: timeout=0\r\n"), (3, false));
+    assert_eq!(send_three("connection: close\r\n"), (3, false));
+    assert_eq!(send_three("connection: x, Close\r\n"), (3, false));
+}
+
+/// A connection that its peer has closed is not idle.
+#[test]
+fn closed_connection_counts_as_idle() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let peer = listener.local_addr().unwrap();
+    let server = thread::spawn(move || listener.accept().unwrap());
+    let run = async {
+        let pool = Pool::new(Limits::new());
+        pool.open(peer, Duration::from_secs(5)).await.unwrap();
+        assert!(pool.has_idle(peer));
+        drop(server.join().unwrap());
+        // The end of the connection arrives on loopback after a moment.
+        while pool.has_idle(peer) {
+            thread::yield_now();
+        }
+    };
+    runtime::run(run).unwrap();
+}
+
+/// The number of times that a test checks whether a response was discarded. The rest
+/// of its body is read for 200 ms at most.
+const DISCARD_POLLS_MAX: u32 = 1000;
+
+/// A response whose body nobody needs, such as that of a rejection, closed its
+/// connection.
+#[test]
+fn discarded_response_closes_its_connection() {
+    for body in [
+        "content-length: 4\r\n\r\nfull",
+        "transfer-encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n",
+    ] {
+        let server = serve(format!("HTTP/1.1 503 Full\r\n{body}"));
+        let run = async {
+            let pool = Pool::new(Limits::new());
+            for _ in 0..3 {
+                let response = pool.send(server.address, Call::get("/")).await.unwrap();
+                response.discard();
+                for _ in 0..DISCARD_POLLS_MAX {
+                    if pool.has_idle(server.address) {
+                        break;
+                    }
+                    monoio::time::sleep(Duration::from_millis(1)).await;
+                }
+            }
+        };
+        runtime::run(run).unwrap();
+        assert_eq!(server.connections.load(Ordering::SeqCst), 1, "{body}");
+    }
+}
--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -383,7 +383,8 @@
                     producer: Producer::new(&endpoint.record),
                 }))
             }
-            Ok((_, true)) => {
+            Ok((response, true)) => {
+                response.discard();
                 self.facts.borrow_mut().record_rejection(key, now);
                 outcome.rejections += 1;
                 Some(None)
--- a/crates/site/src/job/attempt.rs
+++ b/crates/site/src/job/attempt.rs
@@ -198,13 +198,18 @@
         let headers = &response.headers;
         match is_rejected(response.status, headers, response.is_repeated) {
             Ok(false) => {}
-            Ok(true) => return Attempt::Rejected,
+            Ok(true) => {
+                response.discard();
+                return Attempt::Rejected;
+            }
             Err(e) => return Attempt::Interrupted(e.to_string()),
         }
         if response.status == StatusCode::UNPROCESSABLE_ENTITY {
+            response.discard();
             return Attempt::Unprocessable;
         }
         if response.status == StatusCode::INTERNAL_SERVER_ERROR {
+            response.discard();
             return Attempt::Failed;
         }
         if !is_event_stream(response.status, headers) {
