metrics: calls to the store and connections to endpoints by cause

Change: `tarragonseam_store_call_results` counts calls by kind (one for the content of all jobs), purpose (list, watch, read, write, probe, retry, relay) and result; `tarragonseam_endpoint_connections` counts connections by cause. `link::http::opening` knows what connections to each peer were lost and not replaced.

--- a/crates/link/src/http/call.rs
+++ b/crates/link/src/http/call.rs
@@ -258,6 +258,12 @@
         self.host.take()
     }
 
+    /// Returns whether the request may not share a connection with others of all
+    /// kinds.
+    pub(crate) fn needs_own_connection(&self) -> bool {
+        self.needs_new_connection || self.kept_connection == KeptUse::Own
+    }
+
     /// Returns how long the call may take.
     pub fn time_limit(&self) -> Duration {
         self.deadline
--- a/crates/link/src/http/client.rs
+++ b/crates/link/src/http/client.rs
@@ -35,6 +35,7 @@
     framing::{self, Framing},
     guard::{Budget, Guard, Limit, READ_BYTES_MAX},
     limits::Limits,
+    opening::{Cause, Life, Loss, Losses},
     response::BodyReader,
 };
 use crate::{fault, net};
@@ -56,10 +57,11 @@
     is_kept: bool,
     /// Hashes of the ids of the last requests on the connection.
     recent_ids: VecDeque<u64>,
+    life: Life,
 }
 
 impl Connection {
-    fn new(stream: TcpStream, peer: SocketAddr) -> Self {
+    fn new(stream: TcpStream, peer: SocketAddr, life: Life) -> Self {
         let descriptor = stream.as_raw_fd();
         let budget = Budget::default();
         let (read, write) = stream.into_split();
@@ -73,6 +75,7 @@
             idle_time_max: IDLE_TIME_MAX,
             is_kept: false,
             recent_ids: VecDeque::new(),
+            life,
         }
     }
 
@@ -114,9 +117,21 @@
         unsafe { BorrowedFd::borrow_raw(self.descriptor) }
     }
 
-    /// Returns whether an idle connection may carry another request.
-    fn is_usable(&mut self) -> bool {
-        !self.is_expired() && self.has_no_input()
+    /// Returns the connection if it may carry another request, and closes it
+    /// otherwise.
+    fn if_usable(mut self) -> Option<Self> {
+        if self.is_expired() {
+            return self.close(Loss::Expired);
+        }
+        match self.has_no_input() {
+            true => Some(self),
+            false => self.close(Loss::Closed),
+        }
+    }
+
+    fn close(mut self, loss: Loss) -> Option<Self> {
+        self.life.loss = loss;
+        None
     }
 
     /// Returns whether the peer may close the connection soon, or has.
@@ -140,6 +155,8 @@
     limits: Limits,
     silence_timeout: Option<Duration>,
     reset_on_close: bool,
+    losses: Losses,
+    on_open: Option<Rc<dyn Fn(Cause)>>,
 }
 
 const IDLE_CONNECTIONS_MAX: usize = 64;
@@ -161,6 +178,21 @@
             limits,
             silence_timeout: None,
             reset_on_close: false,
+            losses: Losses::default(),
+            on_open: None,
+        }
+    }
+
+    /// Sets a function that is called with the cause of each connection that was
+    /// opened.
+    pub fn on_open(mut self, hook: impl Fn(Cause) + 'static) -> Self {
+        self.on_open = Some(Rc::new(hook));
+        self
+    }
+
+    fn record_open(&self, cause: Cause) {
+        if let Some(hook) = &self.on_open {
+            hook(cause);
         }
     }
 
@@ -236,7 +268,11 @@
             }
         }
         let stream = stream.map_err(|e| Error::new(Kind::Connect, e))?;
-        let connection = Connection::new(stream, peer);
+        self.record_open(match call.needs_own_connection() {
+            true => Cause::Required,
+            false => self.losses.next_cause(peer),
+        });
+        let connection = Connection::new(stream, peer, self.losses.watch(peer));
         self.exchange(connection, peer, call, deadline).await
     }
 
@@ -333,6 +369,9 @@
             connection.idle_time_max = IDLE_TIME_MAX.min(stated.saturating_sub(STATED_IDLE_MARGIN));
         }
         let may_reuse = !has_connection_close(&headers);
+        if !may_reuse {
+            connection.life.loss = Loss::Closed;
+        }
         Ok(Response {
             status,
             headers,
@@ -382,7 +421,9 @@
     pub async fn open(&self, peer: SocketAddr, limit: Duration) -> Result<(), Error> {
         let stream = self.connect(peer, limit).await;
         let stream = stream.map_err(|e| Error::new(Kind::Connect, e))?;
-        self.release(peer, Connection::new(stream, peer));
+        self.record_open(Cause::Probe);
+        let life = self.losses.watch(peer);
+        self.release(peer, Connection::new(stream, peer, life));
         Ok(())
     }
 
@@ -418,15 +459,17 @@
 
     /// Closes all idle connections to `peer`.
     pub fn close_idle(&self, peer: SocketAddr) {
-        self.idle.borrow_mut().remove(&peer);
-        self.kept.borrow_mut().remove(&peer);
+        let idle = self.idle.borrow_mut().remove(&peer).into_iter().flatten();
+        let kept = self.kept.borrow_mut().remove(&peer);
+        idle.chain(kept)
+            .for_each(|connection| drop(connection.close(Loss::Expired)));
     }
 
     /// Returns an open connection for `call`, if there is one that may be used.
     fn take(&self, peer: SocketAddr, call: &Call) -> Option<Connection> {
         if call.kept_connection != KeptUse::Never {
             let kept = self.kept.borrow_mut().remove(&peer);
-            let kept = kept.and_then(|mut kept| kept.is_usable().then_some(kept));
+            let kept = kept.and_then(Connection::if_usable);
             if kept.is_some() || call.kept_connection == KeptUse::Own {
                 return kept;
             }
@@ -445,9 +488,9 @@
             if id.is_some_and(|id| queue[index].had_id(id)) {
                 continue;
             }
-            let mut connection = queue.remove(index)?;
-            if connection.is_usable() {
-                return Some(connection);
+            let usable = queue.remove(index)?.if_usable();
+            if usable.is_some() {
+                return usable;
             }
         }
         None
@@ -464,6 +507,8 @@
         let queue = idle.entry(peer).or_default();
         if queue.len() < IDLE_CONNECTIONS_MAX {
             queue.push_back(connection);
+        } else {
+            connection.close(Loss::Expired);
         }
     }
 }
--- a/crates/link/src/http/mod.rs
+++ b/crates/link/src/http/mod.rs
@@ -17,6 +17,7 @@
 pub(crate) mod guard;
 pub(crate) mod hop;
 pub mod limits;
+pub mod opening;
 pub mod pipe;
 pub(crate) mod reply;
 pub(crate) mod response;
--- a/crates/site/src/components.rs
+++ b/crates/site/src/components.rs
@@ -144,9 +144,15 @@
         let mirror = Mirror::new(coordinators.is_seed());
         let facts: Rc<RefCell<Facts>> = Rc::default();
         let metrics = Metrics::default();
+        let observer = metrics.clone();
+        store.set_observer(move |kind, purpose, outcome| {
+            observer.record_store_call(kind, purpose, outcome);
+        });
+        let observer = metrics.clone();
         let pool = Pool::new(Limits::new().body_bytes(RESPONSE_BYTES_MAX))
             .silence_timeout(path::SILENCE_TIMEOUT)
-            .reset_on_close();
+            .reset_on_close()
+            .on_open(move |cause| observer.record_endpoint_connection(cause));
         let usage = Usage::new(settings.bounds.usage_window);
         let vm = settings.vm.as_str();
         let client = ask::Client::default();
--- a/crates/site/src/job/record.rs
+++ b/crates/site/src/job/record.rs
@@ -182,10 +182,18 @@
 /// after it yields only pages.
 pub(crate) const LIST_PAGES_AFTER: &str = "o";
 
+/// The prefix of the kinds with the content of jobs. The id of the job follows.
+const KIND_PREFIX: &str = "rollout-job-";
+
 impl ContentName {
     /// Returns the kind of the objects with the content of `job`.
     pub fn kind(job: &str) -> String {
-        format!("rollout-job-{job}")
+        format!("{KIND_PREFIX}{job}")
+    }
+
+    /// Returns whether the objects of `kind` are the content of a job.
+    pub fn is_kind(kind: &str) -> bool {
+        kind.starts_with(KIND_PREFIX)
     }
 
     /// Returns the name in the store. Pages sort last, so that a reader can
--- a/crates/site/src/metrics.rs
+++ b/crates/site/src/metrics.rs
@@ -2,11 +2,17 @@
 
 use std::{rc::Rc, time::Duration};
 
-use link::{http::server::Reply, telemetry::Telemetry};
+use link::{
+    http::{opening::Cause, server::Reply},
+    telemetry::Telemetry,
+};
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Gauge, Histogram},
 };
+use platform::store::{Outcome, Purpose};
+
+use crate::job::record::ContentName;
 
 /// The bounds of the latency buckets, in seconds. They range from a local
 /// response to the longest run of an item.
@@ -30,6 +36,8 @@
     permits: Counter<u64>,
     quarantined_requests: Counter<u64>,
     store_calls: Gauge<u64>,
+    store_call_results: Counter<u64>,
+    endpoint_connections: Counter<u64>,
     endpoints: Gauge<u64>,
     usage_omitted_requests: Counter<u64>,
     log_lines_dropped: Counter<u64>,
@@ -56,6 +64,8 @@
             permits: telemetry.counter("tarragonseam_permits"),
             quarantined_requests: telemetry.counter("tarragonseam_quarantined_requests"),
             store_calls: meter.u64_gauge("tarragonseam_store_calls").build(),
+            store_call_results: telemetry.counter("tarragonseam_store_call_results"),
+            endpoint_connections: telemetry.counter("tarragonseam_endpoint_connections"),
             endpoints: meter.u64_gauge("tarragonseam_endpoints").build(),
             usage_omitted_requests: telemetry.counter("tarragonseam_usage_omitted_requests"),
             log_lines_dropped: telemetry.counter("tarragonseam_log_lines_dropped"),
@@ -99,6 +109,27 @@
         self.0.peer_calls.add(1, &[subject]);
     }
 
+    /// Records a call to the store that ended. All kinds with the content of a job
+    /// count as one.
+    pub fn record_store_call(&self, kind: &str, purpose: Purpose, outcome: Outcome) {
+        let kind = match ContentName::is_kind(kind) {
+            true => "job-content",
+            false => kind,
+        };
+        let labels = [
+            KeyValue::new("kind", kind.to_string()),
+            KeyValue::new("purpose", purpose.name()),
+            KeyValue::new("result", outcome.name()),
+        ];
+        self.0.store_call_results.add(1, &labels);
+    }
+
+    /// Records a connection that was opened to an endpoint.
+    pub fn record_endpoint_connection(&self, cause: Cause) {
+        let cause = [KeyValue::new("cause", cause.name())];
+        self.0.endpoint_connections.add(1, &cause);
+    }
+
     /// Records the result of asking for a permit to send a request to an
     /// endpoint with a rate limit.
     pub fn record_permit(&self, result: &'static str) {
