--- a/crates/link/src/http/client.rs
+++ b/crates/link/src/http/client.rs
@@ -23,6 +23,7 @@
     payload::{FixedPayload, Payload},
 };
 
+use super::call::KeptUse;
 pub use super::{
     call::Call,
     fence::Fence,
@@ -34,6 +35,7 @@
     framing::{self, Framing},
     guard::{Budget, Guard, Limit, READ_BYTES_MAX},
     limits::Limits,
+    opening::{Cause, Life, Loss, Losses},
     response::BodyReader,
 };
 use crate::{fault, net};
@@ -49,12 +51,17 @@
     descriptor: RawFd,
     pub(crate) peer: SocketAddr,
     idle_since: Instant,
+    /// How long the connection may stay idle and be used again.
+    idle_time_max: Duration,
+    /// Whether the connection is kept apart from the other idle ones.
+    is_kept: bool,
     /// Hashes of the ids of the last requests on the connection.
     recent_ids: VecDeque<u64>,
+    life: Life,
 }
 
 impl Connection {
-    fn new(stream: TcpStream, peer: SocketAddr) -> Self {
+    fn new(stream: TcpStream, peer: SocketAddr, life: Life) -> Self {
         let descriptor = stream.as_raw_fd();
         let budget = Budget::default();
         let (read, write) = stream.into_split();
@@ -65,7 +72,10 @@
             descriptor,
             peer,
             idle_since: Instant::now(),
+            idle_time_max: IDLE_TIME_MAX,
+            is_kept: false,
             recent_ids: VecDeque::new(),
+            life,
         }
     }
 
@@ -89,7 +99,7 @@
         if !self.reader.framed_mut().read_buffer().is_empty() {
             return false;
         }
-        matches!(self.peek(), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        self.is_silent()
     }
 
     /// Returns whether the connection ended with an error.
@@ -98,10 +108,41 @@
     }
 
     fn peek(&self) -> io::Result<usize> {
-        // SAFETY: `self` owns both halves, so the descriptor stays open.
-        let descriptor = unsafe { BorrowedFd::borrow_raw(self.descriptor) };
         let mut byte = [MaybeUninit::uninit()];
-        socket2::SockRef::from(&descriptor).peek(&mut byte)
+        socket2::SockRef::from(&self.descriptor()).peek(&mut byte)
+    }
+
+    fn descriptor(&self) -> BorrowedFd<'_> {
+        // SAFETY: `self` owns both halves, so the descriptor stays open.
+        unsafe { BorrowedFd::borrow_raw(self.descriptor) }
+    }
+
+    /// Returns the connection if it may carry another request, and closes it
+    /// otherwise.
+    fn if_usable(mut self) -> Option<Self> {
+        if self.is_expired() {
+            return self.close(Loss::Expired);
+        }
+        match self.has_no_input() {
+            true => Some(self),
+            false => self.close(Loss::Closed),
+        }
+    }
+
+    fn close(mut self, loss: Loss) -> Option<Self> {
+        self.life.loss = loss;
+        None
+    }
+
+    /// Returns whether the peer may close the connection soon, or has.
+    fn is_expired(&self) -> bool {
+        self.idle_since.elapsed() >= self.idle_time_max
+    }
+
+    /// Returns whether nothing has arrived, as far as is known without changing the
+    /// connection.
+    fn is_silent(&self) -> bool {
+        matches!(self.peek(), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
 }
 
@@ -109,23 +150,49 @@
 #[derive(Clone)]
 pub struct Pool {
     idle: Rc<RefCell<Map<SocketAddr, VecDeque<Connection>>>>,
+    /// The connections that are kept apart from the idle ones, one for each peer.
+    kept: Rc<RefCell<Map<SocketAddr, Connection>>>,
     limits: Limits,
     silence_timeout: Option<Duration>,
     reset_on_close: bool,
+    losses: Losses,
+    on_open: Option<Rc<dyn Fn(Cause)>>,
 }
 
 const IDLE_CONNECTIONS_MAX: usize = 64;
 const IDLE_TIME_MAX: Duration = Duration::from_secs(20);
 const RECENT_IDS_MAX: usize = 16;
+/// How long before the end of the idle time that a peer states a connection is used
+/// for the last time. The peer counts from when it sent its last response, and a
+/// request that arrives after its limit is lost.
+const STATED_IDLE_MARGIN: Duration = Duration::from_millis(200);
+/// The largest idle time that is read from a header.
+const STATED_IDLE_SECONDS_MAX: u64 = 3600;
 
 impl Pool {
     /// Returns an empty pool.
     pub fn new(limits: Limits) -> Self {
         Self {
             idle: Rc::default(),
+            kept: Rc::default(),
             limits,
             silence_timeout: None,
             reset_on_close: false,
+            losses: Losses::default(),
+            on_open: None,
+        }
+    }
+
+    /// Sets a function that is called with the cause of each connection that was
+    /// opened.
+    pub fn on_open(mut self, hook: impl Fn(Cause) + 'static) -> Self {
+        self.on_open = Some(Rc::new(hook));
+        self
+    }
+
+    fn record_open(&self, cause: Cause) {
+        if let Some(hook) = &self.on_open {
+            hook(cause);
         }
     }
 
@@ -152,9 +219,7 @@
     /// returns true.
     pub async fn send(&self, peer: SocketAddr, call: Call) -> Result<Response, Error> {
         let deadline = Instant::now() + call.deadline;
-        if !call.needs_new_connection
-            && let Some(connection) = self.take_idle(peer, &call)
-        {
+        if let Some(connection) = self.take(peer, &call) {
             let budget = connection.budget.clone();
             let result = self.exchange(connection, peer, &call, deadline).await;
             let is_disconnect = |e: &Error| matches!(e.kind(), Kind::Incomplete | Kind::Send);
@@ -203,12 +268,12 @@
             }
         }
         let stream = stream.map_err(|e| Error::new(Kind::Connect, e))?;
-        if call.fence.is_some() {
-            net::set_user_timeout(&stream, fence::ACK_TIMEOUT)
-                .map_err(|e| Error::new(Kind::Connect, e))?;
-        }
-        self.exchange(Connection::new(stream, peer), peer, call, deadline)
-            .await
+        self.record_open(match call.needs_own_connection() {
+            true => Cause::Required,
+            false => self.losses.next_cause(peer),
+        });
+        let connection = Connection::new(stream, peer, self.losses.watch(peer));
+        self.exchange(connection, peer, call, deadline).await
     }
 
     async fn exchange(
@@ -228,6 +293,8 @@
         let mut write_time = remaining(deadline);
         if let Some(fence) = &call.fence {
             write_time = write_time.min(fence::WRITE_TIMEOUT);
+            net::set_user_timeout(connection.descriptor(), fence::ACK_TIMEOUT)
+                .map_err(|e| Error::new(Kind::Connect, e))?;
             if !fence.is_open() {
                 return Err(Error::new(
                     Kind::Fenced,
@@ -261,8 +328,15 @@
                 break (parts.status, parts.headers, framing, decoder);
             }
         };
-        if let Some((name, id)) = &call.expected_echo
-            && headers.get(name) != Some(id)
+        let is_echoed = call
+            .expected_echo
+            .as_ref()
+            .and_then(|(name, id)| Some(headers.get(name)? == id));
+        // On a kept connection, the response to an earlier request may arrive late.
+        let may_omit_echo =
+            call.may_omit_echo && !(connection.is_kept && call.kept_connection == KeptUse::Own);
+        if let Some((name, _)) = &call.expected_echo
+            && !is_echoed.unwrap_or(may_omit_echo)
         {
             // Other idle connections to this peer may also return responses to
             // earlier requests.
@@ -286,7 +360,18 @@
                 "the body exceeds the size limit",
             ));
         }
+        if call.kept_connection == KeptUse::Own {
+            // Only a response with the id of the request shows that the peer
+            // repeats ids.
+            connection.is_kept = is_echoed == Some(true);
+        }
+        if let Some(stated) = stated_idle_time(&headers) {
+            connection.idle_time_max = IDLE_TIME_MAX.min(stated.saturating_sub(STATED_IDLE_MARGIN));
+        }
         let may_reuse = !has_connection_close(&headers);
+        if !may_reuse {
+            connection.life.loss = Loss::Closed;
+        }
         Ok(Response {
             status,
             headers,
@@ -336,7 +421,9 @@
     pub async fn open(&self, peer: SocketAddr, limit: Duration) -> Result<(), Error> {
         let stream = self.connect(peer, limit).await;
         let stream = stream.map_err(|e| Error::new(Kind::Connect, e))?;
-        self.release(peer, Connection::new(stream, peer));
+        self.record_open(Cause::Probe);
+        let life = self.losses.watch(peer);
+        self.release(peer, Connection::new(stream, peer, life));
         Ok(())
     }
 
@@ -352,12 +439,45 @@
                 failed.push(*peer);
             }
         }
+        self.kept.borrow_mut().retain(|peer, connection| {
+            let has_failed = connection.has_failed();
+            if has_failed && !failed.contains(peer) {
+                failed.push(*peer);
+            }
+            !has_failed
+        });
         failed
     }
 
+    /// Returns whether an idle connection to `peer` is open that a request can use
+    /// now, apart from a kept one.
+    pub fn has_idle(&self, peer: SocketAddr) -> bool {
+        let idle = self.idle.borrow();
+        let mut connections = idle.get(&peer).into_iter().flatten().rev();
+        connections.any(|connection| !connection.is_expired() && connection.is_silent())
+    }
+
     /// Closes all idle connections to `peer`.
     pub fn close_idle(&self, peer: SocketAddr) {
-        self.idle.borrow_mut().remove(&peer);
+        let idle = self.idle.borrow_mut().remove(&peer).into_iter().flatten();
+        let kept = self.kept.borrow_mut().remove(&peer);
+        idle.chain(kept)
+            .for_each(|connection| drop(connection.close(Loss::Expired)));
+    }
+
+    /// Returns an open connection for `call`, if there is one that may be used.
+    fn take(&self, peer: SocketAddr, call: &Call) -> Option<Connection> {
+        if call.kept_connection != KeptUse::Never {
+            let kept = self.kept.borrow_mut().remove(&peer);
+            let kept = kept.and_then(Connection::if_usable);
+            if kept.is_some() || call.kept_connection == KeptUse::Own {
+                return kept;
+            }
+        }
+        match call.needs_new_connection {
+            true => None,
+            false => self.take_idle(peer, call),
+        }
     }
 
     fn take_idle(&self, peer: SocketAddr, call: &Call) -> Option<Connection> {
@@ -368,9 +488,9 @@
             if id.is_some_and(|id| queue[index].had_id(id)) {
                 continue;
             }
-            let mut connection = queue.remove(index)?;
-            if connection.idle_since.elapsed() < IDLE_TIME_MAX && connection.has_no_input() {
-                return Some(connection);
+            let usable = queue.remove(index)?.if_usable();
+            if usable.is_some() {
+                return usable;
             }
         }
         None
@@ -379,10 +499,16 @@
     /// Returns a connection to the pool after its response was read completely.
     pub(crate) fn release(&self, peer: SocketAddr, mut connection: Connection) {
         connection.idle_since = Instant::now();
+        if connection.is_kept {
+            self.kept.borrow_mut().insert(peer, connection);
+            return;
+        }
         let mut idle = self.idle.borrow_mut();
         let queue = idle.entry(peer).or_default();
         if queue.len() < IDLE_CONNECTIONS_MAX {
             queue.push_back(connection);
+        } else {
+            connection.close(Loss::Expired);
         }
     }
 }
@@ -416,9 +542,23 @@
 }
 
 fn has_connection_close(headers: &HeaderMap) -> bool {
-    headers
-        .get(header::CONNECTION)
-        .is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
+    let values = headers.get_all(header::CONNECTION).iter();
+    let mut options = values
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','));
+    options.any(|option| option.trim().eq_ignore_ascii_case("close"))
+}
+
+/// Returns how long the peer keeps an idle connection open, if it states that.
+fn stated_idle_time(headers: &HeaderMap) -> Option<Duration> {
+    let values = headers.get_all("keep-alive").iter();
+    let mut parameters = values
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|parameter| parameter.split_once('='));
+    let (_, seconds) = parameters.find(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"))?;
+    let seconds: u64 = seconds.trim().parse().ok()?;
+    Some(Duration::from_secs(seconds.min(STATED_IDLE_SECONDS_MAX)))
 }
 
 pub(crate) fn read_error(budget: &Budget, e: impl std::fmt::Display) -> Error {
--- a/crates/site/src/components.rs
+++ b/crates/site/src/components.rs
@@ -13,7 +13,7 @@
     crash::Crashes,
     duty::{self, Duties, collect::Collector, lease::Manager},
     facts::Facts,
-    follow::{self, View},
+    follow::{self, Batching, View},
     forward::Forwarder,
     front::Front,
     gateway::Gateway,
@@ -144,9 +144,15 @@
         let mirror = Mirror::new(coordinators.is_seed());
         let facts: Rc<RefCell<Facts>> = Rc::default();
         let metrics = Metrics::default();
+        let observer = metrics.clone();
+        store.set_observer(move |kind, purpose, outcome| {
+            observer.record_store_call(kind, purpose, outcome);
+        });
+        let observer = metrics.clone();
         let pool = Pool::new(Limits::new().body_bytes(RESPONSE_BYTES_MAX))
             .silence_timeout(path::SILENCE_TIMEOUT)
-            .reset_on_close();
+            .reset_on_close()
+            .on_open(move |cause| observer.record_endpoint_connection(cause));
         let usage = Usage::new(settings.bounds.usage_window);
         let vm = settings.vm.as_str();
         let client = ask::Client::default();
@@ -285,7 +291,8 @@
         let view = self.facts_view.clone();
         monoio::spawn(follow::config(store.clone(), view.clone(), facts.clone()));
         monoio::spawn(self.crashes.clone().follow(view.sibling()));
-        monoio::spawn(follow::endpoints(store, view, facts, pool));
+        let batching = Batching::of_endpoints(settings.bounds.drain);
+        monoio::spawn(follow::endpoints(store, batching, view, facts, pool));
         monoio::spawn(self.origins.clone().copy());
         monoio::spawn(self.members.clone().run());
         monoio::spawn(follow_mirrors(
