site: evacuations of failure domains

Cause: the operator can evacuate a failure domain by an object of the kind `evacuations`, and VMs went on sending everything there.

Change: VMs follow the kind where the settings have `bounds.evacuate-ms`. It is listed before a VM is ready, and until then all failure domains count as evacuated, since a VM forwards attempts and takes jobs over before it is ready. Placement and loads of weights leave evacuated endpoints out. All calls to endpoints carry a condition (`Call::condition`) that `link::http::Pool` checks right before the request is written, on each connection; it covers requests, streams, resumed streams, items, scoring requests, orders, reads of states and attempts through a gateway, at the VM and at the gateway. Probes of links use other endpoints. A call that the condition stops is unsent and goes to another endpoint. If all endpoints of a service are evacuated, its requests get 503 `evacuated` with `retry-after` at once, and items keep their text and wait.

The fakes record orders and reads of states (`State::control_calls`).

Compatibility: the refusal of a gateway is 421 with `x-gateway-error: fenced`. Earlier builds know that value and treat the attempt as unsent. An earlier build as a gateway checks nothing, and forwards what an evacuation forbids only if its caller does not know of it. Mirrors of earlier builds do not have the kind and answer 503 for it, so a newer VM reads it from the store. An earlier build ignores the settings field.

--- a/crates/fakes/src/site/engine.rs
+++ b/crates/fakes/src/site/engine.rs
@@ -13,7 +13,7 @@
 
 use super::{
     MODEL, SOFTWARE, SharedState, crashes, echo_request_id, header_text, lock, record_arrival,
-    rejection,
+    record_control_call, rejection,
 };
 
 /// The number of events of a stream whose request names none.
@@ -52,8 +52,14 @@
     time: Duration,
 ) -> Reply {
     match (&request.method, request.uri.path()) {
-        (&Method::GET, "/report") => report(&state, &id),
-        (&Method::POST, "/order") => order(&state, &request, &id),
+        (&Method::GET, "/report") => {
+            record_control_call(&state, &request, &id);
+            report(&state, &id)
+        }
+        (&Method::POST, "/order") => {
+            record_control_call(&state, &request, &id);
+            order(&state, &request, &id)
+        }
         _ => generate(&state, &request, &id, time),
     }
 }
--- a/crates/fakes/src/site/mod.rs
+++ b/crates/fakes/src/site/mod.rs
@@ -169,6 +169,8 @@
     pub endpoints: BTreeMap<String, Endpoint>,
     /// The requests that the endpoints received, in order.
     pub arrivals: Vec<Arrival>,
+    /// The orders and the reads of states that the engines received, in order.
+    pub control_calls: Vec<Arrival>,
     /// How many more endpoints crash under requests with a path.
     pub crashes: BTreeMap<String, u32>,
     /// The number of streams that engines are writing.
@@ -361,12 +363,9 @@
     request.header(name).map(str::to_string)
 }
 
-/// Records that the endpoint `id` received `request`, and returns the faults that
-/// apply to it.
-pub(crate) fn record_arrival(state: &SharedState, request: &Request, id: &str) -> PendingFaults {
-    let mut state = lock(state);
+fn arrival(request: &Request, id: &str) -> Arrival {
     let number = |name| request.header(name).and_then(|value| value.parse().ok());
-    let arrival = Arrival {
+    Arrival {
         id: header_text(request, "request-id").unwrap_or_default(),
         endpoint: id.to_string(),
         at: Instant::now(),
@@ -374,8 +373,19 @@
         account: header_text(request, "tenant"),
         last_event_id: number("last-event-id"),
         deadline_ms: number("deadline-ms"),
-    };
-    state.arrivals.push(arrival);
+    }
+}
+
+/// Records that the engine `id` received an order, or a read of its state.
+pub(crate) fn record_control_call(state: &SharedState, request: &Request, id: &str) {
+    lock(state).control_calls.push(arrival(request, id));
+}
+
+/// Records that the endpoint `id` received `request`, and returns the faults that
+/// apply to it.
+pub(crate) fn record_arrival(state: &SharedState, request: &Request, id: &str) -> PendingFaults {
+    let mut state = lock(state);
+    state.arrivals.push(arrival(request, id));
     let Some(endpoint) = state.endpoints.get_mut(id) else {
         return PendingFaults::default();
     };
--- a/crates/link/src/http/call.rs
+++ b/crates/link/src/http/call.rs
@@ -32,6 +32,7 @@
     pub(crate) connect_timeout: Duration,
     pub(crate) deadline: Duration,
     pub(crate) fence: Option<Fence>,
+    pub(crate) condition: Option<Hook<dyn Fn() -> bool>>,
     pub(crate) on_connect: Option<Hook<dyn Fn(bool)>>,
     pub(crate) on_send: Option<Hook<dyn Fn()>>,
     pub(crate) on_head: Option<Hook<OnHead>>,
@@ -71,6 +72,7 @@
             connect_timeout: CONNECT_TIMEOUT_DEFAULT,
             deadline: DEADLINE_DEFAULT,
             fence: None,
+            condition: None,
             on_connect: None,
             on_send: None,
             on_head: None,
@@ -128,6 +130,14 @@
         self
     }
 
+    /// Sets a condition that must hold right before the request is written, each time
+    /// that it is. If it does not, the call fails with
+    /// [`Kind::Fenced`](super::error::Kind::Fenced).
+    pub fn condition(mut self, condition: impl Fn() -> bool + 'static) -> Self {
+        self.condition = Some(Hook(Rc::new(condition)));
+        self
+    }
+
     /// Sets a function that is called each time that a connection to the peer is
     /// opened or cannot be opened in its full time, with whether it was opened.
     pub fn on_connect(mut self, hook: impl Fn(bool) + 'static) -> Self {
--- a/crates/link/src/http/client.rs
+++ b/crates/link/src/http/client.rs
@@ -235,6 +235,12 @@
                 ));
             }
         }
+        if let Some(condition) = &call.condition
+            && !(condition.0)()
+        {
+            let detail = "the condition of the request does not hold";
+            return Err(Error::new(Kind::Fenced, detail));
+        }
         if let Some(hook) = &call.on_send {
             (hook.0)();
         }
--- a/crates/link/src/http/error.rs
+++ b/crates/link/src/http/error.rs
@@ -10,7 +10,8 @@
     Connect,
     /// The request could not be built.
     Build,
-    /// The fence of the request was closed before the request was written.
+    /// The fence of the request was closed, or its condition did not hold, before the
+    /// request was written.
     Fenced,
     /// Writing the request failed.
     Send,
--- a/crates/site/src/components.rs
+++ b/crates/site/src/components.rs
@@ -151,7 +151,13 @@
         let vm = settings.vm.as_str();
         let client = ask::Client::default();
         let members = Members::new(coordinators.clone(), client.clone(), role(settings));
-        let paths = Paths::new(facts.clone(), members.clone(), client.clone(), pool.clone());
+        let paths = Paths::new(
+            facts.clone(),
+            members.clone(),
+            client.clone(),
+            pool.clone(),
+            metrics.clone(),
+        );
         let permits = Permits::new(
             facts.clone(),
             coordinators.clone(),
@@ -285,6 +291,16 @@
         let view = self.facts_view.clone();
         monoio::spawn(follow::config(store.clone(), view.clone(), facts.clone()));
         monoio::spawn(self.crashes.clone().follow(view.sibling()));
+        if let Some(bound) = settings.bounds.evacuation() {
+            facts.borrow_mut().await_evacuations();
+            monoio::spawn(follow::evacuations(
+                store.clone(),
+                view.sibling(),
+                facts.clone(),
+                self.metrics.clone(),
+                bound,
+            ));
+        }
         monoio::spawn(follow::endpoints(store, view, facts, pool));
         monoio::spawn(self.origins.clone().copy());
         monoio::spawn(self.members.clone().run());
--- a/crates/site/src/duty/loading.rs
+++ b/crates/site/src/duty/loading.rs
@@ -48,10 +48,7 @@
     models.sort_by_key(|model| (model.serving * 1000 / model.target, model.name));
     let outdated = |model: &Model<'_>| {
         let (name, version) = (model.name, model.version);
-        let endpoints = facts
-            .endpoints
-            .iter()
-            .filter(|(_, e)| !e.record.is_draining);
+        let endpoints = facts.endpoints.iter().filter(|(_, e)| e.is_open());
         let behind = endpoints.filter(|(_, e)| e.version(name).is_some_and(|v| v < version));
         let outdated: Vec<(Key, &Endpoint)> =
             behind.filter(|(key, _)| !is_ordered(*key, name)).collect();
@@ -112,7 +109,7 @@
     let work = |name: &str| demand.get(name).copied().unwrap_or(0).max(1);
     let total: u64 = names.iter().map(|(name, _)| work(name)).sum();
     let models = names.iter().map(|&(name, version)| {
-        let endpoints = facts.endpoints.values().filter(|e| !e.record.is_draining);
+        let endpoints = facts.endpoints.values().filter(|e| e.is_open());
         let versions: Vec<u64> = endpoints.filter_map(|e| e.version(name)).collect();
         let share = (versions.len() as u64 * work(name)).div_ceil(total);
         Model {
--- a/crates/site/src/duty/weights.rs
+++ b/crates/site/src/duty/weights.rs
@@ -79,7 +79,7 @@
 fn count_engines(facts: &Facts) -> usize {
     let endpoints = facts.endpoints.values();
     endpoints
-        .filter(|endpoint| !endpoint.record.versions.is_empty())
+        .filter(|endpoint| !endpoint.record.versions.is_empty() && !endpoint.is_evacuated())
         .count()
 }
 
--- a/crates/site/src/facts.rs
+++ b/crates/site/src/facts.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use board::hash::Map;
+use board::hash::{Map, Set};
 use link::HeaderMap;
 use platform::{config::Config, endpoint::Record, header};
 use slotmap::SlotMap;
@@ -45,6 +45,8 @@
     /// Set while its record is missing from the store: when the endpoint is
     /// removed unless the record returns.
     pub missing_until: Option<Instant>,
+    /// Whether its failure domain is evacuated.
+    is_evacuated: bool,
 }
 
 /// The rate limit that an endpoint named.
@@ -78,9 +80,22 @@
             backoff_until: None,
             failures: 0,
             missing_until: None,
+            is_evacuated: false,
         }
     }
 
+    /// Returns whether nothing may be sent to the endpoint, since its failure domain
+    /// is evacuated.
+    pub fn is_evacuated(&self) -> bool {
+        self.is_evacuated
+    }
+
+    /// Returns whether the endpoint may get new work: it is neither draining nor
+    /// evacuated.
+    pub fn is_open(&self) -> bool {
+        !self.record.is_draining && !self.is_evacuated
+    }
+
     /// Returns the version of `model` that the endpoint serves.
     pub fn version(&self, model: &str) -> Option<u64> {
         let mut versions = self.record.versions.iter();
@@ -116,6 +131,28 @@
     }
 }
 
+/// What a VM knows of the evacuated failure domains.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+enum Evacuations {
+    /// The platform evacuates none.
+    #[default]
+    Unused,
+    /// They have not been listed yet, so any failure domain may be evacuated.
+    Unknown,
+    /// Exactly these failure domains are evacuated, as far as this VM knows.
+    Known(Set<String>),
+}
+
+impl Evacuations {
+    fn has(&self, domain: &str) -> bool {
+        match self {
+            Self::Unused => false,
+            Self::Unknown => true,
+            Self::Known(domains) => domains.contains(domain),
+        }
+    }
+}
+
 /// The facts that a VM knows.
 #[derive(Default)]
 pub struct Facts {
@@ -134,9 +171,78 @@
     by_id: Map<String, Key>,
     /// The newest version that a trainer named for each model.
     pub versions: Map<String, u64>,
+    evacuations: Evacuations,
 }
 
 impl Facts {
+    /// Makes all failure domains count as evacuated until
+    /// [`set_evacuated`](Self::set_evacuated) is called for the first time.
+    pub fn await_evacuations(&mut self) {
+        if self.evacuations == Evacuations::Unused {
+            self.replace_evacuations(Evacuations::Unknown);
+        }
+    }
+
+    /// Returns whether this VM knows which failure domains are evacuated, or the
+    /// platform evacuates none.
+    pub fn are_evacuations_known(&self) -> bool {
+        self.evacuations != Evacuations::Unknown
+    }
+
+    /// Replaces the set of evacuated failure domains.
+    pub fn set_evacuated(&mut self, domains: Set<String>) {
+        self.replace_evacuations(Evacuations::Known(domains));
+    }
+
+    /// Returns the evacuated failure domains that this VM knows.
+    pub fn evacuated(&self) -> Set<String> {
+        match &self.evacuations {
+            Evacuations::Known(domains) => domains.clone(),
+            Evacuations::Unused | Evacuations::Unknown => Set::default(),
+        }
+    }
+
+    fn replace_evacuations(&mut self, evacuations: Evacuations) {
+        self.evacuations = evacuations;
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.is_evacuated = self.evacuations.has(&endpoint.record.failure_domain);
+        }
+    }
+
+    /// Returns whether nothing may be sent to `endpoint`, whose key is `key`. The
+    /// endpoint may have been removed, or have another failure domain by now.
+    pub fn is_evacuated(&self, key: Key, endpoint: &Endpoint) -> bool {
+        let current = self.endpoints.get(key).unwrap_or(endpoint);
+        self.evacuations.has(&current.record.failure_domain)
+    }
+
+    /// Returns whether `service` has endpoints, and all that are not draining are
+    /// evacuated.
+    pub fn is_service_evacuated(&self, service: &str) -> bool {
+        let endpoints = self.endpoints.values();
+        let mut active = endpoints.filter(|e| e.record.service == service && !e.record.is_draining);
+        let mut has_any = false;
+        active.all(|endpoint| {
+            has_any = true;
+            endpoint.is_evacuated
+        }) && has_any
+    }
+
+    /// Records that nothing was sent to the endpoint `key`, since its failure domain
+    /// is evacuated. A gateway may know so before this VM does, so the other endpoints
+    /// there back off too.
+    pub fn record_evacuated(&mut self, key: Key, now: Instant) {
+        let Some(known) = self.endpoints.get(key) else {
+            return;
+        };
+        let domain = known.record.failure_domain.clone();
+        for endpoint in self.endpoints.values_mut() {
+            if endpoint.record.failure_domain == domain {
+                endpoint.backoff_until = Some(now + BACKOFF_REJECTED);
+            }
+        }
+    }
+
     /// Puts a configuration in force, unless this version or a newer one is in
     /// force already. Returns whether it was put in force.
     pub fn set_config(&mut self, config: Config) -> bool {
@@ -160,13 +266,16 @@
                 && known.record.address == record.address
                 && known.record.software == record.software;
             if is_same {
+                known.is_evacuated = self.evacuations.has(&record.failure_domain);
                 known.record = record;
                 return false;
             }
             let key = *key;
             self.remove_key(key);
         }
-        let key = self.endpoints.insert(Endpoint::new(id, record));
+        let mut endpoint = Endpoint::new(id, record);
+        endpoint.is_evacuated = self.evacuations.has(&endpoint.record.failure_domain);
+        let key = self.endpoints.insert(endpoint);
         self.by_id.insert(id.to_string(), key);
         true
     }
@@ -322,8 +431,8 @@
     /// for which none was granted.
     pub fn next_permit(&self, service: &str, now: Instant) -> Option<Instant> {
         let endpoints = self.endpoints.values();
-        let active = endpoints.filter(|e| e.record.service == service && !e.record.is_draining);
-        let denied = active.filter(|endpoint| endpoint.is_denied(now));
+        let open = endpoints.filter(|e| e.record.service == service && e.is_open());
+        let denied = open.filter(|endpoint| endpoint.is_denied(now));
         denied.filter_map(|endpoint| endpoint.denied_until).min()
     }
 
@@ -353,7 +462,8 @@
     /// event of `model`.
     pub fn best_latency(&self, service: &str, model: &str) -> Option<f64> {
         let endpoints = self.endpoints.values();
-        let endpoints = endpoints.filter(|endpoint| endpoint.record.service == service);
+        let endpoints = endpoints
+            .filter(|endpoint| endpoint.record.service == service && !endpoint.is_evacuated);
         let latencies = endpoints.filter_map(|endpoint| endpoint.latencies.get(model));
         latencies
             .map(|estimate| estimate.seconds())
--- a/crates/site/src/follow.rs
+++ b/crates/site/src/follow.rs
@@ -12,12 +12,12 @@
 use link::{clock::Moment, http::Pool};
 use platform::{
     config::{self, Config},
-    endpoint,
+    endpoint, evacuation,
     order::{self, Version},
     store::{Error, Event, Object, Store},
 };
 
-use crate::{expiry::Detector, facts::Facts, mirror::Mirror, notify::Notifier};
+use crate::{expiry::Detector, facts::Facts, metrics::Metrics, mirror::Mirror, notify::Notifier};
 
 /// The pause after a failed call while an unreachable store is probed
 /// ([`Plan::is_probe`]). It doubles up to [`PROBE_PAUSE_MAX`].
@@ -69,6 +69,27 @@
     is_required: false,
 };
 
+/// The longest time that a watch of the evacuations waits.
+const EVACUATIONS_WAIT_MAX: Duration = Duration::from_millis(1000);
+/// The shortest one, which bounds the calls to the store.
+const EVACUATIONS_WAIT_MIN: Duration = Duration::from_millis(100);
+/// The part of the bound on evacuations that one watch may wait. A change that the
+/// store does not send to waiting watches passes three of them (the first seed, a
+/// seed, this VM), and a mirror that is lost costs the time of a fourth.
+const EVACUATIONS_WAIT_DIVISOR: u32 = 5;
+
+/// Returns the plan for the evacuations, which must be in force within `bound`.
+fn evacuations_plan(bound: Duration) -> Plan {
+    let wait = bound / EVACUATIONS_WAIT_DIVISOR;
+    Plan {
+        kind: evacuation::KIND,
+        wait: wait.clamp(EVACUATIONS_WAIT_MIN, EVACUATIONS_WAIT_MAX),
+        batch_time: Duration::ZERO,
+        is_probe: false,
+        is_required: true,
+    }
+}
+
 /// A change of a kind that is followed.
 pub enum Change {
     /// All objects of the kind.
@@ -343,6 +364,50 @@
     follow(store, VERSIONS, view, apply).await;
 }
 
+/// Follows the evacuations, which must be in force within `bound`. Never returns.
+pub async fn evacuations(
+    store: Store,
+    view: View,
+    facts: Rc<RefCell<Facts>>,
+    metrics: Metrics,
+    bound: Duration,
+) {
+    let age = view.clone();
+    let apply = |change: Change, was_unreachable: bool| {
+        let known = facts.borrow().evacuated();
+        let mut evacuated = known.clone();
+        match change {
+            Change::Snapshot(objects) => {
+                evacuated = objects.into_iter().map(|object| object.name).collect();
+            }
+            Change::Events(events) => {
+                for event in events {
+                    match event {
+                        Event::Put(object) => {
+                            evacuated.insert(object.name);
+                        }
+                        Event::Removed(name) => {
+                            evacuated.remove(&name);
+                        }
+                    }
+                }
+            }
+        }
+        let age_ms = age.age().unwrap_or_default().as_millis() as u64;
+        for domain in evacuated.difference(&known) {
+            let domain = domain.as_str();
+            spdlog::warn!("failure domain evacuated", kv: { domain, age_ms, was_unreachable });
+        }
+        for domain in known.difference(&evacuated) {
+            let domain = domain.as_str();
+            spdlog::info!("evacuation of a failure domain ended", kv: { domain, age_ms, was_unreachable });
+        }
+        metrics.record_evacuated_domains(evacuated.len());
+        facts.borrow_mut().set_evacuated(evacuated);
+    };
+    follow(store, evacuations_plan(bound), view, apply).await;
+}
+
 /// Follows the endpoints, and removes those whose missing records do not
 /// return in time.
 pub async fn endpoints(store: Store, view: View, facts: Rc<RefCell<Facts>>, pool: Pool) {
--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -50,6 +50,9 @@
 /// The `retry-after` of a stream that no endpoint can continue. An endpoint that
 /// crashed restarts within seconds.
 const SOFTWARE_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// The `retry-after` of a request while all failure domains are evacuated. An operator
+/// ends an evacuation by hand, and callers should come back soon after.
+const EVACUATION_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// The pause before endpoints are tried again after all of them rejected the
 /// request.
 pub(crate) const ALL_FULL_PAUSE: Duration = Duration::from_millis(20);
@@ -209,6 +212,9 @@
     NotRun(&'static str),
     /// The request was not sent, since no permit was granted for the endpoint.
     Denied,
+    /// The request was not sent, since the failure domain of the endpoint is
+    /// evacuated.
+    Evacuated,
     /// The request was not sent, since no connection could be opened.
     Unreached(http::Error),
     /// The endpoint may have run the request, but no answer arrived.
@@ -222,6 +228,7 @@
             Self::Answered(_) => "answered",
             Self::NotRun(_) => "not-run",
             Self::Denied => "denied",
+            Self::Evacuated => "evacuated",
             Self::Unreached(_) => "unreached",
             Self::Unknown(_) => "unknown",
         }
@@ -256,6 +263,8 @@
     RateLimit(Duration),
     /// Endpoints ended under it. The quarantine ends after this time.
     Quarantine(Duration),
+    /// The failure domains of all endpoints are evacuated.
+    Evacuation,
     /// No endpoint has the software that began the stream.
     Software,
 }
@@ -327,7 +336,7 @@
             Some(producer) => (&*producer.service, Some(&*producer.software)),
             None => (select_service(route, &dispatch.id)?, None),
         };
-        outcome.hold = self.time_to_permit(service);
+        outcome.hold = self.hold(service);
         let criteria = Criteria {
             software,
             ..self.criteria(service, &attempts.tried, outcome.denials)
@@ -335,7 +344,8 @@
         let chosen = placement::choose(&self.facts.borrow(), criteria, Instant::now());
         let Some(key) = chosen else {
             let has_endpoint = placement::has_suitable(&self.facts.borrow(), criteria);
-            if software.is_some() && !has_endpoint {
+            let is_held = matches!(outcome.hold, Some(Hold::Evacuation));
+            if software.is_some() && !has_endpoint && !is_held {
                 outcome.hold = Some(Hold::Software);
             }
             return None;
@@ -388,6 +398,11 @@
                 outcome.rejections += 1;
                 Some(None)
             }
+            Err(e) if e.kind() == error::Kind::Fenced => {
+                self.facts.borrow_mut().record_evacuated(key, now);
+                outcome.rejections += 1;
+                Some(None)
+            }
             Err(e) => {
                 self.facts.borrow_mut().record_failure(key, now);
                 let (request, known, problem) = (&*dispatch.id, &endpoint, e.to_string());
@@ -447,7 +462,7 @@
             let criteria = self.criteria(service, &tried, outcome.denials);
             let chosen = placement::choose(&self.facts.borrow(), criteria, Instant::now());
             let Some(key) = chosen else {
-                outcome.hold = self.time_to_permit(service);
+                outcome.hold = self.hold(service);
                 if tried.is_empty() || outcome.runs > 0 {
                     return outcome;
                 }
@@ -468,7 +483,9 @@
                 outcome.endpoint = self.endpoint_id(key);
             }
             match attempt {
-                Attempt::NotRun(_) | Attempt::Unreached(_) => outcome.rejections += 1,
+                Attempt::NotRun(_) | Attempt::Evacuated | Attempt::Unreached(_) => {
+                    outcome.rejections += 1;
+                }
                 Attempt::Denied => outcome.denials += 1,
                 Attempt::Answered(response) => {
                     outcome.runs += 1;
@@ -503,11 +520,15 @@
         }
     }
 
-    /// Returns the time until a permit is expected for an endpoint of `service`,
-    /// if one was denied.
-    fn time_to_permit(&self, service: &str) -> Option<Hold> {
+    /// Returns why no request is sent to `service` now: all of its endpoints are
+    /// evacuated, or no permit was granted for one of them.
+    fn hold(&self, service: &str) -> Option<Hold> {
         let now = Instant::now();
-        let next = self.facts.borrow().next_permit(service, now);
+        let facts = self.facts.borrow();
+        if facts.is_service_evacuated(service) {
+            return Some(Hold::Evacuation);
+        }
+        let next = facts.next_permit(service, now);
         next.map(|at| Hold::RateLimit(at.saturating_duration_since(now)))
     }
 
@@ -541,7 +562,7 @@
         self.metrics
             .record_attempt(&endpoint.record.service, attempt.name());
         let now = Instant::now();
-        if let Attempt::NotRun(_) | Attempt::Unreached(_) = &attempt {
+        if let Attempt::NotRun(_) | Attempt::Evacuated | Attempt::Unreached(_) = &attempt {
             entry.cancel();
         }
         let (request, id) = (dispatch.id.as_str(), endpoint.id.as_str());
@@ -555,6 +576,8 @@
             }
             // The permits log it.
             Attempt::Denied => {}
+            // The paths log it.
+            Attempt::Evacuated => self.facts.borrow_mut().record_evacuated(key, now),
             Attempt::NotRun(reason) => {
                 let reason = *reason;
                 let backoff = self
@@ -665,6 +688,11 @@
                 let detail = "endpoints ended under this request";
                 rejection("quarantined", detail).header("retry-after", seconds(time))
             }
+            Some(Hold::Evacuation) => {
+                let detail = "all failure domains with endpoints of the service are evacuated";
+                let time = seconds(EVACUATION_RETRY_AFTER);
+                rejection("evacuated", detail).header("retry-after", time)
+            }
             Some(Hold::Software) => {
                 let detail = "no endpoint has the software that began the stream";
                 let time = seconds(SOFTWARE_RETRY_AFTER);
@@ -704,6 +732,7 @@
 fn classify(response: Result<Fetched, http::Error>) -> Attempt {
     let response = match response {
         Ok(response) => response,
+        Err(e) if e.kind() == error::Kind::Fenced => return Attempt::Evacuated,
         Err(e) if e.is_unsent() => return Attempt::Unreached(e),
         Err(e) => return Attempt::Unknown(e),
     };
--- a/crates/site/src/gateway.rs
+++ b/crates/site/src/gateway.rs
@@ -202,6 +202,12 @@
             .key(id)
             .and_then(|key| Some((key, facts.endpoints.get(key)?)));
         match known {
+            Some((_, endpoint)) if endpoint.is_evacuated() => {
+                let domain = endpoint.record.failure_domain.as_str();
+                spdlog::info!("attempt of another VM refused, the failure domain is evacuated", kv: { endpoint = id, domain });
+                let detail = "the failure domain of the endpoint is evacuated";
+                Err(Error::new(Kind::Fenced, detail))
+            }
             Some((key, endpoint)) if !endpoint.record.is_draining => Ok((key, endpoint.clone())),
             Some(_) => Err(Error::new(Kind::Connect, "the endpoint is draining")),
             None => Err(Error::new(Kind::Connect, "the endpoint is not known")),
--- a/crates/site/src/job/attempt.rs
+++ b/crates/site/src/job/attempt.rs
@@ -6,7 +6,10 @@
     time::{Duration, Instant},
 };
 
-use link::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, http::Response};
+use link::{
+    HeaderMap, HeaderName, HeaderValue, Method, StatusCode,
+    http::{Response, error},
+};
 use platform::{
     batch::{Item, Scorer},
     header,
@@ -64,6 +67,8 @@
     Rejected,
     /// No permit was granted for the endpoint.
     Denied,
+    /// The item was not sent, since the failure domain of the endpoint is evacuated.
+    Evacuated,
     /// No connection to the endpoint could be opened.
     Unreachable(String),
     /// The endpoint responded with status 500.
@@ -81,6 +86,7 @@
             Self::Moved => "moved",
             Self::Rejected => "not-run",
             Self::Denied => "denied",
+            Self::Evacuated => "evacuated",
             Self::Unreachable(_) => "unreached",
             Self::Failed => "failed",
             Self::Unprocessable => "never",
@@ -146,6 +152,7 @@
         let result = self.paths.send(key, &endpoint, call).await;
         let waited_ms = start.elapsed().as_millis() as u64;
         let attempt = match result {
+            Err(e) if e.kind() == error::Kind::Fenced => Attempt::Evacuated,
             Err(e) if e.is_unsent() => Attempt::Unreachable(e.to_string()),
             Err(e) => Attempt::Interrupted(e.to_string()),
             Ok(response) => {
@@ -173,6 +180,8 @@
             }
             // The permits log it.
             Attempt::Denied => {}
+            // The paths log it.
+            Attempt::Evacuated => self.facts.borrow_mut().record_evacuated(key, now),
             Attempt::Rejected => {
                 self.facts.borrow_mut().record_rejection(key, now);
                 spdlog::info!("item rejected by endpoint without running it", kv: { item, job, endpoint = id, last });
--- a/crates/site/src/job/executor.rs
+++ b/crates/site/src/job/executor.rs
@@ -356,7 +356,11 @@
         };
         let software = pending.software();
         let criteria = self.criteria(software.as_deref());
-        let has_endpoint = placement::has_suitable(&self.executor.runner.facts.borrow(), criteria);
+        let facts = self.executor.runner.facts.borrow();
+        // While all endpoints are evacuated, another one could not begin it either.
+        let has_endpoint =
+            placement::has_suitable(&facts, criteria) || facts.is_service_evacuated(&self.service);
+        drop(facts);
         if has_endpoint && now - pending.queued_at < CONTINUE_WAIT_MAX {
             return false;
         }
@@ -483,6 +487,7 @@
                 Attempt::Interrupted(_)
                 | Attempt::Rejected
                 | Attempt::Denied
+                | Attempt::Evacuated
                 | Attempt::Unreachable(_) => return retry(pending),
             }
             let score = match &item.scorer {
--- a/crates/site/src/metrics.rs
+++ b/crates/site/src/metrics.rs
@@ -29,6 +29,8 @@
     peer_calls: Counter<u64>,
     permits: Counter<u64>,
     quarantined_requests: Counter<u64>,
+    evacuated_domains: Gauge<u64>,
+    withheld_attempts: Counter<u64>,
     store_calls: Gauge<u64>,
     endpoints: Gauge<u64>,
     usage_omitted_requests: Counter<u64>,
@@ -55,6 +57,8 @@
             peer_calls: telemetry.counter("tarragonseam_peer_calls"),
             permits: telemetry.counter("tarragonseam_permits"),
             quarantined_requests: telemetry.counter("tarragonseam_quarantined_requests"),
+            evacuated_domains: meter.u64_gauge("tarragonseam_evacuated_domains").build(),
+            withheld_attempts: telemetry.counter("tarragonseam_withheld_attempts"),
             store_calls: meter.u64_gauge("tarragonseam_store_calls").build(),
             endpoints: meter.u64_gauge("tarragonseam_endpoints").build(),
             usage_omitted_requests: telemetry.counter("tarragonseam_usage_omitted_requests"),
@@ -110,6 +114,17 @@
         self.0.quarantined_requests.add(1, &[]);
     }
 
+    /// Records that `count` failure domains are evacuated.
+    pub fn record_evacuated_domains(&self, count: usize) {
+        self.0.evacuated_domains.record(count as u64, &[]);
+    }
+
+    /// Records an attempt that was not sent to the endpoint that was chosen for it.
+    pub fn record_withheld_attempt(&self, reason: &'static str) {
+        let reason = KeyValue::new("reason", reason);
+        self.0.withheld_attempts.add(1, &[reason]);
+    }
+
     /// Records that `requests` requests are in no usage report.
     pub fn record_omitted_usage(&self, requests: u64) {
         self.0.usage_omitted_requests.add(requests, &[]);
--- a/crates/site/src/path.rs
+++ b/crates/site/src/path.rs
@@ -31,6 +31,7 @@
     facts::{Endpoint, Facts, Key},
     gateway::{self, Check, Checked, Refusal},
     member::Members,
+    metrics::Metrics,
     notify::Notifier,
 };
 
@@ -77,6 +78,7 @@
     /// Connections to other VMs.
     gateways: Pool,
     clock: Clock,
+    metrics: Metrics,
     links: RefCell<Links<Key>>,
     /// When a connection to an endpoint was last opened.
     opened_at: Cell<Option<Instant>>,
@@ -92,6 +94,7 @@
         members: Members,
         client: ask::Client,
         pool: Pool,
+        metrics: Metrics,
     ) -> Self {
         let limits = Limits::new().body_bytes(RESPONSE_BYTES_MAX);
         let gateways = Pool::new(limits).silence_timeout(GATEWAY_SILENCE_TIMEOUT);
@@ -102,6 +105,7 @@
             pool,
             gateways: gateways.reset_on_close(),
             clock: Clock::default(),
+            metrics,
             links: RefCell::default(),
             opened_at: Cell::new(None),
             gateway: Cell::new(None),
@@ -146,6 +150,7 @@
     /// # Errors
     ///
     /// As [`Pool::send`], with the error of the gateway if there is one.
+    /// [`Kind::Fenced`] if the failure domain of the endpoint is evacuated.
     pub async fn send(
         &self,
         key: Key,
@@ -153,6 +158,8 @@
         call: Call,
     ) -> Result<Response, http::Error> {
         let start = Instant::now();
+        self.check_evacuations(key, endpoint, &call)?;
+        let call = self.with_condition(key, endpoint, call);
         for _ in 0..GATEWAYS_MAX {
             let Some(gateway) = self.gateway().await else {
                 break;
@@ -171,6 +178,9 @@
                     Some(Refusal::Failed(e)) => return Err(e),
                     Some(Refusal::Unavailable) => "it forwards nothing".to_string(),
                 },
+                Err(e) if e.kind() == Kind::Fenced => {
+                    return Err(self.withheld(endpoint, &call, e));
+                }
                 Err(e) if e.is_unsent() => e.to_string(),
                 Err(e) => {
                     let problem = e.to_string();
@@ -219,9 +229,61 @@
         endpoint: &Endpoint,
         call: Call,
     ) -> Result<Response, http::Error> {
+        self.check_evacuations(key, endpoint, &call)?;
         let (paths, id) = (self.clone(), endpoint.id.clone());
-        let call = call.on_connect(move |is_open| paths.record_connect(key, &id, is_open));
-        self.0.pool.send(endpoint.record.address, call).await
+        let call = self
+            .with_condition(key, endpoint, call)
+            .on_connect(move |is_open| paths.record_connect(key, &id, is_open));
+        let sent = self
+            .0
+            .pool
+            .send(endpoint.record.address, call.clone())
+            .await;
+        sent.map_err(|e| match e.kind() {
+            Kind::Fenced => self.withheld(endpoint, &call, e),
+            _ => e,
+        })
+    }
+
+    /// Returns whether the failure domain of `endpoint` is evacuated.
+    fn is_evacuated(&self, key: Key, endpoint: &Endpoint) -> bool {
+        self.0.facts.borrow().is_evacuated(key, endpoint)
+    }
+
+    /// Returns `call` with the condition that the failure domain of `endpoint` is not
+    /// evacuated. All that this VM sends to endpoints has it, since an evacuation may
+    /// begin between the choice of the endpoint and the sending.
+    fn with_condition(&self, key: Key, endpoint: &Endpoint, call: Call) -> Call {
+        let (paths, endpoint) = (self.clone(), endpoint.clone());
+        call.condition(move || !paths.is_evacuated(key, &endpoint))
+    }
+
+    /// Checks the condition before a connection is opened.
+    fn check_evacuations(
+        &self,
+        key: Key,
+        endpoint: &Endpoint,
+        call: &Call,
+    ) -> Result<(), http::Error> {
+        if !self.is_evacuated(key, endpoint) {
+            return Ok(());
+        }
+        let error = http::Error::new(Kind::Fenced, "its failure domain is evacuated");
+        Err(self.withheld(endpoint, call, error))
+    }
+
+    /// Records that `call` was not sent, since the failure domain of `endpoint` is
+    /// evacuated.
+    fn withheld(&self, endpoint: &Endpoint, call: &Call, error: http::Error) -> http::Error {
+        self.0.metrics.record_withheld_attempt("evacuated");
+        let request = call.header_map().get(header::REQUEST_ID);
+        let request = request.and_then(|id| id.to_str().ok()).unwrap_or_default();
+        let (id, domain) = (
+            endpoint.id.as_str(),
+            endpoint.record.failure_domain.as_str(),
+        );
+        spdlog::info!("attempt not sent, the failure domain of its endpoint is evacuated", kv: { request, endpoint = id, domain });
+        error
     }
 
     fn record_connect(&self, key: Key, endpoint: &str, is_open: bool) {
@@ -357,6 +419,7 @@
     fn endpoint_ids(&self, keys: &[Key]) -> Vec<String> {
         let facts = self.0.facts.borrow();
         let known = keys.iter().filter_map(|key| facts.endpoints.get(*key));
+        let known = known.filter(|endpoint| !endpoint.is_evacuated());
         known.map(|endpoint| endpoint.id.clone()).collect()
     }
 
@@ -370,8 +433,8 @@
             let failed = failures.first().and_then(|key| facts.endpoints.get(*key));
             let service = failed.map(|endpoint| endpoint.record.service.clone());
             let others = facts.endpoints.iter();
-            let others = others
-                .filter(|(key, endpoint)| !endpoint.record.is_draining && !failures.contains(key));
+            let others =
+                others.filter(|(key, endpoint)| endpoint.is_open() && !failures.contains(key));
             let is_alike = |endpoint: &Endpoint| Some(&endpoint.record.service) == service.as_ref();
             others
                 .min_by_key(|(_, endpoint)| is_alike(endpoint))
@@ -400,7 +463,12 @@
         let keys: Vec<Key> = {
             let facts = self.0.facts.borrow();
             let ids = check.endpoints.iter();
-            ids.filter_map(|id| facts.key(id)).collect()
+            let keys = ids.filter_map(|id| facts.key(id));
+            keys.filter(|key| {
+                let endpoint = facts.endpoints.get(*key);
+                endpoint.is_some_and(|endpoint| !endpoint.is_evacuated())
+            })
+            .collect()
         };
         let probes: FuturesUnordered<_> = keys.iter().map(|key| self.probe(*key)).collect();
         let asked = probes.any(|is_open| async move { is_open });
@@ -437,7 +505,9 @@
         let key = {
             let facts = self.0.facts.borrow();
             let mut endpoints = facts.endpoints.iter();
-            let found = endpoints.find(|(_, endpoint)| failed.contains(&endpoint.record.address));
+            let found = endpoints.find(|(_, endpoint)| {
+                !endpoint.is_evacuated() && failed.contains(&endpoint.record.address)
+            });
             found.map(|(key, _)| key)
         };
         let Some(key) = key else {
--- a/crates/site/src/placement.rs
+++ b/crates/site/src/placement.rs
@@ -137,7 +137,7 @@
     let record = &endpoint.record;
     let has_software = |software| software == record.software;
     if record.service != criteria.service
-        || record.is_draining
+        || !endpoint.is_open()
         || !criteria.software.is_none_or(has_software)
     {
         return false;
--- a/crates/site/src/vm.rs
+++ b/crates/site/src/vm.rs
@@ -229,9 +229,9 @@
     }
 }
 
-/// Returns whether this VM knows where to send requests.
+/// Returns whether this VM knows where requests may be sent.
 fn has_facts(facts: &Facts) -> bool {
-    facts.config.is_some() && facts.endpoints_known_since.is_some()
+    facts.config.is_some() && facts.endpoints_known_since.is_some() && facts.are_evacuations_known()
 }
 
 fn readiness_reply(is_ready: bool) -> Reply {
--- a/crates/site/tests/common/mod.rs
+++ b/crates/site/tests/common/mod.rs
@@ -107,7 +107,21 @@
     /// Starts `count` VMs. Only the first `coordinators` of them are seeds,
     /// which makes them coordinators.
     pub(crate) fn start_with_coordinators(count: usize, coordinators: usize, plan: Plan) -> Self {
+        Self::start_with_bounds(count, coordinators, plan, "", |_| {})
+    }
+
+    /// As [`start_with_coordinators`](Self::start_with_coordinators), with the lines
+    /// `bounds` among the bounds of the settings. `prepare` changes the fakes before
+    /// the VMs start.
+    pub(crate) fn start_with_bounds(
+        count: usize,
+        coordinators: usize,
+        plan: Plan,
+        bounds: &str,
+        prepare: impl FnOnce(&mut site::State),
+    ) -> Self {
         let site = site::spawn(plan).unwrap();
+        prepare(&mut site.state());
         site.state().put("config", "main", config(1));
         let mut block = Block::acquire().unwrap();
         let addresses: Vec<[SocketAddr; 4]> = (0..count)
@@ -125,7 +139,9 @@
         let vms = addresses.iter().enumerate().map(|(number, vm)| {
             let name = format!("vm-{number}");
             let settings = folder.join(format!("{name}.toml"));
-            std::fs::write(&settings, settings_of(&name, vm, &seeds, &site)).unwrap();
+            let text = settings_of(&name, vm, &seeds, &site);
+            let text = text.replace("[limits]", &format!("{bounds}\n[limits]"));
+            std::fs::write(&settings, text).unwrap();
             let log = folder.join(format!("{name}.log"));
             let [callers, ready, _, metrics] = *vm;
             let process = launch(&settings, metrics.port(), &log);
--- a/crates/site/tests/loading.rs
+++ b/crates/site/tests/loading.rs
@@ -53,6 +53,25 @@
     versions.filter(|v| v + 1 >= version).count()
 }
 
+/// Guards against orders, and targets, for endpoints that may be sent nothing.
+#[test]
+fn next_skips_evacuated() {
+    let mut facts = facts(3);
+    facts.versions.insert(LARGE_MODEL.to_string(), 5);
+    let now = Instant::now();
+    let next = |facts: &Facts| loading::next(facts, &demand(), &Set::default(), |_, _| false, now);
+    for number in [0, 2] {
+        let mut record = common::record::endpoint(number, SLOTS, &[(LARGE_MODEL, 1)]);
+        record.failure_domain = "b".to_string();
+        facts.put_endpoint(&format!("e{number}"), record);
+    }
+    facts.set_evacuated(["b".to_string()].into_iter().collect());
+    let (key, _) = next(&facts).unwrap();
+    assert_eq!(facts.endpoints[key].id, "e1");
+    facts.set_evacuated(["a".to_string(), "b".to_string()].into_iter().collect());
+    assert!(next(&facts).is_none());
+}
+
 #[test]
 fn next_without_named_version() {
     assert!(
--- a/crates/site/tests/placement.rs
+++ b/crates/site/tests/placement.rs
@@ -262,3 +262,57 @@
         assert_eq!(placement::choose(&facts, criteria(), now), Some(keys[1]));
     }
 }
+
+/// Guards against a choice in an evacuated failure domain, or while the evacuations
+/// are not known, and against one that stays left out after its return.
+#[test]
+fn evacuated_endpoints_left_out() {
+    let (mut facts, keys) = facts(&[None, None]);
+    let now = Instant::now();
+    let domains = |names: &[&str]| names.iter().map(|name| name.to_string()).collect();
+    facts.endpoints[keys[0]].record.failure_domain = "b".to_string();
+    let moved = facts.endpoints[keys[0]].record.clone();
+    facts.set_evacuated(domains(&["b"]));
+    // The other endpoint is the last choice, and no preference goes around.
+    facts.record_failure(keys[1], now);
+    let chosen = |facts: &Facts| {
+        let criteria = Criteria {
+            preferred: Some(keys[0]),
+            may_wait: false,
+            ..criteria()
+        };
+        placement::choose(facts, criteria, now)
+    };
+    assert_eq!(chosen(&facts), Some(keys[1]));
+    assert!(!facts.is_service_evacuated("writer"));
+    facts.set_evacuated(domains(&["a", "b"]));
+    assert_eq!(chosen(&facts), None);
+    assert!(!placement::has_suitable(&facts, criteria()));
+    assert!(facts.is_service_evacuated("writer"));
+    facts.set_evacuated(domains(&["a"]));
+    assert_eq!(chosen(&facts), Some(keys[0]));
+    // A record that arrives during an evacuation.
+    let mut record = moved;
+    record.failure_domain = "a".to_string();
+    assert!(!facts.put_endpoint("e0", record));
+    assert_eq!(chosen(&facts), None);
+    facts.set_evacuated(domains(&[]));
+    assert_eq!(chosen(&facts), Some(keys[0]));
+    assert!(!facts.is_service_evacuated("a service without endpoints"));
+}
+
+#[test]
+fn nothing_chosen_before_evacuations_are_known() {
+    let (mut facts, keys) = facts(&[None]);
+    assert!(facts.are_evacuations_known());
+    facts.await_evacuations();
+    assert!(!facts.are_evacuations_known());
+    assert_eq!(placement::choose(&facts, criteria(), Instant::now()), None);
+    facts.set_evacuated(Default::default());
+    assert!(facts.are_evacuations_known());
+    let chosen = placement::choose(&facts, criteria(), Instant::now());
+    assert_eq!(chosen, Some(keys[0]));
+    // The settings are read once, and the state is not forgotten.
+    facts.await_evacuations();
+    assert!(facts.are_evacuations_known());
+}
