--- a/crates/fakes/src/site/engine.rs
+++ b/crates/fakes/src/site/engine.rs
@@ -13,7 +13,7 @@
 
 use super::{
     MODEL, SOFTWARE, SharedState, crashes, echo_request_id, header_text, lock, record_arrival,
-    record_connection, rejection,
+    record_connection, record_control_call, rejection,
 };
 
 /// The number of events of a stream whose request names none.
@@ -55,8 +55,14 @@
 ) -> Reply {
     record_connection(&state, &request, &id);
     let reply = match (&request.method, request.uri.path()) {
-        (&Method::GET, "/report") => report(&state, &id),
-        (&Method::POST, ORDER_PATH) => order(&state, &request, &id),
+        (&Method::GET, "/report") => {
+            record_control_call(&state, &request, &id);
+            report(&state, &id)
+        }
+        (&Method::POST, ORDER_PATH) => {
+            record_control_call(&state, &request, &id);
+            order(&state, &request, &id)
+        }
         _ => return generate(&state, &request, &id, time),
     };
     match lock(&state).repeats_order_ids {
--- a/crates/fakes/src/site/mod.rs
+++ b/crates/fakes/src/site/mod.rs
@@ -184,6 +184,8 @@
     pub connections: BTreeSet<Connection>,
     /// Whether endpoints repeat the ids of orders and of reads of their state.
     pub repeats_order_ids: bool,
+    /// The orders and the reads of states that the engines received, in order.
+    pub control_calls: Vec<Arrival>,
     /// How many more endpoints crash under requests with a path.
     pub crashes: BTreeMap<String, u32>,
     /// The number of streams that engines are writing.
@@ -385,12 +387,9 @@
     });
 }
 
-/// Records that the endpoint `id` received `request`, and returns the faults that
-/// apply to it.
-pub(crate) fn record_arrival(state: &SharedState, request: &Request, id: &str) -> PendingFaults {
-    let mut state = lock(state);
+fn arrival(request: &Request, id: &str) -> Arrival {
     let number = |name| request.header(name).and_then(|value| value.parse().ok());
-    let arrival = Arrival {
+    Arrival {
         id: header_text(request, "request-id").unwrap_or_default(),
         endpoint: id.to_string(),
         at: Instant::now(),
@@ -398,8 +397,19 @@
         account: header_text(request, "tenant"),
         last_event_id: number("last-event-id"),
         deadline_ms: number("deadline-ms"),
-    };
-    state.arrivals.push(arrival);
+    }
+}
+
+/// Records that the engine `id` received an order, or a read of its state.
+pub(crate) fn record_control_call(state: &SharedState, request: &Request, id: &str) {
+    lock(state).control_calls.push(arrival(request, id));
+}
+
+/// Records that the endpoint `id` received `request`, and returns the faults that
+/// apply to it.
+pub(crate) fn record_arrival(state: &SharedState, request: &Request, id: &str) -> PendingFaults {
+    let mut state = lock(state);
+    state.arrivals.push(arrival(request, id));
     let Some(endpoint) = state.endpoints.get_mut(id) else {
         return PendingFaults::default();
     };
