job: slots go to items of all jobs by urgency

Each execution started its own items by itself. A job whose item ended took the slot again, so with too few slots jobs with short items and small groups kept them, many groups were whole in part, and a more urgent job waited for one submitted before. `desired`, `run-target-ms` and `priority` were ignored.

policy::schedule chooses the next item over all jobs that this VM runs: wanted groups that can be on time by latest start and rank, then late ones, then those that the trainer does not wait for; one in 16 slots goes to the oldest waiting job. The end of a run wakes the job that comes first. With slots for all waiting items each job starts its items as before.

The head of a job has one more field, `groups_wanted`. This build reads heads without it and takes all groups as wanted (head_of_another_build). No message between VMs changed.

The tests of site, policy and platform passed.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod retention;
 pub mod retry;
 pub mod routing;
+pub mod schedule;
 pub mod staleness;
 pub mod straggler;
 pub mod usage;
--- a/crates/site/src/components.rs
+++ b/crates/site/src/components.rs
@@ -19,7 +19,7 @@
     gateway::Gateway,
     job::{
         Jobs, Registry, attempt::Runner, content::Content, executor::Executor, failover,
-        proxy::Proxy, unsettled::Unsettled,
+        proxy::Proxy, schedule::Schedule, unsettled::Unsettled,
     },
     member::{Members, Role},
     metrics::Metrics,
@@ -191,6 +191,7 @@
                 metrics: metrics.clone(),
             },
             registry: registry.clone(),
+            schedule: Schedule::new(facts.clone(), metrics.clone()),
             content: content.clone(),
             view: view.clone(),
             coordinators: coordinators.clone(),
--- a/crates/site/src/job/executor.rs
+++ b/crates/site/src/job/executor.rs
@@ -16,6 +16,7 @@
     batch::{Outcome, Sample},
     store::{Error, Written},
 };
+use policy::schedule::{Needs, Plan};
 
 use super::{
     Handle, Registry,
@@ -24,6 +25,7 @@
     paging::{self, Groups},
     progress,
     record::{Head, Items, Page},
+    schedule::{self, Entry, Schedule, Turn},
     text::Text,
 };
 use crate::{
@@ -64,6 +66,8 @@
     pub runner: Runner,
     /// The jobs known to this VM.
     pub registry: Registry,
+    /// Determines which of the running jobs gets the next slot.
+    pub schedule: Schedule,
     /// Reads and writes the content of jobs.
     pub content: Content,
     /// How recent this VM's view of the jobs in the store is.
@@ -119,6 +123,8 @@
     max_attempts: u32,
     queue: VecDeque<Pending>,
     tasks: FuturesUnordered<Task>,
+    /// The job in the schedule of all running jobs.
+    entry: Entry,
     /// The endpoint that was last chosen for an item of each group. The items
     /// of a group share a prompt, so they preferably run at the same endpoint.
     group_endpoints: Map<String, Key>,
@@ -214,10 +220,13 @@
             execution.write_progress();
             let changes = job.borrow().changes.clone();
             let seen_changes = changes.count();
+            let turn = execution.entry.turn().clone();
+            let seen_turns = turn.count();
             let next = execution.tasks.next();
             let completion = monoio::select! {
                 completion = next => completion,
                 () = changes.wait(seen_changes) => None,
+                () = turn.wait(seen_turns) => None,
             };
             if let Some(completion) = completion {
                 execution.handle(completion);
@@ -269,6 +278,26 @@
             .iter()
             .map(|pending| (pending.index, pending.text.clone()));
         job.borrow_mut().partial_texts = texts.collect();
+        let entry = {
+            let job = job.borrow();
+            let rank = config.rank(route, head.account.as_deref());
+            let plan = Plan {
+                rank,
+                submitted: executor.schedule.time(job.submitted_at),
+                due: route
+                    .run_target_ms
+                    .map(|target| executor.schedule.time(job.submitted_at) + target),
+                groups_wanted: head.groups_wanted,
+            };
+            let is_published = |id: &str| job.published.contains(id);
+            let model = head.model.as_deref();
+            let scheduled =
+                schedule::scheduled_items(&items, model, &executor.registry, is_published);
+            executor.schedule.add(service, plan, &scheduled)
+        };
+        for pending in &queue {
+            entry.wait(pending.index, now, needs(&context, pending));
+        }
         let tasks: FuturesUnordered<Task> = FuturesUnordered::new();
         tasks.push(tick());
         let is_fenced = job.borrow().is_sole_writer;
@@ -288,6 +317,7 @@
             progress_written_at: now,
             is_writing_progress: false,
             tasks,
+            entry,
             group_endpoints: Map::default(),
             ready: Vec::new(),
             is_writing_page: false,
@@ -312,7 +342,8 @@
         (self.is_fenced && !job.is_sole_writer).then_some("another VM wrote a page")
     }
 
-    /// Starts items as long as endpoints have free slots.
+    /// Starts items as long as endpoints have free slots and no item of another
+    /// job comes first.
     fn start_items(&mut self) {
         let now = Instant::now();
         if now >= self.context.deadline {
@@ -320,11 +351,36 @@
             return;
         }
         // With an old view of the store, the job may have been ended already.
-        let age = self.executor.view.age();
-        if age.is_none_or(|age| age > JOB_STATE_AGE_MAX) {
+        let Some(view_age) = self.executor.view.age() else {
+            return;
+        };
+        if view_age > JOB_STATE_AGE_MAX || self.queue.is_empty() {
             return;
         }
-        let mut index = 0;
+        loop {
+            let usable = {
+                let facts = self.executor.runner.facts.borrow();
+                placement::free_slots(&facts, self.criteria(None), now)
+            };
+            match self.entry.next(usable, now, view_age) {
+                Turn::All => {
+                    // Only after a start, or two jobs whose items find no endpoint
+                    // would wake each other without end.
+                    if self.start_all(now) {
+                        self.entry.wake_others();
+                    }
+                    return;
+                }
+                Turn::Item(item) => self.start_scheduled(item, now),
+                Turn::Nothing => return,
+            }
+        }
+    }
+
+    /// Starts the waiting items in the order of the queue, and returns whether any
+    /// was started.
+    fn start_all(&mut self, now: Instant) -> bool {
+        let (mut index, mut is_any_started) = (0, false);
         while let Some(pending) = self.queue.get(index) {
             if pending.not_before > now {
                 index += 1;
@@ -334,7 +390,7 @@
             match self.choose_endpoint(index, now) {
                 Some(key) => {
                     if let Some(pending) = self.queue.remove(index) {
-                        self.start_item(pending, key);
+                        is_any_started |= self.start_item(pending, key, now);
                     }
                 }
                 None if is_bound => {
@@ -343,9 +399,39 @@
                     index += usize::from(!is_dropped);
                 }
                 // Any endpoint would do, so the other items find none either.
-                None => return,
+                None => break,
             }
         }
+        is_any_started
+    }
+
+    /// Starts the item `item` of the job. If no endpoint can take it, items with
+    /// other requirements come first.
+    fn start_scheduled(&mut self, item: usize, now: Instant) {
+        let Some(mut index) = self.queue.iter().position(|pending| pending.index == item) else {
+            self.entry.finish(item);
+            return;
+        };
+        if let Some(key) = self.choose_endpoint(index, now)
+            && let Some(pending) = self.queue.remove(index)
+        {
+            if self.start_item(pending, key, now) {
+                return;
+            }
+            // It is at the end of the queue again.
+            index = self.queue.len() - 1;
+        }
+        let is_bound = self.queue[index].software().is_some();
+        if !(is_bound && self.drop_text_without_endpoint(index, now)) {
+            self.block(index, now);
+        }
+    }
+
+    /// Records that no endpoint can take the item at `index` of the queue.
+    fn block(&self, index: usize, now: Instant) {
+        if let Some(pending) = self.queue.get(index) {
+            self.entry.block(needs(&self.context, pending), now);
+        }
     }
 
     /// Drops the text of the item at `index` of the queue if no endpoint can
@@ -366,6 +452,8 @@
         let last = pending.text.borrow().last_event().unwrap_or_default();
         spdlog::warn!("item begins again, no endpoint can continue its text", kv: { item, job, software, last, has_endpoint });
         pending.text.replace(Text::default());
+        let needs = needs(&self.context, pending);
+        self.entry.wait(pending.index, pending.not_before, needs);
         true
     }
 
@@ -389,6 +477,7 @@
             let (job, failures) = (self.context.job.as_str(), pending.failures);
             spdlog::warn!("item abandoned at its deadline", kv: { item, job, failures });
             let sample = self.abandoned_sample(&pending);
+            self.entry.finish(pending.index);
             self.ready.push(sample);
         }
     }
@@ -424,12 +513,15 @@
         Some(key)
     }
 
-    fn start_item(&mut self, pending: Pending, key: Key) {
+    /// Starts an item at the endpoint `key`, and returns whether the endpoint
+    /// exists.
+    fn start_item(&mut self, pending: Pending, key: Key, now: Instant) -> bool {
         let runner = self.executor.runner.clone();
         let Some(slot) = Slot::acquire(&runner.facts, key) else {
             self.queue.push_back(pending);
-            return;
+            return false;
         };
+        let slot = self.entry.start(pending.index, slot, now);
         let (items, context) = (self.items.clone(), self.context.clone());
         let max_attempts = self.max_attempts;
         let registry = self.executor.registry.clone();
@@ -497,6 +589,7 @@
                 Score::Abandoned => abandoned(),
             }
         }));
+        true
     }
 
     /// Saves the texts of unfinished items if this is due.
@@ -555,9 +648,12 @@
         match completion {
             Completion::Retry(mut pending) => {
                 pending.queued_at = Instant::now();
+                let needs = needs(&self.context, &pending);
+                self.entry.wait(pending.index, pending.not_before, needs);
                 self.queue.push_front(pending);
             }
             Completion::Finished(index, sample) => {
+                self.entry.finish(index);
                 // A later job with the same item reuses the text.
                 let text = self.job.borrow_mut().partial_texts.remove(&index);
                 if let Some(text) = text {
@@ -604,6 +700,12 @@
     }
 }
 
+fn needs(context: &Context, pending: &Pending) -> Needs {
+    let software = pending.software();
+    let model = context.model.as_deref();
+    schedule::needs(model, context.oldest_version, software.as_deref())
+}
+
 fn retry(mut pending: Pending) -> Completion {
     pending.not_before = Instant::now() + ITEM_RETRY_DELAY;
     Completion::Retry(pending)
--- a/crates/site/src/job/mod.rs
+++ b/crates/site/src/job/mod.rs
@@ -26,6 +26,7 @@
 pub mod record;
 pub mod registry;
 pub(crate) mod rejection;
+pub mod schedule;
 pub mod submission;
 pub mod text;
 pub mod unsettled;
--- a/crates/site/src/job/record.rs
+++ b/crates/site/src/job/record.rs
@@ -40,6 +40,10 @@
         pub items: usize,
         /// The estimated endpoint time for all items, in milliseconds.
         pub work_ms: u64,
+        /// The number of groups that the trainer waits for. Heads of earlier
+        /// builds do not have it.
+        #[serde(default)]
+        pub groups_wanted: Option<usize>,
     }
 }
 
--- a/crates/site/src/job/submission.rs
+++ b/crates/site/src/job/submission.rs
@@ -194,6 +194,7 @@
         oldest_version: submission.oldest_version,
         items: submission.items.len(),
         work_ms,
+        groups_wanted: submission.groups_wanted,
     };
     // A job that may have been accepted cannot be rejected, so it is worth
     // waiting for the store. A VM that forwards a submission does not wait.
--- a/crates/site/src/metrics.rs
+++ b/crates/site/src/metrics.rs
@@ -26,6 +26,8 @@
     items: Counter<u64>,
     item_seconds: Histogram<f64>,
     jobs: Counter<u64>,
+    scheduled_slots: Counter<u64>,
+    groups_put_last: Counter<u64>,
     peer_calls: Counter<u64>,
     permits: Counter<u64>,
     quarantined_requests: Counter<u64>,
@@ -35,6 +37,13 @@
     log_lines_dropped: Counter<u64>,
 }
 
+/// The highest rank that has a label of its own. Configurations name a few ranks.
+const RANK_LABEL_MAX: u8 = 9;
+
+fn rank_label(rank: u8) -> KeyValue {
+    KeyValue::new("rank", i64::from(rank.min(RANK_LABEL_MAX)))
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         let telemetry = Telemetry::new("tarragonseam-vm");
@@ -52,6 +61,8 @@
             items: telemetry.counter("tarragonseam_items"),
             item_seconds: seconds("tarragonseam_item_run_duration"),
             jobs: telemetry.counter("tarragonseam_jobs"),
+            scheduled_slots: telemetry.counter("tarragonseam_scheduled_slots"),
+            groups_put_last: telemetry.counter("tarragonseam_groups_put_last"),
             peer_calls: telemetry.counter("tarragonseam_peer_calls"),
             permits: telemetry.counter("tarragonseam_permits"),
             quarantined_requests: telemetry.counter("tarragonseam_quarantined_requests"),
@@ -93,6 +104,18 @@
         self.0.jobs.add(1, &[KeyValue::new("event", event)]);
     }
 
+    /// Records that an item of a job of `rank` got a slot.
+    pub fn record_scheduled_slot(&self, rank: u8) {
+        self.0.scheduled_slots.add(1, &[rank_label(rank)]);
+    }
+
+    /// Records that a group of a job of `rank` was put after others while slots
+    /// were scarce.
+    pub fn record_group_put_last(&self, rank: u8, reason: &'static str) {
+        let reason = KeyValue::new("reason", reason);
+        self.0.groups_put_last.add(1, &[rank_label(rank), reason]);
+    }
+
     /// Records a call from another VM about `subject`.
     pub fn record_peer_call(&self, subject: &str) {
         let subject = KeyValue::new("what", subject.to_string());
--- a/crates/site/src/placement.rs
+++ b/crates/site/src/placement.rs
@@ -133,6 +133,15 @@
     endpoints.any(|endpoint| is_suitable(endpoint, criteria))
 }
 
+/// Returns the number of free slots at the endpoints that accept requests with
+/// `criteria` now.
+pub fn free_slots(facts: &Facts, criteria: Criteria<'_>, now: Instant) -> usize {
+    let endpoints = facts.endpoints.values();
+    let usable = endpoints.filter(|endpoint| is_usable(endpoint, criteria, now));
+    let free = |endpoint: &Endpoint| endpoint.record.slots.saturating_sub(endpoint.in_flight);
+    usable.map(|endpoint| free(endpoint) as usize).sum()
+}
+
 fn is_suitable(endpoint: &Endpoint, criteria: Criteria<'_>) -> bool {
     let record = &endpoint.record;
     let has_software = |software| software == record.software;
--- a/crates/site/tests/common/mod.rs
+++ b/crates/site/tests/common/mod.rs
@@ -381,6 +381,21 @@
         kilobytes.parse::<u64>().unwrap() * 1024
     }
 
+    /// Returns the processor time that the process has used.
+    pub(crate) fn processor_time(&self) -> Duration {
+        let stat = format!("/proc/{}/stat", self.process.id().unwrap());
+        let stat = std::fs::read_to_string(stat).unwrap();
+        // The fields after the name of the program, which may contain spaces.
+        let (_, fields) = stat.rsplit_once(')').unwrap();
+        let fields: Vec<&str> = fields.split_whitespace().collect();
+        let ticks: u64 = fields[11..13]
+            .iter()
+            .map(|ticks| ticks.parse::<u64>().unwrap())
+            .sum();
+        // Linux counts in hundredths of a second on all architectures.
+        Duration::from_millis(ticks * 10)
+    }
+
     /// Returns what the VM has logged so far. A separate thread writes the lines,
     /// so those of a call may follow its response.
     pub(crate) fn log(&self) -> String {
--- a/crates/site/tests/common/record.rs
+++ b/crates/site/tests/common/record.rs
@@ -19,6 +19,7 @@
         oldest_version: None,
         items,
         work_ms: 0,
+        groups_wanted: None,
     }
 }
 
