--- a/crates/fakes/src/site/mod.rs
+++ b/crates/fakes/src/site/mod.rs
@@ -143,6 +143,10 @@
     pub faults: PendingFaults,
     /// The requests per second that its answers name as its limit.
     pub rate_limit: Option<f64>,
+    /// The load that its answers state, if they state one.
+    pub load: Option<&'static str>,
+    /// How long a request takes, at a plain service.
+    pub work_time: Duration,
     /// When it last started, in the unit of its record.
     pub born: u64,
     /// Its failure domain.
@@ -251,7 +255,7 @@
             let name = name.clone();
             async move {
                 let reply = engine::answer(state.clone(), request, name.clone(), time).await;
-                name_rate_limit(&state, &name, reply)
+                add_statements(&state, &name, reply)
             }
         })?;
         let mut state = lock(state);
@@ -268,7 +272,7 @@
             let name = name.clone();
             async move {
                 let reply = plain::answer(state.clone(), request, name.clone()).await;
-                name_rate_limit(&state, &name, reply)
+                add_statements(&state, &name, reply)
             }
         })?;
         let mut state = lock(state);
@@ -289,6 +293,8 @@
         epoch: 0,
         faults: PendingFaults::default(),
         rate_limit: None,
+        load: None,
+        work_time: Duration::ZERO,
         born: 1,
         domain: "zone-a",
         software: SOFTWARE,
@@ -427,14 +433,20 @@
     Some(echo_request_id(request, reply))
 }
 
-/// Adds the rate limit that the endpoint `id` names, if any, to a reply.
-pub(crate) fn name_rate_limit(state: &SharedState, id: &str, reply: Reply) -> Reply {
+/// Adds the rate limit and the load that the endpoint `id` states, if any, to a
+/// reply.
+pub(crate) fn add_statements(state: &SharedState, id: &str, mut reply: Reply) -> Reply {
     let state = lock(state);
-    let limit = state.endpoints.get(id).and_then(|e| e.rate_limit);
-    match limit {
-        Some(limit) => reply.header("server-limit", limit.to_string()),
-        None => reply,
+    let Some(endpoint) = state.endpoints.get(id) else {
+        return reply;
+    };
+    if let Some(limit) = endpoint.rate_limit {
+        reply = reply.header("server-limit", limit.to_string());
+    }
+    if let Some(load) = endpoint.load {
+        reply = reply.header("server-load", load);
     }
+    reply
 }
 
 /// Adds the id of the request to a reply, as every endpoint does.
--- a/crates/fakes/src/site/plain.rs
+++ b/crates/fakes/src/site/plain.rs
@@ -7,7 +7,7 @@
     http::{Reply, Request},
 };
 
-use super::{SharedState, crashes, echo_request_id, header_text, record_arrival, rejection};
+use super::{SharedState, crashes, echo_request_id, header_text, lock, record_arrival, rejection};
 
 /// The time for which a connection stays open without an answer before it is
 /// closed.
@@ -25,6 +25,10 @@
         monoio::time::sleep(DROPPED_REPLY_DELAY).await;
         return Reply::cut();
     }
+    let work_time = lock(&state).endpoints.get(&id).map(|e| e.work_time);
+    if let Some(work_time) = work_time.filter(|time| !time.is_zero()) {
+        monoio::time::sleep(work_time).await;
+    }
     let request_id = header_text(&request, "request-id").unwrap_or_default();
     let reply = Reply::new(StatusCode::OK, format!("answer to {request_id}"));
     echo_request_id(&request, reply).header("server-stamp", format!("{id}.{request_id}"))
