--- a/crates/fakes/src/site/plain.rs
+++ b/crates/fakes/src/site/plain.rs
@@ -8,7 +8,7 @@
 };
 
 use super::{
-    SharedState, crashes, echo_request_id, header_text, record_arrival, record_connection,
+    SharedState, crashes, echo_request_id, header_text, lock, record_arrival, record_connection,
     rejection,
 };
 
@@ -29,6 +29,10 @@
         monoio::time::sleep(DROPPED_REPLY_DELAY).await;
         return Reply::cut();
     }
+    let work_time = lock(&state).endpoints.get(&id).map(|e| e.work_time);
+    if let Some(work_time) = work_time.filter(|time| !time.is_zero()) {
+        monoio::time::sleep(work_time).await;
+    }
     let request_id = header_text(&request, "request-id").unwrap_or_default();
     let reply = Reply::new(StatusCode::OK, format!("answer to {request_id}"));
     echo_request_id(&request, reply).header("server-stamp", format!("{id}.{request_id}"))
--- a/crates/site/src/job/executor.rs
+++ b/crates/site/src/job/executor.rs
@@ -33,7 +33,8 @@
     facts::Key,
     follow::View,
     forward::Slot,
-    placement::{self, Criteria},
+    placement::{self, Choice, Connections, Criteria},
+    prompt,
 };
 
 /// How often endpoints are checked for free slots while all are occupied.
@@ -388,9 +389,9 @@
             }
             let is_bound = pending.software().is_some();
             match self.choose_endpoint(index, now) {
-                Some(key) => {
+                Some(choice) => {
                     if let Some(pending) = self.queue.remove(index) {
-                        is_any_started |= self.start_item(pending, key, now);
+                        is_any_started |= self.start_item(pending, choice, now);
                     }
                 }
                 None if is_bound => {
@@ -497,12 +498,19 @@
     }
 
     /// Returns an endpoint for the item at `index` of the queue.
-    fn choose_endpoint(&mut self, index: usize, now: Instant) -> Option<Key> {
+    fn choose_endpoint(&mut self, index: usize, now: Instant) -> Option<Choice> {
         let pending = self.queue.get(index)?;
         let item = &self.items[pending.index];
         let software = pending.software();
-        let facts = self.executor.runner.facts.borrow();
+        let needs = prompt::Needs::of_item(item, self.head.model.as_deref());
+        let paths = &self.executor.runner.paths;
+        let has_idle = |address| paths.has_idle(address);
+        let mut facts = self.executor.runner.facts.borrow_mut();
         let criteria = Criteria {
+            work: needs.work_of_item(&facts, item, &pending.text.borrow()),
+            connections: Connections(Some(&has_idle)),
+            vm: &self.executor.vm,
+            request: &item.id,
             preferred: item
                 .group
                 .as_ref()
@@ -510,18 +518,19 @@
                 .copied(),
             ..self.criteria(software.as_deref())
         };
-        let key = placement::choose(&facts, criteria, now)?;
+        let choice = placement::decide(&facts, criteria, now)?;
+        needs.record(&mut facts, choice.key);
         if let Some(group) = &item.group {
-            self.group_endpoints.insert(group.clone(), key);
+            self.group_endpoints.insert(group.clone(), choice.key);
         }
-        Some(key)
+        Some(choice)
     }
 
-    /// Starts an item at the endpoint `key`, and returns whether the endpoint
+    /// Starts an item at the endpoint of `choice`, and returns whether the endpoint
     /// exists.
-    fn start_item(&mut self, pending: Pending, key: Key, now: Instant) -> bool {
+    fn start_item(&mut self, pending: Pending, choice: Choice, now: Instant) -> bool {
         let runner = self.executor.runner.clone();
-        let Some(slot) = Slot::acquire(&runner.facts, key) else {
+        let Some(slot) = Slot::acquire(&runner.facts, choice.key) else {
             self.queue.push_back(pending);
             return false;
         };
@@ -539,7 +548,7 @@
                     let is_new = pending.text.borrow().last_event().is_none();
                     let start = Instant::now();
                     let attempt = runner
-                        .run(key, item, &context, &pending.text, is_pinned)
+                        .run(choice, item, &context, &pending.text, is_pinned)
                         .await;
                     if let (Attempt::Complete, true, Some(model)) =
                         (&attempt, is_new, &context.model)
