--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod blocking;
 pub(crate) mod bucket;
 pub(crate) mod clock;
+pub mod crowd;
 pub mod deployment;
 pub mod engine;
 pub mod error;
--- a/crates/site/tests/common/mod.rs
+++ b/crates/site/tests/common/mod.rs
@@ -372,6 +372,11 @@
         self.process.exit_code()
     }
 
+    /// Returns the id of the process.
+    pub(crate) fn process_id(&self) -> u32 {
+        self.process.id().unwrap()
+    }
+
     /// Returns the peak of the memory of the process, in bytes.
     pub(crate) fn peak_memory(&self) -> u64 {
         let status = format!("/proc/{}/status", self.process.id().unwrap());
