link: bodies cost what they hold, within one budget for callers

Cause: the decoder of monoio-http queues each chunk as an object while it reads on, so a body of one-byte chunks cost 40 to 300 times its bytes, and a large chunk or answer grew in a read buffer that was not counted. A reply was copied whole before it was written.

Change: - link::http::coding decodes bodies incrementally (sizes by httparse) into one piece of memory (link::http::store), which grows without a copy and returns to the system when the last reference is dropped. Chunk extensions and trailers are accepted up to 16 KiB a body. Bare line feeds, sizes without a digit and trailers without a colon are refused. - link::http::memory is one budget for heads, bodies and collected answers. A site VM shares one between the ports for callers and other VMs and its pools: a quarter of memory-mb for requests, or one body of 32 MB if that is more, and a quarter for answers. Answers wait at their endpoint until there is room; those up to 16 KB do not wait. - policy::room chooses which unfinished body gives way when memory is short: by address first and then by the key of the account. Without an address or account that holds more, the newcomer is refused with 503. - A body has to arrive at 64 KB in 5 s, and within 30 s on a site VM (10 s before, which two bodies of 32 MB on a link of 45 Mbit/s exceeded). - limits.max-fds is decoded. Half of it beyond the 200 for files is for callers, a fifth for other VMs. For one more connection the oldest that waits for a request closes, first those without any request yet. - Unread bytes of a refused request are discarded up to the largest body and for 10 s (8 MB and 2 s before), so that the reply survives; such a connection counts towards the bound. - Replies over 8 KiB are written from where they are. The crowds and bounds of the tests are as before.

--- a/crates/fakes/src/site/mod.rs
+++ b/crates/fakes/src/site/mod.rs
@@ -295,6 +295,11 @@
     }
 }
 
+/// The largest body that endpoints accept, as the platform documents.
+const BODY_BYTES_MAX: usize = 33_554_432;
+/// How many such bodies fit at once.
+const BODIES_MAX: usize = 8;
+
 fn listen<F>(
     state: &SharedState,
     answer: impl Fn(SharedState, Request) -> F + 'static,
@@ -306,12 +311,10 @@
     let address = listener.local_addr()?;
     let state = state.clone();
     let handler = move |request| answer(state.clone(), request);
-    monoio::spawn(server::serve(
-        listener,
-        Limits::new(),
-        Drain::default(),
-        handler,
-    ));
+    let limits = Limits::new()
+        .body_bytes(BODY_BYTES_MAX)
+        .total_body_bytes(BODIES_MAX * BODY_BYTES_MAX);
+    monoio::spawn(server::serve(listener, limits, Drain::default(), handler));
     Ok(address)
 }
 
--- a/crates/link/src/http/body.rs
+++ b/crates/link/src/http/body.rs
@@ -7,35 +7,38 @@
     task::Poll,
 };
 
-use bytes::{Bytes, BytesMut};
+use board::hash;
+use bytes::Bytes;
 use http::{StatusCode, header};
 use monoio::io::AsyncWriteRentExt;
-use monoio_http::{
-    common::body::Body,
-    h1::{codec::decoder::FillPayload, payload::Payload},
-};
 
 use super::{
     channel::Writer,
-    drain::BodyReservation,
+    coding::{BodyDecoder, BodyError, Collector, Progress},
     framing::{self, Framing},
-    guard::{Budget, Limit},
+    guard::{Budget, Limit, READ_BYTES_MAX},
     limits::Limits,
+    memory::Memory,
     reply::Reply,
     server::Request,
     session::{Decoder, Head},
+    store::{NoRoom, Store},
 };
 
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
-/// How much the framing of a chunked body may add to its length.
-const CHUNKED_OVERHEAD_BYTES_MAX: usize = 64 * 1024;
 
-/// Reads the rest of the request that starts with `head`, and adds the memory
-/// for its body to `reservation`.
+/// A reply that refuses a request, and the reason for metrics.
+pub(crate) struct Refusal {
+    pub(crate) reason: &'static str,
+    pub(crate) reply: Reply,
+}
+
+/// Reads the rest of the request that starts with `head`. Its body is charged to
+/// `memory` until the last reference to it is dropped.
 ///
 /// # Errors
 ///
-/// The [`Reply`] to send. The connection must be closed after it, since the
+/// The [`Refusal`] to send. The connection must be closed after it, since the
 /// position of the next request is not known.
 pub(crate) async fn read_request(
     decoder: &mut Decoder,
@@ -43,99 +46,94 @@
     peer: SocketAddr,
     budget: &Budget,
     limits: &Limits,
-    reservation: &mut BodyReservation<'_>,
+    memory: &Memory,
     writer: &mut Writer,
-) -> Result<Request, Reply> {
-    let (parts, payload) = head.into_parts();
-    let framing = framing::from_headers(&parts.headers)
-        .map_err(|e| Reply::error(StatusCode::BAD_REQUEST, "ambiguous-length", e.0))?;
-    if let Framing::Length(length) = framing {
-        if length > limits.body_bytes {
-            return Err(too_large());
-        }
-        if !reservation.try_reserve(length) {
-            return Err(out_of_body_memory());
-        }
-    }
-    let has_body = matches!(framing, Framing::Length(_) | Framing::Chunked);
-    if has_body && parts.headers.contains_key(header::EXPECT) {
-        let (result, _) = writer.write_all(CONTINUE).await;
-        if result.is_err() {
-            return Err(bad_body());
+) -> Result<Request, Refusal> {
+    let framing = framing::from_headers(&head.headers).map_err(|e| Refusal {
+        reason: "ambiguous-length",
+        reply: Reply::error(StatusCode::BAD_REQUEST, "ambiguous-length", e.0),
+    })?;
+    let body = match framing {
+        Framing::Empty | Framing::UntilClose => Bytes::new(),
+        Framing::Length(_) | Framing::Chunked => {
+            let key = limits
+                .account_header
+                .and_then(|name| head.headers.get(name));
+            // The lowest bit keeps the hash apart from 0, which stands for no key.
+            let account = key.map_or(0, |key| hash::hash_bytes(key.as_bytes(), 0) | 1);
+            let mut store = Store::new(memory.charge_request(peer.ip(), account));
+            if let Framing::Length(length) = framing {
+                if length > limits.body_bytes {
+                    return Err(too_large());
+                }
+                store
+                    .reserve_exact(length, false)
+                    .map_err(|NoRoom| out_of_body_memory())?;
+            }
+            if head.headers.contains_key(header::EXPECT) {
+                let (result, _) = writer.write_all(CONTINUE).await;
+                if result.is_err() {
+                    return Err(bad_body());
+                }
+            }
+            budget.allow_body(limits.body_time);
+            read_body(decoder, framing, store, budget, limits).await?
         }
-    }
-    budget.allow(
-        limits.body_bytes + CHUNKED_OVERHEAD_BYTES_MAX,
-        limits.body_time,
-    );
-    let has_reservation = matches!(framing, Framing::Length(_));
-    let reservation = (!has_reservation).then_some(reservation);
-    let body = read_body(decoder, payload, budget, limits, reservation).await?;
+    };
     Ok(Request {
-        method: parts.method,
-        uri: parts.uri,
-        headers: parts.headers,
+        method: head.method,
+        uri: head.uri,
+        headers: head.headers,
         body,
         peer,
     })
 }
 
-/// Reads a body. Memory is reserved part by part if `reservation` is given; it
-/// is `None` if the memory for the complete body is reserved already.
 async fn read_body(
     decoder: &mut Decoder,
-    mut payload: Payload,
+    framing: Framing,
+    mut store: Store,
     budget: &Budget,
     limits: &Limits,
-    mut reservation: Option<&mut BodyReservation<'_>>,
-) -> Result<Bytes, Reply> {
-    let mut body = BytesMut::new();
-    let mut filling = pin!(decoder.fill_payload());
-    let mut is_filled = false;
-    loop {
-        // A part that is ready is handled before more is read, so that the
-        // memory in use does not exceed the reservation.
-        let part = poll_fn(|cx| {
-            let part = pin!(payload.next_data()).poll(cx);
-            if part.is_ready() || is_filled {
-                return part.map(Ok);
-            }
-            match filling.as_mut().poll(cx) {
-                Poll::Ready(Ok(())) => {
-                    is_filled = true;
-                    cx.waker().wake_by_ref();
-                    Poll::Pending
-                }
-                Poll::Ready(Err(_)) => Poll::Ready(Err(incomplete_body(budget))),
-                Poll::Pending => Poll::Pending,
+) -> Result<Bytes, Refusal> {
+    let mut position = BodyDecoder::new(framing);
+    let eviction = store.charge().eviction();
+    let is_long = !matches!(framing, Framing::Length(length) if length < READ_BYTES_MAX);
+    if is_long {
+        decoder.read_buffer_mut().reserve(READ_BYTES_MAX);
+    }
+    let mut collector = Collector::new(&mut position, &mut store, limits.body_bytes);
+    let progress = {
+        let mut reading = pin!(decoder.next_with(&mut collector));
+        poll_fn(|cx| {
+            if eviction.poll(cx).is_ready() {
+                return Poll::Ready(Some(Ok(Progress::NoRoom)));
             }
-        });
-        let Some(part) = part.await? else {
-            return Ok(body.freeze());
-        };
-        let part = part.map_err(|_| bad_body())?;
-        if body.len() + part.len() > limits.body_bytes {
-            return Err(too_large());
-        }
-        if reservation
-            .as_mut()
-            .is_some_and(|reservation| !reservation.try_reserve(part.len()))
-        {
-            return Err(out_of_body_memory());
-        }
-        body.extend_from_slice(&part);
+            reading.as_mut().poll(cx)
+        })
+        .await
+    };
+    match progress {
+        Some(Ok(Progress::Done)) => store.into_bytes().ok_or_else(out_of_body_memory),
+        Some(Ok(Progress::NoRoom)) => Err(out_of_body_memory()),
+        Some(Err(BodyError::TooLarge | BodyError::TooMuchFraming)) => Err(too_large()),
+        Some(Err(BodyError::Malformed | BodyError::Io(_))) | None => Err(incomplete_body(budget)),
     }
 }
 
 /// Returns the reply to a request whose body did not arrive completely.
-fn incomplete_body(budget: &Budget) -> Reply {
+fn incomplete_body(budget: &Budget) -> Refusal {
     match budget.exceeded() {
         Some(Limit::Bytes) => too_large(),
-        Some(Limit::Time) => Reply::error(
-            StatusCode::REQUEST_TIMEOUT,
-            "body-too-slow",
-            "the request body did not arrive within the time limit",
-        ),
+        Some(Limit::Time) => Refusal {
+            reason: "body-too-slow",
+            reply: Reply::error(
+                StatusCode::REQUEST_TIMEOUT,
+                "body-too-slow",
+                "the request body did not arrive within the time limit",
+            ),
+        },
+        Some(Limit::Memory) => out_of_body_memory(),
         None => bad_body(),
     }
 }
@@ -144,27 +142,36 @@
 /// second suffices, since most bodies are read in less.
 const BODY_MEMORY_RETRY_S: &str = "1";
 
-fn out_of_body_memory() -> Reply {
-    Reply::error(
+pub(crate) fn out_of_body_memory() -> Refusal {
+    let reply = Reply::error(
         StatusCode::SERVICE_UNAVAILABLE,
         "no-room",
         "the server's memory for request bodies is in use",
-    )
-    .header(header::RETRY_AFTER, BODY_MEMORY_RETRY_S)
+    );
+    Refusal {
+        reason: "no-room",
+        reply: reply.header(header::RETRY_AFTER, BODY_MEMORY_RETRY_S),
+    }
 }
 
-fn too_large() -> Reply {
-    Reply::error(
-        StatusCode::PAYLOAD_TOO_LARGE,
-        "body-too-large",
-        "the request body exceeds the size limit",
-    )
+fn too_large() -> Refusal {
+    Refusal {
+        reason: "body-too-large",
+        reply: Reply::error(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "body-too-large",
+            "the request body exceeds the size limit",
+        ),
+    }
 }
 
-fn bad_body() -> Reply {
-    Reply::error(
-        StatusCode::BAD_REQUEST,
-        "bad-body",
-        "the request body is incomplete or malformed",
-    )
+fn bad_body() -> Refusal {
+    Refusal {
+        reason: "bad-body",
+        reply: Reply::error(
+            StatusCode::BAD_REQUEST,
+            "bad-body",
+            "the request body is incomplete or malformed",
+        ),
+    }
 }
--- a/crates/link/src/http/client.rs
+++ b/crates/link/src/http/client.rs
@@ -29,11 +29,13 @@
     response::{Fetched, Response},
 };
 use super::{
+    coding::BodyDecoder,
     error::{Error, Kind},
     fence,
     framing::{self, Framing},
     guard::{Budget, Guard, Limit, READ_BYTES_MAX},
     limits::Limits,
+    memory::Memory,
     response::BodyReader,
 };
 use crate::{fault, net};
@@ -110,6 +112,7 @@
 pub struct Pool {
     idle: Rc<RefCell<Map<SocketAddr, VecDeque<Connection>>>>,
     limits: Limits,
+    memory: Memory,
     silence_timeout: Option<Duration>,
     reset_on_close: bool,
 }
@@ -124,11 +127,23 @@
         Self {
             idle: Rc::default(),
             limits,
+            memory: Memory::default(),
             silence_timeout: None,
             reset_on_close: false,
         }
     }
 
+    /// Charges the bodies of responses to `memory`.
+    pub fn memory(mut self, memory: Memory) -> Self {
+        self.memory = memory;
+        self
+    }
+
+    /// Returns the budget that the bodies of responses are charged to.
+    pub fn budget(&self) -> Memory {
+        self.memory.clone()
+    }
+
     /// Makes connections end with a reset when they are dropped, so that an
     /// abandoned request that is still in the kernel's send buffer never
     /// reaches its peer.
@@ -248,17 +263,17 @@
             Ok(Err(e)) => return Err(Error::new(Kind::Send, e)),
             Ok(Ok(())) => {}
         }
-        let (status, headers, framing, decoder) = loop {
+        let (status, headers, framing) = loop {
             let head = match connection.reader.next().await {
                 None => return Err(Error::new(Kind::Incomplete, "the head is missing")),
                 Some(Err(e)) => return Err(read_error(&connection.budget, e)),
                 Some(Ok(head)) => head,
             };
-            let (parts, decoder) = head.into_parts();
+            let (parts, _) = head.into_parts();
             let framing = framing::from_response(&call.method, parts.status, &parts.headers)
                 .map_err(|e| Error::new(Kind::Malformed, e.0))?;
             if !parts.status.is_informational() {
-                break (parts.status, parts.headers, framing, decoder);
+                break (parts.status, parts.headers, framing);
             }
         };
         if let Some((name, id)) = &call.expected_echo
@@ -293,9 +308,10 @@
             is_repeated: false,
             body: BodyReader {
                 connection: Some(connection),
-                decoder,
+                decoder: BodyDecoder::new(framing),
                 framing,
                 limits: self.limits,
+                memory: self.memory.clone(),
                 is_done: framing == Framing::Empty,
                 pool: may_reuse.then(|| (self.clone(), peer)),
             },
@@ -424,7 +440,9 @@
 pub(crate) fn read_error(budget: &Budget, e: impl std::fmt::Display) -> Error {
     match budget.exceeded() {
         Some(Limit::Time) => Error::new(Kind::Timeout, "the peer sent nothing"),
-        Some(Limit::Bytes) => Error::new(Kind::Malformed, "the response exceeds the size limit"),
+        Some(Limit::Bytes | Limit::Memory) => {
+            Error::new(Kind::Malformed, "the response exceeds the size limit")
+        }
         None => Error::new(Kind::Incomplete, e),
     }
 }
--- a/crates/link/src/http/drain.rs
+++ b/crates/link/src/http/drain.rs
@@ -12,6 +12,11 @@
 
 use slotmap::SlotMap;
 
+use super::{
+    memory::Memory,
+    refusal::{IdleConnections, Refusals},
+};
+
 /// Makes the connections of a server close, and counts connections and
 /// requests.
 #[derive(Clone, Debug, Default)]
@@ -28,14 +33,35 @@
     /// backlogs.
     pub(crate) accepting_servers: Cell<usize>,
     pub(crate) panics: Cell<u64>,
-    /// Bytes reserved for the bodies of requests that are being read or
-    /// answered.
-    pub(crate) body_bytes: Cell<usize>,
+    /// The connections that were answered, and whose unread bytes are being
+    /// discarded.
+    pub(crate) lingering_connections: Cell<usize>,
+    pub(crate) memory: Memory,
+    pub(crate) idle: IdleConnections,
+    pub(crate) refusals: Refusals,
     /// The wakers of the tasks that wait for the close.
     waiters: RefCell<SlotMap<slotmap::DefaultKey, Waker>>,
 }
 
 impl Drain {
+    /// Returns a drain whose server uses `memory`.
+    pub fn with_memory(memory: Memory) -> Self {
+        Self(Rc::new(State {
+            memory,
+            ..State::default()
+        }))
+    }
+
+    /// Returns the budget of the server's memory.
+    pub fn memory(&self) -> &Memory {
+        &self.0.memory
+    }
+
+    /// Returns how many requests and connections were refused, by reason.
+    pub fn refusals(&self) -> Vec<(&'static str, u64)> {
+        self.0.refusals.counts()
+    }
+
     /// Makes each response close its connection from now on, so that callers
     /// move to other VMs. New connections are still accepted.
     pub fn begin(&self) {
@@ -107,6 +133,19 @@
         self.0.panics.get()
     }
 
+    /// Counts a request or connection that was refused.
+    pub(crate) fn record_refusal(&self, reason: &'static str) {
+        let (memory, connections) = (self.memory().used_bytes(), self.open_connections());
+        self.0.refusals.record(reason, memory, connections);
+    }
+
+    /// Returns whether one more of at most `max` connections may open. Closes a
+    /// connection that waits for a request to make room for it.
+    pub(crate) fn admit_connection(&self, max: usize) -> bool {
+        let open = self.open_connections() + self.0.lingering_connections.get();
+        open < max || self.0.idle.close_first()
+    }
+
     /// Waits until no connection is open and none is accepted any more, or `limit`
     /// has passed. Returns whether all connections are closed.
     pub async fn wait(&self, limit: Duration) -> bool {
@@ -163,40 +202,3 @@
         self.0.set(self.0.get() - 1);
     }
 }
-
-/// A request's share of the memory that a server allows for bodies, released on
-/// drop.
-pub(crate) struct BodyReservation<'a> {
-    total_bytes: &'a Cell<usize>,
-    max_bytes: usize,
-    reserved_bytes: usize,
-}
-
-impl<'a> BodyReservation<'a> {
-    /// Returns an empty reservation. `total_bytes` counts the bytes reserved by
-    /// all requests, which may not exceed `max_bytes`.
-    pub(crate) fn new(total_bytes: &'a Cell<usize>, max_bytes: usize) -> Self {
-        Self {
-            total_bytes,
-            max_bytes,
-            reserved_bytes: 0,
-        }
-    }
-
-    /// Reserves `bytes` more, and returns whether the limit allowed it.
-    pub(crate) fn try_reserve(&mut self, bytes: usize) -> bool {
-        if self.total_bytes.get().saturating_add(bytes) > self.max_bytes {
-            return false;
-        }
-        self.total_bytes.set(self.total_bytes.get() + bytes);
-        self.reserved_bytes += bytes;
-        true
-    }
-}
-
-impl Drop for BodyReservation<'_> {
-    fn drop(&mut self) {
-        self.total_bytes
-            .set(self.total_bytes.get() - self.reserved_bytes);
-    }
-}
--- a/crates/link/src/http/guard.rs
+++ b/crates/link/src/http/guard.rs
@@ -1,7 +1,7 @@
 //! A reader that enforces byte and time limits below the HTTP decoder.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     io,
     rc::Rc,
     time::{Duration, Instant},
@@ -13,11 +13,15 @@
     io::AsyncReadRent,
 };
 
+use super::memory::Charge;
+
 /// A limit that a read can exceed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Limit {
     Bytes,
     Time,
+    /// The budget of the server's memory.
+    Memory,
 }
 
 /// The limits in force, shared by the reader and the owner of the connection.
@@ -31,16 +35,79 @@
     /// The time limit that starts with the first byte of a head, while that
     /// byte has not arrived.
     head_timeout: Cell<Option<Duration>>,
+    pace: Cell<Option<Pace>>,
     exceeded: Cell<Option<Limit>>,
     received_bytes: Cell<usize>,
+    /// What the head in progress is charged to.
+    head_charge: RefCell<Option<Charge>>,
+}
+
+/// How fast the peer has to send: `min_bytes` in each `time`.
+#[derive(Clone, Copy, Debug)]
+struct Pace {
+    min_bytes: usize,
+    time: Duration,
+    /// How many bytes have arrived in the current period.
+    bytes: usize,
+    /// When the current period ends.
+    end: Instant,
 }
 
+impl Pace {
+    fn new(min_bytes: usize, time: Duration) -> Self {
+        Self {
+            min_bytes,
+            time,
+            bytes: 0,
+            end: Instant::now() + time,
+        }
+    }
+
+    /// Returns the pace after `read` more bytes. A new period starts as soon as
+    /// enough have arrived.
+    fn after(self, read: usize) -> Self {
+        let bytes = self.bytes + read;
+        match bytes >= self.min_bytes {
+            true => Self::new(self.min_bytes, self.time),
+            false => Self { bytes, ..self },
+        }
+    }
+}
+
+/// The minimum pace of a request's body: about 13 KB/s. A link of 45 Mbit/s that a hundred
+/// bodies share still carries four times as much.
+const PACE_BYTES: usize = 64 * 1024;
+const PACE_TIME: Duration = Duration::from_secs(5);
+
 impl Budget {
+    /// Returns a budget that charges heads to `charge`.
+    pub(crate) fn charging_heads(charge: Charge) -> Self {
+        let budget = Self::default();
+        *budget.0.head_charge.borrow_mut() = Some(charge);
+        budget
+    }
+
+    /// Allows a body, whose size is limited elsewhere, within `time` from now and
+    /// at the minimum pace.
+    pub(crate) fn allow_body(&self, time: Duration) {
+        self.allow(usize::MAX, time);
+        self.0.pace.set(Some(Pace::new(PACE_BYTES, PACE_TIME)));
+    }
+
+    /// Allows a body, whose size is limited elsewhere, as long as no more than
+    /// `time` passes without a byte.
+    pub(crate) fn allow_while_sending(&self, time: Duration) {
+        self.allow(usize::MAX, time);
+        self.0.deadline.set(None);
+        self.0.pace.set(Some(Pace::new(1, time)));
+    }
+
     /// Allows `bytes` more bytes within `time` from now.
     pub(crate) fn allow(&self, bytes: usize, time: Duration) {
         self.0.remaining_bytes.set(bytes);
         self.0.deadline.set(Some(Instant::now() + time));
         self.0.head_timeout.set(None);
+        self.0.pace.set(None);
         self.0.received_bytes.set(0);
     }
 
@@ -50,6 +117,9 @@
         self.allow(bytes, time);
         self.0.deadline.set(None);
         self.0.head_timeout.set(Some(time));
+        if let Some(charge) = &mut *self.0.head_charge.borrow_mut() {
+            charge.clear();
+        }
     }
 
     /// Returns the limit that was exceeded, if any.
@@ -69,7 +139,8 @@
     }
 
     fn remaining_time(&self) -> Option<Duration> {
-        let deadline = self.0.deadline.get()?;
+        let pace_end = self.0.pace.get().map(|pace| pace.end);
+        let deadline = self.0.deadline.get().into_iter().chain(pace_end).min()?;
         Some(deadline.saturating_duration_since(Instant::now()))
     }
 
@@ -80,6 +151,13 @@
         if let Some(time) = self.0.head_timeout.take() {
             self.0.deadline.set(Some(Instant::now() + time));
         }
+        if let Some(pace) = self.0.pace.get() {
+            self.0.pace.set(Some(pace.after(read)));
+        } else if let Some(charge) = &mut *self.0.head_charge.borrow_mut()
+            && !charge.try_grow_to(self.0.received_bytes.get())
+        {
+            return Err(self.exceed(Limit::Memory));
+        }
         if read > self.0.remaining_bytes.get() {
             return Err(self.exceed(Limit::Bytes));
         }
@@ -94,6 +172,7 @@
         match exceeded {
             Limit::Bytes => io::Error::new(io::ErrorKind::InvalidData, "byte limit reached"),
             Limit::Time => io::Error::new(io::ErrorKind::TimedOut, "time limit reached"),
+            Limit::Memory => io::Error::new(io::ErrorKind::OutOfMemory, "no room for the head"),
         }
     }
 }
--- a/crates/link/src/http/limits.rs
+++ b/crates/link/src/http/limits.rs
@@ -22,10 +22,15 @@
     pub(crate) body_time: Duration,
     pub(crate) idle_time: Duration,
     pub(crate) write_time: Duration,
+    pub(crate) connections: usize,
+    pub(crate) account_header: Option<&'static str>,
 }
 
 const HEAD_BYTES_DEFAULT: usize = 32 * 1024;
 const BODY_BYTES_DEFAULT: usize = 1024 * 1024;
+/// 64 of the largest bodies at once, so that no daemon depends on its settings
+/// for a bound.
+const TOTAL_BODY_BYTES_DEFAULT: usize = 64 * BODY_BYTES_DEFAULT;
 const HEAD_TIME_DEFAULT: Duration = Duration::from_secs(5);
 const BODY_TIME_DEFAULT: Duration = Duration::from_secs(10);
 const IDLE_TIME_DEFAULT: Duration = Duration::from_secs(60);
@@ -36,11 +41,13 @@
         Self {
             head_bytes: HEAD_BYTES_DEFAULT,
             body_bytes: BODY_BYTES_DEFAULT,
-            total_body_bytes: usize::MAX,
+            total_body_bytes: TOTAL_BODY_BYTES_DEFAULT,
             head_time: HEAD_TIME_DEFAULT,
             body_time: BODY_TIME_DEFAULT,
             idle_time: IDLE_TIME_DEFAULT,
             write_time: WRITE_TIME_DEFAULT,
+            connections: usize::MAX,
+            account_header: None,
         }
     }
 }
@@ -64,7 +71,8 @@
     }
 
     /// Sets the maximum size of all bodies that a server holds at once, in
-    /// bytes. Requests that exceed it are rejected with a retry delay.
+    /// bytes. Requests that exceed it are rejected with a retry delay. A server
+    /// with a [`Memory`](super::Memory) of its own uses the limits of that one.
     pub fn total_body_bytes(mut self, bytes: usize) -> Self {
         self.total_body_bytes = bytes;
         self
@@ -94,6 +102,20 @@
         self
     }
 
+    /// Sets how many connections a server holds open. For one more, it closes a
+    /// connection that waits for a request.
+    pub fn connections(mut self, count: usize) -> Self {
+        self.connections = count;
+        self
+    }
+
+    /// Sets the header with the key of the client account. Unfinished bodies
+    /// share the memory by it.
+    pub fn account_header(mut self, name: &'static str) -> Self {
+        self.account_header = Some(name);
+        self
+    }
+
     /// Returns the maximum size of a body, in bytes.
     pub fn max_body_bytes(&self) -> usize {
         self.body_bytes
--- a/crates/link/src/http/server.rs
+++ b/crates/link/src/http/server.rs
@@ -116,6 +116,7 @@
     H: Fn(Request) -> F + 'static,
     F: Future<Output = Reply> + 'static,
 {
+    drain.0.memory.limit_requests(limits.total_body_bytes);
     let handler = Rc::new(handler);
     let accepting = CountGuard::increment(&drain.0.accepting_servers);
     let serve_accepted = |(stream, peer)| {
@@ -171,6 +172,10 @@
     if drain.is_rejecting() || net::set_options(&stream).is_err() {
         return;
     }
+    if !drain.admit_connection(limits.connections) {
+        drain.record_refusal("too-many-connections");
+        return;
+    }
     let handler = handler.clone();
     let drain = drain.clone();
     let tls = tls.clone();
@@ -186,7 +191,10 @@
         let end = CatchUnwind(Box::pin(run)).await;
         drop(open);
         match end {
-            Ok(Some(tail)) => session::discard(tail).await,
+            Ok(Some(tail)) => {
+                let _lingering = CountGuard::increment(&drain.0.lingering_connections);
+                session::discard(tail, &limits).await;
+            }
             // Failed handshakes are counted by `Tls::accept`.
             Ok(None) => {}
             Err(_) => drain.0.panics.set(drain.0.panics.get() + 1),
--- a/crates/link/src/http/session.rs
+++ b/crates/link/src/http/session.rs
@@ -15,16 +15,18 @@
 
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Version, header};
 use monoio::{
+    buf::IoBuf,
     io::{AsyncReadRent, AsyncWriteRent, AsyncWriteRentExt, OwnedReadHalf, stream::Stream},
     net::TcpStream,
 };
-use monoio_http::h1::{codec::decoder::RequestDecoder, payload::Payload};
+use monoio_codec::FramedRead;
+use monoio_http::h1::codec::decoder::RequestHeadDecoder;
 
 use super::{
-    body,
+    body::{self, Refusal},
     channel::{Channel, Reader, Writer},
     chunk::{self, Extent},
-    drain::{BodyReservation, CountGuard, Drain},
+    drain::{CountGuard, Drain},
     guard::{Budget, Guard, Limit},
     limits::Limits,
     pipe,
@@ -32,8 +34,8 @@
     server::Request,
 };
 
-pub(crate) type Decoder = RequestDecoder<Guard<Reader>>;
-pub(crate) type Head = http::Request<Payload>;
+pub(crate) type Decoder = FramedRead<Guard<Reader>, RequestHeadDecoder>;
+pub(crate) type Head = http::request::Parts;
 
 /// The result of decoding a head, `None` at the end of the connection. Errors
 /// carry no detail, since the [`Budget`] records whether a limit was exceeded.
@@ -90,9 +92,10 @@
         peer,
         limits,
         drain,
-        budget: Budget::default(),
+        budget: Budget::charging_heads(drain.0.memory.charge_head()),
     };
-    let mut decoder = Decoder::new(Guard::new(reader, session.budget.clone()));
+    let reader = Guard::new(reader, session.budget.clone());
+    let mut decoder = Decoder::new(reader, RequestHeadDecoder);
     let end = session.serve(&mut decoder, &mut writer, &*handler).await;
     // An error means that the caller has disconnected already.
     let _ = writer.shutdown().await;
@@ -101,26 +104,33 @@
 
 /// Limits on the bytes that a caller sends after its last reply and that are
 /// discarded. Closing a connection with unread bytes resets it, and a reset can
-/// destroy the reply before the caller reads it.
-const DISCARD_BYTES_MAX: usize = 8 * 1024 * 1024;
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+/// destroy the reply before the caller reads it. A caller that reads only after
+/// it has written a body of the largest size needs 6 s on a link of 45 Mbit/s.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(10);
+/// The time without a byte after which the caller has stopped sending.
+const DISCARD_SILENCE_MAX: Duration = Duration::from_secs(2);
 const DISCARD_BUFFER_BYTES: usize = 16 * 1024;
+/// How many bytes beyond the largest body are discarded.
+const DISCARD_EXTRA_BYTES: usize = 64 * 1024;
 
 /// Reads and discards the bytes that still arrive, within the limits.
-pub(crate) async fn discard(tail: Tail) {
+pub(crate) async fn discard(tail: Tail, limits: &Limits) {
     let Some(mut read) = tail.0 else {
         return;
     };
     let discarding = async {
-        let mut buffer = vec![0; DISCARD_BUFFER_BYTES];
-        let mut remaining_bytes = DISCARD_BYTES_MAX;
+        let mut buffer = Vec::with_capacity(DISCARD_BUFFER_BYTES);
+        let mut remaining_bytes = limits.body_bytes.saturating_add(DISCARD_EXTRA_BYTES);
         while remaining_bytes > 0 {
-            let (result, returned) = read.read(buffer).await;
-            match result {
+            let reading = read.read(buffer);
+            let Ok(read) = monoio::time::timeout(DISCARD_SILENCE_MAX, reading).await else {
+                return;
+            };
+            match read.0 {
                 Ok(0) | Err(_) => return,
                 Ok(count) => remaining_bytes = remaining_bytes.saturating_sub(count),
             }
-            buffer = returned;
+            buffer = read.1;
         }
     };
     // After the timeout, the close may reset the connection.
@@ -143,14 +153,14 @@
         loop {
             let head = match next_head {
                 Next::Head(head) => *head,
-                Next::Invalid => return self.reject(writer, bad_head(&self.budget), false).await,
+                Next::Invalid => return self.refuse(writer, bad_head(&self.budget), false).await,
                 Next::Closed => return End::Close,
             };
             let busy = CountGuard::increment(&self.drain.0.busy_requests);
-            let is_head = head.method() == Method::HEAD;
-            let is_kept_alive = is_keep_alive(head.version(), head.headers());
-            let mut reservation =
-                BodyReservation::new(&self.drain.0.body_bytes, self.limits.total_body_bytes);
+            let mut head_charge = self.drain.0.memory.charge_head();
+            head_charge.force_grow_to(self.budget.received_bytes());
+            let is_head = head.method == Method::HEAD;
+            let is_kept_alive = is_keep_alive(head.version, &head.headers);
             let (budget, limits) = (&self.budget, &self.limits);
             let request = body::read_request(
                 decoder,
@@ -158,13 +168,16 @@
                 self.peer,
                 budget,
                 limits,
-                &mut reservation,
+                &self.drain.0.memory,
                 writer,
             );
             let request = match request.await {
                 Ok(request) => request,
-                Err(reply) => return self.reject(writer, reply, is_head).await,
+                Err(refusal) => return self.refuse(writer, refusal, is_head).await,
             };
+            // The body counts until its request is answered, whatever the handler
+            // does with it.
+            let body = request.body.clone();
             self.expect_head();
             let mut reading = pin!(read_head(decoder));
             let read_ahead = ReadAhead::new(reading.as_mut(), &self.budget);
@@ -185,7 +198,7 @@
                 _ => return End::Close,
             }
             drop(busy);
-            drop(reservation);
+            drop((body, head_charge));
             next_head = match read_ahead.into_parts() {
                 (_, Some(outcome)) => outcome,
                 (reading, None) => self.next_head(reading, false).await,
@@ -204,7 +217,20 @@
     ///
     /// A closing server still answers the first request of a connection, and a
     /// request whose first byte has arrived.
-    async fn next_head<R>(&self, mut reading: Pin<&mut R>, is_first: bool) -> Next
+    async fn next_head<R>(&self, reading: Pin<&mut R>, is_first: bool) -> Next
+    where
+        R: Future<Output = HeadRead>,
+    {
+        monoio::select! {
+            next = self.next_head_unless_draining(reading, is_first) => next,
+            () = self.drain.0.idle.wait_for_close(!is_first) => {
+                self.drain.record_refusal("idle-connection");
+                Next::Closed
+            }
+        }
+    }
+
+    async fn next_head_unless_draining<R>(&self, mut reading: Pin<&mut R>, is_first: bool) -> Next
     where
         R: Future<Output = HeadRead>,
     {
@@ -236,10 +262,11 @@
         classify(reading.await, &self.budget)
     }
 
-    /// Writes the last reply of the connection.
-    async fn reject(&self, writer: &mut Writer, reply: Reply, is_head: bool) -> End {
+    /// Counts the refusal and writes the last reply of the connection.
+    async fn refuse(&self, writer: &mut Writer, refusal: Refusal, is_head: bool) -> End {
+        self.drain.record_refusal(refusal.reason);
         // The connection closes whether or not the write succeeds.
-        let _ = self.write(writer, reply, true, is_head).await;
+        let _ = self.write(writer, refusal.reply, true, is_head).await;
         End::Linger
     }
 
@@ -268,10 +295,13 @@
                     false => Extent::Length(body.len()),
                 };
                 let mut out = chunk::encode_head(reply.status, &reply.headers, extent);
-                if !is_head && !has_no_body {
+                let is_sent = !is_head && !has_no_body;
+                if is_sent && body.len() <= COPIED_BODY_BYTES_MAX {
                     out.extend_from_slice(&body);
+                    return self.write_all(writer, out).await;
                 }
                 self.write_all(writer, out).await
+                    && (!is_sent || self.write_all(writer, body).await)
             }
             Content::Stream(receiver, producer) => {
                 let out = chunk::encode_head(reply.status, &reply.headers, Extent::Chunked);
@@ -298,12 +328,16 @@
         }
     }
 
-    async fn write_all(&self, writer: &mut Writer, out: Vec<u8>) -> bool {
+    async fn write_all(&self, writer: &mut Writer, out: impl IoBuf) -> bool {
         let written = monoio::time::timeout(self.limits.write_time, writer.write_all(out));
         matches!(written.await, Ok((Ok(_), _)))
     }
 }
 
+/// Bodies up to this size are copied, so that they are written along with the
+/// head.
+const COPIED_BODY_BYTES_MAX: usize = 8 * 1024;
+
 /// How long a closing server waits for the first byte of a request, on a new
 /// connection and on an idle one.
 const NEW_CONNECTION_GRACE: Duration = Duration::from_millis(250);
@@ -382,8 +416,8 @@
     }
 }
 
-fn bad_head(budget: &Budget) -> Reply {
-    let (status, error, detail) = match budget.exceeded() {
+fn bad_head(budget: &Budget) -> Refusal {
+    let (status, reason, detail) = match budget.exceeded() {
         Some(Limit::Bytes) => (
             StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             "head-too-large",
@@ -394,13 +428,17 @@
             "head-too-slow",
             "the request head did not arrive within the time limit",
         ),
+        Some(Limit::Memory) => return body::out_of_body_memory(),
         None => (
             StatusCode::BAD_REQUEST,
             "bad-head",
             "the request head is malformed",
         ),
     };
-    Reply::error(status, error, detail)
+    Refusal {
+        reason,
+        reply: Reply::error(status, reason, detail),
+    }
 }
 
 fn is_keep_alive(version: Version, headers: &HeaderMap) -> bool {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod replica;
 pub mod retention;
 pub mod retry;
+pub mod room;
 pub mod routing;
 pub mod staleness;
 pub mod straggler;
--- a/crates/site/src/components.rs
+++ b/crates/site/src/components.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, net::SocketAddr, rc::Rc};
 
 use board::hash;
-use link::http::{Limits, Pool};
+use link::http::{Limits, Memory, Pool};
 use platform::{Settings, settings::Bounds, store::Store};
 use policy::deputy;
 
@@ -29,6 +29,7 @@
     peer::Server,
     permit::Permits,
     retention,
+    room::Room,
     usage::Usage,
 };
 
@@ -47,6 +48,8 @@
     pub(crate) front: Front,
     /// The metrics.
     pub(crate) metrics: Metrics,
+    /// The memory for callers.
+    pub(crate) memory: Memory,
     mirror: Mirror,
     permits: Permits,
     origins: Origins,
@@ -144,7 +147,10 @@
         let mirror = Mirror::new(coordinators.is_seed());
         let facts: Rc<RefCell<Facts>> = Rc::default();
         let metrics = Metrics::default();
+        let room = Room::new(&settings.limits);
+        let memory = Memory::new(room.requests_bytes, room.total_bytes);
         let pool = Pool::new(Limits::new().body_bytes(RESPONSE_BYTES_MAX))
+            .memory(memory.clone())
             .silence_timeout(path::SILENCE_TIMEOUT)
             .reset_on_close();
         let usage = Usage::new(settings.bounds.usage_window);
@@ -241,6 +247,7 @@
             duties,
             front,
             metrics,
+            memory,
             mirror,
             permits,
             origins,
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod placement;
 pub mod reload;
 pub(crate) mod retention;
+pub mod room;
 pub mod signal;
 pub(crate) mod stop;
 pub(crate) mod storage;
--- a/crates/site/src/metrics.rs
+++ b/crates/site/src/metrics.rs
@@ -2,7 +2,10 @@
 
 use std::{rc::Rc, time::Duration};
 
-use link::{http::server::Reply, telemetry::Telemetry};
+use link::{
+    http::server::{Drain, Reply},
+    telemetry::Telemetry,
+};
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Gauge, Histogram},
@@ -31,6 +34,9 @@
     quarantined_requests: Counter<u64>,
     store_calls: Gauge<u64>,
     endpoints: Gauge<u64>,
+    refused_callers: Gauge<u64>,
+    caller_memory_bytes: Gauge<u64>,
+    caller_connections: Gauge<u64>,
     usage_omitted_requests: Counter<u64>,
     log_lines_dropped: Counter<u64>,
 }
@@ -57,6 +63,9 @@
             quarantined_requests: telemetry.counter("tarragonseam_quarantined_requests"),
             store_calls: meter.u64_gauge("tarragonseam_store_calls").build(),
             endpoints: meter.u64_gauge("tarragonseam_endpoints").build(),
+            refused_callers: meter.u64_gauge("tarragonseam_refused_callers").build(),
+            caller_memory_bytes: meter.u64_gauge("tarragonseam_caller_memory_bytes").build(),
+            caller_connections: meter.u64_gauge("tarragonseam_caller_connections").build(),
             usage_omitted_requests: telemetry.counter("tarragonseam_usage_omitted_requests"),
             log_lines_dropped: telemetry.counter("tarragonseam_log_lines_dropped"),
             telemetry,
@@ -120,6 +129,18 @@
         self.0.log_lines_dropped.add(count, &[]);
     }
 
+    /// Records what the callers of the server of `drain` use, and what it has
+    /// refused since the start.
+    pub fn record_callers(&self, drain: &Drain) {
+        for (reason, count) in drain.refusals() {
+            let reason = [KeyValue::new("reason", reason)];
+            self.0.refused_callers.record(count, &reason);
+        }
+        let (memory, connections) = (drain.memory().used_bytes(), drain.open_connections());
+        self.0.caller_memory_bytes.record(memory as u64, &[]);
+        self.0.caller_connections.record(connections as u64, &[]);
+    }
+
     /// Returns the page with all metrics, with the current number of calls to
     /// the store and of endpoints.
     pub fn page(&self, store_calls: u64, endpoints: usize) -> Reply {
--- a/crates/site/src/path.rs
+++ b/crates/site/src/path.rs
@@ -94,7 +94,9 @@
         pool: Pool,
     ) -> Self {
         let limits = Limits::new().body_bytes(RESPONSE_BYTES_MAX);
-        let gateways = Pool::new(limits).silence_timeout(GATEWAY_SILENCE_TIMEOUT);
+        let gateways = Pool::new(limits)
+            .memory(pool.budget())
+            .silence_timeout(GATEWAY_SILENCE_TIMEOUT);
         Self(Rc::new(Inner {
             facts,
             members,
--- a/crates/site/src/vm.rs
+++ b/crates/site/src/vm.rs
@@ -21,8 +21,14 @@
 use platform::{Settings, settings};
 
 use crate::{
-    components::Components, duty::report, facts::Facts, job::failover, reload::File,
-    signal::Signals, stop, storage,
+    components::Components,
+    duty::report,
+    facts::Facts,
+    job::failover,
+    reload::File,
+    room::{BODY_BYTES_MAX, Room},
+    signal::Signals,
+    stop, storage,
 };
 
 /// One VM on the users' platform.
@@ -69,12 +75,11 @@
 const USAGE_TIME_MIN: Duration = Duration::from_millis(1200);
 /// The time before SIGKILL that submitting counts leaves, if it may take more.
 const EXIT_RESERVE: Duration = Duration::from_millis(300);
-/// The largest request body that is read, which is the limit that the platform
-/// documents. The limit in the configuration is not known at the start.
-const BODY_BYTES_MAX: usize = 32 * 1024 * 1024;
-/// The memory of a VM divided by this is the limit for the bodies of all
-/// requests together. A second copy of each body may wait to be sent on.
-const BODY_MEMORY_DIVISOR: u64 = 4;
+/// How long the largest body may take: five times as long as alone on a link of
+/// 45 Mbit/s.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// The header with the key of a client account.
+const KEY_HEADER: &str = "x-api-key";
 /// How long a caller's connection may stay idle. This is a little more than the
 /// documented limit, so that callers close the connection first.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
@@ -113,11 +118,11 @@
         return Ok(());
     };
     let components = Components::new(&settings);
+    let drain = Drain::with_memory(components.memory.clone());
     if let Some(port) = arguments.metrics_port {
         let address = SocketAddr::new(settings.ip, port);
-        serve_metrics(&components, address, arguments.test_faults)?;
+        serve_metrics(&components, &drain, address, arguments.test_faults)?;
     }
-    let drain = Drain::default();
     let is_draining = Rc::new(Cell::new(false));
     serve(&settings, &components, address, &drain, &is_draining)?;
     let metrics = components.metrics.clone();
@@ -132,15 +137,20 @@
 
 fn serve_metrics(
     components: &Components,
+    drain: &Drain,
     address: SocketAddr,
     has_test_faults: bool,
 ) -> Result<(), Error> {
     let listener = net::listen(address)?;
     let (metrics, facts) = (components.metrics.clone(), components.facts.clone());
     let store = components.jobs.store.clone();
+    let drain = drain.clone();
     let page = move |request: &Request| match request.uri.path() {
         "/fault" if has_test_faults => fault::answer(request),
-        _ => metrics.page(store.call_count(), facts.borrow().endpoints.len()),
+        _ => {
+            metrics.record_callers(&drain);
+            metrics.page(store.call_count(), facts.borrow().endpoints.len())
+        }
     };
     monoio::spawn(server::serve_pages(listener, page));
     Ok(())
@@ -153,10 +163,11 @@
     drain: &Drain,
     is_draining: &Rc<Cell<bool>>,
 ) -> Result<(), Error> {
-    let body_memory = settings.limits.memory_mb * 1024 * 1024 / BODY_MEMORY_DIVISOR;
+    let room = Room::new(&settings.limits);
     let limits = Limits::new()
         .body_bytes(BODY_BYTES_MAX)
-        .total_body_bytes(body_memory as usize);
+        .body_time(BODY_TIMEOUT)
+        .account_header(KEY_HEADER);
     if let Some(address) = settings.listen.peers {
         let listener = net::listen(address)?;
         let peer = components.peer();
@@ -164,7 +175,9 @@
             let peer = peer.clone();
             async move { peer.answer(request).await }
         };
-        monoio::spawn(server::serve(listener, limits, Drain::default(), handler));
+        let limits = limits.connections(room.peers);
+        let drain = Drain::with_memory(components.memory.clone());
+        monoio::spawn(server::serve(listener, limits, drain, handler));
     }
     if let Some(address) = settings.listen.readiness {
         let listener = net::listen(address)?;
@@ -177,7 +190,7 @@
         monoio::spawn(server::serve_pages(listener, page));
     }
     let listener = net::listen(callers)?;
-    let limits = limits.idle_time(IDLE_TIMEOUT);
+    let limits = limits.idle_time(IDLE_TIMEOUT).connections(room.callers);
     let front = components.front.clone();
     let handler = move |request| {
         let front = front.clone();
