--- a/crates/link/src/http/client.rs
+++ b/crates/link/src/http/client.rs
@@ -30,11 +30,13 @@
     response::{Fetched, Response},
 };
 use super::{
+    coding::BodyDecoder,
     error::{Error, Kind},
     fence,
     framing::{self, Framing},
     guard::{Budget, Guard, Limit, READ_BYTES_MAX},
     limits::Limits,
+    memory::Memory,
     opening::{Cause, Life, Loss, Losses},
     response::BodyReader,
 };
@@ -153,6 +155,7 @@
     /// The connections that are kept apart from the idle ones, one for each peer.
     kept: Rc<RefCell<Map<SocketAddr, Connection>>>,
     limits: Limits,
+    memory: Memory,
     silence_timeout: Option<Duration>,
     reset_on_close: bool,
     losses: Losses,
@@ -176,6 +179,7 @@
             idle: Rc::default(),
             kept: Rc::default(),
             limits,
+            memory: Memory::default(),
             silence_timeout: None,
             reset_on_close: false,
             losses: Losses::default(),
@@ -196,6 +200,17 @@
         }
     }
 
+    /// Charges the bodies of responses to `memory`.
+    pub fn memory(mut self, memory: Memory) -> Self {
+        self.memory = memory;
+        self
+    }
+
+    /// Returns the budget that the bodies of responses are charged to.
+    pub fn budget(&self) -> Memory {
+        self.memory.clone()
+    }
+
     /// Makes connections end with a reset when they are dropped, so that an
     /// abandoned request that is still in the kernel's send buffer never
     /// reaches its peer.
@@ -321,17 +336,17 @@
             Ok(Err(e)) => return Err(Error::new(Kind::Send, e)),
             Ok(Ok(())) => {}
         }
-        let (status, headers, framing, decoder) = loop {
+        let (status, headers, framing) = loop {
             let head = match connection.reader.next().await {
                 None => return Err(Error::new(Kind::Incomplete, "the head is missing")),
                 Some(Err(e)) => return Err(read_error(&connection.budget, e)),
                 Some(Ok(head)) => head,
             };
-            let (parts, decoder) = head.into_parts();
+            let (parts, _) = head.into_parts();
             let framing = framing::from_response(&call.method, parts.status, &parts.headers)
                 .map_err(|e| Error::new(Kind::Malformed, e.0))?;
             if !parts.status.is_informational() {
-                break (parts.status, parts.headers, framing, decoder);
+                break (parts.status, parts.headers, framing);
             }
         };
         let is_echoed = call
@@ -384,9 +399,10 @@
             is_repeated: false,
             body: BodyReader {
                 connection: Some(connection),
-                decoder,
+                decoder: BodyDecoder::new(framing),
                 framing,
                 limits: self.limits,
+                memory: self.memory.clone(),
                 is_done: framing == Framing::Empty,
                 pool: may_reuse.then(|| (self.clone(), peer)),
             },
@@ -570,7 +586,9 @@
 pub(crate) fn read_error(budget: &Budget, e: impl std::fmt::Display) -> Error {
     match budget.exceeded() {
         Some(Limit::Time) => Error::new(Kind::Timeout, "the peer sent nothing"),
-        Some(Limit::Bytes) => Error::new(Kind::Malformed, "the response exceeds the size limit"),
+        Some(Limit::Bytes | Limit::Memory) => {
+            Error::new(Kind::Malformed, "the response exceeds the size limit")
+        }
         None => Error::new(Kind::Incomplete, e),
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod replica;
 pub mod retention;
 pub mod retry;
+pub mod room;
 pub mod routing;
 pub mod schedule;
 pub mod staleness;
--- a/crates/site/src/components.rs
+++ b/crates/site/src/components.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, net::SocketAddr, rc::Rc};
 
 use board::hash;
-use link::http::{Limits, Pool};
+use link::http::{Limits, Memory, Pool};
 use platform::{Settings, settings::Bounds, store::Store};
 use policy::deputy;
 
@@ -29,6 +29,7 @@
     peer::Server,
     permit::Permits,
     retention,
+    room::Room,
     usage::Usage,
 };
 
@@ -47,6 +48,8 @@
     pub(crate) front: Front,
     /// The metrics.
     pub(crate) metrics: Metrics,
+    /// The memory for callers.
+    pub(crate) memory: Memory,
     mirror: Mirror,
     permits: Permits,
     origins: Origins,
@@ -149,7 +152,10 @@
             observer.record_store_call(kind, purpose, outcome);
         });
         let observer = metrics.clone();
+        let room = Room::new(&settings.limits);
+        let memory = Memory::new(room.requests_bytes, room.total_bytes);
         let pool = Pool::new(Limits::new().body_bytes(RESPONSE_BYTES_MAX))
+            .memory(memory.clone())
             .silence_timeout(path::SILENCE_TIMEOUT)
             .reset_on_close()
             .on_open(move |cause| observer.record_endpoint_connection(cause));
@@ -255,6 +261,7 @@
             duties,
             front,
             metrics,
+            memory,
             mirror,
             permits,
             origins,
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod prompt;
 pub mod reload;
 pub(crate) mod retention;
+pub mod room;
 pub mod signal;
 pub(crate) mod stop;
 pub(crate) mod storage;
--- a/crates/site/src/metrics.rs
+++ b/crates/site/src/metrics.rs
@@ -3,7 +3,10 @@
 use std::{rc::Rc, time::Duration};
 
 use link::{
-    http::{opening::Cause, server::Reply},
+    http::{
+        opening::Cause,
+        server::{Drain, Reply},
+    },
     telemetry::Telemetry,
 };
 use opentelemetry::{
@@ -44,6 +47,9 @@
     store_call_results: Counter<u64>,
     endpoint_connections: Counter<u64>,
     endpoints: Gauge<u64>,
+    refused_callers: Gauge<u64>,
+    caller_memory_bytes: Gauge<u64>,
+    caller_connections: Gauge<u64>,
     usage_omitted_requests: Counter<u64>,
     log_lines_dropped: Counter<u64>,
 }
@@ -84,6 +90,9 @@
             store_call_results: telemetry.counter("tarragonseam_store_call_results"),
             endpoint_connections: telemetry.counter("tarragonseam_endpoint_connections"),
             endpoints: meter.u64_gauge("tarragonseam_endpoints").build(),
+            refused_callers: meter.u64_gauge("tarragonseam_refused_callers").build(),
+            caller_memory_bytes: meter.u64_gauge("tarragonseam_caller_memory_bytes").build(),
+            caller_connections: meter.u64_gauge("tarragonseam_caller_connections").build(),
             usage_omitted_requests: telemetry.counter("tarragonseam_usage_omitted_requests"),
             log_lines_dropped: telemetry.counter("tarragonseam_log_lines_dropped"),
             telemetry,
@@ -199,6 +208,18 @@
         self.0.log_lines_dropped.add(count, &[]);
     }
 
+    /// Records what the callers of the server of `drain` use, and what it has
+    /// refused since the start.
+    pub fn record_callers(&self, drain: &Drain) {
+        for (reason, count) in drain.refusals() {
+            let reason = [KeyValue::new("reason", reason)];
+            self.0.refused_callers.record(count, &reason);
+        }
+        let (memory, connections) = (drain.memory().used_bytes(), drain.open_connections());
+        self.0.caller_memory_bytes.record(memory as u64, &[]);
+        self.0.caller_connections.record(connections as u64, &[]);
+    }
+
     /// Returns the page with all metrics, with the current number of calls to
     /// the store and of endpoints.
     pub fn page(&self, store_calls: u64, endpoints: usize) -> Reply {
