site, policy: no more requests to cold endpoints than they bear

Cause: an endpoint that has just started, or whose failure domain returns, bears only a low rate of requests, and VMs sent it as much as they had.

Change: `policy::cold` decides, for each endpoint of a service with `cold-per-s`, whether it is taken for cold (its record or `Cold-Ms` says so, or it appeared, restarted or was evacuated less than `cold-start-s` ago) and whether a request may be sent. While it is cold, each request, order and read of a state needs a permit of a coordinator, which is valid for 0.2 s and taken right before the request is written (`Facts::record_sent`, in the condition of the call). Coordinators grant an n-th share of the rate, or of the rate limit if that is lower, and save no permits. Each VM also counts what it sent, and stays within the bound on its own. Placement prefers warm endpoints with free slots, then cold ones, then full ones; without cold endpoints of the service the order is as before.

Compatibility: requests for permits have the new field `cold_per_s`, with a default. An earlier coordinator ignores it and grants by `per_s`, which is the lower figure; it may save permits for half a second. An earlier VM does not know of cold endpoints and counts as one that does not know.

--- a/crates/fakes/src/site/mod.rs
+++ b/crates/fakes/src/site/mod.rs
@@ -143,6 +143,8 @@
     pub faults: PendingFaults,
     /// The requests per second that its answers name as its limit.
     pub rate_limit: Option<f64>,
+    /// The time for which its record states that it stays cold, in milliseconds.
+    pub cold_left_ms: u64,
     /// When it last started, in the unit of its record.
     pub born: u64,
     /// Its failure domain.
@@ -291,6 +293,7 @@
         epoch: 0,
         faults: PendingFaults::default(),
         rate_limit: None,
+        cold_left_ms: 0,
         born: 1,
         domain: "zone-a",
         software: SOFTWARE,
@@ -338,6 +341,7 @@
             "state": state,
             "models": models.collect::<Vec<Value>>(),
             "born": endpoint.born,
+            "cold-left-ms": endpoint.cold_left_ms,
         });
         self.put("servers", id, record);
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod call;
 pub mod capacity;
 pub mod claim;
+pub mod cold;
 pub mod crash;
 pub mod credit;
 pub mod demand;
--- a/crates/policy/src/rate.rs
+++ b/crates/policy/src/rate.rs
@@ -56,9 +56,34 @@
     ///
     /// The time until there is a permit.
     pub fn take(&mut self, limit: f64, coordinators: usize, now: Time) -> Result<(), Duration> {
+        self.take_with(limit, coordinators, BURST_TIME_S, now)
+    }
+
+    /// As [`take`](Self::take), for an endpoint that bears no bursts: no permits are
+    /// saved beyond the next one.
+    ///
+    /// # Errors
+    ///
+    /// The time until there is a permit.
+    pub fn take_unsaved(
+        &mut self,
+        limit: f64,
+        coordinators: usize,
+        now: Time,
+    ) -> Result<(), Duration> {
+        self.take_with(limit, coordinators, 0.0, now)
+    }
+
+    fn take_with(
+        &mut self,
+        limit: f64,
+        coordinators: usize,
+        burst_time_s: f64,
+        now: Time,
+    ) -> Result<(), Duration> {
         let rate = limit.max(RATE_MIN) / coordinators.max(1) as f64;
         let elapsed = (now - self.refilled_at).as_secs_f64();
-        let burst = (rate * BURST_TIME_S).max(1.0);
+        let burst = (rate * burst_time_s).max(1.0);
         self.permits = (self.permits + rate * elapsed).min(burst);
         self.refilled_at = now;
         let missing = 1.0 - self.permits;
--- a/crates/site/src/components.rs
+++ b/crates/site/src/components.rs
@@ -5,7 +5,7 @@
 use board::hash;
 use link::http::{Limits, Pool};
 use platform::{Settings, settings::Bounds, store::Store};
-use policy::deputy;
+use policy::{cold, deputy};
 
 use crate::{
     ask,
@@ -111,6 +111,15 @@
     }
 }
 
+/// Returns how far requests to cold endpoints may exceed the rate of their service.
+fn cold_bounds(bounds: &Bounds) -> cold::Bounds {
+    let default = cold::Bounds::default();
+    cold::Bounds {
+        excess: bounds.cold_excess.unwrap_or(default.excess),
+        slack: bounds.cold_slack.unwrap_or(default.slack),
+    }
+}
+
 fn role(settings: &Settings) -> Role {
     let limits = settings.limits;
     Role {
@@ -143,6 +152,7 @@
         let coordinators = Coordinators::new(seeds, own);
         let mirror = Mirror::new(coordinators.is_seed());
         let facts: Rc<RefCell<Facts>> = Rc::default();
+        facts.borrow_mut().cold_bounds = cold_bounds(&settings.bounds);
         let metrics = Metrics::default();
         let pool = Pool::new(Limits::new().body_bytes(RESPONSE_BYTES_MAX))
             .silence_timeout(path::SILENCE_TIMEOUT)
@@ -231,6 +241,7 @@
             store,
             view,
             paths: paths.clone(),
+            permits: permits.clone(),
             pool,
             provider: settings.provider.address,
             usage,
--- a/crates/site/src/duty/mod.rs
+++ b/crates/site/src/duty/mod.rs
@@ -21,6 +21,7 @@
     job::{Registry, content::Content},
     metrics::Metrics,
     path::Paths,
+    permit::Permits,
     usage::Usage,
 };
 
@@ -41,6 +42,8 @@
     pub view: View,
     /// The paths to endpoints.
     pub paths: Paths,
+    /// Permits to send to cold endpoints.
+    pub permits: Permits,
     /// Connections to the provider.
     pub pool: Pool,
     /// The address of the provider, which accepts usage reports.
--- a/crates/site/src/duty/weights.rs
+++ b/crates/site/src/duty/weights.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use board::hash::Map;
+use link::http::{self, error};
 use platform::order::{self, LoadMode, Outcome, Version};
 
 use super::{Duties, loading};
@@ -105,7 +106,13 @@
         return false;
     };
     let id = endpoint.id.as_str();
-    let fetch = async |call| duties.paths.fetch_directly(key, &endpoint, call).await;
+    let fetch = async |call| {
+        if !duties.permits.acquire_if_cold(key, "").await {
+            let detail = "no permit for a cold endpoint";
+            return Err(http::Error::new(error::Kind::Fenced, detail));
+        }
+        duties.paths.fetch_directly(key, &endpoint, call).await
+    };
     let state = match order::fetch_state(fetch).await {
         Ok(state) => state,
         Err(e) => {
--- a/crates/site/src/facts.rs
+++ b/crates/site/src/facts.rs
@@ -3,12 +3,17 @@
 
 use std::{
     rc::Rc,
+    sync::OnceLock,
     time::{Duration, Instant},
 };
 
-use board::hash::{Map, Set};
+use board::{
+    Time,
+    hash::{Map, Set},
+};
 use link::HeaderMap;
 use platform::{config::Config, endpoint::Record, header};
+use policy::cold::{self, Refusal};
 use slotmap::SlotMap;
 
 use crate::latency::{self, Estimates};
@@ -47,6 +52,54 @@
     pub missing_until: Option<Instant>,
     /// Whether its failure domain is evacuated.
     is_evacuated: bool,
+    /// Whether it is cold, and what this VM has sent to it lately.
+    cold: cold::Endpoint,
+    /// What its service states about cold endpoints.
+    cold_terms: cold::Terms,
+}
+
+/// Returns `now` as the time of decisions.
+fn time_of(now: Instant) -> Time {
+    static START: OnceLock<Instant> = OnceLock::new();
+    // The first time is not the start, so that earlier instants differ from it.
+    let start = START.get_or_init(|| now.checked_sub(START_AGE).unwrap_or(now));
+    Time::from_micros(now.saturating_duration_since(*start).as_micros() as u64)
+}
+
+/// The age of the instant from which times of decisions are counted.
+const START_AGE: Duration = Duration::from_secs(3600);
+
+/// Why an attempt must not be sent to the endpoint that was chosen for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Withheld {
+    /// Its failure domain is evacuated.
+    Evacuated,
+    /// It is cold, and there is no valid permit.
+    NoPermit,
+    /// It has got too much from this VM within the last second.
+    OwnBound,
+}
+
+impl Withheld {
+    /// Returns the reason in log lines and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Evacuated => "evacuated",
+            Self::NoPermit => "no-permit",
+            Self::OwnBound => "own-bound",
+        }
+    }
+}
+
+/// What decides how many permits there are for an endpoint.
+#[derive(Clone, Debug)]
+pub struct PermitTerms {
+    /// The id of the endpoint.
+    pub endpoint: String,
+    /// The rate limit, if the endpoint names one.
+    pub limit: Option<RateLimit>,
+    /// The requests per second that it bears while it is cold, if it is.
+    pub cold_per_s: Option<f64>,
 }
 
 /// The rate limit that an endpoint named.
@@ -58,6 +111,9 @@
     pub named_at: Instant,
 }
 
+/// How long a cold endpoint is left out after this VM had no valid permit for it, or
+/// had sent enough to it. The coordinators grant one in some tens of ms.
+const COLD_PAUSE: Duration = Duration::from_millis(50);
 /// The backoff after the first failure. It doubles with each further failure.
 const BACKOFF_MIN: Duration = Duration::from_millis(250);
 /// The backoff after a rejection, when the endpoint is full or loads weights. A
@@ -81,6 +137,40 @@
             failures: 0,
             missing_until: None,
             is_evacuated: false,
+            cold: cold::Endpoint::default(),
+            cold_terms: cold::Terms::default(),
+        }
+    }
+
+    /// Returns whether this VM takes the endpoint for cold at `now`.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        self.cold.is_cold(self.cold_terms, time_of(now))
+    }
+
+    /// Returns whether each request to the endpoint needs a permit at `now`.
+    pub fn needs_permit(&self, now: Instant) -> bool {
+        self.rate_limit.is_some() || self.is_cold(now)
+    }
+
+    /// Records for how much longer the endpoint states that it is cold.
+    fn record_stated_cold(&mut self, left: Duration, now: Instant) {
+        let was_cold = self.is_cold(now);
+        self.cold.record_stated(left, time_of(now));
+        self.log_cold(was_cold, "stated", now);
+    }
+
+    /// Records an event after which the endpoint is cold for a time.
+    fn record_start(&mut self, cause: &str, now: Instant) {
+        let was_cold = self.is_cold(now);
+        self.cold.record_start(time_of(now));
+        self.log_cold(was_cold, cause, now);
+    }
+
+    fn log_cold(&self, was_cold: bool, cause: &str, now: Instant) {
+        if !was_cold && self.is_cold(now) {
+            let (id, per_s) = (self.id.as_str(), self.cold_terms.per_s);
+            let stated_ms = self.record.cold_left.as_millis() as u64;
+            spdlog::info!("endpoint is cold", kv: { endpoint = id, cause, per_s, stated_ms });
         }
     }
 
@@ -172,9 +262,81 @@
     /// The newest version that a trainer named for each model.
     pub versions: Map<String, u64>,
     evacuations: Evacuations,
+    /// How far requests to cold endpoints may exceed the rate of their service.
+    pub cold_bounds: cold::Bounds,
 }
 
 impl Facts {
+    /// Returns what `service` states about cold endpoints.
+    fn cold_terms(&self, service: &str) -> cold::Terms {
+        let services = self.config.iter().flat_map(|config| &config.services);
+        let mut named = services.filter(|known| known.name == service);
+        named
+            .next()
+            .map_or(cold::Terms::default(), |service| cold::Terms {
+                cold_time: service.cold_time(),
+                per_s: service.cold_per_s(),
+            })
+    }
+
+    /// Returns the number of endpoints that this VM takes for cold.
+    pub fn count_cold(&self, now: Instant) -> usize {
+        let endpoints = self.endpoints.values();
+        endpoints.filter(|endpoint| endpoint.is_cold(now)).count()
+    }
+
+    /// Returns what decides how many permits there are for the endpoint `key`, or
+    /// `None` if it needs none.
+    pub fn permit_terms(&self, key: Key, now: Instant) -> Option<PermitTerms> {
+        let endpoint = self.endpoints.get(key)?;
+        endpoint.needs_permit(now).then(|| PermitTerms {
+            endpoint: endpoint.id.clone(),
+            limit: endpoint.rate_limit,
+            cold_per_s: endpoint.is_cold(now).then_some(endpoint.cold_terms.per_s),
+        })
+    }
+
+    /// Returns the requests per second that the endpoint `id` bears, if this VM
+    /// takes it for cold.
+    pub fn cold_per_s(&self, id: &str, now: Instant) -> Option<f64> {
+        self.permit_terms(self.key(id)?, now)?.cold_per_s
+    }
+
+    /// Records that a permit to send one request to the endpoint `key` was granted.
+    pub fn record_permit(&mut self, key: Key, now: Instant) {
+        if let Some(endpoint) = self.endpoints.get_mut(key) {
+            endpoint.cold.grant(time_of(now));
+        }
+    }
+
+    /// Records that a request is sent now to `endpoint`, whose key is `key`.
+    ///
+    /// # Errors
+    ///
+    /// The reason if it must not be sent.
+    pub fn record_sent(
+        &mut self,
+        key: Key,
+        endpoint: &Endpoint,
+        now: Instant,
+    ) -> Result<(), Withheld> {
+        if self.is_evacuated(key, endpoint) {
+            return Err(Withheld::Evacuated);
+        }
+        let bounds = self.cold_bounds;
+        let Some(known) = self.endpoints.get_mut(key) else {
+            return Ok(());
+        };
+        let sent = known.cold.send(known.cold_terms, bounds, time_of(now));
+        sent.map_err(|refusal| {
+            known.denied_until = Some(now + COLD_PAUSE);
+            match refusal {
+                Refusal::NoPermit => Withheld::NoPermit,
+                Refusal::OwnBound => Withheld::OwnBound,
+            }
+        })
+    }
+
     /// Makes all failure domains count as evacuated until
     /// [`set_evacuated`](Self::set_evacuated) is called for the first time.
     pub fn await_evacuations(&mut self) {
@@ -203,9 +365,15 @@
     }
 
     fn replace_evacuations(&mut self, evacuations: Evacuations) {
+        let were_known = matches!(self.evacuations, Evacuations::Known(_));
         self.evacuations = evacuations;
+        let now = Instant::now();
         for endpoint in self.endpoints.values_mut() {
+            let was_evacuated = endpoint.is_evacuated;
             endpoint.is_evacuated = self.evacuations.has(&endpoint.record.failure_domain);
+            if were_known && was_evacuated && !endpoint.is_evacuated {
+                endpoint.record_start("evacuation ended", now);
+            }
         }
     }
 
@@ -228,13 +396,17 @@
         }) && has_any
     }
 
-    /// Records that nothing was sent to the endpoint `key`, since its failure domain
-    /// is evacuated. A gateway may know so before this VM does, so the other endpoints
-    /// there back off too.
-    pub fn record_evacuated(&mut self, key: Key, now: Instant) {
+    /// Records that an attempt was not sent to the endpoint `key`, since this VM or a
+    /// gateway withheld it. A gateway may know of an evacuation before this VM does, so
+    /// the other endpoints there back off too.
+    pub fn record_withheld(&mut self, key: Key, now: Instant) {
         let Some(known) = self.endpoints.get(key) else {
             return;
         };
+        // It is cold, and left out for a moment by itself.
+        if known.is_denied(now) {
+            return;
+        }
         let domain = known.record.failure_domain.clone();
         for endpoint in self.endpoints.values_mut() {
             if endpoint.record.failure_domain == domain {
@@ -252,12 +424,19 @@
         }
         self.accounts = config.keys();
         self.config = Some(Rc::new(config));
+        let services = self.endpoints.values().map(|e| e.record.service.clone());
+        let terms: Vec<_> = services.map(|service| self.cold_terms(&service)).collect();
+        for (endpoint, terms) in self.endpoints.values_mut().zip(terms) {
+            endpoint.cold_terms = terms;
+        }
         true
     }
 
     /// Adds or replaces the record of the endpoint `id`. Returns whether the
     /// endpoint is new or was restarted.
     pub fn put_endpoint(&mut self, id: &str, record: Record) -> bool {
+        let now = Instant::now();
+        let cold_terms = self.cold_terms(&record.service);
         if let Some(key) = self.by_id.get(id)
             && let Some(known) = self.endpoints.get_mut(*key)
         {
@@ -267,7 +446,9 @@
                 && known.record.software == record.software;
             if is_same {
                 known.is_evacuated = self.evacuations.has(&record.failure_domain);
+                known.cold_terms = cold_terms;
                 known.record = record;
+                known.record_stated_cold(known.record.cold_left, now);
                 return false;
             }
             let key = *key;
@@ -275,6 +456,13 @@
         }
         let mut endpoint = Endpoint::new(id, record);
         endpoint.is_evacuated = self.evacuations.has(&endpoint.record.failure_domain);
+        endpoint.cold_terms = cold_terms;
+        endpoint.record_stated_cold(endpoint.record.cold_left, now);
+        // An endpoint of the first list may have run for long. Its record states
+        // whether it is cold.
+        if self.endpoints_known_since.is_some() {
+            endpoint.record_start("started", now);
+        }
         let key = self.endpoints.insert(endpoint);
         self.by_id.insert(id.to_string(), key);
         true
@@ -385,6 +573,9 @@
             endpoint.load = Some((running.saturating_add(waiting), now));
         }
         endpoint.responded_at = Some(now);
+        if let Some(left) = header::parse_cold(headers) {
+            endpoint.record_stated_cold(left, now);
+        }
         match header::parse_rate_limit(headers) {
             Ok(Some(per_s)) => endpoint.set_rate_limit(per_s, now),
             Ok(None) => endpoint.end_rate_limit(),
@@ -411,11 +602,10 @@
         }
     }
 
-    /// Returns the id and the rate limit of the endpoint `key`, or `None` if it
-    /// has no limit.
-    pub fn rate_limit(&self, key: Key) -> Option<(String, RateLimit)> {
-        let endpoint = self.endpoints.get(key)?;
-        Some((endpoint.id.clone(), endpoint.rate_limit?))
+    /// Returns whether each request to the endpoint `key` needs a permit.
+    pub fn needs_permit(&self, key: Key, now: Instant) -> bool {
+        let endpoint = self.endpoints.get(key);
+        endpoint.is_some_and(|endpoint| endpoint.needs_permit(now))
     }
 
     /// Returns the requests per second in the last response of the endpoint
--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -212,9 +212,9 @@
     NotRun(&'static str),
     /// The request was not sent, since no permit was granted for the endpoint.
     Denied,
-    /// The request was not sent, since the failure domain of the endpoint is
-    /// evacuated.
-    Evacuated,
+    /// The request was not sent, since the failure domain of the endpoint is evacuated,
+    /// or a cold endpoint bears no more for now.
+    Withheld,
     /// The request was not sent, since no connection could be opened.
     Unreached(http::Error),
     /// The endpoint may have run the request, but no answer arrived.
@@ -228,7 +228,7 @@
             Self::Answered(_) => "answered",
             Self::NotRun(_) => "not-run",
             Self::Denied => "denied",
-            Self::Evacuated => "evacuated",
+            Self::Withheld => "withheld",
             Self::Unreached(_) => "unreached",
             Self::Unknown(_) => "unknown",
         }
@@ -399,7 +399,7 @@
                 Some(None)
             }
             Err(e) if e.kind() == error::Kind::Fenced => {
-                self.facts.borrow_mut().record_evacuated(key, now);
+                self.facts.borrow_mut().record_withheld(key, now);
                 outcome.rejections += 1;
                 Some(None)
             }
@@ -483,7 +483,7 @@
                 outcome.endpoint = self.endpoint_id(key);
             }
             match attempt {
-                Attempt::NotRun(_) | Attempt::Evacuated | Attempt::Unreached(_) => {
+                Attempt::NotRun(_) | Attempt::Withheld | Attempt::Unreached(_) => {
                     outcome.rejections += 1;
                 }
                 Attempt::Denied => outcome.denials += 1,
@@ -562,7 +562,7 @@
         self.metrics
             .record_attempt(&endpoint.record.service, attempt.name());
         let now = Instant::now();
-        if let Attempt::NotRun(_) | Attempt::Evacuated | Attempt::Unreached(_) = &attempt {
+        if let Attempt::NotRun(_) | Attempt::Withheld | Attempt::Unreached(_) = &attempt {
             entry.cancel();
         }
         let (request, id) = (dispatch.id.as_str(), endpoint.id.as_str());
@@ -577,7 +577,7 @@
             // The permits log it.
             Attempt::Denied => {}
             // The paths log it.
-            Attempt::Evacuated => self.facts.borrow_mut().record_evacuated(key, now),
+            Attempt::Withheld => self.facts.borrow_mut().record_withheld(key, now),
             Attempt::NotRun(reason) => {
                 let reason = *reason;
                 let backoff = self
@@ -732,7 +732,7 @@
 fn classify(response: Result<Fetched, http::Error>) -> Attempt {
     let response = match response {
         Ok(response) => response,
-        Err(e) if e.kind() == error::Kind::Fenced => return Attempt::Evacuated,
+        Err(e) if e.kind() == error::Kind::Fenced => return Attempt::Withheld,
         Err(e) if e.is_unsent() => return Attempt::Unreached(e),
         Err(e) => return Attempt::Unknown(e),
     };
--- a/crates/site/src/gateway.rs
+++ b/crates/site/src/gateway.rs
@@ -6,7 +6,11 @@
 //! cancelled. The gateway is served to VMs only, and forwards to the endpoints
 //! that it knows only.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use link::{
     HeaderMap, HeaderName, StatusCode,
@@ -183,12 +187,22 @@
         let id = request
             .header(header::REQUEST_ID.as_str())
             .unwrap_or_default();
-        if !is_permitted && !self.permits.acquire(key, id).await {
+        if is_permitted {
+            let mut facts = self.facts.borrow_mut();
+            facts.record_permit(key, Instant::now());
+        } else if !self.permits.acquire(key, id).await {
             return Err(Error::new(Kind::Connect, "no permit for the endpoint"));
         }
         let call = observed(decode(request, id), &self.facts, key);
         let sent = self.paths.send_directly(key, &endpoint, call).await;
-        let response = sent?;
+        let response = sent.map_err(|e| {
+            let is_evacuated = self.facts.borrow().is_evacuated(key, &endpoint);
+            match e.kind() {
+                // The other VM leaves the whole failure domain out after a fence.
+                Kind::Fenced if !is_evacuated => Error::new(Kind::Connect, e),
+                _ => e,
+            }
+        })?;
         // A rejection of the second sending does not hold for the first.
         is_rejected(response.status, &response.headers, response.is_repeated)?;
         Ok(response)
--- a/crates/site/src/job/attempt.rs
+++ b/crates/site/src/job/attempt.rs
@@ -67,8 +67,9 @@
     Rejected,
     /// No permit was granted for the endpoint.
     Denied,
-    /// The item was not sent, since the failure domain of the endpoint is evacuated.
-    Evacuated,
+    /// The item was not sent, since the failure domain of the endpoint is evacuated, or a
+    /// cold endpoint bears no more for now.
+    Withheld,
     /// No connection to the endpoint could be opened.
     Unreachable(String),
     /// The endpoint responded with status 500.
@@ -86,7 +87,7 @@
             Self::Moved => "moved",
             Self::Rejected => "not-run",
             Self::Denied => "denied",
-            Self::Evacuated => "evacuated",
+            Self::Withheld => "withheld",
             Self::Unreachable(_) => "unreached",
             Self::Failed => "failed",
             Self::Unprocessable => "never",
@@ -152,7 +153,7 @@
         let result = self.paths.send(key, &endpoint, call).await;
         let waited_ms = start.elapsed().as_millis() as u64;
         let attempt = match result {
-            Err(e) if e.kind() == error::Kind::Fenced => Attempt::Evacuated,
+            Err(e) if e.kind() == error::Kind::Fenced => Attempt::Withheld,
             Err(e) if e.is_unsent() => Attempt::Unreachable(e.to_string()),
             Err(e) => Attempt::Interrupted(e.to_string()),
             Ok(response) => {
@@ -181,7 +182,7 @@
             // The permits log it.
             Attempt::Denied => {}
             // The paths log it.
-            Attempt::Evacuated => self.facts.borrow_mut().record_evacuated(key, now),
+            Attempt::Withheld => self.facts.borrow_mut().record_withheld(key, now),
             Attempt::Rejected => {
                 self.facts.borrow_mut().record_rejection(key, now);
                 spdlog::info!("item rejected by endpoint without running it", kv: { item, job, endpoint = id, last });
--- a/crates/site/src/job/executor.rs
+++ b/crates/site/src/job/executor.rs
@@ -487,7 +487,7 @@
                 Attempt::Interrupted(_)
                 | Attempt::Rejected
                 | Attempt::Denied
-                | Attempt::Evacuated
+                | Attempt::Withheld
                 | Attempt::Unreachable(_) => return retry(pending),
             }
             let score = match &item.scorer {
--- a/crates/site/src/metrics.rs
+++ b/crates/site/src/metrics.rs
@@ -31,6 +31,7 @@
     quarantined_requests: Counter<u64>,
     evacuated_domains: Gauge<u64>,
     withheld_attempts: Counter<u64>,
+    cold_endpoints: Gauge<u64>,
     store_calls: Gauge<u64>,
     endpoints: Gauge<u64>,
     usage_omitted_requests: Counter<u64>,
@@ -59,6 +60,7 @@
             quarantined_requests: telemetry.counter("tarragonseam_quarantined_requests"),
             evacuated_domains: meter.u64_gauge("tarragonseam_evacuated_domains").build(),
             withheld_attempts: telemetry.counter("tarragonseam_withheld_attempts"),
+            cold_endpoints: meter.u64_gauge("tarragonseam_cold_endpoints").build(),
             store_calls: meter.u64_gauge("tarragonseam_store_calls").build(),
             endpoints: meter.u64_gauge("tarragonseam_endpoints").build(),
             usage_omitted_requests: telemetry.counter("tarragonseam_usage_omitted_requests"),
@@ -136,10 +138,11 @@
     }
 
     /// Returns the page with all metrics, with the current number of calls to
-    /// the store and of endpoints.
-    pub fn page(&self, store_calls: u64, endpoints: usize) -> Reply {
+    /// the store, of endpoints and of cold ones.
+    pub fn page(&self, store_calls: u64, endpoints: usize, cold_endpoints: usize) -> Reply {
         self.0.store_calls.record(store_calls, &[]);
         self.0.endpoints.record(endpoints as u64, &[]);
+        self.0.cold_endpoints.record(cold_endpoints as u64, &[]);
         self.0.telemetry.metrics_page()
     }
 }
--- a/crates/site/src/path.rs
+++ b/crates/site/src/path.rs
@@ -28,7 +28,7 @@
 
 use crate::{
     ask,
-    facts::{Endpoint, Facts, Key},
+    facts::{Endpoint, Facts, Key, Withheld},
     gateway::{self, Check, Checked, Refusal},
     member::Members,
     metrics::Metrics,
@@ -150,7 +150,7 @@
     /// # Errors
     ///
     /// As [`Pool::send`], with the error of the gateway if there is one.
-    /// [`Kind::Fenced`] if the failure domain of the endpoint is evacuated.
+    /// [`Kind::Fenced`] if it must not be sent ([`Facts::record_sent`]).
     pub async fn send(
         &self,
         key: Key,
@@ -164,7 +164,7 @@
             let Some(gateway) = self.gateway().await else {
                 break;
             };
-            let is_permitted = self.0.facts.borrow().rate_limit(key).is_some();
+            let is_permitted = self.0.facts.borrow().needs_permit(key, Instant::now());
             let forwarded = shortened(call.clone(), start.elapsed());
             let limit = forwarded.time_limit().saturating_sub(GATEWAY_MARGIN);
             let forwarded = gateway::encode(forwarded, &endpoint.id, is_permitted)
@@ -178,9 +178,7 @@
                     Some(Refusal::Failed(e)) => return Err(e),
                     Some(Refusal::Unavailable) => "it forwards nothing".to_string(),
                 },
-                Err(e) if e.kind() == Kind::Fenced => {
-                    return Err(self.withheld(endpoint, &call, e));
-                }
+                Err(e) if e.kind() == Kind::Fenced => return Err(e),
                 Err(e) if e.is_unsent() => e.to_string(),
                 Err(e) => {
                     let problem = e.to_string();
@@ -234,56 +232,52 @@
         let call = self
             .with_condition(key, endpoint, call)
             .on_connect(move |is_open| paths.record_connect(key, &id, is_open));
-        let sent = self
-            .0
-            .pool
-            .send(endpoint.record.address, call.clone())
-            .await;
-        sent.map_err(|e| match e.kind() {
-            Kind::Fenced => self.withheld(endpoint, &call, e),
-            _ => e,
-        })
+        self.0.pool.send(endpoint.record.address, call).await
     }
 
-    /// Returns whether the failure domain of `endpoint` is evacuated.
-    fn is_evacuated(&self, key: Key, endpoint: &Endpoint) -> bool {
-        self.0.facts.borrow().is_evacuated(key, endpoint)
-    }
-
-    /// Returns `call` with the condition that the failure domain of `endpoint` is not
-    /// evacuated. All that this VM sends to endpoints has it, since an evacuation may
-    /// begin between the choice of the endpoint and the sending.
+    /// Returns `call` with the condition that it may be sent to `endpoint` now. All
+    /// that this VM sends to endpoints has it: between the choice of the endpoint and
+    /// the sending, an evacuation may begin, the endpoint may become cold, and a permit
+    /// may expire.
     fn with_condition(&self, key: Key, endpoint: &Endpoint, call: Call) -> Call {
-        let (paths, endpoint) = (self.clone(), endpoint.clone());
-        call.condition(move || !paths.is_evacuated(key, &endpoint))
+        let (paths, endpoint, request) = (self.clone(), endpoint.clone(), request_id(&call));
+        call.condition(move || {
+            let mut facts = paths.0.facts.borrow_mut();
+            let sent = facts.record_sent(key, &endpoint, Instant::now());
+            drop(facts);
+            match sent {
+                Ok(()) => true,
+                Err(reason) => {
+                    paths.record_withheld(&endpoint, &request, reason);
+                    false
+                }
+            }
+        })
     }
 
-    /// Checks the condition before a connection is opened.
+    /// Checks the evacuations before a connection is opened.
     fn check_evacuations(
         &self,
         key: Key,
         endpoint: &Endpoint,
         call: &Call,
     ) -> Result<(), http::Error> {
-        if !self.is_evacuated(key, endpoint) {
+        if !self.0.facts.borrow().is_evacuated(key, endpoint) {
             return Ok(());
         }
-        let error = http::Error::new(Kind::Fenced, "its failure domain is evacuated");
-        Err(self.withheld(endpoint, call, error))
+        self.record_withheld(endpoint, &request_id(call), Withheld::Evacuated);
+        let detail = "the failure domain of the endpoint is evacuated";
+        Err(http::Error::new(Kind::Fenced, detail))
     }
 
-    /// Records that `call` was not sent, since the failure domain of `endpoint` is
-    /// evacuated.
-    fn withheld(&self, endpoint: &Endpoint, call: &Call, error: http::Error) -> http::Error {
-        self.0.metrics.record_withheld_attempt("evacuated");
-        let request = call.header_map().get(header::REQUEST_ID);
-        let request = request.and_then(|id| id.to_str().ok()).unwrap_or_default();
+    fn record_withheld(&self, endpoint: &Endpoint, request: &str, reason: Withheld) {
+        let reason = reason.name();
+        self.0.metrics.record_withheld_attempt(reason);
         let (id, domain) = (
             endpoint.id.as_str(),
             endpoint.record.failure_domain.as_str(),
         );
-        spdlog::info!("attempt not sent, the failure domain of its endpoint is evacuated", kv: { request, endpoint = id, domain });
-        error
+        spdlog::info!("attempt not sent to its endpoint", kv: { request, endpoint = id, domain, reason });
     }
 
     fn record_connect(&self, key: Key, endpoint: &str, is_open: bool) {
@@ -519,9 +513,15 @@
     }
 }
 
+/// Returns the id of the request that `call` sends, or an empty string.
+fn request_id(call: &Call) -> String {
+    let id = call.header_map().get(header::REQUEST_ID);
+    let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+    id.to_string()
+}
+
 fn log_forwarded(call: &Call, endpoint: &Endpoint, gateway: SocketAddr) {
-    let request = call.header_map().get(header::REQUEST_ID);
-    let request = request.and_then(|id| id.to_str().ok()).unwrap_or_default();
+    let request = request_id(call);
     let (endpoint, vm) = (endpoint.id.as_str(), gateway.to_string());
     spdlog::info!("attempt sent through another VM", kv: { request, endpoint, vm });
 }
--- a/crates/site/src/permit.rs
+++ b/crates/site/src/permit.rs
@@ -1,4 +1,4 @@
-//! Permits to send requests to endpoints that name a rate limit.
+//! Permits to send requests to endpoints that name a rate limit, or that are cold.
 //!
 //! The limit holds for the requests of all VMs together, so a VM asks the
 //! coordinators for a permit before each request. They need neither the store
@@ -23,7 +23,7 @@
 use crate::{
     ask,
     coordinator::Coordinators,
-    facts::{Facts, Key, RateLimit},
+    facts::{Facts, Key, PermitTerms},
     metrics::Metrics,
 };
 
@@ -42,10 +42,14 @@
     struct Ask {
         /// The id of the endpoint.
         endpoint: String,
-        /// The limit that the endpoint named, in requests per second.
+        /// The limit that the endpoint named, in requests per second, or what it bears
+        /// while it is cold if that is less.
         per_s: f64,
-        /// The age of the response that named it, in milliseconds.
+        /// The age of the response that named it, in milliseconds; 0 if none did.
         age_ms: u64,
+        /// The requests per second that the endpoint bears, if it is cold.
+        #[serde(default)]
+        cold_per_s: Option<f64>,
     }
 }
 
@@ -60,6 +64,19 @@
     }
 }
 
+impl Ask {
+    fn new(terms: PermitTerms) -> Self {
+        let rates = [terms.limit.map(|limit| limit.per_s), terms.cold_per_s];
+        let age = terms.limit.map(|limit| limit.named_at.elapsed());
+        Self {
+            endpoint: terms.endpoint,
+            per_s: rates.into_iter().flatten().fold(f64::MAX, f64::min),
+            age_ms: age.unwrap_or_default().as_millis() as u64,
+            cold_per_s: terms.cold_per_s,
+        }
+    }
+}
+
 /// A VM that grants permits.
 #[derive(Clone, Copy, Debug)]
 enum Coordinator {
@@ -109,30 +126,32 @@
     /// not, [`placement`](crate::placement) leaves the endpoint out until a
     /// permit is expected.
     pub async fn acquire(&self, key: Key, request: &str) -> bool {
-        let named = self.0.facts.borrow().rate_limit(key);
-        let Some((endpoint, RateLimit { per_s, named_at })) = named else {
+        let terms = self.0.facts.borrow().permit_terms(key, Instant::now());
+        let Some(terms) = terms else {
             return true;
         };
-        let ask = Ask {
-            endpoint,
-            per_s,
-            age_ms: named_at.elapsed().as_millis() as u64,
-        };
+        let is_cold = terms.cold_per_s.is_some();
+        let mut ask = Ask::new(terms);
         let mut wait = None;
         for coordinator in self.ranked_coordinators(&ask.endpoint) {
-            let grant = match coordinator {
-                Coordinator::Own => Some(self.grant(&ask)),
-                Coordinator::Other(vm) => self.ask(vm, &ask).await,
-            };
+            let mut grant = self.call(coordinator, &ask).await;
+            if grant.as_ref().is_some_and(|grant| grant.is_ended) {
+                self.0.facts.borrow_mut().end_rate_limit(key);
+                let terms = self.0.facts.borrow().permit_terms(key, Instant::now());
+                let Some(terms) = terms else {
+                    return true;
+                };
+                // It is still cold, so what it bears then decides alone.
+                ask = Ask::new(terms);
+                grant = self.call(coordinator, &ask).await;
+            }
             let Some(grant) = grant else {
                 continue;
             };
-            if grant.is_ended {
-                self.0.facts.borrow_mut().end_rate_limit(key);
-                return true;
-            }
             if grant.wait_ms == 0 {
                 self.0.metrics.record_permit("granted");
+                let mut facts = self.0.facts.borrow_mut();
+                facts.record_permit(key, Instant::now());
                 return true;
             }
             let stated = Duration::from_millis(grant.wait_ms);
@@ -145,10 +164,26 @@
         let until = Instant::now() + wait;
         self.0.facts.borrow_mut().record_denial(key, until);
         let (endpoint, wait_ms) = (ask.endpoint.as_str(), wait.as_millis() as u64);
-        spdlog::info!("no permit for an endpoint with a rate limit", kv: { request, endpoint, per_s, is_answered, wait_ms });
+        let per_s = ask.per_s;
+        spdlog::info!("no permit for an endpoint with a rate limit", kv: { request, endpoint, per_s, is_cold, is_answered, wait_ms });
         false
     }
 
+    /// As [`acquire`](Self::acquire), for an order or the read of a state, to which a
+    /// rate limit does not apply.
+    pub(crate) async fn acquire_if_cold(&self, key: Key, request: &str) -> bool {
+        let terms = self.0.facts.borrow().permit_terms(key, Instant::now());
+        let is_cold = terms.is_some_and(|terms| terms.cold_per_s.is_some());
+        !is_cold || self.acquire(key, request).await
+    }
+
+    async fn call(&self, coordinator: Coordinator, ask: &Ask) -> Option<Grant> {
+        match coordinator {
+            Coordinator::Own => Some(self.grant(ask)),
+            Coordinator::Other(vm) => self.ask(vm, ask).await,
+        }
+    }
+
     /// Returns the coordinators to ask in turn: this VM first if it is one, and
     /// the others in an order that differs by VM and endpoint, which spreads
     /// the requests over them. Without seeds, this VM is the only one.
@@ -191,6 +226,14 @@
             };
             per_s = limit;
         }
+        let own = self
+            .0
+            .facts
+            .borrow()
+            .cold_per_s(&ask.endpoint, Instant::now());
+        let cold_per_s = [ask.cold_per_s, own].into_iter().flatten();
+        let is_cold = ask.cold_per_s.is_some() || own.is_some();
+        let per_s = cold_per_s.fold(per_s, f64::min);
         let now = self.0.clock.now();
         let mut buckets = self.0.buckets.borrow_mut();
         if !buckets.contains_key(&ask.endpoint) {
@@ -199,7 +242,12 @@
         let bucket = buckets
             .entry(ask.endpoint.clone())
             .or_insert_with(|| Bucket::new(now));
-        let wait = match bucket.take(per_s, self.0.coordinators.count(), now) {
+        let coordinators = self.0.coordinators.count();
+        let taken = match is_cold {
+            true => bucket.take_unsaved(per_s, coordinators, now),
+            false => bucket.take(per_s, coordinators, now),
+        };
+        let wait = match taken {
             Ok(()) => 0,
             Err(wait) => (wait.as_millis() as u64).max(1),
         };
--- a/crates/site/src/placement.rs
+++ b/crates/site/src/placement.rs
@@ -45,7 +45,7 @@
 ///
 /// Endpoints that are backing off are chosen only when all endpoints are.
 /// Among the others, the order is: the fastest at the model, then the least
-/// loaded, then the nearest. Speed comes before load because a batch hardly
+/// loaded, then the nearest. While some are cold, [`cold_rank`] comes first. Speed comes before load because a batch hardly
 /// slows its requests down as long as none of them is queued.
 pub fn choose(facts: &Facts, criteria: Criteria<'_>, now: Instant) -> Option<Key> {
     let best_latency = criteria
@@ -57,6 +57,7 @@
     if let Some((key, endpoint)) = preferred
         && is_usable(endpoint, criteria, now)
         && !endpoint.is_backing_off(now)
+        && !endpoint.is_cold(now)
         && slowness(endpoint, criteria, best_latency, now) == 0
         && load_permille(endpoint, now) < PREFERRED_LOAD_PERMILLE
     {
@@ -65,11 +66,20 @@
     let usable = facts.endpoints.iter().filter(|(key, endpoint)| {
         !criteria.tried.contains(key) && is_usable(endpoint, criteria, now)
     });
+    let has_cold = facts
+        .endpoints
+        .values()
+        .any(|endpoint| endpoint.record.service == criteria.service && endpoint.is_cold(now));
     let chosen = usable.min_by_key(|(key, endpoint)| {
         let is_far = endpoint.record.failure_domain != criteria.domain;
         let slowness = slowness(endpoint, criteria, best_latency, now);
         let rank = (
             endpoint.is_backing_off(now),
+            if has_cold {
+                cold_rank(endpoint, now)
+            } else {
+                0
+            },
             slowness,
             load_permille(endpoint, now),
             is_far,
@@ -108,7 +118,9 @@
         seconds.is_some_and(|seconds| seconds <= limit)
     });
     faster.any(|(_, other)| {
-        is_usable(other, criteria, now) && load_permille(other, now) < PREFERRED_LOAD_PERMILLE
+        is_usable(other, criteria, now)
+            && !other.is_cold(now)
+            && load_permille(other, now) < PREFERRED_LOAD_PERMILLE
     })
 }
 
@@ -152,13 +164,23 @@
     if !is_suitable(endpoint, criteria) || endpoint.is_denied(now) {
         return false;
     }
-    if criteria.avoids_limits && endpoint.rate_limit.is_some() {
+    if criteria.avoids_limits && endpoint.needs_permit(now) {
         return false;
     }
     let is_full = endpoint.in_flight >= endpoint.record.slots;
     !criteria.may_wait || !(is_full || endpoint.is_backing_off(now))
 }
 
+/// Returns the rank of an endpoint while some endpoints are cold: warm ones with free
+/// slots come first, then cold ones, which bear few requests, then full ones.
+fn cold_rank(endpoint: &Endpoint, now: Instant) -> u8 {
+    match (load_permille(endpoint, now) < 1000, endpoint.is_cold(now)) {
+        (true, false) => 0,
+        (true, true) => 1,
+        (false, _) => 2,
+    }
+}
+
 /// Returns the number of requests at an endpoint in thousandths of its slots.
 pub fn load_permille(endpoint: &Endpoint, now: Instant) -> u32 {
     let reported = match endpoint.load {
--- a/crates/site/src/vm.rs
+++ b/crates/site/src/vm.rs
@@ -140,7 +140,11 @@
     let store = components.jobs.store.clone();
     let page = move |request: &Request| match request.uri.path() {
         "/fault" if has_test_faults => fault::answer(request),
-        _ => metrics.page(store.call_count(), facts.borrow().endpoints.len()),
+        _ => {
+            let facts = facts.borrow();
+            let cold = facts.count_cold(Instant::now());
+            metrics.page(store.call_count(), facts.endpoints.len(), cold)
+        }
     };
     monoio::spawn(server::serve_pages(listener, page));
     Ok(())
--- a/crates/site/tests/common/record.rs
+++ b/crates/site/tests/common/record.rs
@@ -1,5 +1,7 @@
 //! Records of jobs and endpoints for tests without processes.
 
+use std::time::Duration;
+
 use platform::{
     batch::{Outcome, Sample},
     endpoint,
@@ -46,5 +48,6 @@
         is_spot: false,
         versions: versions.iter().map(|(m, v)| (m.to_string(), *v)).collect(),
         started_ms: 1,
+        cold_left: Duration::ZERO,
     }
 }
--- a/crates/site/tests/placement.rs
+++ b/crates/site/tests/placement.rs
@@ -316,3 +316,39 @@
     facts.await_evacuations();
     assert!(facts.are_evacuations_known());
 }
+
+/// Guards against requests that go to a cold endpoint while a warm one has free slots,
+/// and to a full one while a cold one has.
+#[test]
+fn warm_endpoints_before_cold_ones_before_full_ones() {
+    let (mut facts, keys) = facts(&[Some(FAST_EVENT), Some(SLOW_EVENT)]);
+    let config = serde_json::json!({"version": 1, "services": [
+        {"name": "writer", "cold-start-s": 3.0, "cold-per-s": 14.0},
+    ]});
+    assert!(facts.set_config(serde_json::from_value(config).unwrap()));
+    let now = Instant::now();
+    let chosen = |facts: &Facts, may_wait| {
+        let criteria = Criteria {
+            preferred: Some(keys[0]),
+            may_wait,
+            ..criteria()
+        };
+        placement::choose(facts, criteria, now)
+    };
+    assert_eq!(chosen(&facts, false), Some(keys[0]));
+    let mut record = facts.endpoints[keys[0]].record.clone();
+    record.cold_left = Duration::from_secs(60);
+    facts.put_endpoint("e0", record);
+    assert_eq!(facts.count_cold(now), 1);
+    for may_wait in [false, true] {
+        assert_eq!(chosen(&facts, may_wait), Some(keys[1]));
+    }
+    facts.endpoints[keys[1]].in_flight = SLOTS;
+    for may_wait in [false, true] {
+        assert_eq!(chosen(&facts, may_wait), Some(keys[0]));
+    }
+    // Without a permit, it is left out.
+    let endpoint = facts.endpoints[keys[0]].clone();
+    assert!(facts.record_sent(keys[0], &endpoint, now).is_err());
+    assert_eq!(chosen(&facts, false), Some(keys[1]));
+}
