--- a/crates/fakes/src/site/mod.rs
+++ b/crates/fakes/src/site/mod.rs
@@ -158,6 +158,8 @@
     pub load: Option<&'static str>,
     /// How long a request takes, at a plain service.
     pub work_time: Duration,
+    /// The time for which its record states that it stays cold, in milliseconds.
+    pub cold_left_ms: u64,
     /// When it last started, in the unit of its record.
     pub born: u64,
     /// Its failure domain.
@@ -312,6 +314,7 @@
         rate_limit: None,
         load: None,
         work_time: Duration::ZERO,
+        cold_left_ms: 0,
         born: 1,
         domain: "zone-a",
         software: SOFTWARE,
@@ -362,6 +365,7 @@
             "state": state,
             "models": models.collect::<Vec<Value>>(),
             "born": endpoint.born,
+            "cold-left-ms": endpoint.cold_left_ms,
         });
         self.put("servers", id, record);
     }
--- a/crates/site/src/components.rs
+++ b/crates/site/src/components.rs
@@ -5,7 +5,7 @@
 use board::hash;
 use link::http::{Limits, Memory, Pool};
 use platform::{Settings, settings::Bounds, store::Store};
-use policy::deputy;
+use policy::{cold, deputy};
 
 use crate::{
     ask,
@@ -114,6 +114,15 @@
     }
 }
 
+/// Returns how far requests to cold endpoints may exceed the rate of their service.
+fn cold_bounds(bounds: &Bounds) -> cold::Bounds {
+    let default = cold::Bounds::default();
+    cold::Bounds {
+        excess: bounds.cold_excess.unwrap_or(default.excess),
+        slack: bounds.cold_slack.unwrap_or(default.slack),
+    }
+}
+
 fn role(settings: &Settings) -> Role {
     let limits = settings.limits;
     Role {
@@ -146,6 +155,7 @@
         let coordinators = Coordinators::new(seeds, own);
         let mirror = Mirror::new(coordinators.is_seed());
         let facts: Rc<RefCell<Facts>> = Rc::default();
+        facts.borrow_mut().cold_bounds = cold_bounds(&settings.bounds);
         let metrics = Metrics::default();
         let observer = metrics.clone();
         store.set_observer(move |kind, purpose, outcome| {
@@ -245,6 +255,7 @@
             store,
             view,
             paths: paths.clone(),
+            permits: permits.clone(),
             pool,
             provider: settings.provider.address,
             usage,
--- a/crates/site/src/placement.rs
+++ b/crates/site/src/placement.rs
@@ -183,19 +183,18 @@
         Candidate {
             key,
             endpoint,
-            is_backing_off: endpoint.is_backing_off(now),
+            order: (endpoint.is_backing_off(now), cold_rank(endpoint, now)),
             finish_s: estimate::finish_s(&known, needed(facts, key, criteria)),
             has_free_slot: estimate::requests(&known) < f64::from(known.slots),
         }
     });
     let candidates: Vec<Candidate<'_>> = candidates.collect();
     let best = candidates.iter().min_by(|a, b| {
-        let by_backoff = a.is_backing_off.cmp(&b.is_backing_off);
-        by_backoff.then(a.finish_s.total_cmp(&b.finish_s))
+        let by_order = a.order.cmp(&b.order);
+        by_order.then(a.finish_s.total_cmp(&b.finish_s))
     })?;
     let equal = candidates.iter().filter(|candidate| {
-        candidate.is_backing_off == best.is_backing_off
-            && estimate::is_equal(best.finish_s, candidate.finish_s)
+        candidate.order == best.order && estimate::is_equal(best.finish_s, candidate.finish_s)
     });
     let chosen = equal.min_by_key(|candidate| {
         let held = match candidate.has_free_slot {
@@ -214,7 +213,9 @@
 struct Candidate<'a> {
     key: Key,
     endpoint: &'a Endpoint,
-    is_backing_off: bool,
+    /// Whether it is backing off, and its [`cold_rank`]. The least come first,
+    /// whatever the expected time.
+    order: (bool, u8),
     finish_s: f64,
     has_free_slot: bool,
 }
@@ -324,6 +325,7 @@
     if let Some((key, endpoint)) = preferred
         && is_usable(endpoint, criteria, now)
         && !endpoint.is_backing_off(now)
+        && !endpoint.is_cold(now)
         && slowness(endpoint, criteria, best_latency, now) == 0
         && load_permille(endpoint, now) < PREFERRED_LOAD_PERMILLE
     {
@@ -332,11 +334,20 @@
     let usable = facts.endpoints.iter().filter(|(key, endpoint)| {
         !criteria.tried.contains(key) && is_usable(endpoint, criteria, now)
     });
+    let has_cold = facts
+        .endpoints
+        .values()
+        .any(|endpoint| endpoint.record.service == criteria.service && endpoint.is_cold(now));
     let chosen = usable.min_by_key(|(key, endpoint)| {
         let is_far = endpoint.record.failure_domain != criteria.domain;
         let slowness = slowness(endpoint, criteria, best_latency, now);
         let rank = (
             endpoint.is_backing_off(now),
+            if has_cold {
+                cold_rank(endpoint, now)
+            } else {
+                0
+            },
             slowness,
             load_permille(endpoint, now),
             is_far,
@@ -378,7 +389,9 @@
         seconds.is_some_and(|seconds| seconds <= limit)
     });
     faster.any(|(_, other)| {
-        is_usable(other, criteria, now) && load_permille(other, now) < PREFERRED_LOAD_PERMILLE
+        is_usable(other, criteria, now)
+            && !other.is_cold(now)
+            && load_permille(other, now) < PREFERRED_LOAD_PERMILLE
     })
 }
 
@@ -407,7 +420,7 @@
     let usual_s = usual_s.map_or(measured_s, |usual| usual.seconds());
     let stay_s = events * (measured_s + usual_s) / 2.0;
     facts.endpoints.iter().any(|(other, endpoint)| {
-        if other == key || !is_usable(endpoint, criteria, now) {
+        if other == key || !is_usable(endpoint, criteria, now) || endpoint.is_cold(now) {
             return false;
         }
         // The new endpoint begins with the batch that follows.
@@ -467,13 +480,23 @@
     if !is_suitable(endpoint, criteria) || endpoint.is_denied(now) {
         return false;
     }
-    if criteria.avoids_limits && endpoint.rate_limit.is_some() {
+    if criteria.avoids_limits && endpoint.needs_permit(now) {
         return false;
     }
     let is_full = endpoint.in_flight >= endpoint.record.slots;
     !criteria.may_wait || !(is_full || endpoint.is_backing_off(now))
 }
 
+/// Returns the rank of an endpoint while some endpoints are cold: warm ones with free
+/// slots come first, then cold ones, which bear few requests, then full ones.
+fn cold_rank(endpoint: &Endpoint, now: Instant) -> u8 {
+    match (load_permille(endpoint, now) < 1000, endpoint.is_cold(now)) {
+        (true, false) => 0,
+        (true, true) => 1,
+        (false, _) => 2,
+    }
+}
+
 /// Returns the number of requests at an endpoint in thousandths of its slots.
 pub fn load_permille(endpoint: &Endpoint, now: Instant) -> u32 {
     let reported = match endpoint.load {
--- a/crates/site/src/vm.rs
+++ b/crates/site/src/vm.rs
@@ -149,7 +149,9 @@
         "/fault" if has_test_faults => fault::answer(request),
         _ => {
             metrics.record_callers(&drain);
-            metrics.page(store.call_count(), facts.borrow().endpoints.len())
+            let facts = facts.borrow();
+            let cold = facts.count_cold(Instant::now());
+            metrics.page(store.call_count(), facts.endpoints.len(), cold)
         }
     };
     monoio::spawn(server::serve_pages(listener, page));
