site: keep the usual time of engines beside the newest one

Cause: an engine that was measured while its machine was slow got few items from then on, so it was not measured again.

Change: the newest measurements lose their weight within 2 s, in favour of the mean over many.

--- a/crates/site/src/facts.rs
+++ b/crates/site/src/facts.rs
@@ -431,7 +431,10 @@
         let Some(endpoint) = self.endpoints.get_mut(key) else {
             return;
         };
-        let usual = endpoint.latencies.get(model).map_or(1.0, |e| e.factor());
+        let usual = endpoint
+            .latencies
+            .get(model)
+            .map_or(1.0, |e| e.usual_factor());
         let report = endpoint.report_at(now);
         let factor = usual * estimate::relative_factor(report.as_ref(), usual);
         let occupancy = endpoint.occupancy(now);
--- a/crates/site/src/latency.rs
+++ b/crates/site/src/latency.rs
@@ -14,6 +14,12 @@
 /// The weight of the newest measurement in the EWMA. An endpoint that becomes
 /// slow is recognized after three measurements.
 const EWMA_WEIGHT: f64 = 0.3;
+/// The least weight of the newest measurement in the usual time, which shows the
+/// speed of the hardware.
+const USUAL_WEIGHT_MIN: f64 = 0.05;
+/// How long the newest measurements keep about a third of their weight against the
+/// usual time.
+const NEWEST_FADE_S: f64 = 2.0;
 /// The relative difference in latency that makes one step of slowness.
 /// Endpoints of the same speed differ by a few hundredths. Endpoints of
 /// different speed differ by a quarter or more.
@@ -34,6 +40,12 @@
     factor: f64,
     /// The mean slowdown by other requests during the measurements.
     slowdown: f64,
+    /// The mean time for one event over many measurements, without the slowdown.
+    usual_event_s: f64,
+    /// The mean momentary factor over as many measurements.
+    usual_factor: f64,
+    /// The number of measurements.
+    count: u32,
     /// The time for one event while less than half of the slots are in use.
     light_event_s: Option<f64>,
     /// When the newest measurement was made.
@@ -90,6 +102,9 @@
             event_s: newest,
             factor: conditions.factor,
             slowdown: conditions.slowdown,
+            usual_event_s: 0.0,
+            usual_factor: 0.0,
+            count: 0,
             light_event_s: None,
             measured_at,
         });
@@ -98,7 +113,13 @@
             Some(known) => Some(average(known, newest / conditions.factor)),
             None => Some(newest / conditions.factor),
         };
+        let count = known.count.saturating_add(1);
+        let weight = (1.0 / f64::from(count)).max(USUAL_WEIGHT_MIN);
+        let usual = |known: f64, newest: f64| known + weight * (newest - known);
         let estimate = Estimate {
+            usual_event_s: usual(known.usual_event_s, newest / conditions.slowdown),
+            usual_factor: usual(known.usual_factor, conditions.factor),
+            count,
             event_s: average(known.event_s, newest),
             factor: average(known.factor, conditions.factor),
             slowdown: average(known.slowdown, conditions.slowdown),
@@ -120,15 +141,21 @@
         self.event_s
     }
 
-    /// Returns the estimated seconds for one event without other requests, under
-    /// the usual factor.
-    pub fn undisturbed_seconds(&self) -> f64 {
-        self.event_s / self.slowdown.max(1.0)
+    /// Returns the estimated seconds for one event at `now` without other
+    /// requests, under the usual factor. The newest measurements lose their weight
+    /// with age: an endpoint that gets no requests because of them would never be
+    /// measured again.
+    pub fn undisturbed_seconds(&self, now: Instant) -> f64 {
+        let newest = self.event_s / self.slowdown.max(1.0);
+        let newest = newest * self.usual_factor / self.factor.max(f64::MIN_POSITIVE);
+        let age = now.saturating_duration_since(self.measured_at);
+        let weight = (-age.as_secs_f64() / NEWEST_FADE_S).exp();
+        self.usual_event_s + (newest - self.usual_event_s) * weight
     }
 
-    /// Returns the mean momentary factor during the measurements.
-    pub fn factor(&self) -> f64 {
-        self.factor
+    /// Returns the usual momentary factor.
+    pub fn usual_factor(&self) -> f64 {
+        self.usual_factor
     }
 
     /// Returns how many times longer `event_time` is than that of an event while
--- a/crates/site/src/placement.rs
+++ b/crates/site/src/placement.rs
@@ -294,12 +294,12 @@
             .model
             .and_then(|model| endpoint.latencies.get(model))
             .filter(|own| !own.is_outdated(self.best_event_s, now));
-        let event_s = own.map_or(self.best_event_s, |own| own.undisturbed_seconds());
+        let event_s = own.map_or(self.best_event_s, |own| own.undisturbed_seconds(now));
         let kind = estimate::Kind::Engine {
             event_s,
             crowding: self.crowding,
         };
-        (kind, own.map_or(1.0, |own| own.factor()))
+        (kind, own.map_or(1.0, |own| own.usual_factor()))
     }
 
     fn service(&self, endpoint: &Endpoint, now: Instant) -> (estimate::Kind, f64) {
--- a/crates/site/tests/common/machines.rs
+++ b/crates/site/tests/common/machines.rs
@@ -449,3 +449,11 @@
         0.9 + 0.2 * value
     }
 }
+
+/// As [`changing`], where all machines are slow for the same share of the time.
+pub(crate) fn changing_alike(number: usize, now: Duration) -> f64 {
+    let span = now.as_millis() as usize / 300;
+    let seed = format!("machine {number}");
+    let slow = (random(&seed, span / 3) * 3.0) as usize;
+    if span % 3 == slow { 2.2 } else { 1.0 }
+}
