site: record a prompt only when its request is sent

Cause: a request without a permit for an endpoint was recorded as read there.

Change: the record and the metric follow the permit, as for streams.

--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -479,11 +479,9 @@
             let attempts_left = route.max_attempts.saturating_sub(outcome.runs);
             let limit = attempt_timeout(remaining, route, dispatch.may_repeat, attempts_left);
             let is_last = attempts_left <= 1 || !dispatch.may_repeat;
-            needs.record(&mut self.facts.borrow_mut(), key);
-            let attempt = self.try_endpoint(key, dispatch, limit).await;
+            let attempt = self.try_endpoint(&choice, dispatch, &needs, limit).await;
             if !matches!(attempt, Attempt::Denied) {
                 tried.push(key);
-                self.metrics.record_placement(choice.benefit());
             }
             if let Attempt::Answered(_) | Attempt::Unknown(_) = &attempt {
                 outcome.endpoint = self.endpoint_id(key);
@@ -545,7 +543,14 @@
         endpoint.map(|endpoint| endpoint.id).unwrap_or_default()
     }
 
-    async fn try_endpoint(&self, key: Key, dispatch: &Dispatch, limit: Duration) -> Attempt {
+    async fn try_endpoint(
+        &self,
+        choice: &Choice,
+        dispatch: &Dispatch,
+        needs: &Needs,
+        limit: Duration,
+    ) -> Attempt {
+        let key = choice.key;
         let Some(endpoint) = self.endpoint(key) else {
             return Attempt::NotRun("endpoint was removed");
         };
@@ -555,6 +560,8 @@
         if !self.permits.acquire(key, &dispatch.id).await {
             return Attempt::Denied;
         }
+        needs.record(&mut self.facts.borrow_mut(), key);
+        self.metrics.record_placement(choice.benefit());
         let entry = self.usage.entry(dispatch.account.as_deref());
         let call = observed(dispatch.call(&endpoint.id, limit), &self.facts, key);
         let call = counted(call, &entry);
