follow: a started VM lists required kinds from a mirror first

Change: the first list of a process comes from a mirror that answers within 400 ms, and from the store otherwise. `serializable=1` was not used: such a list states no age, and a mirror that was started later answers the watch from its revision with 410.

Messages do not change; older mirrors answer these lists as before.

--- a/crates/site/src/follow.rs
+++ b/crates/site/src/follow.rs
@@ -29,6 +29,9 @@
 /// listed. VMs start within 0.3 s of each other, so the VM that mirrors these
 /// kinds is listening by then.
 const START_DELAY: Duration = Duration::from_millis(400);
+/// How long a VM that has just started waits for a mirror before it lists a required
+/// kind at the store. It is not ready until then.
+const FIRST_LIST_TIME: Duration = Duration::from_millis(400);
 /// The pause after a failed call for kinds without [`Plan::is_probe`]. It ends
 /// earlier if a call for another kind succeeds.
 const RECOVERY_WAIT_MAX: Duration = Duration::from_millis(1500);
@@ -184,7 +187,7 @@
     /// events.
     pub batch_time: Duration,
     /// Whether a VM is not ready before it has this kind. Such a kind is listed
-    /// from the store itself and not from a mirror.
+    /// again from the store itself and not from a mirror.
     pub is_required: bool,
     /// Whether calls for this kind probe an unreachable store with short pauses.
     pub is_probe: bool,
@@ -262,6 +265,7 @@
     }
     let mut pause = PROBE_PAUSE_MIN;
     let mut revision = None;
+    let mut is_first = true;
     // Whether the store was unreachable since the last successful call.
     let mut was_unreachable = false;
     // The kind is listed again if this count has increased since the last list,
@@ -271,7 +275,8 @@
         let outcome = match revision {
             None => {
                 losses = view.history_lost.count();
-                list(&store, plan, was_unreachable, &view, &apply).await
+                let is_first = std::mem::take(&mut is_first);
+                list(&store, plan, is_first, was_unreachable, &view, &apply).await
             }
             Some(from) => {
                 let relist = async {
@@ -335,13 +340,17 @@
 async fn list(
     store: &Store,
     plan: Plan,
+    is_first: bool,
     was_unreachable: bool,
     view: &View,
     apply: &impl Fn(Change, bool),
 ) -> Result<Position, Error> {
-    let update = match plan.is_required {
-        true => store.list_after(plan.kind, "").await?,
-        false => store.list(plan.kind).await?,
+    let update = match (plan.is_required, is_first) {
+        // A VM that has just started is then as up to date as the others, which
+        // watch the mirror, and knows nothing that an older list would revert.
+        (true, true) => store.list_within(plan.kind, FIRST_LIST_TIME).await?,
+        (true, false) => store.list_after(plan.kind, "").await?,
+        (false, _) => store.list(plan.kind).await?,
     };
     view.record_age(update.age);
     view.mirror.replace(&plan, &update);
--- a/crates/site/tests/calls.rs
+++ b/crates/site/tests/calls.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use common::{Deployment, job, wait};
+use common::{Deployment, Vm, job, wait};
 use fakes::site::{Fault, MODEL, Plan};
 use link::Method;
 use serde_json::json;
@@ -172,3 +172,28 @@
     assert!(has_count(&page, name, &["cause=\"added\""]), "{page}");
     assert!(!page.contains("rollout-job-"), "{page}");
 }
+
+/// A VM listed each kind that it needs from the store when it started, although the
+/// other VMs follow a mirror.
+#[test]
+fn started_vm_lists_kinds_at_the_store() {
+    let mut deployment = Deployment::start_with_coordinators(VMS, COORDINATORS, Plan::default());
+    thread::sleep(START_TIME);
+    // A deputy begins to serve others with lists of the store.
+    let is_deputy = |vm: &Vm| vm.log().contains("\"is_deputy\":true");
+    let mut vms = deployment.vms[COORDINATORS..].iter_mut();
+    let vm = vms.find(|vm| !is_deputy(vm)).unwrap();
+    vm.kill();
+    // The VM learns what changes while it is away.
+    let changed = common::config(2);
+    deployment.site.state().put("config", "main", changed);
+    vm.restart();
+    vm.wait_until_logged("\"version\":2");
+    assert_eq!(vm.request(Method::POST, "/safe/a", "r0").status, 200);
+    let page = vm.metrics_page();
+    let name = "tarragonseam_store_call_results";
+    for kind in ["config", "servers", "crash-reports"] {
+        let labels = [&*format!("kind=\"{kind}\""), "purpose=\"list\""];
+        assert!(!has_count(&page, name, &labels), "{kind}: {page}");
+    }
+}
