schedule: the order by group applies only where items cannot be on time

Long items of later groups waited for the short ones of groups that had begun, and items that were interrupted late came after all others, so steps ended later and their trainers asked for fewer of them.

Change: while all waiting items can be on time (Scheduler::is_short), each job starts its items longest first, after those of more urgent ranks. Of the groups that have not begun, those with the longest item are the ones that the trainer does not wait for, except the first ones of the job.

--- a/crates/policy/src/schedule.rs
+++ b/crates/policy/src/schedule.rs
@@ -323,6 +323,32 @@
         })
     }
 
+    /// Returns whether some waiting items cannot end by their due time because of the
+    /// others that wait. If not, the order by group only delays steps: a step ends
+    /// with its longest item, and its trainer asks for the next one then.
+    pub fn is_short(&self, slots: usize, now: Time) -> bool {
+        let waiting = self.jobs.values().map(|job| job.waiting_time());
+        let waiting = waiting.fold(Duration::ZERO, Duration::saturating_add);
+        let backlog = waiting / (slots.clamp(1, u32::MAX as usize) as u32);
+        let mut timed = self.jobs.values().filter(|job| job.is_timed);
+        timed.any(|job| job.is_short(backlog, now))
+    }
+
+    /// Returns a job of a more urgent rank than `job` with an item that can start now.
+    /// `None` if `job` may start its own items before that one.
+    pub fn urgent_before(&self, job: JobKey, now: Time) -> Option<JobKey> {
+        let own = self.jobs.get(&job)?;
+        if self.is_aged_turn() && own.is_aged(now) {
+            return None;
+        }
+        let urgent = self.jobs.iter().filter(|(_, other)| {
+            let is_urgent = other.plan.rank < own.plan.rank;
+            is_urgent && other.can_start(&self.blocked, now)
+        });
+        let first = urgent.min_by_key(|(key, other)| (other.plan.rank, **key));
+        first.map(|(key, _)| *key)
+    }
+
     /// Returns the groups that were put last since the last call, each once, with
     /// the rank of their job.
     pub fn take_put_last(&mut self) -> Vec<(u8, Precedence)> {
@@ -420,6 +446,33 @@
         now - self.plan.submitted >= AGED_AFTER
     }
 
+    /// Returns whether an item waits that is not passed over.
+    fn can_start(&self, blocked: &[(Needs, Time)], now: Time) -> bool {
+        self.waiting > 0
+            && self.items.iter().any(|item| match item.state {
+                State::Waiting { not_before, needs } => {
+                    let is_blocked =
+                        |(known, until): &(Needs, Time)| *known == needs && *until > now;
+                    not_before <= now && !blocked.iter().any(is_blocked)
+                }
+                _ => false,
+            })
+    }
+
+    fn waiting_time(&self) -> Duration {
+        let times = self.groups.iter().map(|group| group.waiting_time);
+        times.fold(Duration::ZERO, Duration::saturating_add)
+    }
+
+    /// Returns whether the longest waiting item that can be on time alone cannot be
+    /// after `backlog`.
+    fn is_short(&self, backlog: Duration, now: Time) -> bool {
+        let left = (self.plan.due.unwrap_or_default() + GRACE) - now;
+        let first = self.groups.iter().filter_map(|group| group.waiting.first());
+        let mut times = first.map(|item| self.items[*item].run_time / OPTIMISM_DIVISOR);
+        times.any(|time| time <= left && time.saturating_add(backlog) > left)
+    }
+
     fn set(&mut self, index: usize, state: State, now: Time) {
         let Some(item) = self.items.get_mut(index) else {
             return;
@@ -497,7 +550,17 @@
             *count = missing.min(*count);
             missing -= *count;
         }
-        for group in &mut self.groups {
+        // Groups that come again from an earlier step are the first ones, at most half
+        // of those wanted. Of the others, those with the shortest longest item end the
+        // step soonest.
+        let kept = wanted.div_ceil(2);
+        let mut order: Vec<usize> = (0..self.groups.len()).collect();
+        order.sort_by_key(|index| match *index < kept {
+            true => (Duration::ZERO, *index),
+            false => (self.groups[*index].longest_waiting(&self.items), *index),
+        });
+        for index in order {
+            let group = &mut self.groups[index];
             group.precedence = Precedence::Unwanted;
             let left = &mut counts[usize::from(group.is_late)][usize::from(!group.has_begun)];
             if group.may_be_wanted(now) && *left > 0 {
@@ -569,11 +632,16 @@
         self.unfinished > 0 && !self.is_ungrouped && !(self.running > 0 && is_straggling)
     }
 
+    /// Returns the estimated run time of its longest waiting item.
+    fn longest_waiting(&self, items: &[ItemState]) -> Duration {
+        let first = self.waiting.first();
+        first.map_or(Duration::ZERO, |index| items[*index].run_time)
+    }
+
     /// Returns when all items of the group are expected to have ended at the
     /// earliest.
     fn earliest_end(&self, items: &[ItemState], slots: usize, now: Time) -> Time {
-        let longest = self.waiting.first().map(|index| items[*index].run_time);
-        let longest = longest.unwrap_or_default();
+        let longest = self.longest_waiting(items);
         let longest = match self.has_begun {
             true => longest / OPTIMISM_DIVISOR,
             false => longest,
--- a/crates/policy/tests/schedule.rs
+++ b/crates/policy/tests/schedule.rs
@@ -280,15 +280,82 @@
     }
 }
 
-/// Items of all groups started in turns, and long ones last.
+/// Starts all items at `ms`, and returns their order.
+fn order(groups: &[&[u64]], wanted: usize, slots: usize, ms: u64) -> Vec<usize> {
+    let Single { mut scheduler, job } = single(groups, wanted);
+    let now = Time::from_millis(ms);
+    let next = || {
+        let choice = scheduler.next(slots, now)?;
+        scheduler.start(job, choice.item, now);
+        Some(choice.item)
+    };
+    std::iter::from_fn(next).collect()
+}
+
+/// Items of all groups started in turns, and long ones last, although slots were
+/// short.
 #[test]
 fn group_that_has_begun_ends_first() {
-    let mut single = single(&[&[500, 900, 700], &[800, 600, 500]], 2);
-    let order: Vec<usize> = std::iter::from_fn(|| single.start(0))
-        .map(|item| item.0)
-        .collect();
-    assert_eq!(order, [1, 2, 0, 3, 4, 5]);
-    assert_eq!(single.scheduler.next(8, Time::ZERO), None);
+    let groups: [&[u64]; 2] = [&[500, 900, 700], &[800, 600, 500]];
+    assert_eq!(order(&groups, 2, 2, 6_700), [1, 2, 0, 3, 4, 5]);
+}
+
+/// The order by group was used although all items could be on time, so the long items
+/// of later groups waited for the short ones of others, and steps ended later.
+#[test]
+fn slots_are_short_only_if_items_cannot_be_on_time() {
+    let groups: [&[u64]; 2] = [&[500, 900, 700], &[800, 600, 500]];
+    let is_short = |slots, ms| {
+        let single = single(&groups, 2);
+        single.scheduler.is_short(slots, Time::from_millis(ms))
+    };
+    assert!(!is_short(8, 0));
+    assert!(!is_short(1, 0));
+    assert!(!is_short(2, 5_000));
+    assert!(is_short(2, 6_700));
+    assert!(is_short(1, 5_000));
+    // What cannot be on time alone is not late because of others.
+    assert!(!is_short(1, 9_000));
+}
+
+/// A job that was submitted first kept the slots that both could use. A more urgent one
+/// whose items find no endpoint must not hold up the others.
+#[test]
+fn urgent_job_goes_first_unless_it_is_passed_over() {
+    let Single { mut scheduler, job } = single(&[&[500]], 1);
+    let item = Item {
+        group: None,
+        run_time: Duration::from_millis(500),
+        is_finished: false,
+    };
+    let now = Time::from_millis(10);
+    let plan = Plan {
+        rank: 1,
+        ..Plan::default()
+    };
+    let later = scheduler.add(plan, &[item]);
+    scheduler.wait(later, 0, Time::ZERO, Needs(1));
+    assert_eq!(scheduler.urgent_before(later, now), Some(job));
+    assert_eq!(scheduler.urgent_before(job, now), None);
+    scheduler.block(Needs(0), Time::from_millis(60));
+    assert_eq!(scheduler.urgent_before(later, now), None);
+    assert_eq!(
+        scheduler.urgent_before(later, Time::from_millis(60)),
+        Some(job)
+    );
+    scheduler.start(job, 0, now);
+    assert_eq!(scheduler.urgent_before(later, Time::from_millis(60)), None);
+}
+
+/// The step waited for the group with the longest item, although the trainer waits
+/// for fewer groups than there are. The first groups may come again from an earlier
+/// step, and are waited for.
+#[test]
+fn group_with_the_longest_item_is_not_wanted() {
+    let groups: [&[u64]; 4] = [&[500], &[600], &[3_000], &[400]];
+    assert_eq!(order(&groups, 3, 8, 0), [1, 0, 3, 2]);
+    let groups: [&[u64]; 4] = [&[3_000], &[600], &[500], &[400]];
+    assert_eq!(order(&groups, 3, 8, 0), [0, 1, 3, 2]);
 }
 
 /// A group that cannot be on time took slots from one that could, and a group that
--- a/crates/site/src/job/executor.rs
+++ b/crates/site/src/job/executor.rs
@@ -400,7 +400,10 @@
                     index += usize::from(!is_dropped);
                 }
                 // Any endpoint would do, so the other items find none either.
-                None => break,
+                None => {
+                    self.block(index, now);
+                    break;
+                }
             }
         }
         is_any_started
--- a/crates/site/src/job/schedule.rs
+++ b/crates/site/src/job/schedule.rs
@@ -58,7 +58,8 @@
 /// What a job may start now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Turn {
-    /// All its items in its own order: there are slots for all waiting items.
+    /// All its items in its own order: there are slots for all waiting items, or all of
+    /// them can be on time and no item of a more urgent job can start.
     All,
     /// The item with this index.
     Item(usize),
@@ -168,8 +169,7 @@
         let Some(pool) = pools.get_mut(&self.service) else {
             return Turn::Nothing;
         };
-        let waiting = pool.scheduler.waiting();
-        if waiting <= usable {
+        if pool.scheduler.waiting() <= usable {
             return Turn::All;
         }
         let (free, slots) = {
@@ -184,10 +184,23 @@
         let Some(choice) = pool.scheduler.next(slots, time) else {
             return Turn::Nothing;
         };
-        for (rank, precedence) in pool.scheduler.take_put_last() {
+        let put_last = pool.scheduler.take_put_last();
+        pool.log(&self.service, choice, (free, slots), now, time, view_age);
+        if !pool.scheduler.is_short(slots, time) {
+            let urgent = pool.scheduler.urgent_before(self.key, time);
+            let turn = urgent.and_then(|job| pool.turns.get(&job).cloned());
+            drop(pools);
+            return match turn {
+                Some(turn) => {
+                    turn.notify();
+                    Turn::Nothing
+                }
+                None => Turn::All,
+            };
+        }
+        for (rank, precedence) in put_last {
             inner.metrics.record_group_put_last(rank, precedence.name());
         }
-        pool.log(&self.service, choice, (free, slots), now, time, view_age);
         if choice.job == self.key {
             return Turn::Item(choice.item);
         }
