link: large chunks are refused at their size; tests, metrics and limits

Cause: a chunk whose size alone exceeds the limit was read up to the limit first, and a size of 2^64 - 1 waited for its data (408 in place of 400, callers::framing::request_malformed, since the decoder became our own).

--- a/crates/link/src/http/coding.rs
+++ b/crates/link/src/http/coding.rs
@@ -70,6 +70,19 @@
         }
     }
 
+    /// Returns how many more bytes the body has at least.
+    fn announced(&self) -> usize {
+        let announced = match self {
+            Self::Length(remaining) => *remaining,
+            Self::Chunked(Chunked {
+                state: State::Data(remaining),
+                ..
+            }) => *remaining,
+            Self::Chunked(_) => 0,
+        };
+        usize::try_from(announced).unwrap_or(usize::MAX)
+    }
+
     /// Returns whether the body is complete.
     pub(crate) fn is_done(&self) -> bool {
         match self {
@@ -205,7 +218,12 @@
         return Err(BodyError::Malformed);
     }
     match httparse::parse_chunk_size(line) {
-        Ok(httparse::Status::Complete((count, size))) if count == line.len() => Ok(size),
+        // A larger one overflows the counters of other servers.
+        Ok(httparse::Status::Complete((count, size)))
+            if count == line.len() && i64::try_from(size).is_ok() =>
+        {
+            Ok(size)
+        }
         _ => Err(BodyError::Malformed),
     }
 }
@@ -259,6 +277,9 @@
             }
             store.extend(data).map_err(|NoRoom| BodyError::TooLarge)
         })?;
+        if self.store.len().saturating_add(self.decoder.announced()) > self.max_bytes {
+            return Err(BodyError::TooLarge);
+        }
         Ok(match is_done {
             true => Decoded::Some(Progress::Done),
             false => Decoded::Insufficient,
@@ -447,6 +468,7 @@
             "1;a\nx\r\n0\r\n\r\n",
             "1;a\rb\r\nx\r\n0\r\n\r\n",
             "10000000000000001\r\nx",
+            "ffffffffffffffff\r\nx",
             "0\r\nno colon\r\n\r\n",
             "0\r\n: no name\r\n\r\n",
             "0\r\na: b\n\r\n",
@@ -479,6 +501,8 @@
     fn reject_body_over_limit() {
         let input = encode(&[1; 1001], &[7], "", "");
         assert_eq!(decode(Framing::Chunked, &input, &[100], 1000), Err(()));
+        // A chunk is refused before its data arrive.
+        assert_eq!(decode(Framing::Chunked, b"3e9\r\n", &[100], 1000), Err(()));
     }
 
     /// Guards against bytes that are lost when a body waits for memory.
--- a/crates/site/tests/uncontrolled.rs
+++ b/crates/site/tests/uncontrolled.rs
@@ -287,3 +287,23 @@
     assert_eq!(line, "HTTP/1.1 200 OK");
     case.check(Crowd::connect(SocketAddr::from(([127, 0, 0, 1], 0)), 0));
 }
+
+/// Guards against refusals that operators cannot see, and against a log line for
+/// each of them.
+#[test]
+fn refusals_are_counted_and_logged_within_bounds() {
+    let case = Case::start(Answer::Body("ok"));
+    let mut bytes = head("/safe/a").into_bytes();
+    bytes.extend_from_slice("x-header: value\r\n".repeat(10_000).as_bytes());
+    let crowd = Crowd::send(case.callers(), 3 * CALLERS, bytes);
+    let vm = &case.deployment.vms[0];
+    let series = "tarragonseam_refused_callers{reason=\"head-too-large\",";
+    wait("the counted refusals", || {
+        let page = vm.metrics_page();
+        let mut lines = page.lines().filter(|line| line.starts_with(series));
+        lines.any(|line| line.ends_with(&format!(" {}", 3 * CALLERS)))
+    });
+    vm.wait_until_logged("callers refused");
+    assert!(vm.log().matches("callers refused").count() < 10);
+    case.check(crowd);
+}
