--- a/crates/link/examples/bodies.rs
+++ b/crates/link/examples/bodies.rs
@@ -116,8 +116,11 @@
     let mut reader = BufReader::new(stream.try_clone()?);
     let start = Instant::now();
     for _ in 0..count {
-        stream.write_all(request)?;
-        read_reply(&mut reader)?;
+        let exchanged = stream.write_all(request).map_err(Into::into);
+        if exchanged.and_then(|()| read_reply(&mut reader)).is_err() {
+            println!("| {body} | {chunks} | refused | | | |");
+            return Ok(());
+        }
     }
     let seconds = start.elapsed().as_secs_f64();
     let status = fs::read_to_string(format!("/proc/{}/status", server.0.id()))?;
