failover: a stopping VM releases its jobs at the same time

Cause: calls wait for a store that is known not to answer, a write for 600 ms, and a stopping VM saved and released its jobs one after the other, within the 1.5 s before SIGKILL that are kept for this and for usage counts.

Change: all jobs are released at the same time.

Messages do not change.

--- a/crates/site/src/job/failover.rs
+++ b/crates/site/src/job/failover.rs
@@ -3,6 +3,7 @@
 
 use std::time::{Duration, Instant};
 
+use futures_util::future::join_all;
 use link::clock;
 use platform::store::Written;
 
@@ -202,33 +203,35 @@
 const IDLE_POLL_PERIOD: Duration = Duration::from_millis(100);
 
 /// Saves the progress of the jobs that this VM runs and releases them, so that
-/// other VMs resume them at once.
+/// other VMs resume them at once. Each write waits for a store that does not answer,
+/// so all jobs are released at the same time.
 pub async fn release_jobs(jobs: &Jobs) {
-    for job in jobs.registry.all() {
-        let (id, number, is_running) = {
-            let job = job.borrow();
-            (job.id.clone(), job.claims, job.is_running)
-        };
-        if !is_running {
-            continue;
-        }
-        jobs.executor.save_progress(&job).await;
-        let name = Name::new(&id, Part::Claim(number)).encode();
-        let release = Claim {
-            vm: String::new(),
-            address: None,
-        };
-        let written = jobs.store.create(record::KIND, &name, &release).await;
-        let stored: Option<Claim> = match written {
-            Ok(Written::Done(_)) => Some(release.clone()),
-            // The release itself, if an earlier attempt at the write succeeded.
-            Ok(Written::Conflict(object)) => object.and_then(|object| object.read()),
-            Err(_) => None,
-        };
-        let is_told = stored.as_ref() == Some(&release);
-        let claim = stored.unwrap_or(release);
-        let (job, holder) = (id.as_str(), claim.vm.as_str());
-        spdlog::info!("job released", kv: { job, is_told, holder });
-        jobs.registry.put_claim(&id, number, claim);
-    }
+    let all = jobs.registry.all();
+    let running = all.iter().filter(|job| job.borrow().is_running);
+    join_all(running.map(|job| release_job(jobs, job))).await;
+}
+
+async fn release_job(jobs: &Jobs, job: &Handle) {
+    let (id, number) = {
+        let job = job.borrow();
+        (job.id.clone(), job.claims)
+    };
+    jobs.executor.save_progress(job).await;
+    let name = Name::new(&id, Part::Claim(number)).encode();
+    let release = Claim {
+        vm: String::new(),
+        address: None,
+    };
+    let written = jobs.store.create(record::KIND, &name, &release).await;
+    let stored: Option<Claim> = match written {
+        Ok(Written::Done(_)) => Some(release.clone()),
+        // The release itself, if an earlier attempt at the write succeeded.
+        Ok(Written::Conflict(object)) => object.and_then(|object| object.read()),
+        Err(_) => None,
+    };
+    let is_told = stored.as_ref() == Some(&release);
+    let claim = stored.unwrap_or(release);
+    let (job, holder) = (id.as_str(), claim.vm.as_str());
+    spdlog::info!("job released", kv: { job, is_told, holder });
+    jobs.registry.put_claim(&id, number, claim);
 }
