store: VMs ask a relay whether the store answers before they probe it

Cause: in an outage each VM probed the store itself, about ten times in 4 s, although the VMs that others read from know as soon that it does not answer.

Change: a VM that refuses to relay because it knows that the store does not answer says so with `x-store-unreachable`. A VM that no other one reads from asks a relay each 200 ms, which costs the store nothing, and probes the store itself once a second, or at once when the relay does not tell. Coordinators and deputies always probe the store.

An older VM that is asked by a newer one sends the call or answers 503 without the header, and the newer one probes the store itself. An older VM ignores the header.

--- a/crates/fakes/src/script.rs
+++ b/crates/fakes/src/script.rs
@@ -18,6 +18,8 @@
     Status(u16),
     /// As [`Status`](Self::Status), without the id of the request.
     StatusWithoutId(u16),
+    /// As [`Status`](Self::Status), with this header.
+    StatusWithHeader(u16, &'static str, &'static str),
     /// As [`Status`](Self::Status), after an extra response that accepts an earlier
     /// request with another id.
     StatusAfterLateAcceptance(u16),
@@ -133,6 +135,10 @@
         };
         match *answer {
             Answer::Status(status) => respond(&mut stream, status, &format!("{id}{close}"), "")?,
+            Answer::StatusWithHeader(status, name, value) => {
+                let headers = format!("{id}{close}{name}: {value}\r\n");
+                respond(&mut stream, status, &headers, "")?;
+            }
             Answer::StatusWithoutId(status) => respond(&mut stream, status, close, "")?,
             Answer::StatusAfterLateAcceptance(status) => {
                 respond(&mut stream, 202, "request-id: earlier\r\n", "")?;
--- a/crates/site/src/components.rs
+++ b/crates/site/src/components.rs
@@ -103,6 +103,7 @@
         store.set_mirrors(mirrors(&coordinators, &vm));
         let is_enabled = coordinators.is_seed() || coordinators.is_deputy();
         mirror.set_enabled(is_enabled);
+        store.set_serves_others(is_enabled);
         if is_enabled && !was_enabled {
             // A mirror begins with complete lists.
             view.list_again();
--- a/crates/site/src/peer.rs
+++ b/crates/site/src/peer.rs
@@ -85,6 +85,10 @@
     }
 
     async fn relay(&self, path: &str, request: &Request) -> Reply {
+        if self.jobs.store.is_unreachable() {
+            return Reply::new(StatusCode::SERVICE_UNAVAILABLE, "")
+                .header(store::UNREACHABLE_HEADER, "1");
+        }
         let (method, body) = (request.method.clone(), request.body.clone());
         match self.jobs.store.relay(method, path, body).await {
             Ok(response) => Reply::new(response.status, response.body)
