policy, site: a quarantine ends by evidence, and reset connections do not count

Cause: each connection that broke counted as an endpoint that ended, also while the endpoint went on, and endpoints that ended together counted as if the request had ended them one after the other. A request in quarantine was refused for ten minutes without a way out, and afterwards sent by all VMs at once.

Change: a loss is taken back once the endpoint's record with the same `born` has been written later than 0.3 s after the VM learned of the loss; until then it counts, so a request that crashes endpoints gains no retry. At most three probes, each claimed in the store by one VM before it is sent, on a new connection: after a wave (endpoints that had the request before the first one ended) 1 s after the last loss and 4 s after the first probe; after endpoints that ended one after the other 90 s and 240 s; the last one after ten minutes, in place of the free tries of all VMs. A probe that reached no endpoint may be sent again by the VM that claimed it.

Compatibility: the objects of losses keep their names; they gain `ran-ms` (in the code `ran_ms`), 0 if missing, which makes a loss of an older build count as an event of its own. An older build ignores the field. Claims are objects CONTENT-probe-NUMBER of the same kind, with the form of a loss, so that older builds expire them; these log `name of a shared loss cannot be decoded` and ignore them. An older build keeps its quarantine of ten minutes until the losses are removed; after it cleared a request, claims stay until they expire, which allows fewer probes. No call between VMs changes.

--- a/crates/fakes/src/site/mod.rs
+++ b/crates/fakes/src/site/mod.rs
@@ -171,6 +171,9 @@
     pub arrivals: Vec<Arrival>,
     /// How many more endpoints crash under requests with a path.
     pub crashes: BTreeMap<String, u32>,
+    /// How many more connections are cut under requests with a path, while their
+    /// endpoints go on.
+    pub cuts: BTreeMap<String, u32>,
     /// How long plain endpoints take for the next requests with a path, in order.
     pub delays: BTreeMap<String, VecDeque<Duration>>,
     /// The number of streams that engines are writing.
@@ -411,6 +414,18 @@
     true
 }
 
+/// Returns whether the connection of `request` is cut while its endpoint goes on.
+pub(crate) fn is_cut(state: &SharedState, request: &Request) -> bool {
+    let mut state = lock(state);
+    match state.cuts.get_mut(request.uri.path()) {
+        None | Some(0) => false,
+        Some(left) => {
+            *left -= 1;
+            true
+        }
+    }
+}
+
 /// Returns the answer to a request that the endpoint does not run, because the
 /// request expects another endpoint, or a fault rejects or fails it.
 pub(crate) fn rejection(request: &Request, id: &str, faults: &PendingFaults) -> Option<Reply> {
--- a/crates/fakes/src/site/plain.rs
+++ b/crates/fakes/src/site/plain.rs
@@ -7,7 +7,9 @@
     http::{Reply, Request},
 };
 
-use super::{SharedState, crashes, echo_request_id, header_text, lock, record_arrival, rejection};
+use super::{
+    SharedState, crashes, echo_request_id, header_text, is_cut, lock, record_arrival, rejection,
+};
 
 /// The time for which a connection stays open without an answer before it is
 /// closed.
@@ -20,7 +22,7 @@
     }
     let delay = take_delay(&state, request.uri.path());
     monoio::time::sleep(delay).await;
-    if crashes(&state, &request, &id) {
+    if is_cut(&state, &request) || crashes(&state, &request, &id) {
         return Reply::cut();
     }
     if faults.dropped_replies > 0 {
--- a/crates/policy/tests/crash.rs
+++ b/crates/policy/tests/crash.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use board::Time;
-use tarragonseam_policy::crash::{ENDPOINTS_MAX, Suspects};
+use proptest::prelude::*;
+use tarragonseam_policy::crash::{ENDPOINTS_MAX, PROBES_MAX, Suspects, Verdict};
 
 const NOW: Time = Time::from_millis(1);
 
@@ -73,3 +74,181 @@
     assert!(!suspects.mark_shared("request", "a"));
     assert!(suspects.is_unshared("request", "b"));
 }
+
+/// What VMs share, as in the store.
+#[derive(Default)]
+struct Shared {
+    losses: Vec<(String, Time, Duration)>,
+    probes: Vec<usize>,
+}
+
+/// A VM that knows what was shared some time ago.
+#[derive(Default)]
+struct Vm {
+    suspects: Suspects,
+    /// The number of losses and probes that it has applied.
+    applied: (usize, usize),
+    /// Losses that it has not shared.
+    unshared: Vec<(String, Time, Duration)>,
+    unsent: Option<usize>,
+}
+
+impl Vm {
+    fn follow(&mut self, shared: &Shared, now: Time) {
+        for (endpoint, at, ran) in &shared.losses[self.applied.0..] {
+            self.suspects
+                .record_lost(now, *at, *ran, "request", endpoint, true);
+        }
+        for number in &shared.probes[self.applied.1..] {
+            self.suspects.record_probe(now, "request", *number);
+        }
+        self.applied = (shared.losses.len(), shared.probes.len());
+    }
+
+    /// Returns whether the request may be sent. A probe is claimed in the store.
+    fn admits(&mut self, shared: &mut Shared, is_store_up: bool, now: Time) -> bool {
+        match self.suspects.verdict("request", now) {
+            Verdict::Free => true,
+            _ if self.unsent.take().is_some() => true,
+            Verdict::Probe(number) if is_store_up => {
+                let is_claimed = !shared.probes.contains(&number);
+                if is_claimed {
+                    shared.probes.push(number);
+                }
+                self.suspects.record_probe(now, "request", number);
+                is_claimed
+            }
+            Verdict::Probe(_) | Verdict::Held(_) => false,
+        }
+    }
+}
+
+/// How long VMs in touch with the store may take to learn of a loss.
+const CONTACT: Duration = Duration::from_secs(3);
+/// When a VM shares a loss.
+const SHARE_DELAY: Duration = Duration::from_millis(200);
+/// How often each VM follows the store.
+const FOLLOW_PERIOD: Duration = Duration::from_millis(1000);
+
+proptest! {
+    /// A request that crashes each endpoint reaches endpoints in at most three
+    /// retries later than 3 s after the third crash, also while VMs are killed and
+    /// the store is away, and whatever endpoints end by themselves beside it.
+    #[test]
+    fn crashing_request_stays_within_its_bound(
+        steps in prop::collection::vec((0_usize..4, 1_u64..400, 0_u64..300, 0_u8..40), 50..400),
+        pause_s in prop::sample::select(vec![0_u64, 0, 0, 5, 95, 250]),
+        outage in (0_usize..400, 0_usize..60),
+    ) {
+        let mut shared = Shared::default();
+        let mut vms: Vec<Vm> = (0..4).map(|_| Vm::default()).collect();
+        let mut followed = [Time::ZERO; 4];
+        let mut now = Time::from_millis(1);
+        let mut last_outage = Time::ZERO;
+        // When it crashed an endpoint, and whether VMs had been in touch with the store
+        // and so with each other since the loss before.
+        let mut crashes: Vec<(Time, bool)> = Vec::new();
+        for (step, (index, time_ms, ran_ms, event)) in steps.into_iter().enumerate() {
+            now = now + Duration::from_millis(time_ms);
+            if step % 50 == 49 {
+                now = now + Duration::from_secs(pause_s);
+            }
+            let is_store_up = !(outage.0..outage.0 + outage.1).contains(&step);
+            if !is_store_up {
+                last_outage = now;
+            }
+            for vm in vms.iter_mut().filter(|_| is_store_up) {
+                let (late, new) = vm.unshared.drain(..).partition(|(_, at, _)| now - *at >= SHARE_DELAY);
+                vm.unshared = new;
+                shared.losses.extend::<Vec<_>>(late);
+            }
+            for (vm, followed) in vms.iter_mut().zip(&mut followed) {
+                if is_store_up && now - *followed >= FOLLOW_PERIOD {
+                    vm.follow(&shared, now);
+                    *followed = now;
+                }
+            }
+            let vm = &mut vms[index];
+            match event {
+                // The VM is killed and starts again with what is shared, before or
+                // after it sent a probe.
+                0 if is_store_up => {
+                    // Kills within the 0.2 s before a loss is shared are left out.
+                    shared.losses.append(&mut vm.unshared);
+                    *vm = Vm::default();
+                    vm.follow(&shared, now);
+                }
+                // The endpoint rejects a probe.
+                1 => {
+                    if let Verdict::Probe(number) = vm.suspects.verdict("request", now)
+                        && vm.admits(&mut shared, is_store_up, now)
+                    {
+                        vm.unsent = Some(number);
+                    }
+                }
+                // Another endpoint ends that has the request.
+                2 => {
+                    let endpoint = format!("beside-{step}");
+                    let ran = Duration::from_millis(ran_ms);
+                    vm.suspects.record_lost(now, now, ran, "request", &endpoint, false);
+                    vm.unshared.push((endpoint, now, ran));
+                }
+                _ if vm.admits(&mut shared, is_store_up, now) => {
+                    crashes.push((now, last_outage == Time::ZERO || now - last_outage > CONTACT));
+                    let (endpoint, ran) = (format!("e-{step}"), Duration::from_millis(ran_ms));
+                    let at = now + ran;
+                    vm.suspects.record_lost(at, at, ran, "request", &endpoint, false);
+                    vm.unshared.push((endpoint, at, ran));
+                }
+                _ => {}
+            }
+        }
+        if let Some((third, _)) = crashes.get(ENDPOINTS_MAX - 1) {
+            let is_late = |(at, is_in_touch): &&(Time, bool)| *is_in_touch && *at > *third + CONTACT;
+            let late = crashes.iter().filter(is_late).count();
+            prop_assert!(late <= 3, "{late} of {}", crashes.len());
+        }
+        let probes: std::collections::BTreeSet<usize> = shared.probes.iter().copied().collect();
+        prop_assert!(probes.len() == shared.probes.len() && probes.len() <= PROBES_MAX);
+    }
+
+    /// Endpoints that end together while they have the request are one event, so a
+    /// probe follows within seconds; those that end one after the other are not.
+    #[test]
+    fn probe_follows_a_wave_soon(
+        endpoints in ENDPOINTS_MAX..8,
+        spread_ms in 0_u64..140,
+        is_sequence in any::<bool>(),
+    ) {
+        let mut suspects = Suspects::default();
+        let mut now = NOW + Duration::from_secs(10);
+        for number in 0..endpoints {
+            now = now + Duration::from_millis(spread_ms + 1);
+            let ran = if is_sequence { 0 } else { 1000 };
+            let ran = Duration::from_millis(ran);
+            suspects.record_lost(now, now, ran, "request", &number.to_string(), true);
+        }
+        let later = |ms| now + Duration::from_millis(ms);
+        prop_assert!(matches!(suspects.verdict("request", later(900)), Verdict::Held(_)));
+        let is_probed = suspects.verdict("request", later(1000)) == Verdict::Probe(0);
+        prop_assert_eq!(is_probed, !is_sequence);
+        let held = suspects.verdict("request", later(3000));
+        if is_sequence {
+            prop_assert!(matches!(held, Verdict::Held(rest) if rest > Duration::from_secs(60)));
+        }
+    }
+
+    /// A loss is taken back by a record that was written later, by no other.
+    #[test]
+    fn loss_refuted_by_a_later_record(age_ms in 0_u64..2000, written_ms in 0_u64..4000) {
+        let mut suspects = quarantined(true);
+        let known_at = NOW;
+        let written = known_at + Duration::from_millis(written_ms) - Duration::from_millis(age_ms);
+        let refuted = suspects.refute("1", written);
+        let is_later = written >= known_at + Duration::from_millis(300);
+        prop_assert_eq!(refuted.len(), usize::from(is_later));
+        prop_assert_eq!(suspects.verdict("request", NOW) == Verdict::Free, is_later);
+        prop_assert!(suspects.refute("other", written).is_empty());
+        prop_assert!(!suspects.record(NOW, "request", "1", true));
+    }
+}
--- a/crates/site/src/components.rs
+++ b/crates/site/src/components.rs
@@ -286,7 +286,8 @@
         let view = self.facts_view.clone();
         monoio::spawn(follow::config(store.clone(), view.clone(), facts.clone()));
         monoio::spawn(self.crashes.clone().follow(view.sibling()));
-        monoio::spawn(follow::endpoints(store, view, facts, pool));
+        let crashes = self.crashes.clone();
+        monoio::spawn(follow::endpoints(store, view, facts, pool, crashes));
         monoio::spawn(self.origins.clone().copy());
         monoio::spawn(self.members.clone().run());
         monoio::spawn(follow_mirrors(
--- a/crates/site/src/follow.rs
+++ b/crates/site/src/follow.rs
@@ -17,7 +17,7 @@
     store::{Error, Event, Object, Store},
 };
 
-use crate::{expiry::Detector, facts::Facts, mirror::Mirror, notify::Notifier};
+use crate::{crash::Crashes, expiry::Detector, facts::Facts, mirror::Mirror, notify::Notifier};
 
 /// The pause after a failed call while an unreachable store is probed
 /// ([`Plan::is_probe`]). It doubles up to [`PROBE_PAUSE_MAX`].
@@ -190,9 +190,17 @@
     pub is_probe: bool,
 }
 
-/// Follows a kind and passes each change to `apply`, together with whether the
-/// store was unreachable since the previous change. Never returns.
-pub async fn follow(store: Store, plan: Plan, view: View, apply: impl Fn(Change, bool)) {
+/// What is known about a change.
+#[derive(Clone, Copy, Debug)]
+pub struct Context {
+    /// Whether the store was unreachable since the previous change.
+    pub was_unreachable: bool,
+    /// All events of the change happened later than this, if this is known.
+    pub later_than: Option<Moment>,
+}
+
+/// Follows a kind and passes each change to `apply`. Never returns.
+pub async fn follow(store: Store, plan: Plan, view: View, apply: impl Fn(Change, Context)) {
     let Plan {
         kind, batch_time, ..
     } = plan;
@@ -203,6 +211,8 @@
     let mut revision = None;
     // Whether the store was unreachable since the last successful call.
     let mut was_unreachable = false;
+    // This VM knows all changes of the kind up to this time.
+    let as_of = Cell::new(None);
     // The kind is listed again if this count has increased since the last list,
     // also between two watches.
     let mut losses = view.history_lost.count();
@@ -210,7 +220,7 @@
         let outcome = match revision {
             None => {
                 losses = view.history_lost.count();
-                list(&store, plan, was_unreachable, &view, &apply).await
+                list(&store, plan, was_unreachable, &as_of, &view, &apply).await
             }
             Some(from) => {
                 let relist = async {
@@ -218,7 +228,7 @@
                     Err(Error::HistoryExpired)
                 };
                 monoio::select! {
-                    outcome = watch(&store, plan, from, was_unreachable, &view, &apply) => outcome,
+                    outcome = watch(&store, plan, from, was_unreachable, &as_of, &view, &apply) => outcome,
                     // The store has lost the history of another kind, so this
                     // watch may have missed events too.
                     outcome = relist => outcome,
@@ -270,8 +280,9 @@
     store: &Store,
     plan: Plan,
     was_unreachable: bool,
+    as_of: &Cell<Option<Moment>>,
     view: &View,
-    apply: &impl Fn(Change, bool),
+    apply: &impl Fn(Change, Context),
 ) -> Result<u64, Error> {
     let update = match plan.is_required {
         true => store.list_after(plan.kind, "").await?,
@@ -279,7 +290,12 @@
     };
     view.record_age(update.age);
     view.mirror.replace(&plan, &update);
-    apply(Change::Snapshot(update.value), was_unreachable);
+    as_of.set(Some(Moment::ago(update.age)));
+    let context = Context {
+        was_unreachable,
+        later_than: None,
+    };
+    apply(Change::Snapshot(update.value), context);
     Ok(update.revision)
 }
 
@@ -288,14 +304,20 @@
     plan: Plan,
     from: u64,
     was_unreachable: bool,
+    as_of: &Cell<Option<Moment>>,
     view: &View,
-    apply: &impl Fn(Change, bool),
+    apply: &impl Fn(Change, Context),
 ) -> Result<u64, Error> {
     let update = store.watch(plan.kind, from, plan.wait).await?;
     view.record_age(update.age);
     view.mirror.apply(plan.kind, &update);
+    let later_than = as_of.replace(Some(Moment::ago(update.age)));
     if !update.value.is_empty() {
-        apply(Change::Events(update.value), was_unreachable);
+        let context = Context {
+            was_unreachable,
+            later_than,
+        };
+        apply(Change::Events(update.value), context);
     }
     Ok(update.revision)
 }
@@ -345,9 +367,15 @@
 
 /// Follows the endpoints, and removes those whose missing records do not
 /// return in time.
-pub async fn endpoints(store: Store, view: View, facts: Rc<RefCell<Facts>>, pool: Pool) {
+pub async fn endpoints(
+    store: Store,
+    view: View,
+    facts: Rc<RefCell<Facts>>,
+    pool: Pool,
+    crashes: Crashes,
+) {
     let detector = RefCell::default();
-    let apply = |change: Change, was_unreachable: bool| {
+    let apply = |change: Change, context: Context| {
         let mut removed = Vec::new();
         match change {
             Change::Snapshot(objects) => {
@@ -367,6 +395,7 @@
                     match event {
                         Event::Put(object) if put_endpoint(&object, &facts, &pool) => {
                             removed.retain(|id| *id != object.name);
+                            record_alive(&object.name, &facts, &crashes, context);
                         }
                         Event::Put(object) => removed.push(object.name),
                         Event::Removed(id) => removed.push(id),
@@ -374,7 +403,7 @@
                 }
             }
         }
-        remove_endpoints(removed, was_unreachable, &facts, &pool, &detector);
+        remove_endpoints(removed, context.was_unreachable, &facts, &pool, &detector);
     };
     let follower = follow(store, ENDPOINTS, view, apply);
     monoio::select! {
@@ -383,6 +412,16 @@
     }
 }
 
+/// Records that the endpoint `id` wrote its record, which shows that it went on if
+/// it has not started again.
+fn record_alive(id: &str, facts: &RefCell<Facts>, crashes: &Crashes, context: Context) {
+    let facts = facts.borrow();
+    let known = facts.key(id).and_then(|key| facts.endpoints.get(key));
+    if let (Some(endpoint), Some(later_than)) = (known, context.later_than) {
+        crashes.record_alive(id, endpoint.record.started_ms, later_than.elapsed());
+    }
+}
+
 /// How often the VM checks for endpoints whose records were missing too long.
 const MISSING_CHECK_PERIOD: Duration = Duration::from_millis(250);
 
--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -25,7 +25,7 @@
 };
 
 use crate::{
-    crash::Crashes,
+    crash::{Admission, Crashes, Probe},
     facts::{Endpoint, Facts, Key},
     metrics::Metrics,
     origin::{Origins, Producer},
@@ -321,7 +321,8 @@
         if self.is_exhausted(dispatch, outcome) {
             return None;
         }
-        if let Some(rest) = self.crashes.quarantine(dispatch) {
+        let admission = self.crashes.admit(dispatch);
+        if let Admission::Held(rest) = admission {
             outcome.hold = Some(Hold::Quarantine(rest));
             return None;
         }
@@ -348,10 +349,18 @@
             outcome.denials += 1;
             return Some(None);
         }
+        let probe = match self.claim_probe(dispatch, &admission).await {
+            Ok(probe) => probe,
+            Err(hold) => {
+                outcome.hold = Some(hold);
+                return None;
+            }
+        };
         attempts.tried.push(key);
         let entry = self.usage.entry(dispatch.account.as_deref());
         let call = observed(dispatch.call(&endpoint.id, remaining), &self.facts, key);
-        let call = counted(call, &entry);
+        let call = counted(probing(call, probe.as_ref()), &entry);
+        let sent_at = Instant::now();
         let sent = self.paths.send(key, &endpoint, call).await;
         let judged = sent.and_then(|response| {
             let is_rejected =
@@ -364,6 +373,9 @@
         };
         if !may_have_run {
             entry.cancel();
+            if let Some(probe) = &probe {
+                probe.set_sent(false);
+            }
         }
         let now = Instant::now();
         match judged {
@@ -383,6 +395,7 @@
                     slot,
                     response,
                     producer: Producer::new(&endpoint.record),
+                    sent_at,
                 }))
             }
             Ok((_, true)) => {
@@ -400,7 +413,7 @@
                     outcome.rejections += 1;
                     return Some(None);
                 }
-                self.crashes.record_failure(dispatch, known, &e);
+                self.crashes.record_failure(dispatch, known, sent_at, &e);
                 attempts.runs += 1;
                 outcome.runs += 1;
                 outcome.end = End::Lost;
@@ -439,7 +452,8 @@
             if self.is_exhausted(dispatch, &outcome) {
                 return outcome;
             }
-            if let Some(rest) = self.crashes.quarantine(dispatch) {
+            let admission = self.crashes.admit(dispatch);
+            if let Admission::Held(rest) = admission {
                 outcome.hold = Some(Hold::Quarantine(rest));
                 return outcome;
             }
@@ -462,7 +476,14 @@
             let attempts_left = route.max_attempts.saturating_sub(outcome.runs);
             let limit = attempt_timeout(remaining, route, dispatch.may_repeat, attempts_left);
             let is_last = attempts_left <= 1 || !dispatch.may_repeat;
-            let attempt = self.try_endpoint(key, dispatch, limit).await;
+            let probe = match self.claim_probe(dispatch, &admission).await {
+                Ok(probe) => probe,
+                Err(hold) => {
+                    outcome.hold = Some(hold);
+                    return outcome;
+                }
+            };
+            let attempt = self.try_endpoint(key, dispatch, limit, probe).await;
             if !matches!(attempt, Attempt::Denied) {
                 tried.push(key);
             }
@@ -536,7 +557,25 @@
         endpoint.map(|endpoint| endpoint.id).unwrap_or_default()
     }
 
-    async fn try_endpoint(&self, key: Key, dispatch: &Dispatch, limit: Duration) -> Attempt {
+    /// Claims the probe that `admission` asks for, if it does.
+    async fn claim_probe(
+        &self,
+        dispatch: &Dispatch,
+        admission: &Admission,
+    ) -> Result<Option<Probe>, Hold> {
+        match admission {
+            Admission::Probe(number) => self.crashes.claim(dispatch, *number).await.map(Some),
+            _ => Ok(None),
+        }
+    }
+
+    async fn try_endpoint(
+        &self,
+        key: Key,
+        dispatch: &Dispatch,
+        limit: Duration,
+        probe: Option<Probe>,
+    ) -> Attempt {
         let Some(endpoint) = self.endpoint(key) else {
             return Attempt::NotRun("endpoint was removed");
         };
@@ -548,7 +587,8 @@
         }
         let entry = self.usage.entry(dispatch.account.as_deref());
         let call = observed(dispatch.call(&endpoint.id, limit), &self.facts, key);
-        let call = counted(call, &entry);
+        let call = counted(probing(call, probe.as_ref()), &entry);
+        let sent_at = Instant::now();
         let response = self.paths.fetch(key, &endpoint, call).await;
         let attempt = classify(response);
         self.metrics
@@ -556,6 +596,9 @@
         let now = Instant::now();
         if let Attempt::NotRun(_) | Attempt::Unreached(_) = &attempt {
             entry.cancel();
+            if let Some(probe) = &probe {
+                probe.set_sent(false);
+            }
         }
         let (request, id) = (dispatch.id.as_str(), endpoint.id.as_str());
         match &attempt {
@@ -585,7 +628,7 @@
             }
         }
         if let Attempt::Unknown(e) = &attempt {
-            self.crashes.record_failure(dispatch, &endpoint, e);
+            self.crashes.record_failure(dispatch, &endpoint, sent_at, e);
         }
         attempt
     }
@@ -602,6 +645,16 @@
     spdlog::info!("event stream opened", kv: { request, origin, endpoint = id, software, after });
 }
 
+/// Returns `call` as the probe of a quarantine, if it is one. It goes over a new
+/// connection, since a call whose idle connection was closed is sent again.
+fn probing(call: Call, probe: Option<&Probe>) -> Call {
+    let Some(probe) = probe else {
+        return call;
+    };
+    probe.set_sent(true);
+    call.new_connection()
+}
+
 /// Returns `call` with `entry`, which is counted once the call is sent.
 fn counted(call: Call, entry: &Entry) -> Call {
     let entry = entry.clone();
--- a/crates/site/src/metrics.rs
+++ b/crates/site/src/metrics.rs
@@ -29,6 +29,8 @@
     peer_calls: Counter<u64>,
     permits: Counter<u64>,
     quarantined_requests: Counter<u64>,
+    refuted_losses: Counter<u64>,
+    crash_probes: Counter<u64>,
     store_calls: Gauge<u64>,
     endpoints: Gauge<u64>,
     usage_omitted_requests: Counter<u64>,
@@ -55,6 +57,8 @@
             peer_calls: telemetry.counter("tarragonseam_peer_calls"),
             permits: telemetry.counter("tarragonseam_permits"),
             quarantined_requests: telemetry.counter("tarragonseam_quarantined_requests"),
+            refuted_losses: telemetry.counter("tarragonseam_refuted_losses"),
+            crash_probes: telemetry.counter("tarragonseam_crash_probes"),
             store_calls: meter.u64_gauge("tarragonseam_store_calls").build(),
             endpoints: meter.u64_gauge("tarragonseam_endpoints").build(),
             usage_omitted_requests: telemetry.counter("tarragonseam_usage_omitted_requests"),
@@ -110,6 +114,18 @@
         self.0.quarantined_requests.add(1, &[]);
     }
 
+    /// Records that an endpoint did not end under a request, as it had seemed.
+    pub fn record_refuted_loss(&self) {
+        self.0.refuted_losses.add(1, &[]);
+    }
+
+    /// Records a claimed probe of a quarantine, and whether it was sent.
+    pub fn record_crash_probe(&self, result: &'static str) {
+        self.0
+            .crash_probes
+            .add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Records that `requests` requests are in no usage report.
     pub fn record_omitted_usage(&self, requests: u64) {
         self.0.usage_omitted_requests.add(requests, &[]);
--- a/crates/site/src/stream.rs
+++ b/crates/site/src/stream.rs
@@ -40,6 +40,7 @@
     pub(crate) slot: Slot,
     pub(crate) response: Response,
     pub(crate) producer: Producer,
+    pub(crate) sent_at: Instant,
 }
 
 /// The endpoints of one stream.
@@ -108,6 +109,7 @@
             key,
             slot: _slot,
             response,
+            sent_at,
             ..
         } = opened;
         let endpoint = self.endpoint(key);
@@ -123,7 +125,8 @@
                 let (request, problem) = (dispatch.id.as_str(), e.to_string());
                 spdlog::warn!("answer without events broke off", kv: { request, problem });
                 if let Some(endpoint) = endpoint {
-                    self.crashes.record_failure(dispatch, &endpoint, &e);
+                    self.crashes
+                        .record_failure(dispatch, &endpoint, sent_at, &e);
                 }
                 End::Lost
             }
@@ -194,6 +197,7 @@
         let (mut last_id, mut is_continuation) = (None, false);
         while let Some(source) = opened.take() {
             let endpoint = self.endpoint(source.key);
+            let sent_at = source.sent_at;
             let timer = event_timer(&route, &dispatch);
             let relay = relay_events(source, &sender, &mut last_id, timer, is_continuation);
             let stop = relay.await;
@@ -210,7 +214,8 @@
                 Stop::CallerDisconnected => return,
                 Stop::Broken(e) => {
                     if let Some(endpoint) = endpoint {
-                        self.crashes.record_failure(&dispatch, &endpoint, &e);
+                        self.crashes
+                            .record_failure(&dispatch, &endpoint, sent_at, &e);
                     }
                     let is_resumed = attempts.may_continue(&route);
                     spdlog::warn!("event stream broke", kv: { request, event, is_resumed });
