--- a/crates/site/tests/quarantine.rs
+++ b/crates/site/tests/quarantine.rs
@@ -4,6 +4,7 @@
 mod common;
 
 use std::{
+    sync::atomic::{AtomicBool, Ordering},
     thread,
     time::{Duration, Instant},
 };
@@ -121,10 +122,11 @@
     assert_eq!(status, 503);
     cut(0);
     // Endpoints write their records again and again.
-    let is_stopped = std::sync::atomic::AtomicBool::new(false);
+    let is_stopped = AtomicBool::new(false);
     thread::scope(|scope| {
         scope.spawn(|| {
-            while !is_stopped.load(std::sync::atomic::Ordering::Relaxed) {
+            let begin = Instant::now();
+            while !is_stopped.load(Ordering::Relaxed) && begin.elapsed() < RECOVERY_TIME * 2 {
                 let mut state = deployment.site.state();
                 for number in 0..ENDPOINTS {
                     state.announce(&format!("plain-{number}"), "ready");
@@ -134,7 +136,7 @@
             }
         });
         assert_served_soon(&deployment, "s");
-        is_stopped.store(true, std::sync::atomic::Ordering::Relaxed);
+        is_stopped.store(true, Ordering::Relaxed);
     });
     deployment.vms[0].wait_until_logged("its loss is taken back");
 }
