--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -32,7 +32,7 @@
 }
 
 async fn accept_offer(vm: &Rc<Vm>, items: Vec<Item>) -> Response {
-    let source = Source::Platform(vm.platform.clone());
+    let source = Source::Platform(Box::new(vm.platform.clone()));
     if vm.gossip.merge(items, &source).await {
         Response::Done
     } else {
--- a/crates/fakes/src/site/plain.rs
+++ b/crates/fakes/src/site/plain.rs
@@ -8,8 +8,8 @@
 };
 
 use super::{
-    SharedState, crashes, echo_request_id, header_text, lock, record_arrival, record_connection,
-    rejection,
+    SharedState, crashes, echo_request_id, header_text, is_cut, lock, record_arrival,
+    record_connection, rejection,
 };
 
 /// The time for which a connection stays open without an answer before it is
@@ -22,7 +22,9 @@
     if let Some(reply) = rejection(&request, &id, &faults) {
         return reply;
     }
-    if crashes(&state, &request, &id) {
+    let delay = take_delay(&state, request.uri.path());
+    monoio::time::sleep(delay).await;
+    if is_cut(&state, &request) || crashes(&state, &request, &id) {
         return Reply::cut();
     }
     if faults.dropped_replies > 0 {
@@ -37,3 +39,12 @@
     let reply = Reply::new(StatusCode::OK, format!("answer to {request_id}"));
     echo_request_id(&request, reply).header("server-stamp", format!("{id}.{request_id}"))
 }
+
+/// Removes the next delay of requests with `path`, and returns it.
+fn take_delay(state: &SharedState, path: &str) -> Duration {
+    let mut state = lock(state);
+    let delays = state.delays.get_mut(path);
+    delays
+        .and_then(|delays| delays.pop_front())
+        .unwrap_or_default()
+}
--- a/crates/link/src/feed.rs
+++ b/crates/link/src/feed.rs
@@ -91,7 +91,7 @@
     }
 
     fn source(&self) -> Source {
-        Source::Platform(self.platform.clone())
+        Source::Platform(Box::new(self.platform.clone()))
     }
 
     fn is_relay(&self) -> bool {
--- a/crates/link/src/gossip.rs
+++ b/crates/link/src/gossip.rs
@@ -39,7 +39,7 @@
 #[derive(Clone)]
 pub enum Source {
     /// The platform.
-    Platform(platform::Client),
+    Platform(Box<platform::Client>),
     /// The process at this address.
     Peer(SocketAddr),
 }
--- a/crates/site/src/components.rs
+++ b/crates/site/src/components.rs
@@ -209,6 +209,7 @@
             metrics: metrics.clone(),
             domain: settings.failure_domain.clone(),
             vm: settings.vm.clone(),
+            last_send: Rc::default(),
         };
         let registry = Registry::default();
         let content = Content::new(store.clone(), registry.clone());
@@ -328,8 +329,11 @@
                 bound,
             ));
         }
+        let crashes = self.crashes.clone();
         let batching = Batching::of_endpoints(settings.bounds.drain);
-        monoio::spawn(follow::endpoints(store, batching, view, facts, pool));
+        monoio::spawn(follow::endpoints(
+            store, batching, view, facts, pool, crashes,
+        ));
         monoio::spawn(self.origins.clone().copy());
         monoio::spawn(self.members.clone().run());
         monoio::spawn(follow_mirrors(
--- a/crates/site/src/follow.rs
+++ b/crates/site/src/follow.rs
@@ -17,7 +17,10 @@
     store::{Error, Event, Object, Store},
 };
 
-use crate::{expiry::Detector, facts::Facts, metrics::Metrics, mirror::Mirror, notify::Notifier};
+use crate::{
+    crash::Crashes, expiry::Detector, facts::Facts, metrics::Metrics, mirror::Mirror,
+    notify::Notifier,
+};
 
 /// The pause after a failed call while an unreachable store is probed
 /// ([`Plan::is_probe`]). It doubles up to [`PROBE_PAUSE_MAX`].
@@ -266,9 +269,17 @@
     is_from_mirror: bool,
 }
 
-/// Follows a kind and passes each change to `apply`, together with whether the
-/// store was unreachable since the previous change. Never returns.
-pub async fn follow(store: Store, plan: Plan, view: View, apply: impl Fn(Change, bool)) {
+/// What is known about a change.
+#[derive(Clone, Copy, Debug)]
+pub struct Context {
+    /// Whether the store was unreachable since the previous change.
+    pub was_unreachable: bool,
+    /// All events of the change happened later than this, if this is known.
+    pub later_than: Option<Moment>,
+}
+
+/// Follows a kind and passes each change to `apply`. Never returns.
+pub async fn follow(store: Store, plan: Plan, view: View, apply: impl Fn(Change, Context)) {
     follow_in_batches(store, plan, Batching::of_plan(plan), view, apply).await;
 }
 
@@ -278,7 +289,7 @@
     plan: Plan,
     batching: Batching,
     view: View,
-    apply: impl Fn(Change, bool),
+    apply: impl Fn(Change, Context),
 ) {
     let kind = plan.kind;
     if !plan.is_required && store.is_awaiting_mirror() {
@@ -289,6 +300,8 @@
     let mut is_first = true;
     // Whether the store was unreachable since the last successful call.
     let mut was_unreachable = false;
+    // This VM knows all changes of the kind up to this time.
+    let as_of = Cell::new(None);
     // The kind is listed again if this count has increased since the last list,
     // also between two watches.
     let mut losses = view.history_lost.count();
@@ -297,7 +310,16 @@
             None => {
                 losses = view.history_lost.count();
                 let is_first = std::mem::take(&mut is_first);
-                list(&store, plan, is_first, was_unreachable, &view, &apply).await
+                list(
+                    &store,
+                    plan,
+                    is_first,
+                    was_unreachable,
+                    &as_of,
+                    &view,
+                    &apply,
+                )
+                .await
             }
             Some(from) => {
                 let relist = async {
@@ -305,7 +327,7 @@
                     Err(Error::HistoryExpired)
                 };
                 monoio::select! {
-                    outcome = watch(&store, plan, from, was_unreachable, &view, &apply) => outcome,
+                    outcome = watch(&store, plan, from, was_unreachable, &as_of, &view, &apply) => outcome,
                     // The store has lost the history of another kind, so this
                     // watch may have missed events too.
                     outcome = relist => outcome,
@@ -363,8 +385,9 @@
     plan: Plan,
     is_first: bool,
     was_unreachable: bool,
+    as_of: &Cell<Option<Moment>>,
     view: &View,
-    apply: &impl Fn(Change, bool),
+    apply: &impl Fn(Change, Context),
 ) -> Result<Position, Error> {
     let update = match (plan.is_required, is_first) {
         // A VM that has just started is then as up to date as the others, which
@@ -375,7 +398,12 @@
     };
     view.record_age(update.age);
     view.mirror.replace(&plan, &update);
-    apply(Change::Snapshot(update.value), was_unreachable);
+    as_of.set(Some(Moment::ago(update.age)));
+    let context = Context {
+        was_unreachable,
+        later_than: None,
+    };
+    apply(Change::Snapshot(update.value), context);
     Ok(Position {
         revision: update.revision,
         is_from_mirror: update.is_from_mirror,
@@ -387,14 +415,20 @@
     plan: Plan,
     from: u64,
     was_unreachable: bool,
+    as_of: &Cell<Option<Moment>>,
     view: &View,
-    apply: &impl Fn(Change, bool),
+    apply: &impl Fn(Change, Context),
 ) -> Result<Position, Error> {
     let update = store.watch(plan.kind, from, plan.wait).await?;
     view.record_age(update.age);
     view.mirror.apply(plan.kind, &update);
+    let later_than = as_of.replace(Some(Moment::ago(update.age)));
     if !update.value.is_empty() {
-        apply(Change::Events(update.value), was_unreachable);
+        let context = Context {
+            was_unreachable,
+            later_than,
+        };
+        apply(Change::Events(update.value), context);
     }
     Ok(Position {
         revision: update.revision,
@@ -454,7 +488,8 @@
     bound: Duration,
 ) {
     let age = view.clone();
-    let apply = |change: Change, was_unreachable: bool| {
+    let apply = |change: Change, context: Context| {
+        let was_unreachable = context.was_unreachable;
         let known = facts.borrow().evacuated();
         let mut evacuated = known.clone();
         match change {
@@ -497,9 +532,10 @@
     view: View,
     facts: Rc<RefCell<Facts>>,
     pool: Pool,
+    crashes: Crashes,
 ) {
     let detector = RefCell::default();
-    let apply = |change: Change, was_unreachable: bool| {
+    let apply = |change: Change, context: Context| {
         let mut removed = Vec::new();
         match change {
             Change::Snapshot(objects) => {
@@ -519,6 +555,7 @@
                     match event {
                         Event::Put(object) if put_endpoint(&object, &facts, &pool) => {
                             removed.retain(|id| *id != object.name);
+                            record_alive(&object.name, &facts, &crashes, context);
                         }
                         Event::Put(object) => removed.push(object.name),
                         Event::Removed(id) => removed.push(id),
@@ -526,7 +563,7 @@
                 }
             }
         }
-        remove_endpoints(removed, was_unreachable, &facts, &pool, &detector);
+        remove_endpoints(removed, context.was_unreachable, &facts, &pool, &detector);
     };
     let follower = follow_in_batches(store, ENDPOINTS, batching, view, apply);
     monoio::select! {
@@ -535,6 +572,16 @@
     }
 }
 
+/// Records that the endpoint `id` wrote its record, which shows that it went on if
+/// it has not started again.
+fn record_alive(id: &str, facts: &RefCell<Facts>, crashes: &Crashes, context: Context) {
+    let facts = facts.borrow();
+    let known = facts.key(id).and_then(|key| facts.endpoints.get(key));
+    if let (Some(endpoint), Some(later_than)) = (known, context.later_than) {
+        crashes.record_alive(id, endpoint.record.started_ms, later_than.elapsed());
+    }
+}
+
 /// How often the VM checks for endpoints whose records were missing too long.
 const MISSING_CHECK_PERIOD: Duration = Duration::from_millis(250);
 
--- a/crates/site/src/forward.rs
+++ b/crates/site/src/forward.rs
@@ -4,7 +4,7 @@
 //! cannot have run it, or if the request may run more than once.
 
 use std::{
-    cell::{OnceCell, RefCell},
+    cell::{Cell, OnceCell, RefCell},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -25,7 +25,7 @@
 };
 
 use crate::{
-    crash::Crashes,
+    crash::{Admission, Crashes, Probe},
     facts::{Endpoint, Facts, Key},
     metrics::Metrics,
     origin::{Origins, Producer},
@@ -81,6 +81,8 @@
     pub domain: String,
     /// The name of this VM.
     pub vm: String,
+    /// When requests are not sent to endpoints any more, once this VM stops.
+    pub last_send: Rc<Cell<Option<Instant>>>,
 }
 
 /// A slot that one request occupies at an endpoint. Dropping it frees the slot.
@@ -328,10 +330,11 @@
         outcome: &mut Outcome,
     ) -> Option<Option<Source>> {
         let remaining = dispatch.time_left();
-        if is_exhausted(dispatch, outcome) {
+        if self.is_exhausted(dispatch, outcome) {
             return None;
         }
-        if let Some(rest) = self.crashes.quarantine(dispatch) {
+        let admission = self.crashes.admit(dispatch);
+        if let Admission::Held(rest) = admission {
             outcome.hold = Some(Hold::Quarantine(rest));
             return None;
         }
@@ -365,12 +368,20 @@
             outcome.denials += 1;
             return Some(None);
         }
+        let probe = match self.claim_probe(dispatch, &admission).await {
+            Ok(probe) => probe,
+            Err(hold) => {
+                outcome.hold = Some(hold);
+                return None;
+            }
+        };
         attempts.tried.push(key);
         needs.record(&mut self.facts.borrow_mut(), key);
         self.metrics.record_placement(choice.benefit());
         let entry = self.usage.entry(dispatch.account.as_deref());
         let call = observed(dispatch.call(&endpoint.id, remaining), &self.facts, key);
-        let call = counted(call, &entry);
+        let call = counted(probing(call, probe.as_ref()), &entry);
+        let sent_at = Instant::now();
         let sent = self.paths.send(key, &endpoint, call).await;
         let judged = sent.and_then(|response| {
             let is_rejected =
@@ -383,6 +394,9 @@
         };
         if !may_have_run {
             entry.cancel();
+            if let Some(probe) = &probe {
+                probe.set_sent(false);
+            }
         }
         let now = Instant::now();
         match judged {
@@ -402,6 +416,7 @@
                     slot,
                     response,
                     producer: Producer::new(&endpoint.record),
+                    sent_at,
                 }))
             }
             Ok((response, true)) => {
@@ -425,7 +440,7 @@
                     outcome.rejections += 1;
                     return Some(None);
                 }
-                self.crashes.record_failure(dispatch, known, &e);
+                self.crashes.record_failure(dispatch, known, sent_at, &e);
                 attempts.runs += 1;
                 outcome.runs += 1;
                 outcome.end = End::Lost;
@@ -463,10 +478,11 @@
         let has_idle = |address| self.paths.has_idle(address);
         loop {
             let remaining = dispatch.time_left();
-            if is_exhausted(dispatch, &outcome) {
+            if self.is_exhausted(dispatch, &outcome) {
                 return outcome;
             }
-            if let Some(rest) = self.crashes.quarantine(dispatch) {
+            let admission = self.crashes.admit(dispatch);
+            if let Admission::Held(rest) = admission {
                 outcome.hold = Some(Hold::Quarantine(rest));
                 return outcome;
             }
@@ -495,7 +511,16 @@
             let attempts_left = route.max_attempts.saturating_sub(outcome.runs);
             let limit = attempt_timeout(remaining, route, dispatch.may_repeat, attempts_left);
             let is_last = attempts_left <= 1 || !dispatch.may_repeat;
-            let attempt = self.try_endpoint(&choice, dispatch, &needs, limit).await;
+            let probe = match self.claim_probe(dispatch, &admission).await {
+                Ok(probe) => probe,
+                Err(hold) => {
+                    outcome.hold = Some(hold);
+                    return outcome;
+                }
+            };
+            let attempt = self
+                .try_endpoint(&choice, dispatch, &needs, limit, probe)
+                .await;
             if !matches!(attempt, Attempt::Denied) {
                 tried.push(key);
             }
@@ -530,6 +555,17 @@
         }
     }
 
+    /// Returns whether `dispatch` is sent to no other endpoint, since its deadline
+    /// has passed, too many rejected it, or this VM stops.
+    pub(crate) fn is_exhausted(&self, dispatch: &Dispatch, outcome: &Outcome) -> bool {
+        let now = Instant::now();
+        let is_stopping = self
+            .last_send
+            .get()
+            .is_some_and(|last_send| now >= last_send);
+        now >= dispatch.deadline || is_stopping || outcome.rejections >= REJECTIONS_MAX
+    }
+
     fn criteria<'a>(&'a self, service: &'a str, tried: &'a [Key], denials: usize) -> Criteria<'a> {
         Criteria {
             service,
@@ -565,12 +601,25 @@
         endpoint.map(|endpoint| endpoint.id).unwrap_or_default()
     }
 
+    /// Claims the probe that `admission` asks for, if it does.
+    async fn claim_probe(
+        &self,
+        dispatch: &Dispatch,
+        admission: &Admission,
+    ) -> Result<Option<Probe>, Hold> {
+        match admission {
+            Admission::Probe(number) => self.crashes.claim(dispatch, *number).await.map(Some),
+            _ => Ok(None),
+        }
+    }
+
     async fn try_endpoint(
         &self,
         choice: &Choice,
         dispatch: &Dispatch,
         needs: &Needs,
         limit: Duration,
+        probe: Option<Probe>,
     ) -> Attempt {
         let key = choice.key;
         let Some(endpoint) = self.endpoint(key) else {
@@ -586,8 +635,8 @@
         self.metrics.record_placement(choice.benefit());
         let entry = self.usage.entry(dispatch.account.as_deref());
         let call = observed(dispatch.call(&endpoint.id, limit), &self.facts, key);
-        let call = counted(call, &entry);
-        let start = Instant::now();
+        let call = counted(probing(call, probe.as_ref()), &entry);
+        let sent_at = Instant::now();
         let response = self.paths.fetch(key, &endpoint, call).await;
         let attempt = classify(response);
         self.metrics
@@ -595,6 +644,9 @@
         let now = Instant::now();
         if let Attempt::NotRun(_) | Attempt::Withheld | Attempt::Unreached(_) = &attempt {
             entry.cancel();
+            if let Some(probe) = &probe {
+                probe.set_sent(false);
+            }
         }
         let (request, id) = (dispatch.id.as_str(), endpoint.id.as_str());
         match &attempt {
@@ -602,7 +654,7 @@
                 let mut facts = self.facts.borrow_mut();
                 facts.record_success(key);
                 if response.status.is_success() {
-                    facts.observe_request(key, now - start, now);
+                    facts.observe_request(key, now - sent_at, now);
                 }
                 drop(facts);
                 // A 504 may come from the endpoint's queue.
@@ -631,18 +683,12 @@
             }
         }
         if let Attempt::Unknown(e) = &attempt {
-            self.crashes.record_failure(dispatch, &endpoint, e);
+            self.crashes.record_failure(dispatch, &endpoint, sent_at, e);
         }
         attempt
     }
 }
 
-/// Returns whether `dispatch` is sent to no other endpoint, since its deadline has
-/// passed or too many rejected it.
-pub(crate) fn is_exhausted(dispatch: &Dispatch, outcome: &Outcome) -> bool {
-    Instant::now() >= dispatch.deadline || outcome.rejections >= REJECTIONS_MAX
-}
-
 fn log_opened(dispatch: &Dispatch, endpoint: &Endpoint, choice: &Choice) {
     let request = dispatch.id.as_str();
     let (id, software) = (endpoint.id.as_str(), endpoint.record.software.as_str());
@@ -655,6 +701,16 @@
     spdlog::info!("event stream opened", kv: { request, origin, endpoint = id, software, after, held_tokens, expected_ms });
 }
 
+/// Returns `call` as the probe of a quarantine, if it is one. It goes over a new
+/// connection, since a call whose idle connection was closed is sent again.
+fn probing(call: Call, probe: Option<&Probe>) -> Call {
+    let Some(probe) = probe else {
+        return call;
+    };
+    probe.set_sent(true);
+    call.new_connection()
+}
+
 /// Returns `call` with `entry`, which is counted once the call is sent.
 fn counted(call: Call, entry: &Entry) -> Call {
     let entry = entry.clone();
--- a/crates/site/src/metrics.rs
+++ b/crates/site/src/metrics.rs
@@ -44,6 +44,8 @@
     evacuated_domains: Gauge<u64>,
     withheld_attempts: Counter<u64>,
     cold_endpoints: Gauge<u64>,
+    refuted_losses: Counter<u64>,
+    crash_probes: Counter<u64>,
     store_calls: Gauge<u64>,
     store_call_results: Counter<u64>,
     endpoint_connections: Counter<u64>,
@@ -88,6 +90,8 @@
             evacuated_domains: meter.u64_gauge("tarragonseam_evacuated_domains").build(),
             withheld_attempts: telemetry.counter("tarragonseam_withheld_attempts"),
             cold_endpoints: meter.u64_gauge("tarragonseam_cold_endpoints").build(),
+            refuted_losses: telemetry.counter("tarragonseam_refuted_losses"),
+            crash_probes: telemetry.counter("tarragonseam_crash_probes"),
             store_calls: meter.u64_gauge("tarragonseam_store_calls").build(),
             store_call_results: telemetry.counter("tarragonseam_store_call_results"),
             endpoint_connections: telemetry.counter("tarragonseam_endpoint_connections"),
@@ -200,6 +204,18 @@
         self.0.withheld_attempts.add(1, &[reason]);
     }
 
+    /// Records that an endpoint did not end under a request, as it had seemed.
+    pub fn record_refuted_loss(&self) {
+        self.0.refuted_losses.add(1, &[]);
+    }
+
+    /// Records a claimed probe of a quarantine, and whether it was sent.
+    pub fn record_crash_probe(&self, result: &'static str) {
+        self.0
+            .crash_probes
+            .add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Records that `requests` requests are in no usage report.
     pub fn record_omitted_usage(&self, requests: u64) {
         self.0.usage_omitted_requests.add(requests, &[]);
