--- a/crates/link/src/http/session.rs
+++ b/crates/link/src/http/session.rs
@@ -112,6 +112,9 @@
 const DISCARD_BUFFER_BYTES: usize = 16 * 1024;
 /// How many bytes beyond the largest body are discarded.
 const DISCARD_EXTRA_BYTES: usize = 64 * 1024;
+/// The least number of bytes that are discarded, since the bodies that are refused for
+/// their size exceed the largest one.
+const DISCARD_BYTES_MIN: usize = 8 * 1024 * 1024;
 
 /// Reads and discards the bytes that still arrive, within the limits.
 pub(crate) async fn discard(tail: Tail, limits: &Limits) {
@@ -120,7 +123,8 @@
     };
     let discarding = async {
         let mut buffer = Vec::with_capacity(DISCARD_BUFFER_BYTES);
-        let mut remaining_bytes = limits.body_bytes.saturating_add(DISCARD_EXTRA_BYTES);
+        let largest = limits.body_bytes.saturating_add(DISCARD_EXTRA_BYTES);
+        let mut remaining_bytes = largest.max(DISCARD_BYTES_MIN);
         while remaining_bytes > 0 {
             let reading = read.read(buffer);
             let Ok(read) = monoio::time::timeout(DISCARD_SILENCE_MAX, reading).await else {
