order: one kept connection for each endpoint, also if it omits ids

Change: at an endpoint that omits ids the connection is used for an order only if the read of its state was answered there since the last one. A late answer takes the place of the state, which cannot be decoded then, and no order is sent. An endpoint that has repeated ids must go on doing so.

--- a/crates/link/src/http/call.rs
+++ b/crates/link/src/http/call.rs
@@ -207,8 +207,8 @@
 
     /// Sends `id` as the header `name`, and rejects a response that has another id
     /// there. A response without an id is accepted, but not on a kept connection
-    /// ([`kept_connection`](Self::kept_connection)). No two requests may have the
-    /// same `id`.
+    /// ([`kept_connection`](Self::kept_connection)) whose last response had one. No two
+    /// requests may have the same `id`.
     pub fn unique_id(mut self, name: HeaderName, id: &str) -> Self {
         self.may_omit_echo = true;
         self.echoed_header(name, id)
@@ -217,10 +217,11 @@
     /// Sends the request on a connection to the peer that carries no other requests
     /// but those of [`prefer_kept_connection`](Self::prefer_kept_connection).
     ///
-    /// The connection is kept only if each response repeats the
-    /// [id](Self::unique_id) of its request, so that a late or a second response to
-    /// an earlier request is never taken for the response to this one. To a peer
-    /// that does not repeat ids, each request opens a connection.
+    /// If the last response there repeated the [id](Self::unique_id) of its request, so
+    /// must this one: a late or a second response to an earlier request is never taken
+    /// for it. Otherwise the connection is used only if another request was answered
+    /// there in between ([`prefer_kept_connection`](Self::prefer_kept_connection)),
+    /// which would have got the late response in its place.
     pub fn kept_connection(mut self) -> Self {
         self.kept_connection = KeptUse::Own;
         self
--- a/crates/link/src/http/client.rs
+++ b/crates/link/src/http/client.rs
@@ -57,6 +57,12 @@
     idle_time_max: Duration,
     /// Whether the connection is kept apart from the other idle ones.
     is_kept: bool,
+    /// Whether the last response to a request with [`KeptUse::Own`] had its id.
+    repeats_ids: bool,
+    /// Whether another request was answered since the last one with
+    /// [`KeptUse::Own`]. A response to that one which came late was taken for the
+    /// answer to the other request then.
+    is_checked: bool,
     /// Hashes of the ids of the last requests on the connection.
     recent_ids: VecDeque<u64>,
     life: Life,
@@ -76,6 +82,8 @@
             idle_since: Instant::now(),
             idle_time_max: IDLE_TIME_MAX,
             is_kept: false,
+            repeats_ids: false,
+            is_checked: false,
             recent_ids: VecDeque::new(),
             life,
         }
@@ -354,8 +362,9 @@
             .as_ref()
             .and_then(|(name, id)| Some(headers.get(name)? == id));
         // On a kept connection, the response to an earlier request may arrive late.
-        let may_omit_echo =
-            call.may_omit_echo && !(connection.is_kept && call.kept_connection == KeptUse::Own);
+        let is_own = call.kept_connection == KeptUse::Own;
+        let must_echo = connection.is_kept && is_own && connection.repeats_ids;
+        let may_omit_echo = call.may_omit_echo && !must_echo;
         if let Some((name, _)) = &call.expected_echo
             && !is_echoed.unwrap_or(may_omit_echo)
         {
@@ -381,11 +390,11 @@
                 "the body exceeds the size limit",
             ));
         }
-        if call.kept_connection == KeptUse::Own {
-            // Only a response with the id of the request shows that the peer
-            // repeats ids.
-            connection.is_kept = is_echoed == Some(true);
+        if is_own {
+            connection.is_kept = true;
+            connection.repeats_ids = is_echoed == Some(true);
         }
+        connection.is_checked = !is_own;
         if let Some(stated) = stated_idle_time(&headers) {
             connection.idle_time_max = IDLE_TIME_MAX.min(stated.saturating_sub(STATED_IDLE_MARGIN));
         }
@@ -491,8 +500,10 @@
     fn take(&self, peer: SocketAddr, call: &Call) -> Option<Connection> {
         if call.kept_connection != KeptUse::Never {
             let kept = self.kept.borrow_mut().remove(&peer);
+            let is_own = call.kept_connection == KeptUse::Own;
+            let kept = kept.filter(|kept| !is_own || kept.repeats_ids || kept.is_checked);
             let kept = kept.and_then(Connection::if_usable);
-            if kept.is_some() || call.kept_connection == KeptUse::Own {
+            if kept.is_some() || is_own {
                 return kept;
             }
         }
