--- a/crates/site/tests/calls.rs
+++ b/crates/site/tests/calls.rs
@@ -131,6 +131,24 @@
         .count()
 }
 
+/// A read of the state had an id, as requests have. Where the address had gone to an
+/// endpoint of another service, that one ran it as a request that nobody had sent.
+#[test]
+fn reads_of_states_have_ids() {
+    let deployment = Deployment::start(1, Plan::default());
+    let named = json!({"model": MODEL, "version": 2});
+    deployment.site.state().put("versions", MODEL, named);
+    let mut ids = Vec::new();
+    wait("a read of a state", || {
+        let state = deployment.site.state();
+        let reads = state.control_calls.iter();
+        let reads = reads.filter(|call| call.path == "/report");
+        ids = reads.map(|call| call.id.clone()).collect();
+        !ids.is_empty()
+    });
+    assert!(ids.iter().all(String::is_empty), "{ids:?}");
+}
+
 /// Each order to load weights opened a connection.
 #[test]
 fn orders_open_connections_to_endpoints_that_repeat_ids() {
