schedule: an item that waits for its software version holds up no other job

Where slots suffice, jobs start after those of more urgent ranks. An item whose text only one software version can continue, and that found no endpoint, was not marked as passed over, so less urgent jobs went on waiting for it, for up to 1 s, until its text was dropped.

Change: it is marked like any other item without an endpoint.

Measured: the six tests of site's schedule and those of policy's passed, and the tests of items in software.rs.

--- a/crates/policy/src/schedule.rs
+++ b/crates/policy/src/schedule.rs
@@ -23,7 +23,7 @@
 //! [`AGED_AFTER`], so that late and unwanted groups do not starve either.
 //!
 //! A decision is made for each slot that becomes free. It looks at the groups of
-//! those jobs of which an item has changed, and sorts nothing.
+//! those jobs of which an item has changed, and sorts the groups of these.
 
 use std::{collections::BTreeMap, time::Duration};
 
--- a/crates/site/src/job/executor.rs
+++ b/crates/site/src/job/executor.rs
@@ -396,8 +396,11 @@
                 }
                 None if is_bound => {
                     // An item whose text was dropped may run anywhere.
-                    let is_dropped = self.drop_text_without_endpoint(index, now);
-                    index += usize::from(!is_dropped);
+                    if !self.drop_text_without_endpoint(index, now) {
+                        // Less urgent jobs do not wait for it.
+                        self.block(index, now);
+                        index += 1;
+                    }
                 }
                 // Any endpoint would do, so the other items find none either.
                 None => {
