--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -137,6 +137,7 @@
         self.floor = 0
         self.changed = asyncio.Event()
         self.hook = None
+        self.watching = set()
         self.reports = []
         self.calls = 0
 
@@ -173,6 +174,7 @@
             self._log(kind, item, True)
 
     async def serve_store(self, reader, writer):
+        self.watching.add(writer)
         try:
             while True:
                 message = await read_message(reader)
@@ -192,6 +194,7 @@
         except (ConnectionError, OSError):
             pass
         finally:
+            self.watching.discard(writer)
             writer.close()
 
     async def handle(self, method, target, body):
