--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -440,6 +440,7 @@
                                zones[n % 3], False) for n in range(stores)]
         self.seed_count = 3
         self.runs = []
+        self.limit_header = ""
         self.events_of = lambda id: 10
 
     async def start_platform(self, config):
@@ -630,9 +631,9 @@
         closed = asyncio.ensure_future(reader.read(1))
         try:
             writer.write((
-                "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s.%s.%s\r\nServer-Load: %d,0,%d\r\n"
+                "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s.%s.%s\r\nServer-Load: %d,0,%d\r\n%s"
                 "Weight-Versions: %d\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-                % (id, self.name, id, len(self.running), self.slots, version)).encode())
+                % (id, self.name, id, len(self.running), self.slots, self.site.limit_header, version)).encode())
             for n in range(first, count + 1):
                 done, _ = await asyncio.wait({closed}, timeout=self.step_s)
                 if done or not self.is_up:
