--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -649,7 +649,9 @@
             writer.write(b"0\r\n\r\n")
             end = "is finished"
         finally:
-            if not closed.done():
+            if closed.done():
+                closed.exception()
+            else:
                 closed.cancel()
                 try:
                     await closed
