--- a/crates/fakes/src/site/mod.rs
+++ b/crates/fakes/src/site/mod.rs
@@ -180,6 +180,8 @@
     pub fault: Fault,
     /// The number of calls to the store, by method and kind.
     pub calls: BTreeMap<String, u64>,
+    /// The most objects on a page of a list, if only their size does not limit it.
+    pub page_length: Option<usize>,
     pub(crate) revision: u64,
     pub(crate) compacted_revision: u64,
     pub(crate) objects: BTreeMap<(String, String), Value>,
--- a/crates/fakes/src/site/store.rs
+++ b/crates/fakes/src/site/store.rs
@@ -6,6 +6,7 @@
     Method, StatusCode,
     http::{Reply, Request},
 };
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 
 use super::{Fault, SharedState, State, lock};
@@ -78,6 +79,20 @@
     }
 }
 
+/// Decodes the percent-encoded octets of a part of a target. Returns `None` if it has
+/// a percent sign without two hexadecimal digits, or is not UTF-8.
+fn decode(text: &str) -> Option<String> {
+    let is_octet = |rest: &str| {
+        let digits = rest.as_bytes().get(..2);
+        digits.is_some_and(|digits| digits.iter().all(u8::is_ascii_hexdigit))
+    };
+    if !text.split('%').skip(1).all(is_octet) {
+        return None;
+    }
+    let decoded = percent_decode_str(text).decode_utf8().ok()?;
+    Some(decoded.into_owned())
+}
+
 /// Returns how much later a write is executed.
 fn write_delay(fault: Fault, request: &Request) -> Option<Duration> {
     let delay = match fault {
@@ -210,10 +225,17 @@
         if request.body.len() > OBJECT_BYTES_MAX {
             return Reply::new(StatusCode::PAYLOAD_TOO_LARGE, "");
         }
-        let segments = request.segments();
+        let segments: Option<Vec<String>> = request.segments().into_iter().map(decode).collect();
+        // As in forms, a plus sign in a query stands for a blank.
+        let after = request.query("after");
+        let after = after.map(|after| decode(&after.replace('+', " ")));
+        let (Some(segments), None | Some(Some(_))) = (segments, &after) else {
+            return Reply::new(StatusCode::BAD_REQUEST, "");
+        };
+        let segments: Vec<&str> = segments.iter().map(String::as_str).collect();
         let body: Value = serde_json::from_slice(&request.body).unwrap_or(Value::Null);
         match (&request.method, &*segments) {
-            (&Method::GET, ["objects", kind]) => self.list(kind, request.query("after")),
+            (&Method::GET, ["objects", kind]) => self.list(kind, after.flatten().as_deref()),
             (&Method::POST, ["objects", kind]) => self.create(kind, body),
             (&Method::GET, ["objects", kind, name]) => self.read(kind, name),
             (&Method::PUT, ["objects", kind, name]) => self.replace(kind, name, body),
@@ -231,11 +253,12 @@
             other_kind == kind && after.is_none_or(|after| name.as_str() > after)
         });
         let objects: Vec<&Value> = objects.map(|(_, object)| object).collect();
-        let mut bytes = 0;
+        let page_length = self.page_length.unwrap_or(usize::MAX);
+        let (mut count, mut bytes) = (0, 0);
         let fits = |object: &&&Value| {
-            let is_first = bytes == 0;
+            count += 1;
             bytes += object.to_string().len();
-            is_first || bytes <= OBJECT_BYTES_MAX
+            count == 1 || count <= page_length && bytes <= OBJECT_BYTES_MAX
         };
         let items: Vec<&&Value> = objects.iter().take_while(fits).collect();
         let has_more = items.len() < objects.len();
--- a/crates/site/tests/odd_record.rs
+++ b/crates/site/tests/odd_record.rs
@@ -3,11 +3,25 @@
 
 mod common;
 
-use common::Deployment;
+use common::{Deployment, Vm, wait};
 use fakes::site::Plan;
 use link::Method;
 use serde_json::{Value, json};
 
+/// Names of entries with characters that mean something else in a query, or that are
+/// not allowed there. The last ones sort before and after all endpoints.
+const ODD_NAMES: [&str; 9] = [
+    "engine-1&x",
+    "engine-1&after=z",
+    "engine-1+x",
+    "engine-1#x",
+    "engine-1%x",
+    "engine-1%41",
+    "engine-1 x",
+    " ",
+    "z/?&=\u{e9}\u{1}",
+];
+
 /// Returns the record of an endpoint at a port where nothing listens, with
 /// `field` replaced by the JSON text `value`.
 fn record_with(field: &str, value: &str) -> Value {
@@ -67,3 +81,64 @@
         assert_eq!(answer.status, 200);
     }
 }
+
+/// Announces one endpoint of the plain service as ready and the other as draining, by
+/// turns, and returns the id of the ready one.
+fn announce_one_ready(deployment: &Deployment, turn: usize) -> &'static str {
+    let mut state = deployment.site.state();
+    let mut ids = ["plain-0", "plain-1"];
+    ids.rotate_left(turn % 2);
+    state.announce(ids[0], "ready");
+    state.announce(ids[1], "draining");
+    ids[0]
+}
+
+/// Sends requests, all of which must be answered, and returns whether only the endpoint
+/// `id` received them.
+fn is_only_used(deployment: &Deployment, vm: &Vm, id: &str) -> bool {
+    deployment.site.state().arrivals.clear();
+    for number in 0..4 {
+        let answer = vm.request(Method::GET, "/safe/a", &format!("r{number}"));
+        assert_eq!(answer.status, 200);
+    }
+    let state = deployment.site.state();
+    state.arrivals.iter().all(|arrival| arrival.endpoint == id)
+}
+
+/// VMs that started while an entry with an odd name was the last one of a page could
+/// not read the next page, and were never ready.
+#[test]
+fn odd_name_between_pages_keeps_vms_from_starting() {
+    let mut deployment = Deployment::start(2, Plan::default());
+    // Each entry ends a page.
+    deployment.site.state().page_length = Some(1);
+    for (turn, odd) in ODD_NAMES.iter().enumerate() {
+        let ready = announce_one_ready(&deployment, turn);
+        let entry = json!({"written-by": "another program"});
+        deployment.site.state().put("servers", odd, entry);
+        deployment.kill_all(false);
+        deployment.restart_all();
+        for vm in &deployment.vms {
+            assert!(is_only_used(&deployment, vm, ready), "{odd:?}");
+        }
+        deployment.site.state().remove("servers", odd);
+    }
+}
+
+/// The same, for a VM that lists the endpoints again since the history was lost.
+#[test]
+fn odd_name_between_pages_stops_view_of_endpoints() {
+    let deployment = Deployment::start(1, Plan::default());
+    deployment.site.state().page_length = Some(1);
+    for (turn, odd) in ODD_NAMES.iter().enumerate() {
+        let mut state = deployment.site.state();
+        state.put("servers", odd, json!({}));
+        state.compact_history();
+        drop(state);
+        let ready = announce_one_ready(&deployment, turn);
+        wait("the list with the states of the endpoints", || {
+            is_only_used(&deployment, &deployment.vms[0], ready)
+        });
+        deployment.site.state().remove("servers", odd);
+    }
+}
