platform: an entry with a name that no endpoint has is no endpoint

Callers saw (test odd_name_with_fields_of_endpoint_gets_requests): requests went to the address of an entry of another writer, if its fields were those of an endpoint, whatever its name.

Cause: the name of an entry was not looked at. It is the id that requests name as the only endpoint that may run them; a name with a control character cannot stand in a header at all, and the header was left out then.

Change: endpoint::decode_object takes an entry for an endpoint only if its name has nothing but the unreserved characters of RFC 3986. Each VM decides that for itself, so an older build goes on as before beside a newer one.

--- a/crates/site/src/follow.rs
+++ b/crates/site/src/follow.rs
@@ -598,8 +598,7 @@
 /// Applies the record of an endpoint, and returns whether it is valid.
 fn put_endpoint(object: &Object, facts: &RefCell<Facts>, pool: &Pool) -> bool {
     let id = object.name.as_str();
-    let record = object.spec.as_deref().and_then(endpoint::decode);
-    let Some(record) = record else {
+    let Some(record) = endpoint::decode_object(object) else {
         spdlog::warn!("endpoint record is not valid", kv: { endpoint = id });
         return false;
     };
--- a/crates/site/tests/odd_record.rs
+++ b/crates/site/tests/odd_record.rs
@@ -4,7 +4,10 @@
 mod common;
 
 use common::{Deployment, Vm, wait};
-use fakes::site::Plan;
+use fakes::{
+    script::{self, Answer},
+    site::{PLAIN_SERVICE, Plan},
+};
 use link::Method;
 use serde_json::{Value, json};
 
@@ -142,3 +145,33 @@
         deployment.site.state().remove("servers", odd);
     }
 }
+
+/// An entry with an odd name whose fields are those of an endpoint got requests. No
+/// endpoint has such a name.
+#[test]
+fn odd_name_with_fields_of_endpoint_gets_requests() {
+    let deployment = Deployment::start(1, Plan::default());
+    let vm = &deployment.vms[0];
+    let endpoints = deployment.site.state().endpoints.len();
+    let script = script::spawn(vec![vec![Answer::Body("not an endpoint")]; 50]).unwrap();
+    for (number, odd) in ODD_NAMES.iter().enumerate() {
+        let record = json!({
+            "service": PLAIN_SERVICE, "address": script.address.to_string(), "zone": "zone-a",
+            "version": "v1", "slots": 4, "state": "ready", "born": 1, "models": [],
+        });
+        let mut state = deployment.site.state();
+        state.put("servers", odd, record);
+        drop(state);
+        // The VM logs what it makes of each record.
+        wait("the entry to be read", || {
+            let log = vm.log();
+            let count = |line: &str| log.matches(line).count();
+            count("endpoint added") + count("endpoint record is not valid") > endpoints + number
+        });
+        for request in 0..4 {
+            let answer = vm.request(Method::GET, "/safe/a", &format!("r{number}-{request}"));
+            assert_eq!(answer.status, 200, "{odd:?}");
+        }
+        assert_eq!(script.requests(), 0, "{odd:?}");
+    }
+}
