link: an answer whose status is no status code of HTTP is no answer

Here the status codes from 000 to 099 and those of other lengths were refused already; the tests stay. Those from 600 to 999 were passed on: a safe request got 600 although another endpoint could answer it, an unsafe one got 600 in place of 504, and a stream ended with it.

Cause: the library accepts each number from 100 to 999, and nothing after it looked at the range.

Change: the HTTP client refuses a head with a status code above 599 as malformed, so that it counts as a failed attempt like any other bytes that are no answer. This holds for endpoints, other VMs and the store alike.

--- a/crates/fakes/src/script.rs
+++ b/crates/fakes/src/script.rs
@@ -45,6 +45,9 @@
     Cut(&'static str),
     /// This text without the id, after which the connection closes.
     CutWithoutId(&'static str),
+    /// This text with the line of the id in place of `{id}`, after which the connection
+    /// closes.
+    Text(&'static str),
     /// A status line and then this text again and again until the peer closes
     /// the connection.
     EndlessHead(&'static str),
@@ -180,6 +183,7 @@
             Answer::Close => return Ok(()),
             Answer::Cut(text) => return write!(stream, "{SUCCESS}{id}{text}"),
             Answer::CutWithoutId(text) => return write!(stream, "{text}"),
+            Answer::Text(text) => return stream.write_all(text.replace("{id}", &id).as_bytes()),
             Answer::EndlessHead(text) => {
                 write!(stream, "{SUCCESS}{id}")?;
                 return repeat_endlessly(&mut stream, text);
--- a/crates/link/src/http/client.rs
+++ b/crates/link/src/http/client.rs
@@ -178,6 +178,8 @@
 /// for the last time. The peer counts from when it sent its last response, and a
 /// request that arrives after its limit is lost.
 const STATED_IDLE_MARGIN: Duration = Duration::from_millis(200);
+/// The largest status code of HTTP.
+const STATUS_MAX: u16 = 599;
 /// The largest idle time that is read from a header.
 const STATED_IDLE_SECONDS_MAX: u64 = 3600;
 
@@ -367,6 +369,11 @@
                 Some(Ok(head)) => head,
             };
             let (parts, _) = head.into_parts();
+            // The library also accepts numbers that are no status codes.
+            if parts.status.as_u16() > STATUS_MAX {
+                let detail = format!("invalid status code {}", parts.status.as_str());
+                return Err(Error::new(Kind::Malformed, detail));
+            }
             let framing = framing::from_response(&call.method, parts.status, &parts.headers)
                 .map_err(|e| Error::new(Kind::Malformed, e.0))?;
             if !parts.status.is_informational() {
--- a/crates/link/tests/client.rs
+++ b/crates/link/tests/client.rs
@@ -247,6 +247,25 @@
     assert_eq!(fetched, Err(Kind::Incomplete));
 }
 
+/// Only the codes from 200 to 599 are those of final answers.
+#[test]
+fn fetch_with_invalid_status() {
+    let is_answer = |status: &str| {
+        let response = format!("HTTP/1.1 {status} Text\r\ncontent-length: 5\r\n\r\nwrong");
+        fetch_closing(response.as_bytes()).is_ok()
+    };
+    let codes = (0..1000).map(|code| format!("{code:03}"));
+    let odd = [
+        "0", "20", "2000", "0200", "+20", "-20", " 200", "2 0", "20x", "2\0", "",
+    ];
+    let taken: Vec<String> = codes
+        .chain(odd.map(String::from))
+        .filter(|status| is_answer(status))
+        .collect();
+    let valid: Vec<String> = (200..600).map(|code| code.to_string()).collect();
+    assert_eq!(taken, valid);
+}
+
 /// A body whose bytes were always there was read without a pause. No other task ran
 /// meanwhile, and no time limit ended it before the limit on its size.
 #[test]
