link: a head with a line feed that has no carriage return is refused

Callers saw (test request_to_endpoint_with_invalid_head): an endpoint in trouble sent an answer in whose head a line began with a control byte, the line feed, and the caller got it as an answer, with the body of another message: the lines from there to the next empty line were dropped without a word.

Cause: the decoder of heads looks for an empty line with carriage returns, and the parser below it also takes a bare line feed for the end of a line, and an empty line of that form for the end of the head. What lies between the two ends was discarded, so headers were lost and the body began at another byte. All other bytes that no field name may have were refused before, as were control bytes in values (fetch_with_invalid_field_name and fetch_with_invalid_field play each of them at each place). The same held for requests of callers.

Change: heads of answers and of requests are refused if a line ends without a carriage return, as soon as such a line arrives. An answer like that is a failed attempt; a request gets 400.

Tests, failing before: the two above (line feeds only), odd_head.rs with two more answers (2 of 4 tests), and request_malformed (200 in place of 400). The cases of names with a blank or another control byte held before and stay.

--- a/crates/cli/tests/callers/framing.rs
+++ b/crates/cli/tests/callers/framing.rs
@@ -76,6 +76,13 @@
             with("GET /a b HTTP/1.1", "\r\n"),
             400,
         ),
+        ("blank in a name", get("x y: 1\r\n\r\n"), 400),
+        (
+            "line feed before a name",
+            get("content-length: 0\r\n\nx: 1\r\n\r\n"),
+            400,
+        ),
+        ("line feed after a value", get("x: 1\ny: 2\r\n\r\n"), 400),
         (
             "not HTTP",
             b"\x16\x03\x01\x02\x00\x01\r\n\r\n".to_vec(),
--- a/crates/link/src/http/client.rs
+++ b/crates/link/src/http/client.rs
@@ -19,7 +19,10 @@
 };
 use monoio_http::h1::{
     BorrowFramedRead,
-    codec::{decoder::ClientResponseDecoder, encoder::GenericEncoder},
+    codec::{
+        decoder::{DirectWrapper, GenericHeadDecoder, IoOwnedDecoder, ResponseHeadDecoder},
+        encoder::GenericEncoder,
+    },
     payload::{FixedPayload, Payload},
 };
 
@@ -35,6 +38,7 @@
     fence,
     framing::{self, Framing},
     guard::{Budget, Guard, Limit, READ_BYTES_MAX},
+    head::Strict,
     limits::Limits,
     memory::{Holding, Memory},
     opening::{Cause, Life, Loss, Losses},
@@ -42,7 +46,8 @@
 };
 use crate::{fault, net};
 
-type Reader = ClientResponseDecoder<Guard<OwnedReadHalf<TcpStream>>>;
+type HeadDecoder = GenericHeadDecoder<(), Strict<ResponseHeadDecoder>, DirectWrapper>;
+type Reader = IoOwnedDecoder<Guard<OwnedReadHalf<TcpStream>>, HeadDecoder>;
 type Writer = GenericEncoder<OwnedWriteHalf<TcpStream>>;
 
 /// An open connection to a peer.
@@ -74,7 +79,7 @@
         let budget = Budget::default();
         let (read, write) = stream.into_split();
         Self {
-            reader: ClientResponseDecoder::new(Guard::new(read, budget.clone())),
+            reader: Reader::new(Guard::new(read, budget.clone())),
             writer: GenericEncoder::new(write),
             budget,
             descriptor,
--- a/crates/link/src/http/mod.rs
+++ b/crates/link/src/http/mod.rs
@@ -16,6 +16,7 @@
 pub(crate) mod fence;
 pub(crate) mod framing;
 pub(crate) mod guard;
+pub(crate) mod head;
 pub(crate) mod hop;
 pub mod limits;
 pub mod memory;
--- a/crates/link/src/http/session.rs
+++ b/crates/link/src/http/session.rs
@@ -28,6 +28,7 @@
     chunk::{self, Extent},
     drain::{CountGuard, Drain},
     guard::{Budget, Guard, Limit},
+    head::Strict,
     limits::Limits,
     pipe,
     refusal::Registration,
@@ -35,7 +36,7 @@
     server::Request,
 };
 
-pub(crate) type Decoder = FramedRead<Guard<Reader>, RequestHeadDecoder>;
+pub(crate) type Decoder = FramedRead<Guard<Reader>, Strict<RequestHeadDecoder>>;
 pub(crate) type Head = http::request::Parts;
 
 /// The result of decoding a head, `None` at the end of the connection. Errors
@@ -98,7 +99,7 @@
         budget: Budget::charging_heads(drain.0.memory.charge_head()),
     };
     let reader = Guard::new(reader, session.budget.clone());
-    let mut decoder = Decoder::new(reader, RequestHeadDecoder);
+    let mut decoder = Decoder::new(reader, Strict::default());
     let end = session
         .serve(&mut decoder, &mut writer, waiting, &*handler)
         .await;
--- a/crates/link/tests/client.rs
+++ b/crates/link/tests/client.rs
@@ -247,6 +247,75 @@
     assert_eq!(fetched, Err(Kind::Incomplete));
 }
 
+/// Returns whether a response is taken for an answer if `line` stands in its head,
+/// before or after the length of its body.
+fn is_answer_with(line: &[u8]) -> bool {
+    let lines: [&[u8]; 2] = [b"content-length: 5\r\n", line];
+    [[0, 1], [1, 0]].iter().any(|order| {
+        let mut response = b"HTTP/1.1 200 OK\r\n".to_vec();
+        order
+            .iter()
+            .for_each(|&n| response.extend_from_slice(lines[n]));
+        response.extend_from_slice(b"\r\nwrong");
+        fetch_closing(&response).is_ok()
+    })
+}
+
+/// A head with an invalid field was taken for an answer, without the rest of its
+/// lines.
+#[test]
+fn fetch_with_invalid_field_name() {
+    assert!(is_answer_with(b"name: value\r\n"));
+    assert!(is_answer_with(b"!#$%&'*+-.^_`|~09azAZ: value\r\n"));
+    let mut taken = Vec::new();
+    for byte in 0..=u8::MAX {
+        let is_token = byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte);
+        if is_token {
+            continue;
+        }
+        for name in [
+            &[byte][..],
+            &[byte, b'n'],
+            &[b'n', byte, b'm'],
+            &[b'n', byte],
+        ] {
+            // The first colon ends a name.
+            let is_cut = byte == b':' && name[0] != b':';
+            let line = [name, b": value\r\n"].concat();
+            if !is_cut && is_answer_with(&line) {
+                taken.push(line.escape_ascii().to_string());
+            }
+        }
+    }
+    assert!(taken.is_empty(), "{taken:?}");
+}
+
+/// A field whose value has a control byte, a line without a colon, and one that goes
+/// on with a blank.
+#[test]
+fn fetch_with_invalid_field() {
+    let mut taken = Vec::new();
+    for byte in (0..=u8::MAX).filter(u8::is_ascii_control) {
+        for value in [&[byte, b'v'][..], &[b'v', byte, b'w'], &[b'v', byte]] {
+            let line = [b"name: ", value, b"\r\n"].concat();
+            if byte != b'\t' && is_answer_with(&line) {
+                taken.push(line.escape_ascii().to_string());
+            }
+        }
+    }
+    for line in [
+        &b"name\r\n"[..],
+        b"\n",
+        b"name: value\r\n more\r\n",
+        b"a: b\n",
+    ] {
+        if is_answer_with(line) {
+            taken.push(line.escape_ascii().to_string());
+        }
+    }
+    assert!(taken.is_empty(), "{taken:?}");
+}
+
 /// Only the codes from 200 to 599 are those of final answers.
 #[test]
 fn fetch_with_invalid_status() {
--- a/crates/site/tests/odd_head.rs
+++ b/crates/site/tests/odd_head.rs
@@ -12,7 +12,7 @@
 use link::Method;
 
 /// Answers that are no HTTP, in the parts that an endpoint in trouble may spoil.
-const ANSWERS: [&str; 25] = [
+const ANSWERS: [&str; 27] = [
     "HTTP/1.1 000 Scripted\r\n{id}content-length: 5\r\n\r\nwrong",
     "HTTP/1.1 000 \r\n{id}content-length: 0\r\n\r\n",
     "HTTP/1.1 001 Scripted\r\n{id}content-length: 5\r\n\r\nwrong",
@@ -38,6 +38,8 @@
     "HTTP/1.1 200 Scripted\r\n{id}content-length: 9\r\ntransfer-encoding\u{b}: chunked\r\n\r\n\
      4\r\nwrong",
     "HTTP/1.1 200 Scripted\r\n{id}bad: a\u{1}b\r\ncontent-length: 5\r\n\r\nwrong",
+    "HTTP/1.1 200 Scripted\r\n{id}content-length: 5\r\n\nbad: v\r\n\r\nwrong",
+    "HTTP/1.1 200 Scripted\r\n{id}bad: v\ncontent-length: 5\r\n\r\nwrong",
     "HTTP/1.1 103 Scripted\r\nbad name: v\r\n\r\n\
      HTTP/1.1 200 Scripted\r\n{id}content-length: 5\r\n\r\nwrong",
 ];
