link: names of failure domains are encoded in calls of the product's platform

A domain with a blank made the call fail ("invalid uri character"), and the endpoints of the other domains were not listed in that round; with `&` or `#` another domain was listed. The names of objects cannot cause this there: that platform takes letters, digits and `._-` only.

Change: encode_component of link is the one function that encodes text for the target of a request.

Test: endpoints_of_domain_with_odd_name failed before, at "zone a". It needs no change of what VMs say or keep.

--- a/crates/cli/tests/control_platform.rs
+++ b/crates/cli/tests/control_platform.rs
@@ -25,7 +25,12 @@
 const KIND: &str = "thing";
 
 fn start() -> Handle {
-    let endpoint = platform::Endpoint {
+    start_with(endpoint())
+}
+
+/// Returns an endpoint that is not started.
+fn endpoint() -> platform::Endpoint {
+    platform::Endpoint {
         id: "registry-1".into(),
         address: "127.0.0.1:1".into(),
         failure_domain: "a".into(),
@@ -34,7 +39,10 @@
         state: platform::State::Spare,
         checks_epoch: false,
         price: 1.0,
-    };
+    }
+}
+
+fn start_with(endpoint: platform::Endpoint) -> Handle {
     let config = platform::Config {
         first_endpoints: vec![endpoint],
         ..platform::Config::default()
@@ -178,6 +186,28 @@
     .unwrap();
 }
 
+/// A failure domain with another character than those of names made the call fail, so
+/// the endpoints of the other ones were not listed either.
+#[test]
+fn endpoints_of_domain_with_odd_name() {
+    for domain in ["zone a", "zone&a", "zone#a", "zone%a", "zone+a", "zone\n"] {
+        let platform = start_with(platform::Endpoint {
+            failure_domain: domain.into(),
+            state: platform::State::Ready,
+            ..endpoint()
+        });
+        let address = platform.address();
+        link::runtime::run(async {
+            let client = Client::new(address, "vm-1");
+            let listed = client.endpoints(Some(domain)).await.unwrap();
+            assert_eq!(listed.len(), 1, "{domain:?}");
+            let others = client.endpoints(Some("zone")).await.unwrap();
+            assert!(others.is_empty(), "{domain:?}");
+        })
+        .unwrap();
+    }
+}
+
 #[test]
 fn unreadable_success_of_write_is_not_a_rejection() {
     let script = script::spawn(vec![vec![Answer::Body("busy")]; 3]).unwrap();
--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod site;
 pub(crate) mod stats;
 pub mod swarm;
+mod target;
 pub mod text;
 pub mod weights;
 
--- a/crates/fakes/src/platform/order.rs
+++ b/crates/fakes/src/platform/order.rs
@@ -21,6 +21,7 @@
     clock,
     fault::{Reclaim, Stock},
     host::Host,
+    target,
 };
 
 /// The state of an endpoint.
@@ -212,13 +213,21 @@
     /// Answers with the endpoints that are not spare, of one failure domain if
     /// the request names one.
     pub(crate) fn endpoints(&self, request: &Request) -> Reply {
-        let domain = request.query("failure_domain");
+        let domain = request.query("failure_domain").map(target::decode_query);
+        if domain == Some(None) {
+            return Reply::new(StatusCode::BAD_REQUEST, "");
+        }
+        let domain = domain.flatten();
         let lag = Duration::from_millis(self.host.read_switch(|s| s.endpoint_lag_ms));
         let lagged = self.inventory.borrow().endpoints_before(lag);
         let listed: Vec<&Endpoint> = lagged
             .iter()
             .filter(|endpoint| endpoint.state != State::Spare)
-            .filter(|endpoint| domain.is_none_or(|domain| endpoint.failure_domain == domain))
+            .filter(|endpoint| {
+                domain
+                    .as_ref()
+                    .is_none_or(|domain| endpoint.failure_domain == *domain)
+            })
             .collect();
         Reply::json(StatusCode::OK, &json!({"endpoints": listed}))
     }
--- a/crates/fakes/src/site/store.rs
+++ b/crates/fakes/src/site/store.rs
@@ -6,10 +6,10 @@
     Method, StatusCode,
     http::{Reply, Request},
 };
-use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 
 use super::{Fault, SharedState, State, lock};
+use crate::target;
 
 /// A change of an object, as watches report it.
 #[derive(Clone, Debug)]
@@ -79,20 +79,6 @@
     }
 }
 
-/// Decodes the percent-encoded octets of a part of a target. Returns `None` if it has
-/// a percent sign without two hexadecimal digits, or is not UTF-8.
-fn decode(text: &str) -> Option<String> {
-    let is_octet = |rest: &str| {
-        let digits = rest.as_bytes().get(..2);
-        digits.is_some_and(|digits| digits.iter().all(u8::is_ascii_hexdigit))
-    };
-    if !text.split('%').skip(1).all(is_octet) {
-        return None;
-    }
-    let decoded = percent_decode_str(text).decode_utf8().ok()?;
-    Some(decoded.into_owned())
-}
-
 /// Returns how much later a write is executed.
 fn write_delay(fault: Fault, request: &Request) -> Option<Duration> {
     let delay = match fault {
@@ -225,10 +211,9 @@
         if request.body.len() > OBJECT_BYTES_MAX {
             return Reply::new(StatusCode::PAYLOAD_TOO_LARGE, "");
         }
-        let segments: Option<Vec<String>> = request.segments().into_iter().map(decode).collect();
-        // As in forms, a plus sign in a query stands for a blank.
-        let after = request.query("after");
-        let after = after.map(|after| decode(&after.replace('+', " ")));
+        let segments: Option<Vec<String>> =
+            request.segments().into_iter().map(target::decode).collect();
+        let after = request.query("after").map(target::decode_query);
         let (Some(segments), None | Some(Some(_))) = (segments, &after) else {
             return Reply::new(StatusCode::BAD_REQUEST, "");
         };
--- a/crates/link/src/http/mod.rs
+++ b/crates/link/src/http/mod.rs
@@ -28,6 +28,7 @@
 pub mod server;
 pub(crate) mod session;
 pub(crate) mod store;
+pub(crate) mod target;
 pub mod tls;
 
 pub use client::{Pool, Response};
@@ -36,4 +37,5 @@
 pub use limits::Limits;
 pub use memory::Memory;
 pub use server::{Reply, Request};
+pub use target::encode_component;
 pub use tls::Tls;
--- a/crates/link/src/platform/mod.rs
+++ b/crates/link/src/platform/mod.rs
@@ -17,6 +17,7 @@
     http::{
         Limits, Pool,
         client::{Call, Fence, Fetched},
+        encode_component,
         error::Kind,
     },
     rate::Limiter,
@@ -271,6 +272,7 @@
     ///
     /// An [`Error`] if the list cannot be read.
     pub async fn list(&self, kind: &str, prefix: &str) -> Result<Changes, Error> {
+        let prefix = encode_component(prefix);
         let path = format!("/v1/objects/{kind}?prefix={prefix}");
         parse(&self.read_path(&path).await?.body)
     }
@@ -307,7 +309,7 @@
         failure_domain: Option<&str>,
     ) -> Result<Vec<endpoint::Record>, Error> {
         let path = match failure_domain {
-            Some(domain) => format!("/v1/endpoints?failure_domain={domain}"),
+            Some(domain) => format!("/v1/endpoints?failure_domain={}", encode_component(domain)),
             None => "/v1/endpoints".to_string(),
         };
         let response = self.read_path(&path).await?;
