link: an odd entry does not spoil the product platform's lists

Found on the way: a list of endpoints or VMs of the product's own platform was read as a whole, so that one entry with a missing field or an address out of range ("missing field `id`") hid all others, and a VM that started did not learn any endpoint from it.

Change: each entry is decoded on its own; one that cannot be decoded is logged and left out.

Test: list_with_odd_entries failed before.

--- a/crates/cli/tests/control_platform.rs
+++ b/crates/cli/tests/control_platform.rs
@@ -186,6 +186,36 @@
     .unwrap();
 }
 
+/// One entry that cannot be decoded made the whole list unreadable.
+#[test]
+fn list_with_odd_entries() {
+    let endpoint = |id: &str, address: &str| {
+        format!(
+            r#"{{"id": "{id}", "address": "{address}", "failure_domain": "a", "service": "s",
+                "class": "stable", "state": "ready"}}"#
+        )
+    };
+    let endpoints = [
+        "{}".to_string(),
+        endpoint("odd", "127.0.0.1:70000"),
+        endpoint("registry-1", "127.0.0.1:80"),
+        "null".to_string(),
+    ];
+    let vms = r#"{"vms": [{"id": 4}, {"id": "vm-1", "address": "127.0.0.1:80",
+        "failure_domain": "a", "state": "live"}]}"#;
+    let endpoints = format!(r#"{{"endpoints": [{}]}}"#, endpoints.join(", "));
+    let answers = [Answer::Body(String::leak(endpoints)), Answer::Body(vms)];
+    let script = script::spawn(answers.map(|answer| vec![answer]).to_vec()).unwrap();
+    link::runtime::run(async {
+        let client = Client::new(script.address, "vm-1");
+        let endpoints = client.endpoints(None).await.unwrap();
+        assert!(endpoints.iter().map(|e| e.id.as_str()).eq(["registry-1"]));
+        let vms = client.vms().await.unwrap();
+        assert!(vms.iter().map(|vm| vm.id.as_str()).eq(["vm-1"]));
+    })
+    .unwrap();
+}
+
 /// A failure domain with another character than those of names made the call fail, so
 /// the endpoints of the other ones were not listed either.
 #[test]
--- a/crates/link/src/platform/mod.rs
+++ b/crates/link/src/platform/mod.rs
@@ -12,6 +12,7 @@
 };
 use bytes::Bytes;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde_json::value::RawValue;
 
 use crate::{
     http::{
@@ -25,7 +26,7 @@
 
 pub use self::error::Error;
 use self::error::unreadable;
-use self::response::{Written, check, parse, parse_confirmation, retry_after};
+use self::response::{Written, check, parse, parse_confirmation, parse_each, retry_after};
 
 /// A value with the version of its object.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -100,12 +101,12 @@
 
 #[derive(Deserialize)]
 struct Vms {
-    vms: Vec<Vm>,
+    vms: Vec<Box<RawValue>>,
 }
 
 #[derive(Deserialize)]
 struct Endpoints {
-    endpoints: Vec<endpoint::Record>,
+    endpoints: Vec<Box<RawValue>>,
 }
 
 /// The condition of a write.
@@ -296,7 +297,7 @@
     /// An [`Error`] if the list cannot be read.
     pub async fn vms(&self) -> Result<Vec<Vm>, Error> {
         let response = self.read_path("/v1/vms").await?;
-        parse::<Vms>(&response.body).map(|list| list.vms)
+        parse::<Vms>(&response.body).map(|list| parse_each("VM", &list.vms))
     }
 
     /// Returns the endpoints of a failure domain, or all endpoints for `None`.
@@ -313,7 +314,7 @@
             None => "/v1/endpoints".to_string(),
         };
         let response = self.read_path(&path).await?;
-        parse::<Endpoints>(&response.body).map(|list| list.endpoints)
+        parse::<Endpoints>(&response.body).map(|list| parse_each("endpoint", &list.endpoints))
     }
 
     /// Posts `body` as JSON to a path of the platform and returns the response,
--- a/crates/link/src/platform/response.rs
+++ b/crates/link/src/platform/response.rs
@@ -4,6 +4,7 @@
 
 use ::http::StatusCode;
 use serde::{Deserialize, de::DeserializeOwned};
+use serde_json::value::RawValue;
 
 use super::error::{Error, unreadable};
 use crate::http::client::Fetched;
@@ -78,6 +79,20 @@
     serde_json::from_slice(body).map_err(|e| unreadable(&e.to_string()))
 }
 
+/// Reads the entries of a list. One that cannot be decoded does not spoil the others.
+pub(crate) fn parse_each<T: DeserializeOwned>(entry: &str, items: &[Box<RawValue>]) -> Vec<T> {
+    let parsed = items.iter().filter_map(|item| {
+        let parsed = serde_json::from_str(item.get());
+        parsed
+            .inspect_err(|e| {
+                let problem = e.to_string();
+                spdlog::warn!("entry of the platform's list cannot be decoded", kv: { entry, problem });
+            })
+            .ok()
+    });
+    parsed.collect()
+}
+
 /// Reads the body of a successful response to a write as JSON.
 ///
 /// # Errors
