--- a/review/lib3/src/bin/memory.rs
+++ b/review/lib3/src/bin/memory.rs
@@ -75,7 +75,7 @@
 fn run(root: &Path, temp: &Path, record: &Record, is_trouble: bool) -> i32 {
     let net = Net::free();
     let (store, log) = (Store::default(), Log::default());
-    store.serve(net.at(1, 8408), Arc::new(|_, _| true)).expect("the store");
+    store.serve(net.at(1, 8408), Arc::new(|_| None)).expect("the store");
     serve_cloud(net.at(2, 8408), Arc::new(Mutex::new(Vec::new()))).expect("the cloud");
     store.put("config", "main", &config(1));
     let zones = ["za", "zb", "zc"];
--- a/review/lib3/src/lib.rs
+++ b/review/lib3/src/lib.rs
@@ -75,11 +75,13 @@
     pub is_store: bool,
     pub grace_s: u64,
     pub fence_checked: bool,
+    /// The last number of the address at which this machine reaches the store.
+    pub store_host: u8,
 }
 
 impl Machine {
     pub fn front(name: &str, zone: &str, host: u8) -> Self {
-        Self { name: name.into(), zone: zone.into(), host, memory_mb: 260, max_fds: 4100, is_store: false, grace_s: 8, fence_checked: true }
+        Self { name: name.into(), zone: zone.into(), host, memory_mb: 260, max_fds: 4100, is_store: false, grace_s: 8, fence_checked: true, store_host: 1 }
     }
 
     pub fn settings(&self, net: Net, seeds: &[SocketAddr], data: &Path, is_first: bool) -> String {
@@ -169,7 +171,7 @@
 duty-per-s = 50.0
 "#,
             name = self.name, zone = self.zone, seeds = seeds.join(","), is_store = self.is_store, memory = self.memory_mb, max_fds = self.max_fds,
-            grace = self.grace_s, fence = self.fence_checked, store = net.at(1, 8408), cloud = net.at(2, 8408),
+            grace = self.grace_s, fence = self.fence_checked, store = net.at(self.store_host, 8408), cloud = net.at(2, 8408),
         )
     }
 }
--- a/review/lib3/src/store.rs
+++ b/review/lib3/src/store.rs
@@ -4,7 +4,7 @@
 use std::{
     collections::BTreeMap,
     io,
-    net::{SocketAddr, TcpStream},
+    net::SocketAddr,
     sync::{Arc, Condvar, Mutex},
     thread,
     time::{Duration, Instant},
@@ -14,6 +14,8 @@
 const PAGE_ITEMS: usize = 500;
 const PAGE_BYTES: usize = 1_000_000;
 const ANSWER_TIME: Duration = Duration::from_millis(4);
+/// How soon a watch that waits is turned away too.
+const WATCH_STEP: Duration = Duration::from_millis(20);
 
 struct Object {
     rev: u64,
@@ -40,8 +42,8 @@
 #[derive(Clone)]
 pub struct Store(Arc<(Mutex<State>, Condvar)>);
 
-/// What the store does with a call: `true` to serve it.
-pub type Filter = dyn Fn(&Request, &TcpStream) -> bool + Send + Sync;
+/// The status with which the store turns a call away at this moment; `None` to serve it.
+pub type Filter = dyn Fn(&Request) -> Option<u16> + Send + Sync;
 
 impl Default for Store {
     fn default() -> Self {
@@ -83,17 +85,17 @@
         http::serve(
             address,
             Arc::new(move |request, stream| {
-                if !filter(request, stream) {
-                    return Err(io::ErrorKind::ConnectionReset.into());
-                }
                 thread::sleep(ANSWER_TIME);
-                let (status, body) = store.answer(request);
+                let (status, body) = match filter(request) {
+                    Some(status) => (status, String::new()),
+                    None => store.answer(request, &*filter),
+                };
                 http::respond(stream, status, &[("Content-Type", "application/json")], body.as_bytes())
             }),
         )
     }
 
-    fn answer(&self, request: &Request) -> (u16, String) {
+    fn answer(&self, request: &Request, filter: &Filter) -> (u16, String) {
         let path = http::decode(request.path());
         let Some(rest) = path.strip_prefix("/objects/") else {
             return (404, "{}".into());
@@ -104,7 +106,7 @@
         let sub = parts.next();
         match (request.method.as_str(), name) {
             ("GET", None) => match request.query("watch").and_then(|rev| rev.parse().ok()) {
-                Some(from) => self.watch(request, &kind, from),
+                Some(from) => self.watch(request, &kind, from, filter),
                 None => self.list(&kind, &request.query("after").unwrap_or_default()),
             },
             ("GET", Some(name)) => {
@@ -137,7 +139,7 @@
         (200, format!(r#"{{"items":[{items}],"more-pages":{more},"as-of":{}}}"#, state.rev))
     }
 
-    fn watch(&self, request: &Request, kind: &str, from: u64) -> (u16, String) {
+    fn watch(&self, request: &Request, kind: &str, from: u64, filter: &Filter) -> (u16, String) {
         let wait = request.query("wait-ms").and_then(|ms| ms.parse().ok()).unwrap_or(0);
         let end = Instant::now() + Duration::from_millis(wait);
         let mut state = self.0 .0.lock().unwrap();
@@ -150,7 +152,10 @@
                 let events = events.join(",");
                 return (200, format!(r#"{{"events":[{events}],"as-of":{}}}"#, state.rev));
             }
-            state = self.0 .1.wait_timeout(state, end - now).unwrap().0;
+            if let Some(status) = filter(request) {
+                return (status, String::new());
+            }
+            state = self.0 .1.wait_timeout(state, (end - now).min(WATCH_STEP)).unwrap().0;
         }
     }
 
