job: items are kept encoded and decoded when they are needed

Callers saw: one batch job of 29.1 MB with 260,000 small items, inside max-body-bytes of 33.5 MB, took each VM that got it over its 260 MB.

Cause: a submission was parsed into a vector of decoded items. An item of 110 bytes took about 950: its struct, a B-tree node of 11 slots for one header, and some allocations. The budget for requests charges the bytes of the body only, so nothing bounded the rest. Ruled out: the body itself (it is one mapping, charged), the forwarded copy (it shares that mapping), the encoded parts for the store (one at a time). The run of a job had the same cause: a text, a schedule entry and a log line for each item from the start on.

Change: the items of a job are the text in which they were submitted or stored, with 32 bytes of index each (position, id, token counts, group). The text is a slice of the request's body, so it stays charged to the budget for requests for as long as the job keeps it. Reading it pauses every 5 ms, since it takes about a second for such a job and the thread serves all other requests. What is written to the store is decoded one part at a time. While a job runs, at most 4,096 items (2 MiB of text) are decoded and wait for slots; the others follow as these start. Jobs of the deployments have dozens of items, which are all decoded at once as before.

Objects in the store have the same names, content and split as before, so builds from before and after this change can accept, read and take over the same job at once.

--- a/crates/site/src/job/api.rs
+++ b/crates/site/src/job/api.rs
@@ -293,8 +293,15 @@
             "the items of the job cannot be read from the store now",
         );
     };
-    match items.iter().find(|known| known.id == item) {
-        Some(found) => Reply::new(StatusCode::OK, found.body.0.clone()),
-        None => Reply::error(StatusCode::NOT_FOUND, "no-item", "the job has no such item"),
+    let Some(position) = items.position(item) else {
+        return Reply::error(StatusCode::NOT_FOUND, "no-item", "the job has no such item");
+    };
+    match items.decode(position) {
+        Ok(found) => Reply::new(StatusCode::OK, found.body.0),
+        Err(e) => {
+            let (job, problem) = (job.borrow().id.clone(), e.to_string());
+            spdlog::error!("cannot decode item of job", kv: { job, item, problem });
+            rejection("unclear", "the item cannot be decoded")
+        }
     }
 }
--- a/crates/site/src/job/content.rs
+++ b/crates/site/src/job/content.rs
@@ -6,16 +6,18 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use platform::{
     batch::Item,
-    store::{Error, Object, Store, Written},
+    items::Items,
+    store::{Error, Store, Written},
 };
 
 use super::{
     Handle, Registry,
-    paging::prefix_within,
-    record::{self, Items, Page, Progress},
+    record::{self, Page, Progress},
 };
+use crate::pace::Pace;
 
 /// The maximum encoded size of the items in one object. The platform allows
 /// 1 MB per object.
@@ -48,11 +50,12 @@
     pub async fn write_items(
         &self,
         id: &str,
-        items: &[Item],
+        items: &Items,
         deadline: Option<Instant>,
     ) -> Result<(), Error> {
         let kind = record::ContentName::kind(id);
-        for (number, part) in split_items(items).into_iter().enumerate() {
+        for (number, part) in split_items(items).enumerate() {
+            let part = part?;
             let name = record::ContentName::Items(number as u32).encode();
             let written = match deadline {
                 Some(end) => self.store.create_until(&kind, &name, &part, end).await,
@@ -161,44 +164,48 @@
         let id = job.borrow().id.clone();
         let kind = record::ContentName::kind(&id);
         let objects = self.store.list_after(&kind, after).await?.value;
-        let mut items: Vec<(u32, Items)> = Vec::new();
-        for object in &objects {
-            match self.apply(job, object) {
-                Some(None) => {}
-                Some(Some(part)) => items.push(part),
-                None => {
-                    let name = object.name.as_str();
-                    spdlog::error!("cannot parse content of job in the store", kv: { job = id, name });
-                    return Err(Error::Malformed);
+        let mut parts: Vec<(u32, Bytes)> = Vec::new();
+        for object in objects {
+            let name = object.name.clone();
+            let is_applied = match record::ContentName::decode(&name) {
+                Some(record::ContentName::Items(number)) => {
+                    let text = object.into_text();
+                    text.map(|text| parts.push((number, text))).is_some()
+                }
+                Some(record::ContentName::Page(number)) => {
+                    let page: Option<Page> = object.read();
+                    // Applied to `job` itself, since the registry may have removed
+                    // it in the meantime.
+                    page.map(|page| job.borrow_mut().put_page(number, page))
+                        .is_some()
                 }
+                Some(record::ContentName::Progress) => object
+                    .read()
+                    .map(|progress| self.put_texts(progress))
+                    .is_some(),
+                None => false,
+            };
+            if !is_applied {
+                return Err(malformed(&id, &name));
             }
         }
-        if !items.is_empty() {
-            items.sort_by_key(|(number, _)| *number);
-            let items = items.into_iter().flat_map(|(_, items)| items);
-            job.borrow_mut().items = Some(Rc::new(items.collect()));
+        if !parts.is_empty() {
+            parts.sort_by_key(|(number, _)| *number);
+            let (mut items, mut pace) = (Items::default(), Pace::start());
+            for (number, text) in parts {
+                if items.append(text).is_err() {
+                    return Err(malformed(&id, &record::ContentName::Items(number).encode()));
+                }
+                pace.pause_if_due().await;
+            }
+            job.borrow_mut().items = Some(Rc::new(items));
         }
         Ok(())
     }
 
-    /// Applies one object. Returns the items if the object contains items, and
-    /// `None` if the object cannot be parsed.
-    fn apply(&self, job: &Handle, object: &Object) -> Option<Option<(u32, Items)>> {
-        match record::ContentName::decode(&object.name)? {
-            record::ContentName::Items(number) => Some(Some((number, object.read()?))),
-            record::ContentName::Page(number) => {
-                // Applied to `job` itself, since the registry may have removed
-                // it in the meantime.
-                job.borrow_mut().put_page(number, object.read()?);
-                Some(None)
-            }
-            record::ContentName::Progress => {
-                let progress: Progress = object.read()?;
-                for (item, text) in progress.texts {
-                    self.registry.put_text(&item, text);
-                }
-                Some(None)
-            }
+    fn put_texts(&self, progress: Progress) {
+        for (item, text) in progress.texts {
+            self.registry.put_text(&item, text);
         }
     }
 
@@ -218,14 +225,41 @@
     }
 }
 
-/// Splits items into parts, each of which fits into one object.
-fn split_items(items: &[Item]) -> Vec<&[Item]> {
-    let (mut parts, mut rest) = (Vec::new(), items);
-    // A job without items has one empty part, so that readers find its items.
-    while parts.is_empty() || !rest.is_empty() {
-        let part = prefix_within(rest, PART_BYTES_MAX, Item::encoded_bytes);
-        rest = &rest[part.len()..];
-        parts.push(part);
-    }
-    parts
+fn malformed(job: &str, name: &str) -> Error {
+    spdlog::error!("cannot parse content of job in the store", kv: { job, name });
+    Error::Malformed
+}
+
+/// Splits items into parts, each of which fits into one object. Only one part is decoded
+/// at a time.
+///
+/// Two VMs may write the items of a job at once, so builds that run side by side must
+/// split them at the same positions.
+fn split_items(items: &Items) -> impl Iterator<Item = Result<Vec<Item>, Error>> {
+    let mut decoded = (0..items.len())
+        .map(|position| items.decode(position).map_err(|_| Error::Malformed))
+        .peekable();
+    let mut is_first = true;
+    std::iter::from_fn(move || {
+        // A job without items has one empty part, so that readers find its items.
+        if !std::mem::take(&mut is_first) && decoded.peek().is_none() {
+            return None;
+        }
+        let (mut part, mut bytes) = (Vec::new(), 0);
+        let mut fits = |next: &Result<Item, Error>| {
+            let Ok(item) = next else {
+                return true;
+            };
+            let is_first = bytes == 0;
+            bytes += item.encoded_bytes();
+            is_first || bytes <= PART_BYTES_MAX
+        };
+        while let Some(next) = decoded.next_if(&mut fits) {
+            match next {
+                Ok(item) => part.push(item),
+                Err(e) => return Some(Err(e)),
+            }
+        }
+        Some(Ok(part))
+    })
 }
--- a/crates/site/src/job/executor.rs
+++ b/crates/site/src/job/executor.rs
@@ -13,7 +13,8 @@
 use board::hash::Map;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use platform::{
-    batch::{Outcome, Sample},
+    batch::{Item, Outcome, Sample},
+    items::Items,
     store::{Error, Written},
 };
 use policy::{
@@ -25,9 +26,9 @@
     Handle, Registry,
     attempt::{Attempt, Context, Runner, Score},
     content::Content,
-    paging::{self, Groups},
+    paging::{self, Groups, Ready},
     progress,
-    record::{Head, Items, Page},
+    record::{Head, Page},
     schedule::{self, Entry, Schedule, Turn},
     text::{Source, Text},
 };
@@ -53,6 +54,12 @@
 /// How long after the submission of a job its items are abandoned if the route
 /// sets no limit.
 const ITEM_WAIT_DEFAULT: Duration = Duration::from_secs(60);
+/// The maximum number of items of a job that are decoded and wait for a slot. A job has
+/// dozens of items, and a service some thousand slots.
+const QUEUE_ITEMS_MAX: usize = 4096;
+/// The maximum size of the texts of these items. A decoded item may take ten times the
+/// size of its text.
+const QUEUE_BYTES_MAX: usize = 2 * 1024 * 1024;
 
 /// Runs jobs.
 #[derive(Clone)]
@@ -78,6 +85,7 @@
 /// An item that waits to be run.
 struct Pending {
     index: usize,
+    item: Rc<Item>,
     text: Rc<RefCell<Text>>,
     life: Life,
 }
@@ -110,6 +118,8 @@
     context: Context,
     service: String,
     max_attempts: u32,
+    /// The positions of the items that are not in `queue` yet, in reverse order.
+    backlog: Vec<u32>,
     queue: VecDeque<Pending>,
     tasks: FuturesUnordered<Task>,
     /// The job in the schedule of all running jobs.
@@ -119,7 +129,7 @@
     group_endpoints: Map<String, Key>,
     groups: Groups,
     /// Samples that are in no page yet.
-    ready: Vec<Sample>,
+    ready: Vec<Ready>,
     /// When the last page was written, or the execution started.
     page_written_at: Instant,
     is_writing_page: bool,
@@ -241,29 +251,18 @@
             is_single_version: route.single_version,
             deadline: job.borrow().submitted_at + wait + CLOCK_SKEW_MAX,
         };
-        let resumable_text = |id: &str| {
-            let text = executor.registry.text(id);
-            let is_usable =
-                |text: &Text| text.is_usable(context.oldest_version, context.is_single_version);
-            text.filter(is_usable).unwrap_or_default()
+        let is_published = |index: &u32| {
+            let id = items.id(*index as usize);
+            job.borrow().published.contains(id)
         };
-        let queue = (0..items.len()).filter_map(|index| {
-            let id = &items[index].id;
-            let is_published = job.borrow().published.contains(id);
-            (!is_published).then(|| Pending {
-                index,
-                text: Rc::new(RefCell::new(resumable_text(id))),
-                life: Life::new(executor.schedule.time(now)),
-            })
-        });
-        let mut queue: Vec<Pending> = queue.collect();
+        let mut backlog: Vec<u32> = (0..items.len() as u32)
+            .rev()
+            .filter(|index| !is_published(index))
+            .collect();
         // Long items run first, since the last item to finish determines the
         // duration of the step.
-        queue.sort_by_key(|pending| std::cmp::Reverse(items[pending.index].expected_tokens()));
-        let texts = queue
-            .iter()
-            .map(|pending| (pending.index, pending.text.clone()));
-        job.borrow_mut().partial_texts = texts.collect();
+        backlog.sort_by_key(|index| items.expected_tokens(*index as usize));
+        job.borrow_mut().partial_texts.clear();
         let entry = {
             let job = job.borrow();
             let rank = config.rank(route, head.account.as_deref());
@@ -281,9 +280,6 @@
                 schedule::scheduled_items(&items, model, &executor.registry, is_published);
             executor.schedule.add(service, plan, &scheduled)
         };
-        for pending in &queue {
-            announce(&entry, &context, pending);
-        }
         let tasks: FuturesUnordered<Task> = FuturesUnordered::new();
         tasks.push(tick());
         let is_fenced = job.borrow().is_sole_writer;
@@ -293,13 +289,14 @@
         Some(Self {
             executor,
             service: service.to_string(),
-            groups: Groups::new(&items),
+            groups: Groups::new(items.clone()),
             max_attempts: route.max_attempts,
             head,
             items,
             job,
             context,
-            queue: queue.into(),
+            backlog,
+            queue: VecDeque::new(),
             progress_written_at: now,
             is_writing_progress: false,
             tasks,
@@ -332,6 +329,7 @@
     /// job comes first.
     fn start_items(&mut self) {
         let now = Instant::now();
+        self.fill_queue(now);
         if now >= self.context.deadline {
             self.abandon_queue();
             return;
@@ -363,6 +361,58 @@
         }
     }
 
+    /// Moves items from the backlog to the queue, so that the schedule has enough of
+    /// them to choose from. Most jobs are in the queue as a whole.
+    fn fill_queue(&mut self, now: Instant) {
+        // Items that wait for their page are in memory too.
+        let is_room_for = |queued: usize| queued < QUEUE_ITEMS_MAX;
+        if self.backlog.is_empty()
+            || self.queue.len() > QUEUE_ITEMS_MAX / 2
+            || !is_room_for(self.ready.len())
+        {
+            return;
+        }
+        let text_bytes = |pending: &Pending| self.items.text_bytes(pending.index);
+        let mut bytes: usize = self.queue.iter().map(text_bytes).sum();
+        while is_room_for(self.queue.len())
+            && (bytes < QUEUE_BYTES_MAX || self.queue.is_empty())
+            && let Some(index) = self.backlog.pop()
+        {
+            let index = index as usize;
+            bytes += self.items.text_bytes(index);
+            let item = match self.items.decode(index) {
+                Ok(item) => Rc::new(item),
+                Err(e) => {
+                    let (job, problem) = (self.context.job.as_str(), e.to_string());
+                    spdlog::error!("cannot decode item of job", kv: { job, index, problem });
+                    self.abandon(index);
+                    continue;
+                }
+            };
+            let text = Rc::new(RefCell::new(self.resumable_text(&item.id)));
+            let mut job = self.job.borrow_mut();
+            job.partial_texts.insert(index, text.clone());
+            let life = Life::new(self.executor.schedule.time(now));
+            let pending = Pending {
+                index,
+                item,
+                text,
+                life,
+            };
+            announce(&self.entry, &self.context, &pending);
+            self.queue.push_back(pending);
+        }
+    }
+
+    /// Returns the text of the item `id` from an earlier run, if this job may use it.
+    fn resumable_text(&self, id: &str) -> Text {
+        let context = &self.context;
+        let is_usable =
+            |text: &Text| text.is_usable(context.oldest_version, context.is_single_version);
+        let text = self.executor.registry.text(id).filter(is_usable);
+        text.unwrap_or_default()
+    }
+
     /// Starts the waiting items in the order of the queue, and returns whether any
     /// was started.
     fn start_all(&mut self, now: Instant) -> bool {
@@ -445,7 +495,7 @@
             return false;
         }
         let pending = &self.queue[index];
-        drop_text(&self.context, &self.items[pending.index].id, &pending.text);
+        drop_text(&self.context, &pending.item.id, &pending.text);
         announce(&self.entry, &self.context, pending);
         true
     }
@@ -467,29 +517,30 @@
 
     fn abandon_queue(&mut self) {
         for pending in std::mem::take(&mut self.queue) {
-            let item = self.items[pending.index].id.as_str();
+            let item = pending.item.id.as_str();
             let (job, failures) = (self.context.job.as_str(), pending.life.failures());
             spdlog::warn!("item abandoned at its deadline", kv: { item, job, failures });
-            let sample = self.abandoned_sample(&pending);
-            self.entry.finish(pending.index);
-            self.ready.push(sample);
+            self.abandon(pending.index);
         }
     }
 
-    fn abandoned_sample(&self, pending: &Pending) -> Sample {
-        Sample {
-            id: self.items[pending.index].id.clone(),
+    /// Gives up the item at the position `item` of the job.
+    fn abandon(&mut self, item: usize) {
+        let sample = Sample {
+            id: self.items.id(item).to_string(),
             outcome: Outcome::Abandoned,
             text: String::new(),
             versions: Vec::new(),
             score: None,
-        }
+        };
+        self.entry.finish(item);
+        self.ready.push(Ready { item, sample });
     }
 
     /// Returns an endpoint for the item at `index` of the queue.
     fn choose_endpoint(&mut self, index: usize, now: Instant) -> Option<Choice> {
         let pending = self.queue.get(index)?;
-        let item = &self.items[pending.index];
+        let item = &pending.item;
         let needs = prompt::Needs::of_item(item, self.head.model.as_deref());
         let paths = &self.executor.runner.paths;
         let has_idle = |address| paths.has_idle(address);
@@ -525,14 +576,14 @@
         };
         pending.life.start();
         let slot = self.entry.start(pending.index, slot, now);
-        let (items, context) = (self.items.clone(), self.context.clone());
+        let context = self.context.clone();
         let max_attempts = self.max_attempts;
         let (registry, schedule) = (
             self.executor.registry.clone(),
             self.executor.schedule.clone(),
         );
         self.tasks.push(Box::pin(async move {
-            let item = &items[pending.index];
+            let item = pending.item.clone();
             let last_event = pending.text.borrow().last_event();
             let is_complete = pending.text.borrow().is_complete();
             let attempt = match is_complete {
@@ -541,7 +592,7 @@
                     let is_pinned = pending.life.is_pinned();
                     let start = Instant::now();
                     let attempt = runner
-                        .run(choice, item, &context, &pending.text, is_pinned)
+                        .run(choice, &item, &context, &pending.text, is_pinned)
                         .await;
                     if let (Attempt::Complete, None, Some(model)) =
                         (&attempt, last_event, &context.model)
@@ -575,7 +626,7 @@
                 }
             }
             let score = match &item.scorer {
-                Some(scorer) => runner.score(item, scorer, max_attempts, &context).await,
+                Some(scorer) => runner.score(&item, scorer, max_attempts, &context).await,
                 None => Score::None,
             };
             let text = pending.text.borrow().clone();
@@ -614,9 +665,9 @@
         {
             let job = self.job.borrow();
             self.ready
-                .retain(|sample| !job.published.contains(&sample.id));
+                .retain(|ready| !job.published.contains(&ready.sample.id));
         }
-        let is_last = self.queue.is_empty() && self.tasks.len() <= 1;
+        let is_last = self.backlog.is_empty() && self.queue.is_empty() && self.tasks.len() <= 1;
         let is_due = {
             let job = self.job.borrow();
             let since_last_page = self.page_written_at.elapsed();
@@ -655,7 +706,10 @@
                     let text = text.borrow().clone();
                     self.executor.registry.put_text(&sample.id, text);
                 }
-                self.ready.push(sample);
+                self.ready.push(Ready {
+                    item: index,
+                    sample,
+                });
             }
             Completion::ProgressWritten(result) => {
                 self.is_writing_progress = false;
--- a/crates/site/src/job/mod.rs
+++ b/crates/site/src/job/mod.rs
@@ -34,11 +34,11 @@
 use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc, time::Instant};
 
 use board::hash::{Map, Set};
-use platform::batch::Sample;
+use platform::{batch::Sample, items::Items};
 
 pub use self::registry::Registry;
 use self::{
-    record::{Head, Items, Page},
+    record::{Head, Page},
     text::Text,
 };
 use crate::notify::Notifier;
--- a/crates/site/src/job/paging.rs
+++ b/crates/site/src/job/paging.rs
@@ -5,10 +5,10 @@
 //! groups. The decisions are pure functions of the samples and the time since
 //! the last page.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
-use board::hash::{Map, Set};
-use platform::batch::{Item, Sample};
+use board::hash::Set;
+use platform::{batch::Sample, items::Items};
 
 /// The minimum time between two pages if samples without a group are ready.
 /// Readers poll twice a second.
@@ -23,27 +23,33 @@
 /// 1 MB.
 const PAGE_BYTES_MAX: usize = 400 * 1024;
 
+/// A sample that is in no page yet.
+#[derive(Clone, Debug)]
+pub struct Ready {
+    /// The position of its item in the job.
+    pub item: usize,
+    /// The sample.
+    pub sample: Sample,
+}
+
 /// The groups of a job.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Groups {
-    /// The ids of the items of each group.
-    members: Map<String, Vec<String>>,
-    /// The group of each item that has one, by item id.
-    group_of: Map<String, String>,
+    items: Rc<Items>,
+    /// The positions of the items of each group, by its number.
+    members: Vec<Vec<u32>>,
 }
 
 impl Groups {
     /// Returns the groups of `items`.
-    pub fn new(items: &[Item]) -> Self {
-        let mut groups = Self::default();
-        for item in items {
-            if let Some(group) = &item.group {
-                let members = groups.members.entry(group.clone()).or_default();
-                members.push(item.id.clone());
-                groups.group_of.insert(item.id.clone(), group.clone());
+    pub fn new(items: Rc<Items>) -> Self {
+        let mut members = vec![Vec::new(); items.groups_len()];
+        for position in 0..items.len() {
+            if let Some(group) = items.group(position) {
+                members[group].push(position as u32);
             }
         }
-        groups
+        Self { items, members }
     }
 
     /// Returns whether the samples in `ready` should be published now.
@@ -51,7 +57,7 @@
     /// `since_last_page` is the time since the last page was written.
     pub fn is_due(
         &self,
-        ready: &[Sample],
+        ready: &[Ready],
         published: &Set<String>,
         since_last_page: Duration,
     ) -> bool {
@@ -61,25 +67,28 @@
         if since_last_page >= SAMPLE_WAIT_MAX || self.has_complete_group(ready, published) {
             return true;
         }
-        let is_ungrouped = |sample: &Sample| !self.group_of.contains_key(&sample.id);
+        let is_ungrouped = |ready: &Ready| self.items.group(ready.item).is_none();
         since_last_page >= UNGROUPED_PAGE_PERIOD_MIN && ready.iter().any(is_ungrouped)
     }
 
     /// Returns whether a group is complete with the samples in `ready`.
-    fn has_complete_group(&self, ready: &[Sample], published: &Set<String>) -> bool {
-        let ids: Set<&str> = ready.iter().map(|sample| sample.id.as_str()).collect();
-        let is_available = |id: &String| published.contains(id) || ids.contains(id.as_str());
-        ready.iter().any(|sample| {
-            let group = self.group_of.get(&sample.id);
-            let members = group.and_then(|group| self.members.get(group));
-            members.is_some_and(|members| members.iter().all(is_available))
+    fn has_complete_group(&self, ready: &[Ready], published: &Set<String>) -> bool {
+        let ids: Set<&str> = ready.iter().map(|ready| ready.sample.id.as_str()).collect();
+        let is_available = |position: &u32| {
+            let id = self.items.id(*position as usize);
+            published.contains(id) || ids.contains(id)
+        };
+        ready.iter().any(|ready| {
+            let group = self.items.group(ready.item);
+            group.is_some_and(|group| self.members[group].iter().all(is_available))
         })
     }
 }
 
 /// Returns the first samples of `ready` that fit into one page.
-pub fn next_page(ready: &[Sample]) -> Vec<Sample> {
-    prefix_within(ready, PAGE_BYTES_MAX, |sample| sample.text.len()).to_vec()
+pub fn next_page(ready: &[Ready]) -> Vec<Sample> {
+    let page = prefix_within(ready, PAGE_BYTES_MAX, |ready| ready.sample.text.len());
+    page.iter().map(|ready| ready.sample.clone()).collect()
 }
 
 /// Returns the longest prefix of `values` with a total size of at most
--- a/crates/site/src/job/progress.rs
+++ b/crates/site/src/job/progress.rs
@@ -26,7 +26,7 @@
         let has_space = is_large_enough && total_bytes + text.len_bytes() <= TEXT_BYTES_MAX;
         has_space.then(|| {
             total_bytes += text.len_bytes();
-            (items[*index].id.clone(), text.clone())
+            (items.id(*index).to_string(), text.clone())
         })
     });
     let texts: Vec<(String, Text)> = texts.collect();
--- a/crates/site/src/job/record.rs
+++ b/crates/site/src/job/record.rs
@@ -9,7 +9,7 @@
 
 use std::net::SocketAddr;
 
-use platform::batch::{Item, Sample};
+use platform::batch::Sample;
 
 use super::text::Text;
 
@@ -92,10 +92,6 @@
     }
 }
 
-/// Items of a job: all of them, or those in one object. The store limits an
-/// object to 1 MB, and a job may be larger.
-pub type Items = Vec<Item>;
-
 /// The name of an object of the kind [`KIND`].
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Name {
@@ -176,7 +172,8 @@
 pub enum ContentName {
     /// The [`Progress`], which is overwritten as it grows.
     Progress,
-    /// The [`Items`] with this number.
+    /// The [`Items`](platform::items::Items) with this number: the store limits an object
+    /// to 1 MB, and a job may be larger.
     Items(u32),
     /// The [`Page`] with this number.
     Page(u32),
--- a/crates/site/src/job/schedule.rs
+++ b/crates/site/src/job/schedule.rs
@@ -15,9 +15,10 @@
     Time,
     hash::{self, Map},
 };
+use platform::items::Items;
 use policy::schedule::{Choice, Item, JobKey, Needs, Plan, Scheduler};
 
-use super::{Registry, record::Items, text::Source};
+use super::{Registry, text::Source};
 use crate::{
     facts::Facts,
     forward::Slot,
@@ -335,17 +336,18 @@
     registry: &Registry,
     is_finished: impl Fn(&str) -> bool,
 ) -> Vec<Item<'a>> {
-    let scheduled = items.iter().map(|item| {
-        let (expected, output) = (item.expected_tokens(), item.output_tokens());
+    let scheduled = (0..items.len()).map(|position| {
+        let expected = items.expected_tokens(position);
+        let output = items.output_tokens(position);
         // No item generates more tokens than it may, whatever the estimate says.
         let tokens = match output {
             0 => expected,
             _ => expected.min(output),
         };
         Item {
-            group: item.group.as_deref(),
+            group: items.group(position).map(|group| items.group_name(group)),
             run_time: Duration::from_millis(registry.work_ms(model, tokens)),
-            is_finished: is_finished(&item.id),
+            is_finished: is_finished(items.id(position)),
         }
     });
     scheduled.collect()
--- a/crates/site/src/job/submission.rs
+++ b/crates/site/src/job/submission.rs
@@ -16,7 +16,8 @@
     http::{Request, server::Reply},
 };
 use platform::{
-    batch::{Item, Submission},
+    batch::Submission,
+    items::{self, Items},
     store::{Error, Written},
 };
 use policy::execution::Execution;
@@ -26,6 +27,7 @@
     record::{self, Head},
     rejection::{execution_of_write, not_done},
 };
+use crate::pace::Pace;
 
 /// How long after its arrival a submission is retried while the job may have
 /// been accepted already. It is answered by then.
@@ -177,11 +179,13 @@
     // coordinators watch jobs. Writing the job to the store takes time, in which
     // the settings may change.
     let _tenure = jobs.coordinators.hold("a job was submitted to this VM");
-    let submission: Submission = match request.json() {
+    let submission = match read_submission(request).await {
         Ok(submission) => submission,
-        Err(reply) => return reply,
+        Err(e) => return Reply::error(StatusCode::BAD_REQUEST, "bad-json", &e.to_string()),
     };
-    let expected = submission.items.iter().map(Item::expected_tokens).sum();
+    let expected = (0..submission.items.len())
+        .map(|position| submission.items.expected_tokens(position))
+        .sum();
     let work_ms = jobs.registry.work_ms(submission.model.as_deref(), expected);
     let head = Head {
         account: account.clone(),
@@ -251,6 +255,19 @@
     }
 }
 
+/// The number of items of a submission that are read before other tasks may run.
+const READ_ITEMS: usize = 16;
+
+/// Reads the submission in the body of `request`.
+async fn read_submission(request: &Request) -> Result<Submission, items::Error> {
+    let mut submission = Submission::parse(&request.body)?;
+    let mut pace = Pace::start();
+    while submission.items.read_next(READ_ITEMS)? {
+        pace.pause_if_due().await;
+    }
+    Ok(submission)
+}
+
 /// Returns the reply to a submission that this VM does not accept: a rejection,
 /// unless the job may have been accepted or may yet be.
 fn not_accepted(jobs: &Jobs, id: &str, code: &str, detail: &str) -> Reply {
@@ -272,7 +289,7 @@
     jobs: &Jobs,
     id: &str,
     head: &Head,
-    items: &[Item],
+    items: &Items,
     deadline: Option<Instant>,
     arrival: Arrival,
 ) -> Result<Written, Error> {
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod mirror;
 pub mod notify;
 pub mod origin;
+pub(crate) mod pace;
 pub mod path;
 pub mod peer;
 pub mod permit;
--- /dev/null
+++ b/crates/site/tests/large_job.rs
@@ -0,0 +1,116 @@
+//! Jobs of very many items, within the size limit of a request.
+
+mod common;
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use common::{Deployment, caller, job};
+use fakes::{blocking, site::Plan};
+use link::Method;
+use serde_json::json;
+
+/// The memory of each VM in its settings, which is the bound that is checked.
+const MEMORY_MB: u64 = 160;
+/// A job of this many small items takes 20 MB.
+const SMALL_ITEMS: usize = 210_000;
+const JOB_BYTES_MIN: usize = 20 * 1000 * 1000;
+/// How long the VMs may take to accept it.
+const ACCEPT_TIME: Duration = Duration::from_secs(60);
+/// How often ordinary requests are sent meanwhile, and how long they may take.
+const REQUEST_PERIOD: Duration = Duration::from_millis(100);
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Returns a job of items that have only the required fields.
+fn small_items(count: usize) -> String {
+    let items = (0..count).map(|number| {
+        let headers = json!({"Model": fakes::site::MODEL});
+        json!({
+            "id": format!("{number:016x}"), "path": "/jobs-here/91c4", "headers": headers,
+            "body": "MTc=", "tokens": 20,
+        })
+    });
+    json!({"items": items.collect::<Vec<_>>()}).to_string()
+}
+
+/// Starts VMs, of which the first `coordinators` are coordinators.
+fn start(vms: usize, coordinators: usize) -> Deployment {
+    let mut deployment = Deployment::start_with_coordinators(vms, coordinators, Plan::default());
+    deployment.kill_all(false);
+    for vm in &deployment.vms {
+        let limit = format!("memory-mb = {MEMORY_MB}");
+        vm.change_settings(|text| text.replace("memory-mb = 260", &limit));
+    }
+    deployment.restart_all();
+    deployment
+}
+
+/// Submits a large job at the last VM, and checks that it is accepted within the memory
+/// of each VM, while ordinary requests are answered.
+fn submit_small_items(deployment: &Deployment) {
+    let body = small_items(SMALL_ITEMS);
+    assert!(body.len() > JOB_BYTES_MIN);
+    let vms = &deployment.vms;
+    let submission = thread::spawn({
+        let address = vms[vms.len() - 1].callers;
+        move || {
+            let call = caller(Method::POST, "/jobs-here/step", "job-a").body(body);
+            blocking::fetch(address, call.deadline(ACCEPT_TIME))
+        }
+    });
+    let start = Instant::now();
+    let (mut sent, mut answered) = (0, 0);
+    while !submission.is_finished() && start.elapsed() < ACCEPT_TIME {
+        for vm in vms {
+            let call = caller(Method::POST, "/safe/ordinary", &format!("ordinary-{sent}"));
+            let answer = blocking::fetch(vm.callers, call.deadline(REQUEST_TIMEOUT));
+            sent += 1;
+            answered += usize::from(answer.is_ok_and(|answer| answer.status == 200));
+        }
+        thread::sleep(REQUEST_PERIOD);
+    }
+    let time = start.elapsed();
+    let answer = submission.join().unwrap();
+    let peaks = vms.iter().map(|vm| vm.peak_memory() / 1024 / 1024);
+    let peaks: Vec<u64> = peaks.collect();
+    println!("accepted after {time:?}, peaks {peaks:?} MB, {answered} of {sent} answered");
+    assert!(peaks.iter().all(|peak| *peak < MEMORY_MB), "{peaks:?}");
+    assert_eq!(answer.unwrap().status, 202);
+    assert_eq!(answered, sent);
+}
+
+/// Guards against items that take several times the size of the request once they are
+/// decoded: the process was ended for its memory, and the job was never accepted.
+#[test]
+fn accept_large_job_within_memory() {
+    submit_small_items(&start(1, 1));
+}
+
+/// Guards against items that are never run or run twice because the job has more of
+/// them than wait for a slot at once.
+#[test]
+fn run_all_items_of_large_job() {
+    let plan = Plan {
+        event_time: Duration::ZERO,
+        ..Plan::default()
+    };
+    let deployment = Deployment::start(2, plan);
+    let count = 5000;
+    let mut large = job("a", count, 1);
+    for item in large["items"].as_array_mut().unwrap() {
+        item["scorer"] = json!(null);
+    }
+    assert_eq!(deployment.vms[0].submit("job-a", &large), 202);
+    let mut ids = Vec::new();
+    common::wait("all samples", || {
+        let (_, page) = deployment.vms[1].read("job-a", ids.len());
+        let samples = page["results"].as_array().cloned().unwrap_or_default();
+        ids.extend(samples.iter().map(|sample| sample["id"].to_string()));
+        ids.len() >= count
+    });
+    ids.sort();
+    ids.dedup();
+    assert_eq!(ids.len(), count);
+}
--- a/crates/site/tests/paging.rs
+++ b/crates/site/tests/paging.rs
@@ -2,11 +2,14 @@
 
 mod common;
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use board::hash::Set;
-use platform::batch::{Blob, Item, Sample};
-use tarragonseam_site::job::paging::{self, Groups};
+use platform::{
+    batch::{Blob, Item},
+    items::Items,
+};
+use tarragonseam_site::job::paging::{self, Groups, Ready};
 
 fn item(id: &str, group: Option<&str>) -> Item {
     Item {
@@ -20,8 +23,15 @@
     }
 }
 
-fn sample(id: &str, bytes: usize) -> Sample {
-    common::record::sample(id, &"x".repeat(bytes))
+fn groups(items: &[Item]) -> Groups {
+    let text = serde_json::to_string(items).unwrap();
+    Groups::new(Rc::new(Items::read(text.into()).unwrap()))
+}
+
+/// Returns a sample of the item at the position `item`.
+fn ready(item: usize, id: &str, bytes: usize) -> Ready {
+    let sample = common::record::sample(id, &"x".repeat(bytes));
+    Ready { item, sample }
 }
 
 fn millis(count: u64) -> Duration {
@@ -31,9 +41,9 @@
 #[test]
 fn publish_complete_group_at_once() {
     let items = [item("a", Some("g")), item("b", Some("g"))];
-    let groups = Groups::new(&items);
+    let groups = groups(&items);
     let mut published = Set::default();
-    let (a, b) = (sample("a", 1), sample("b", 1));
+    let (a, b) = (ready(0, "a", 1), ready(1, "b", 1));
     assert!(!groups.is_due(std::slice::from_ref(&a), &published, millis(500)));
     assert!(groups.is_due(&[a, b.clone()], &published, millis(150)));
     published.insert("a".to_string());
@@ -43,16 +53,16 @@
 #[test]
 fn publish_incomplete_group_after_wait() {
     let items = [item("a", Some("g")), item("b", Some("g"))];
-    let groups = Groups::new(&items);
-    let ready = [sample("a", 1)];
+    let groups = groups(&items);
+    let ready = [ready(0, "a", 1)];
     assert!(!groups.is_due(&ready, &Set::default(), millis(1000)));
     assert!(groups.is_due(&ready, &Set::default(), millis(1200)));
 }
 
 #[test]
 fn publish_ungrouped_sample_after_page_period() {
-    let groups = Groups::new(&[item("a", None), item("b", None)]);
-    let ready = [sample("a", 1)];
+    let groups = groups(&[item("a", None), item("b", None)]);
+    let ready = [ready(0, "a", 1)];
     assert!(!groups.is_due(&ready, &Set::default(), millis(200)));
     assert!(groups.is_due(&ready, &Set::default(), millis(350)));
     assert!(!groups.is_due(&[], &Set::default(), millis(5000)));
@@ -62,10 +72,10 @@
 fn limit_page_size() {
     let large = 500 * 1024;
     assert_eq!(
-        paging::next_page(&[sample("a", large), sample("b", 1)]).len(),
+        paging::next_page(&[ready(0, "a", large), ready(1, "b", 1)]).len(),
         1
     );
-    let small = [sample("a", 1), sample("b", 1), sample("c", large)];
+    let small = [ready(0, "a", 1), ready(1, "b", 1), ready(2, "c", large)];
     assert_eq!(paging::next_page(&small).len(), 2);
     assert!(paging::next_page(&[]).is_empty());
 }
