job: a large submission is accepted by the VM that was called

Cause: a submission is forwarded to the coordinators, each of which has 200 ms to accept it. Reading and storing such a job takes seconds, so the VM that was called sent the whole body to up to five coordinators in turn, each of which began to decode and store it, and each attempt ended as one that may have succeeded. Then 2.5 s from the start were over, and the VM could not store the job itself in the rest. A longer time-out would hold up trainers at a coordinator that hangs.

Change: a submission of more than 1 MiB is not forwarded. The VM that was called accepts it, as it does when no coordinator responds. It first looks the head up in the store, since only coordinators know all jobs and a repeated submission would else be written again, part by part.

Messages between VMs do not change. An older VM still forwards large submissions, and this build accepts them as before.

--- a/crates/site/src/job/submission.rs
+++ b/crates/site/src/job/submission.rs
@@ -35,6 +35,9 @@
 /// How long the write of a head may take if writing the items took most of
 /// [`ACCEPT_TIMEOUT`], as with a job of many parts on a slow store.
 const HEAD_TIMEOUT_MIN: Duration = Duration::from_millis(1000);
+/// The largest submission that is forwarded. It is sent and stored in a fraction of the
+/// time that a coordinator has to accept a job.
+const FORWARD_BYTES_MAX: usize = 1024 * 1024;
 /// How long failed writes of a job's items are retried: less than half of the
 /// time in which a trainer expects the response to its submission.
 const ITEMS_RETRY_MAX: Duration = Duration::from_millis(150);
@@ -61,7 +64,11 @@
     let arrival = Arrival::now(Sender::Caller);
     let work = async {
         let token = jobs.unsettled.begin(id, UNSETTLED_RETENTION, arrival.at);
-        let forwarded = jobs.proxy.submit(&account, request).await;
+        let forwarded = match is_large(request) {
+            // Another VM would need as much memory, and more time than it is given.
+            true => Err(Execution::NotRun),
+            false => jobs.proxy.submit(&account, request).await,
+        };
         if !matches!(forwarded, Err(Execution::Unknown)) {
             jobs.unsettled.settle(token);
         }
@@ -73,6 +80,11 @@
     log_if_dropped(id, arrival, work).await
 }
 
+/// Returns whether a submission is too large to be forwarded.
+fn is_large(request: &Request) -> bool {
+    request.body.len() > FORWARD_BYTES_MAX
+}
+
 /// Accepts a job that another VM forwards.
 pub(crate) async fn submit_from_peer(
     jobs: &Jobs,
@@ -175,6 +187,14 @@
     if matches!(sender, Sender::Peer) && jobs.proxy.is_draining() {
         return not_accepted(jobs, id, "draining", "this VM accepts no more jobs");
     }
+    // Only coordinators know all jobs, and a large one takes many writes.
+    if is_large(request)
+        && let Ok(Some(object)) = jobs.store.get(record::KIND, id).await
+        && let Some(existing) = object.read()
+    {
+        spdlog::info!("job was accepted before", kv: { job = id, sender = sender.name() });
+        return already_accepted(&jobs.registry.put_head(id, existing), &account);
+    }
     // A VM that runs a job must see when the job is ended, and only
     // coordinators watch jobs. Writing the job to the store takes time, in which
     // the settings may change.
--- a/crates/site/tests/common/mod.rs
+++ b/crates/site/tests/common/mod.rs
@@ -450,7 +450,12 @@
 
     /// Submits `job` with `id`, and returns the status.
     pub(crate) fn submit(&self, id: &str, job: &Value) -> u16 {
-        let call = caller(Method::POST, "/jobs-here/step", id).body(job.to_string());
+        self.submit_text(id, job.to_string())
+    }
+
+    /// As [`submit`](Self::submit), with the text of the job.
+    pub(crate) fn submit_text(&self, id: &str, job: String) -> u16 {
+        let call = caller(Method::POST, "/jobs-here/step", id).body(job);
         self.send(call).status.as_u16()
     }
 
--- a/crates/site/tests/large_job.rs
+++ b/crates/site/tests/large_job.rs
@@ -88,6 +88,25 @@
     submit_small_items(&start(1, 1));
 }
 
+/// Guards against a large job that is forwarded to one coordinator after another, since
+/// none accepts it in the time that it is given: each of them decoded it at once, and the
+/// trainer got no answer.
+#[test]
+fn accept_large_job_at_called_vm() {
+    let deployment = start(3, 2);
+    submit_small_items(&deployment);
+    let vms = &deployment.vms;
+    assert!(!vms[2].log().contains("submission forwarded"));
+    // The job is known at once at a VM that did not accept it.
+    assert_eq!(vms[0].read("job-a", 0).1["total"], SMALL_ITEMS);
+    let path = format!("/items/job-a?id={:016x}", SMALL_ITEMS - 1);
+    let body = vms[1].request(Method::GET, &path, "body");
+    assert_eq!((body.status.as_u16(), &body.body[..]), (200, &b"17"[..]));
+    // A repeated submission is accepted as the same job.
+    assert_eq!(vms[0].submit_text("job-a", small_items(SMALL_ITEMS)), 202);
+    assert_eq!(vms[0].log().matches("\"job accepted\"").count(), 0);
+}
+
 /// Guards against items that are never run or run twice because the job has more of
 /// them than wait for a slot at once.
 #[test]
