job: a failed write of one part does not reject a large job

Callers saw: a job of several parts was answered with 503 (store-unreachable) after a single failed write.

Cause: failed writes of a job's items were repeated within 150 ms of the first one, and from the first part on.

Change: the 150 ms count for each part, from its own first attempt, and only that part is written again. Jobs of one part, and submissions with a deadline, behave as before.

Evidence: store_large_job_despite_failed_write failed (503) and passes (202, all items listed).

--- a/crates/fakes/src/site/mod.rs
+++ b/crates/fakes/src/site/mod.rs
@@ -88,6 +88,9 @@
     LateWrites(Duration),
     /// The same for writes to one kind of object.
     LateWritesOf(&'static str, Duration),
+    /// The next write to one kind of object is answered with 503 and not executed. No
+    /// fault follows.
+    FailedWriteOf(&'static str),
     /// Writes to one kind of object are executed and answered after this time.
     SlowWritesOf(&'static str, Duration),
     /// Watches report no changes; other calls are answered.
--- a/crates/fakes/src/site/store.rs
+++ b/crates/fakes/src/site/store.rs
@@ -37,6 +37,13 @@
     if fault == Fault::Unavailable {
         return Reply::new(StatusCode::SERVICE_UNAVAILABLE, "");
     }
+    if let Fault::FailedWriteOf(kind) = fault
+        && request.segments().get(1) == Some(&kind)
+        && request.method != Method::GET
+    {
+        lock(&state).fault = Fault::None;
+        return Reply::new(StatusCode::SERVICE_UNAVAILABLE, "");
+    }
     if let Some(delay) = write_delay(fault, &request) {
         // A task of its own, since the caller may close the connection.
         let write = monoio::spawn(async move {
--- a/crates/site/src/job/content.rs
+++ b/crates/site/src/job/content.rs
@@ -23,6 +23,12 @@
 /// 1 MB per object.
 const PART_BYTES_MAX: usize = 500 * 1024;
 
+/// How long the failed write of a part of the items is repeated if there is no deadline:
+/// less than half of the time in which a trainer expects the response to its submission.
+const PART_RETRY_MAX: Duration = Duration::from_millis(150);
+/// The pause before it is repeated.
+const PART_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// The pause before a failed write of a fence is repeated.
 const FENCE_RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -40,8 +46,8 @@
         Self { store, registry }
     }
 
-    /// Writes the items of the job `id`, until `deadline` if there is one.
-    /// Objects that exist already are kept: they have the same content, as they
+    /// Writes the items of the job `id`. Failed writes are repeated for a short time, or
+    /// until `deadline` if there is one. Objects that exist already are kept: they have the same content, as they
     /// were submitted with the same job id.
     ///
     /// # Errors
@@ -57,12 +63,20 @@
         for (number, part) in split_items(items).enumerate() {
             let part = part?;
             let name = record::ContentName::Items(number as u32).encode();
-            let written = match deadline {
-                Some(end) => self.store.create_until(&kind, &name, &part, end).await,
-                None => self.store.create(&kind, &name, &part).await,
+            let retry_end = match deadline {
+                Some(deadline) => deadline - PART_RETRY_DELAY,
+                None => Instant::now() + PART_RETRY_MAX,
             };
-            match written? {
-                Written::Done(_) | Written::Conflict(_) => {}
+            loop {
+                let written = match deadline {
+                    Some(end) => self.store.create_until(&kind, &name, &part, end).await,
+                    None => self.store.create(&kind, &name, &part).await,
+                };
+                match written {
+                    Ok(Written::Done(_) | Written::Conflict(_)) => break,
+                    Err(e) if Instant::now() > retry_end => return Err(e),
+                    Err(_) => monoio::time::sleep(PART_RETRY_DELAY).await,
+                }
             }
         }
         Ok(())
--- a/crates/site/src/job/submission.rs
+++ b/crates/site/src/job/submission.rs
@@ -38,10 +38,7 @@
 /// The largest submission that is forwarded. It is sent and stored in a fraction of the
 /// time that a coordinator has to accept a job.
 const FORWARD_BYTES_MAX: usize = 1024 * 1024;
-/// How long failed writes of a job's items are retried: less than half of the
-/// time in which a trainer expects the response to its submission.
-const ITEMS_RETRY_MAX: Duration = Duration::from_millis(150);
-/// The pause before a write of items or of a head is retried.
+/// The pause before a write of a head is retried.
 const WRITE_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// How long an attempt to accept a job without a known outcome is remembered:
 /// an older job is not run any more.
@@ -313,17 +310,7 @@
     deadline: Option<Instant>,
     arrival: Arrival,
 ) -> Result<Written, Error> {
-    let items_retry_end = match deadline {
-        Some(deadline) => deadline - WRITE_RETRY_DELAY,
-        None => Instant::now() + ITEMS_RETRY_MAX,
-    };
-    loop {
-        match jobs.content.write_items(id, items, deadline).await {
-            Ok(()) => break,
-            Err(e) if Instant::now() > items_retry_end => return Err(e),
-            Err(_) => monoio::time::sleep(WRITE_RETRY_DELAY).await,
-        }
-    }
+    jobs.content.write_items(id, items, deadline).await?;
     // Also recorded if this future is dropped while it waits for the store.
     let now = Instant::now();
     let token = jobs.unsettled.begin(id, UNSETTLED_RETENTION, now);
--- a/crates/site/tests/large_job.rs
+++ b/crates/site/tests/large_job.rs
@@ -8,7 +8,10 @@
 };
 
 use common::{Deployment, caller, job};
-use fakes::{blocking, site::Plan};
+use fakes::{
+    blocking,
+    site::{Fault, Plan},
+};
 use link::Method;
 use serde_json::json;
 
@@ -17,6 +20,8 @@
 /// A job of this many small items takes 20 MB.
 const SMALL_ITEMS: usize = 210_000;
 const JOB_BYTES_MIN: usize = 20 * 1000 * 1000;
+/// A job of this many small items is stored in ten parts.
+const PARTS_ITEMS: usize = 8000;
 /// How long the VMs may take to accept it.
 const ACCEPT_TIME: Duration = Duration::from_secs(60);
 /// How often ordinary requests are sent meanwhile, and how long they may take.
@@ -107,6 +112,30 @@
     assert_eq!(vms[0].log().matches("\"job accepted\"").count(), 0);
 }
 
+/// Guards against a job that is rejected for one failed write because writing its other
+/// parts has taken long.
+#[test]
+fn store_large_job_despite_failed_write() {
+    const KIND: &str = "rollout-job-job-a";
+    let deployment = Deployment::start(1, Plan::default());
+    let body = small_items(PARTS_ITEMS);
+    deployment.site.state().fault = Fault::SlowWritesOf(KIND, Duration::from_millis(100));
+    let submission = thread::spawn({
+        let address = deployment.vms[0].callers;
+        move || {
+            let call = caller(Method::POST, "/jobs-here/step", "job-a").body(body);
+            blocking::fetch(address, call.deadline(ACCEPT_TIME))
+        }
+    });
+    common::wait("some parts", || {
+        deployment.site.state().names(KIND).len() >= 4
+    });
+    deployment.site.state().fault = Fault::FailedWriteOf(KIND);
+    assert_eq!(submission.join().unwrap().unwrap().status, 202);
+    assert_eq!(deployment.site.state().fault, Fault::None);
+    assert_eq!(deployment.vms[0].read("job-a", 0).1["total"], PARTS_ITEMS);
+}
+
 /// Guards against items that are never run or run twice because the job has more of
 /// them than wait for a slot at once.
 #[test]
