batch: an item with too many headers is abandoned, it does not end VMs

Callers saw: a job of 300 KB with 40,000 headers on one item ended the VM that ran it (connections reset in the test), and each one that took the job over after it.

Cause: the headers of an item become those of a request, and a header map panics beyond 32,768 entries.

The other items of the job run. Items in the store that an older build wrote are treated alike.

--- a/crates/site/src/job/executor.rs
+++ b/crates/site/src/job/executor.rs
@@ -381,10 +381,14 @@
             let index = index as usize;
             bytes += self.items.text_bytes(index);
             let item = match self.items.decode(index) {
-                Ok(item) => Rc::new(item),
-                Err(e) => {
-                    let (job, problem) = (self.context.job.as_str(), e.to_string());
-                    spdlog::error!("cannot decode item of job", kv: { job, index, problem });
+                Ok(item) if !item.has_too_many_headers() => Rc::new(item),
+                other => {
+                    let problem = other.map_or_else(
+                        |e| e.to_string(),
+                        |_| "the item has too many headers to be sent".to_string(),
+                    );
+                    let job = self.context.job.as_str();
+                    spdlog::warn!("item abandoned, no endpoint can run it", kv: { job, index, problem });
                     self.abandon(index);
                     continue;
                 }
--- a/crates/site/tests/large_job.rs
+++ b/crates/site/tests/large_job.rs
@@ -22,6 +22,8 @@
 const JOB_BYTES_MIN: usize = 20 * 1000 * 1000;
 /// A job of this many small items is stored in ten parts.
 const PARTS_ITEMS: usize = 8000;
+/// More headers than a map of headers can hold.
+const HEADERS: usize = 40_000;
 /// How long the VMs may take to accept it.
 const ACCEPT_TIME: Duration = Duration::from_secs(60);
 /// How often ordinary requests are sent meanwhile, and how long they may take.
@@ -136,6 +138,30 @@
     assert_eq!(deployment.vms[0].read("job-a", 0).1["total"], PARTS_ITEMS);
 }
 
+/// Guards against an item with more headers than a request can have: it ended each VM in
+/// turn that ran the job.
+#[test]
+fn abandon_item_with_too_many_headers() {
+    let deployment = Deployment::start(1, Plan::default());
+    let mut odd = job("a", 3, 1);
+    let headers = (0..HEADERS).map(|number| (format!("x-{number}"), json!("")));
+    let headers: serde_json::Map<_, _> = headers.collect();
+    odd["items"][1]["headers"] = headers.into();
+    let vm = &deployment.vms[0];
+    assert_eq!(vm.submit("job-a", &odd), 202);
+    let samples = vm.read_all("job-a", 3);
+    let state = |id: &str| {
+        let sample = samples.iter().find(|sample| sample["id"] == id);
+        sample.map(|sample| sample["state"].clone())
+    };
+    let states = ["a-0", "a-1", "a-2"].map(state);
+    assert_eq!(
+        states,
+        ["done", "dead", "done"].map(|state| Some(json!(state)))
+    );
+    assert_eq!(vm.log().matches("started running job").count(), 1);
+}
+
 /// Guards against items that are never run or run twice because the job has more of
 /// them than wait for a slot at once.
 #[test]
