job: pages and responses count the encoded size of samples

Callers saw: samples without text, as those of items that are given up, were never listed once there were many: a page with 30,000 of them takes 1.8 MB, which the store refuses, and it was written again without end. A response to a read could exceed the 1 MB that the platform allows, and another VM refused to pass it on.

Cause: both limits counted the text of a sample, not its id, its fields, and the characters that JSON escapes.

Change: Sample::encoded_bytes is what the sample takes in a message, and both limits count it.

Evidence: limit_encoded_page_size (1.76 MB before) and abandon_all_items_of_large_job (a response over 4 MiB before) failed and pass. limit_page_size holds unchanged.

--- a/crates/site/src/job/api.rs
+++ b/crates/site/src/job/api.rs
@@ -25,8 +25,8 @@
 
 /// How long a read may wait for samples, even if the trainer requests more.
 const READ_WAIT_MAX: Duration = Duration::from_millis(1000);
-/// How much text a response to a read may contain. The platform allows 1 MB
-/// in total.
+/// The maximum encoded size of the samples in a response to a read. The platform
+/// allows 1 MB in total.
 const READ_BYTES_MAX: usize = 700 * 1024;
 /// How old the view of the store may be for the VM that runs the job to answer
 /// that there are no more samples. Samples that another VM has returned must be
@@ -238,7 +238,7 @@
     }
     let job = job.borrow();
     let rest = job.samples.get(from..).unwrap_or_default();
-    let page = paging::prefix_within(rest, READ_BYTES_MAX, |sample| sample.text.len());
+    let page = paging::prefix_within(rest, READ_BYTES_MAX, |sample| sample.encoded_bytes());
     let samples: Vec<&Sample> = page.iter().map(|sample| &**sample).collect();
     let body = Page {
         total: job.head.items,
--- a/crates/site/src/job/paging.rs
+++ b/crates/site/src/job/paging.rs
@@ -19,8 +19,8 @@
 /// How long samples wait for the rest of their group. Unpublished samples are
 /// lost with the VM and have to be produced again.
 const SAMPLE_WAIT_MAX: Duration = Duration::from_millis(1200);
-/// The maximum size of the texts in one page. The store limits an object to
-/// 1 MB.
+/// The maximum encoded size of the samples in one page. The store limits an
+/// object to 1 MB.
 const PAGE_BYTES_MAX: usize = 400 * 1024;
 
 /// A sample that is in no page yet.
@@ -87,7 +87,7 @@
 
 /// Returns the first samples of `ready` that fit into one page.
 pub fn next_page(ready: &[Ready]) -> Vec<Sample> {
-    let page = prefix_within(ready, PAGE_BYTES_MAX, |ready| ready.sample.text.len());
+    let page = prefix_within(ready, PAGE_BYTES_MAX, |ready| ready.sample.encoded_bytes());
     page.iter().map(|ready| ready.sample.clone()).collect()
 }
 
--- a/crates/site/tests/large_job.rs
+++ b/crates/site/tests/large_job.rs
@@ -13,7 +13,7 @@
     site::{Fault, Plan},
 };
 use link::Method;
-use serde_json::json;
+use serde_json::{Value, json};
 
 /// The memory of each VM in its settings, which is the bound that is checked.
 const MEMORY_MB: u64 = 160;
@@ -26,6 +26,10 @@
 const HEADERS: usize = 40_000;
 /// How long the VMs may take to accept it.
 const ACCEPT_TIME: Duration = Duration::from_secs(60);
+/// The samples of this many items without a text take 2 MB.
+const ABANDONED_ITEMS: usize = 30_000;
+/// How long it may take until all of them are listed. They are given up after 24 s.
+const ABANDON_TIME: Duration = Duration::from_secs(60);
 /// How often ordinary requests are sent meanwhile, and how long they may take.
 const REQUEST_PERIOD: Duration = Duration::from_millis(100);
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -188,3 +192,33 @@
     ids.dedup();
     assert_eq!(ids.len(), count);
 }
+
+/// Guards against samples without a text that together exceed the size limits of an
+/// object in the store and of a response.
+#[test]
+fn abandon_all_items_of_large_job() {
+    let plan = Plan {
+        engines: 0,
+        ..Plan::default()
+    };
+    let deployment = Deployment::start(1, plan);
+    let vm = &deployment.vms[0];
+    assert_eq!(vm.submit_text("job-a", small_items(ABANDONED_ITEMS)), 202);
+    let mut ids = Vec::new();
+    let start = Instant::now();
+    while ids.len() < ABANDONED_ITEMS && start.elapsed() < ABANDON_TIME {
+        let path = format!("/lots/job-a?after={}", ids.len());
+        let answer = vm.request(Method::GET, &path, "read");
+        assert!(answer.body.len() < 1000 * 1000, "{}", answer.body.len());
+        let page: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        let samples = page["results"].as_array().cloned().unwrap_or_default();
+        assert!(samples.iter().all(|sample| sample["state"] == "dead"));
+        ids.extend(samples.iter().map(|sample| sample["id"].to_string()));
+        thread::sleep(REQUEST_PERIOD);
+    }
+    let answer = vm.request(Method::GET, "/lots/job-a", "read");
+    assert!(answer.body.len() < 1000 * 1000, "{}", answer.body.len());
+    ids.sort();
+    ids.dedup();
+    assert_eq!(ids.len(), ABANDONED_ITEMS);
+}
--- a/crates/site/tests/paging.rs
+++ b/crates/site/tests/paging.rs
@@ -23,6 +23,9 @@
     }
 }
 
+/// The limit of the platform for an object.
+const OBJECT_BYTES_MAX: usize = 1000 * 1000;
+
 fn groups(items: &[Item]) -> Groups {
     let text = serde_json::to_string(items).unwrap();
     Groups::new(Rc::new(Items::read(text.into()).unwrap()))
@@ -79,3 +82,23 @@
     assert_eq!(paging::next_page(&small).len(), 2);
     assert!(paging::next_page(&[]).is_empty());
 }
+
+/// Guards against a page that the store refuses, since its samples have little text but
+/// are many, or have characters that take more space once they are encoded.
+#[test]
+fn limit_encoded_page_size() {
+    let many = (0..30_000).map(|item| ready(item, &format!("item-{item}"), 0));
+    let many: Vec<Ready> = many.collect();
+    let escaped: Vec<Ready> = (0..50)
+        .map(|item| {
+            let sample = common::record::sample(&item.to_string(), &"\u{1}\n".repeat(8 * 1024));
+            Ready { item, sample }
+        })
+        .collect();
+    for samples in [many, escaped] {
+        let page = paging::next_page(&samples);
+        assert!(!page.is_empty());
+        let encoded = serde_json::to_string(&page).unwrap();
+        assert!(encoded.len() < OBJECT_BYTES_MAX, "{}", encoded.len());
+    }
+}
