--- a/crates/site/tests/large_job.rs
+++ b/crates/site/tests/large_job.rs
@@ -118,6 +118,31 @@
     assert_eq!(vms[0].log().matches("\"job accepted\"").count(), 0);
 }
 
+/// Guards against a VM that ends for its memory each time that it takes a large job over,
+/// since it decodes all items anew.
+#[test]
+fn take_over_large_job_within_memory() {
+    let mut deployment = start(2, 2);
+    submit_small_items(&deployment);
+    let runner = deployment.runner();
+    let other = 1 - runner;
+    deployment.vms[runner].kill();
+    deployment.vms[other].wait_until_logged("started running job");
+    common::wait("an item that runs at the other VM", || {
+        deployment.vms[other].log().contains("item completed")
+    });
+    // The VM that starts again answers for the job as well.
+    deployment.vms[runner].restart();
+    for vm in &deployment.vms {
+        let path = format!("/items/job-a?id={:016x}", SMALL_ITEMS - 1);
+        let body = vm.request(Method::GET, &path, "body");
+        assert_eq!((body.status.as_u16(), &body.body[..]), (200, &b"17"[..]));
+        let peak = vm.peak_memory() / 1024 / 1024;
+        println!("peak {peak} MB");
+        assert!(peak < MEMORY_MB, "{peak}");
+    }
+}
+
 /// Guards against a job that is rejected for one failed write because writing its other
 /// parts has taken long.
 #[test]
