job: free slots beyond the decoded items of a large job are used at once

A job whose items are large has only a few of them decoded at a time (2 MiB of text), and the others followed with the next event or after 50 ms, while slots were free. The queue is filled again as long as items of it start.

--- a/crates/site/src/job/content.rs
+++ b/crates/site/src/job/content.rs
@@ -47,8 +47,8 @@
     }
 
     /// Writes the items of the job `id`. Failed writes are repeated for a short time, or
-    /// until `deadline` if there is one. Objects that exist already are kept: they have the same content, as they
-    /// were submitted with the same job id.
+    /// until `deadline` if there is one. Objects that exist already are kept: they have
+    /// the same content, as they were submitted with the same job id.
     ///
     /// # Errors
     ///
--- a/crates/site/src/job/executor.rs
+++ b/crates/site/src/job/executor.rs
@@ -350,10 +350,14 @@
                 Turn::All => {
                     // Only after a start, or two jobs whose items find no endpoint
                     // would wake each other without end.
-                    if self.start_all(now) {
+                    let is_any_started = self.start_all(now);
+                    if is_any_started {
                         self.entry.wake_others();
                     }
-                    return;
+                    // There may be slots for more items than were in the queue.
+                    if !(is_any_started && self.fill_queue(now)) {
+                        return;
+                    }
                 }
                 Turn::Item(item) => self.start_scheduled(item, now),
                 Turn::Nothing => return,
@@ -362,19 +366,20 @@
     }
 
     /// Moves items from the backlog to the queue, so that the schedule has enough of
-    /// them to choose from. Most jobs are in the queue as a whole.
-    fn fill_queue(&mut self, now: Instant) {
-        // Items that wait for their page are in memory too.
-        let is_room_for = |queued: usize| queued < QUEUE_ITEMS_MAX;
+    /// them to choose from, and returns whether there were any. Most jobs are in the queue
+    /// as a whole.
+    fn fill_queue(&mut self, now: Instant) -> bool {
+        // Samples that wait for their page are in memory too.
         if self.backlog.is_empty()
             || self.queue.len() > QUEUE_ITEMS_MAX / 2
-            || !is_room_for(self.ready.len())
+            || self.ready.len() >= QUEUE_ITEMS_MAX
         {
-            return;
+            return false;
         }
+        let queued = self.queue.len();
         let text_bytes = |pending: &Pending| self.items.text_bytes(pending.index);
         let mut bytes: usize = self.queue.iter().map(text_bytes).sum();
-        while is_room_for(self.queue.len())
+        while self.queue.len() < QUEUE_ITEMS_MAX
             && (bytes < QUEUE_BYTES_MAX || self.queue.is_empty())
             && let Some(index) = self.backlog.pop()
         {
@@ -406,6 +411,7 @@
             announce(&self.entry, &self.context, &pending);
             self.queue.push_back(pending);
         }
+        self.queue.len() > queued
     }
 
     /// Returns the text of the item `id` from an earlier run, if this job may use it.
--- a/crates/site/tests/content.rs
+++ b/crates/site/tests/content.rs
@@ -5,7 +5,11 @@
 use std::time::Duration;
 
 use fakes::site::{self, Fault, Plan, Site};
-use platform::store::{Store, Written};
+use platform::{
+    batch::{Blob, Item},
+    items::Items,
+    store::{Store, Written},
+};
 use tarragonseam_site::job::{
     Handle, Registry,
     content::Content,
@@ -153,3 +157,60 @@
     };
     assert_eq!(link::runtime::run(read).unwrap(), (true, false));
 }
+
+/// Returns the parts of `items` as builds before the encoded items stored them: as many
+/// items each as fit into 500 KiB by their approximate size, but at least one.
+fn parts_of_earlier_builds(items: &[Item]) -> Vec<Vec<Item>> {
+    let (mut parts, mut bytes) = (vec![Vec::new()], 0);
+    for item in items {
+        bytes += item.encoded_bytes();
+        if bytes > 500 * 1024 && parts.last().is_some_and(|part| !part.is_empty()) {
+            parts.push(Vec::new());
+            bytes = item.encoded_bytes();
+        }
+        parts.last_mut().unwrap().push(item.clone());
+    }
+    parts
+}
+
+/// Guards against items that are lost or stored twice while builds from before and after
+/// the encoded items write the same job.
+#[test]
+fn write_same_parts_as_earlier_builds() {
+    const KIND: &str = "rollout-job-job-a";
+    let sizes = [0, 1, 100, 600_000, 3, 400_000, 90_000, 20_000, 700_000];
+    let large = sizes.iter().map(|size| "x".repeat(*size));
+    let small = (0..3000).map(|number: usize| "y".repeat(number % 7));
+    let items = large.chain(small).enumerate().map(|(number, path)| Item {
+        id: format!("a-{number}"),
+        path,
+        headers: Default::default(),
+        body: Blob("body".into()),
+        tokens: 1,
+        group: None,
+        scorer: None,
+    });
+    let items: Vec<Item> = items.collect();
+    for items in [&items[..], &[]] {
+        let expected = parts_of_earlier_builds(items);
+        // Formatted otherwise and with a field that earlier builds ignore.
+        let mut text = serde_json::to_value(items).unwrap();
+        for item in text.as_array_mut().unwrap() {
+            item["unknown"] = serde_json::json!([1, 2]);
+        }
+        let encoded = Items::read(serde_json::to_string_pretty(&text).unwrap().into()).unwrap();
+        let write = async {
+            let fixture = Fixture::new();
+            let content = &fixture.content;
+            content.write_items("job-a", &encoded, None).await.unwrap();
+            let read = content.items(&fixture.job()).await.unwrap();
+            let decoded = (0..read.len()).map(|position| read.decode(position).unwrap());
+            assert_eq!(decoded.collect::<Vec<Item>>(), items);
+            let store = Store::new(fixture.site.store, Vec::new(), Vec::new());
+            let objects = store.list(KIND).await.unwrap().value;
+            let parts = objects.iter().map(|object| object.read().unwrap());
+            parts.collect::<Vec<Vec<Item>>>()
+        };
+        assert_eq!(link::runtime::run(write).unwrap(), expected);
+    }
+}
